--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Every target installs what it needs into VENV and works from a clean clone.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+export PYTHONPATH := src
+ONLY ?=
+SEED ?= 1
+N ?= 2000
+
+.PHONY: demo test lint types unit bench capacity dist fuzz format clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement requirements.lock
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m amaranthtray demo
+
+test: lint types unit
+
+lint: $(STAMP)
+	$(PY) -m ruff format --check src tests
+	$(PY) -m ruff check src tests
+
+types: $(STAMP)
+	$(PY) -m mypy
+
+unit: $(STAMP)
+	$(PY) -m pytest
+
+format: $(STAMP)
+	$(PY) -m ruff format src tests
+	$(PY) -m ruff check --fix src tests
+
+bench: $(STAMP)
+	$(PY) -m amaranthtray.bench --only "$(ONLY)"
+
+capacity: $(STAMP)
+	$(PY) -m amaranthtray.capacity --write docs/CAPACITY.md
+
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$(N) $(PY) -m pytest --hypothesis-profile=fuzz --hypothesis-seed=$(SEED) -k machine
+
+dist: $(STAMP)
+	$(PY) -m amaranthtray.packaging dist/amaranthtray
+
+clean:
+	rm -rf dist .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/amaranthtray/backend/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client for backend servers."""
--- /dev/null
+++ b/src/amaranthtray/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind ``make bench``."""
--- /dev/null
+++ b/src/amaranthtray/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measured slopes behind docs/CAPACITY.md."""
--- /dev/null
+++ b/src/amaranthtray/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Command line for operators."""
+
+from __future__ import annotations
+
+from .main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/amaranthtray/domain/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""The availability budget ledger of a pool."""
--- /dev/null
+++ b/src/amaranthtray/domain/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties held under platform leases with fencing terms."""
--- /dev/null
+++ b/src/amaranthtray/domain/ids.py
@@ -0,0 +1,33 @@
+"""Identifiers shared by all aggregates."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+RackId = NewType("RackId", str)
+ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
+PoolName = NewType("PoolName", str)
+TeamName = NewType("TeamName", str)
+QueueName = NewType("QueueName", str)
+WaveName = NewType("WaveName", str)
+KeyId = NewType("KeyId", str)
+
+EntryId = NewType("EntryId", str)
+Incarnation = NewType("Incarnation", str)
+"""One run of an entry process; a restarted entry has a new one."""
+
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+OperationId = NewType("OperationId", str)
+"""Chosen by the writer of a change, so that a lost reply can be settled."""
+
+Revision = NewType("Revision", int)
+"""Position in the configuration log; 0 is the empty configuration."""
+
+Term = NewType("Term", int)
+"""Fencing term of a duty; a higher term supersedes a lower one."""
+
+Millis = NewType("Millis", int)
+"""Milliseconds on a monotonic clock unless a name says wall time."""
--- /dev/null
+++ b/src/amaranthtray/domain/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Verification of team and operator keys."""
--- /dev/null
+++ b/src/amaranthtray/domain/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Upper limits of teams, held as escrowed units."""
--- /dev/null
+++ b/src/amaranthtray/domain/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The request aggregate: admission, queueing, attempts and outcomes."""
--- /dev/null
+++ b/src/amaranthtray/domain/requests/ports.py
@@ -0,0 +1,38 @@
+"""What the request desk needs from the limit and share aggregates."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ..ids import Millis, PoolName, TeamName
+
+
+class Limits(Protocol):
+    """Units of the teams' upper limits that this entry holds."""
+
+    def try_take(self, team: TeamName, now_ms: Millis) -> bool:
+        """Takes one unit for a task about to start; false when none is held."""
+
+    def give_back(self, team: TeamName, now_ms: Millis) -> None:
+        """Returns the unit of a task that is known to be over."""
+
+    def note_demand(self, team: TeamName, waiting: int, now_ms: Millis) -> None:
+        """Records how many requests of the team wait for a unit."""
+
+
+class Shares(Protocol):
+    """Order among the teams that wait for slots of one pool."""
+
+    def pick(
+        self, pool: PoolName, waiting: Collection[TeamName], now_ms: Millis
+    ) -> TeamName | None:
+        """Returns the team furthest below its share; none if ``waiting`` is empty."""
+
+    def started(self, pool: PoolName, team: TeamName, now_ms: Millis) -> None:
+        """Records that a slot of the pool began to work for the team."""
+
+    def ended(self, pool: PoolName, team: TeamName, slot_ms: int) -> None:
+        """Records a slot's measured time when the task is over."""
--- /dev/null
+++ b/src/amaranthtray/domain/selectors/__init__.py
@@ -0,0 +1,1 @@
+"""Label selectors for hosts and work."""
--- /dev/null
+++ b/src/amaranthtray/domain/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Weighted fair sharing of full pools."""
--- /dev/null
+++ b/src/amaranthtray/domain/waves/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance waves over the hosts of a selector."""
--- /dev/null
+++ b/src/amaranthtray/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entries: websockets that carry CBOR messages."""
--- /dev/null
+++ b/src/amaranthtray/peers/messages.py
@@ -0,0 +1,181 @@
+"""Messages between entries; each is one CBOR frame on an authenticated link."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..domain.ids import (
+    EntryId,
+    HostId,
+    Incarnation,
+    PoolName,
+    RequestId,
+    Revision,
+    TeamName,
+    Term,
+    ZoneId,
+)
+from ..domain.tagged import TaggedUnion
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First frame of a side: who it is and a nonce for the other to sign."""
+
+    entry: EntryId
+    zone: ZoneId
+    incarnation: Incarnation
+    nonce: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """HMAC over both nonces and identities under the fleet's peer secret."""
+
+    mac: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Liveness, the configuration revision in force and the duty held, if any.
+
+    Attributes:
+        revision: Highest revision in force.
+        steward_term: Term of the zone steward duty, 0 when not held.
+        load: Tasks running from this entry.
+    """
+
+    revision: Revision
+    steward_term: Term
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigWanted:
+    """Asks for all records after ``after``."""
+
+    after: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRecords:
+    """Records in order; the receiver refuses a gap.
+
+    Attributes:
+        records: Records as dictionaries of ``configuration.codec``.
+        snapshot: A whole configuration when the records are too old, else none.
+    """
+
+    records: tuple[dict[str, Any], ...] = ()
+    snapshot: dict[str, Any] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class UsageSums:
+    """Slot time used since the sender started, per pool and team.
+
+    Sums only grow within an incarnation, so a lost or repeated frame does no harm.
+
+    Attributes:
+        sums: Slot milliseconds by pool and team; only what changed is sent.
+        waiting: Teams of each pool with waiting work.
+    """
+
+    incarnation: Incarnation
+    sums: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
+    waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class UnitsWanted:
+    """An entry tells its zone steward what it uses and wants of the limits.
+
+    Attributes:
+        seq: Grows with each report of an incarnation; older ones are ignored.
+        used: Units in use, by team.
+        waiting: Requests waiting for a unit, by team.
+    """
+
+    incarnation: Incarnation
+    seq: int
+    used: dict[TeamName, int]
+    waiting: dict[TeamName, int]
+
+
+@dataclass(frozen=True, slots=True)
+class UnitsGranted:
+    """The steward's grant to one entry; it replaces any with a lower number.
+
+    Attributes:
+        term: Steward term; an old term is refused.
+        seq: Grows with each grant of the term.
+        ttl_ms: Validity, counted by the entry from when it sent the report
+            that ``answers`` names.
+        answers: ``UnitsWanted.seq`` that this grant answers.
+        units: Units the entry may use, by team.
+    """
+
+    term: Term
+    seq: int
+    ttl_ms: int
+    answers: int
+    units: dict[TeamName, int]
+
+
+@dataclass(frozen=True, slots=True)
+class HostNews:
+    """What an entry learned from a backend server itself.
+
+    Attributes:
+        leaving: Hosts that refused work because they are leaving.
+        ejected: Hosts that fail what they start.
+    """
+
+    leaving: tuple[HostId, ...] = ()
+    ejected: tuple[HostId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardRequest:
+    """Hands an unrepeatable request to the entry that its id names as home.
+
+    Attributes:
+        exchange: Matches the reply.
+        deadline_left_ms: Time left when the frame was sent.
+        head: Border fields of the request.
+        body: The request body.
+    """
+
+    exchange: int
+    request_id: RequestId
+    team: TeamName
+    deadline_left_ms: int
+    head: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardReply:
+    """The outcome of a forwarded request, whole or not at all."""
+
+    exchange: int
+    status: int
+    head: dict[str, str]
+    body: bytes
+
+
+PEER_MESSAGES = TaggedUnion(
+    "peer message",
+    Hello,
+    Proof,
+    Heartbeat,
+    ConfigWanted,
+    ConfigRecords,
+    UsageSums,
+    UnitsWanted,
+    UnitsGranted,
+    HostNews,
+    ForwardRequest,
+    ForwardReply,
+)
--- /dev/null
+++ b/src/amaranthtray/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces and their replay through the decisions."""
--- /dev/null
+++ b/src/amaranthtray/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators."""
--- /dev/null
+++ b/src/amaranthtray/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios against the decisions, on a manual clock."""
--- /dev/null
+++ b/src/amaranthtray/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of an entry, read from TOML and checked."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,137 @@
+"""Builders of test data; every argument has a sane default."""
+
+from __future__ import annotations
+
+from amaranthtray.domain.configuration import (
+    Budget,
+    Configuration,
+    Pool,
+    Queue,
+    Team,
+)
+from amaranthtray.domain.ids import (
+    HostId,
+    Millis,
+    PoolName,
+    QueueName,
+    RackId,
+    RegionId,
+    RequestId,
+    Revision,
+    TeamName,
+    ZoneId,
+)
+from amaranthtray.domain.inventory import Host, HostState
+from amaranthtray.domain.requests.model import Needs, Request, WorkClass
+
+HOSTS_PER_RACK = 4
+
+
+def host(
+    number: int = 1,
+    *,
+    zone: str = "z1",
+    rack: str | None = None,
+    slots: int = 8,
+    cores: int = 16,
+    labels: dict[str, str] | None = None,
+    state: HostState = HostState.LIVE,
+) -> Host:
+    rack_name = rack or f"{zone}-r{number // HOSTS_PER_RACK}"
+    return Host(
+        host_id=HostId(f"{zone}-h{number}"),
+        zone=ZoneId(zone),
+        rack=RackId(rack_name),
+        region=RegionId("r1"),
+        slots=slots,
+        cores=cores,
+        labels=labels or {},
+        state=state,
+    )
+
+
+def pool(
+    name: str = "web",
+    *,
+    selector: str = "",
+    priority: int = 100,
+    max_out: int = 1,
+    max_out_per_zone: int = 1,
+    max_out_per_rack: int = 1,
+) -> Pool:
+    return Pool(
+        name=PoolName(name),
+        selector=selector or f"pool={name}",
+        priority=priority,
+        budget=Budget(max_out, max_out_per_zone, max_out_per_rack),
+    )
+
+
+def team(
+    name: str = "red",
+    *,
+    share: int = 1,
+    limit: int = 100,
+    labels: dict[str, str] | None = None,
+) -> Team:
+    return Team(TeamName(name), share=share, limit=limit, labels=labels or {})
+
+
+def queue(
+    name: str = "bookings",
+    *,
+    pool: str = "web",
+    is_open: bool = False,
+    selector: str = "",
+) -> Queue:
+    return Queue(
+        name=QueueName(name),
+        pool=PoolName(pool),
+        is_open=is_open,
+        selector=selector,
+    )
+
+
+def request(
+    number: int = 1,
+    *,
+    team: str = "red",
+    queue: str = "bookings",
+    pool: str = "web",
+    work_class: WorkClass = WorkClass.URGENT,
+    repeatable: bool = True,
+    accepted_ms: int = 0,
+    deadline_ms: int = 10_000,
+    needs: Needs | None = None,
+) -> Request:
+    return Request(
+        request_id=RequestId(f"q{number}"),
+        team=TeamName(team),
+        queue=QueueName(queue),
+        pool=PoolName(pool),
+        work_class=work_class,
+        repeatable=repeatable,
+        accepted_ms=Millis(accepted_ms),
+        deadline_ms=Millis(deadline_ms),
+        needs=needs or Needs(),
+    )
+
+
+def configuration(
+    *,
+    revision: int = 1,
+    pools: tuple[Pool, ...] = (),
+    teams: tuple[Team, ...] = (),
+    queues: tuple[Queue, ...] = (),
+    placement: dict[str, str] | None = None,
+) -> Configuration:
+    return Configuration(
+        revision=Revision(revision),
+        pools={item.name: item for item in pools},
+        teams={item.name: item for item in teams},
+        queues={item.name: item for item in queues},
+        placement={
+            HostId(host_id): PoolName(name)
+            for host_id, name in (placement or {}).items()
+        },
+    )
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,28 @@
+"""Hypothesis profiles: derandomized unless a deeper run is asked for."""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+FUZZ_EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "2000"))
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=100,
+    stateful_step_count=50,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.register_profile(
+    "fuzz",
+    deadline=None,
+    database=None,
+    max_examples=FUZZ_EXAMPLES,
+    stateful_step_count=80,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile("ci")
