--- /dev/null
+++ b/src/amaranthtray/standins/backend.py
@@ -0,0 +1,264 @@
+"""Stand-in for a backend server: slots, connections, leases and injected faults."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+import msgspec
+
+from .. import web
+from ..backend import wire
+from .faults import FaultPlan
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_TASK_BYTES = 16 << 20
+MS_PER_S = 1_000
+
+
+class RunState(StrEnum):
+    """Whether the server takes new tasks."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a task gives back."""
+
+    status: int = 200
+    content_type: str = "application/octet-stream"
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task, kept for the all-seeing observer of tests.
+
+    Attributes:
+        lease_until_s: When the task is stopped unless its lease is renewed.
+    """
+
+    attempt_id: str
+    request_id: str
+    team: str
+    queue: str
+    started_s: float
+    lease_until_s: float
+    stop: threading.Event = field(default_factory=threading.Event)
+    ended_s: float | None = None
+    checkpointed: bool = False
+    throttled: bool = False
+
+
+def echo(run: Run, body: bytes) -> Answer:
+    """Answers with the request id and the body; bodies ``sleep:MS`` take that long."""
+    if body.startswith(b"sleep:"):
+        millis, _, _ = body.removeprefix(b"sleep:").partition(b" ")
+        run.stop.wait(int(millis) / MS_PER_S)
+    return Answer(body=run.request_id.encode() + b"|" + body)
+
+
+class BackendStandIn:
+    """One backend server on loopback.
+
+    Args:
+        host_id: Name of the host.
+        slots: Tasks run at once; more are refused as not started.
+        threads: Threads that serve connections.
+        work: What a task does.
+        port: TCP port; 0 takes a free one.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        *,
+        slots: int = 8,
+        threads: int = 16,
+        work: Callable[[Run, bytes], Answer] = echo,
+        port: int = 0,
+    ) -> None:
+        self.host_id = host_id
+        self.slots = slots
+        self.work = work
+        self.plan = FaultPlan()
+        self.state = RunState.LIVE
+        self.runs: list[Run] = []
+        self._running: dict[str, Run] = {}
+        self._lock = threading.Lock()
+        self._web = web.WebServer(
+            _Root(self), threads=threads, port=port, max_body_bytes=MAX_TASK_BYTES
+        )
+
+    @property
+    def port(self) -> int:
+        """Returns the TCP port of the server."""
+        return self._web.port
+
+    def start(self) -> None:
+        """Starts the server."""
+        self._web.start()
+
+    def stop(self) -> None:
+        """Stops the server at once and whatever runs on it."""
+        self.plan.heal()
+        with self._lock:
+            for run in self._running.values():
+                run.stop.set()
+        self._web.stop()
+
+    def leave(self) -> None:
+        """Refuses new tasks from now on and finishes the ones that run."""
+        self.state = RunState.LEAVING
+
+    def begin(self, run: Run) -> str | None:
+        """Takes a slot for a task, or returns why it was not started."""
+        with self._lock:
+            self._stop_lapsed()
+            if self.state is RunState.LEAVING:
+                return wire.REFUSED_LEAVING
+            if len(self._running) >= self.slots:
+                return wire.REFUSED_BUSY
+            self._running[run.attempt_id] = run
+            self.runs.append(run)
+            return None
+
+    def end(self, run: Run) -> None:
+        """Frees the slot of a task."""
+        with self._lock:
+            run.ended_s = time.monotonic()
+            self._running.pop(run.attempt_id, None)
+
+    def renew(self, attempt_ids: list[str], ttl_ms: int) -> list[str]:
+        """Renews the leases of running tasks and returns the ids that run."""
+        until = time.monotonic() + ttl_ms / MS_PER_S
+        with self._lock:
+            self._stop_lapsed()
+            running = [item for item in attempt_ids if item in self._running]
+            for attempt_id in running:
+                self._running[attempt_id].lease_until_s = until
+            return running
+
+    def control(self, attempt_id: str, verb: str) -> bool:
+        """Cancels, checkpoints, throttles or stops a task; false if it is not here."""
+        with self._lock:
+            run = self._running.get(attempt_id)
+            if run is None:
+                return False
+            run.checkpointed |= verb == wire.CHECKPOINT
+            run.throttled |= verb == wire.THROTTLE
+            if verb != wire.THROTTLE:
+                run.stop.set()
+            return True
+
+    def health(self) -> dict[str, Any]:
+        """Returns the state, free slots and running attempts."""
+        with self._lock:
+            self._stop_lapsed()
+            running = sorted(self._running)
+        free = self.slots - len(running)
+        return {"state": self.state.value, "free_slots": free, "running": running}
+
+    def free_slots(self) -> int:
+        """Returns the number of free slots."""
+        return self.slots - len(self._running)
+
+    def _stop_lapsed(self) -> None:
+        now = time.monotonic()
+        for run in self._running.values():
+            if run.lease_until_s < now:
+                run.stop.set()
+
+
+class _Root:
+    """HTTP interface of the stand-in."""
+
+    def __init__(self, server: BackendStandIn) -> None:
+        self.v1 = _Api(server)
+
+
+class _Api:
+    def __init__(self, server: BackendStandIn) -> None:
+        self._server = server
+
+    @cherrypy.expose  # type: ignore[untyped-decorator]
+    def health(self) -> bytes:
+        """Tells the state of the server."""
+        if self._server.plan.before_effect().cut:
+            web.break_connection()
+        return web.json_body(self._server.health())
+
+    @cherrypy.expose  # type: ignore[untyped-decorator]
+    def leases(self) -> bytes:
+        """Renews a batch of task leases."""
+        if self._server.plan.before_effect().cut:
+            web.break_connection()
+        body = msgspec.json.decode(
+            web.read_body(MAX_TASK_BYTES), type=wire.LeaseRenewal
+        )
+        running = self._server.renew(list(body.attempts), body.ttl_ms)
+        gone = [item for item in body.attempts if item not in running]
+        return web.json_body({"running": running, "ended": gone})
+
+    @cherrypy.expose  # type: ignore[untyped-decorator]
+    def tasks(self, attempt_id: str = "", verb: str = "") -> bytes:
+        """Runs a task, or controls one that runs."""
+        if attempt_id:
+            known = self._server.control(attempt_id, verb)
+            return web.json_body({"known": known})
+        return self._run()
+
+    def _run(self) -> bytes:
+        server = self._server
+        faults = server.plan.before_effect()
+        if faults.cut:
+            web.break_connection()
+            return b""
+        run = _new_run()
+        body = web.read_body(MAX_TASK_BYTES)
+        refusal = server.begin(run)
+        if refusal is not None:
+            return _refused(refusal)
+        try:
+            answer = Answer(500) if faults.fail else server.work(run, body)
+        finally:
+            server.end(run)
+        if faults.lose_reply:
+            web.break_connection()
+        return _answered(server, run, answer)
+
+
+def _new_run() -> Run:
+    head = cherrypy.request.headers
+    now = time.monotonic()
+    return Run(
+        attempt_id=head[wire.ATTEMPT_ID],
+        request_id=head[wire.REQUEST_ID],
+        team=head.get(wire.TEAM, ""),
+        queue=head.get(wire.QUEUE, ""),
+        started_s=now,
+        lease_until_s=now + int(head[wire.LEASE_MS]) / MS_PER_S,
+    )
+
+
+def _refused(reason: str) -> bytes:
+    cherrypy.response.headers[wire.NOT_STARTED] = reason
+    return web.json_body({"reason": reason}, status=503)
+
+
+def _answered(server: BackendStandIn, run: Run, answer: Answer) -> bytes:
+    head = cherrypy.response.headers
+    cherrypy.response.status = answer.status
+    head["Content-Type"] = answer.content_type
+    head["Content-Length"] = str(len(answer.body))
+    head[wire.ATTEMPT_ID] = run.attempt_id
+    head[wire.FREE_SLOTS] = str(server.free_slots())
+    return answer.body
--- /dev/null
+++ b/src/amaranthtray/standins/platform.py
@@ -0,0 +1,240 @@
+"""Stand-in for the platform's key-value service, in the etcd v3 JSON dialect."""
+
+from __future__ import annotations
+
+import base64
+import time
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+import msgspec
+from returns.result import Failure, Result, Success
+
+from .. import web
+from ..platform.store import (
+    Compacted,
+    Conflict,
+    LeaseGone,
+    LeaseId,
+    StoreFailure,
+    Versioned,
+    WatchBatch,
+)
+from .faults import FaultPlan
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from ..platform.store import Store
+
+MAX_REQUEST_BYTES = 2 << 20
+WATCH_SLICE_MS = 500
+WATCH_LIFE_S = 60
+MS_PER_S = 1_000
+
+
+class PlatformStandIn:
+    """One listener of the service; give each zone its own to cut zones off singly.
+
+    Args:
+        store: Holds the data; several listeners may share it.
+        threads: Threads of the listener; each waiting watch takes one.
+        port: TCP port; 0 takes a free one.
+    """
+
+    def __init__(self, store: Store, *, threads: int = 32, port: int = 0) -> None:
+        self.plan = FaultPlan()
+        self.calls = 0
+        self._web = web.WebServer(
+            _Root(self, store),
+            threads=threads,
+            port=port,
+            max_body_bytes=MAX_REQUEST_BYTES,
+        )
+
+    @property
+    def url(self) -> str:
+        """Returns the base URL of the listener."""
+        return f"http://127.0.0.1:{self._web.port}"
+
+    def start(self) -> None:
+        """Starts the listener."""
+        self._web.start()
+
+    def stop(self) -> None:
+        """Stops the listener."""
+        self.plan.heal()
+        self._web.stop()
+
+
+class _Root:
+    """Dispatches the paths of the gateway; each handler gives effect and reply."""
+
+    def __init__(self, listener: PlatformStandIn, store: Store) -> None:
+        self._listener = listener
+        self._store = store
+        self._handlers: dict[str, Callable[[dict[str, Any]], bytes]] = {
+            "kv/range": self._range,
+            "kv/txn": self._txn,
+            "lease/grant": self._grant,
+            "lease/keepalive": self._keepalive,
+            "lease/revoke": self._revoke,
+        }
+
+    @cherrypy.expose  # type: ignore[untyped-decorator]
+    def default(self, *path: str) -> bytes | Iterator[bytes]:
+        """Serves any path of the gateway."""
+        self._listener.calls += 1
+        faults = self._listener.plan.before_effect()
+        if faults.cut:
+            web.break_connection()
+            return b""
+        if faults.fail:
+            raise cherrypy.HTTPError(500, "injected")
+        reply = self._serve("/".join(path[1:]))
+        if faults.lose_reply:
+            web.break_connection()
+        return reply
+
+    def _serve(self, name: str) -> bytes | Iterator[bytes]:
+        body = msgspec.json.decode(web.read_body(MAX_REQUEST_BYTES))
+        if name == "watch":
+            cherrypy.response.stream = True
+            return self._watch(body["create_request"])
+        handler = self._handlers.get(name)
+        if handler is None:
+            raise cherrypy.HTTPError(404, f"no path {name}")
+        return handler(body)
+
+    def _range(self, body: dict[str, Any]) -> bytes:
+        key = _decoded(body["key"])
+        if "range_end" not in body:
+            found = _must(self._store.get(key))
+            return _kvs([found] if found else [], found.version if found else 0)
+        listing = _must(self._store.list(key))
+        return _kvs(list(listing.items), listing.at_version)
+
+    def _txn(self, body: dict[str, Any]) -> bytes:
+        guard = body["compare"][0]
+        done = self._act(body["success"][0], int(guard["mod_revision"]))
+        match done:
+            case Success(version):
+                return _txn_reply(succeeded=True, version=version)
+            case Failure(Conflict(found=found)):
+                return _txn_reply(succeeded=False, version=0, found=found)
+            case _:
+                raise _http_error(done.failure())
+
+    def _act(self, action: dict[str, Any], version: int) -> Result[int, StoreFailure]:
+        if "requestDeleteRange" in action:
+            key = _decoded(action["requestDeleteRange"]["key"])
+            return self._store.delete(key, version=version).map(lambda _: 0)
+        put = action["requestPut"]
+        key = _decoded(put["key"])
+        value = base64.b64decode(put["value"])
+        lease = LeaseId(int(put["lease"])) if int(put["lease"]) else None
+        if version == 0:
+            return self._store.create(key, value, lease=lease)
+        return self._store.compare_and_swap(key, value, version=version, lease=lease)
+
+    def _grant(self, body: dict[str, Any]) -> bytes:
+        ttl_s = int(body["TTL"])
+        lease = _must(self._store.grant_lease(ttl_s * MS_PER_S))
+        return web.json_body({"ID": str(lease), "TTL": str(ttl_s)})
+
+    def _keepalive(self, body: dict[str, Any]) -> bytes:
+        match self._store.renew_lease(LeaseId(int(body["ID"]))):
+            case Success(ttl_ms):
+                return _keepalive_reply(body["ID"], ttl_ms // MS_PER_S)
+            case Failure(LeaseGone()):
+                return _keepalive_reply(body["ID"], 0)
+            case Failure(failure):
+                raise _http_error(failure)
+        raise AssertionError("a result is a success or a failure")
+
+    def _revoke(self, body: dict[str, Any]) -> bytes:
+        _must(self._store.revoke_lease(LeaseId(int(body["ID"]))))
+        return web.json_body({})
+
+    def _watch(self, request: dict[str, Any]) -> Iterator[bytes]:
+        after = int(request["start_revision"]) - 1
+        prefix = _decoded(request["key"])
+        end = time.monotonic() + WATCH_LIFE_S
+        yield _line({"created": True})
+        while time.monotonic() < end and not self._listener.plan.current.cut:
+            batch = self._store.watch(
+                prefix, after_version=after, timeout_ms=WATCH_SLICE_MS
+            )
+            match batch:
+                case Success(WatchBatch(events=(), at_version=_)):
+                    yield _line({})
+                case Success(found):
+                    after = found.at_version
+                    yield _line({"events": _events(found)})
+                case Failure(Compacted()):
+                    yield _line({"canceled": True, "compact_revision": str(after + 1)})
+                    return
+                case _:
+                    return
+
+
+def _must(result: Result[Any, StoreFailure]) -> Any:
+    match result:
+        case Success(value):
+            return value
+        case Failure(failure):
+            raise _http_error(failure)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _http_error(failure: StoreFailure) -> cherrypy.HTTPError:
+    if isinstance(failure, LeaseGone):
+        return cherrypy.HTTPError(404, "requested lease not found")
+    return cherrypy.HTTPError(503, type(failure).__name__)
+
+
+def _decoded(encoded: str) -> str:
+    return base64.b64decode(encoded).decode()
+
+
+def _kv(found: Versioned) -> dict[str, str]:
+    return {
+        "key": base64.b64encode(found.key.encode()).decode(),
+        "value": base64.b64encode(found.value).decode(),
+        "mod_revision": str(found.version),
+        "lease": str(found.lease or 0),
+    }
+
+
+def _kvs(found: list[Versioned], version: int) -> bytes:
+    header = {"revision": str(version)}
+    return web.json_body({"header": header, "kvs": [_kv(item) for item in found]})
+
+
+def _txn_reply(
+    *, succeeded: bool, version: int, found: Versioned | None = None
+) -> bytes:
+    reply: dict[str, Any] = {"header": {"revision": str(version)}}
+    if succeeded:
+        reply["succeeded"] = True
+    else:
+        kvs = [_kv(found)] if found else []
+        reply["responses"] = [{"response_range": {"kvs": kvs}}]
+    return web.json_body(reply)
+
+
+def _keepalive_reply(lease: str, ttl_s: int) -> bytes:
+    return web.json_body({"result": {"ID": lease, "TTL": str(ttl_s)}})
+
+
+def _line(result: dict[str, Any]) -> bytes:
+    return msgspec.json.encode({"result": result}) + b"\n"
+
+
+def _events(batch: WatchBatch) -> list[dict[str, Any]]:
+    events = []
+    for item in batch.events:
+        kv = _kv(Versioned(item.key, item.value or b"", item.version))
+        kind = "DELETE" if item.value is None else "PUT"
+        events.append({"type": kind, "kv": kv})
+    return events
