--- a/src/amaranthtray/settings/__init__.py
+++ b/src/amaranthtray/settings/__init__.py
@@ -1,1 +1,36 @@
-"""Settings of an entry, read from TOML and checked."""
+"""Settings of an entry: TOML files, validated models and environment overrides."""
+
+from __future__ import annotations
+
+from .load import SECRET_VARIABLE, load, loads, peer_secret
+from .model import (
+    BootstrapSettings,
+    EntrySettings,
+    HostListSettings,
+    LogFormat,
+    LogLevel,
+    LogSettings,
+    MetricSettings,
+    PeerSettings,
+    PlatformSettings,
+    RequestSettings,
+    Settings,
+)
+
+__all__ = [
+    "SECRET_VARIABLE",
+    "BootstrapSettings",
+    "EntrySettings",
+    "HostListSettings",
+    "LogFormat",
+    "LogLevel",
+    "LogSettings",
+    "MetricSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "RequestSettings",
+    "Settings",
+    "load",
+    "loads",
+    "peer_secret",
+]
--- /dev/null
+++ b/src/amaranthtray/settings/model.py
@@ -0,0 +1,224 @@
+"""Validated models of the settings file; one class for each section."""
+
+from __future__ import annotations
+
+import ipaddress
+from enum import StrEnum
+from typing import Annotated
+from urllib.parse import urlsplit
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Port = Annotated[int, Meta(ge=0, le=65_535)]
+Count = Annotated[int, Meta(ge=1)]
+Duration = Annotated[int, Meta(ge=1)]
+Percent = Annotated[int, Meta(ge=0, le=100)]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class LogLevel(StrEnum):
+    """Least severe level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class LogFormat(StrEnum):
+    """Form of a log line."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
+class EntrySettings(Struct, frozen=True, kw_only=True):
+    """Section ``[entry]``: who the process is and what it accepts.
+
+    Attributes:
+        id: Unique name of the entry host.
+        zone: Availability zone.
+        region: Region of the zone.
+        address: IP address that all ports are bound to.
+        caller_port: TCP port of the caller API; 0 lets the system choose.
+        admin_port: TCP port of the administration API; 0 lets the system choose.
+        peer_port: TCP port of links between entries; 0 lets the system choose.
+        threads: Threads that serve callers.
+        patient_threads: Most threads that callers of patient work may hold.
+        max_body_bytes: Largest request body.
+        max_header_bytes: Largest request header.
+        read_timeout_ms: Longest wait for bytes of a caller.
+        balancer_drain_ms: How long the health check fails before a leaving entry
+            stops accepting.
+    """
+
+    id: Name
+    zone: Name
+    region: Name
+    address: str
+    caller_port: Port = 8080
+    admin_port: Port = 8081
+    peer_port: Port = 8082
+    threads: Annotated[int, Meta(ge=2, le=4_096)] = 128
+    patient_threads: Count = 96
+    max_body_bytes: Count = 1_048_576
+    max_header_bytes: Count = 16_384
+    read_timeout_ms: Duration = 10_000
+    balancer_drain_ms: Annotated[int, Meta(ge=0)] = 5_000
+
+    def __post_init__(self) -> None:
+        ipaddress.ip_address(self.address)
+        if self.patient_threads >= self.threads:
+            raise ValueError("`patient_threads` must be lower than `threads`")
+        ports = [self.caller_port, self.admin_port, self.peer_port]
+        chosen = [port for port in ports if port]
+        if len(set(chosen)) < len(chosen):
+            raise ValueError("two of the ports are the same")
+
+
+class HostListSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[platform.hosts]``: where the platform lists its hosts.
+
+    Attributes:
+        prefix: Key prefix of the host list in the platform's key-value service.
+    """
+
+    prefix: Annotated[str, Meta(min_length=1)] = "hosts/"
+
+
+class PlatformSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[platform]``: the platform's key-value service.
+
+    Attributes:
+        endpoints: HTTP URLs of the service, tried in order.
+        prefix: Key prefix of all keys that this system writes.
+        timeout_ms: Longest wait for one call.
+        calls_per_s: Most calls a second of this entry.
+        hosts: The host list.
+    """
+
+    endpoints: Annotated[list[str], Meta(min_length=1)]
+    prefix: Annotated[str, Meta(min_length=1)] = "amaranthtray/"
+    timeout_ms: Duration = 1_000
+    calls_per_s: Count = 50
+    hosts: HostListSettings = field(default_factory=HostListSettings)
+
+    def __post_init__(self) -> None:
+        for url in self.endpoints:
+            _check_http_url(url)
+
+
+class PeerSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[peers]``: links between entries.
+
+    Attributes:
+        secret_file: File with the secret that entries authenticate each other by;
+            empty when the environment gives the secret.
+        max_frame_bytes: Largest frame accepted of a peer.
+    """
+
+    secret_file: str = ""
+    max_frame_bytes: Count = 2_097_152
+
+
+class RequestSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[requests]``: deadlines, leases, retries and ejection.
+
+    Attributes:
+        default_deadline_ms: Deadline of a request that names none.
+        max_deadline_ms: Longest deadline that a request may name.
+        result_keep_ms: How long an answer can be read back.
+        task_lease_ms: Lease under which a backend server runs a task.
+        max_attempts: Most attempts of one repeatable request.
+        retry_budget_percent: Retries allowed for each 100 first attempts of a pool.
+        retry_backoff_ms: Upper bound of the first jittered backoff.
+        eject_after_failures: Consecutive failures that eject a worker.
+        eject_ms: Shortest ejection.
+        eject_max_percent: Most workers of a pool ejected at once.
+    """
+
+    default_deadline_ms: Duration = 10_000
+    max_deadline_ms: Duration = 3_600_000
+    result_keep_ms: Duration = 60_000
+    task_lease_ms: Duration = 10_000
+    max_attempts: Count = 3
+    retry_budget_percent: Percent = 10
+    retry_backoff_ms: Duration = 50
+    eject_after_failures: Count = 5
+    eject_ms: Duration = 10_000
+    eject_max_percent: Percent = 20
+
+    def __post_init__(self) -> None:
+        if self.default_deadline_ms > self.max_deadline_ms:
+            raise ValueError("`default_deadline_ms` exceeds `max_deadline_ms`")
+
+
+class MetricSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[metrics]``: the statsd server; an empty host turns metrics off.
+
+    Attributes:
+        host: IP address of the server, resolved never.
+        port: UDP port of the server.
+        prefix: Prefix of all metric names.
+    """
+
+    host: str = ""
+    port: Port = 8125
+    prefix: str = "amaranthtray"
+
+    def __post_init__(self) -> None:
+        if self.host:
+            ipaddress.ip_address(self.host)
+
+
+class LogSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[logs]``: lines on standard error.
+
+    Attributes:
+        level: Least severe level that is written.
+        format: Structured JSON or text.
+    """
+
+    level: LogLevel = LogLevel.INFO
+    format: LogFormat = LogFormat.JSON
+
+
+class BootstrapSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[bootstrap]``: how the first operator gets in.
+
+    Attributes:
+        operator_digest: SHA-256 digest of an operator key that works as long as
+            the configuration holds no operator.
+    """
+
+    operator_digest: Digest | None = None
+
+
+class Settings(Struct, frozen=True, kw_only=True):
+    """The whole settings file; passed on as one object."""
+
+    entry: EntrySettings
+    platform: PlatformSettings
+    peers: PeerSettings = field(default_factory=PeerSettings)
+    requests: RequestSettings = field(default_factory=RequestSettings)
+    metrics: MetricSettings = field(default_factory=MetricSettings)
+    logs: LogSettings = field(default_factory=LogSettings)
+    bootstrap: BootstrapSettings = field(default_factory=BootstrapSettings)
+
+
+def sections(model: type[Struct]) -> dict[str, type[Struct]]:
+    """Returns the sections that are nested in ``model``, by name."""
+    found = {}
+    for item in msgspec.structs.fields(model):
+        if isinstance(item.type, type) and issubclass(item.type, Struct):
+            found[item.name] = item.type
+    return found
+
+
+def _check_http_url(url: str) -> None:
+    parts = urlsplit(url)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError(f"{url!r} is no http URL with a host")
+    _ = parts.port
