Refuse an answer whose head ends with the connection

Cause: http.client takes the end of the connection within the head as the end of the head, so an answer cut inside Content-Length could pass as a whole empty one. Ruled out: urllib3's length check, which never saw the length. Conclusion: the head reader now fails at the end of the connection.

--- a/src/amaranthtray/backend/client.py
+++ b/src/amaranthtray/backend/client.py
@@ -180,7 +180,7 @@
 def _has_length(resp: urllib3.BaseHTTPResponse) -> bool:
     """Returns whether a cut answer can be told from a whole one."""
     chunked = "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
-    return chunked or "Content-Length" in resp.headers
+    return chunked or resp.headers.get("Content-Length", "").isdecimal()
 
 
 def _judge(
--- a/src/amaranthtray/backend/connections.py
+++ b/src/amaranthtray/backend/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import http.client
 import socket
 import threading
 from typing import TYPE_CHECKING, Any
@@ -69,9 +70,41 @@
     may_have_sent: bool = False
 
 
+class _HeadReader:
+    """Reads the lines of an answer's head and fails when the head is cut."""
+
+    def __init__(self, raw: Any) -> None:
+        self._raw = raw
+
+    def readline(self, limit: int = -1) -> bytes:
+        line: bytes = self._raw.readline(limit)
+        if not line:
+            raise ConnectionResetError("the connection ended within the head")
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._raw, name)
+
+
+class CompleteHeadResponse(http.client.HTTPResponse):
+    """Refuses a head that ends with the connection; its base class takes it."""
+
+    def begin(self) -> None:
+        """Reads the head.
+
+        Raises:
+            ConnectionResetError: The connection ended before the head did.
+        """
+        raw = self.fp
+        self.fp = _HeadReader(raw)  # type: ignore[assignment]
+        super().begin()
+        self.fp = raw
+
+
 class TrackedConnection(HTTPConnection):
     """Notes when bytes may leave, and lets the attempt be aborted."""
 
+    response_class = CompleteHeadResponse
     progress: Progress
     live: LiveAttempts
 
--- /dev/null
+++ b/src/amaranthtray/entry/replies.py
@@ -0,0 +1,123 @@
+"""Replies to callers: answers byte for byte, refusals as typed bodies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..domain.requests.model import NotRun, NotRunReason, Unknown, UnknownReason
+
+if TYPE_CHECKING:
+    from ..backend.client import BackendAnswer
+    from ..domain.errors import Problem
+
+MS_PER_S = 1_000
+JSON_TYPE = "application/json"
+REQUEST_ID = "Request-Id"
+OUTCOME = "Outcome"
+
+_NOT_RUN_STATUS = {
+    NotRunReason.BAD_KEY: 401,
+    NotRunReason.QUEUE_FORBIDDEN: 403,
+    NotRunReason.QUEUE_UNKNOWN: 404,
+    NotRunReason.CANCELLED: 409,
+    NotRunReason.CAN_NEVER_RUN: 422,
+    NotRunReason.LIMIT_REACHED: 429,
+    NotRunReason.QUEUE_FULL: 429,
+    NotRunReason.DEADLINE_TOO_CLOSE: 504,
+}
+_UNKNOWN_STATUS = {
+    UnknownReason.DEADLINE_PASSED: 504,
+    UnknownReason.CANCELLED: 409,
+    UnknownReason.ID_SPENT: 409,
+}
+_DEFAULT_NOT_RUN_STATUS = 503
+_DEFAULT_UNKNOWN_STATUS = 502
+
+
+class OutcomeName:
+    """Values of the ``Outcome`` header and of the refusals' ``outcome`` field."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    ACCEPTED = "accepted"
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """Body of every refusal."""
+
+    outcome: str
+    reason: str
+    detail: str
+    request_id: str | None
+    retry_after_ms: int | None
+
+
+class ProblemBody(msgspec.Struct, frozen=True):
+    """Body of a reply to malformed input; such input is never run."""
+
+    what: str
+    where: str
+    fix: str
+    outcome: str = OutcomeName.NOT_RUN
+    reason: str = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A reply, independent of the HTTP server."""
+
+    status: int
+    body: bytes
+    head: dict[str, str] = field(default_factory=dict)
+
+
+def answered(request_id: str, answer: BackendAnswer) -> Reply:
+    """Returns the backend server's answer as it came."""
+    head = {
+        REQUEST_ID: request_id,
+        OUTCOME: OutcomeName.ANSWERED,
+        "Content-Type": answer.content_type,
+    }
+    return Reply(answer.status, answer.body, head)
+
+
+def not_run(outcome: NotRun, request_id: str | None = None) -> Reply:
+    """Returns the refusal of a request that did not run."""
+    status = _NOT_RUN_STATUS.get(outcome.reason, _DEFAULT_NOT_RUN_STATUS)
+    body = RefusalBody(
+        OutcomeName.NOT_RUN,
+        outcome.reason.value,
+        outcome.detail,
+        request_id,
+        outcome.retry_after_ms,
+    )
+    return _refusal(status, body)
+
+
+def unknown(outcome: Unknown, request_id: str) -> Reply:
+    """Returns the reply to a request that may have run."""
+    status = _UNKNOWN_STATUS.get(outcome.reason, _DEFAULT_UNKNOWN_STATUS)
+    body = RefusalBody(
+        OutcomeName.UNKNOWN, outcome.reason.value, outcome.detail, request_id, None
+    )
+    return _refusal(status, body)
+
+
+def malformed(problem: Problem, *, status: int = 400) -> Reply:
+    """Returns the reply to input that could not be read."""
+    body = ProblemBody(problem.what, problem.where, problem.fix)
+    head = {"Content-Type": JSON_TYPE, OUTCOME: OutcomeName.NOT_RUN}
+    return Reply(status, msgspec.json.encode(body), head)
+
+
+def _refusal(status: int, body: RefusalBody) -> Reply:
+    head = {"Content-Type": JSON_TYPE, OUTCOME: body.outcome}
+    if body.request_id is not None:
+        head[REQUEST_ID] = body.request_id
+    if body.retry_after_ms is not None:
+        head["Retry-After"] = str(-(-body.retry_after_ms // MS_PER_S))
+    return Reply(status, msgspec.json.encode(body), head)
