--- a/src/amaranthtray/settings/__init__.py
+++ b/src/amaranthtray/settings/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .load import SECRET_VARIABLE, load, loads, peer_secret
+from .load import SECRET_VARIABLE, load, loads, peer_secret, read_text
 from .model import (
     BootstrapSettings,
     EntrySettings,
@@ -16,6 +16,7 @@
     RequestSettings,
     Settings,
 )
+from .toml_document import TomlDocument
 
 __all__ = [
     "SECRET_VARIABLE",
@@ -30,7 +31,9 @@
     "PlatformSettings",
     "RequestSettings",
     "Settings",
+    "TomlDocument",
     "load",
     "loads",
     "peer_secret",
+    "read_text",
 ]
--- a/src/amaranthtray/settings/_locate.py
+++ b/src/amaranthtray/settings/_locate.py
@@ -3,26 +3,34 @@
 from __future__ import annotations
 
 import re
+from typing import TypeAlias
 
-_TABLE = re.compile(r"^\s*\[+\s*([^\]#]+?)\s*\]+")
+Path: TypeAlias = tuple[str | int, ...]
+"""Keys and, for arrays of tables, 0-based positions."""
+
+_ARRAY = re.compile(r"^\s*\[\[\s*(.+?)\s*\]\]")
+_TABLE = re.compile(r"^\s*\[\s*(.+?)\s*\]")
 _KEY = re.compile(r"^\s*([A-Za-z0-9_.\"'-]+?)\s*=")
 
 
-def line_of(text: str, path: tuple[str, ...]) -> int:
+def line_of(text: str, path: Path) -> int:
     """Returns the 1-based line where ``path`` is set, or its table's, or 1."""
-    table: tuple[str, ...] = ()
+    table: Path = ()
+    counts: dict[tuple[str, ...], int] = {}
+    found: Path
     best_line = 1
     best_depth = 0
     for number, line in enumerate(text.splitlines(), start=1):
-        header = _TABLE.match(line)
-        if header:
-            table = _split(header[1])
-            found = table
-        else:
-            key = _KEY.match(line)
-            if not key:
-                continue
+        if array := _ARRAY.match(line):
+            name = _split(array[1])
+            counts[name] = counts.get(name, -1) + 1
+            found = table = (*name, counts[name])
+        elif header := _TABLE.match(line):
+            found = table = _split(header[1])
+        elif key := _KEY.match(line):
             found = table + _split(key[1])
+        else:
+            continue
         depth = len(found)
         if depth > best_depth and path[:depth] == found:
             best_line, best_depth = number, depth
