Add label selectors, desired pools and the ambiguity rule

A host's pool is a pure function of labels and selectors in a total order; a change that makes two pools of equal priority claim one known host is refused with both names and the host.

--- a/src/amaranthtray/domain/placement/__init__.py
+++ b/src/amaranthtray/domain/placement/__init__.py
@@ -1,1 +1,23 @@
-"""Which pool each host belongs to, and the moves between pools."""
+"""Placement: which one pool each host belongs to, and the moves to get there."""
+
+from __future__ import annotations
+
+from .claims import (
+    check_ambiguity,
+    claims,
+    desired_pool,
+    desired_pools,
+    first_claim,
+    in_order,
+)
+from .labels import effective_labels
+
+__all__ = [
+    "check_ambiguity",
+    "claims",
+    "desired_pool",
+    "desired_pools",
+    "effective_labels",
+    "first_claim",
+    "in_order",
+]
