--- a/src/amaranthtray/backend/client.py
+++ b/src/amaranthtray/backend/client.py
@@ -90,12 +90,22 @@
         self._pools = pools
         self._max_answer_bytes = max_answer_bytes
 
+    def begin(self, attempt_id: AttemptId) -> None:
+        """Makes an attempt known, so that it can be aborted before it is run."""
+        self._pools.live.begin(attempt_id)
+
+    def forget(self, attempt_id: AttemptId) -> None:
+        """Forgets an attempt that is not going to be run."""
+        self._pools.live.end(attempt_id)
+
     def run(self, attempt: Attempt) -> AttemptReport:
-        """Sends the request, reads the whole answer and reports how it ended."""
+        """Sends the request, reads the whole answer and reports how it ended.
+
+        The attempt must have been made known with ``begin``.
+        """
         progress = self._pools.progress
         progress.attempt_id = attempt.attempt_id
         progress.may_have_sent = False
-        self._pools.live.begin(attempt.attempt_id)
         deadline_s = time.monotonic() + attempt.timeout_ms / MS_PER_S
         try:
             return self._exchange(attempt, deadline_s)
--- a/src/amaranthtray/backend/wire.py
+++ b/src/amaranthtray/backend/wire.py
@@ -3,11 +3,15 @@
 ``POST /v1/tasks`` runs a task and answers with its result. A 503 with
 ``Not-Started`` is the server's own word that the task was not started.
 ``POST /v1/leases`` renews the task leases of one caller in a batch.
-``POST /v1/tasks/ATTEMPT/VERB`` controls a running task.
+``POST /v1/tasks/ATTEMPT/VERB`` controls a running task; its reply comes when the
+task has stopped, or after a second at most.
+A task that was checkpointed answers with ``Checkpointed``.
 """
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import msgspec
 
 TASKS_PATH = "/v1/tasks"
@@ -23,6 +27,8 @@
 DEADLINE_MS = "Deadline-Ms"
 FREE_SLOTS = "Free-Slots"
 NOT_STARTED = "Not-Started"
+RESUMES = "Resumes"
+CHECKPOINTED = "Checkpointed"
 
 REFUSED_BUSY = "busy"
 REFUSED_LEAVING = "leaving"
@@ -33,6 +39,25 @@
 STOP = "stop"
 
 
+class TaskState(StrEnum):
+    """State of a task as its backend server knows it."""
+
+    RUNNING = "running"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+
+
+def control_path(attempt_id: str, verb: str) -> str:
+    """Returns the path that controls one task."""
+    return f"{TASKS_PATH}/{attempt_id}/{verb}"
+
+
+class TaskReport(msgspec.Struct, frozen=True):
+    """Reply to a control call."""
+
+    state: TaskState
+
+
 class LeaseRenewal(msgspec.Struct, frozen=True):
     """Body of a lease renewal."""
 
--- /dev/null
+++ b/src/amaranthtray/entry/request_task.py
@@ -0,0 +1,224 @@
+"""The task that owns the request desk and talks to callers' threads by messages."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
+
+from ..backend.client import Attempt, BackendAnswer, BackendClient, Payload
+from ..domain.requests.messages import (
+    AttemptEnded,
+    Cancel,
+    DeskMessage,
+    Finish,
+    NothingSent,
+    SlotsFreed,
+    StartAttempt,
+    Submit,
+    Tick,
+)
+from ..domain.requests.model import Answered, Outcome
+from .clock import now_ms
+from .mailbox import Mailbox
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from ..domain.ids import AttemptId, HostId, PoolName, RequestId, TeamName
+    from ..domain.inventory import Host
+    from ..domain.requests.desk import RequestDesk
+    from ..domain.requests.messages import DeskEffect
+    from ..domain.requests.model import Request
+    from .task_control import TaskControl
+
+LONGEST_SLEEP_MS = 200
+MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Final:
+    """What a caller's thread gets back.
+
+    Attributes:
+        answer: The backend server's whole answer when the outcome is ``Answered``.
+    """
+
+    outcome: Outcome
+    answer: BackendAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Admit:
+    """A request and the thread that waits for it."""
+
+    request: Request
+    waiter: _Waiter
+
+
+@dataclass(frozen=True, slots=True)
+class _NewHosts:
+    """The platform's list by pool."""
+
+    hosts: Mapping[PoolName, Sequence[Host]]
+
+
+_Message: TypeAlias = DeskMessage | _Admit | _NewHosts
+_Step: TypeAlias = StartAttempt | Finish
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """The thread of one caller, which also runs the attempts of its request."""
+
+    payload: Payload
+    steps: queue.SimpleQueue[_Step] = field(default_factory=queue.SimpleQueue)
+    answers: dict[AttemptId, BackendAnswer] = field(default_factory=dict)
+    attempt_id: AttemptId | None = None  # the latest; aborting an ended one is void
+
+
+class RequestTask:
+    """Runs requests; every method may be called from any thread.
+
+    Args:
+        desk: The decisions.
+        client: Runs attempts.
+        control: Sends control calls and lease renewals to backend servers.
+        task_lease_ms: Lease of a task at its start.
+        on_error: Called when the desk raised; a fault of this program.
+    """
+
+    def __init__(
+        self,
+        desk: RequestDesk,
+        client: BackendClient,
+        control: TaskControl,
+        *,
+        task_lease_ms: int,
+        on_error: Callable[[Exception], None],
+    ) -> None:
+        self._desk = desk
+        self._client = client
+        self._control = control
+        self._task_lease_ms = task_lease_ms
+        self._mailbox: Mailbox[_Message] = Mailbox(self._handle, on_error=on_error)
+        self._waiters: dict[tuple[TeamName, RequestId], _Waiter] = {}
+        self._hosts: dict[HostId, Host] = {}
+        self._stopping = threading.Event()
+        self._woken = threading.Event()
+        self._sleeps_until_ms = 0
+        self._timer = threading.Thread(target=self._tick, name="request-timer")
+        self._timer.daemon = True
+
+    def start(self) -> None:
+        """Starts the timer."""
+        self._timer.start()
+
+    def stop(self) -> None:
+        """Stops the timer."""
+        self._stopping.set()
+        self._woken.set()
+
+    def submit(self, request: Request, payload: Payload) -> Final:
+        """Runs a request on the calling thread and returns its final outcome."""
+        waiter = _Waiter(payload)
+        self._mailbox.post(_Admit(request, waiter))
+        while True:
+            match waiter.steps.get():
+                case StartAttempt() as start:
+                    self._attempt(waiter, start)
+                case Finish(outcome=outcome):
+                    return _final(waiter, outcome)
+
+    def cancel(self, team: TeamName, request_id: RequestId) -> None:
+        """Cancels a request if it is in flight here."""
+        self._mailbox.post(Cancel(team, request_id))
+
+    def update_hosts(self, hosts: Mapping[PoolName, Sequence[Host]]) -> None:
+        """Takes over the platform's host list, by pool."""
+        self._mailbox.post(_NewHosts(hosts))
+
+    def free_slots(self, host: HostId, attempt_ids: tuple[AttemptId, ...]) -> None:
+        """Records that these attempts run on the host no longer."""
+        self._mailbox.post(SlotsFreed(host, attempt_ids))
+
+    def _attempt(self, waiter: _Waiter, start: StartAttempt) -> None:
+        """Runs one attempt on the caller's thread and reports its end."""
+        host = self._hosts.get(start.host)
+        timeout_ms = start.give_up_ms - now_ms()
+        if host is None or timeout_ms <= 0:
+            self._client.forget(start.attempt_id)
+            ended = AttemptEnded(start.attempt_id, NothingSent("too late to send"))
+            self._mailbox.post(ended)
+            return
+        report = self._client.run(
+            Attempt(
+                attempt_id=start.attempt_id,
+                request=start.request,
+                payload=waiter.payload,
+                host=host,
+                timeout_ms=timeout_ms,
+                lease_ms=self._task_lease_ms,
+            )
+        )
+        if report.answer is not None:
+            waiter.answers[start.attempt_id] = report.answer
+        self._mailbox.post(AttemptEnded(start.attempt_id, report.result))
+
+    def _handle(self, message: _Message) -> None:
+        now = now_ms()
+        match message:
+            case _Admit(request=request, waiter=waiter):
+                self._waiters[request.team, request.request_id] = waiter
+                effects = self._desk.handle(Submit(request), now)
+            case _NewHosts(hosts=hosts):
+                self._hosts = {
+                    host.host_id: host for held in hosts.values() for host in held
+                }
+                effects = self._desk.update_hosts(hosts, now)
+            case _:
+                effects = self._desk.handle(message, now)
+        for effect in effects:
+            self._dispatch(effect)
+        wake_ms = self._desk.next_wake_ms()
+        if wake_ms is not None and wake_ms < self._sleeps_until_ms:
+            self._woken.set()
+
+    def _dispatch(self, effect: DeskEffect) -> None:
+        match effect:
+            case StartAttempt(request=request, attempt_id=attempt_id):
+                waiter = self._waiters[request.team, request.request_id]
+                waiter.attempt_id = attempt_id
+                self._client.begin(attempt_id)
+                waiter.steps.put(effect)
+            case Finish(request=request):
+                self._finish(request, effect)
+            case _:
+                self._control.run(effect, self._hosts)
+
+    def _finish(self, request: Request, finish: Finish) -> None:
+        waiter = self._waiters.pop((request.team, request.request_id))
+        waiter.steps.put(finish)
+        if waiter.attempt_id is not None:
+            self._client.abort(waiter.attempt_id)
+
+    def _tick(self) -> None:
+        while not self._stopping.is_set():
+            wake_ms = self._desk.next_wake_ms()
+            now = now_ms()
+            sleep_ms = LONGEST_SLEEP_MS
+            if wake_ms is not None:
+                sleep_ms = min(sleep_ms, wake_ms - now)
+            if sleep_ms <= 0:
+                self._mailbox.post(Tick())
+                continue
+            self._sleeps_until_ms = now + sleep_ms
+            self._woken.wait(sleep_ms / MS_PER_S)
+            self._woken.clear()
+
+
+def _final(waiter: _Waiter, outcome: Outcome) -> Final:
+    if isinstance(outcome, Answered):
+        return Final(outcome, waiter.answers[outcome.attempt_id])
+    return Final(outcome)
--- /dev/null
+++ b/src/amaranthtray/entry/shutdown.py
@@ -0,0 +1,71 @@
+"""Readiness and graceful shutdown of an entry."""
+
+from __future__ import annotations
+
+import threading
+from enum import Enum, auto
+
+
+class Phase(Enum):
+    """Phase of an entry's life."""
+
+    STARTING = auto()
+    SERVING = auto()
+    DRAINING = auto()
+    STOPPED = auto()
+
+
+class Readiness:
+    """The phase of the entry and the calls in flight.
+
+    The health check fails as soon as draining begins; requests are still taken until
+    the balancer has noticed.
+    """
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._phase = Phase.STARTING
+        self._in_flight = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Returns whether the balancer should send callers here."""
+        return self._phase is Phase.SERVING
+
+    @property
+    def phase(self) -> Phase:
+        """Returns the current phase."""
+        return self._phase
+
+    @property
+    def in_flight(self) -> int:
+        """Returns the number of requests in flight."""
+        return self._in_flight
+
+    def begin(self) -> bool:
+        """Counts a request in; false when the entry no longer takes any."""
+        with self._changed:
+            if self._phase is Phase.STOPPED:
+                return False
+            self._in_flight += 1
+            return True
+
+    def end(self) -> None:
+        """Counts a request out."""
+        with self._changed:
+            self._in_flight -= 1
+            self._changed.notify_all()
+
+    def advance(self, phase: Phase) -> bool:
+        """Moves on to a later phase; false if it is there already."""
+        with self._changed:
+            if phase.value <= self._phase.value:
+                return False
+            self._phase = phase
+            self._changed.notify_all()
+            return True
+
+    def wait_until_idle(self, timeout_s: float) -> bool:
+        """Waits until no request is in flight."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._in_flight == 0, timeout_s)
--- a/src/amaranthtray/standins/backend.py
+++ b/src/amaranthtray/standins/backend.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
 MAX_TASK_BYTES = 16 << 20
+CONTROL_WAIT_S = 1.0
 MS_PER_S = 1_000
 
 
@@ -53,6 +54,7 @@
     started_s: float
     lease_until_s: float
     stop: threading.Event = field(default_factory=threading.Event)
+    ended: threading.Event = field(default_factory=threading.Event)
     ended_s: float | None = None
     checkpointed: bool = False
     throttled: bool = False
@@ -136,6 +138,7 @@
         with self._lock:
             run.ended_s = time.monotonic()
             self._running.pop(run.attempt_id, None)
+        run.ended.set()
 
     def renew(self, attempt_ids: list[str], ttl_ms: int) -> list[str]:
         """Renews the leases of running tasks and returns the ids that run."""
@@ -147,17 +150,22 @@
                 self._running[attempt_id].lease_until_s = until
             return running
 
-    def control(self, attempt_id: str, verb: str) -> bool:
-        """Cancels, checkpoints, throttles or stops a task; false if it is not here."""
+    def control(self, attempt_id: str, verb: str) -> wire.TaskState:
+        """Cancels, checkpoints, throttles or stops a task."""
+        run = self._find(attempt_id)
+        if run is None:
+            return wire.TaskState.UNKNOWN
+        run.checkpointed |= verb == wire.CHECKPOINT
+        run.throttled |= verb == wire.THROTTLE
+        if verb != wire.THROTTLE:
+            run.stop.set()
+            run.ended.wait(CONTROL_WAIT_S)
+        over = run.ended.is_set()
+        return wire.TaskState.ENDED if over else wire.TaskState.RUNNING
+
+    def _find(self, attempt_id: str) -> Run | None:
         with self._lock:
-            run = self._running.get(attempt_id)
-            if run is None:
-                return False
-            run.checkpointed |= verb == wire.CHECKPOINT
-            run.throttled |= verb == wire.THROTTLE
-            if verb != wire.THROTTLE:
-                run.stop.set()
-            return True
+            return next((r for r in self.runs if r.attempt_id == attempt_id), None)
 
     def health(self) -> dict[str, Any]:
         """Returns the state, free slots and running attempts."""
@@ -212,8 +220,7 @@
     def tasks(self, attempt_id: str = "", verb: str = "") -> bytes:
         """Runs a task, or controls one that runs."""
         if attempt_id:
-            known = self._server.control(attempt_id, verb)
-            return web.json_body({"known": known})
+            return web.json_body({"state": self._server.control(attempt_id, verb)})
         return self._run()
 
     def _run(self) -> bytes:
@@ -260,5 +267,7 @@
     head["Content-Type"] = answer.content_type
     head["Content-Length"] = str(len(answer.body))
     head[wire.ATTEMPT_ID] = run.attempt_id
+    if run.checkpointed:
+        head[wire.CHECKPOINTED] = "yes"
     head[wire.FREE_SLOTS] = str(server.free_slots())
     return answer.body
--- a/tests/backend/test_client_phases.py
+++ b/tests/backend/test_client_phases.py
@@ -103,6 +103,7 @@
         timeout_ms = kwargs.pop("timeout_ms", 5_000)
         server = ScriptedServer(reply, **kwargs)
         try:
+            client.begin(ATTEMPT)
             return client.run(attempt(server.port, timeout_ms=timeout_ms))
         finally:
             server.close()
@@ -157,6 +158,7 @@
 def test_refused_connection_sent_nothing(client: BackendClient) -> None:
     with socket.create_server(("127.0.0.1", 0)) as unused:
         port = unused.getsockname()[1]
+    client.begin(ATTEMPT)
     assert isinstance(client.run(attempt(port)).result, NothingSent)
 
 
@@ -198,6 +200,7 @@
 def test_abort_from_another_thread_ends_the_attempt(client: BackendClient) -> None:
     server = ScriptedServer(b"", hold_s=5)
     reports: list[object] = []
+    client.begin(ATTEMPT)
     runner = threading.Thread(
         target=lambda: reports.append(client.run(attempt(server.port)).result)
     )
@@ -207,3 +210,11 @@
         runner.join(0.01)
     server.close()
     assert isinstance(reports[0], BrokeAfterSend | NothingSent)
+
+
+def test_abort_before_the_run_sends_nothing(client: BackendClient) -> None:
+    client.begin(ATTEMPT)
+    client.abort(ATTEMPT)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        report = client.run(attempt(listener.getsockname()[1]))
+    assert isinstance(report.result, NothingSent)
