Decide each request of an entry in one pure desk

The entry runtime needs something to wire: RequestDesk takes Submit, Cancel, AttemptEnded, SlotsFreed and Tick and returns StartAttempt, Finish, StopTask, CheckpointTask and RenewLeases. WorkerBook holds the hosts of each pool, their slots, refusals and health; LeaseBook says when a lapse is certain.

The contract grew by Checkpointed, CheckpointTask, RenewLeases, AttemptEnded.free_slots, NothingSent.is_host_fault and StartAttempt.send_by_ms, resumes, lease_ttl_ms.

--- /dev/null
+++ b/src/amaranthtray/domain/requests/_admission.py
@@ -0,0 +1,66 @@
+"""Refuses at once what would wait too long or can never run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .model import NotRun, NotRunReason, WorkClass
+
+if TYPE_CHECKING:
+    from ..ids import Millis
+    from ._state import DeskState, PoolQueue
+    from .model import Request
+
+
+def refusal(state: DeskState, req: Request, now_ms: Millis) -> NotRun | None:
+    """Returns why a request is refused before it joins a line, if it is."""
+    if req.deadline_ms <= now_ms:
+        return NotRun(NotRunReason.DEADLINE_TOO_CLOSE, "the deadline has passed")
+    if not state.book.has_hosts(req.pool):
+        return state.no_host(f"pool {req.pool} has no usable host")
+    if not state.book.can_ever_run(req.pool, req.needs):
+        return _can_never_run(req)
+    queue = state.pool(req.pool)
+    line = queue.line(req.work_class)
+    if not line.size:
+        return None
+    wait_ms = implied_wait_ms(state, queue, req.work_class)
+    bound_ms = state.cfg.max_wait_ms(req.work_class)
+    if wait_ms > bound_ms or line.size >= state.cfg.max_waiting:
+        detail = f"implied wait {int(wait_ms)} ms, {line.size} requests wait"
+        retry_after_ms = state.retry_after_ms(wait_ms - bound_ms)
+        return NotRun(NotRunReason.QUEUE_FULL, detail, retry_after_ms)
+    return _too_close(state, queue, req, wait_ms, now_ms)
+
+
+def implied_wait_ms(state: DeskState, queue: PoolQueue, work_class: WorkClass) -> float:
+    """Returns how long a request that joins the line now would wait."""
+    fair = state.book.fair_slots(queue.name)
+    urgent_slots = max(fair, queue.urgent_running)
+    if work_class is WorkClass.URGENT:
+        return queue.urgent_times.implied_wait_ms(queue.urgent.size, urgent_slots)
+    left = max(fair - queue.urgent_running, queue.patient_running)
+    return queue.patient_times.implied_wait_ms(queue.patient.size, left)
+
+
+def _too_close(
+    state: DeskState, queue: PoolQueue, req: Request, wait_ms: float, now_ms: Millis
+) -> NotRun | None:
+    mean_ms = queue.times(req.work_class).mean_ms
+    left_ms = req.deadline_ms - now_ms
+    late_ms = wait_ms + mean_ms - left_ms
+    if late_ms <= 0:
+        return None
+    detail = f"implied wait {int(wait_ms)} ms, mean slot time {int(mean_ms)} ms"
+    can_ever_make_it = mean_ms <= left_ms
+    retry_after_ms = state.retry_after_ms(late_ms) if can_ever_make_it else None
+    return NotRun(NotRunReason.DEADLINE_TOO_CLOSE, detail, retry_after_ms)
+
+
+def _can_never_run(req: Request) -> NotRun:
+    needs = req.needs
+    detail = (
+        f"no host of pool {req.pool} has {needs.cores} cores,"
+        f" {needs.memory_mb} MB and {needs.accelerators} accelerators"
+    )
+    return NotRun(NotRunReason.CAN_NEVER_RUN, detail)
--- a/src/amaranthtray/domain/requests/messages.py
+++ b/src/amaranthtray/domain/requests/messages.py
@@ -51,9 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NothingSent:
-    """The connection failed before any byte of the request could have left."""
+    """The connection failed before any byte of the request could have left.
+
+    Attributes:
+        is_host_fault: False when this entry itself was too late to send.
+    """
 
     detail: str = ""
+    is_host_fault: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,22 +80,41 @@
     """No whole answer within the time the attempt was given."""
 
 
+@dataclass(frozen=True, slots=True)
+class Checkpointed:
+    """The backend server stopped the task at a checkpoint, as it was asked to."""
+
+
 AttemptResult: TypeAlias = (
-    WholeAnswer | RefusedByHost | NothingSent | BrokeAfterSend | AnswerCut | TimedOut
+    WholeAnswer
+    | RefusedByHost
+    | NothingSent
+    | BrokeAfterSend
+    | AnswerCut
+    | TimedOut
+    | Checkpointed
 )
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt ended; late results of abandoned attempts are sent as well."""
+    """An attempt ended; late results of abandoned attempts are sent as well.
+
+    Attributes:
+        free_slots: Slots that the backend server said it has free, if it did.
+    """
 
     attempt_id: AttemptId
     result: AttemptResult
+    free_slots: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class SlotsFreed:
-    """A host said that these attempts run there no longer, or their lease lapsed."""
+    """A host said that these attempts run there no longer and will not start there.
+
+    Lapsed leases need no message: the desk knows them from its clock.
+    """
 
     host: HostId
     attempt_ids: tuple[AttemptId, ...]
@@ -110,12 +134,19 @@
 
     Attributes:
         give_up_ms: When the attempt must end, on the entry's monotonic clock.
+        send_by_ms: When it must not be sent any more; look at the clock right
+            before the first byte and report ``NothingSent`` when it is past.
+        resumes: Attempt whose checkpoint the task goes on from, if any.
+        lease_ttl_ms: Worker lease that the task starts under.
     """
 
     request: Request
     attempt_id: AttemptId
     host: HostId
     give_up_ms: Millis
+    send_by_ms: Millis
+    resumes: AttemptId | None = None
+    lease_ttl_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,4 +165,24 @@
     host: HostId
 
 
-DeskEffect: TypeAlias = StartAttempt | Finish | StopTask
+@dataclass(frozen=True, slots=True)
+class CheckpointTask:
+    """Ask ``host`` to checkpoint and stop a task; it ends as ``Checkpointed``."""
+
+    attempt_id: AttemptId
+    host: HostId
+
+
+@dataclass(frozen=True, slots=True)
+class RenewLeases:
+    """Renew the worker leases of these tasks in one call to ``host``.
+
+    The call must end within ``LeaseSettings.call_ms``; its reply needs no message.
+    """
+
+    host: HostId
+    attempt_ids: tuple[AttemptId, ...]
+    ttl_ms: int
+
+
+DeskEffect: TypeAlias = StartAttempt | Finish | StopTask | CheckpointTask | RenewLeases
--- a/src/amaranthtray/domain/requests/ports.py
+++ b/src/amaranthtray/domain/requests/ports.py
@@ -36,3 +36,33 @@
 
     def ended(self, pool: PoolName, team: TeamName, slot_ms: int) -> None:
         """Records a slot's measured time when the task is over."""
+
+
+class Unlimited:
+    """Limits that never bind."""
+
+    def try_take(self, team: TeamName, now_ms: Millis) -> bool:
+        """Takes a unit; always true."""
+        return True
+
+    def give_back(self, team: TeamName, now_ms: Millis) -> None:
+        """Returns a unit."""
+
+    def note_demand(self, team: TeamName, waiting: int, now_ms: Millis) -> None:
+        """Ignores the demand."""
+
+
+class FirstComeShares:
+    """Serves the team that began to wait first."""
+
+    def pick(
+        self, pool: PoolName, waiting: Collection[TeamName], now_ms: Millis
+    ) -> TeamName | None:
+        """Returns the first of ``waiting``."""
+        return next(iter(waiting), None)
+
+    def started(self, pool: PoolName, team: TeamName, now_ms: Millis) -> None:
+        """Ignores the start."""
+
+    def ended(self, pool: PoolName, team: TeamName, slot_ms: int) -> None:
+        """Ignores the end."""
--- /dev/null
+++ b/src/amaranthtray/domain/requests/retries.py
@@ -0,0 +1,53 @@
+"""Retry budget of a pool and the pause before a retry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from .settings import DeskSettings
+
+MS_PER_S = 1_000
+
+
+class RetryBudget:
+    """A token bucket that fresh attempts fill, so retries never multiply a failure."""
+
+    __slots__ = ("_cfg", "_filled_ms", "_tokens")
+
+    def __init__(self, cfg: DeskSettings) -> None:
+        self._cfg = cfg
+        self._tokens = cfg.retry_burst
+        self._filled_ms: int | None = None
+
+    def note_fresh_attempt(self) -> None:
+        """Adds the part of a retry that a fresh attempt allows."""
+        self._tokens = min(self._cfg.retry_burst, self._tokens + self._cfg.retry_ratio)
+
+    def try_spend(self, now_ms: int) -> bool:
+        """Takes one retry; false when the budget is spent."""
+        self._trickle(now_ms)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _trickle(self, now_ms: int) -> None:
+        before = now_ms if self._filled_ms is None else self._filled_ms
+        gained = (now_ms - before) * self._cfg.retry_trickle_per_s / MS_PER_S
+        self._tokens = min(self._cfg.retry_burst, self._tokens + gained)
+        self._filled_ms = now_ms
+
+
+def backoff_ms(cfg: DeskSettings, retries: int, rng: random.Random) -> int:
+    """Returns a pause drawn evenly below an exponentially growing bound.
+
+    Args:
+        cfg: Bounds.
+        retries: Retries made before this one.
+        rng: Random source.
+    """
+    bound = min(cfg.backoff_cap_ms, cfg.backoff_first_ms << retries)
+    return 1 + int(rng.random() * bound)
--- /dev/null
+++ b/src/amaranthtray/domain/requests/timers.py
@@ -0,0 +1,99 @@
+"""Times at which the request desk must look at something again."""
+
+from __future__ import annotations
+
+from enum import Enum
+from heapq import heapify, heappop, heappush
+from typing import TYPE_CHECKING, NamedTuple
+
+from .tracked import Attempt, Phase, Tracked
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..ids import PoolName
+
+COMPACT_FROM = 256
+"""Stale timers below which the heap is not compacted."""
+
+
+class TimerKind(Enum):
+    """What is due."""
+
+    DEADLINE = "deadline"
+    BACKOFF = "backoff"
+    CHECKPOINT = "checkpoint"
+    LIMIT = "limit"
+
+
+class Timer(NamedTuple):
+    """A due time; ``seq`` orders equal times and keeps subjects uncompared."""
+
+    when_ms: int
+    seq: int
+    kind: TimerKind
+    subject: Tracked | Attempt | PoolName
+
+
+class Timers:
+    """A heap of timers; those of finished requests are dropped lazily."""
+
+    __slots__ = ("_heap", "_seq", "_stale")
+
+    def __init__(self) -> None:
+        self._heap: list[Timer] = []
+        self._seq = 0
+        self._stale = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def add(
+        self, when_ms: int, kind: TimerKind, subject: Tracked | Attempt | PoolName
+    ) -> None:
+        """Adds a timer."""
+        self._seq += 1
+        heappush(self._heap, Timer(when_ms, self._seq, kind, subject))
+
+    def note_finished(self) -> None:
+        """Records that the deadline of one request no longer matters."""
+        self._stale += 1
+        if self._stale < COMPACT_FROM or self._stale * 2 < len(self._heap):
+            return
+        self._heap = [timer for timer in self._heap if not _is_stale(timer)]
+        heapify(self._heap)
+        self._stale = 0
+
+    def next_ms(self) -> int | None:
+        """Returns the earliest time at which something may be due."""
+        while self._heap and _is_stale(self._heap[0]):
+            self._drop_first()
+        return self._heap[0].when_ms if self._heap else None
+
+    def due(self, now_ms: int) -> Iterator[Timer]:
+        """Removes and yields what is due."""
+        while self._heap and self._heap[0].when_ms <= now_ms:
+            timer = self._heap[0]
+            stale = _is_stale(timer)
+            self._drop_first()
+            if not stale:
+                yield timer
+
+    def _drop_first(self) -> None:
+        timer = heappop(self._heap)
+        if _is_stale(timer):
+            self._stale = max(0, self._stale - 1)
+
+
+def _is_stale(timer: Timer) -> bool:
+    subject = timer.subject
+    match timer.kind:
+        case TimerKind.DEADLINE:
+            return isinstance(subject, Tracked) and subject.phase is Phase.DONE
+        case TimerKind.BACKOFF:
+            return (
+                isinstance(subject, Tracked) and subject.phase is not Phase.BACKING_OFF
+            )
+        case TimerKind.CHECKPOINT:
+            return isinstance(subject, Attempt) and not subject.holds_slot
+    return False
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+from typing import TYPE_CHECKING
+
 from amaranthtray.domain.configuration import (
     Budget,
     Configuration,
@@ -22,7 +25,15 @@
     ZoneId,
 )
 from amaranthtray.domain.inventory import Host, HostState
+from amaranthtray.domain.requests.desk import RequestDesk
 from amaranthtray.domain.requests.model import Needs, Request, WorkClass
+from amaranthtray.domain.requests.ports import FirstComeShares, Unlimited
+from amaranthtray.domain.workers.book import WorkerBook
+
+if TYPE_CHECKING:
+    from amaranthtray.domain.requests.ports import Limits
+    from amaranthtray.domain.requests.settings import DeskSettings
+    from amaranthtray.domain.workers.settings import WorkerSettings
 
 HOSTS_PER_RACK = 4
 
@@ -135,3 +146,26 @@
             for host_id, name in (placement or {}).items()
         },
     )
+
+
+def desk(
+    *,
+    hosts: tuple[Host, ...] = (),
+    pool: str = "web",
+    zone: str = "z1",
+    seed: int = 1,
+    cfg: DeskSettings | None = None,
+    workers: WorkerSettings | None = None,
+    limits: Limits | None = None,
+) -> RequestDesk:
+    rng = random.Random(seed)
+    book = WorkerBook(ZoneId(zone), rng, cfg=workers)
+    made = RequestDesk(
+        limits=limits or Unlimited(),
+        shares=FirstComeShares(),
+        rng=rng,
+        workers=book,
+        cfg=cfg,
+    )
+    made.update_hosts({PoolName(pool): list(hosts)}, Millis(0))
+    return made
