--- /dev/null
+++ b/src/amaranthtray/cli/apply.py
@@ -0,0 +1,60 @@
+"""The declarative command: makes the fleet what a file says."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import click
+
+from .difference import difference
+from .fleet_file import load_fleet
+from .options import FleetCommand, yes_option
+from .output import Output, print_json, print_table
+from .session import Session, pass_session
+
+if TYPE_CHECKING:
+    from .difference import Step
+
+HARM = "The changes above take effect; hosts that move are drained."
+
+
+@click.command(cls=FleetCommand)
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--dry-run", is_flag=True, help="Print the difference and stop.")
+@click.option("--prune", is_flag=True, help="Remove what the file does not name.")
+@yes_option
+@pass_session
+def apply(session: Session, file: str, dry_run: bool, prune: bool, yes: bool) -> None:
+    """Makes pools, teams, queues and host labels what FILE says.
+
+    Keys, operators and waves are never touched. Running it again changes nothing.
+    """
+    fleet = load_fleet(file)
+    cfg = session.configuration()
+    steps = difference(cfg, fleet, prune=prune)
+    if dry_run or not steps:
+        _print_steps(steps, cfg.revision, session.output)
+        return
+    if not yes:
+        _print_table(steps, is_error=True)
+    changes = [step.change for step in steps]
+    committed = session.commit(changes, expected=cfg.revision, harm=HARM, yes=yes)
+    session.done(committed, changed=len(steps))
+
+
+def _print_steps(steps: list[Step], revision: int, output: Output) -> None:
+    if output is Output.JSON:
+        rows = [
+            {"action": step.action, "target": step.target, "detail": step.detail}
+            for step in steps
+        ]
+        print_json({"revision": revision, "steps": rows})
+    elif steps:
+        _print_table(steps)
+    else:
+        click.echo(f"unchanged at revision {revision}")
+
+
+def _print_table(steps: list[Step], *, is_error: bool = False) -> None:
+    rows = [(step.action, step.target, step.detail) for step in steps]
+    print_table(("action", "target", "detail"), rows, is_error=is_error)
--- /dev/null
+++ b/src/amaranthtray/cli/operators.py
@@ -0,0 +1,81 @@
+"""Commands for operators and their keys."""
+
+from __future__ import annotations
+
+import click
+
+from ..domain.configuration import AddOperator, Operator, Role, WithdrawOperator
+from ..domain.ids import KeyId
+from .errors import faulty
+from .keys import refuse_repeat
+from .new_key import make_key
+from .options import FleetGroup, yes_option
+from .output import print_records
+from .session import Session, pass_session
+
+OPERATOR_PREFIX = "o"
+
+
+@click.group(cls=FleetGroup)
+def operator() -> None:
+    """Operators, their roles and keys."""
+
+
+@operator.command("list")
+@pass_session
+def list_operators(session: Session) -> None:
+    """Lists all operators."""
+    operators = session.configuration().operators.values()
+    records = [
+        {"key_id": item.key_id, "name": item.name, "role": item.role}
+        for item in operators
+    ]
+    print_records(records, session.output)
+
+
+@operator.command("add")
+@click.argument("name")
+@click.option(
+    "--role",
+    type=click.Choice([role.value for role in Role]),
+    default=Role.OPERATOR.value,
+    show_default=True,
+)
+@pass_session
+def add_operator(session: Session, name: str, role: str) -> None:
+    """Adds an operator and prints the key once."""
+    refuse_repeat(session)
+    made = make_key(OPERATOR_PREFIX)
+    added = AddOperator(Operator(made.key_id, name, Role(role), made.digest))
+    committed = session.commit([added])
+    session.done(committed, key=made.text, key_id=made.key_id, operator=name)
+
+
+@operator.command("first-key")
+def first_key() -> None:
+    """Makes the key of the first operator without calling an entry.
+
+    The digest goes into the settings as [bootstrap] operator_digest.
+    """
+    made = make_key(OPERATOR_PREFIX)
+    click.echo(f"key: {made.text}")
+    click.echo(f"operator_digest: {made.digest}")
+
+
+@operator.command("withdraw")
+@click.argument("key_id")
+@yes_option
+@pass_session
+def withdraw_operator(session: Session, key_id: str, yes: bool) -> None:
+    """Withdraws an operator's key."""
+    cfg = session.configuration()
+    found = cfg.operators.get(KeyId(key_id))
+    if found is None:
+        fix = "see `amaranthtray operator list`; give the part before the dot"
+        raise faulty("no operator with this key id", where="KEY_ID", fix=fix)
+    committed = session.commit(
+        [WithdrawOperator(found.key_id)],
+        harm=f"Operator {found.name} is locked out with this key.",
+        yes=yes,
+    )
+    session.done(committed, withdrawn=key_id)
--- /dev/null
+++ b/src/amaranthtray/cli/selectors.py
@@ -0,0 +1,73 @@
+"""Commands for the selectors of pools and queues."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import click
+
+from ..domain.configuration import Change, Configuration, PutPool, PutQueue
+from .options import FleetGroup, yes_option
+from .output import print_records
+from .pools import find as find_pool
+from .queues import find as find_queue
+from .session import Session, pass_session
+
+POOL = "pool"
+QUEUE = "queue"
+KIND = click.Choice([POOL, QUEUE])
+HARM = "Hosts that move are drained; teams that are left out are refused."
+
+
+@click.group(cls=FleetGroup)
+def selector() -> None:
+    """Selectors over labels: which hosts belong where, whose work may go where."""
+
+
+@selector.command("list")
+@pass_session
+def list_selectors(session: Session) -> None:
+    """Lists the selectors of pools, queues and waves."""
+    cfg = session.configuration()
+    groups = (
+        (POOL, cfg.pools.values()),
+        (QUEUE, cfg.queues.values()),
+        ("wave", cfg.waves.values()),
+    )
+    records = [
+        {"kind": kind, "name": item.name, "selector": item.selector}
+        for kind, items in groups
+        for item in items
+    ]
+    print_records(records, session.output)
+
+
+@selector.command("set")
+@click.argument("kind", type=KIND)
+@click.argument("name")
+@click.argument("text", metavar="SELECTOR")
+@yes_option
+@pass_session
+def set_selector(session: Session, kind: str, name: str, text: str, yes: bool) -> None:
+    """Sets a selector, after a preview of the hosts that would move."""
+    cfg = session.configuration()
+    change = _change(cfg, kind, name, text)
+    committed = session.commit([change], expected=cfg.revision, harm=HARM, yes=yes)
+    session.done(committed, **{kind: name})
+
+
+@selector.command("preview")
+@click.argument("kind", type=KIND)
+@click.argument("name")
+@click.argument("text", metavar="SELECTOR")
+@pass_session
+def preview_selector(session: Session, kind: str, name: str, text: str) -> None:
+    """Prints which hosts a selector would move, and changes nothing."""
+    cfg = session.configuration()
+    session.preview([_change(cfg, kind, name, text)])
+
+
+def _change(cfg: Configuration, kind: str, name: str, text: str) -> Change:
+    if kind == POOL:
+        return PutPool(replace(find_pool(cfg, name), selector=text))
+    return PutQueue(replace(find_queue(cfg, name), selector=text))
