--- a/src/amaranthtray/backend/client.py
+++ b/src/amaranthtray/backend/client.py
@@ -13,6 +13,7 @@
     AnswerCut,
     AttemptResult,
     BrokeAfterSend,
+    Checkpointed,
     NothingSent,
     RefusedByHost,
     TimedOut,
@@ -65,7 +66,9 @@
 
     Attributes:
         timeout_ms: Time until the attempt must have ended.
+        send_within_ms: Time until its first byte must have left, or none may.
         lease_ms: Lease that the backend server runs the task under.
+        resumes: Attempt whose checkpoint the task goes on from, if any.
     """
 
     attempt_id: AttemptId
@@ -73,7 +76,9 @@
     payload: Payload
     host: Host
     timeout_ms: int
+    send_within_ms: int
     lease_ms: int
+    resumes: AttemptId | None = None
 
 
 class BackendClient:
@@ -106,11 +111,12 @@
         progress = self._pools.progress
         progress.attempt_id = attempt.attempt_id
         progress.may_have_sent = False
+        progress.send_by_s = time.monotonic() + attempt.send_within_ms / MS_PER_S
         deadline_s = time.monotonic() + attempt.timeout_ms / MS_PER_S
         try:
             return self._exchange(attempt, deadline_s)
-        except AttemptAbortedError:
-            return AttemptReport(NothingSent("aborted before it was sent"))
+        except AttemptAbortedError as exc:
+            return AttemptReport(NothingSent(str(exc)))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             return AttemptReport(self._failure(exc, deadline_s))
         finally:
@@ -175,7 +181,7 @@
 
 def _head(attempt: Attempt) -> dict[str, str]:
     request = attempt.request
-    return {
+    head = {
         "Content-Type": attempt.payload.content_type,
         wire.ATTEMPT_ID: attempt.attempt_id,
         wire.REQUEST_ID: request.request_id,
@@ -185,6 +191,9 @@
         wire.LEASE_MS: str(attempt.lease_ms),
         wire.DEADLINE_MS: str(attempt.timeout_ms),
     }
+    if attempt.resumes is not None:
+        head[wire.RESUMES] = attempt.resumes
+    return head
 
 
 def _has_length(resp: urllib3.BaseHTTPResponse) -> bool:
@@ -203,6 +212,8 @@
         return AttemptReport(RefusedByHost(is_leaving=leaving), free_slots=free_slots)
     if resp.headers.get(wire.ATTEMPT_ID) != attempt.attempt_id:
         return AttemptReport(AnswerCut("the answer belongs to another attempt"))
+    if wire.CHECKPOINTED in resp.headers:
+        return AttemptReport(Checkpointed(), free_slots=free_slots)
     content_type = resp.headers.get("Content-Type", "application/octet-stream")
     answer = BackendAnswer(resp.status, content_type, body)
     result = WholeAnswer(is_error=resp.status >= FIRST_ERROR_STATUS)
--- a/src/amaranthtray/backend/connections.py
+++ b/src/amaranthtray/backend/connections.py
@@ -6,6 +6,7 @@
 import http.client
 import socket
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 import urllib3
@@ -55,7 +56,7 @@
 
 
 class AttemptAbortedError(Exception):
-    """The attempt was aborted before a byte of it was sent."""
+    """The attempt was given up before a byte of it was sent."""
 
 
 class Progress(threading.local):
@@ -64,10 +65,12 @@
     Attributes:
         attempt_id: The attempt in flight on this thread, if any.
         may_have_sent: Whether a byte of its request may have left.
+        send_by_s: When its first byte must have left, on the monotonic clock.
     """
 
     attempt_id: AttemptId | None = None
     may_have_sent: bool = False
+    send_by_s: float = 0.0
 
 
 class _HeadReader:
@@ -112,12 +115,18 @@
         """Connects first, so that a failure to connect is known as such."""
         if self.sock is None:
             self.connect()
-        attempt_id = self.progress.attempt_id
-        if attempt_id is not None and not self.live.attach(attempt_id, self.sock):
-            raise AttemptAbortedError
+        if self.progress.attempt_id is not None:
+            self._check_may_send(self.progress.attempt_id)
         self.progress.may_have_sent = True
         super().request(*args, **kwargs)
 
+    def _check_may_send(self, attempt_id: AttemptId) -> None:
+        """Looks at the clock last, so that a pause before it sends nothing."""
+        if not self.live.attach(attempt_id, self.sock):
+            raise AttemptAbortedError("aborted before it was sent")
+        if time.monotonic() > self.progress.send_by_s:
+            raise AttemptAbortedError("too late to send")
+
 
 class ConnectionPools:
     """One bounded pool of connections a backend server.
--- a/src/amaranthtray/entry/caller_api.py
+++ b/src/amaranthtray/entry/caller_api.py
@@ -8,15 +8,14 @@
 
 from .. import web
 from . import openapi
-from .replies import Reply
 
 if TYPE_CHECKING:
     from .caller_service import CallerService
+    from .replies import Reply
     from .shutdown import Readiness
 
 BEARER = "bearer "
 JSON_TYPE = "application/json"
-_expose: Any = cherrypy.expose
 
 
 class CallerApi:
@@ -34,14 +33,14 @@
         self.v1 = _Version1(service, max_body_bytes)
         self._readiness = readiness
 
-    @_expose
+    @web.exposed
     def health(self) -> bytes:
         """Tells the balancer whether to send callers here."""
         ready = self._readiness.is_ready
         return web.json_body({"ready": ready}, status=200 if ready else 503)
 
-    @_expose(["openapi.json"])
-    def openapi(self) -> bytes:
+    @web.exposed
+    def openapi_json(self) -> bytes:
         """Describes this interface."""
         return web.json_body(openapi.describe())
 
@@ -51,7 +50,7 @@
         self._service = service
         self._max_body_bytes = max_body_bytes
 
-    @_expose
+    @web.exposed
     def queues(self, queue: str = "", tail: str = "") -> bytes:
         """Takes a request into a queue."""
         _require(cherrypy.request.method == "POST", 405, "use POST")
@@ -61,7 +60,7 @@
         head = cherrypy.request.headers
         return _send(self._service.submit(queue, head, body, _bearer()))
 
-    @_expose
+    @web.exposed
     def requests(self, request_id: str = "") -> bytes:
         """Reads a reply back, or cancels a request."""
         _require(bool(request_id), 404, "name a request")
@@ -72,7 +71,7 @@
                 return _send(self._service.cancel(request_id, _bearer()))
         raise cherrypy.HTTPError(405, "use GET or DELETE")
 
-    @_expose(["request-ids"])
+    @web.exposed
     def request_ids(self, count: str = "1") -> bytes:
         """Issues ids for unrepeatable requests."""
         _require(cherrypy.request.method == "POST", 405, "use POST")
--- a/src/amaranthtray/entry/request_task.py
+++ b/src/amaranthtray/entry/request_task.py
@@ -4,10 +4,13 @@
 
 import queue
 import threading
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
 from ..backend.client import Attempt, BackendAnswer, BackendClient, Payload
+from ..domain.ids import AttemptId, PoolName
+from ..domain.inventory import Host
 from ..domain.requests.messages import (
     AttemptEnded,
     Cancel,
@@ -19,18 +22,16 @@
     Submit,
     Tick,
 )
-from ..domain.requests.model import Answered, Outcome
+from ..domain.requests.model import Answered, Outcome, Request
 from .clock import now_ms
 from .mailbox import Mailbox
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Callable
 
-    from ..domain.ids import AttemptId, HostId, PoolName, RequestId, TeamName
-    from ..domain.inventory import Host
+    from ..domain.ids import HostId, RequestId, TeamName
     from ..domain.requests.desk import RequestDesk
     from ..domain.requests.messages import DeskEffect
-    from ..domain.requests.model import Request
     from .task_control import TaskControl
 
 LONGEST_SLEEP_MS = 200
@@ -85,7 +86,6 @@
         desk: The decisions.
         client: Runs attempts.
         control: Sends control calls and lease renewals to backend servers.
-        task_lease_ms: Lease of a task at its start.
         on_error: Called when the desk raised; a fault of this program.
     """
 
@@ -95,13 +95,11 @@
         client: BackendClient,
         control: TaskControl,
         *,
-        task_lease_ms: int,
         on_error: Callable[[Exception], None],
     ) -> None:
         self._desk = desk
         self._client = client
         self._control = control
-        self._task_lease_ms = task_lease_ms
         self._mailbox: Mailbox[_Message] = Mailbox(self._handle, on_error=on_error)
         self._waiters: dict[tuple[TeamName, RequestId], _Waiter] = {}
         self._hosts: dict[HostId, Host] = {}
@@ -146,8 +144,9 @@
     def _attempt(self, waiter: _Waiter, start: StartAttempt) -> None:
         """Runs one attempt on the caller's thread and reports its end."""
         host = self._hosts.get(start.host)
-        timeout_ms = start.give_up_ms - now_ms()
-        if host is None or timeout_ms <= 0:
+        now = now_ms()
+        timeout_ms = start.give_up_ms - now
+        if host is None or timeout_ms <= 0 or now > start.send_by_ms:
             self._client.forget(start.attempt_id)
             ended = AttemptEnded(start.attempt_id, NothingSent("too late to send"))
             self._mailbox.post(ended)
@@ -159,12 +158,15 @@
                 payload=waiter.payload,
                 host=host,
                 timeout_ms=timeout_ms,
-                lease_ms=self._task_lease_ms,
+                send_within_ms=start.send_by_ms - now,
+                lease_ms=start.lease_ttl_ms,
+                resumes=start.resumes,
             )
         )
         if report.answer is not None:
             waiter.answers[start.attempt_id] = report.answer
-        self._mailbox.post(AttemptEnded(start.attempt_id, report.result))
+        ended = AttemptEnded(start.attempt_id, report.result, report.free_slots)
+        self._mailbox.post(ended)
 
     def _handle(self, message: _Message) -> None:
         now = now_ms()
@@ -195,7 +197,7 @@
             case Finish(request=request):
                 self._finish(request, effect)
             case _:
-                self._control.run(effect, self._hosts)
+                self._control.run(effect, self._hosts.get(effect.host))
 
     def _finish(self, request: Request, finish: Finish) -> None:
         waiter = self._waiters.pop((request.team, request.request_id))
--- a/src/amaranthtray/entry/results.py
+++ b/src/amaranthtray/entry/results.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
+from .replies import Reply
+
 if TYPE_CHECKING:
     from ..domain.ids import RequestId, TeamName
-    from .replies import Reply
 
     ResultKey: TypeAlias = tuple[TeamName, RequestId]
 
--- a/src/amaranthtray/standins/backend.py
+++ b/src/amaranthtray/standins/backend.py
@@ -197,14 +197,14 @@
     def __init__(self, server: BackendStandIn) -> None:
         self._server = server
 
-    @cherrypy.expose  # type: ignore[untyped-decorator]
+    @web.exposed
     def health(self) -> bytes:
         """Tells the state of the server."""
         if self._server.plan.before_effect().cut:
             web.break_connection()
         return web.json_body(self._server.health())
 
-    @cherrypy.expose  # type: ignore[untyped-decorator]
+    @web.exposed
     def leases(self) -> bytes:
         """Renews a batch of task leases."""
         if self._server.plan.before_effect().cut:
@@ -216,7 +216,7 @@
         gone = [item for item in body.attempts if item not in running]
         return web.json_body({"running": running, "ended": gone})
 
-    @cherrypy.expose  # type: ignore[untyped-decorator]
+    @web.exposed
     def tasks(self, attempt_id: str = "", verb: str = "") -> bytes:
         """Runs a task, or controls one that runs."""
         if attempt_id:
--- a/src/amaranthtray/standins/platform.py
+++ b/src/amaranthtray/standins/platform.py
@@ -81,7 +81,7 @@
             "lease/revoke": self._revoke,
         }
 
-    @cherrypy.expose  # type: ignore[untyped-decorator]
+    @web.exposed
     def default(self, *path: str) -> bytes | Iterator[bytes]:
         """Serves any path of the gateway."""
         self._listener.calls += 1
--- a/src/amaranthtray/web.py
+++ b/src/amaranthtray/web.py
@@ -4,7 +4,8 @@
 
 import socket
 import threading
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import cherrypy
 import msgspec
@@ -14,6 +15,8 @@
 SHUTDOWN_TIMEOUT_S = 1
 SOCKET_KEY = "amaranthtray.socket"
 
+F = TypeVar("F", bound=Callable[..., Any])
+
 _SERVER: Any = wsgi.Server
 _GATEWAY: Any = wsgi.Gateway_10
 
@@ -90,6 +93,12 @@
         return env
 
 
+def exposed(handler: F) -> F:
+    """Lets CherryPy serve a method; its decorator, with types."""
+    handler.exposed = True  # type: ignore[attr-defined]
+    return handler
+
+
 def break_connection() -> None:
     """Ends the current request's connection, so that no whole reply can arrive."""
     sock: socket.socket = cherrypy.request.wsgi_environ[SOCKET_KEY]
--- a/tests/backend/test_client_phases.py
+++ b/tests/backend/test_client_phases.py
@@ -86,13 +86,16 @@
     pools.close()
 
 
-def attempt(port: int, *, timeout_ms: int = 5_000) -> Attempt:
+def attempt(
+    port: int, *, timeout_ms: int = 5_000, send_within_ms: int = 5_000
+) -> Attempt:
     return Attempt(
         attempt_id=ATTEMPT,
         request=builders.request(),
         payload=Payload("text/plain", b"payload"),
         host=replace(builders.host(), port=port),
         timeout_ms=timeout_ms,
+        send_within_ms=send_within_ms,
         lease_ms=10_000,
     )
 
@@ -212,6 +215,14 @@
     assert isinstance(reports[0], BrokeAfterSend | NothingSent)
 
 
+def test_pause_before_the_first_byte_sends_nothing(client: BackendClient) -> None:
+    client.begin(ATTEMPT)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        report = client.run(attempt(port, send_within_ms=-1))
+    assert isinstance(report.result, NothingSent)
+
+
 def test_abort_before_the_run_sends_nothing(client: BackendClient) -> None:
     client.begin(ATTEMPT)
     client.abort(ATTEMPT)
