--- /dev/null
+++ b/src/amaranthtray/domain/configuration/_checks.py
@@ -0,0 +1,300 @@
+"""What a change must satisfy against the configuration it was proposed for."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from .changes import (
+    AddKey,
+    AddOperator,
+    Change,
+    PlaceHosts,
+    PutPool,
+    PutQueue,
+    PutTeam,
+    PutWave,
+    RemovePool,
+    RemoveQueue,
+    RemoveTeam,
+    SetHostLabels,
+    SetWaveState,
+    WithdrawKey,
+    WithdrawOperator,
+)
+from .key_ids import is_addable, is_digest
+from .model import SPARE_POOL, Configuration, Role, WaveState
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from ..ids import KeyId, PoolName, Revision, WaveName
+    from .model import Pool, Queue, Team, TeamKey, Wave
+
+MAX_PRIORITY = 1_000_000
+MAX_SHARE = 1_000_000
+MAX_LIMIT = 10_000_000
+MAX_WAVES = 1_000
+MAX_LABELS = 64
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_LABEL_KEY = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,126}")
+_LABEL_VALUE = re.compile(r"[A-Za-z0-9._-]{0,63}")
+_NAME_FIX = "use 1 to 63 of a-z, 0-9, '.', '_', '-', beginning with a-z or 0-9"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong with a change, where, and how to mend it."""
+
+    what: str
+    where: str
+    fix: str
+
+
+class SelectorCheck(Protocol):
+    """Parses a selector."""
+
+    def __call__(self, selector: str, /) -> str | None:
+        """Returns what is wrong with the selector, or none."""
+
+
+class PoolCheck(Protocol):
+    """Checks pool selectors against each other."""
+
+    def __call__(self, before: Configuration, after: Configuration, /) -> Fault | None:
+        """Returns a fault that names both pools, or none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Rules that other aggregates own.
+
+    Attributes:
+        selector: Parses selectors.
+        pools: Refuses pool selectors that are ambiguous.
+    """
+
+    selector: SelectorCheck
+    pools: PoolCheck
+
+
+class Checker:
+    """Checks changes one by one against the configuration drafted so far.
+
+    Args:
+        rules: Rules that other aggregates own.
+        revision: Revision of the proposed record.
+    """
+
+    def __init__(self, rules: Rules, revision: Revision) -> None:
+        self._rules = rules
+        self._revision = revision
+
+    def check(self, cfg: Configuration, change: Change) -> Fault | None:
+        """Returns what is wrong with ``change``, or none."""
+        match change:
+            case PutPool(pool):
+                return self._check_pool(pool)
+            case RemovePool(name):
+                return _check_remove_pool(cfg, name)
+            case PutTeam(team):
+                return _check_team(team)
+            case RemoveTeam(team_name):
+                return _must_exist("team", team_name, cfg.teams)
+            case PutQueue(queue):
+                return self._check_queue(cfg, queue)
+            case RemoveQueue(queue_name):
+                return _must_exist("queue", queue_name, cfg.queues)
+            case PutWave(wave):
+                return self._check_wave(cfg, wave)
+            case SetWaveState(wave_name, state):
+                return _check_wave_state(cfg, wave_name, state)
+            case SetHostLabels() | PlaceHosts():
+                return _check_hosts(cfg, change)
+            case AddKey() | WithdrawKey() | AddOperator() | WithdrawOperator():
+                return self._check_key_change(cfg, change)
+
+    def _check_pool(self, pool: Pool) -> Fault | None:
+        where = f"pool/{pool.name}"
+        if pool.name == SPARE_POOL and pool.selector:
+            return Fault("the spare pool has no selector", where, "leave it empty")
+        if pool.name != SPARE_POOL and not pool.selector:
+            return Fault("a pool needs a selector", where, "name labels of its hosts")
+        budget = pool.budget
+        outs = (budget.max_out, budget.max_out_per_zone, budget.max_out_per_rack)
+        if min(outs) < 0:
+            return Fault("negative budget", f"{where}.budget", "use 0 or more")
+        return (
+            _check_name(where, pool.name)
+            or _check_range(f"{where}.priority", pool.priority, 0, MAX_PRIORITY)
+            or self._check_selector(where, pool.selector)
+        )
+
+    def _check_queue(self, cfg: Configuration, queue: Queue) -> Fault | None:
+        where = f"queue/{queue.name}"
+        if not 0 < queue.objective.target < 1:
+            fix = "use a part between 0 and 1, for example 0.999"
+            return Fault("objective out of range", f"{where}.objective", fix)
+        return (
+            _check_name(where, queue.name)
+            or _must_be_pool(cfg, f"{where}.pool", queue.pool)
+            or self._check_selector(where, queue.selector)
+        )
+
+    def _check_wave(self, cfg: Configuration, wave: Wave) -> Fault | None:
+        where = f"wave/{wave.name}"
+        known = cfg.waves.get(wave.name)
+        if known is not None and known.state != WaveState.ABORTED:
+            fix = "abort it first or choose another name"
+            return Fault("a wave of that name is not aborted", where, fix)
+        if known is None and len(cfg.waves) >= MAX_WAVES:
+            fix = "reuse the name of an aborted wave"
+            return Fault(f"more than {MAX_WAVES} waves", where, fix)
+        return _check_name(where, wave.name) or self._check_selector(
+            where, wave.selector
+        )
+
+    def _check_selector(self, where: str, selector: str) -> Fault | None:
+        if not selector:
+            return None
+        wrong = self._rules.selector(selector)
+        if wrong is None:
+            return None
+        return Fault(wrong, f"{where}.selector", "mend the selector")
+
+    def _check_key_change(
+        self,
+        cfg: Configuration,
+        change: AddKey | WithdrawKey | AddOperator | WithdrawOperator,
+    ) -> Fault | None:
+        match change:
+            case AddKey(key):
+                return self._check_add_key(cfg, key)
+            case WithdrawKey(key_id):
+                return _must_exist("key", key_id, cfg.keys)
+            case AddOperator(operator):
+                where = f"operator/{operator.key_id}"
+                return _check_name(where, operator.name) or self._check_new_id(
+                    cfg, where, operator.key_id, operator.digest
+                )
+            case WithdrawOperator(key_id):
+                return _check_withdraw_operator(cfg, key_id)
+
+    def _check_add_key(self, cfg: Configuration, key: TeamKey) -> Fault | None:
+        where = f"key/{key.key_id}"
+        return _must_exist("team", key.team, cfg.teams) or self._check_new_id(
+            cfg, where, key.key_id, key.digest
+        )
+
+    def _check_new_id(
+        self, cfg: Configuration, where: str, key_id: KeyId, digest: str
+    ) -> Fault | None:
+        if not is_digest(digest):
+            fix = "send the SHA-256 of the whole key in lower-case hexadecimal"
+            return Fault("malformed digest", f"{where}.digest", fix)
+        if key_id in cfg.withdrawn:
+            return Fault("the key id was withdrawn", where, "mint a new key")
+        if key_id in cfg.keys or key_id in cfg.operators:
+            return Fault("the key id is taken", where, "mint a new key")
+        if not is_addable(key_id, self._revision):
+            fix = "mint a new key at the revision in force"
+            return Fault("the key id is malformed or too old", where, fix)
+        return None
+
+
+def _check_remove_pool(cfg: Configuration, name: PoolName) -> Fault | None:
+    where = f"pool/{name}"
+    queues = [queue.name for queue in cfg.queues.values() if queue.pool == name]
+    if queues:
+        fix = f"move or remove queue {queues[0]!r} first"
+        return Fault("the pool is in use", where, fix)
+    if name in cfg.placement.values():
+        return Fault("hosts are in the pool", where, "move its hosts first")
+    if name == SPARE_POOL:
+        return Fault("the spare pool always exists", where, "keep it")
+    return _must_exist("pool", name, cfg.pools)
+
+
+def _check_team(team: Team) -> Fault | None:
+    where = f"team/{team.name}"
+    if team.cutoff_grace_ms is not None and team.cutoff_grace_ms < 0:
+        fix = "use 0 or more, or none to serve without end"
+        return Fault("negative grace time", f"{where}.cutoff_grace_ms", fix)
+    return (
+        _check_name(where, team.name)
+        or _check_range(f"{where}.share", team.share, 1, MAX_SHARE)
+        or _check_range(f"{where}.limit", team.limit, 0, MAX_LIMIT)
+        or _check_labels(where, team.labels)
+    )
+
+
+def _check_hosts(
+    cfg: Configuration, change: SetHostLabels | PlaceHosts
+) -> Fault | None:
+    match change:
+        case SetHostLabels(labels):
+            faults = (
+                _check_labels(f"host/{host}", own) for host, own in labels.items()
+            )
+            return next((fault for fault in faults if fault), None)
+        case PlaceHosts(moves):
+            faults = (
+                _must_be_pool(cfg, f"placement/{host}", to)
+                for host, to in moves.items()
+            )
+            return next((fault for fault in faults if fault), None)
+
+
+def _check_withdraw_operator(cfg: Configuration, key_id: KeyId) -> Fault | None:
+    admins = [one for one in cfg.operators.values() if one.role == Role.ADMIN]
+    if [one.key_id for one in admins] == [key_id]:
+        fix = "add another administrator first"
+        return Fault("the last administrator stays", f"operator/{key_id}", fix)
+    return _must_exist("operator", key_id, cfg.operators)
+
+
+def _check_wave_state(
+    cfg: Configuration, name: WaveName, state: WaveState
+) -> Fault | None:
+    wave = cfg.waves.get(name)
+    if wave is None:
+        return _must_exist("wave", name, cfg.waves)
+    if wave.state == WaveState.ABORTED and state != WaveState.ABORTED:
+        return Fault("the wave was aborted", f"wave/{name}", "ask for a new wave")
+    return None
+
+
+def _check_name(where: str, name: str) -> Fault | None:
+    if _NAME.fullmatch(name):
+        return None
+    return Fault(f"invalid name {name!r}", where, _NAME_FIX)
+
+
+def _check_range(where: str, value: int, low: int, high: int) -> Fault | None:
+    if low <= value <= high:
+        return None
+    return Fault(f"{value} is out of range", where, f"use {low} to {high}")
+
+
+def _check_labels(where: str, labels: Mapping[str, str]) -> Fault | None:
+    if len(labels) > MAX_LABELS:
+        return Fault("too many labels", where, f"use at most {MAX_LABELS}")
+    for key, value in labels.items():
+        if not _LABEL_KEY.fullmatch(key) or not _LABEL_VALUE.fullmatch(value):
+            fix = "use letters, digits, '.', '_', '-', and '/' in keys"
+            return Fault(f"invalid label {key}={value}", f"{where}.labels", fix)
+    return None
+
+
+def _must_exist(kind: str, name: str, known: Collection[str]) -> Fault | None:
+    if name in known:
+        return None
+    return Fault(f"unknown {kind}", f"{kind}/{name}", f"create the {kind} first")
+
+
+def _must_be_pool(cfg: Configuration, where: str, name: PoolName) -> Fault | None:
+    if name == SPARE_POOL or name in cfg.pools:
+        return None
+    return Fault(f"unknown pool {name!r}", where, "create the pool first")
--- a/src/amaranthtray/domain/configuration/model.py
+++ b/src/amaranthtray/domain/configuration/model.py
@@ -181,6 +181,9 @@
             is absent is in the spare pool.
         touched: Revision that last changed each object, keyed ``kind/name``.
         recent_ops: Operation ids of the latest records, newest last.
+        recent_operators: Who asked for each of the recent operations.
+        withdrawn: Withdrawn key ids and the revision that withdrew them. An id
+            is dropped once it is too old to be added again.
     """
 
     revision: Revision = EMPTY_REVISION
@@ -194,6 +197,8 @@
     waves: dict[WaveName, Wave] = field(default_factory=dict)
     touched: dict[str, Revision] = field(default_factory=dict)
     recent_ops: tuple[tuple[OperationId, Revision], ...] = ()
+    recent_operators: dict[OperationId, str] = field(default_factory=dict)
+    withdrawn: dict[KeyId, Revision] = field(default_factory=dict)
 
     def pool_of(self, host: HostId) -> PoolName:
         """Returns the one pool that ``host`` is in."""
--- a/src/amaranthtray/domain/keys/__init__.py
+++ b/src/amaranthtray/domain/keys/__init__.py
@@ -1,1 +1,38 @@
-"""Verification of team and operator keys."""
+"""Keys of callers and operators."""
+
+from __future__ import annotations
+
+from .authentication import (
+    Accepted,
+    KeyRefusal,
+    KeyRefused,
+    Selects,
+    authenticate,
+    identify,
+)
+from .minting import MintedKey, digest_of, key_from_secret, mint_key
+from .operators import (
+    authorize,
+    bootstrap_operator,
+    identify_operator,
+    may_change,
+    needed_role,
+)
+
+__all__ = [
+    "Accepted",
+    "KeyRefusal",
+    "KeyRefused",
+    "MintedKey",
+    "Selects",
+    "authenticate",
+    "authorize",
+    "bootstrap_operator",
+    "digest_of",
+    "identify",
+    "identify_operator",
+    "key_from_secret",
+    "may_change",
+    "mint_key",
+    "needed_role",
+]
--- /dev/null
+++ b/src/amaranthtray/platform/config_log.py
@@ -0,0 +1,268 @@
+"""The configuration log in the platform's store.
+
+The record at revision N + 1 is the key ``config/log/<N + 1>``; creating it is the
+commit. A compactor writes the snapshot first and deletes covered records afterwards.
+A writer that was paused over a compaction could create a deleted key again, so each
+commit is verified against the snapshot before it is believed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from ..domain.configuration.changes import Record
+from ..domain.configuration.codec import (
+    snapshot_from_json,
+    snapshot_to_json,
+)
+from ..domain.configuration.follower import ConfigFollower
+from ..domain.configuration.model import EMPTY_REVISION, Configuration
+from ..domain.errors import ProblemError
+from ..domain.ids import Revision
+from ._commit import Commit, CommitFailure, Committed, Permit
+from .config_keys import (
+    LOG_PREFIX,
+    PEER,
+    PREFIX,
+    SNAPSHOT_KEY,
+    decode_record,
+    revision_of_key,
+)
+from .store import Compacted, Unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..domain.configuration.changes import Change
+    from ..domain.configuration.log import Rules
+    from ..domain.ids import EntryId, OperationId
+    from .store import Listing, Store, StoreFailure, Versioned, WatchEvent
+
+__all__ = [
+    "CommitFailure",
+    "Committed",
+    "ConfigFeed",
+    "ConfigLog",
+    "Feed",
+    "Loaded",
+    "Permit",
+]
+
+KEPT_RECORDS = 64
+"""Records before the snapshot that a compaction leaves for those that lag behind."""
+COMPACT_AFTER_RECORDS = 192
+"""Length of the log in the store at which a compaction is due."""
+MAX_DELETES = 64
+"""Records that one compaction deletes at most."""
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """What the store holds.
+
+    Attributes:
+        cfg: Snapshot and tail applied.
+        at_version: Store version to watch from.
+        log_length: Number of records in the store.
+        has_gap: Whether a record after the snapshot is missing or unreadable.
+    """
+
+    cfg: Configuration
+    at_version: int
+    log_length: int
+    has_gap: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Feed:
+    """News of the log, to offer to a follower."""
+
+    records: tuple[Record, ...] = ()
+    snapshot: Configuration | None = None
+
+
+class ConfigLog:
+    """Reads and extends the configuration log.
+
+    Args:
+        store: The platform's store.
+        entry: This entry.
+        rules: Rules that other aggregates own.
+    """
+
+    def __init__(self, store: Store, *, entry: EntryId, rules: Rules) -> None:
+        self._store = store
+        self._entry = entry
+        self._rules = rules
+
+    def commit(
+        self,
+        cfg: Configuration,
+        changes: Sequence[Change],
+        *,
+        op_id: OperationId,
+        operator: str,
+        expected: Revision | None = None,
+        permit: Permit | None = None,
+    ) -> Result[Committed, CommitFailure]:
+        """Commits changes as one record.
+
+        Args:
+            cfg: Configuration in force here; a stale one costs a read.
+            changes: Applied together or not at all.
+            op_id: Chosen once for the operation and kept over its repetitions.
+            operator: Who asks.
+            expected: Revision that the operator looked at, none to overwrite.
+            permit: Checked against each state that the changes are checked with.
+
+        Returns:
+            The place in the log, a refusal, or a store failure. Only
+            ``EffectUnknown`` leaves open whether the change was made; repeat the
+            operation with the same ``op_id`` to settle it.
+        """
+        commit = Commit(
+            log=self,
+            store=self._store,
+            entry=self._entry,
+            rules=self._rules,
+            changes=tuple(changes),
+            op_id=op_id,
+            operator=operator,
+            expected=expected,
+            permit=permit,
+        )
+        return commit.run(cfg)
+
+    def load(self) -> Result[Loaded, StoreFailure]:
+        """Reads the snapshot and the tail after it at one store version."""
+        return self._store.list(PREFIX).bind(_apply_listing)
+
+    def read_snapshot(self) -> Result[tuple[Configuration, int], StoreFailure]:
+        """Reads the snapshot and its version, which is 0 when there is none."""
+        return self._store.get(SNAPSHOT_KEY).bind(_decode_snapshot)
+
+    def compact(self, cfg: Configuration) -> Result[bool, StoreFailure]:
+        """Writes ``cfg`` as the snapshot and deletes records well before it.
+
+        Args:
+            cfg: The configuration in force here.
+
+        Returns:
+            Whether this call wrote the snapshot; false if one as new was there.
+        """
+        known = self.read_snapshot()
+        if isinstance(known, Failure):
+            return known
+        snapshot, version = known.unwrap()
+        covered = snapshot.revision
+        is_newer = cfg.revision > covered
+        if is_newer:
+            written = self._write_snapshot(cfg, version)
+            if isinstance(written, Failure):
+                return written
+            covered = cfg.revision
+        deleted = self._delete_covered(Revision(covered - KEPT_RECORDS))
+        return deleted.map(lambda _: is_newer)
+
+    def _write_snapshot(
+        self, cfg: Configuration, version: int
+    ) -> Result[int, StoreFailure]:
+        value = snapshot_to_json(cfg)
+        if version == 0:
+            return self._store.create(SNAPSHOT_KEY, value)
+        return self._store.compare_and_swap(SNAPSHOT_KEY, value, version=version)
+
+    def _delete_covered(self, last: Revision) -> Result[None, StoreFailure]:
+        listed = self._store.list(LOG_PREFIX)
+        if isinstance(listed, Failure):
+            return listed
+        items = listed.unwrap().items
+        covered = [item for item in items if revision_of_key(item.key) <= last]
+        for item in covered[:MAX_DELETES]:
+            self._store.delete(item.key, version=item.version)
+        return Success(None)
+
+
+class ConfigFeed:
+    """Follows the log by watching the store; one per holder of the duty.
+
+    Args:
+        log: The log.
+        store: The platform's store.
+    """
+
+    def __init__(self, log: ConfigLog, store: Store) -> None:
+        self._log = log
+        self._store = store
+        self._at_version: int | None = None
+        self.compaction_due = False
+
+    def reset(self) -> None:
+        """Reads the whole log at the next poll, as after a gap."""
+        self._at_version = None
+
+    def poll(self, *, timeout_ms: int) -> Result[Feed, StoreFailure]:
+        """Returns news; waits for them up to the timeout."""
+        if self._at_version is None:
+            return self._log.load().map(self._begin)
+        watched = self._store.watch(
+            LOG_PREFIX, after_version=self._at_version, timeout_ms=timeout_ms
+        )
+        if isinstance(watched, Failure):
+            if isinstance(watched.failure(), Compacted):
+                self.reset()
+                return Success(Feed())
+            return watched
+        batch = watched.unwrap()
+        records = _decode_events(batch.events)
+        if records is None:
+            self.reset()
+            return Success(Feed())
+        self._at_version = batch.at_version
+        return Success(Feed(records=records))
+
+    def _begin(self, loaded: Loaded) -> Feed:
+        self._at_version = loaded.at_version
+        self.compaction_due = loaded.log_length >= COMPACT_AFTER_RECORDS
+        return Feed(snapshot=loaded.cfg)
+
+
+def _decode_events(events: Sequence[WatchEvent]) -> tuple[Record, ...] | None:
+    """Returns the records of a batch; none if one is unreadable."""
+    records = [decode_record(one.value) for one in events if one.value is not None]
+    readable = tuple(record for record in records if record is not None)
+    return readable if len(readable) == len(records) else None
+
+
+def _decode_snapshot(
+    found: Versioned | None,
+) -> Result[tuple[Configuration, int], StoreFailure]:
+    if found is None:
+        return Success((Configuration(), 0))
+    try:
+        cfg = snapshot_from_json(found.value, step="read-snapshot", peer=PEER)
+    except ProblemError as exc:
+        return Failure(Unavailable("read-snapshot", PEER, str(exc)))
+    return Success((cfg, found.version))
+
+
+def _apply_listing(listing: Listing) -> Result[Loaded, StoreFailure]:
+    snapshot = next((one for one in listing.items if one.key == SNAPSHOT_KEY), None)
+    return _decode_snapshot(snapshot).map(lambda base: _apply_tail(base[0], listing))
+
+
+def _apply_tail(base: Configuration, listing: Listing) -> Loaded:
+    log = [item for item in listing.items if item.key.startswith(LOG_PREFIX)]
+    follower = ConfigFollower(base)
+    records = (decode_record(item.value) for item in log)
+    follower.offer_records(record for record in records if record is not None)
+    last = max((revision_of_key(item.key) for item in log), default=EMPTY_REVISION)
+    return Loaded(
+        cfg=follower.cfg,
+        at_version=listing.at_version,
+        log_length=len(log),
+        has_gap=last > follower.cfg.revision,
+    )
--- /dev/null
+++ b/src/amaranthtray/platform/memory.py
@@ -0,0 +1,389 @@
+"""An in-memory store that behaves like the platform's, with injected faults.
+
+Time is the caller's: leases lapse when the clock that was passed in has moved on.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING, NewType, TypeAlias, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from .store import (
+    MAX_VALUE_BYTES,
+    Compacted,
+    Conflict,
+    EffectUnknown,
+    LeaseGone,
+    LeaseId,
+    Listing,
+    StoreFailure,
+    Unavailable,
+    Versioned,
+    WatchBatch,
+    WatchEvent,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+T = TypeVar("T")
+ClientName = NewType("ClientName", str)
+Clock: TypeAlias = Callable[[], int]
+"""Returns milliseconds that never decrease."""
+
+PEER = "memory-store"
+MAX_WATCH_EVENTS = 10_000
+
+
+class Fault(StrEnum):
+    """What can go wrong with one call."""
+
+    DELAY = "delay"
+    ERROR = "error"
+    LOST_REQUEST = "lost request"
+    LOST_REPLY = "lost reply"
+    LATE_EFFECT = "late effect"
+    """The reply is lost and a write takes effect at ``deliver_late``."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """A fault for the next call of a step.
+
+    Attributes:
+        fault: What goes wrong.
+        step: Name of the method it strikes; empty strikes any.
+        delay_ms: Time that a delayed call takes.
+    """
+
+    fault: Fault
+    step: str = ""
+    delay_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_ms: int
+    expires_ms: int
+    keys: set[str] = field(default_factory=set)
+
+
+class MemoryPlatform:
+    """The state of the store and the faults between it and its clients.
+
+    Args:
+        clock: The store's own clock.
+        sleep: Called with the milliseconds of an injected delay; moves a manual
+            clock on, for example.
+    """
+
+    def __init__(
+        self, clock: Clock, *, sleep: Callable[[int], None] | None = None
+    ) -> None:
+        self.is_down = False
+        self.cut_clients: set[ClientName] = set()
+        self.calls: dict[str, int] = {}
+        self.sleep = sleep or (lambda _: None)
+        self.condition = threading.Condition(threading.RLock())
+        self._clock = clock
+        self._items: dict[str, Versioned] = {}
+        self._leases: dict[LeaseId, _Lease] = {}
+        self._events: deque[WatchEvent] = deque(maxlen=MAX_WATCH_EVENTS)
+        self._version = 0
+        self._next_lease = 1
+        self._plans: dict[ClientName, list[PlannedFault]] = {}
+        self._late: list[Callable[[], object]] = []
+
+    def client(self, name: str, *, waits: bool = False) -> MemoryStore:
+        """Returns a store as one client sees it.
+
+        Args:
+            name: Client name; faults and cuts are by client.
+            waits: Whether ``watch`` waits in real time; it returns at once else.
+        """
+        return MemoryStore(self, ClientName(name), waits=waits)
+
+    def plan(self, client: str, *faults: PlannedFault) -> None:
+        """Adds faults that strike the client's next calls, in order."""
+        self._plans.setdefault(ClientName(client), []).extend(faults)
+
+    def next_fault(self, client: ClientName, step: str) -> PlannedFault | None:
+        """Takes the first planned fault that strikes this call."""
+        plans = self._plans.get(client, [])
+        for plan in plans:
+            if plan.step in ("", step):
+                plans.remove(plan)
+                return plan
+        return None
+
+    def postpone(self, effect: Callable[[], object]) -> None:
+        """Keeps a write whose request is still under way."""
+        self._late.append(effect)
+
+    def deliver_late(self) -> int:
+        """Lets all postponed writes arrive; returns how many there were."""
+        late, self._late = self._late, []
+        for effect in late:
+            effect()
+        return len(late)
+
+    def compact_events(self) -> None:
+        """Forgets all watch events so far."""
+        with self.condition:
+            self._events.clear()
+
+    def wipe(self) -> None:
+        """Loses all keys and leases, as a store restored from nothing does."""
+        with self.condition:
+            self._items.clear()
+            self._leases.clear()
+            self._events.clear()
+
+    def read(self, key: str) -> Versioned | None:
+        """Returns a live key."""
+        with self.condition:
+            self._expire()
+            return self._items.get(key)
+
+    def read_all(self, prefix: str) -> Listing:
+        """Returns all live keys under a prefix, sorted, at one version."""
+        with self.condition:
+            self._expire()
+            keys = sorted(key for key in self._items if key.startswith(prefix))
+            return Listing(tuple(self._items[key] for key in keys), self._version)
+
+    def write(
+        self, key: str, value: bytes, version: int, lease: LeaseId | None, step: str
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be at ``version``; 0 means absent."""
+        with self.condition:
+            self._expire()
+            if lease is not None and lease not in self._leases:
+                return Failure(LeaseGone(step, PEER))
+            found = self._items.get(key)
+            if (found.version if found else 0) != version:
+                return Failure(Conflict(step, PEER, found))
+            self._put(key, value, lease)
+            return Success(self._version)
+
+    def erase(self, key: str, version: int, step: str) -> Result[None, StoreFailure]:
+        """Deletes a key that must be at ``version``."""
+        with self.condition:
+            self._expire()
+            found = self._items.get(key)
+            if found is None or found.version != version:
+                return Failure(Conflict(step, PEER, found))
+            self._drop(key)
+            return Success(None)
+
+    def grant(self, ttl_ms: int) -> LeaseId:
+        """Grants a lease."""
+        with self.condition:
+            lease = LeaseId(self._next_lease)
+            self._next_lease += 1
+            self._leases[lease] = _Lease(ttl_ms, self._clock() + ttl_ms)
+            return lease
+
+    def renew(self, lease: LeaseId, step: str) -> Result[int, StoreFailure]:
+        """Renews a lease that has not lapsed."""
+        with self.condition:
+            self._expire()
+            state = self._leases.get(lease)
+            if state is None:
+                return Failure(LeaseGone(step, PEER))
+            state.expires_ms = self._clock() + state.ttl_ms
+            return Success(state.ttl_ms)
+
+    def revoke(self, lease: LeaseId, step: str) -> Result[None, StoreFailure]:
+        """Revokes a lease and deletes its keys."""
+        with self.condition:
+            self._expire()
+            if lease not in self._leases:
+                return Failure(LeaseGone(step, PEER))
+            self._end(lease)
+            return Success(None)
+
+    def events_after(
+        self, prefix: str, after: int, step: str
+    ) -> Result[WatchBatch, StoreFailure]:
+        """Returns the events under a prefix that are later than ``after``."""
+        with self.condition:
+            self._expire()
+            oldest = self._events[0].version if self._events else self._version + 1
+            if after + 1 < oldest:
+                return Failure(Compacted(step, PEER))
+            newer = (event for event in self._events if event.version > after)
+            found = tuple(event for event in newer if event.key.startswith(prefix))
+            return Success(WatchBatch(found, self._version))
+
+    def _put(self, key: str, value: bytes, lease: LeaseId | None) -> None:
+        self._unbind(key)
+        self._version += 1
+        self._items[key] = Versioned(key, value, self._version, lease)
+        if lease is not None:
+            self._leases[lease].keys.add(key)
+        self._announce(WatchEvent(key, value, self._version))
+
+    def _drop(self, key: str) -> None:
+        self._unbind(key)
+        del self._items[key]
+        self._version += 1
+        self._announce(WatchEvent(key, None, self._version))
+
+    def _unbind(self, key: str) -> None:
+        found = self._items.get(key)
+        lease = self._leases.get(found.lease) if found and found.lease else None
+        if lease is not None:
+            lease.keys.discard(key)
+
+    def _announce(self, event: WatchEvent) -> None:
+        self._events.append(event)
+        self.condition.notify_all()
+
+    def _expire(self) -> None:
+        now_ms = self._clock()
+        for lease in list(self._lapsed(now_ms)):
+            self._end(lease)
+
+    def _lapsed(self, now_ms: int) -> Iterator[LeaseId]:
+        for lease, state in self._leases.items():
+            if state.expires_ms <= now_ms:
+                yield lease
+
+    def _end(self, lease: LeaseId) -> None:
+        for key in sorted(self._leases[lease].keys):
+            self._drop(key)
+        del self._leases[lease]
+
+
+class MemoryStore:
+    """The store as one client sees it; implements ``Store``."""
+
+    def __init__(
+        self, platform: MemoryPlatform, name: ClientName, *, waits: bool
+    ) -> None:
+        self._platform = platform
+        self._name = name
+        self._waits = waits
+
+    def get(self, key: str) -> Result[Versioned | None, StoreFailure]:
+        """Reads one key."""
+        return self._read("get", lambda: self._platform.read(key))
+
+    def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys under a prefix at one version."""
+        return self._read("list", lambda: self._platform.read_all(prefix))
+
+    def create(
+        self, key: str, value: bytes, *, lease: LeaseId | None = None
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be absent and returns its version."""
+        return self._put("create", key, value, 0, lease)
+
+    def compare_and_swap(
+        self, key: str, value: bytes, *, version: int, lease: LeaseId | None = None
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be at ``version`` and returns the new version."""
+        return self._put("compare_and_swap", key, value, version, lease)
+
+    def delete(self, key: str, *, version: int) -> Result[None, StoreFailure]:
+        """Deletes a key that must be at ``version``."""
+        step = "delete"
+        return self._write(step, lambda: self._platform.erase(key, version, step))
+
+    def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
+        """Grants a lease."""
+        return self._write("grant_lease", lambda: Success(self._platform.grant(ttl_ms)))
+
+    def renew_lease(self, lease: LeaseId) -> Result[int, StoreFailure]:
+        """Renews a lease and returns its time to live in milliseconds."""
+        step = "renew_lease"
+        return self._write(step, lambda: self._platform.renew(lease, step))
+
+    def revoke_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        """Revokes a lease and deletes its keys."""
+        step = "revoke_lease"
+        return self._write(step, lambda: self._platform.revoke(lease, step))
+
+    def watch(
+        self, prefix: str, *, after_version: int, timeout_ms: int
+    ) -> Result[WatchBatch, StoreFailure]:
+        """Returns later changes; waits for them only if made to wait."""
+        step = "watch"
+        refused = self._before(step)
+        if refused is not None:
+            return Failure(refused)
+        platform = self._platform
+        with platform.condition:
+            batch = platform.events_after(prefix, after_version, step)
+            if self._waits and _has_none(batch):
+                platform.condition.wait(timeout_ms / 1_000)
+                batch = platform.events_after(prefix, after_version, step)
+        return batch
+
+    def _put(
+        self, step: str, key: str, value: bytes, version: int, lease: LeaseId | None
+    ) -> Result[int, StoreFailure]:
+        if len(value) > MAX_VALUE_BYTES:
+            return Failure(Unavailable(step, PEER, "value too large"))
+        platform = self._platform
+        return self._write(
+            step, lambda: platform.write(key, value, version, lease, step)
+        )
+
+    def _read(self, step: str, call: Callable[[], T]) -> Result[T, StoreFailure]:
+        refused = self._before(step)
+        if refused is not None:
+            return Failure(refused)
+        return Success(call())
+
+    def _write(
+        self, step: str, call: Callable[[], Result[T, StoreFailure]]
+    ) -> Result[T, StoreFailure]:
+        platform = self._platform
+        plan = platform.next_fault(self._name, step)
+        refused = self._refuse(step, plan)
+        if refused is not None:
+            return Failure(refused)
+        lost = EffectUnknown(step, PEER, "reply lost")
+        match plan.fault if plan else None:
+            case Fault.LOST_REPLY:
+                call()
+                return Failure(lost)
+            case Fault.LOST_REQUEST:
+                return Failure(lost)
+            case Fault.LATE_EFFECT:
+                platform.postpone(call)
+                return Failure(lost)
+        return call()
+
+    def _before(self, step: str) -> StoreFailure | None:
+        plan = self._platform.next_fault(self._name, step)
+        refused = self._refuse(step, plan)
+        if refused is None and plan is not None and plan.fault != Fault.DELAY:
+            return Unavailable(step, PEER, f"injected {plan.fault.value}")
+        return refused
+
+    def _refuse(self, step: str, plan: PlannedFault | None) -> StoreFailure | None:
+        platform = self._platform
+        platform.calls[step] = platform.calls.get(step, 0) + 1
+        if platform.is_down or self._name in platform.cut_clients:
+            return Unavailable(step, PEER, "no connection")
+        if plan is None:
+            return None
+        if plan.fault == Fault.DELAY:
+            platform.sleep(plan.delay_ms)
+        if plan.fault == Fault.ERROR:
+            return Unavailable(step, PEER, "injected error")
+        return None
+
+
+def _has_none(batch: Result[WatchBatch, StoreFailure]) -> bool:
+    found = batch.value_or(None)
+    return found is not None and not found.events
--- /dev/null
+++ b/src/amaranthtray/platform/settled.py
@@ -0,0 +1,127 @@
+"""A store whose lost replies are settled by reading back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from .store import Conflict, EffectUnknown, LeaseId, Listing, Versioned, WatchBatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .store import Store, StoreFailure
+
+MAX_SETTLE_ATTEMPTS = 3
+
+
+class SettledStore:
+    """Settles ``EffectUnknown`` of writes where reading back can tell.
+
+    A value must be unique to its write, for example by an operation id inside it:
+    reading it back then proves that the write took effect. When another value has
+    followed, the outcome stays unknown: ours may have been there before it.
+
+    Args:
+        store: The store behind.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def get(self, key: str) -> Result[Versioned | None, StoreFailure]:
+        """Reads one key."""
+        return self._store.get(key)
+
+    def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys under a prefix at one version."""
+        return self._store.list(prefix)
+
+    def create(
+        self, key: str, value: bytes, *, lease: LeaseId | None = None
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be absent and returns its version."""
+        return self._settle_write(
+            lambda: self._store.create(key, value, lease=lease), key, value, 0
+        )
+
+    def compare_and_swap(
+        self, key: str, value: bytes, *, version: int, lease: LeaseId | None = None
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be at ``version`` and returns the new version."""
+        return self._settle_write(
+            lambda: self._store.compare_and_swap(
+                key, value, version=version, lease=lease
+            ),
+            key,
+            value,
+            version,
+        )
+
+    def delete(self, key: str, *, version: int) -> Result[None, StoreFailure]:
+        """Deletes a key that must be at ``version``."""
+        deleted = self._store.delete(key, version=version)
+        for _ in range(MAX_SETTLE_ATTEMPTS):
+            if not _is_unknown(deleted):
+                return deleted
+            read = self._store.get(key)
+            if isinstance(read, Failure):
+                return deleted
+            found = read.unwrap()
+            if found is None or found.version > version:
+                return Success(None)
+            deleted = self._store.delete(key, version=version)
+        return deleted
+
+    def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
+        """Grants a lease; one whose grant was lost lapses by itself."""
+        return self._store.grant_lease(ttl_ms)
+
+    def renew_lease(self, lease: LeaseId) -> Result[int, StoreFailure]:
+        """Renews a lease and returns its time to live in milliseconds."""
+        return self._store.renew_lease(lease)
+
+    def revoke_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        """Revokes a lease and deletes its keys."""
+        return self._store.revoke_lease(lease)
+
+    def watch(
+        self, prefix: str, *, after_version: int, timeout_ms: int
+    ) -> Result[WatchBatch, StoreFailure]:
+        """Waits for changes later than ``after_version``."""
+        return self._store.watch(
+            prefix, after_version=after_version, timeout_ms=timeout_ms
+        )
+
+    def _settle_write(
+        self,
+        write: Callable[[], Result[int, StoreFailure]],
+        key: str,
+        value: bytes,
+        version: int,
+    ) -> Result[int, StoreFailure]:
+        """Reads back after a lost reply and writes again while nothing has changed."""
+        written = write()
+        in_doubt = written if _is_unknown(written) else None
+        for _ in range(MAX_SETTLE_ATTEMPTS):
+            if in_doubt is None:
+                return written
+            read = self._store.get(key)
+            if isinstance(read, Failure):
+                return in_doubt
+            found = read.unwrap()
+            if found is not None and found.value == value:
+                return Success(found.version)
+            if (found.version if found else 0) != version:
+                return in_doubt
+            written = write()
+            if isinstance(written, Success):
+                return written
+            if not isinstance(written.failure(), Conflict | EffectUnknown):
+                return in_doubt
+        return in_doubt if in_doubt is not None else written
+
+
+def _is_unknown(result: Result[int, StoreFailure] | Result[None, StoreFailure]) -> bool:
+    return isinstance(result, Failure) and isinstance(result.failure(), EffectUnknown)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,14 +4,24 @@
 
 from amaranthtray.domain.configuration import (
     Budget,
+    Change,
     Configuration,
+    Operator,
     Pool,
+    PutTeam,
     Queue,
+    Record,
+    Role,
     Team,
+    TeamKey,
 )
+from amaranthtray.domain.configuration.key_ids import format_key_id
+from amaranthtray.domain.configuration.log import PoolCheck, Rules
 from amaranthtray.domain.ids import (
+    EntryId,
     HostId,
     Millis,
+    OperationId,
     PoolName,
     QueueName,
     RackId,
@@ -22,6 +32,7 @@
     ZoneId,
 )
 from amaranthtray.domain.inventory import Host, HostState
+from amaranthtray.domain.keys.minting import key_from_secret
 from amaranthtray.domain.requests.model import Needs, Request, WorkClass
 
 HOSTS_PER_RACK = 4
@@ -73,8 +84,9 @@
     share: int = 1,
     limit: int = 100,
     labels: dict[str, str] | None = None,
+    cutoff_grace_ms: int | None = None,
 ) -> Team:
-    return Team(TeamName(name), share=share, limit=limit, labels=labels or {})
+    return Team(TeamName(name), share, limit, labels or {}, cutoff_grace_ms)
 
 
 def queue(
@@ -135,3 +147,48 @@
             for host_id, name in (placement or {}).items()
         },
     )
+
+
+def key(
+    number: int = 1, *, team: str = "red", minted: int = 0, secret: str = "secret"
+) -> tuple[TeamKey, str]:
+    """Returns a caller key as configured and its whole text."""
+    minted_key = key_from_secret(
+        format_key_id(Revision(minted), f"n{number}"), f"{secret}{number}"
+    )
+    team_key = TeamKey(minted_key.key_id, TeamName(team), minted_key.digest)
+    return team_key, minted_key.text
+
+
+def operator(
+    number: int = 1, *, name: str = "ana", role: Role = Role.ADMIN
+) -> tuple[Operator, str]:
+    """Returns an operator as configured and the whole text of its key."""
+    minted_key = key_from_secret(
+        format_key_id(Revision(0), f"op{number}"), f"operator{number}"
+    )
+    return Operator(minted_key.key_id, name, role, minted_key.digest), minted_key.text
+
+
+def rules(*, pools: PoolCheck | None = None) -> Rules:
+    """Returns rules that refuse only the selector ``"!"``."""
+    return Rules(
+        selector=lambda selector: "unparsable selector" if selector == "!" else None,
+        pools=pools or (lambda before, after: None),
+    )
+
+
+def record(
+    revision: int,
+    *changes: Change,
+    op: str | None = None,
+    operator: str = "ana",
+    entry: str = "e1",
+) -> Record:
+    return Record(
+        revision=Revision(revision),
+        op_id=OperationId(op or f"op-{revision}"),
+        operator=operator,
+        entry=EntryId(entry),
+        changes=changes or (PutTeam(team(f"t{revision}")),),
+    )
--- /dev/null
+++ b/tests/configuration/test_log.py
@@ -0,0 +1,218 @@
+"""Proposing and applying records."""
+
+from __future__ import annotations
+
+import pytest
+from returns.result import Failure, Result, Success
+
+import builders
+from amaranthtray.domain.configuration import (
+    SPARE_POOL,
+    AddKey,
+    AddOperator,
+    Change,
+    Configuration,
+    PlaceHosts,
+    PutPool,
+    PutQueue,
+    PutTeam,
+    PutWave,
+    Record,
+    RemovePool,
+    RemoveTeam,
+    SetHostLabels,
+    SetWaveState,
+    Wave,
+    WaveState,
+    WithdrawKey,
+    WithdrawOperator,
+)
+from amaranthtray.domain.configuration.key_ids import KEY_ID_LIFETIME_REVISIONS
+from amaranthtray.domain.configuration.log import (
+    HISTORY_RECORDS,
+    AlreadyCommitted,
+    ChangeConflict,
+    Fault,
+    PoolCheck,
+    Refusal,
+    RevisionGapError,
+    apply,
+    propose,
+)
+from amaranthtray.domain.errors import Problem
+from amaranthtray.domain.ids import (
+    EntryId,
+    HostId,
+    OperationId,
+    PoolName,
+    Revision,
+    TeamName,
+    WaveName,
+)
+
+KEY, _ = builders.key(1)
+ADMIN, _ = builders.operator(1)
+
+
+def after(*changes: Change, cfg: Configuration | None = None) -> Configuration:
+    state = cfg or Configuration()
+    for change in changes:
+        state = apply(state, builders.record(state.revision + 1, change))
+    return state
+
+
+def offer(
+    cfg: Configuration,
+    *changes: Change,
+    op: str = "new",
+    expected: int | None = None,
+    pools: PoolCheck | None = None,
+) -> Result[Record, Refusal]:
+    return propose(
+        cfg,
+        changes,
+        rules=builders.rules(pools=pools),
+        op_id=OperationId(op),
+        operator="ana",
+        entry=EntryId("e1"),
+        expected=None if expected is None else Revision(expected),
+    )
+
+
+BASE = after(
+    PutPool(builders.pool("web")),
+    PutTeam(builders.team("red")),
+    PutQueue(builders.queue("bookings")),
+    AddKey(KEY),
+    AddOperator(ADMIN),
+    PlaceHosts({HostId("h1"): PoolName("web")}),
+    PutWave(Wave(WaveName("w1"), "rack=r1")),
+)
+
+
+@pytest.mark.parametrize(
+    ("change", "where"),
+    [
+        (PutPool(builders.pool("Bad Name")), "pool/Bad Name"),
+        (PutPool(builders.pool("x", selector="!")), "pool/x.selector"),
+        (PutPool(builders.pool("x", max_out=-1)), "pool/x.budget"),
+        (PutPool(builders.pool("x", priority=-1)), "pool/x.priority"),
+        (PutPool(builders.pool("spare", selector="a=b")), "pool/spare"),
+        (RemovePool(PoolName("web")), "pool/web"),
+        (RemovePool(PoolName("none")), "pool/none"),
+        (RemovePool(SPARE_POOL), "pool/spare"),
+        (PutTeam(builders.team("x", share=0)), "team/x.share"),
+        (PutTeam(builders.team("x", limit=-1)), "team/x.limit"),
+        (PutTeam(builders.team("-open-")), "team/-open-"),
+        (PutTeam(builders.team("x", labels={"a b": "c"})), "team/x.labels"),
+        (RemoveTeam(TeamName("none")), "team/none"),
+        (AddKey(KEY), f"key/{KEY.key_id}"),
+        (AddKey(builders.key(2, team="none")[0]), "team/none"),
+        (AddKey(builders.key(2, minted=8)[0]), "key/k8-n2"),
+        (WithdrawKey(builders.key(9)[0].key_id), "key/k0-n9"),
+        (PutQueue(builders.queue("q", pool="none")), "queue/q.pool"),
+        (PutQueue(builders.queue("q", selector="!")), "queue/q.selector"),
+        (SetHostLabels({HostId("h1"): {"a": "b c"}}), "host/h1.labels"),
+        (PlaceHosts({HostId("h1"): PoolName("none")}), "placement/h1"),
+        (WithdrawOperator(ADMIN.key_id), "operator/k0-op1"),
+        (PutWave(Wave(WaveName("w1"), "rack=r2")), "wave/w1"),
+        (PutWave(Wave(WaveName("w2"), "!")), "wave/w2.selector"),
+        (SetWaveState(WaveName("w9"), WaveState.PAUSED), "wave/w9"),
+    ],
+)
+def test_an_invalid_change_is_refused_with_place_and_fix(
+    change: Change, where: str
+) -> None:
+    problem = offer(BASE, change).failure()
+
+    assert isinstance(problem, Problem)
+    assert problem.where == where
+    assert problem.fix
+
+
+def test_changes_of_one_record_are_checked_after_each_other() -> None:
+    first = PutPool(builders.pool("batch"))
+    second = PutQueue(builders.queue("q", pool="batch"))
+
+    assert isinstance(offer(BASE, first, second), Success)
+    assert isinstance(offer(BASE, second, first), Failure)
+
+
+def test_ambiguous_pools_are_refused_by_the_rule_passed_in() -> None:
+    def refuse(before: Configuration, now: Configuration) -> Fault:
+        return Fault(f"{sorted(now.pools)} match one host", "pool", "tell them apart")
+
+    problem = offer(BASE, PutPool(builders.pool("b")), pools=refuse).failure()
+
+    assert "'b', 'web'" in problem.what
+
+
+def test_a_conflict_names_the_object_and_the_winner() -> None:
+    cfg = apply(
+        BASE,
+        builders.record(8, PutTeam(builders.team("red", limit=5)), operator="bo"),
+    )
+
+    conflict = offer(cfg, PutTeam(builders.team("red", limit=9)), expected=7).failure()
+
+    assert conflict == ChangeConflict("propose", "e1", "team/red", Revision(8), "bo")
+    assert isinstance(offer(cfg, RemovePool(PoolName("x")), expected=7), Failure)
+    blue = PutTeam(builders.team("blue"))
+    assert isinstance(offer(cfg, blue, expected=7), Success)
+
+
+def test_a_repeated_operation_is_known_and_not_applied_again() -> None:
+    assert offer(BASE, RemoveTeam(TeamName("red")), op="op-2").failure() == (
+        AlreadyCommitted(Revision(2))
+    )
+
+
+def test_a_withdrawn_key_id_is_never_added_again() -> None:
+    cfg = after(WithdrawKey(KEY.key_id), cfg=BASE)
+    assert offer(cfg, AddKey(KEY)).failure().what == "the key id was withdrawn"
+
+    for number in range(KEY_ID_LIFETIME_REVISIONS):
+        other, _ = builders.key(number + 10, minted=cfg.revision)
+        cfg = after(AddKey(other), WithdrawKey(other.key_id), cfg=cfg)
+
+    assert KEY.key_id not in cfg.withdrawn
+    assert len(cfg.withdrawn) <= KEY_ID_LIFETIME_REVISIONS
+    assert offer(cfg, AddKey(KEY)).failure().what == (
+        "the key id is malformed or too old"
+    )
+
+
+def test_a_removed_team_takes_its_keys_along() -> None:
+    cfg = after(RemoveTeam(TeamName("red")), cfg=BASE)
+
+    assert not cfg.keys
+    assert KEY.key_id in cfg.withdrawn
+
+
+def test_history_is_bounded_and_an_expectation_beyond_it_conflicts() -> None:
+    cfg = BASE
+    for number in range(HISTORY_RECORDS + 10):
+        cfg = after(PutTeam(builders.team(f"t{number}")), cfg=cfg)
+
+    assert len(cfg.recent_ops) == len(cfg.recent_operators) == HISTORY_RECORDS
+    assert len(cfg.touched) <= HISTORY_RECORDS
+    assert isinstance(
+        offer(cfg, PutTeam(builders.team("red")), expected=7).failure(), ChangeConflict
+    )
+
+
+def test_apply_refuses_a_gap_and_shares_what_did_not_change() -> None:
+    with pytest.raises(RevisionGapError):
+        apply(BASE, builders.record(9))
+
+    cfg = apply(BASE, builders.record(8, PutTeam(builders.team("blue"))))
+
+    assert cfg.placement is BASE.placement
+    assert TeamName("blue") not in BASE.teams
+
+
+def test_placing_in_the_spare_pool_leaves_one_place_that_says_so() -> None:
+    cfg = after(PlaceHosts({HostId("h1"): SPARE_POOL}), cfg=BASE)
+
+    assert cfg.placement == {}
+    assert cfg.pool_of(HostId("h1")) == SPARE_POOL
--- /dev/null
+++ b/tests/keys/test_authentication.py
@@ -0,0 +1,121 @@
+"""Which keys open which queues."""
+
+from __future__ import annotations
+
+import pytest
+
+import builders
+from amaranthtray.domain.configuration import AddKey, Configuration, WithdrawKey
+from amaranthtray.domain.configuration.log import apply
+from amaranthtray.domain.ids import KeyId, QueueName, Revision, TeamName
+from amaranthtray.domain.keys import (
+    Accepted,
+    KeyRefusal,
+    KeyRefused,
+    authenticate,
+    mint_key,
+)
+from amaranthtray.domain.requests.model import OPEN_TEAM
+
+RED, RED_TEXT = builders.key(1, team="red")
+BLUE, BLUE_TEXT = builders.key(2, team="blue")
+CFG = apply(
+    builders.configuration(
+        revision=1,
+        teams=(
+            builders.team("red", labels={"tier": "gold"}),
+            builders.team("blue", cutoff_grace_ms=1_000),
+        ),
+        queues=(
+            builders.queue("any"),
+            builders.queue("open", is_open=True),
+            builders.queue("gold", selector="tier=gold"),
+        ),
+    ),
+    builders.record(2, AddKey(RED), AddKey(BLUE)),
+)
+
+
+def selects(selector: str, labels: dict[str, str]) -> bool:
+    name, _, value = selector.partition("=")
+    return labels.get(name) == value
+
+
+def attempt(
+    key_text: str | None,
+    queue: str = "any",
+    *,
+    cfg: Configuration = CFG,
+    config_age_ms: int = 0,
+) -> Accepted | KeyRefused:
+    return authenticate(
+        cfg, key_text, QueueName(queue), selects=selects, config_age_ms=config_age_ms
+    )
+
+
+@pytest.mark.parametrize(
+    ("key_text", "queue", "refusal"),
+    [
+        (None, "any", KeyRefusal.MISSING),
+        ("", "any", KeyRefusal.MISSING),
+        ("nodot", "any", KeyRefusal.MALFORMED),
+        (".secret", "any", KeyRefusal.MALFORMED),
+        (f"{RED.key_id}.", "any", KeyRefusal.MALFORMED),
+        (f"{RED.key_id}.\u00e9", "any", KeyRefusal.MALFORMED),
+        ("k0-n1." + "x" * 300, "any", KeyRefusal.MALFORMED),
+        (f"{RED.key_id}.wrong", "any", KeyRefusal.UNKNOWN),
+        ("k0-n9.secret9", "any", KeyRefusal.UNKNOWN),
+        (RED_TEXT + "x", "open", KeyRefusal.UNKNOWN),
+        (BLUE_TEXT, "gold", KeyRefusal.NOT_SELECTED),
+        (RED_TEXT, "none", KeyRefusal.NO_QUEUE),
+    ],
+)
+def test_refusals(key_text: str | None, queue: str, refusal: KeyRefusal) -> None:
+    assert attempt(key_text, queue) == KeyRefused(refusal)
+
+
+@pytest.mark.parametrize(
+    ("key_text", "queue", "team", "key_id"),
+    [
+        (RED_TEXT, "any", "red", RED.key_id),
+        (RED_TEXT, "gold", "red", RED.key_id),
+        (RED_TEXT, "open", "red", RED.key_id),
+        (None, "open", OPEN_TEAM, None),
+    ],
+)
+def test_acceptances(
+    key_text: str | None, queue: str, team: str, key_id: KeyId | None
+) -> None:
+    assert attempt(key_text, queue) == Accepted(TeamName(team), key_id)
+
+
+def test_a_withdrawn_key_is_refused_and_the_new_one_of_a_rotation_works() -> None:
+    new, new_text = builders.key(3, team="red", minted=2)
+    both = apply(CFG, builders.record(3, AddKey(new)))
+    rotated = apply(both, builders.record(4, WithdrawKey(RED.key_id)))
+
+    assert isinstance(attempt(RED_TEXT, cfg=both), Accepted)
+    assert isinstance(attempt(new_text, cfg=both), Accepted)
+    assert attempt(RED_TEXT, cfg=rotated) == KeyRefused(KeyRefusal.UNKNOWN)
+    assert isinstance(attempt(new_text, cfg=rotated), Accepted)
+
+
+@pytest.mark.parametrize(
+    ("key_text", "age_ms", "is_accepted"),
+    [(BLUE_TEXT, 1_000, True), (BLUE_TEXT, 1_001, False), (RED_TEXT, 10**9, True)],
+)
+def test_a_team_chooses_whether_its_keys_work_without_fresh_news(
+    key_text: str, age_ms: int, is_accepted: bool
+) -> None:
+    outcome = attempt(key_text, config_age_ms=age_ms)
+
+    assert isinstance(outcome, Accepted) == is_accepted
+
+
+def test_minted_keys_differ_and_carry_their_revision() -> None:
+    first, second = mint_key(Revision(26)), mint_key(Revision(26))
+
+    assert first.text != second.text
+    assert first.key_id.startswith("k1a-")
+    assert first.text.startswith(f"{first.key_id}.")
+    assert first.text not in first.digest
--- /dev/null
+++ b/tests/platform/test_config_log.py
@@ -0,0 +1,260 @@
+"""Commits to the log: races, lost replies, compaction under a paused writer."""
+
+from __future__ import annotations
+
+import pytest
+from returns.result import Failure, Result, Success
+
+import builders
+from amaranthtray.domain.configuration import Change, Configuration, PutTeam, RemoveTeam
+from amaranthtray.domain.configuration.follower import ConfigFollower
+from amaranthtray.domain.configuration.log import ChangeConflict
+from amaranthtray.domain.errors import Problem
+from amaranthtray.domain.ids import EntryId, OperationId, Revision, TeamName
+from amaranthtray.platform.config_keys import SNAPSHOT_KEY, record_key
+from amaranthtray.platform.config_log import (
+    COMPACT_AFTER_RECORDS,
+    KEPT_RECORDS,
+    CommitFailure,
+    Committed,
+    ConfigFeed,
+    ConfigLog,
+)
+from amaranthtray.platform.memory import Fault, MemoryPlatform, PlannedFault
+from amaranthtray.platform.store import EffectUnknown, Unavailable
+
+RED = PutTeam(builders.team("red"))
+
+
+class Site:
+    """A store and one log for each entry."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+        self.platform = MemoryPlatform(lambda: self.now_ms)
+
+    def log(self, entry: str = "e1") -> ConfigLog:
+        store = self.platform.client(entry)
+        return ConfigLog(store, entry=EntryId(entry), rules=builders.rules())
+
+    def commit(
+        self,
+        cfg: Configuration,
+        change: Change = RED,
+        *,
+        entry: str = "e1",
+        op: str = "op",
+        expected: int | None = None,
+    ) -> Result[Committed, CommitFailure]:
+        return self.log(entry).commit(
+            cfg,
+            [change],
+            op_id=OperationId(op),
+            operator=entry,
+            expected=None if expected is None else Revision(expected),
+        )
+
+    def fill(self, records: int, cfg: Configuration | None = None) -> Configuration:
+        state = cfg or Configuration()
+        for number in range(records):
+            change = PutTeam(builders.team(f"t{number}"))
+            op = f"fill-{state.revision + 1}"
+            state = self.commit(state, change, op=op).unwrap().cfg
+        return state
+
+    def stored(self) -> Configuration:
+        return self.log().load().unwrap().cfg
+
+
+def test_a_stale_writer_lands_after_the_winner() -> None:
+    site = Site()
+    site.fill(3)
+
+    committed = site.commit(Configuration(), entry="e2").unwrap()
+
+    assert committed.revision == 4
+    assert committed.cfg == site.stored()
+
+
+def test_of_two_conflicting_operators_one_wins() -> None:
+    site = Site()
+    base = site.fill(1)
+    site.commit(base, entry="e1", op="a", expected=1).unwrap()
+
+    lost = site.commit(base, entry="e2", op="b", expected=1).failure()
+
+    assert lost == ChangeConflict("propose", "e2", "team/red", Revision(2), "e1")
+    assert site.stored().revision == 2
+
+
+def test_a_refusal_by_a_stale_state_is_checked_again() -> None:
+    site = Site()
+    site.commit(Configuration()).unwrap()
+
+    removed = site.commit(Configuration(), RemoveTeam(TeamName("red")), op="r")
+
+    assert isinstance(removed, Success)
+    again = site.commit(Configuration(), RemoveTeam(TeamName("red")), op="s")
+    assert isinstance(again.failure(), Problem)
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault.LOST_REPLY, Fault.LOST_REQUEST, Fault.LATE_EFFECT]
+)
+def test_a_lost_reply_is_settled_and_commits_once(fault: Fault) -> None:
+    site = Site()
+    site.platform.plan("e1", PlannedFault(fault, "create"))
+
+    assert site.commit(Configuration()).unwrap().revision == 1
+    site.platform.deliver_late()
+    assert site.commit(Configuration()).unwrap().revision == 1
+    assert site.stored().revision == 1
+
+
+@pytest.mark.parametrize("fault", [Fault.LOST_REPLY, Fault.LATE_EFFECT])
+def test_an_unsettled_commit_says_so_and_its_repetition_settles_it(
+    fault: Fault,
+) -> None:
+    site = Site()
+    site.platform.plan(
+        "e1", PlannedFault(fault, "create"), PlannedFault(Fault.ERROR, "get")
+    )
+
+    assert isinstance(site.commit(Configuration()).failure(), EffectUnknown)
+    site.platform.deliver_late()
+    assert site.commit(Configuration()).unwrap().revision == 1
+    assert site.stored().revision == 1
+
+
+def test_a_create_in_doubt_stays_in_doubt_when_its_repetition_fails() -> None:
+    site = Site()
+    site.platform.plan(
+        "e1",
+        PlannedFault(Fault.LATE_EFFECT, "create"),
+        PlannedFault(Fault.ERROR, "create"),
+    )
+
+    assert isinstance(site.commit(Configuration()).failure(), EffectUnknown)
+
+
+def test_a_commit_that_certainly_failed_says_so() -> None:
+    site = Site()
+    site.platform.plan("e1", PlannedFault(Fault.ERROR, "create"))
+
+    assert isinstance(site.commit(Configuration()).failure(), Unavailable)
+
+
+def test_a_writer_paused_over_a_compaction_does_not_fork_the_log() -> None:
+    site = Site()
+    stale = site.fill(2)
+    now = site.fill(KEPT_RECORDS + 10, stale)
+    site.log("e2").compact(now).unwrap()
+    assert site.platform.read(record_key(Revision(3))) is None
+
+    committed = site.commit(stale, op="late").unwrap()
+
+    assert committed.revision == now.revision + 1
+    assert site.platform.read(record_key(Revision(3))) is None
+    assert site.stored() == committed.cfg
+
+
+def test_a_commit_seen_only_in_the_snapshot_is_known_as_ours() -> None:
+    site = Site()
+    site.platform.plan(
+        "e1",
+        PlannedFault(Fault.LOST_REPLY, "create"),
+        PlannedFault(Fault.ERROR, "get"),
+    )
+    assert isinstance(site.commit(Configuration()).failure(), EffectUnknown)
+    now = site.fill(KEPT_RECORDS + 10, site.stored())
+    site.log("e2").compact(now).unwrap()
+
+    assert site.commit(Configuration()).unwrap().revision == 1
+    assert site.stored().revision == now.revision
+
+
+def test_an_unverified_record_below_the_snapshot_changes_nothing() -> None:
+    site = Site()
+    stale = site.fill(2)
+    now = site.fill(KEPT_RECORDS + 10, stale)
+    site.log("e2").compact(now).unwrap()
+    site.platform.plan("e1", PlannedFault(Fault.ERROR, "get"))
+
+    assert isinstance(site.commit(stale, op="late").failure(), EffectUnknown)
+    assert site.stored() == now
+    committed = site.commit(stale, op="late").unwrap()
+    assert committed.revision == now.revision + 1
+
+
+def test_compaction_keeps_a_tail_and_never_moves_the_snapshot_back() -> None:
+    site = Site()
+    half = site.fill(100)
+    full = site.fill(100, half)
+
+    assert site.log().compact(full).unwrap()
+    assert not site.log("e2").compact(half).unwrap()
+    for _ in range(3):
+        site.log().compact(full).unwrap()
+
+    loaded = site.log().load().unwrap()
+    assert loaded.cfg == full
+    assert loaded.log_length == KEPT_RECORDS
+    assert not loaded.has_gap
+
+
+def test_a_lost_store_is_seen_as_a_gap_and_mended_by_a_compaction() -> None:
+    site = Site()
+    cfg = site.fill(5)
+    site.platform.wipe()
+    cfg = site.commit(cfg, op="after").unwrap().cfg
+
+    assert site.log().load().unwrap().has_gap
+    site.log().compact(cfg).unwrap()
+    assert site.stored() == cfg
+
+
+def test_an_unreadable_record_stops_the_reader_before_it() -> None:
+    site = Site()
+    cfg = site.fill(2)
+    site.platform.client("x").create(record_key(Revision(3)), b"{}")
+
+    loaded = site.log().load().unwrap()
+
+    assert loaded.cfg == cfg
+    assert loaded.has_gap
+    assert isinstance(site.commit(cfg).failure(), Unavailable)
+
+
+def test_a_feed_follows_through_compacted_events() -> None:
+    site = Site()
+    follower = ConfigFollower()
+    feed = ConfigFeed(site.log(), site.platform.client("e1"))
+
+    def poll() -> None:
+        news = feed.poll(timeout_ms=0).unwrap()
+        if news.snapshot is not None:
+            follower.offer_snapshot(news.snapshot)
+        follower.offer_records(news.records)
+
+    poll()
+    cfg = site.fill(3)
+    poll()
+    assert follower.cfg == cfg
+    cfg = site.fill(COMPACT_AFTER_RECORDS, cfg)
+    site.platform.compact_events()
+    poll()
+    poll()
+    assert follower.cfg == cfg
+    assert feed.compaction_due
+    site.log().compact(cfg)
+    poll()
+    assert follower.cfg == cfg
+
+
+def test_a_malformed_snapshot_is_a_failure_and_never_an_empty_configuration() -> None:
+    site = Site()
+    site.platform.client("x").create(SNAPSHOT_KEY, b"garbage")
+
+    assert isinstance(site.commit(Configuration()), Failure)
+    assert isinstance(site.log().compact(Configuration()), Failure)
+    assert isinstance(site.log().load(), Failure)
--- /dev/null
+++ b/tests/platform/test_wrappers.py
@@ -0,0 +1,151 @@
+"""Settling lost replies, and limits on an entry's calls."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from amaranthtray.platform.budgeted import BudgetedStore, CallBudget
+from amaranthtray.platform.memory import Fault, MemoryPlatform, PlannedFault
+from amaranthtray.platform.settled import SettledStore
+from amaranthtray.platform.store import (
+    CallsSpent,
+    Conflict,
+    EffectUnknown,
+    Unavailable,
+)
+
+
+class Site:
+    """Two clients of a store on a manual clock."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+        self.platform = MemoryPlatform(lambda: self.now_ms)
+        self.store = self.platform.client("e1")
+        self.other = self.platform.client("e2")
+
+    def budgeted(self, budget: CallBudget) -> BudgetedStore:
+        return BudgetedStore(
+            self.store,
+            clock=lambda: self.now_ms,
+            budget=budget,
+            rng=random.Random(1),
+        )
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault.LOST_REPLY, Fault.LOST_REQUEST, Fault.LATE_EFFECT]
+)
+def test_a_lost_write_is_settled(fault: Fault) -> None:
+    site = Site()
+    store = SettledStore(site.store)
+    site.platform.plan("e1", PlannedFault(fault, "create"))
+    version = store.create("a", b"op-1").unwrap()
+    site.platform.plan("e1", PlannedFault(fault, "compare_and_swap"))
+
+    newer = store.compare_and_swap("a", b"op-2", version=version).unwrap()
+
+    site.platform.deliver_late()
+    found = site.store.get("a").unwrap()
+    assert (found.value, found.version) == (b"op-2", newer)
+
+
+@pytest.mark.parametrize("fault", [Fault.LOST_REPLY, Fault.LOST_REQUEST])
+def test_a_lost_deletion_is_settled(fault: Fault) -> None:
+    site = Site()
+    version = site.store.create("a", b"1").unwrap()
+    site.platform.plan("e1", PlannedFault(fault, "delete"))
+
+    SettledStore(site.store).delete("a", version=version).unwrap()
+
+    assert site.store.get("a").unwrap() is None
+
+
+def test_an_overwritten_value_leaves_the_outcome_unknown() -> None:
+    """The other client may have overwritten our write, or won against it."""
+    site = Site()
+    version = site.store.create("a", b"1").unwrap()
+    site.platform.plan(
+        "e1",
+        PlannedFault(Fault.LATE_EFFECT, "compare_and_swap"),
+        PlannedFault(Fault.DELAY, "get"),
+    )
+    site.platform.sleep = lambda _: site.other.compare_and_swap(
+        "a", b"other", version=version
+    )
+
+    outcome = SettledStore(site.store).compare_and_swap("a", b"2", version=version)
+
+    assert isinstance(outcome.failure(), EffectUnknown)
+
+
+def test_a_write_that_cannot_be_read_back_stays_unknown() -> None:
+    site = Site()
+    site.platform.plan(
+        "e1", PlannedFault(Fault.LOST_REPLY, "create"), PlannedFault(Fault.ERROR, "get")
+    )
+
+    assert isinstance(
+        SettledStore(site.store).create("a", b"1").failure(), EffectUnknown
+    )
+
+
+def test_a_known_conflict_is_passed_on() -> None:
+    site = Site()
+    site.other.create("a", b"other")
+
+    outcome = SettledStore(site.store).create("a", b"1")
+
+    assert isinstance(outcome.failure(), Conflict)
+
+
+def test_calls_are_limited_and_the_reserve_is_for_renewals() -> None:
+    site = Site()
+    store = site.budgeted(CallBudget(calls_per_s=10, burst=5, lease_reserve=2))
+    lease = store.grant_lease(60_000).unwrap()
+
+    outcomes = [store.get("a") for _ in range(4)]
+
+    spent = outcomes[-2].failure()
+    assert isinstance(spent, CallsSpent)
+    assert spent.retry_after_ms == 100
+    assert [isinstance(store.renew_lease(lease).value_or(None), int)] == [True]
+    site.now_ms += 2_000
+    assert store.get("a").unwrap() is None
+    assert store.calls == {"grant_lease": 1, "get": 3, "renew_lease": 1}
+
+
+def test_a_dead_store_is_called_ever_less_often_but_renewed_in_time() -> None:
+    site = Site()
+    budget = CallBudget(failures_to_close=2, backoff_min_ms=100, backoff_max_ms=1_000)
+    store = site.budgeted(budget)
+    lease = store.grant_lease(60_000).unwrap()
+    site.platform.is_down = True
+
+    for _ in range(60):
+        store.get("a")
+        site.now_ms += 100
+
+    assert store.calls["get"] < 20
+    before = store.calls["renew_lease"]
+    assert isinstance(store.renew_lease(lease).failure(), Unavailable)
+    assert store.calls["renew_lease"] == before + 1
+    site.platform.is_down = False
+    site.now_ms += budget.backoff_max_ms
+    assert store.get("a").unwrap() is None
+    assert store.is_open
+
+
+def test_calls_under_way_are_bounded() -> None:
+    site = Site()
+    store = site.budgeted(CallBudget(max_in_flight=1))
+    seen: list[object] = []
+    site.platform.plan("e1", PlannedFault(Fault.DELAY, "get"))
+    site.platform.sleep = lambda _: seen.append(store.get("b").failure())
+
+    store.get("a").unwrap()
+
+    assert isinstance(seen[0], CallsSpent)
+    assert store.get("b").unwrap() is None
