--- a/tests/platform/test_config_log.py
+++ b/tests/platform/test_config_log.py
@@ -193,6 +193,7 @@
 
     assert site.log().compact(full).unwrap()
     assert not site.log("e2").compact(half).unwrap()
+    assert site.log().read_snapshot().unwrap()[0] == full
     for _ in range(3):
         site.log().compact(full).unwrap()
 
