--- a/src/amaranthtray/entry/caller_api.py
+++ b/src/amaranthtray/entry/caller_api.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import cherrypy
 
