--- a/src/amaranthtray/settings/_locate.py
+++ b/src/amaranthtray/settings/_locate.py
@@ -32,6 +32,8 @@
         else:
             continue
         depth = len(found)
+        if found[: len(path)] == path:
+            return number
         if depth > best_depth and path[:depth] == found:
             best_line, best_depth = number, depth
     return best_line
