--- /dev/null
+++ b/src/amaranthtray/cli/demo.py
@@ -0,0 +1,22 @@
+"""The command that runs the demo."""
+
+from __future__ import annotations
+
+import click
+
+
+@click.command()
+@click.pass_context
+def demo(ctx: click.Context) -> None:
+    """Runs a small fleet in this process, breaks it, and counts what callers got."""
+    from ..demo.fleet import Fleet
+    from ..demo.story import Story
+
+    fleet = Fleet()
+    fleet.start()
+    try:
+        summary = Story(fleet, click.echo).run()
+    finally:
+        fleet.stop()
+    click.echo(str(summary))
+    ctx.exit(0 if summary.is_good else 1)
--- /dev/null
+++ b/src/amaranthtray/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: stand-ins, entries and callers in one process."""
--- /dev/null
+++ b/src/amaranthtray/demo/callers.py
@@ -0,0 +1,108 @@
+"""Callers of the demo; each call goes through one entry as over a balancer."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from ..domain.requests.model import WorkClass
+from ..entry import submission
+from ..entry.replies import OUTCOME, OutcomeName
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .tally import Tally
+
+TIMEOUT_S = 30.0
+CALLER_THREADS = 24
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request of a caller.
+
+    Attributes:
+        key: Bearer key; none in an open queue.
+    """
+
+    request_id: str
+    queue: str
+    body: bytes
+    key: str | None = None
+    work_class: WorkClass = WorkClass.URGENT
+    repeatable: bool = True
+    deadline_ms: int = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """What the caller got back."""
+
+    call: Call
+    status: int
+    outcome: str
+    body: bytes
+
+
+class Callers:
+    """Sends calls from several threads, round robin over the entries.
+
+    Args:
+        urls: Base URLs of the entries.
+        tally: Counts calls and results.
+    """
+
+    def __init__(self, urls: list[str], tally: Tally) -> None:
+        self._urls = urls
+        self._tally = tally
+        self._http = urllib3.PoolManager(maxsize=CALLER_THREADS, retries=False)
+
+    def send_all(self, calls: Iterable[Call]) -> list[CallResult]:
+        """Sends calls at once and returns their results in order."""
+        numbered = list(enumerate(calls))
+        with ThreadPoolExecutor(CALLER_THREADS) as executor:
+            return list(executor.map(lambda item: self.send(item[1], item[0]), numbered))
+
+    def send(self, call: Call, number: int = 0) -> CallResult:
+        """Sends one call through one entry."""
+        self._tally.note_sent(call)
+        url = self._urls[number % len(self._urls)]
+        resp = self._http.request(
+            "POST",
+            f"{url}/v1/queues/{call.queue}/requests",
+            body=call.body,
+            headers=_head(call),
+            timeout=TIMEOUT_S,
+        )
+        outcome = resp.headers.get(OUTCOME, OutcomeName.UNKNOWN)
+        result = CallResult(call, resp.status, outcome, resp.data)
+        self._tally.note_result(result)
+        return result
+
+    def issue_ids(self, key: str, count: int, number: int = 0) -> list[str]:
+        """Returns ids that the entry issued."""
+        url = self._urls[number % len(self._urls)]
+        resp = self._http.request(
+            "POST",
+            f"{url}/v1/request-ids?count={count}",
+            headers={"Authorization": f"Bearer {key}"},
+            timeout=TIMEOUT_S,
+        )
+        ids: list[str] = resp.json()["ids"]
+        return ids
+
+
+def _head(call: Call) -> dict[str, str]:
+    head = {
+        submission.REQUEST_ID: call.request_id,
+        submission.WORK_CLASS: call.work_class.value,
+        submission.REPEATABLE: str(call.repeatable).lower(),
+        submission.DEADLINE_MS: str(call.deadline_ms),
+    }
+    if call.key is not None:
+        head["Authorization"] = f"Bearer {call.key}"
+    return head
--- /dev/null
+++ b/src/amaranthtray/demo/fleet.py
@@ -0,0 +1,159 @@
+"""A small fleet on loopback: stand-ins of the platform, backend servers, entries."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..domain.configuration.model import EMPTY_REVISION
+from ..domain.ids import HostId, RackId, RegionId, ZoneId
+from ..domain.inventory import Host, HostState
+from ..domain.keys import MintedKey, mint_key
+from ..entry.clock import now_ms
+from ..entry.entry import Entry
+from ..platform.memory import MemoryPlatform
+from ..settings import (
+    BootstrapSettings,
+    EntrySettings,
+    PlatformSettings,
+    Settings,
+)
+from ..standins.backend import BackendStandIn
+from ..standins.platform import PlatformStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REGION = RegionId("r1")
+ZONES = (ZoneId("z1"), ZoneId("z2"))
+ENTRY_ZONES = (ZONES[0], ZONES[0], ZONES[1])
+HOSTS_PER_ZONE = 4
+HOSTS_PER_RACK = 2
+SLOTS = 8
+ENTRY_THREADS = 64
+PATIENT_THREADS = 32
+WAIT_TIMEOUT_S = 15.0
+POLL_S = 0.02
+HOST_PREFIX = "hosts/"
+
+
+class NotInTimeError(Exception):
+    """Something that the demo waits for did not happen."""
+
+
+def wait_until(holds: Callable[[], bool], what: str) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        NotInTimeError: It does not hold in time.
+    """
+    end = time.monotonic() + WAIT_TIMEOUT_S
+    while not holds():
+        if time.monotonic() > end:
+            raise NotInTimeError(what)
+        time.sleep(POLL_S)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Everything that the demo runs.
+
+    Attributes:
+        operator: Key of the first operator.
+        platforms: The platform's listener of each availability zone.
+        servers: Backend servers by host.
+        hosts: The platform's host list.
+        entries: Entries; the first two share a zone.
+    """
+
+    operator: MintedKey = field(default_factory=lambda: mint_key(EMPTY_REVISION))
+    platforms: dict[ZoneId, PlatformStandIn] = field(default_factory=dict)
+    servers: dict[HostId, BackendStandIn] = field(default_factory=dict)
+    hosts: dict[HostId, Host] = field(default_factory=dict)
+    entries: list[Entry] = field(default_factory=list)
+    _memory: MemoryPlatform = field(default_factory=lambda: MemoryPlatform(now_ms))
+
+    def start(self) -> None:
+        """Starts all parts."""
+        for zone in ZONES:
+            self._start_platform(zone)
+            for number in range(HOSTS_PER_ZONE):
+                self._start_host(zone, number)
+        for number, zone in enumerate(ENTRY_ZONES, start=1):
+            self._start_entry(number, zone)
+
+    def stop(self) -> None:
+        """Stops all parts."""
+        for entry in self.entries:
+            entry.stop(idle_timeout_s=WAIT_TIMEOUT_S)
+        for server in self.servers.values():
+            server.stop()
+        for platform in self.platforms.values():
+            platform.stop()
+
+    def caller_url(self, number: int) -> str:
+        """Returns the base URL of an entry's caller interface."""
+        return f"http://127.0.0.1:{self.entries[number].ports.caller}"
+
+    def admin_url(self, number: int) -> str:
+        """Returns the base URL of an entry's administration interface."""
+        return f"http://127.0.0.1:{self.entries[number].ports.admin}"
+
+    def list_host(self, host: Host) -> None:
+        """Puts a host, or its new state, into the platform's list."""
+        self.hosts[host.host_id] = host
+        store = self._memory.client("platform")
+        key = HOST_PREFIX + host.host_id
+        found = store.get(key).unwrap()
+        value = msgspec.json.encode(host)
+        version = found.version if found else 0
+        store.compare_and_swap(key, value, version=version).unwrap()
+
+    def list_as_leaving(self, host_id: HostId) -> None:
+        """Marks a host as leaving in the platform's list."""
+        self.list_host(replace(self.hosts[host_id], state=HostState.LEAVING))
+
+    def _start_platform(self, zone: ZoneId) -> None:
+        platform = PlatformStandIn(self._memory.client(zone, waits=True))
+        platform.start()
+        self.platforms[zone] = platform
+
+    def _start_host(self, zone: ZoneId, number: int) -> None:
+        host_id = HostId(f"{zone}-h{number + 1}")
+        server = BackendStandIn(host_id, slots=SLOTS, threads=SLOTS + 8)
+        server.start()
+        self.servers[host_id] = server
+        host = Host(
+            host_id=host_id,
+            zone=zone,
+            rack=RackId(f"{zone}-r{number // HOSTS_PER_RACK + 1}"),
+            region=REGION,
+            port=server.port,
+            slots=SLOTS,
+            labels={"tier": "web" if number % 2 == 0 else "batch"},
+        )
+        self.list_host(host)
+
+    def _start_entry(self, number: int, zone: ZoneId) -> None:
+        settings = Settings(
+            entry=EntrySettings(
+                id=f"e{number}",
+                zone=zone,
+                region=REGION,
+                address="127.0.0.1",
+                caller_port=0,
+                admin_port=0,
+                peer_port=0,
+                threads=ENTRY_THREADS,
+                patient_threads=PATIENT_THREADS,
+                balancer_drain_ms=0,
+            ),
+            platform=PlatformSettings(endpoints=[self.platforms[zone].url]),
+            bootstrap=BootstrapSettings(operator_digest=self.operator.digest),
+        )
+        entry = Entry(settings)
+        entry.start()
+        self.entries.append(entry)
--- /dev/null
+++ b/src/amaranthtray/demo/story.py
@@ -0,0 +1,155 @@
+"""What happens in the demo, step by step."""
+
+from __future__ import annotations
+
+import threading
+import uuid
+from typing import TYPE_CHECKING
+
+from ..cli.client import AdminClient
+from ..domain.configuration import (
+    AddKey,
+    Budget,
+    Change,
+    PlaceHosts,
+    Pool,
+    PutPool,
+    PutQueue,
+    PutTeam,
+    Queue,
+    Team,
+    TeamKey,
+    WithdrawKey,
+)
+from ..domain.configuration.model import EMPTY_REVISION
+from ..domain.ids import HostId, OperationId, PoolName, QueueName, TeamName
+from ..domain.keys import MintedKey, mint_key
+from ..domain.requests.model import WorkClass
+from .callers import Call, Callers
+from .fleet import Fleet, wait_until
+from .tally import Summary, Tally
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from ..domain.ids import Revision
+
+WEB = PoolName("web")
+BATCH = PoolName("batch")
+BOOKINGS = QueueName("bookings")
+REPORTS = QueueName("reports")
+SIGNS = QueueName("signs")
+RED = TeamName("red")
+BLUE = TeamName("blue")
+ADMIN_TIMEOUT_MS = 5_000
+BAD_KEY_STATUS = 401
+CALLS_PER_ROUND = 96
+UNREPEATABLE_PER_ROUND = 24
+KILLED = HostId("z1-h1")
+DRAINED = HostId("z2-h1")
+
+
+class Story:
+    """Runs the demo on a fleet.
+
+    Args:
+        fleet: A fleet that has been started.
+        say: Prints a line.
+    """
+
+    def __init__(self, fleet: Fleet, say: Callable[[str], None]) -> None:
+        self._fleet = fleet
+        self._say = say
+        self._tally = Tally()
+        urls = [fleet.caller_url(number) for number in range(len(fleet.entries))]
+        self._callers = Callers(urls, self._tally)
+        admin = [fleet.admin_url(number) for number in range(len(fleet.entries))]
+        self._admin = AdminClient(
+            admin, fleet.operator.text, timeout_ms=ADMIN_TIMEOUT_MS
+        )
+        self._red = mint_key(EMPTY_REVISION)
+        self._blue = mint_key(EMPTY_REVISION)
+
+    def run(self) -> Summary:
+        """Tells the whole story and returns what callers got."""
+        self._configure()
+        self._say("round 1: urgent, patient, open and unrepeatable work")
+        self._callers.send_all(self._round(1))
+        self._lose_servers()
+        self._withdraw_key()
+        return self._tally.summary(self._fleet.servers.values())
+
+    def _configure(self) -> None:
+        self._commit(
+            PutPool(Pool(WEB, "tier=web", budget=Budget(max_out=2))),
+            PutPool(Pool(BATCH, "tier=batch", budget=Budget(max_out=2))),
+            PutTeam(Team(RED, share=3, limit=40)),
+            PutTeam(Team(BLUE, share=1, limit=20)),
+            PutQueue(Queue(BOOKINGS, WEB)),
+            PutQueue(Queue(REPORTS, BATCH)),
+            PutQueue(Queue(SIGNS, WEB, is_open=True)),
+            AddKey(_team_key(self._red, RED)),
+            AddKey(_team_key(self._blue, BLUE)),
+        )
+        self._wait_for_placement()
+        self._say("configured 2 pools, 2 teams, 3 queues and 2 keys")
+
+    def _wait_for_placement(self) -> None:
+        moves = {}
+        for host in self._fleet.hosts.values():
+            moves[host.host_id] = PoolName(host.labels["tier"])
+        self._commit(PlaceHosts(moves))
+
+    def _lose_servers(self) -> None:
+        self._say(f"round 2: {KILLED} is killed and {DRAINED} drained on the way")
+        timer = threading.Timer(0.1, self._kill_and_drain)
+        timer.start()
+        self._callers.send_all(self._round(2))
+        timer.join()
+
+    def _kill_and_drain(self) -> None:
+        self._fleet.servers[KILLED].stop()
+        self._fleet.servers[DRAINED].leave()
+
+    def _withdraw_key(self) -> None:
+        revision = self._commit(WithdrawKey(self._blue.key_id))
+        self._say(f"withdrew the key of team {BLUE} at revision {revision}")
+        before = len(self._tally.sent)
+        calls = (self._call(3, number, self._blue) for number in range(6))
+        results = self._callers.send_all(calls)
+        refused = sum(result.status == BAD_KEY_STATUS for result in results)
+        sent = len(self._tally.sent) - before
+        self._say(f"the withdrawn key was refused {refused} times of {sent}")
+
+    def _round(self, number: int) -> Iterator[Call]:
+        for index in range(CALLS_PER_ROUND):
+            key = self._red if index % 3 else self._blue
+            yield self._call(number, index, key)
+        issued = self._callers.issue_ids(self._red.text, UNREPEATABLE_PER_ROUND)
+        for request_id in issued:
+            body = b"sleep:5 once " + request_id.encode()
+            yield Call(request_id, BOOKINGS, body, self._red.text, repeatable=False)
+
+    def _call(self, round_number: int, index: int, key: MintedKey) -> Call:
+        request_id = f"r{round_number}-{index}"
+        body = b"sleep:20 " + uuid.uuid4().bytes
+        if index % 8 == 0 and round_number < 3:
+            return Call(request_id, SIGNS, body)
+        if index % 4 == 1:
+            patient = WorkClass.PATIENT
+            return Call(request_id, REPORTS, body, key.text, patient)
+        return Call(request_id, BOOKINGS, body, key.text)
+
+    def _commit(self, *changes: Change) -> Revision:
+        op_id = OperationId(uuid.uuid4().hex)
+        done = self._admin.commit(changes, op_id=op_id).unwrap()
+        for entry in self._fleet.entries:
+            wait_until(
+                lambda entry=entry: entry.view.current.revision >= done.revision,
+                f"revision {done.revision} in force at every entry",
+            )
+        return done.revision
+
+
+def _team_key(key: MintedKey, team: TeamName) -> TeamKey:
+    return TeamKey(key.key_id, team, key.digest)
--- /dev/null
+++ b/src/amaranthtray/entry/admin_api.py
@@ -0,0 +1,66 @@
+"""The operators' HTTP interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import cherrypy
+
+from .. import web
+from .caller_api import bearer
+
+if TYPE_CHECKING:
+    from .admin_replies import AdminReply
+    from .admin_service import AdminService
+
+MAX_BODY_BYTES = 1 << 20
+
+
+class AdminApi:
+    """Root of the operators' interface.
+
+    Args:
+        service: Does the work.
+    """
+
+    def __init__(self, service: AdminService) -> None:
+        self.admin = _Admin(service)
+
+
+class _Admin:
+    def __init__(self, service: AdminService) -> None:
+        self.v1 = _Version1(service)
+
+
+class _Version1:
+    def __init__(self, service: AdminService) -> None:
+        self._service = service
+
+    @web.exposed
+    def changes(self) -> bytes:
+        """Commits changes."""
+        web.require(cherrypy.request.method == "POST", 405, "use POST")
+        body = web.read_body(MAX_BODY_BYTES)
+        return _send(self._service.change(body, bearer()))
+
+    @web.exposed
+    def preview(self) -> bytes:
+        """Says what changes would do."""
+        web.require(cherrypy.request.method == "POST", 405, "use POST")
+        body = web.read_body(MAX_BODY_BYTES)
+        return _send(self._service.preview(body, bearer()))
+
+    @web.exposed
+    def watch(self, after: str = "0", timeout_ms: str = "0") -> bytes:
+        """Waits for records after a revision."""
+        return _send(self._service.watch(after, timeout_ms, bearer()))
+
+    @web.exposed
+    def default(self, *path: str) -> bytes:
+        """Shows what stands at a path."""
+        web.require(cherrypy.request.method == "GET", 405, "use GET")
+        return _send(self._service.read("/".join(path), bearer()))
+
+
+def _send(reply: AdminReply) -> bytes:
+    return web.json_body(reply.payload, status=reply.status)
--- /dev/null
+++ b/src/amaranthtray/entry/admin_replies.py
@@ -0,0 +1,62 @@
+"""Replies of the administration interface."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Any
+
+from ..domain.errors import Problem
+from ..platform.store import CallsSpent, EffectUnknown
+
+if TYPE_CHECKING:
+    from ..domain.configuration.log import ChangeConflict
+    from ..platform.store import StoreFailure
+
+OK = 200
+CONFLICT = 409
+UNAUTHORIZED = 401
+FORBIDDEN = 403
+NOT_FOUND = 404
+UNPROCESSABLE = 422
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class AdminReply:
+    """Status and JSON payload of a reply."""
+
+    status: int
+    payload: dict[str, Any]
+
+
+def ok(payload: dict[str, Any]) -> AdminReply:
+    """Returns a good reply."""
+    return AdminReply(OK, payload)
+
+
+def problem(found: Problem, *, status: int = UNPROCESSABLE) -> AdminReply:
+    """Returns what is wrong, where, and how to mend it."""
+    return AdminReply(status, {"type": "problem", **asdict(found)})
+
+
+def conflict(found: ChangeConflict) -> AdminReply:
+    """Returns the change that came first."""
+    payload = {
+        "type": "conflict",
+        "object": found.obj,
+        "revision": int(found.winner),
+        "operator": found.operator,
+    }
+    return AdminReply(CONFLICT, payload)
+
+
+def store_failure(found: StoreFailure) -> AdminReply:
+    """Returns why the platform's store could not take a change."""
+    what = f"the platform's store failed: {type(found).__name__}"
+    if isinstance(found, EffectUnknown):
+        what = "the store's reply was lost and the change could not be settled"
+    fix = "repeat the command with the same operation id"
+    if isinstance(found, CallsSpent):
+        fix = f"repeat it after {found.retry_after_ms} ms"
+    failure = Problem(found.step, found.peer, what, "configuration log", fix)
+    return problem(failure, status=UNAVAILABLE)
--- /dev/null
+++ b/src/amaranthtray/entry/admin_service.py
@@ -0,0 +1,213 @@
+"""What the administration interface does, independent of the HTTP server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from returns.result import Failure, Success
+
+from ..domain.configuration import CHANGES, Record
+from ..domain.configuration.codec import record_to_dict, snapshot_to_dict
+from ..domain.configuration.log import AlreadyCommitted, ChangeConflict, propose
+from ..domain.errors import Problem, ProblemError
+from ..domain.ids import OperationId, Revision
+from ..domain.keys import authorize
+from . import admin_replies as replies
+from .operator_login import log_in, with_first_operator
+
+if TYPE_CHECKING:
+    from ..domain.configuration import Change, Configuration, Operator
+    from ..platform.config_log import Committed, ConfigLog
+    from .admin_replies import AdminReply
+    from .admin_view import AdminView
+    from .context import EntryContext
+
+CONFIRM_WAIT_MS = 3_000
+MAX_WATCH_MS = 30_000
+
+
+class ChangeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a change or a preview."""
+
+    changes: list[dict[str, Any]]
+    op_id: str = ""
+    expected: int | None = None
+    dry_run: bool = False
+
+
+class AdminService:
+    """Takes changes from operators and shows them the fleet.
+
+    Args:
+        context: What the entry knows.
+        log: The configuration log.
+        shown: What there is to see.
+    """
+
+    def __init__(self, context: EntryContext, log: ConfigLog, shown: AdminView) -> None:
+        self._context = context
+        self._log = log
+        self._shown = shown
+
+    def change(self, body: bytes, key: str | None) -> AdminReply:
+        """Commits changes and says which zones have them in force."""
+        operator = self._operator(key)
+        if operator is None:
+            return _unauthorized()
+        try:
+            asked = _decode(body, operator.name)
+            changes = _changes(asked, operator.name)
+        except ProblemError as exc:
+            return replies.problem(exc.problem)
+        if asked.dry_run:
+            return self._dry_run(asked, changes, operator)
+        return self._commit(asked, changes, operator)
+
+    def preview(self, body: bytes, key: str | None) -> AdminReply:
+        """Says what changes would do, without making them."""
+        operator = self._operator(key)
+        if operator is None:
+            return _unauthorized()
+        try:
+            changes = _changes(_decode(body, operator.name), operator.name)
+        except ProblemError as exc:
+            return replies.problem(exc.problem)
+        return replies.ok(self._shown.preview(changes, operator.name))
+
+    def read(self, path: str, key: str | None) -> AdminReply:
+        """Shows one part of what there is to see."""
+        if self._operator(key) is None:
+            return _unauthorized()
+        if path == "configuration":
+            return replies.ok(_without_digests(self._context.view.current))
+        found = self._shown.read(path)
+        if found is None:
+            fix = "see docs/OPERATING.md for the paths"
+            missing = Problem("read", "operator", "no such object", path, fix)
+            return replies.problem(missing, status=replies.NOT_FOUND)
+        return replies.ok(found)
+
+    def watch(self, after: str, timeout_ms: str, key: str | None) -> AdminReply:
+        """Waits for records after a revision."""
+        if self._operator(key) is None:
+            return _unauthorized()
+        if not (after.isdecimal() and timeout_ms.isdecimal()):
+            fix = "send whole numbers"
+            wrong = Problem("watch", "operator", "not a number", "after, timeout", fix)
+            return replies.problem(wrong)
+        known = Revision(int(after))
+        wait_s = min(int(timeout_ms), MAX_WATCH_MS) / 1_000
+        cfg = self._context.view.wait_beyond(known, wait_s)
+        records = self._context.view.catch_up(known).records
+        payload = {
+            "records": [record_to_dict(record) for record in records],
+            "revision": int(cfg.revision),
+        }
+        return replies.ok(payload)
+
+    def _operator(self, key: str | None) -> Operator | None:
+        settings = self._context.settings.bootstrap
+        return log_in(self._context.view.current, key, settings)
+
+    def _dry_run(
+        self, asked: ChangeBody, changes: tuple[Change, ...], operator: Operator
+    ) -> AdminReply:
+        cfg = self._context.view.current
+        refused = authorize(operator, changes)
+        if refused is not None:
+            return replies.problem(refused, status=replies.FORBIDDEN)
+        proposed = propose(
+            cfg,
+            with_first_operator(cfg, operator, changes),
+            rules=self._context.rules,
+            op_id=OperationId(asked.op_id),
+            operator=operator.name,
+            entry=self._context.entry,
+            expected=_revision(asked.expected),
+        )
+        match proposed:
+            case Success(Record(revision=revision)):
+                return replies.ok({"revision": int(revision)})
+            case Failure(refusal):
+                return _refused(refusal)
+        raise AssertionError("a result is a success or a failure")
+
+    def _commit(
+        self, asked: ChangeBody, changes: tuple[Change, ...], operator: Operator
+    ) -> AdminReply:
+        cfg = self._context.view.current
+        refused = authorize(operator, changes)
+        if refused is not None:
+            return replies.problem(refused, status=replies.FORBIDDEN)
+        committed = self._log.commit(
+            cfg,
+            with_first_operator(cfg, operator, changes),
+            op_id=OperationId(asked.op_id),
+            operator=operator.name,
+            expected=_revision(asked.expected),
+        )
+        match committed:
+            case Success(done):
+                return self._confirm(done)
+            case Failure(refusal):
+                return _refused(refusal)
+        raise AssertionError("a result is a success or a failure")
+
+    def _confirm(self, done: Committed) -> AdminReply:
+        """Puts the change in force here and waits for the other zones."""
+        self._context.view.offer_records(done.records)
+        self._context.view.offer_snapshot(done.cfg)
+        zones = self._shown.wait_for_zones(done.revision, CONFIRM_WAIT_MS)
+        unreached = [zone for zone, held in zones.items() if held < done.revision]
+        payload = {
+            "revision": int(done.revision),
+            "zones": {zone: int(held) for zone, held in zones.items()},
+            "unreached": sorted(unreached),
+        }
+        return replies.ok(payload)
+
+
+def _decode(body: bytes, peer: str) -> ChangeBody:
+    try:
+        return msgspec.json.decode(body, type=ChangeBody)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        fix = "send {op_id, expected, changes, dry_run}"
+        raise ProblemError(Problem("change", peer, str(exc), "body", fix)) from exc
+
+
+def _changes(asked: ChangeBody, peer: str) -> tuple[Change, ...]:
+    return tuple(
+        CHANGES.from_dict(item, step="change", peer=peer) for item in asked.changes
+    )
+
+
+def _revision(number: int | None) -> Revision | None:
+    return None if number is None else Revision(number)
+
+
+def _refused(refusal: object) -> AdminReply:
+    match refusal:
+        case Problem():
+            return replies.problem(refusal)
+        case ChangeConflict():
+            return replies.conflict(refusal)
+        case AlreadyCommitted(revision=revision):
+            return replies.ok({"revision": int(revision)})
+        case failure:
+            return replies.store_failure(failure)  # type: ignore[arg-type]
+
+
+def _unauthorized() -> AdminReply:
+    fix = "send an operator key as a bearer token"
+    what = "the operator key is missing or not known"
+    refused = Problem("log-in", "operator", what, "Authorization", fix)
+    return replies.problem(refused, status=replies.UNAUTHORIZED)
+
+
+def _without_digests(cfg: Configuration) -> dict[str, Any]:
+    shown = snapshot_to_dict(cfg)
+    for group in ("keys", "operators"):
+        for item in shown[group].values():
+            del item["digest"]
+    return shown
--- a/src/amaranthtray/entry/caller_api.py
+++ b/src/amaranthtray/entry/caller_api.py
@@ -53,44 +53,40 @@
     @web.exposed
     def queues(self, queue: str = "", tail: str = "") -> bytes:
         """Takes a request into a queue."""
-        _require(cherrypy.request.method == "POST", 405, "use POST")
-        _require(bool(queue) and tail == "requests", 404, "no such path")
+        web.require(cherrypy.request.method == "POST", 405, "use POST")
+        web.require(bool(queue) and tail == "requests", 404, "no such path")
         _require_length()
         body = web.read_body(self._max_body_bytes)
         head = cherrypy.request.headers
-        return _send(self._service.submit(queue, head, body, _bearer()))
+        return _send(self._service.submit(queue, head, body, bearer()))
 
     @web.exposed
     def requests(self, request_id: str = "") -> bytes:
         """Reads a reply back, or cancels a request."""
-        _require(bool(request_id), 404, "name a request")
+        web.require(bool(request_id), 404, "name a request")
         match cherrypy.request.method:
             case "GET":
-                return _send(self._service.read_back(request_id, _bearer()))
+                return _send(self._service.read_back(request_id, bearer()))
             case "DELETE":
-                return _send(self._service.cancel(request_id, _bearer()))
+                return _send(self._service.cancel(request_id, bearer()))
         raise cherrypy.HTTPError(405, "use GET or DELETE")
 
     @web.exposed
     def request_ids(self, count: str = "1") -> bytes:
         """Issues ids for unrepeatable requests."""
-        _require(cherrypy.request.method == "POST", 405, "use POST")
-        return _send(self._service.issue_ids(count, _bearer()))
-
-
-def _require(holds: bool, status: int, message: str) -> None:
-    if not holds:
-        raise cherrypy.HTTPError(status, message)
+        web.require(cherrypy.request.method == "POST", 405, "use POST")
+        return _send(self._service.issue_ids(count, bearer()))
 
 
 def _require_length() -> None:
     head = cherrypy.request.headers
     chunked = "chunked" in head.get("Transfer-Encoding", "").lower()
     known = chunked or head.get("Content-Length", "").isdecimal()
-    _require(known, 411, "send Content-Length or a chunked body")
+    web.require(known, 411, "send Content-Length or a chunked body")
 
 
-def _bearer() -> str | None:
+def bearer() -> str | None:
+    """Returns the bearer token of the current request, if one was sent."""
     text: str = cherrypy.request.headers.get("Authorization", "")
     if not text.lower().startswith(BEARER):
         return text or None
--- /dev/null
+++ b/src/amaranthtray/entry/context.py
@@ -0,0 +1,36 @@
+"""What every task of an entry knows about the entry itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..domain.configuration.log import Rules
+from ..domain.ids import EntryId, Incarnation, ZoneId
+from ..settings import Settings
+from .config_view import ConfigView
+from .host_list import HostList
+
+
+@dataclass(frozen=True, slots=True)
+class EntryContext:
+    """Identity, settings and the views that all tasks read.
+
+    Attributes:
+        incarnation: This run of the entry.
+    """
+
+    settings: Settings
+    incarnation: Incarnation
+    view: ConfigView
+    hosts: HostList
+    rules: Rules
+
+    @property
+    def entry(self) -> EntryId:
+        """Returns the id of this entry."""
+        return EntryId(self.settings.entry.id)
+
+    @property
+    def zone(self) -> ZoneId:
+        """Returns the availability zone of this entry."""
+        return ZoneId(self.settings.entry.zone)
--- /dev/null
+++ b/src/amaranthtray/entry/host_task.py
@@ -0,0 +1,30 @@
+"""Keeps the host list up to date."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .worker_thread import WorkerThread
+
+if TYPE_CHECKING:
+    from .host_list import HostList
+
+WATCH_MS = 10_000
+PAUSE_AFTER_FAILURE_MS = 500
+
+
+class HostTask(WorkerThread):
+    """Polls the host list.
+
+    Args:
+        hosts: The list.
+    """
+
+    def __init__(self, hosts: HostList) -> None:
+        super().__init__("hosts")
+        self._hosts = hosts
+
+    def step(self) -> None:
+        """Waits for changes once."""
+        if self._hosts.poll(WATCH_MS) is not None:
+            self.pause(PAUSE_AFTER_FAILURE_MS)
--- a/src/amaranthtray/entry/replies.py
+++ b/src/amaranthtray/entry/replies.py
@@ -56,6 +56,19 @@
     retry_after_ms: int | None
 
 
+class AcceptedBody(msgspec.Struct, frozen=True):
+    """Body of a reply that is not final."""
+
+    request_id: str
+    state: str
+
+
+class IdsBody(msgspec.Struct, frozen=True):
+    """Body of a reply with issued ids."""
+
+    ids: tuple[str, ...]
+
+
 class ProblemBody(msgspec.Struct, frozen=True):
     """Body of a reply to malformed input; such input is never run."""
 
@@ -107,6 +120,32 @@
     return _refusal(status, body)
 
 
+def accepted(request_id: str, state: str) -> Reply:
+    """Returns the reply to a request whose answer is to be read back."""
+    body = AcceptedBody(request_id, state)
+    head = {
+        "Content-Type": JSON_TYPE,
+        OUTCOME: OutcomeName.ACCEPTED,
+        REQUEST_ID: request_id,
+        "Location": f"/v1/requests/{request_id}",
+    }
+    return Reply(202, msgspec.json.encode(body), head)
+
+
+def ids(request_ids: list[str]) -> Reply:
+    """Returns the reply to a caller who asked for request ids."""
+    body = msgspec.json.encode(IdsBody(tuple(request_ids)))
+    return Reply(200, body, {"Content-Type": JSON_TYPE})
+
+
+def not_found(request_id: str) -> Reply:
+    """Returns the reply to a read or cancellation of a request not held here."""
+    body = RefusalBody(
+        OutcomeName.UNKNOWN, "not_held_here", "ask its entry", request_id, None
+    )
+    return _refusal(404, body)
+
+
 def malformed(problem: Problem, *, status: int = 400) -> Reply:
     """Returns the reply to input that could not be read."""
     body = ProblemBody(problem.what, problem.where, problem.fix)
--- a/src/amaranthtray/web.py
+++ b/src/amaranthtray/web.py
@@ -112,6 +112,16 @@
     return msgspec.json.encode(payload)
 
 
+def require(holds: bool, status: int, message: str) -> None:
+    """Ends the current request with an error unless ``holds``.
+
+    Raises:
+        cherrypy.HTTPError: ``holds`` is false.
+    """
+    if not holds:
+        raise cherrypy.HTTPError(status, message)
+
+
 def read_body(limit_bytes: int) -> bytes:
     """Reads the body of the current request.
 
