--- a/src/amaranthtray/domain/requests/_dispatch.py
+++ b/src/amaranthtray/domain/requests/_dispatch.py
@@ -197,7 +197,7 @@
         state = self._state
         if not state.book.has_hosts(queue.name):
             return state.no_host("no live host until the deadline")
-        if queue.recheck_ms.get(item.key.team, 0) > now_ms:
+        if queue.recheck_ms.get(item.key.team, 0) >= now_ms:
             detail = "the team was at its limit until the deadline"
             return NotRun(
                 NotRunReason.LIMIT_REACHED, detail, state.cfg.retry_after_floor_ms
--- a/src/amaranthtray/domain/workers/book.py
+++ b/src/amaranthtray/domain/workers/book.py
@@ -91,10 +91,11 @@
         """Returns whether the pool has any usable host."""
         return self.total_slots(pool) > 0
 
-    def host_count(self, pool: PoolName) -> int:
-        """Returns how many hosts the pool lists, in whatever state."""
+    def has_other(self, pool: PoolName, avoid: Collection[Worker]) -> bool:
+        """Returns whether the pool has a usable host that is not to be avoided."""
         held = self._pools.get(pool)
-        return 0 if held is None else len(held.workers)
+        workers = held.workers.values() if held is not None else ()
+        return any(worker.is_usable and worker not in avoid for worker in workers)
 
     def can_ever_run(self, pool: PoolName, needs: Needs) -> bool:
         """Returns whether a listed host of the pool meets the needs."""
