--- /dev/null
+++ b/src/amaranthtray/domain/limits/entry_holding.py
@@ -0,0 +1,198 @@
+"""Units that one entry holds; the request desk takes tasks' units from here."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..ids import Millis, Revision, Term
+from .messages import GrantVerdict, UnitsReport
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ..ids import Incarnation, TeamName
+    from .messages import UnitsGrant
+    from .timing import EscrowTiming
+
+REPORTS_REMEMBERED = 64
+"""Reports that a grant can still answer."""
+
+NEVER = Millis(-(10**15))
+
+
+class EntryHolding:
+    """Implements ``ports.Limits`` for one incarnation of an entry.
+
+    A unit is taken only under a grant that is valid on this entry's clock. Tasks
+    that are running when the grant lapses go on for ``run_on_ms``; from then on
+    ``renewable`` tells how many of them may still have their leases renewed.
+    """
+
+    def __init__(self, incarnation: Incarnation, timing: EscrowTiming) -> None:
+        self.incarnation = incarnation
+        self.term = Term(0)
+        self.is_leaving = False
+        self._timing = timing
+        self._units: dict[TeamName, int] = {}
+        self._caps: dict[TeamName, int] = {}
+        self._used: dict[TeamName, int] = {}
+        self._waiting: dict[TeamName, int] = {}
+        self._valid_until = NEVER
+        self._report_seq = 0
+        self._sent_ms: dict[int, Millis] = {}
+        self._touched: dict[TeamName, int] = {}
+        self._grant_seq = 0
+        self._revision = Revision(0)
+        self._limits: dict[TeamName, int] = {}
+        self._lowered: dict[TeamName, Revision] = {}
+
+    def try_take(self, team: TeamName, now_ms: Millis) -> bool:
+        """Takes one unit for a task about to start; false when none is held."""
+        if self.is_leaving or now_ms >= self._valid_until:
+            return False
+        used = self._used.get(team, 0)
+        if used >= self._units.get(team, 0):
+            return False
+        self._used[team] = used + 1
+        self._touch(team)
+        return True
+
+    def give_back(self, team: TeamName, now_ms: Millis) -> None:
+        """Returns the unit of a task that is known to be over."""
+        used = self._used.get(team, 0)
+        if used == 0:
+            return
+        self._used[team] = used - 1
+        self._touch(team)
+
+    def note_demand(self, team: TeamName, waiting: int, now_ms: Millis) -> None:
+        """Records how many requests of the team wait for a unit."""
+        if self._waiting.get(team, 0) == waiting:
+            return
+        self._waiting[team] = waiting
+        self._touch(team)
+
+    def used(self, team: TeamName) -> int:
+        """Returns the units in use by the team's tasks."""
+        return self._used.get(team, 0)
+
+    def held(self, team: TeamName, now_ms: Millis) -> int:
+        """Returns the units that the team's tasks may use now."""
+        if now_ms >= self._valid_until:
+            return 0
+        return self._units.get(team, 0)
+
+    def renewable(self, team: TeamName, now_ms: Millis) -> int:
+        """Returns how many of the team's tasks may have their leases renewed now.
+
+        The caller looks right before each renewal and stops the other tasks.
+        """
+        used = self._used.get(team, 0)
+        if now_ms >= self._valid_until + self._timing.run_on_ms:
+            return 0
+        return min(used, self._caps.get(team, used))
+
+    def set_limits(
+        self, revision: Revision, limits: Mapping[TeamName, int], now_ms: Millis
+    ) -> None:
+        """Puts the limits of a configuration in force.
+
+        Units of a lowered limit shrink in proportion at once: the parts of all
+        entries together then fit the lower limit without a message. Units that the
+        steward granted under this revision already fit it.
+        """
+        is_granted = self._revision >= revision
+        for team, before in self._limits.items():
+            after = limits.get(team, 0)
+            if after >= before or is_granted:
+                continue
+            self._units[team] = self._units.get(team, 0) * after // before
+            self._lowered[team] = revision
+        self._limits = dict(limits)
+
+    def follow(self, term: Term) -> None:
+        """Follows a steward term; grants of older terms are refused from now on.
+
+        Units already held stay valid until their own end.
+        """
+        if term <= self.term:
+            return
+        self.term = term
+        self._grant_seq = 0
+        self._touch_all()
+
+    def leave(self) -> None:
+        """Stops taking units for good; the next report gives the unused ones back."""
+        self.is_leaving = True
+        self._units.clear()
+
+    def report(self, now_ms: Millis) -> UnitsReport:
+        """Returns the next report to the steward, sent at ``now_ms``."""
+        self._report_seq += 1
+        self._sent_ms[self._report_seq] = now_ms
+        self._sent_ms.pop(self._report_seq - REPORTS_REMEMBERED, None)
+        is_new_here = self._grant_seq == 0
+        return UnitsReport(
+            incarnation=self.incarnation,
+            seq=self._report_seq,
+            term=self.term,
+            acked=self._grant_seq,
+            used={team: self._used.get(team, 0) for team in self._touched},
+            waiting={team: self._waiting.get(team, 0) for team in self._touched},
+            held=self._valid_units(now_ms) if is_new_here else {},
+            is_leaving=self.is_leaving,
+        )
+
+    def apply(self, grant: UnitsGrant, now_ms: Millis) -> GrantVerdict:
+        """Applies a grant unless it is late, repeated or of an older term."""
+        verdict = self._judge(grant)
+        if verdict is not GrantVerdict.APPLIED:
+            return verdict
+        self._grant_seq = grant.seq
+        self._revision = grant.revision
+        sent_ms = self._sent_ms[grant.answers]
+        self._valid_until = Millis(max(self._valid_until, sent_ms + grant.ttl_ms))
+        self._replace_units(grant)
+        self._caps = dict(grant.run_caps)
+        self._forget_answered(grant.answers)
+        if grant.is_full:
+            self._touch_all()
+        return verdict
+
+    def _judge(self, grant: UnitsGrant) -> GrantVerdict:
+        if grant.incarnation != self.incarnation:
+            return GrantVerdict.OTHER_INCARNATION
+        if grant.term < self.term:
+            return GrantVerdict.OLD_TERM
+        if grant.term > self.term:
+            return GrantVerdict.NOT_FOLLOWED
+        if grant.seq <= self._grant_seq:
+            return GrantVerdict.OLD_SEQ
+        if grant.answers not in self._sent_ms:
+            return GrantVerdict.UNKNOWN_REPORT
+        return GrantVerdict.APPLIED
+
+    def _replace_units(self, grant: UnitsGrant) -> None:
+        before = self._units
+        after = {} if grant.is_full else dict(before)
+        for team, units in grant.units.items():
+            is_older = grant.revision < self._lowered.get(team, Revision(0))
+            after[team] = min(units, before.get(team, 0)) if is_older else units
+        self._units = {} if self.is_leaving else after
+
+    def _forget_answered(self, answered: int) -> None:
+        done = [team for team, seq in self._touched.items() if seq <= answered]
+        for team in done:
+            del self._touched[team]
+
+    def _touch(self, team: TeamName) -> None:
+        self._touched[team] = self._report_seq + 1
+
+    def _touch_all(self) -> None:
+        for team in (*self._used, *self._waiting):
+            self._touch(team)
+
+    def _valid_units(self, now_ms: Millis) -> dict[TeamName, int]:
+        if now_ms >= self._valid_until:
+            return {}
+        return {team: units for team, units in self._units.items() if units}
--- /dev/null
+++ b/src/amaranthtray/domain/limits/timing.py
@@ -0,0 +1,70 @@
+"""Durations that bound how long a unit can be in use after its holder went silent."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EscrowTiming:
+    """Durations of the limit escrow, each counted on one process's own clock.
+
+    Attributes:
+        entry_ttl_ms: Validity of an entry's grant, from when the entry sent the
+            report that the grant answers.
+        zone_ttl_ms: Validity of a zone's lent units, from when the steward sent
+            the renewal that the store accepted.
+        renew_ms: Time between two renewals of a zone's record.
+        run_on_ms: How long tasks may go on without cover before the entry
+            stops renewing their worker leases.
+        task_lease_ms: How long a task can run after its last renewal.
+        rotate_ms: How long one holder keeps the odd units of a contended limit.
+        idle_ms: How long units stay unused before they count as idle.
+        margin_ms: Added to each wait for another process's deadline.
+        drift: Most relative error of a clock's rate.
+    """
+
+    entry_ttl_ms: int = 8_000
+    zone_ttl_ms: int = 300_000
+    renew_ms: int = 15_000
+    run_on_ms: int = 20_000
+    task_lease_ms: int = 10_000
+    rotate_ms: int = 2_000
+    idle_ms: int = 5_000
+    margin_ms: int = 200
+    drift: float = 0.001
+
+    def outlast(self, duration_ms: int) -> int:
+        """Returns a wait here that surely covers ``duration_ms`` on another clock."""
+        stretched = duration_ms * (1 + self.drift) / (1 - self.drift)
+        return math.ceil(stretched) + self.margin_ms
+
+    @property
+    def entry_reclaim_ms(self) -> int:
+        """Returns the wait after which a silent entry's units are free.
+
+        Its grant lapses, it stops renewing the leases of its tasks, they lapse.
+        """
+        own = self.entry_ttl_ms + self.run_on_ms + self.task_lease_ms
+        return self.outlast(own)
+
+    @property
+    def predecessor_ms(self) -> int:
+        """Returns the wait after which a steward's last grants have run out.
+
+        It may go on for one ``entry_ttl_ms`` after its entries began to leave it.
+        """
+        own = 2 * self.entry_ttl_ms + self.run_on_ms + self.task_lease_ms
+        return self.outlast(own)
+
+    @property
+    def zone_reclaim_ms(self) -> int:
+        """Returns the wait after which a silent zone's lent units are free.
+
+        The steward stops granting them and later caps its entries' tasks; an entry
+        that does not hear of it lapses by itself.
+        """
+        steward = self.zone_ttl_ms + self.run_on_ms
+        entry = self.entry_ttl_ms + self.run_on_ms + self.task_lease_ms
+        return self.outlast(steward + entry)
