Add budget ledgers, move planning and the conductor of waves

The ledger of a pool is one store value that lists every host out for any cause. The conductor plans the next ledger from the current one and gives orders only for what the store holds under its own term.

--- a/src/amaranthtray/domain/budgets/__init__.py
+++ b/src/amaranthtray/domain/budgets/__init__.py
@@ -1,1 +1,51 @@
-"""The availability budget ledger of a pool."""
+"""Availability budgets: a ledger per pool of every host that is out."""
+
+from __future__ import annotations
+
+from ..invariants.observations import OutCause
+from .codec import LEDGER_PREFIX, LedgerUnreadable, decode, encode, ledger_key
+from .model import (
+    UNLIMITED_BUDGET,
+    Ledger,
+    Location,
+    OutHost,
+    Stage,
+    WaveLog,
+    budget_of,
+)
+from .rules import (
+    BudgetRefused,
+    Order,
+    RefusedReason,
+    advance,
+    allowed_out,
+    count_out,
+    excess,
+    stamp,
+    try_take_out,
+)
+
+__all__ = [
+    "LEDGER_PREFIX",
+    "UNLIMITED_BUDGET",
+    "BudgetRefused",
+    "Ledger",
+    "LedgerUnreadable",
+    "Location",
+    "Order",
+    "OutCause",
+    "OutHost",
+    "RefusedReason",
+    "Stage",
+    "WaveLog",
+    "advance",
+    "allowed_out",
+    "budget_of",
+    "count_out",
+    "decode",
+    "encode",
+    "excess",
+    "ledger_key",
+    "stamp",
+    "try_take_out",
+]
--- a/src/amaranthtray/domain/placement/__init__.py
+++ b/src/amaranthtray/domain/placement/__init__.py
@@ -11,8 +11,15 @@
     in_order,
 )
 from .labels import effective_labels
+from .moves import Move, Preview, plan_moves, preview
+from .view import Member, PoolView, WaveTask, pool_views
 
 __all__ = [
+    "Member",
+    "Move",
+    "PoolView",
+    "Preview",
+    "WaveTask",
     "check_ambiguity",
     "claims",
     "desired_pool",
@@ -20,4 +27,7 @@
     "effective_labels",
     "first_claim",
     "in_order",
+    "plan_moves",
+    "pool_views",
+    "preview",
 ]
--- /dev/null
+++ b/src/amaranthtray/domain/placement/view.py
@@ -0,0 +1,169 @@
+"""One pool as its conductor sees it at one revision of the configuration."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..budgets.model import Location, budget_of
+from ..configuration.model import SPARE_POOL, Budget, WaveAction, WaveState
+from ..ids import HostId, PoolName, RackId, Revision, WaveName, ZoneId
+from ..inventory import HostState
+from ..selectors import Nothing, matches, parse
+from .claims import first_claim, in_order
+from .labels import effective_labels
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..configuration.model import Configuration, Wave
+    from ..inventory import Host
+
+NO_ZONE = ZoneId("")
+NO_RACK = RackId("")
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A host that the configuration places in the pool.
+
+    Attributes:
+        location: The host, its zone and rack; both empty if it is missing.
+        desired: The pool it should be in.
+        is_missing: Whether the platform's list lacks it or says it is leaving.
+    """
+
+    location: Location
+    desired: PoolName
+    is_missing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WaveTask:
+    """The part of a wave that is this pool's.
+
+    Attributes:
+        hosts: Members that the wave's selector matches, in the wave's order.
+        ranks: Place in the order of each; hosts of one rank may be swapped.
+        done_elsewhere: Hosts that conductors of other pools maintained. It must
+            come from a listing of all ledgers that is younger than the view's
+            revision, so that a host which moved is not maintained twice.
+    """
+
+    name: WaveName
+    action: WaveAction
+    state: WaveState
+    hosts: tuple[HostId, ...]
+    ranks: dict[HostId, int]
+    done_elsewhere: frozenset[HostId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class PoolView:
+    """A pool, its hosts and its waves. Treat all maps as read-only.
+
+    Attributes:
+        placement: Where the configuration places each host of the fleet.
+    """
+
+    pool: PoolName
+    revision: Revision
+    budget: Budget
+    members: dict[HostId, Member]
+    placement: Mapping[HostId, PoolName]
+    waves: dict[WaveName, WaveTask] = field(default_factory=dict)
+
+    def pool_of(self, host: HostId) -> PoolName:
+        """Returns the pool that the configuration places a host in."""
+        return self.placement.get(host, SPARE_POOL)
+
+
+def pool_views(
+    cfg: Configuration,
+    hosts: Iterable[Host],
+    *,
+    done: Mapping[PoolName, Mapping[WaveName, frozenset[HostId]]] | None = None,
+    only: frozenset[PoolName] | None = None,
+) -> dict[PoolName, PoolView]:
+    """Returns the views of all pools, or of some.
+
+    Args:
+        cfg: The configuration.
+        hosts: The platform's list.
+        done: Hosts that each wave has done, by the ledger that says so.
+        only: The pools wanted; none means all of them and the spare pool.
+    """
+    wanted = only if only is not None else frozenset(cfg.pools) | {SPARE_POOL}
+    known = {host.host_id: host for host in hosts}
+    names: dict[PoolName, set[HostId]] = defaultdict(set)
+    for host_id in cfg.placement.keys() | known.keys():
+        names[cfg.pool_of(host_id)].add(host_id)
+    return {pool: _view(cfg, pool, names[pool], known, done or {}) for pool in wanted}
+
+
+def _view(
+    cfg: Configuration,
+    pool: PoolName,
+    names: Iterable[HostId],
+    known: Mapping[HostId, Host],
+    done: Mapping[PoolName, Mapping[WaveName, frozenset[HostId]]],
+) -> PoolView:
+    present = [known[name] for name in sorted(names) if name in known]
+    labels = {host.host_id: effective_labels(cfg, host) for host in present}
+    ordered = in_order(cfg.pools.values())
+    members = {
+        host.host_id: Member(
+            Location(host.host_id, host.zone, host.rack),
+            first_claim(labels[host.host_id], ordered),
+            is_missing=host.state is HostState.LEAVING,
+        )
+        for host in present
+    }
+    for name in names:
+        if name not in known:
+            location = Location(name, NO_ZONE, NO_RACK)
+            members[name] = Member(location, pool, is_missing=True)
+    waves = {
+        wave.name: _task(wave, labels, _done_elsewhere(wave.name, pool, done))
+        for wave in cfg.waves.values()
+    }
+    return PoolView(
+        pool=pool,
+        revision=cfg.revision,
+        budget=budget_of(cfg, pool),
+        members=members,
+        placement=cfg.placement,
+        waves=waves,
+    )
+
+
+def _done_elsewhere(
+    wave: WaveName,
+    pool: PoolName,
+    done: Mapping[PoolName, Mapping[WaveName, frozenset[HostId]]],
+) -> frozenset[HostId]:
+    others = [
+        logs.get(wave, frozenset()) for other, logs in done.items() if other != pool
+    ]
+    return frozenset().union(*others)
+
+
+def _task(
+    wave: Wave,
+    labels: Mapping[HostId, Mapping[str, str]],
+    done_elsewhere: frozenset[HostId],
+) -> WaveTask:
+    selector = parse(wave.selector).value_or(Nothing())
+    chosen = [host for host in labels if matches(selector, labels[host])]
+    values = {host: labels[host].get(wave.order) for host in chosen}
+    ordered = sorted({value for value in values.values() if value is not None})
+    rank_of = {value: rank for rank, value in enumerate(ordered)}
+    last = len(ordered)
+    ranks = {
+        host: last if value is None else rank_of[value]
+        for host, value in values.items()
+    }
+    hosts = tuple(sorted(chosen, key=lambda host: (ranks[host], host)))
+    return WaveTask(wave.name, wave.action, wave.state, hosts, ranks, done_elsewhere)
--- a/src/amaranthtray/domain/waves/__init__.py
+++ b/src/amaranthtray/domain/waves/__init__.py
@@ -1,1 +1,71 @@
-"""Maintenance waves over the hosts of a selector."""
+"""Maintenance waves and moves, run by one conductor for each pool."""
+
+from __future__ import annotations
+
+from .conductor import Conductor, Duty
+from .messages import (
+    CasLedger,
+    CommitMoves,
+    ConductorEffect,
+    ConductorMessage,
+    DrainHost,
+    DutyGained,
+    DutyLost,
+    DutyRenewed,
+    Fence,
+    HealthChanged,
+    HealthListed,
+    HostBack,
+    HostDrained,
+    LedgerRead,
+    LedgerSwapped,
+    MovesRefused,
+    OrderDropped,
+    ReadLedger,
+    RebootHost,
+    ReturnHosts,
+    StepDown,
+    StoreAway,
+    SwapConflict,
+    SwapUnknown,
+    Tick,
+    ViewChanged,
+)
+from .progress import EndUnknown, WaveProgress, combine, progress
+from .settings import ConductorSettings
+
+__all__ = [
+    "CasLedger",
+    "CommitMoves",
+    "Conductor",
+    "ConductorEffect",
+    "ConductorMessage",
+    "ConductorSettings",
+    "DrainHost",
+    "Duty",
+    "DutyGained",
+    "DutyLost",
+    "DutyRenewed",
+    "EndUnknown",
+    "Fence",
+    "HealthChanged",
+    "HealthListed",
+    "HostBack",
+    "HostDrained",
+    "LedgerRead",
+    "LedgerSwapped",
+    "MovesRefused",
+    "OrderDropped",
+    "ReadLedger",
+    "RebootHost",
+    "ReturnHosts",
+    "StepDown",
+    "StoreAway",
+    "SwapConflict",
+    "SwapUnknown",
+    "Tick",
+    "ViewChanged",
+    "WaveProgress",
+    "combine",
+    "progress",
+]
--- /dev/null
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -0,0 +1,186 @@
+"""The next ledger of a pool: a pipeline of pure steps over the current one."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..budgets.model import Stage
+from ..budgets.rules import advance, count_out, excess
+from ..configuration.model import SPARE_POOL, WaveAction, WaveState
+from ..invariants.observations import OutCause
+from ._candidates import start_moves, start_waves
+from ._situation import is_open, waiting_hosts
+
+if TYPE_CHECKING:
+    from ..budgets.model import Ledger, OutHost
+    from ..ids import HostId
+    from ._situation import Situation
+
+
+def next_ledger(ledger: Ledger, now: Situation) -> Ledger:
+    """Returns the ledger that the conductor wants; equal if nothing is to be done.
+
+    Releases and failures come before any new drain, so that a drain is only ever
+    weighed against what is known to be out.
+    """
+    steps = (
+        _drop_departed,
+        _finish_reboots,
+        _release_recovered,
+        _count_failures,
+        _revoke_needless,
+        _shed_excess,
+        _advance_drained,
+        _forget_lost,
+        _defer_long_drains,
+        start_moves,
+        start_waves,
+        _prune_logs,
+    )
+    for step in steps:
+        ledger = step(ledger, now)
+    return ledger
+
+
+def _drop_departed(ledger: Ledger, now: Situation) -> Ledger:
+    """Removes hosts that the configuration has placed in another pool."""
+    gone = [host for host in ledger.out if now.view.pool_of(host) != ledger.pool]
+    return ledger.without(*gone) if gone else ledger
+
+
+def _finish_reboots(ledger: Ledger, now: Situation) -> Ledger:
+    for host, out in ledger.out.items():
+        if out.stage is Stage.REBOOTING and now.is_back(out):
+            ledger = _finish(ledger, host, out, now)
+    return ledger
+
+
+def _finish(ledger: Ledger, host: HostId, out: OutHost, now: Situation) -> Ledger:
+    ledger = ledger.without(host)
+    if out.wave is None:
+        return ledger
+    log = ledger.wave_log(out.wave)
+    took_ms = max(now.wall_ms - out.since_ms, 0)
+    log = replace(log, done=log.done | {host}, took_ms=log.took_ms + took_ms)
+    return ledger.with_log(out.wave, log)
+
+
+def _release_recovered(ledger: Ledger, now: Situation) -> Ledger:
+    well = [
+        host
+        for host, out in ledger.out.items()
+        if out.stage is Stage.OUT and _is_well(host, ledger, now)
+    ]
+    return ledger.without(*well) if well else ledger
+
+
+def _is_well(host: HostId, ledger: Ledger, now: Situation) -> bool:
+    return host in now.view.members and now.cause_of(host) is None
+
+
+def _count_failures(ledger: Ledger, now: Situation) -> Ledger:
+    for host, member in now.view.members.items():
+        cause = now.cause_of(host)
+        if cause is None:
+            continue
+        order = now.order(cause)
+        ledger = count_out(ledger, member.location, order, now_ms=now.wall_ms)
+    return ledger
+
+
+def _revoke_needless(ledger: Ledger, now: Situation) -> Ledger:
+    """Returns hosts whose wave was aborted, or whose move is wanted no more."""
+    for host, out in ledger.out.items():
+        if out.op_id in now.refused and out.stage is Stage.PLACING:
+            ledger = ledger.without(host)
+        elif out.is_revocable:
+            ledger = _revoke_one(ledger, host, out, now)
+    return ledger
+
+
+def _revoke_one(ledger: Ledger, host: HostId, out: OutHost, now: Situation) -> Ledger:
+    if out.wave is not None:
+        task = now.view.waves.get(out.wave)
+        is_wanted = task is not None and is_open(task) and host in task.ranks
+        return ledger if is_wanted else ledger.without(host)
+    member = now.view.members.get(host)
+    if member is None or member.desired == ledger.pool:
+        return ledger.without(host)
+    if member.desired == out.target:
+        return ledger
+    return ledger.with_host(replace(out, target=member.desired))
+
+
+def _shed_excess(ledger: Ledger, now: Situation) -> Ledger:
+    cancelled = excess(ledger, now.view.budget, now.size)
+    return ledger.without(*cancelled) if cancelled else ledger
+
+
+def _advance_drained(ledger: Ledger, now: Situation) -> Ledger:
+    for host, out in ledger.out.items():
+        if not out.is_revocable or not now.is_drained(out):
+            continue
+        if out.target is not None:
+            ledger = advance(ledger, host, Stage.PLACING, now.op_id)
+        elif _action(out, now) is WaveAction.REBOOT:
+            ledger = advance(ledger, host, Stage.REBOOTING, out.op_id)
+        else:
+            ledger = _finish(ledger, host, out, now)
+    return ledger
+
+
+def _action(out: OutHost, now: Situation) -> WaveAction:
+    task = None if out.wave is None else now.view.waves.get(out.wave)
+    return WaveAction.DRAIN if task is None else task.action
+
+
+def _forget_lost(ledger: Ledger, now: Situation) -> Ledger:
+    """Takes hosts that the platform lacks for long out of the pool for good."""
+    for host, out in ledger.out.items():
+        if not _is_lost(host, out, now):
+            continue
+        if out.stage is Stage.REBOOTING:
+            ledger = _finish(ledger, host, out, now)
+        if ledger.pool == SPARE_POOL:
+            ledger = ledger.without(host)
+        else:
+            leaving = replace(out, target=SPARE_POOL, op_id=now.op_id)
+            ledger = ledger.with_host(replace(leaving, stage=Stage.PLACING))
+    return ledger
+
+
+def _is_lost(host: HostId, out: OutHost, now: Situation) -> bool:
+    is_silent = out.stage is Stage.OUT and out.cause is OutCause.UNKNOWN
+    if not is_silent and out.stage is not Stage.REBOOTING:
+        return False
+    member = now.view.members.get(host)
+    is_listed = member is not None and not member.is_missing
+    return not is_listed and now.wall_ms - out.since_ms >= now.settings.forget_after_ms
+
+
+def _defer_long_drains(ledger: Ledger, now: Situation) -> Ledger:
+    """Gives up a long drain once, if another host of the wave waits for its turn."""
+    for host, out in ledger.out.items():
+        if not out.is_revocable or out.wave is None:
+            continue
+        if now.wall_ms - out.since_ms < now.settings.defer_drain_ms:
+            continue
+        log = ledger.wave_log(out.wave)
+        task = now.view.waves[out.wave]
+        if task.state is not WaveState.RUNNING:
+            continue
+        others = set(waiting_hosts(ledger, now.view, task)) - log.deferred
+        if host in log.deferred or not others:
+            continue
+        ledger = ledger.without(host)
+        log = replace(log, deferred=log.deferred | {host})
+        ledger = ledger.with_log(out.wave, log)
+    return ledger
+
+
+def _prune_logs(ledger: Ledger, now: Situation) -> Ledger:
+    if ledger.waves.keys() <= now.view.waves.keys():
+        return ledger
+    kept = {name: log for name, log in ledger.waves.items() if name in now.view.waves}
+    return replace(ledger, waves=kept)
--- /dev/null
+++ b/src/amaranthtray/domain/waves/_situation.py
@@ -0,0 +1,85 @@
+"""What a conductor knows at the moment when it plans the next ledger."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..budgets.rules import Order
+from ..configuration.model import WaveState
+from ..ids import HostId, OperationId, PoolName, Term, WaveName
+from ..invariants.observations import OutCause
+from ..placement.view import PoolView
+from .settings import ConductorSettings
+
+if TYPE_CHECKING:
+    from ..budgets.model import Ledger, OutHost
+    from ..placement.view import WaveTask
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """Input of one planning step.
+
+    Attributes:
+        view: The pool.
+        settings: Settings.
+        term: Term of the duty.
+        op_id: Operation id of the write that the plan is for.
+        wall_ms: Wall-clock time.
+        health: Hosts that are not healthy, and why.
+        drained: Drain operations that ended.
+        back: Reboot operations that ended.
+        refused: Move operations that the configuration log refused.
+    """
+
+    view: PoolView
+    settings: ConductorSettings
+    term: Term
+    op_id: OperationId
+    wall_ms: int
+    health: dict[HostId, OutCause]
+    drained: frozenset[tuple[HostId, OperationId]]
+    back: frozenset[tuple[HostId, OperationId]]
+    refused: frozenset[OperationId]
+
+    @property
+    def size(self) -> int:
+        """Returns how many hosts the pool has."""
+        return len(self.view.members)
+
+    def order(
+        self,
+        cause: OutCause,
+        *,
+        wave: WaveName | None = None,
+        target: PoolName | None = None,
+    ) -> Order:
+        """Returns an order that this planning step gives."""
+        return Order(cause, self.term, self.op_id, wave, target)
+
+    def cause_of(self, host: HostId) -> OutCause | None:
+        """Returns why a host is out by itself, none if it is healthy."""
+        member = self.view.members.get(host)
+        if member is not None and member.is_missing:
+            return OutCause.UNKNOWN
+        return self.health.get(host)
+
+    def is_drained(self, out: OutHost) -> bool:
+        """Returns whether the host's own drain has ended."""
+        return (out.location.host, out.op_id) in self.drained
+
+    def is_back(self, out: OutHost) -> bool:
+        """Returns whether the host's own reboot has ended."""
+        return (out.location.host, out.op_id) in self.back
+
+
+def waiting_hosts(ledger: Ledger, view: PoolView, task: WaveTask) -> list[HostId]:
+    """Returns the hosts that a wave has still to take out, in the wave's order."""
+    done = ledger.wave_log(task.name).done | task.done_elsewhere
+    return [host for host in task.hosts if host not in done and host not in ledger.out]
+
+
+def is_open(task: WaveTask | None) -> bool:
+    """Returns whether hosts that a wave has begun may go on."""
+    return task is not None and task.state is not WaveState.ABORTED
