--- /dev/null
+++ b/src/amaranthtray/cli/report.py
@@ -0,0 +1,108 @@
+"""Commands that print reports."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+import msgspec
+from returns.pipeline import is_successful
+
+from ..domain.ids import EntryId
+from ..reports.burn import merge
+from ..reports.counts import BurnSnapshot
+from ..reports.html_page import to_html
+from ..reports.plain import to_plain
+from ..reports.table import to_renderable
+from .errors import faulty
+from .exits import ExitCode
+from .options import FleetCommand, FleetGroup
+from .output import Output, console, print_json
+from .session import Session, pass_session, unwrap
+
+if TYPE_CHECKING:
+    from ..reports.burn import BurnReport
+    from .client import AdminClient
+
+MAX_CALLS_AT_ONCE = 16
+
+
+@click.group(cls=FleetGroup)
+def report() -> None:
+    """Reports on the fleet."""
+
+
+@report.command("burn", cls=FleetCommand)
+@click.option("--html", metavar="FILE", help="Write one self-contained page as well.")
+@pass_session
+@click.pass_context
+def burn(ctx: click.Context, session: Session, html: str | None) -> None:
+    """Shows how fast each service and team burns its error budget.
+
+    Asks all entries given and those that they list, and says which did not answer.
+    Exits 3 when none did.
+    """
+    made = _gather(session)
+    if html:
+        _write_page(html, made)
+    if session.output is Output.JSON:
+        print_json(to_plain(made))
+    else:
+        console().print(to_renderable(made))
+    if not made.answered:
+        ctx.exit(ExitCode.UNREACHABLE)
+
+
+def _gather(session: Session) -> BurnReport:
+    client = session.client()
+    queues = unwrap(client.configuration()).queues
+    named = _entries(client)
+    snapshots = []
+    unanswered = {}
+    with ThreadPoolExecutor(MAX_CALLS_AT_ONCE) as pool:
+        replies = pool.map(lambda url: _ask(session, url), named)
+        for (url, name), reply in zip(named.items(), replies, strict=True):
+            if isinstance(reply, str):
+                unanswered[EntryId(f"{name} ({url})")] = reply
+            else:
+                snapshots.append(reply)
+    return merge(snapshots, queues, unanswered=unanswered)
+
+
+def _entries(client: AdminClient) -> dict[str, str]:
+    """Returns the URLs to ask and their names: those given and those listed."""
+    found = dict.fromkeys(client.endpoints, "given")
+    status: Any = unwrap(client.read("status"))
+    listed = status.get("entries", []) if isinstance(status, dict) else []
+    for item in listed:
+        if isinstance(item, dict) and item.get("admin_url"):
+            found[str(item["admin_url"]).rstrip("/")] = str(item.get("entry", "?"))
+    return found
+
+
+def _ask(session: Session, url: str) -> BurnSnapshot | str:
+    """Returns the counts of the entry at ``url``, or why there are none."""
+    reply = session.client_of(url).read("burn")
+    if not is_successful(reply):
+        return _cause(reply.failure())
+    try:
+        return msgspec.convert(reply.unwrap(), BurnSnapshot)
+    except msgspec.ValidationError as exc:
+        return f"reply of unknown form: {exc}"
+
+
+def _cause(failure: Any) -> str:
+    tried = getattr(failure, "tried", None)
+    return "; ".join(tried) if tried else str(getattr(failure, "problem", failure))
+
+
+def _write_page(path: str, made: BurnReport) -> None:
+    now = datetime.now(tz=UTC).isoformat(timespec="seconds")
+    try:
+        Path(path).write_text(to_html(made, made_at=now), encoding="utf-8")
+    except OSError as exc:
+        fix = "name a file in a folder that can be written"
+        raise faulty(str(exc), where="--html", fix=fix) from exc
--- a/src/amaranthtray/cli/session.py
+++ b/src/amaranthtray/cli/session.py
@@ -68,7 +68,11 @@
         if not self.admin:
             fix = f"give --admin URL or set {ADMIN_VARIABLE}"
             raise faulty("no entry to call", where="--admin", fix=fix)
-        return AdminClient(self.admin, self._key(), timeout_ms=self.timeout_ms)
+        return self.client_of(*self.admin)
+
+    def client_of(self, *endpoints: str) -> AdminClient:
+        """Returns a client of the entries at ``endpoints`` only."""
+        return AdminClient(endpoints, self._key(), timeout_ms=self.timeout_ms)
 
     def configuration(self) -> Configuration:
         """Reads the configuration.
--- a/src/amaranthtray/reports/__init__.py
+++ b/src/amaranthtray/reports/__init__.py
@@ -1,1 +1,17 @@
-"""Reports for operators."""
+"""Reports for operators: service-level burn."""
+
+from __future__ import annotations
+
+from .burn import BurnReport, merge
+from .counts import WINDOWS, BurnCounts, Counts, Window
+from .verdict import is_good
+
+__all__ = [
+    "WINDOWS",
+    "BurnCounts",
+    "BurnReport",
+    "Counts",
+    "Window",
+    "is_good",
+    "merge",
+]
--- /dev/null
+++ b/src/amaranthtray/reports/counts.py
@@ -0,0 +1,154 @@
+"""Counts of good and bad requests in ring buckets of bounded memory."""
+
+from __future__ import annotations
+
+from array import array
+from typing import NamedTuple
+
+import msgspec
+
+from ..domain.ids import EntryId, Incarnation, QueueName, TeamName, ZoneId
+
+MINUTE_MS = 60_000
+HOUR_MS = 60 * MINUTE_MS
+DAY_MS = 24 * HOUR_MS
+
+MAX_SERIES = 8_192
+"""Pairs of queue and team that are counted apart; others are summed in one."""
+
+OTHER_TEAM = TeamName("-other-")
+OTHER_QUEUE = QueueName("-other-")
+
+
+class Window(NamedTuple):
+    """A window of the report and the ring that covers it.
+
+    Attributes:
+        name: Name in reports.
+        buckets: Buckets of the ring.
+        bucket_ms: Width of one bucket.
+    """
+
+    name: str
+    buckets: int
+    bucket_ms: int
+
+    @property
+    def length_ms(self) -> int:
+        """Returns the window's whole length."""
+        return self.buckets * self.bucket_ms
+
+
+WINDOWS = (
+    Window("5m", 10, MINUTE_MS // 2),
+    Window("1h", 12, 5 * MINUTE_MS),
+    Window("6h", 12, 30 * MINUTE_MS),
+    Window("3d", 12, 6 * HOUR_MS),
+)
+
+_FIELDS = 3
+"""Numbers of a bucket: its position on the clock, good and bad requests."""
+
+
+class Counts(NamedTuple):
+    """Requests within one window."""
+
+    good: int = 0
+    bad: int = 0
+
+
+class Series(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of one queue and team, one item for each of ``WINDOWS``."""
+
+    queue: QueueName
+    team: TeamName
+    counts: tuple[Counts, ...]
+
+
+class BurnSnapshot(msgspec.Struct, frozen=True):
+    """What one entry holds; sent as JSON.
+
+    Attributes:
+        entry: Who counted.
+        zone: Its availability zone.
+        incarnation: One run of the entry; counts do not outlive it.
+        held_ms: How long this incarnation has been counting.
+        series: Counts by queue and team.
+    """
+
+    entry: EntryId
+    zone: ZoneId
+    incarnation: Incarnation
+    held_ms: int
+    series: tuple[Series, ...] = ()
+
+
+class BurnCounts:
+    """Counts of one entry; owned by one task.
+
+    Args:
+        started_ms: Start of this incarnation on the entry's monotonic clock.
+        max_series: Pairs of queue and team that are counted apart.
+    """
+
+    def __init__(self, started_ms: int, *, max_series: int = MAX_SERIES) -> None:
+        self._started_ms = started_ms
+        self._max_series = max_series
+        self._rings: dict[tuple[QueueName, TeamName], array[int]] = {}
+
+    def record(
+        self, queue: QueueName, team: TeamName, *, good: bool, now_ms: int
+    ) -> None:
+        """Counts one request that ended at ``now_ms``."""
+        ring = self._ring(queue, team)
+        offset = 0
+        for window in WINDOWS:
+            # Positions start at 1, because a ring's zeros mean "never used".
+            position = now_ms // window.bucket_ms + 1
+            at = offset + position % window.buckets * _FIELDS
+            if ring[at] != position:
+                ring[at] = position
+                ring[at + 1] = ring[at + 2] = 0
+            ring[at + 1 if good else at + 2] += 1
+            offset += window.buckets * _FIELDS
+
+    def snapshot(
+        self, entry: EntryId, zone: ZoneId, incarnation: Incarnation, now_ms: int
+    ) -> BurnSnapshot:
+        """Returns the counts of all windows that end at ``now_ms``."""
+        series = []
+        for (queue, team), ring in self._rings.items():
+            counts = _sums(ring, now_ms)
+            if any(sum(item) for item in counts):
+                series.append(Series(queue, team, counts))
+        held_ms = now_ms - self._started_ms
+        return BurnSnapshot(entry, zone, incarnation, held_ms, tuple(series))
+
+    def _ring(self, queue: QueueName, team: TeamName) -> array[int]:
+        ring = self._rings.get((queue, team))
+        if ring is None:
+            if len(self._rings) >= self._max_series:
+                queue, team = OTHER_QUEUE, OTHER_TEAM
+            ring = self._rings.setdefault((queue, team), _new_ring())
+        return ring
+
+
+def _new_ring() -> array[int]:
+    length = sum(window.buckets for window in WINDOWS) * _FIELDS
+    return array("I", bytes(length * array("I").itemsize))
+
+
+def _sums(ring: array[int], now_ms: int) -> tuple[Counts, ...]:
+    """Returns the sums of the buckets that lie within each window."""
+    counts = []
+    offset = 0
+    for window in WINDOWS:
+        newest = now_ms // window.bucket_ms + 1
+        good = bad = 0
+        for at in range(offset, offset + window.buckets * _FIELDS, _FIELDS):
+            if newest - window.buckets < ring[at] <= newest:
+                good += ring[at + 1]
+                bad += ring[at + 2]
+        counts.append(Counts(good, bad))
+        offset += window.buckets * _FIELDS
+    return tuple(counts)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -252,6 +252,26 @@
     assert run("--key-file /nowhere pool list").exit_code == 2
 
 
+def test_burn_is_merged_over_entries_that_answer(
+    run: Run, fleet: Fleet, entries: tuple[FakeAdmin, FakeAdmin], tmp_path: Path
+) -> None:
+    counts = [["bookings", "red", [[9, 1]] * 4]]
+    made = {"entry": "e1", "zone": "z1", "incarnation": "i", "held_ms": 60_000}
+    fleet.reads["burn"] = {**made, "series": counts}
+    away = {"entry": "e7", "admin_url": "http://127.0.0.1:1"}
+    fleet.reads["status"] = {"entries": [away]}
+    page = tmp_path / "burn.html"
+    result = run(f"report burn -o json --html {page}")
+    assert result.exit_code == 0, result.output
+    burn = json.loads(result.stdout)
+    assert burn["services"][0]["counts"][0] == [9, 1]
+    assert burn["answered"] == ["e1"]
+    assert list(burn["unanswered"]) == ["e7 (http://127.0.0.1:1)"]
+    assert "e7" in page.read_text()
+    del fleet.reads["burn"]
+    assert run("report burn").exit_code == 3
+
+
 def test_version_completion_and_parts_left_out(run: Run, tmp_path: Path) -> None:
     assert __version__ in run("--version").output
     assert "_AMARANTHTRAY_COMPLETE" in run("completion bash").output
