Use the key and selector aggregates in the command line

Keys are minted by domain.keys; selectors of fleet files are parsed before anything is sent; labels of all hosts travel as one change, since a record holds at most 1,000.

--- a/src/amaranthtray/cli/apply.py
+++ b/src/amaranthtray/cli/apply.py
@@ -6,7 +6,7 @@
 
 import click
 
-from .difference import difference
+from .difference import changes_of, difference
 from .fleet_file import load_fleet
 from .options import FleetCommand, yes_option
 from .output import Output, print_json, print_table
@@ -37,8 +37,9 @@
         return
     if not yes:
         _print_table(steps, is_error=True)
-    changes = [step.change for step in steps]
-    committed = session.commit(changes, expected=cfg.revision, harm=HARM, yes=yes)
+    committed = session.commit(
+        changes_of(steps), expected=cfg.revision, harm=HARM, yes=yes
+    )
     session.done(committed, changed=len(steps))
 
 
--- a/src/amaranthtray/cli/difference.py
+++ b/src/amaranthtray/cli/difference.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable, Iterator, Mapping
 
     from ..domain.configuration import Configuration
+    from ..domain.ids import HostId
     from .fleet_file import Fleet
 
 
@@ -76,6 +77,21 @@
     ]
 
 
+def changes_of(steps: list[Step]) -> list[Change]:
+    """Returns the changes of all steps; labels of all hosts are one change."""
+    labels: dict[HostId, dict[str, str]] = {}
+    others: list[Change] = []
+    for step in steps:
+        match step.change:
+            case SetHostLabels(some):
+                labels.update(some)
+            case change:
+                others.append(change)
+    if not labels:
+        return others
+    return [*others, SetHostLabels(labels)]
+
+
 def _puts(
     kind: str,
     old: Mapping[Any, Any],
--- a/src/amaranthtray/cli/fleet_file.py
+++ b/src/amaranthtray/cli/fleet_file.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from msgspec import Meta, Struct
@@ -13,12 +13,18 @@
 from ..domain.configuration import Budget, Objective, Pool, Queue, Team
 from ..domain.errors import Problem
 from ..domain.ids import HostId, PoolName, QueueName, TeamName
+from ..domain.selectors import parse, parse_for_pool
 from ..settings import TomlDocument, read_text
 from .errors import FaultyInputError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..settings.toml_document import Path
+
 STEP = "read-fleet"
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Count = Annotated[int, Meta(ge=0)]
 
 
@@ -56,7 +62,7 @@
     pool: Name
     is_open: bool = False
     selector: str = ""
-    target: Annotated[float, Meta(gt=0, le=1)] = 0.999
+    target: Annotated[float, Meta(gt=0, lt=1)] = 0.999
 
 
 class FleetTable(Struct, frozen=True, kw_only=True):
@@ -111,9 +117,28 @@
             where = document.where((group, second, "name"))
             what = f"{group} names {name!r} {count} times"
             return Failure(Problem(STEP, document.name, what, where, "name it once"))
+    fault = next(_selector_faults(table), None)
+    if fault:
+        path, found = fault
+        where = f"{document.where(path)}, {found.where}"
+        problem = Problem(STEP, document.name, found.what, where, found.fix)
+        return Failure(problem)
     return Success(_fleet(table))
 
 
+def _selector_faults(table: FleetTable) -> Iterator[tuple[Path, Problem]]:
+    """Yields the place and fault of each selector that does not parse."""
+    groups = (
+        ("pools", [item.selector for item in table.pools], parse_for_pool),
+        ("queues", [item.selector for item in table.queues], parse),
+    )
+    for group, texts, read in groups:
+        for index, text in enumerate(texts):
+            result = read(text)
+            if not is_successful(result):
+                yield (group, index, "selector"), result.failure()
+
+
 def _fleet(table: FleetTable) -> Fleet:
     return Fleet(
         pools={PoolName(item.name): _pool(item) for item in table.pools},
--- a/src/amaranthtray/cli/keys.py
+++ b/src/amaranthtray/cli/keys.py
@@ -8,8 +8,8 @@
 
 from ..domain.configuration import AddKey, TeamKey, WithdrawKey
 from ..domain.ids import KeyId, TeamName
+from ..domain.keys import MintedKey, mint_key
 from .errors import faulty
-from .new_key import NewKey, make_key
 from .options import FleetGroup, yes_option
 from .output import print_records
 from .session import Session, pass_session
@@ -18,8 +18,6 @@
 if TYPE_CHECKING:
     from ..domain.configuration import Change, Configuration
 
-CALLER_PREFIX = "k"
-
 
 @click.group(cls=FleetGroup)
 def key() -> None:
@@ -47,7 +45,7 @@
     """Creates a key and prints it once."""
     refuse_repeat(session)
     cfg = session.configuration()
-    made = make_key(CALLER_PREFIX)
+    made = mint_key(cfg.revision)
     _commit_new(session, cfg, made, find_team(cfg, team).name, [])
 
 
@@ -66,7 +64,7 @@
     cfg = session.configuration()
     old = _find(cfg, key_id)
     withdrawal: list[Change] = [WithdrawKey(old.key_id)] if withdraw_old else []
-    made = make_key(CALLER_PREFIX)
+    made = mint_key(cfg.revision)
     _commit_new(session, cfg, made, old.team, withdrawal, yes=yes)
 
 
@@ -101,7 +99,7 @@
 def _commit_new(
     session: Session,
     cfg: Configuration,
-    made: NewKey,
+    made: MintedKey,
     team: TeamName,
     withdrawal: list[Change],
     *,
--- a/src/amaranthtray/cli/operators.py
+++ b/src/amaranthtray/cli/operators.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import secrets
+
 import click
 
 from ..domain.configuration import AddOperator, Operator, Role, WithdrawOperator
 from ..domain.ids import KeyId
+from ..domain.keys import key_from_secret, mint_key
+from ..domain.keys.minting import SECRET_BYTES
+from ..settings import BootstrapSettings
 from .errors import faulty
 from .keys import refuse_repeat
-from .new_key import make_key
 from .options import FleetGroup, yes_option
 from .output import print_records
 from .session import Session, pass_session
 
-OPERATOR_PREFIX = "o"
-
 
 @click.group(cls=FleetGroup)
 def operator() -> None:
@@ -45,9 +47,10 @@
 def add_operator(session: Session, name: str, role: str) -> None:
     """Adds an operator and prints the key once."""
     refuse_repeat(session)
-    made = make_key(OPERATOR_PREFIX)
+    cfg = session.configuration()
+    made = mint_key(cfg.revision)
     added = AddOperator(Operator(made.key_id, name, Role(role), made.digest))
-    committed = session.commit([added])
+    committed = session.commit([added], expected=cfg.revision)
     session.done(committed, key=made.text, key_id=made.key_id, operator=name)
 
 
@@ -57,7 +60,8 @@
 
     The digest goes into the settings as [bootstrap] operator_digest.
     """
-    made = make_key(OPERATOR_PREFIX)
+    key_id = KeyId(BootstrapSettings().operator_key_id)
+    made = key_from_secret(key_id, secrets.token_urlsafe(SECRET_BYTES))
     click.echo(f"key: {made.text}")
     click.echo(f"operator_digest: {made.digest}")
 
--- a/src/amaranthtray/cli/queues.py
+++ b/src/amaranthtray/cli/queues.py
@@ -48,7 +48,11 @@
     "--open/--keyed", "is_open", default=None, help="Whether no key is asked."
 )
 @click.option("--selector", help="Label selector over the labels of teams.")
-@click.option("--target", type=click.FloatRange(0, 1), help="Service-level objective.")
+@click.option(
+    "--target",
+    type=click.FloatRange(0, 1, min_open=True, max_open=True),
+    help="Service-level objective.",
+)
 @yes_option
 @pass_session
 def put_queue(
--- a/src/amaranthtray/cli/waves.py
+++ b/src/amaranthtray/cli/waves.py
@@ -52,7 +52,8 @@
 ) -> None:
     """Starts a wave; each pool's availability budget is kept."""
     cfg = session.configuration()
-    if WaveName(name) in cfg.waves and not session.op_id:
+    known = cfg.waves.get(WaveName(name))
+    if known and known.state != WaveState.ABORTED and not session.op_id:
         fix = "choose another name; `wave resume` goes on with a paused wave"
         raise faulty(f"wave {name!r} exists", where="NAME", fix=fix)
     asked = Wave(WaveName(name), selector, WaveAction(action), order=order)
--- a/src/amaranthtray/settings/toml_document.py
+++ b/src/amaranthtray/settings/toml_document.py
@@ -17,7 +17,8 @@
 from returns.result import Failure, Result, Success
 
 from ..domain.errors import Problem
-from ._locate import Path, line_of
+from ._locate import Path as Path
+from ._locate import line_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/cli/test_apply.py
+++ b/tests/cli/test_apply.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from amaranthtray.cli.difference import difference
 from amaranthtray.cli.fleet_file import Fleet, load_fleet, parse_fleet
 from amaranthtray.domain.configuration import Configuration
+from amaranthtray.domain.placement.claims import desired_pool
 from amaranthtray.settings import load
 
 if TYPE_CHECKING:
@@ -49,6 +51,7 @@
         (FLEET + "[[team]]\n", "f:12 team", "'teams'"),
         (FLEET.replace("max_out", "maxout"), "f:4 pools.0.budget", "'max_out'"),
         (FLEET.replace('"blue"', '"Blue"'), "f:6 teams.0.name", "regex"),
+        (FLEET.replace("pool=web", "a in ("), "f:3 pools.0.selector", "expected"),
     ],
 )
 def test_faulty_files_name_line_and_remedy(text: str, where: str, words: str) -> None:
@@ -113,13 +116,9 @@
 
 
 def pools_sizes(fleet: Fleet) -> dict[str, int]:
-    """Returns how many labelled hosts the equality selector of each pool claims."""
-    sizes = {}
-    for name, pool in fleet.pools.items():
-        key, value = pool.selector.split("=")
-        labels = fleet.host_labels.values()
-        sizes[name] = sum(item.get(key) == value for item in labels)
-    return sizes
+    """Returns how many of the labelled hosts belong to each pool."""
+    labels = fleet.host_labels.values()
+    return dict(Counter(desired_pool(item, fleet.pools) for item in labels))
 
 
 def test_check_exits_0_or_2(run: Callable[[str], Result], tmp_path: Path) -> None:
