--- a/src/amaranthtray/demo/callers.py
+++ b/src/amaranthtray/demo/callers.py
@@ -65,7 +65,9 @@
         """Sends calls at once and returns their results in order."""
         numbered = list(enumerate(calls))
         with ThreadPoolExecutor(CALLER_THREADS) as executor:
-            return list(executor.map(lambda item: self.send(item[1], item[0]), numbered))
+            return list(
+                executor.map(lambda item: self.send(item[1], item[0]), numbered)
+            )
 
     def send(self, call: Call, number: int = 0) -> CallResult:
         """Sends one call through one entry."""
--- a/src/amaranthtray/demo/story.py
+++ b/src/amaranthtray/demo/story.py
@@ -22,7 +22,7 @@
     WithdrawKey,
 )
 from ..domain.configuration.model import EMPTY_REVISION
-from ..domain.ids import HostId, OperationId, PoolName, QueueName, TeamName
+from ..domain.ids import HostId, OperationId, PoolName, QueueName, Revision, TeamName
 from ..domain.keys import MintedKey, mint_key
 from ..domain.requests.model import WorkClass
 from .callers import Call, Callers
@@ -32,7 +32,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from ..domain.ids import Revision
 
 WEB = PoolName("web")
 BATCH = PoolName("batch")
@@ -143,12 +142,14 @@
     def _commit(self, *changes: Change) -> Revision:
         op_id = OperationId(uuid.uuid4().hex)
         done = self._admin.commit(changes, op_id=op_id).unwrap()
-        for entry in self._fleet.entries:
-            wait_until(
-                lambda entry=entry: entry.view.current.revision >= done.revision,
-                f"revision {done.revision} in force at every entry",
-            )
-        return done.revision
+        revision = Revision(done.revision)
+        what = f"revision {revision} in force at every entry"
+        wait_until(lambda: self._is_in_force(revision), what)
+        return revision
+
+    def _is_in_force(self, revision: Revision) -> bool:
+        entries = self._fleet.entries
+        return all(entry.view.current.revision >= revision for entry in entries)
 
 
 def _team_key(key: MintedKey, team: TeamName) -> TeamKey:
--- a/src/amaranthtray/demo/tally.py
+++ b/src/amaranthtray/demo/tally.py
@@ -16,12 +16,12 @@
     Watchdog,
 )
 from ..entry.replies import OutcomeName
+from .callers import Call, CallResult
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..standins.backend import BackendStandIn
-    from .callers import Call, CallResult
 
 MS_PER_S = 1_000
 
