--- /dev/null
+++ b/src/amaranthtray/peers/codec.py
@@ -0,0 +1,73 @@
+"""Peer messages as CBOR frames."""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+import cbor2
+import msgspec
+
+from ..domain.errors import AmaranthtrayError, ProblemError
+from ..domain.tagged import TAG_FIELD
+from .messages import (
+    PEER_MESSAGES,
+    ConfigRecords,
+    ConfigWanted,
+    ForwardReply,
+    ForwardRequest,
+    Heartbeat,
+    Hello,
+    HostNews,
+    MemberList,
+    Proof,
+    UnitsGranted,
+    UnitsWanted,
+    UsageRelay,
+    UsageSums,
+    ZoneRevision,
+)
+
+PeerMessage: TypeAlias = (
+    Hello
+    | Proof
+    | Heartbeat
+    | MemberList
+    | ZoneRevision
+    | ConfigWanted
+    | ConfigRecords
+    | UsageSums
+    | UsageRelay
+    | UnitsWanted
+    | UnitsGranted
+    | HostNews
+    | ForwardRequest
+    | ForwardReply
+)
+
+MAX_FRAME_BYTES = 4_000_000
+"""Largest frame; a snapshot or a record of the largest size fits."""
+
+
+class FrameError(AmaranthtrayError):
+    """A frame is malformed, too large or was tampered with."""
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Returns a message as CBOR; bytes stay bytes."""
+    fields: dict[str, Any] = msgspec.to_builtins(message, builtin_types=(bytes,))
+    return cbor2.dumps({TAG_FIELD: type(message).__name__, **fields})
+
+
+def decode(data: bytes, *, peer: str) -> PeerMessage:
+    """Returns the message that a frame holds.
+
+    Raises:
+        FrameError: The frame is not a peer message.
+    """
+    step = "decode-frame"
+    try:
+        fields = cbor2.loads(data)
+        message: PeerMessage = PEER_MESSAGES.from_dict(fields, step=step, peer=peer)
+    except (cbor2.CBORDecodeError, ProblemError, RecursionError) as exc:
+        raise FrameError(str(exc), step=step, peer=peer) from exc
+    return message
--- a/src/amaranthtray/peers/messages.py
+++ b/src/amaranthtray/peers/messages.py
@@ -44,11 +44,62 @@
         revision: Highest revision in force.
         steward_term: Term of the zone steward duty, 0 when not held.
         load: Tasks running from this entry.
+        fresh_age_ms: Time since the sender knew that it had the latest revision;
+            none if it never did.
     """
 
     revision: Revision
     steward_term: Term
     load: int
+    fresh_age_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """An entry as it registered itself with the platform.
+
+    Attributes:
+        entry: Unique name.
+        zone: Availability zone.
+        incarnation: The run that registered.
+        address: IP address for peers.
+        port: TCP port for peers.
+    """
+
+    entry: EntryId
+    zone: ZoneId
+    incarnation: Incarnation
+    address: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class MemberList:
+    """All registered entries; a list of a higher store version replaces it."""
+
+    at_version: int
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneRevision:
+    """What a steward knows of the configuration in force in its zone.
+
+    Attributes:
+        zone: Availability zone.
+        term: Steward term; an old term is refused.
+        seq: Grows with each report of the term.
+        revision: Lowest revision in force among the entries heard.
+        entries: Number of registered entries.
+        unheard: Registered entries that the steward does not hear.
+    """
+
+    zone: ZoneId
+    term: Term
+    seq: int
+    revision: Revision
+    entries: int
+    unheard: tuple[EntryId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +115,12 @@
 
     Attributes:
         records: Records as dictionaries of ``configuration.codec``.
-        snapshot: A whole configuration when the records are too old, else none.
+        snapshot: A whole configuration, as compressed JSON of
+            ``configuration.codec``, when the records are too old; else none.
     """
 
     records: tuple[dict[str, Any], ...] = ()
-    snapshot: dict[str, Any] | None = None
+    snapshot: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +139,13 @@
     waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class UsageRelay:
+    """Usage sums of other entries, passed on between zones by stewards."""
+
+    sums: dict[EntryId, UsageSums] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class UnitsWanted:
     """An entry tells its zone steward what it uses and wants of the limits.
@@ -170,9 +229,12 @@
     Hello,
     Proof,
     Heartbeat,
+    MemberList,
+    ZoneRevision,
     ConfigWanted,
     ConfigRecords,
     UsageSums,
+    UsageRelay,
     UnitsWanted,
     UnitsGranted,
     HostNews,
--- /dev/null
+++ b/src/amaranthtray/peers/outbox.py
@@ -0,0 +1,73 @@
+"""Bounded queue of messages to one peer."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from .messages import Heartbeat, MemberList, UsageSums, ZoneRevision
+
+if TYPE_CHECKING:
+    from .codec import PeerMessage
+
+MAX_QUEUED_MESSAGES = 256
+
+
+class Outbox:
+    """Messages of superseding kinds replace older ones; others are never dropped.
+
+    Args:
+        limit: Most messages that wait.
+    """
+
+    def __init__(self, limit: int = MAX_QUEUED_MESSAGES) -> None:
+        self.superseded = 0
+        self._limit = limit
+        self._queue: deque[PeerMessage] = deque()
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def put(self, message: PeerMessage) -> bool:
+        """Queues a message; false if it does not fit and the link must close."""
+        older = self._find_superseded(message)
+        if older is not None:
+            self.superseded += 1
+            self._queue.remove(older)
+            message = _merge(older, message)
+        if len(self._queue) >= self._limit:
+            return False
+        self._queue.append(message)
+        return True
+
+    def get(self) -> PeerMessage | None:
+        """Takes the oldest message; none if there is none."""
+        return self._queue.popleft() if self._queue else None
+
+    def _find_superseded(self, message: PeerMessage) -> PeerMessage | None:
+        if not isinstance(message, Heartbeat | UsageSums | MemberList | ZoneRevision):
+            return None
+        return next((one for one in self._queue if _supersedes(message, one)), None)
+
+
+def _supersedes(newer: PeerMessage, older: PeerMessage) -> bool:
+    match newer, older:
+        case Heartbeat(), Heartbeat():
+            return True
+        case MemberList(), MemberList():
+            return newer.at_version >= older.at_version
+        case ZoneRevision(), ZoneRevision():
+            return newer.zone == older.zone
+        case UsageSums(), UsageSums():
+            return newer.incarnation == older.incarnation
+    return False
+
+
+def _merge(older: PeerMessage, newer: PeerMessage) -> PeerMessage:
+    """Keeps sums that changed in the older message only."""
+    if not isinstance(older, UsageSums) or not isinstance(newer, UsageSums):
+        return newer
+    sums = {pool: dict(teams) for pool, teams in older.sums.items()}
+    for pool, teams in newer.sums.items():
+        sums.setdefault(pool, {}).update(teams)
+    return UsageSums(newer.incarnation, sums, {**older.waiting, **newer.waiting})
--- /dev/null
+++ b/tests/peers/test_outbox.py
@@ -0,0 +1,75 @@
+"""Which messages may be replaced while they wait."""
+
+from __future__ import annotations
+
+import pytest
+
+from amaranthtray.domain.ids import Incarnation, PoolName, Revision, TeamName, Term
+from amaranthtray.peers.codec import PeerMessage, decode, encode
+from amaranthtray.peers.messages import (
+    ConfigWanted,
+    ForwardReply,
+    Heartbeat,
+    MemberList,
+    UsageSums,
+)
+from amaranthtray.peers.outbox import Outbox
+
+
+def beat(revision: int) -> Heartbeat:
+    return Heartbeat(Revision(revision), Term(0), 0)
+
+
+def sums(team: str, used_ms: int, run: str = "i1") -> UsageSums:
+    return UsageSums(Incarnation(run), {PoolName("web"): {TeamName(team): used_ms}})
+
+
+def drain(outbox: Outbox) -> list[PeerMessage]:
+    return [outbox.get() for _ in range(len(outbox))]
+
+
+@pytest.mark.parametrize(
+    ("put", "left"),
+    [
+        ([beat(1), ConfigWanted(Revision(0)), beat(2)], [1, 2]),
+        ([MemberList(5, ()), MemberList(6, ())], [1]),
+        ([MemberList(6, ()), MemberList(5, ())], [0, 1]),
+        ([sums("red", 1), sums("red", 2, run="i2")], [0, 1]),
+        ([ForwardReply(1, 200, {}, b""), ForwardReply(1, 200, {}, b"")], [0, 1]),
+    ],
+)
+def test_only_superseding_kinds_are_replaced(
+    put: list[PeerMessage], left: list[int]
+) -> None:
+    outbox = Outbox()
+
+    assert all(outbox.put(message) for message in put)
+    assert drain(outbox) == [put[index] for index in left]
+
+
+def test_replaced_sums_keep_what_changed_only_before() -> None:
+    outbox = Outbox()
+    outbox.put(sums("red", 1))
+    outbox.put(sums("blue", 2))
+
+    (merged,) = drain(outbox)
+
+    assert merged.sums == {"web": {"red": 1, "blue": 2}}
+
+
+def test_a_full_outbox_refuses_rather_than_drops() -> None:
+    outbox = Outbox(limit=2)
+    assert outbox.put(beat(1))
+    assert outbox.put(ConfigWanted(Revision(1)))
+
+    assert not outbox.put(ConfigWanted(Revision(2)))
+    assert outbox.put(beat(2))
+    assert len(drain(outbox)) == 2
+
+
+@pytest.mark.parametrize(
+    "message",
+    [ForwardReply(1, 200, {"a": "b"}, b"\xff\x00"), sums("red", 1), beat(3)],
+)
+def test_messages_survive_their_frames(message: PeerMessage) -> None:
+    assert decode(encode(message), peer="p") == message
