Add fair shares by smoothed slot use over the fleet

Teams are ordered by smoothed slots per weight; entries exchange cumulative sums and hold back in a full pool for a team that waits elsewhere.

--- a/src/amaranthtray/domain/limits/entry_holding.py
+++ b/src/amaranthtray/domain/limits/entry_holding.py
@@ -17,6 +17,9 @@
 REPORTS_REMEMBERED = 64
 """Reports that a grant can still answer."""
 
+DEMAND_TTL_MS = 3_000
+"""How long a noted demand counts unless it is noted again."""
+
 NEVER = Millis(-(10**15))
 
 
@@ -37,6 +40,7 @@
         self._caps: dict[TeamName, int] = {}
         self._used: dict[TeamName, int] = {}
         self._waiting: dict[TeamName, int] = {}
+        self._noted_ms: dict[TeamName, Millis] = {}
         self._valid_until = NEVER
         self._report_seq = 0
         self._sent_ms: dict[int, Millis] = {}
@@ -67,11 +71,21 @@
 
     def note_demand(self, team: TeamName, waiting: int, now_ms: Millis) -> None:
         """Records how many requests of the team wait for a unit."""
+        self._noted_ms[team] = now_ms
         if self._waiting.get(team, 0) == waiting:
             return
         self._waiting[team] = waiting
         self._touch(team)
 
+    def _forget_old_demand(self, now_ms: Millis) -> None:
+        """Drops demand that nobody has repeated; it was met or given up."""
+        oldest_ms = now_ms - DEMAND_TTL_MS
+        for team, noted_ms in list(self._noted_ms.items()):
+            if noted_ms < oldest_ms:
+                del self._noted_ms[team]
+                self._waiting.pop(team, None)
+                self._touch(team)
+
     def used(self, team: TeamName) -> int:
         """Returns the units in use by the team's tasks."""
         return self._used.get(team, 0)
@@ -128,6 +142,7 @@
 
     def report(self, now_ms: Millis) -> UnitsReport:
         """Returns the next report to the steward, sent at ``now_ms``."""
+        self._forget_old_demand(now_ms)
         self._report_seq += 1
         self._sent_ms[self._report_seq] = now_ms
         self._sent_ms.pop(self._report_seq - REPORTS_REMEMBERED, None)
--- a/src/amaranthtray/domain/shares/__init__.py
+++ b/src/amaranthtray/domain/shares/__init__.py
@@ -1,1 +1,9 @@
-"""Weighted fair sharing of full pools."""
+"""Shares of teams in a full pool, over the whole fleet."""
+
+from __future__ import annotations
+
+from .fair_shares import FairShares
+from .frames import UsageFrame
+from .settings import ShareSettings
+
+__all__ = ["FairShares", "ShareSettings", "UsageFrame"]
--- /dev/null
+++ b/src/amaranthtray/domain/shares/_sources.py
@@ -0,0 +1,146 @@
+"""What other entries and zones have said about their use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..ids import Millis, PoolName, TeamName
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..ids import Incarnation
+    from .frames import UsageFrame
+
+
+@dataclass(slots=True)
+class _Source:
+    """Latest frame of one source and the slots that it implies."""
+
+    at_ms: Millis
+    heard_ms: Millis
+    sums: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
+    slots: dict[PoolName, dict[TeamName, float]] = field(default_factory=dict)
+    waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
+
+
+class UsageSources:
+    """Turns cumulative sums into slots in use elsewhere, per pool and team.
+
+    The slots of a source are the growth of its sums over the time between its two
+    latest frames. A source that stays silent counts as idle.
+    """
+
+    def __init__(self, fresh_ms: int) -> None:
+        self._fresh_ms = fresh_ms
+        self._sources: dict[Incarnation, _Source] = {}
+        self._slots: dict[PoolName, dict[TeamName, float]] = {}
+        self._totals: dict[PoolName, float] = {}
+        self._waiting: dict[PoolName, frozenset[TeamName]] = {}
+        self._oldest_ms: Millis | None = None
+
+    def slots(self, pool: PoolName, team: TeamName) -> float:
+        """Returns the slots of the pool that the team uses elsewhere."""
+        return self._slots.get(pool, {}).get(team, 0.0)
+
+    def total(self, pool: PoolName) -> float:
+        """Returns the slots of the pool in use elsewhere."""
+        return self._totals.get(pool, 0.0)
+
+    def waiting(self, pool: PoolName) -> frozenset[TeamName]:
+        """Returns the teams that wait for the pool elsewhere."""
+        return self._waiting.get(pool, frozenset())
+
+    def merge(
+        self, frame: UsageFrame, now_ms: Millis
+    ) -> set[tuple[PoolName, TeamName]]:
+        """Records a frame and returns the pools and teams whose slots changed."""
+        source = self._sources.get(frame.source)
+        if source is None:
+            first = _Source(frame.at_ms, now_ms, _copy(frame.sums))
+            self._sources[frame.source] = first
+            self._set_waiting(first, frame.waiting)
+            return set()
+        gap_ms = frame.at_ms - source.at_ms
+        if gap_ms <= 0:
+            return set()
+        slots = {
+            pool: _rates(source.sums.get(pool, {}), sums, gap_ms)
+            for pool, sums in frame.sums.items()
+        }
+        for pool, sums in frame.sums.items():
+            known = source.sums.setdefault(pool, {})
+            for team, total in sums.items():
+                known[team] = max(total, known.get(team, 0))
+        source.at_ms = frame.at_ms
+        source.heard_ms = now_ms
+        self._set_waiting(source, frame.waiting)
+        return set(self._replace_slots(source, slots))
+
+    def forget_silent(self, now_ms: Millis) -> set[tuple[PoolName, TeamName]]:
+        """Counts silent sources as idle; returns what changed."""
+        if self._oldest_ms is not None and now_ms < self._oldest_ms + self._fresh_ms:
+            return set()
+        changed: set[tuple[PoolName, TeamName]] = set()
+        heard: list[Millis] = []
+        for source in self._sources.values():
+            if now_ms < source.heard_ms + self._fresh_ms:
+                heard.append(source.heard_ms)
+            elif source.slots or source.waiting:
+                changed.update(self._replace_slots(source, {}))
+                self._set_waiting(source, {})
+        self._oldest_ms = min(heard, default=now_ms)
+        return changed
+
+    def drop(self, source: Incarnation) -> set[tuple[PoolName, TeamName]]:
+        """Forgets a source that has ended."""
+        gone = self._sources.get(source)
+        if gone is None:
+            return set()
+        changed = set(self._replace_slots(gone, {}))
+        self._set_waiting(gone, {})
+        del self._sources[source]
+        return changed
+
+    def _replace_slots(
+        self, source: _Source, slots: dict[PoolName, dict[TeamName, float]]
+    ) -> Iterator[tuple[PoolName, TeamName]]:
+        before, source.slots = source.slots, slots
+        for pool in {*before, *slots}:
+            old, new = before.get(pool, {}), slots.get(pool, {})
+            known = self._slots.setdefault(pool, {})
+            for team in {*old, *new}:
+                change = new.get(team, 0.0) - old.get(team, 0.0)
+                if change:
+                    known[team] = max(0.0, known.get(team, 0.0) + change)
+                    yield pool, team
+            self._totals[pool] = sum(known.values())
+
+    def _set_waiting(
+        self, source: _Source, waiting: dict[PoolName, tuple[TeamName, ...]]
+    ) -> None:
+        before, source.waiting = source.waiting, dict(waiting)
+        for pool in {*before, *waiting}:
+            self._waiting[pool] = frozenset(
+                team
+                for item in self._sources.values()
+                for team in item.waiting.get(pool, ())
+            )
+
+
+def _rates(
+    before: dict[TeamName, int], after: dict[TeamName, int], gap_ms: int
+) -> dict[TeamName, float]:
+    rates: dict[TeamName, float] = {}
+    for team, total in after.items():
+        growth = total - before.get(team, 0)
+        if growth > 0:
+            rates[team] = growth / gap_ms
+    return rates
+
+
+def _copy(
+    sums: dict[PoolName, dict[TeamName, int]],
+) -> dict[PoolName, dict[TeamName, int]]:
+    return {pool: dict(teams) for pool, teams in sums.items()}
--- /dev/null
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -0,0 +1,183 @@
+"""Weighted fair order among teams, by measured slot time over the whole fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..ids import Millis
+from ._level import PoolLevels
+from ._own_use import OwnUse
+from ._sources import UsageSources
+from .frames import UsageFrame
+from .settings import ShareSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Mapping
+
+    from ..ids import Incarnation, PoolName, TeamName
+
+DEFAULT_WEIGHT = 1
+
+
+class FairShares:
+    """Implements ``ports.Shares`` for one entry.
+
+    The team whose smoothed use per weight is lowest goes first. Use counts slots
+    that are held, here and elsewhere, so long tasks and wrong declared sizes gain
+    nothing. In a full pool ``pick`` returns none while a team that waits elsewhere
+    is further behind than every team that waits here; ask again after some
+    milliseconds.
+    """
+
+    def __init__(self, source: Incarnation, cfg: ShareSettings | None = None) -> None:
+        self._source = source
+        self._cfg = cfg or ShareSettings()
+        self._weights: dict[TeamName, int] = {}
+        self._pool_slots: dict[PoolName, int] = {}
+        self._levels: dict[PoolName, PoolLevels] = {}
+        self._own: dict[PoolName, dict[TeamName, OwnUse]] = {}
+        self._running: dict[PoolName, int] = {}
+        self._elsewhere = UsageSources(self._cfg.fresh_ms)
+        self._now_ms = 0
+
+    def set_weights(self, weights: Mapping[TeamName, int]) -> None:
+        """Puts the teams' shares in force."""
+        for team in {*self._weights, *weights}:
+            before = self._weight(team)
+            after = max(1, weights.get(team, DEFAULT_WEIGHT))
+            if before != after:
+                for levels in self._levels.values():
+                    levels.rescale(team, before, after)
+        self._weights = {team: max(1, weight) for team, weight in weights.items()}
+
+    def set_pool_slots(self, pool: PoolName, slots: int) -> None:
+        """Records how many slots the pool has over the fleet.
+
+        Without it entries do not hold back for each other.
+        """
+        self._pool_slots[pool] = slots
+
+    def pick(
+        self, pool: PoolName, waiting: Collection[TeamName], now_ms: Millis
+    ) -> TeamName | None:
+        """Returns the team furthest below its share, or none to hold back."""
+        if not waiting:
+            return None
+        self._advance(now_ms)
+        levels = self._levels_of(pool)
+        best = levels.lowest(waiting, self._now_ms)
+        if best is None or not self._is_full(pool):
+            return best
+        if self._is_behind_elsewhere(pool, best, waiting, levels):
+            return None
+        return best
+
+    def started(self, pool: PoolName, team: TeamName, now_ms: Millis) -> None:
+        """Records that a slot of the pool began to work for the team."""
+        self._advance(now_ms)
+        self._own_use(pool, team).start(self._now_ms)
+        self._running[pool] = self._running.get(pool, 0) + 1
+        self._update(pool, team)
+
+    def ended(self, pool: PoolName, team: TeamName, slot_ms: int) -> None:
+        """Records a slot's measured time when the task is over."""
+        use = self._own_use(pool, team)
+        if use.running:
+            self._running[pool] -= 1
+        use.end(slot_ms)
+        self._update(pool, team)
+
+    def merge(self, frame: UsageFrame, now_ms: Millis) -> None:
+        """Records a frame of another entry or zone; never one of this entry."""
+        if frame.source == self._source:
+            return
+        self._advance(now_ms)
+        self._update_all(self._elsewhere.merge(frame, now_ms))
+
+    def drop_source(self, source: Incarnation, now_ms: Millis) -> None:
+        """Forgets an entry that has ended."""
+        self._advance(now_ms)
+        self._update_all(self._elsewhere.drop(source))
+
+    def frame(
+        self, waiting: Mapping[PoolName, Iterable[TeamName]], now_ms: Millis
+    ) -> UsageFrame:
+        """Returns the next frame for the other entries.
+
+        Args:
+            waiting: Teams of each pool that wait for a slot here and are not held
+                up by their limit.
+            now_ms: Now.
+        """
+        self._advance(now_ms)
+        sums = {pool: self._recent_sums(pool) for pool in self._own}
+        return UsageFrame(
+            source=self._source,
+            at_ms=now_ms,
+            sums={pool: totals for pool, totals in sums.items() if totals},
+            waiting={pool: tuple(teams) for pool, teams in waiting.items()},
+        )
+
+    def _recent_sums(self, pool: PoolName) -> dict[TeamName, int]:
+        oldest_ms = self._now_ms - self._cfg.repeat_ms
+        totals: dict[TeamName, int] = {}
+        for team, use in self._own[pool].items():
+            total = use.total_ms(self._now_ms)
+            if total and use.changed_ms >= oldest_ms:
+                totals[team] = total
+        return totals
+
+    def _is_full(self, pool: PoolName) -> bool:
+        slots = self._pool_slots.get(pool)
+        if not slots or not self._elsewhere.waiting(pool):
+            return False
+        busy = self._running.get(pool, 0) + self._elsewhere.total(pool)
+        return busy >= slots * self._cfg.full_part
+
+    def _is_behind_elsewhere(
+        self,
+        pool: PoolName,
+        best: TeamName,
+        waiting: Collection[TeamName],
+        levels: PoolLevels,
+    ) -> bool:
+        others = self._elsewhere.waiting(pool).difference(waiting)
+        behind = levels.lowest(others, self._now_ms)
+        if behind is None:
+            return False
+        ours = levels.projected(best, self._now_ms)
+        theirs = levels.projected(behind, self._now_ms)
+        allowance = levels.step(self._weight(best))
+        return ours > theirs * (1 + self._cfg.slack) + allowance
+
+    def _advance(self, now_ms: int) -> None:
+        self._now_ms = max(self._now_ms, now_ms)
+        changed = self._elsewhere.forget_silent(Millis(self._now_ms))
+        if changed:
+            self._update_all(changed)
+
+    def _update_all(self, changed: Iterable[tuple[PoolName, TeamName]]) -> None:
+        for pool, team in changed:
+            self._update(pool, team)
+
+    def _update(self, pool: PoolName, team: TeamName) -> None:
+        own = self._own.get(pool, {}).get(team)
+        slots = self._elsewhere.slots(pool, team) + (own.running if own else 0)
+        levels = self._levels_of(pool)
+        levels.set_slots(team, slots, self._weight(team), self._now_ms)
+
+    def _weight(self, team: TeamName) -> int:
+        return self._weights.get(team, DEFAULT_WEIGHT)
+
+    def _levels_of(self, pool: PoolName) -> PoolLevels:
+        levels = self._levels.get(pool)
+        if levels is None:
+            levels = self._levels[pool] = PoolLevels(
+                horizon_ms=self._cfg.horizon_ms,
+                lookahead_ms=self._cfg.lookahead_ms,
+                now_ms=self._now_ms,
+            )
+        return levels
+
+    def _own_use(self, pool: PoolName, team: TeamName) -> OwnUse:
+        return self._own.setdefault(pool, {}).setdefault(team, OwnUse())
