--- /dev/null
+++ b/src/amaranthtray/demo/one_entry.py
@@ -0,0 +1,112 @@
+"""One entry with its own platform stand-in, configured for a single pool."""
+
+from __future__ import annotations
+
+import uuid
+
+import msgspec
+
+from ..cli.client import AdminClient
+from ..domain.configuration import PlaceHosts, Pool, PutPool, PutQueue, Queue
+from ..domain.configuration.model import EMPTY_REVISION
+from ..domain.ids import (
+    HostId,
+    OperationId,
+    PoolName,
+    QueueName,
+    RackId,
+    RegionId,
+    ZoneId,
+)
+from ..domain.inventory import Host
+from ..domain.keys import mint_key
+from ..entry.clock import now_ms
+from ..entry.entry import Entry
+from ..platform.memory import MemoryPlatform
+from ..settings import BootstrapSettings, EntrySettings, PlatformSettings, Settings
+from ..standins.platform import PlatformStandIn
+
+QUEUE = QueueName("echo")
+POOL = PoolName("echo")
+HOST = HostId("h1")
+ZONE = ZoneId("z1")
+REGION = RegionId("r1")
+ADMIN_TIMEOUT_MS = 5_000
+
+
+class OneEntry:
+    """Runs the entry and configures one open queue in front of one host.
+
+    Args:
+        backend_port: TCP port of the backend server.
+        slots: Slots of the backend server.
+        threads: Threads of the entry.
+    """
+
+    def __init__(self, backend_port: int, *, slots: int, threads: int) -> None:
+        self._memory = MemoryPlatform(now_ms)
+        self._platform = PlatformStandIn(self._memory.client("z1", waits=True))
+        self._operator = mint_key(EMPTY_REVISION)
+        self._host = Host(
+            host_id=HOST,
+            zone=ZONE,
+            rack=RackId("k1"),
+            region=REGION,
+            port=backend_port,
+            slots=slots,
+        )
+        self._threads = threads
+        self._entry: Entry | None = None
+
+    @property
+    def caller_port(self) -> int:
+        """Returns the port that callers use."""
+        return self._running.ports.caller
+
+    def start(self) -> None:
+        """Starts the entry and configures it."""
+        self._platform.start()
+        key = f"hosts/{HOST}"
+        self._memory.client("platform").create(key, msgspec.json.encode(self._host))
+        self._entry = Entry(self._settings())
+        self._entry.start()
+        self._configure()
+
+    def stop(self) -> None:
+        """Stops the entry and its platform."""
+        self._running.stop()
+        self._platform.stop()
+
+    @property
+    def _running(self) -> Entry:
+        if self._entry is None:
+            raise RuntimeError("the entry has not been started")
+        return self._entry
+
+    def _configure(self) -> None:
+        url = f"http://127.0.0.1:{self._running.ports.admin}"
+        admin = AdminClient([url], self._operator.text, timeout_ms=ADMIN_TIMEOUT_MS)
+        changes = (
+            PutPool(Pool(POOL, "pool=echo")),
+            PutQueue(Queue(QUEUE, POOL, is_open=True)),
+            PlaceHosts({HOST: POOL}),
+        )
+        admin.commit(changes, op_id=OperationId(uuid.uuid4().hex)).unwrap()
+
+    def _settings(self) -> Settings:
+        return Settings(
+            entry=EntrySettings(
+                id="e1",
+                zone=ZONE,
+                region=REGION,
+                address="127.0.0.1",
+                caller_port=0,
+                admin_port=0,
+                peer_port=0,
+                threads=self._threads,
+                patient_threads=self._threads // 2,
+                balancer_drain_ms=0,
+            ),
+            platform=PlatformSettings(endpoints=[self._platform.url]),
+            bootstrap=BootstrapSettings(operator_digest=self._operator.digest),
+        )
--- a/src/amaranthtray/standins/backend.py
+++ b/src/amaranthtray/standins/backend.py
@@ -76,6 +76,7 @@
         slots: Tasks run at once; more are refused as not started.
         threads: Threads that serve connections.
         work: What a task does.
+        keeps_runs: Whether ended runs are kept for an observer.
         port: TCP port; 0 takes a free one.
     """
 
@@ -86,11 +87,13 @@
         slots: int = 8,
         threads: int = 16,
         work: Callable[[Run, bytes], Answer] = echo,
+        keeps_runs: bool = True,
         port: int = 0,
     ) -> None:
         self.host_id = host_id
         self.slots = slots
         self.work = work
+        self._keeps_runs = keeps_runs
         self.plan = FaultPlan()
         self.state = RunState.LIVE
         self.runs: list[Run] = []
@@ -130,7 +133,8 @@
             if len(self._running) >= self.slots:
                 return wire.REFUSED_BUSY
             self._running[run.attempt_id] = run
-            self.runs.append(run)
+            if self._keeps_runs:
+                self.runs.append(run)
             return None
 
     def end(self, run: Run) -> None:
