Bound what callers may send: whole bodies, sizes, trickling senders

Cause: a body that ended before its Content-Length was run as if whole, a malformed chunk gave a 500, and a sender of single bytes held a thread for ever. Ruled out: cheroot's own timeout, which restarts with each byte.

--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -41,9 +41,17 @@
         backend_port: TCP port of the backend server.
         slots: Slots of the backend server.
         threads: Threads of the entry.
+        read_timeout_ms: Longest wait for bytes of a caller.
     """
 
-    def __init__(self, backend_port: int, *, slots: int, threads: int) -> None:
+    def __init__(
+        self,
+        backend_port: int,
+        *,
+        slots: int = 8,
+        threads: int = 16,
+        read_timeout_ms: int = 10_000,
+    ) -> None:
         self._memory = MemoryPlatform(now_ms)
         self._platform = PlatformStandIn(self._memory.client("z1", waits=True))
         self._operator = mint_key(EMPTY_REVISION)
@@ -56,6 +64,7 @@
             slots=slots,
         )
         self._threads = threads
+        self._read_timeout_ms = read_timeout_ms
         self._entry: Entry | None = None
 
     @property
@@ -77,6 +86,16 @@
         self._running.stop()
         self._platform.stop()
 
+    @property
+    def entry(self) -> Entry:
+        """Returns the entry, once it has been started."""
+        return self._running
+
+    @property
+    def platform(self) -> PlatformStandIn:
+        """Returns the platform stand-in of the entry."""
+        return self._platform
+
     @property
     def _running(self) -> Entry:
         if self._entry is None:
@@ -105,6 +124,7 @@
                 peer_port=0,
                 threads=self._threads,
                 patient_threads=self._threads // 2,
+                read_timeout_ms=self._read_timeout_ms,
                 balancer_drain_ms=0,
             ),
             platform=PlatformSettings(endpoints=[self._platform.url]),
--- a/src/amaranthtray/entry/caller_api.py
+++ b/src/amaranthtray/entry/caller_api.py
@@ -30,7 +30,7 @@
     def __init__(
         self, service: CallerService, readiness: Readiness, *, max_body_bytes: int
     ) -> None:
-        self.v1 = _Version1(service, max_body_bytes)
+        self.v1 = _Version1(service, readiness, max_body_bytes)
         self._readiness = readiness
 
     @web.exposed
@@ -46,8 +46,11 @@
 
 
 class _Version1:
-    def __init__(self, service: CallerService, max_body_bytes: int) -> None:
+    def __init__(
+        self, service: CallerService, readiness: Readiness, max_body_bytes: int
+    ) -> None:
         self._service = service
+        self._readiness = readiness
         self._max_body_bytes = max_body_bytes
 
     @web.exposed
@@ -58,7 +61,10 @@
         _require_length()
         body = web.read_body(self._max_body_bytes)
         head = cherrypy.request.headers
-        return _send(self._service.submit(queue, head, body, bearer()))
+        reply = self._service.submit(queue, head, body, bearer())
+        if not self._readiness.is_ready:
+            web.close_after_reply()
+        return _send(reply)
 
     @web.exposed
     def requests(self, request_id: str = "") -> bytes:
--- a/src/amaranthtray/standins/platform.py
+++ b/src/amaranthtray/standins/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import threading
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +46,7 @@
     def __init__(self, store: Store, *, threads: int = 32, port: int = 0) -> None:
         self.plan = FaultPlan()
         self.calls = 0
+        self.stopping = threading.Event()
         self._web = web.WebServer(
             _Root(self, store),
             threads=threads,
@@ -64,6 +66,7 @@
     def stop(self) -> None:
         """Stops the listener."""
         self.plan.heal()
+        self.stopping.set()
         self._web.stop()
 
 
@@ -161,7 +164,7 @@
         prefix = _decoded(request["key"])
         end = time.monotonic() + WATCH_LIFE_S
         yield _line({"created": True})
-        while time.monotonic() < end and not self._listener.plan.current.cut:
+        while time.monotonic() < end and self._is_connected():
             batch = self._store.watch(
                 prefix, after_version=after, timeout_ms=WATCH_SLICE_MS
             )
@@ -177,6 +180,10 @@
                 case _:
                     return
 
+    def _is_connected(self) -> bool:
+        listener = self._listener
+        return not (listener.plan.current.cut or listener.stopping.is_set())
+
 
 def _must(result: Result[Any, StoreFailure]) -> Any:
     match result:
--- /dev/null
+++ b/src/amaranthtray/web/__init__.py
@@ -0,0 +1,16 @@
+"""HTTP servers: a CherryPy application on a server of its own."""
+
+from __future__ import annotations
+
+from .bodies import json_body, read_body, require
+from .server import WebServer, break_connection, close_after_reply, exposed
+
+__all__ = [
+    "WebServer",
+    "break_connection",
+    "close_after_reply",
+    "exposed",
+    "json_body",
+    "read_body",
+    "require",
+]
--- a/src/amaranthtray/web.py
+++ b/src/amaranthtray/web/server.py
@@ -9,16 +9,22 @@
 
 import cherrypy
 import msgspec
+from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from .senders import SENDERS_KEY, SOCKET_KEY, SlowSenders
+
 JSON_TYPE = "application/json"
 SHUTDOWN_TIMEOUT_S = 1
-SOCKET_KEY = "amaranthtray.socket"
+QUEUE_WAIT_S = 0.01
+KEPT_CONNECTIONS = 1_024
 
 F = TypeVar("F", bound=Callable[..., Any])
 
 _SERVER: Any = wsgi.Server
 _GATEWAY: Any = wsgi.Gateway_10
+_REQUEST: Any = cheroot_server.HTTPRequest
+_CONNECTION: Any = cheroot_server.HTTPConnection
 
 
 class WebServer:
@@ -28,10 +34,12 @@
         root: The object that CherryPy dispatches to.
         host: IP address to listen on.
         port: TCP port; 0 takes a free one.
-        threads: Threads that serve requests.
+        threads: Threads that serve requests; as many again may wait for one, and
+            further ones are refused with 503 at once.
         max_body_bytes: Larger bodies are refused with 413.
         max_header_bytes: Larger heads are refused with 413.
-        read_timeout_ms: Longest silence of a sender in the midst of a request.
+        read_timeout_ms: Longest silence in the midst of a request, and longest time
+            for a head.
         backlog: Connections that may wait to be accepted.
     """
 
@@ -47,22 +55,24 @@
         read_timeout_ms: int = 10_000,
         backlog: int = 256,
     ) -> None:
-        app = cherrypy.Application(root, "", {"/": _app_config()})
-        app.log.screen = False
-        app.log.access_log.propagate = False
-        app.log.error_log.propagate = False
+        self.senders = SlowSenders(read_timeout_ms / 1_000)
         self._server: Any = _SERVER(
             (host, port),
-            app,
+            _application(root),
             numthreads=threads,
             max=threads,
             request_queue_size=backlog,
             timeout=read_timeout_ms / 1_000,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            accepted_queue_size=threads,
+            accepted_queue_timeout=QUEUE_WAIT_S,
         )
         self._server.max_request_body_size = max_body_bytes
         self._server.max_request_header_size = max_header_bytes
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._server.gateway = _SocketGateway
+        self._server.ConnectionClass = _TimedConnection
+        self._server.senders = self.senders
         self._server.error_log = _ignore_server_log
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
@@ -74,22 +84,40 @@
 
     def start(self) -> None:
         """Binds the address and serves from a thread of its own."""
+        self.senders.start()
         self._server.prepare()
         self._thread.start()
 
     def stop(self) -> None:
-        """Stops accepting, ends idle connections and waits for the thread."""
+        """Stops accepting, ends idle connections and lets replies be written."""
         self._server.stop()
+        self.senders.stop()
         self._thread.join(timeout=5)
 
 
+class _TimedRequest(_REQUEST):  # type: ignore[misc]
+    """A request whose head must arrive in time."""
+
+    def parse_request(self) -> None:
+        """Reads the head."""
+        with self.server.senders.bounded_head(self.conn.socket):
+            super().parse_request()
+
+
+class _TimedConnection(_CONNECTION):  # type: ignore[misc]
+    """A connection of timed requests."""
+
+    RequestHandlerClass = _TimedRequest
+
+
 class _SocketGateway(_GATEWAY):  # type: ignore[misc]
-    """Adds the caller's socket to the request, so that it can be broken on purpose."""
+    """Adds to the request what bounds its body and can break its connection."""
 
     def get_environ(self) -> dict[str, Any]:
         """Returns the WSGI environment with the socket."""
         env: dict[str, Any] = super().get_environ()
         env[SOCKET_KEY] = self.req.conn.socket
+        env[SENDERS_KEY] = self.req.server.senders
         return env
 
 
@@ -105,33 +133,17 @@
     sock.shutdown(socket.SHUT_RDWR)
 
 
-def json_body(payload: object, *, status: int = 200) -> bytes:
-    """Sets status and content type of the current response and returns its body."""
-    cherrypy.response.status = status
-    cherrypy.response.headers["Content-Type"] = JSON_TYPE
-    return msgspec.json.encode(payload)
-
+def close_after_reply() -> None:
+    """Ends the connection after the current reply, which is sent whole."""
+    cherrypy.response.headers["Connection"] = "close"
 
-def require(holds: bool, status: int, message: str) -> None:
-    """Ends the current request with an error unless ``holds``.
-
-    Raises:
-        cherrypy.HTTPError: ``holds`` is false.
-    """
-    if not holds:
-        raise cherrypy.HTTPError(status, message)
 
-
-def read_body(limit_bytes: int) -> bytes:
-    """Reads the body of the current request.
-
-    Raises:
-        cherrypy.HTTPError: 413 when it is longer than ``limit_bytes``.
-    """
-    body: bytes = cherrypy.request.rfile.read(limit_bytes + 1)
-    if len(body) > limit_bytes:
-        raise cherrypy.HTTPError(413, f"send at most {limit_bytes} bytes")
-    return body
+def _application(root: object) -> Any:
+    app = cherrypy.Application(root, "", {"/": _app_config()})
+    app.log.screen = False
+    app.log.access_log.propagate = False
+    app.log.error_log.propagate = False
+    return app
 
 
 def _app_config() -> dict[str, Any]:
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,27 @@
+"""A running entry in front of one backend server, both on loopback."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from amaranthtray.demo.one_entry import OneEntry
+from amaranthtray.standins.backend import BackendStandIn
+from raw_http import Running
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+READ_TIMEOUT_MS = 400
+
+
+@pytest.fixture(scope="module")
+def running() -> Iterator[Running]:
+    backend = BackendStandIn("h1")
+    backend.start()
+    one = OneEntry(backend.port, read_timeout_ms=READ_TIMEOUT_MS)
+    one.start()
+    yield Running(one, backend)
+    one.stop()
+    backend.stop()
