--- /dev/null
+++ b/src/amaranthtray/bench/_waves_fleet.py
@@ -0,0 +1,217 @@
+"""The true state of hosts, ledgers and configuration, with an observer on it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from ..domain.budgets import Ledger, Stage
+from ..domain.ids import HostId, PoolName, Revision, WaveName
+from ..domain.invariants import BudgetSet, HostBack, HostPlaced, OutCause, Watchdog
+from ..domain.placement import PoolView, pool_views
+from ..domain.waves import CommitMoves, DrainHost, RebootHost, ReturnHost
+from ._waves_hosts import HostStandIn
+from ._waves_store import LedgerStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..domain.configuration import Configuration
+    from ..domain.ids import OperationId
+    from ..domain.inventory import Host
+    from ..domain.waves import Fence
+    from ._waves_clock import VirtualClock
+    from ._waves_hosts import HostReport
+
+Order = DrainHost | RebootHost | ReturnHost | CommitMoves
+
+
+@dataclass(frozen=True, slots=True)
+class Durations:
+    """How long a host takes to drain and to reboot; none never comes back."""
+
+    drain_ms: int
+    reboot_ms: int | None
+
+
+class Fleet:
+    """Hosts, ledgers and the configuration as they really are.
+
+    Attributes:
+        cfg: The configuration.
+        listed: Hosts in the platform's list.
+        hosts: All hosts.
+        ledgers: The latest ledger of each pool.
+        failed: Hosts that are out by themselves, and why.
+        faults: Broken promises that the checkers of the package do not cover.
+        moves: Hosts moved by the conductors.
+        out_ms: Host-milliseconds that ended entries of the ledgers lasted.
+        on_report: Takes what hosts report.
+        on_views: Called after each change of the configuration or of the list.
+        on_health: Takes hosts that fail or recover.
+    """
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        cfg: Configuration,
+        hosts: Iterable[Host],
+        durations: dict[HostId, Durations],
+    ) -> None:
+        self.clock = clock
+        self.cfg = cfg
+        self.listed = {host.host_id: host for host in hosts}
+        self.watchdog = Watchdog()
+        self.store = LedgerStore(self.watchdog, self._ledger_changed)
+        self.ledgers: dict[PoolName, Ledger] = {}
+        self.failed: dict[HostId, OutCause] = {}
+        self.faults: list[str] = []
+        self.moves = 0
+        self.out_ms = 0
+        self.reboots: Counter[tuple[WaveName, HostId]] = Counter()
+        self.on_report: Callable[[HostReport], None] = lambda _report: None
+        self.on_views: Callable[[], None] = lambda: None
+        self.on_health: Callable[[HostId, OutCause | None], None] = lambda *_: None
+        self._records: set[OperationId] = set()
+        self.hosts = {
+            host: HostStandIn(
+                host, took.drain_ms, took.reboot_ms, clock.after, self._report
+            )
+            for host, took in durations.items()
+        }
+        for pool in cfg.pools.values():
+            self.bind_budget(pool.name, pool.budget.max_out)
+        self.views = self._look()
+
+    def change(self, cfg: Configuration) -> None:
+        """Commits a configuration; a larger budget binds at once."""
+        before = self.cfg
+        self.cfg = replace(cfg, revision=Revision(before.revision + 1))
+        for pool in self.cfg.pools.values():
+            old = before.pools.get(pool.name)
+            if old is None or pool.budget.max_out > old.budget.max_out:
+                self.bind_budget(pool.name, pool.budget.max_out)
+        self.list_again()
+
+    def list_again(self) -> None:
+        """Shows the configuration and the platform's list as they are now."""
+        self.views = self._look()
+        for host in self.listed:
+            pools = tuple(
+                pool for pool, view in self.views.items() if host in view.members
+            )
+            self.watchdog.observe(HostPlaced(self.clock.now_ms, host, pools))
+        self.on_views()
+
+    def bind_budget(self, pool: PoolName, max_out: int) -> None:
+        """Tells the observer which budget binds from now on."""
+        self.watchdog.observe(BudgetSet(self.clock.now_ms, pool, max_out))
+
+    def _look(self) -> dict[PoolName, PoolView]:
+        done = {
+            pool: {name: log.done for name, log in ledger.waves.items()}
+            for pool, ledger in self.ledgers.items()
+        }
+        return pool_views(self.cfg, self.listed.values(), done=done)
+
+    def fail(self, host: HostId, cause: OutCause, length_ms: int) -> None:
+        """Takes a host out by itself for a while."""
+        if host in self.failed:
+            return
+        self.failed[host] = cause
+        if cause is OutCause.FAILED:
+            self.hosts[host].is_up = False
+        self.on_health(host, cause)
+        self.clock.after(length_ms, lambda: self._recover(host))
+
+    def _recover(self, host: HostId) -> None:
+        del self.failed[host]
+        self.hosts[host].is_up = not self.hosts[host].is_rebooting
+        self.on_health(host, None)
+
+    def obey(self, order: Order) -> None:
+        """Carries an order out, however late it comes."""
+        match order:
+            case DrainHost(host, fence):
+                self._drain(host, fence)
+            case RebootHost(host, fence):
+                self._reboot(host, fence)
+            case ReturnHost(host, fence):
+                self.hosts[host].give_back(fence)
+                self._check_back(host)
+            case CommitMoves():
+                self._commit(order)
+
+    def _drain(self, host: HostId, fence: Fence) -> None:
+        stand_in = self.hosts[host]
+        was_serving = stand_in.is_serving
+        stand_in.drain(fence)
+        if was_serving and not stand_in.is_serving and not self._is_listed(host):
+            self.faults.append(f"{host} drained while no ledger lists it")
+
+    def _reboot(self, host: HostId, fence: Fence) -> None:
+        stand_in = self.hosts[host]
+        before = len(stand_in.rebooted)
+        stand_in.reboot(fence)
+        if len(stand_in.rebooted) == before:
+            return
+        out = self.ledgers[fence.pool].out.get(host)
+        if out is None or out.wave is None or out.stage is not Stage.REBOOTING:
+            self.faults.append(f"{host} rebooted while the ledger does not say so")
+            return
+        self.reboots[out.wave, host] += 1
+        if self.reboots[out.wave, host] > 1:
+            self.faults.append(f"{host} rebooted again by {out.wave}")
+
+    def _commit(self, order: CommitMoves) -> None:
+        if order.fence.op_id in self._records:
+            return
+        if any(self.cfg.pool_of(host) != order.source for host in order.moves):
+            return
+        self._records.add(order.fence.op_id)
+        for host in order.moves:
+            self._check_move(host, order.source)
+        self.change(replace(self.cfg, placement={**self.cfg.placement, **order.moves}))
+        for host in order.moves:
+            self.watchdog.observe(HostBack(self.clock.now_ms, host))
+
+    def _check_move(self, host: HostId, source: PoolName) -> None:
+        out = self.ledgers[source].out.get(host)
+        if out is None or out.stage is not Stage.PLACING:
+            self.faults.append(f"{host} moved while the ledger does not say so")
+        elif out.cause is OutCause.MOVING:
+            self.moves += 1
+            if not self.hosts[host].is_empty and self.hosts[host].is_up:
+                self.faults.append(f"{host} moved undrained")
+
+    def _report(self, report: HostReport) -> None:
+        stand_in = self.hosts[report.host]
+        self.faults.extend(stand_in.faults)
+        stand_in.faults.clear()
+        self._check_back(report.host)
+        self.on_report(report)
+
+    def _ledger_changed(self, old: Ledger, new: Ledger) -> None:
+        self.ledgers[new.pool] = new
+        for host, out in old.out.items():
+            if host not in new.out:
+                self.out_ms += self.clock.now_ms - out.since_ms
+                self._check_back(host)
+
+    def _is_listed(self, host: HostId) -> bool:
+        return any(host in ledger.out for ledger in self.ledgers.values())
+
+    def _check_back(self, host: HostId) -> None:
+        if self.hosts[host].is_serving and not self._is_listed(host):
+            self.watchdog.observe(HostBack(self.clock.now_ms, host))
+
+    def done(self, wave: WaveName) -> set[HostId]:
+        """Returns the hosts that a wave has maintained."""
+        logs = (ledger.wave_log(wave) for ledger in self.ledgers.values())
+        return {host for log in logs for host in log.done}
+
+    def broken(self) -> list[str]:
+        """Returns every promise that was broken so far."""
+        seen = [f"{item.promise}: {item.detail}" for item in self.watchdog.violations]
+        return seen + self.faults + self.store.faults
--- a/src/amaranthtray/domain/budgets/__init__.py
+++ b/src/amaranthtray/domain/budgets/__init__.py
@@ -21,6 +21,7 @@
     allowed_out,
     count_out,
     excess,
+    place,
     stamp,
     try_take_out,
 )
@@ -46,6 +47,7 @@
     "encode",
     "excess",
     "ledger_key",
+    "place",
     "stamp",
     "try_take_out",
 ]
--- a/src/amaranthtray/domain/budgets/codec.py
+++ b/src/amaranthtray/domain/budgets/codec.py
@@ -45,6 +45,7 @@
     op_id: str
     wave: str | None = None
     target: str | None = None
+    record_op: str | None = None
 
 
 class _WaveWire(msgspec.Struct, array_like=True, frozen=True):
@@ -117,6 +118,7 @@
         op_id=out.op_id,
         wave=out.wave,
         target=out.target,
+        record_op=out.record_op,
     )
 
 
@@ -147,6 +149,7 @@
         op_id=OperationId(wire.op_id),
         wave=None if wire.wave is None else WaveName(wire.wave),
         target=None if wire.target is None else PoolName(wire.target),
+        record_op=None if wire.record_op is None else OperationId(wire.record_op),
     )
 
 
--- a/src/amaranthtray/domain/budgets/model.py
+++ b/src/amaranthtray/domain/budgets/model.py
@@ -30,16 +30,18 @@
 
 
 class Stage(StrEnum):
-    """How far the way of a host out of its pool has gone.
+    """How far the way of a host out of service and back has gone.
 
     ``DRAINING`` is the only stage that can be revoked: a reboot may have been
-    ordered, or a move committed, as soon as the ledger says the next stage.
+    ordered, or a move committed, as soon as the ledger says so. A host that is
+    ``RETURNING`` counts as out until it says itself that it takes work again.
     """
 
     DRAINING = "draining"
     REBOOTING = "rebooting"
     PLACING = "placing"
     OUT = "out"
+    RETURNING = "returning"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,7 @@
         since_ms: Wall-clock time when it entered.
         term: Fencing term of the conductor that entered it.
         op_id: Operation that all orders to the host carry.
+        record_op: Operation of the configuration record that moves it.
         wave: Wave that maintains it, if one does.
         target: Pool that it moves to, if it moves.
     """
@@ -74,12 +77,18 @@
     op_id: OperationId
     wave: WaveName | None = None
     target: PoolName | None = None
+    record_op: OperationId | None = None
 
     @property
     def is_revocable(self) -> bool:
-        """Returns whether the host can still be given back at once."""
+        """Returns whether the host's drain can still be cancelled."""
         return self.stage is Stage.DRAINING
 
+    @property
+    def is_withheld(self) -> bool:
+        """Returns whether we keep new work from the host."""
+        return self.cause.is_voluntary and self.stage is not Stage.RETURNING
+
 
 @dataclass(frozen=True, slots=True)
 class WaveLog:
@@ -139,9 +148,7 @@
 
     def withheld_hosts(self) -> frozenset[HostId]:
         """Returns the hosts that must get no new work because we take them out."""
-        return frozenset(
-            host for host, out in self.out.items() if out.cause.is_voluntary
-        )
+        return frozenset(host for host, out in self.out.items() if out.is_withheld)
 
 
 def budget_of(cfg: Configuration, pool: PoolName) -> Budget:
--- a/src/amaranthtray/domain/budgets/rules.py
+++ b/src/amaranthtray/domain/budgets/rules.py
@@ -137,8 +137,9 @@
 ) -> Ledger:
     """Enters a host that failed, was ejected or is unknown; this always succeeds.
 
-    A host that was draining is out by that cause from now on. One past the point of
-    no return stays as it is: to be silent is what a rebooting host does.
+    A host that was draining is out by that cause from now on, and keeps its
+    operation, so that its drain is ended before it counts as back. One past the
+    point of no return stays as it is: to be silent is what a rebooting host does.
     """
     known = ledger.out.get(location.host)
     if known is None:
@@ -146,18 +147,10 @@
             location, order.cause, Stage.OUT, now_ms, order.term, order.op_id
         )
         return ledger.with_host(entry)
-    if known.stage in (Stage.REBOOTING, Stage.PLACING) or known.cause is order.cause:
+    if known.stage in (Stage.REBOOTING, Stage.PLACING):
         return ledger
-    entry = replace(
-        known,
-        cause=order.cause,
-        stage=Stage.OUT,
-        term=order.term,
-        op_id=order.op_id,
-        wave=None,
-        target=None,
-    )
-    return ledger.with_host(entry)
+    entry = replace(known, cause=order.cause, stage=Stage.OUT, wave=None, target=None)
+    return ledger if entry == known else ledger.with_host(entry)
 
 
 def excess(ledger: Ledger, budget: Budget, size: int) -> tuple[HostId, ...]:
@@ -187,9 +180,18 @@
     return tuple(cancelled)
 
 
-def advance(ledger: Ledger, host: HostId, stage: Stage, op_id: OperationId) -> Ledger:
-    """Takes a drained host past the point of no return."""
-    return ledger.with_host(replace(ledger.out[host], stage=stage, op_id=op_id))
+def advance(ledger: Ledger, host: HostId, stage: Stage) -> Ledger:
+    """Takes a host that is out to another stage."""
+    return ledger.with_host(replace(ledger.out[host], stage=stage))
+
+
+def place(
+    ledger: Ledger, host: HostId, target: PoolName, record_op: OperationId
+) -> Ledger:
+    """Takes a host to the point where one configuration record moves it."""
+    out = ledger.out[host]
+    placing = replace(out, stage=Stage.PLACING, target=target, record_op=record_op)
+    return ledger.with_host(placing)
 
 
 def stamp(
--- a/src/amaranthtray/domain/placement/view.py
+++ b/src/amaranthtray/domain/placement/view.py
@@ -100,7 +100,10 @@
     names: dict[PoolName, set[HostId]] = defaultdict(set)
     for host_id in cfg.placement.keys() | known.keys():
         names[cfg.pool_of(host_id)].add(host_id)
-    return {pool: _view(cfg, pool, names[pool], known, done or {}) for pool in wanted}
+    return {
+        pool: _view(cfg, pool, names[pool], known, done or {})
+        for pool in sorted(wanted)
+    }
 
 
 def _view(
@@ -121,7 +124,7 @@
         )
         for host in present
     }
-    for name in names:
+    for name in sorted(names):
         if name not in known:
             location = Location(name, NO_ZONE, NO_RACK)
             members[name] = Member(location, pool, is_missing=True)
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..budgets.model import Stage
-from ..budgets.rules import advance, count_out, excess
+from ..budgets.rules import advance, count_out, excess, place
 from ..configuration.model import SPARE_POOL, WaveAction, WaveState
 from ..invariants.observations import OutCause
 from ._candidates import start_moves, start_waves
@@ -25,7 +25,8 @@
     weighed against what is known to be out.
     """
     steps = (
-        _drop_departed,
+        _drop_returned,
+        _release_departed,
         _finish_reboots,
         _release_recovered,
         _count_failures,
@@ -43,21 +44,39 @@
     return ledger
 
 
-def _drop_departed(ledger: Ledger, now: Situation) -> Ledger:
-    """Removes hosts that the configuration has placed in another pool."""
-    gone = [host for host in ledger.out if now.view.pool_of(host) != ledger.pool]
-    return ledger.without(*gone) if gone else ledger
+def _drop_returned(ledger: Ledger, now: Situation) -> Ledger:
+    back = [
+        host
+        for host, out in ledger.out.items()
+        if out.stage is Stage.RETURNING and now.is_returned(out)
+    ]
+    return ledger.without(*back) if back else ledger
+
+
+def _release_departed(ledger: Ledger, now: Situation) -> Ledger:
+    """Returns hosts that the configuration has placed in another pool.
+
+    They are kept until they take work there, so that a new holder sees to it.
+    """
+    for host, out in ledger.out.items():
+        if now.view.pool_of(host) == ledger.pool or out.stage is Stage.REBOOTING:
+            continue
+        is_late = now.wall_ms - out.since_ms >= now.settings.forget_after_ms
+        if is_late or not out.cause.is_voluntary:
+            ledger = ledger.without(host)
+        elif out.stage is not Stage.RETURNING:
+            ledger = advance(ledger, host, Stage.RETURNING)
+    return ledger
 
 
 def _finish_reboots(ledger: Ledger, now: Situation) -> Ledger:
     for host, out in ledger.out.items():
         if out.stage is Stage.REBOOTING and now.is_back(out):
-            ledger = _finish(ledger, host, out, now)
+            ledger = _log_done(ledger, host, out, now).without(host)
     return ledger
 
 
-def _finish(ledger: Ledger, host: HostId, out: OutHost, now: Situation) -> Ledger:
-    ledger = ledger.without(host)
+def _log_done(ledger: Ledger, host: HostId, out: OutHost, now: Situation) -> Ledger:
     if out.wave is None:
         return ledger
     log = ledger.wave_log(out.wave)
@@ -67,16 +86,11 @@
 
 
 def _release_recovered(ledger: Ledger, now: Situation) -> Ledger:
-    well = [
-        host
-        for host, out in ledger.out.items()
-        if out.stage is Stage.OUT and _is_well(host, ledger, now)
-    ]
-    return ledger.without(*well) if well else ledger
-
-
-def _is_well(host: HostId, ledger: Ledger, now: Situation) -> bool:
-    return host in now.view.members and now.cause_of(host) is None
+    for host, out in ledger.out.items():
+        is_listed = host in now.view.members
+        if out.stage is Stage.OUT and is_listed and now.cause_of(host) is None:
+            ledger = advance(ledger, host, Stage.RETURNING)
+    return ledger
 
 
 def _count_failures(ledger: Ledger, now: Situation) -> Ledger:
@@ -92,8 +106,8 @@
 def _revoke_needless(ledger: Ledger, now: Situation) -> Ledger:
     """Returns hosts whose wave was aborted, or whose move is wanted no more."""
     for host, out in ledger.out.items():
-        if out.op_id in now.refused and out.stage is Stage.PLACING:
-            ledger = ledger.without(host)
+        if out.record_op in now.refused and out.stage is Stage.PLACING:
+            ledger = advance(ledger, host, Stage.RETURNING)
         elif out.is_revocable:
             ledger = _revoke_one(ledger, host, out, now)
     return ledger
@@ -103,18 +117,19 @@
     if out.wave is not None:
         task = now.view.waves.get(out.wave)
         is_wanted = task is not None and is_open(task) and host in task.ranks
-        return ledger if is_wanted else ledger.without(host)
+        return ledger if is_wanted else advance(ledger, host, Stage.RETURNING)
     member = now.view.members.get(host)
     if member is None or member.desired == ledger.pool:
-        return ledger.without(host)
+        return advance(ledger, host, Stage.RETURNING)
     if member.desired == out.target:
         return ledger
     return ledger.with_host(replace(out, target=member.desired))
 
 
 def _shed_excess(ledger: Ledger, now: Situation) -> Ledger:
-    cancelled = excess(ledger, now.view.budget, now.size)
-    return ledger.without(*cancelled) if cancelled else ledger
+    for host in excess(ledger, now.view.budget, now.size):
+        ledger = advance(ledger, host, Stage.RETURNING)
+    return ledger
 
 
 def _advance_drained(ledger: Ledger, now: Situation) -> Ledger:
@@ -122,11 +137,12 @@
         if not out.is_revocable or not now.is_drained(out):
             continue
         if out.target is not None:
-            ledger = advance(ledger, host, Stage.PLACING, now.op_id)
+            ledger = place(ledger, host, out.target, now.op_id)
         elif _action(out, now) is WaveAction.REBOOT:
-            ledger = advance(ledger, host, Stage.REBOOTING, out.op_id)
+            ledger = advance(ledger, host, Stage.REBOOTING)
         else:
-            ledger = _finish(ledger, host, out, now)
+            ledger = _log_done(ledger, host, out, now)
+            ledger = advance(ledger, host, Stage.RETURNING)
     return ledger
 
 
@@ -141,12 +157,12 @@
         if not _is_lost(host, out, now):
             continue
         if out.stage is Stage.REBOOTING:
-            ledger = _finish(ledger, host, out, now)
+            ledger = _log_done(ledger, host, out, now)
         if ledger.pool == SPARE_POOL:
             ledger = ledger.without(host)
         else:
-            leaving = replace(out, target=SPARE_POOL, op_id=now.op_id)
-            ledger = ledger.with_host(replace(leaving, stage=Stage.PLACING))
+            lost = replace(out, cause=OutCause.UNKNOWN, wave=None)
+            ledger = place(ledger.with_host(lost), host, SPARE_POOL, now.op_id)
     return ledger
 
 
@@ -173,7 +189,7 @@
         others = set(waiting_hosts(ledger, now.view, task)) - log.deferred
         if host in log.deferred or not others:
             continue
-        ledger = ledger.without(host)
+        ledger = advance(ledger, host, Stage.RETURNING)
         log = replace(log, deferred=log.deferred | {host})
         ledger = ledger.with_log(out.wave, log)
     return ledger
--- a/src/amaranthtray/domain/waves/_situation.py
+++ b/src/amaranthtray/domain/waves/_situation.py
@@ -30,6 +30,7 @@
         health: Hosts that are not healthy, and why.
         drained: Drain operations that ended.
         back: Reboot operations that ended.
+        returned: Return operations that ended.
         refused: Move operations that the configuration log refused.
     """
 
@@ -41,6 +42,7 @@
     health: dict[HostId, OutCause]
     drained: frozenset[tuple[HostId, OperationId]]
     back: frozenset[tuple[HostId, OperationId]]
+    returned: frozenset[tuple[HostId, OperationId]]
     refused: frozenset[OperationId]
 
     @property
@@ -73,6 +75,10 @@
         """Returns whether the host's own reboot has ended."""
         return (out.location.host, out.op_id) in self.back
 
+    def is_returned(self, out: OutHost) -> bool:
+        """Returns whether the host said that it takes work again."""
+        return (out.location.host, out.op_id) in self.returned
+
 
 def waiting_hosts(ledger: Ledger, view: PoolView, task: WaveTask) -> list[HostId]:
     """Returns the hosts that a wave has still to take out, in the wave's order."""
--- a/src/amaranthtray/domain/waves/conductor.py
+++ b/src/amaranthtray/domain/waves/conductor.py
@@ -23,6 +23,7 @@
     HealthListed,
     HostBack,
     HostDrained,
+    HostReturned,
     LedgerRead,
     LedgerSwapped,
     MovesRefused,
@@ -70,14 +71,17 @@
         ledger: The ledger as last known to be in the store, none before a read.
         version: Its version in the store.
         call: The store call in flight.
+        is_unsure: Whether a write with a lost reply may still take effect later; the
+            next write is made in any case, and fences it off.
         retry_at_ms: No store call before this time.
         failures: Store calls failed in a row.
         is_synced: Whether the health of all hosts is known since the duty began.
         health: Hosts that are not healthy.
         drained: Drain operations that ended.
         back: Reboot operations that ended.
+        returned: Return operations that ended.
         refused: Move operations that the configuration log refused.
-        told: Orders given to hosts, by operation and stage; none before the first.
+        told: Orders given to hosts, by operation and stage.
         reissue_at_ms: When the orders to hosts that are out are given again.
         seq: Operation ids made by this holder.
     """
@@ -89,17 +93,27 @@
     ledger: Ledger | None = None
     version: int = 0
     call: StoreCall | None = None
+    is_unsure: bool = False
     retry_at_ms: Millis = Millis(0)  # noqa: RUF009
     failures: int = 0
     is_synced: bool = False
     health: dict[HostId, OutCause] = field(default_factory=dict)
     drained: frozenset[tuple[HostId, OperationId]] = frozenset()
     back: frozenset[tuple[HostId, OperationId]] = frozenset()
+    returned: frozenset[tuple[HostId, OperationId]] = frozenset()
     refused: frozenset[OperationId] = frozenset()
-    told: dict[HostId, tuple[OperationId, Stage]] | None = None
+    told: dict[HostId, tuple[OperationId, Stage]] = field(default_factory=dict)
     reissue_at_ms: Millis = Millis(0)  # noqa: RUF009
     seq: int = 0
 
+    @property
+    def is_settled(self) -> bool:
+        """Returns whether nothing but this holder's next write can take effect."""
+        duty, ledger = self.duty, self.ledger
+        if duty is None or ledger is None or ledger.term != duty.term:
+            return False
+        return self.call is None and not self.is_unsure
+
     def step(
         self, message: ConductorMessage, *, now_ms: Millis, wall_ms: int
     ) -> tuple[Conductor, tuple[ConductorEffect, ...]]:
@@ -140,12 +154,13 @@
             case HostDrained(host, op_id):
                 return replace(self, drained=self.drained | {(host, op_id)})
             case HostBack(host, op_id):
-                health = {key: val for key, val in self.health.items() if key != host}
-                return replace(self, back=self.back | {(host, op_id)}, health=health)
+                return replace(self, back=self.back | {(host, op_id)})
+            case HostReturned(host, op_id):
+                return replace(self, returned=self.returned | {(host, op_id)})
             case MovesRefused(op_id):
                 return replace(self, refused=self.refused | {op_id})
             case OrderDropped():
-                return replace(self, told=None)
+                return replace(self, told={})
             case _:
                 return self._take_store(message, now_ms)
 
@@ -172,7 +187,8 @@
                     return self._call_failed(now_ms, is_unsure=True)
                 return self._known(ledger, version)
             case LedgerSwapped(_, version):
-                return self._known(self.call.ledger, version)
+                known = self._known(self.call.ledger, version)
+                return replace(known, is_unsure=False)
             case SwapUnknown():
                 return self._call_failed(now_ms, is_unsure=True)
             case StoreAway():
@@ -189,17 +205,20 @@
             failures=0,
             drained=self.drained & pending,
             back=self.back & pending,
-            refused=self.refused & {out.op_id for out in found.out.values()},
+            returned=self.returned & pending,
+            refused=self.refused & {out.record_op for out in found.out.values()},
         )
 
     def _call_failed(self, now_ms: Millis, *, is_unsure: bool) -> Conductor:
         """A ledger that may have been overwritten has to be read again."""
+        is_write = self.call is not None and self.call.ledger is not None
         delay_ms = self.settings.retry_ms << min(self.failures, 16)
         delay_ms = min(delay_ms, self.settings.max_retry_ms)
         return replace(
             self,
             call=None,
             ledger=None if is_unsure else self.ledger,
+            is_unsure=self.is_unsure or (is_unsure and is_write),
             failures=self.failures + 1,
             retry_at_ms=Millis(now_ms + delay_ms),
         )
@@ -222,13 +241,12 @@
         self, now_ms: Millis
     ) -> tuple[Conductor, tuple[ConductorEffect, ...]]:
         """Orders go out only for what the store holds under this holder's term."""
-        duty, ledger, view = self.duty, self.ledger, self.view
-        if duty is None or ledger is None or view is None or ledger.term != duty.term:
+        duty, ledger = self.duty, self.ledger
+        if duty is None or ledger is None or ledger.term != duty.term:
             return self, ()
-        not_after_ms = Millis(duty.until_ms - self.settings.lease_margin_ms)
-        fence = Fence(duty.term, self._next_op(), not_after_ms)
+        fence = self._fence(duty)
         is_due = now_ms >= self.reissue_at_ms
-        told, acts = orders(ledger, view, self.told, fence, give_again=is_due)
+        told, acts = orders(ledger, self.told, fence, give_again=is_due)
         state = replace(self, told=told)
         if is_due:
             reissue_at_ms = Millis(now_ms + self.settings.reissue_ms)
@@ -257,14 +275,17 @@
             return self, ()
         op_id = self._next_op()
         wanted = next_ledger(ledger, self._situation(view, duty.term, op_id, wall_ms))
-        if wanted == ledger and ledger.term == duty.term:
+        if wanted == ledger and ledger.term == duty.term and not self.is_unsure:
             return self, ()
         wanted = stamp(wanted, term=duty.term, revision=view.revision, op_id=op_id)
-        not_after_ms = Millis(duty.until_ms - self.settings.lease_margin_ms)
-        effect = CasLedger(wanted, self.version, Fence(duty.term, op_id, not_after_ms))
+        effect = CasLedger(wanted, self.version, self._fence(duty))
         call = StoreCall(op_id, now_ms, wanted)
         return replace(self, call=call, seq=self.seq + 1), (effect,)
 
+    def _fence(self, duty: Duty) -> Fence:
+        not_after_ms = Millis(duty.until_ms - self.settings.lease_margin_ms)
+        return Fence(self.pool, duty.term, self._next_op(), not_after_ms)
+
     def _next_op(self) -> OperationId:
         term = self.duty.term if self.duty is not None else 0
         return OperationId(f"{self.pool}-{term}-{self.seq + 1}")
@@ -281,5 +302,6 @@
             health=self.health,
             drained=self.drained,
             back=self.back,
+            returned=self.returned,
             refused=self.refused,
         )
--- a/src/amaranthtray/domain/waves/messages.py
+++ b/src/amaranthtray/domain/waves/messages.py
@@ -94,9 +94,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthListed:
-    """All hosts of the pool that are not healthy; the others are.
+    """All hosts of the fleet that are not healthy; the others are.
 
-    It must follow each ``DutyGained``: until then nothing is taken out.
+    It must follow each ``DutyGained``: until then nothing is taken out. Hosts of other
+    pools are told too, because they may move here.
     """
 
     causes: dict[HostId, OutCause] = field(default_factory=dict)
@@ -104,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthChanged:
-    """A host failed, was ejected, became unknown, or (none) is healthy again."""
+    """A host of any pool failed, was ejected, became unknown, or (none) is well."""
 
     host: HostId
     cause: OutCause | None
@@ -120,7 +121,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HostBack:
-    """The host was rebooted by this operation and serves again."""
+    """The host was rebooted by this operation, which is over, and takes work again."""
+
+    host: HostId
+    op_id: OperationId
+
+
+@dataclass(frozen=True, slots=True)
+class HostReturned:
+    """The host takes work again; the drain of this operation is over."""
 
     host: HostId
     op_id: OperationId
@@ -157,6 +166,7 @@
     | HealthChanged
     | HostDrained
     | HostBack
+    | HostReturned
     | MovesRefused
     | OrderDropped
     | Tick
@@ -168,10 +178,12 @@
     """What makes an act of a former holder harmless.
 
     The runtime drops an act whose ``not_after_ms`` has passed on its monotonic
-    clock, checked right before the act. The receiver ignores a lower term, and an
+    clock, checked right before the act; it keeps the order of acts per host. The
+    receiver ignores a term lower than the last one seen from the pool, and an
     operation id that it has seen to its end.
     """
 
+    pool: PoolName
     term: Term
     op_id: OperationId
     not_after_ms: Millis
@@ -211,10 +223,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReturnHosts:
-    """Let hosts take work again; a host drained by a later operation ignores it."""
+class ReturnHost:
+    """End the drain of this operation, if there is one; report ``HostReturned``."""
 
-    hosts: tuple[HostId, ...]
+    host: HostId
     fence: Fence
 
 
@@ -242,7 +254,7 @@
     | CasLedger
     | DrainHost
     | RebootHost
-    | ReturnHosts
+    | ReturnHost
     | CommitMoves
     | StepDown
 )
--- a/src/amaranthtray/domain/waves/progress.py
+++ b/src/amaranthtray/domain/waves/progress.py
@@ -91,7 +91,7 @@
         wave=wave,
         pools=(ledger.pool,),
         done=len(done),
-        active=len(own),
+        active=sum(out.location.host not in done for out in own),
         waiting=len(waiting),
         unreachable=unreachable,
         overdue=tuple(sorted(out.location.host for out in overdue)),
