--- a/src/amaranthtray/bench/_waves_faults.py
+++ b/src/amaranthtray/bench/_waves_faults.py
@@ -120,6 +120,7 @@
             conducting=CONDUCTING,
         )
         self.fleet = self.world.fleet
+        self.known = {host.host_id: host for host in hosts}
 
     def _durations(self) -> Durations:
         drain_ms = int(self.rng.lognormvariate(9.0, 1.0))
@@ -168,8 +169,7 @@
     def heal(self) -> None:
         """Ends the outage, lists all hosts again and lets the wave run."""
         self.world.store_away_until_ms = 0
-        for host, listed in self.fleet.listed.items():
-            self.fleet.listed[host] = replace(listed, state=HostState.LIVE)
+        self.fleet.listed = dict(self.known)
         waves = self.fleet.cfg.waves
         running = replace(waves[WAVE], state=WaveState.RUNNING)
         self.fleet.change(replace(self.fleet.cfg, waves={WAVE: running}))
@@ -195,16 +195,18 @@
         """Fails, ejects or silences a host, or several of a rack."""
         first = self._host()
         cause = self.rng.choice([OutCause.FAILED, OutCause.EJECTED, OutCause.UNKNOWN])
-        rack = self.fleet.listed[first].rack
-        for host, listed in self.fleet.listed.items():
+        rack = self.known[first].rack
+        for host, listed in self.known.items():
             if host == first or (listed.rack == rack and self.rng.random() < 0.3):
                 self.fleet.fail(host, cause, self.rng.randint(2_000, 60_000))
 
     def lose_host(self) -> None:
-        """Makes the platform say that a host leaves, for a while."""
+        """Makes the platform's list lack a host or call it leaving, for a while."""
         host = self._host()
-        listed = self.fleet.listed[host]
-        self.fleet.listed[host] = replace(listed, state=HostState.LEAVING)
+        leaving = replace(self.known[host], state=HostState.LEAVING)
+        self.fleet.listed[host] = leaving
+        if self.rng.random() < 0.5:
+            del self.fleet.listed[host]
         self.fleet.list_again()
         self.world.clock.after(
             self.rng.randint(1_000, 120_000), lambda: self.find(host)
@@ -212,8 +214,7 @@
 
     def find(self, host: HostId) -> None:
         """Lists a host as live again."""
-        listed = self.fleet.listed[host]
-        self.fleet.listed[host] = replace(listed, state=HostState.LIVE)
+        self.fleet.listed[host] = self.known[host]
         self.fleet.list_again()
 
     def change_budget(self) -> None:
--- a/src/amaranthtray/bench/_waves_fleet.py
+++ b/src/amaranthtray/bench/_waves_fleet.py
@@ -147,7 +147,7 @@
         stand_in = self.hosts[host]
         was_serving = stand_in.is_serving
         stand_in.drain(fence)
-        if was_serving and not stand_in.is_serving and not self._is_listed(host):
+        if was_serving and not stand_in.is_serving and not self._is_out(host):
             self.faults.append(f"{host} drained while no ledger lists it")
 
     def _reboot(self, host: HostId, fence: Fence) -> None:
@@ -199,11 +199,12 @@
                 self.out_ms += self.clock.now_ms - out.since_ms
                 self._check_back(host)
 
-    def _is_listed(self, host: HostId) -> bool:
+    def _is_out(self, host: HostId) -> bool:
         return any(host in ledger.out for ledger in self.ledgers.values())
 
     def _check_back(self, host: HostId) -> None:
-        if self.hosts[host].is_serving and not self._is_listed(host):
+        is_gone = host not in self.listed
+        if (is_gone or self.hosts[host].is_serving) and not self._is_out(host):
             self.watchdog.observe(HostBack(self.clock.now_ms, host))
 
     def done(self, wave: WaveName) -> set[HostId]:
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -152,9 +152,14 @@
 
 
 def _forget_lost(ledger: Ledger, now: Situation) -> Ledger:
-    """Takes hosts that the platform lacks for long out of the pool for good."""
+    """Takes hosts that the platform lacks for long out of the pool for good.
+
+    They go to the spare pool, which keeps those that the platform still lists as
+    leaving and drops those that it does not list at all.
+    """
     for host, out in ledger.out.items():
-        if not _is_lost(host, out, now):
+        is_listed = host in now.view.members
+        if not _is_lost(host, out, now) or (ledger.pool == SPARE_POOL and is_listed):
             continue
         if out.stage is Stage.REBOOTING:
             ledger = _log_done(ledger, host, out, now)
