--- a/src/amaranthtray/bench/_waves_hosts.py
+++ b/src/amaranthtray/bench/_waves_hosts.py
@@ -90,7 +90,7 @@
         if self._is_stale(fence) or not self.is_up:
             return
         self._end(fence.op_id)
-        self.report(HostReturned(self.host, fence.op_id))
+        self.report(HostReturned(self.host, fence.op_id, self.is_serving))
 
     def _end(self, op_id: OperationId) -> None:
         self.ended.add(op_id)
--- a/src/amaranthtray/domain/budgets/model.py
+++ b/src/amaranthtray/domain/budgets/model.py
@@ -34,7 +34,9 @@
 
     ``DRAINING`` is the only stage that can be revoked: a reboot may have been
     ordered, or a move committed, as soon as the ledger says so. A host that is
-    ``RETURNING`` counts as out until it says itself that it takes work again.
+    ``RETURNING`` counts as out until it says itself that it takes work again. One
+    that has ``LEFT`` for another pool counts no more, and is kept only until its
+    drain is over.
     """
 
     DRAINING = "draining"
@@ -42,6 +44,7 @@
     PLACING = "placing"
     OUT = "out"
     RETURNING = "returning"
+    LEFT = "left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +90,8 @@
     @property
     def is_withheld(self) -> bool:
         """Returns whether we keep new work from the host."""
-        return self.cause.is_voluntary and self.stage is not Stage.RETURNING
+        ends = (Stage.RETURNING, Stage.LEFT)
+        return self.cause.is_voluntary and self.stage not in ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +133,15 @@
         """Returns the progress of a wave, empty if it has none yet."""
         return self.waves.get(wave, WaveLog())
 
+    @property
+    def count(self) -> int:
+        """Returns how many hosts of the pool are out."""
+        return len(self.counted())
+
+    def counted(self) -> list[OutHost]:
+        """Returns the entries that count against the budget."""
+        return [out for out in self.out.values() if out.stage is not Stage.LEFT]
+
     def with_host(self, out: OutHost) -> Ledger:
         """Returns the ledger with one entry added or replaced."""
         return replace(self, out={**self.out, out.location.host: out})
--- a/src/amaranthtray/domain/budgets/rules.py
+++ b/src/amaranthtray/domain/budgets/rules.py
@@ -119,10 +119,11 @@
         return refused(RefusedReason.STALE_TERM, order.term, ledger.term)
     if location.host in ledger.out:
         return refused(RefusedReason.ALREADY_OUT, 1, 0)
-    total, allowed = len(ledger.out), allowed_out(budget, size)
+    counted = ledger.counted()
+    total, allowed = len(counted), allowed_out(budget, size)
     if total >= allowed:
         return refused(RefusedReason.POOL_FULL, total, allowed)
-    taken = [out.location for out in ledger.out.values() if out.cause.is_voluntary]
+    taken = [out.location for out in counted if out.cause.is_voluntary]
     in_zone = sum(place.zone == location.zone for place in taken)
     if in_zone >= budget.max_out_per_zone:
         return refused(RefusedReason.ZONE_FULL, in_zone, budget.max_out_per_zone)
@@ -159,9 +160,12 @@
     Failures during a wave, a smaller budget or a smaller pool bring this about.
     """
     drains = [out for out in ledger.out.values() if out.is_revocable]
+    if not drains:
+        return ()
     drains.sort(key=lambda out: (-out.since_ms, out.location.host))
-    total = len(ledger.out)
-    taken = [out.location for out in ledger.out.values() if out.cause.is_voluntary]
+    counted = ledger.counted()
+    total = len(counted)
+    taken = [out.location for out in counted if out.cause.is_voluntary]
     zones = Counter(place.zone for place in taken)
     racks = Counter(place.rack for place in taken)
     cancelled: list[HostId] = []
--- a/src/amaranthtray/domain/waves/_candidates.py
+++ b/src/amaranthtray/domain/waves/_candidates.py
@@ -34,7 +34,8 @@
         host: now.order(OutCause.MOVING, target=now.view.members[host].desired)
         for host in waiting
     }
-    return _start(ledger, _by_work_left(waiting, now), orders, now)
+    turns = _by_work_left(waiting, now)
+    return _start(ledger, turns, orders, now)
 
 
 def start_waves(ledger: Ledger, now: Situation) -> Ledger:
@@ -72,7 +73,7 @@
 
 
 def _has_room(ledger: Ledger, now: Situation) -> bool:
-    return len(ledger.out) < allowed_out(now.view.budget, now.size)
+    return ledger.count < allowed_out(now.view.budget, now.size)
 
 
 def _by_work_left(waiting: Collection[HostId], now: Situation) -> list[HostId]:
@@ -80,6 +81,8 @@
 
     The zone or rack with the most hosts left for its bound would end last.
     """
+    if not waiting:
+        return []
     places = {host: now.view.members[host].location for host in waiting}
     zones = Counter(place.zone for place in places.values())
     racks = Counter(place.rack for place in places.values())
--- a/src/amaranthtray/domain/waves/_orders.py
+++ b/src/amaranthtray/domain/waves/_orders.py
@@ -44,7 +44,7 @@
                 yield DrainHost(host, own)
             case Stage.REBOOTING:
                 yield RebootHost(host, own)
-            case Stage.RETURNING:
+            case Stage.RETURNING | Stage.LEFT:
                 yield ReturnHost(host, own)
 
 
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -26,7 +26,7 @@
     """
     steps = (
         _drop_returned,
-        _release_departed,
+        _mark_departed,
         _finish_reboots,
         _release_recovered,
         _count_failures,
@@ -48,24 +48,27 @@
     back = [
         host
         for host, out in ledger.out.items()
-        if out.stage is Stage.RETURNING and now.is_returned(out)
+        if out.stage in (Stage.RETURNING, Stage.LEFT) and now.is_returned(out)
     ]
     return ledger.without(*back) if back else ledger
 
 
-def _release_departed(ledger: Ledger, now: Situation) -> Ledger:
-    """Returns hosts that the configuration has placed in another pool.
+def _mark_departed(ledger: Ledger, now: Situation) -> Ledger:
+    """Marks hosts that the configuration has placed in another pool.
 
-    They are kept until they take work there, so that a new holder sees to it.
+    They are kept until their drain is over, so that a new holder sees to it.
     """
     for host, out in ledger.out.items():
-        if now.view.pool_of(host) == ledger.pool or out.stage is Stage.REBOOTING:
-            continue
-        is_late = now.wall_ms - out.since_ms >= now.settings.forget_after_ms
-        if is_late or not out.cause.is_voluntary:
-            ledger = ledger.without(host)
-        elif out.stage is not Stage.RETURNING:
-            ledger = advance(ledger, host, Stage.RETURNING)
+        has_left = now.view.pool_of(host) != ledger.pool
+        if out.stage is Stage.LEFT:
+            is_late = now.wall_ms - out.since_ms >= now.settings.forget_after_ms
+            if not has_left:
+                ledger = advance(ledger, host, Stage.RETURNING)
+            elif is_late:
+                ledger = ledger.without(host)
+        elif has_left and out.stage is not Stage.REBOOTING:
+            left = replace(out, stage=Stage.LEFT, since_ms=now.wall_ms)
+            ledger = ledger.with_host(left)
     return ledger
 
 
--- a/src/amaranthtray/domain/waves/conductor.py
+++ b/src/amaranthtray/domain/waves/conductor.py
@@ -125,7 +125,7 @@
             wall_ms: Wall clock; only written into the ledger, for durations.
         """
         state = self._take(message, now_ms)
-        if state.duty is None:
+        if state.duty is None or isinstance(message, DutyRenewed):
             return state, ()
         if state.ledger is not None and state.ledger.term > state.duty.term:
             seen = state.ledger.term
@@ -155,7 +155,9 @@
                 return replace(self, drained=self.drained | {(host, op_id)})
             case HostBack(host, op_id):
                 return replace(self, back=self.back | {(host, op_id)})
-            case HostReturned(host, op_id):
+            case HostReturned(host, op_id, takes_work):
+                if not takes_work and self._is_member(host):
+                    return self
                 return replace(self, returned=self.returned | {(host, op_id)})
             case MovesRefused(op_id):
                 return replace(self, refused=self.refused | {op_id})
@@ -164,6 +166,9 @@
             case _:
                 return self._take_store(message, now_ms)
 
+    def _is_member(self, host: HostId) -> bool:
+        return self.view is None or self.view.pool_of(host) == self.pool
+
     def _take_health(self, message: HealthListed | HealthChanged) -> Conductor:
         match message:
             case HealthListed(causes):
@@ -247,11 +252,10 @@
         fence = self._fence(duty)
         is_due = now_ms >= self.reissue_at_ms
         told, acts = orders(ledger, self.told, fence, give_again=is_due)
-        state = replace(self, told=told)
         if is_due:
             reissue_at_ms = Millis(now_ms + self.settings.reissue_ms)
-            state = replace(state, reissue_at_ms=reissue_at_ms)
-        return state, acts
+            return replace(self, told=told, reissue_at_ms=reissue_at_ms), acts
+        return (self if told == self.told else replace(self, told=told)), acts
 
     def _call_store(
         self, now_ms: Millis, wall_ms: int
--- a/src/amaranthtray/domain/waves/messages.py
+++ b/src/amaranthtray/domain/waves/messages.py
@@ -129,10 +129,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HostReturned:
-    """The host takes work again; the drain of this operation is over."""
+    """The drain of this operation is over.
+
+    Attributes:
+        takes_work: Whether the host takes work again; false while a drain by another
+            operation is in force, which a host that has moved may meet.
+    """
 
     host: HostId
     op_id: OperationId
+    takes_work: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/waves/progress.py
+++ b/src/amaranthtray/domain/waves/progress.py
@@ -134,7 +134,7 @@
     ledger: Ledger, view: PoolView, own: list[OutHost], mean_ms: int, wall_ms: int
 ) -> list[int]:
     """Returns when each place of the budget that the wave can use becomes free."""
-    others = len(ledger.out) - len(own)
+    others = ledger.count - len(own)
     size = len(view.members)
     usable = max(allowed_out(view.budget, size) - others, len(own))
     left = [max(mean_ms - (wall_ms - out.since_ms), 0) for out in own]
