--- a/src/amaranthtray/bench/_waves_faults.py
+++ b/src/amaranthtray/bench/_waves_faults.py
@@ -36,7 +36,7 @@
 FAULTS = 9
 FAULTS_END_MS = 100_000
 CHECK_MS = 10_000
-HEALED_END_MS = 1_500_000
+HEALED_MS = 1_500_000
 FAULTY = WorldSettings(
     view_ms=(10, 2_000),
     tick_ms=8_000,
@@ -133,7 +133,16 @@
 
     def run(self) -> Verdict:
         """Runs the schedule and returns what it showed."""
-        kinds: tuple[Callable[[], None], ...] = (
+        kinds = self.kinds()
+        for _ in range(FAULTS):
+            at_ms = self.rng.randrange(FAULTS_END_MS)
+            self.world.clock.after(at_ms, self.rng.choice(kinds))
+        self.world.clock.run(FAULTS_END_MS)
+        return self.finish()
+
+    def kinds(self) -> tuple[Callable[[], None], ...]:
+        """Returns the faults; failing hosts are twice as likely as others."""
+        return (
             self.pause_holder,
             self.kill_holder,
             self.rival_holder,
@@ -146,13 +155,14 @@
             self.relabel,
             self.step_clock,
         )
-        for _ in range(FAULTS):
-            at_ms = self.rng.randrange(FAULTS_END_MS)
-            self.world.clock.after(at_ms, self.rng.choice(kinds))
-        self.world.clock.run(FAULTS_END_MS)
+
+    def finish(self) -> Verdict:
+        """Heals all, lets the wave end, and returns what the schedule showed."""
         self.heal()
         self.world.clock.run_until(
-            lambda: not self._missed(), end_ms=HEALED_END_MS, step_ms=CHECK_MS
+            lambda: not self._missed(),
+            end_ms=self.world.now_ms + HEALED_MS,
+            step_ms=CHECK_MS,
         )
         return Verdict(
             seed=self.seed,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from amaranthtray.domain.budgets import Ledger, Location, Order, OutCause
 from amaranthtray.domain.configuration import (
     Budget,
     Configuration,
     Pool,
     Queue,
     Team,
+    Wave,
+    WaveAction,
+    WaveState,
 )
 from amaranthtray.domain.ids import (
     HostId,
     Millis,
+    OperationId,
     PoolName,
     QueueName,
     RackId,
@@ -19,6 +24,8 @@
     RequestId,
     Revision,
     TeamName,
+    Term,
+    WaveName,
     ZoneId,
 )
 from amaranthtray.domain.inventory import Host, HostState
@@ -135,3 +142,40 @@
             for host_id, name in (placement or {}).items()
         },
     )
+
+
+def location(number: int = 1, *, zone: str = "z1", rack: str | None = None) -> Location:
+    listed = host(number, zone=zone, rack=rack)
+    return Location(listed.host_id, listed.zone, listed.rack)
+
+
+def ledger(pool: str = "web", *, term: int = 1) -> Ledger:
+    return Ledger(PoolName(pool), term=Term(term))
+
+
+def order(
+    number: int = 1,
+    *,
+    cause: OutCause = OutCause.MAINTENANCE,
+    term: int = 1,
+    wave: str | None = "patch",
+    target: str | None = None,
+) -> Order:
+    return Order(
+        cause,
+        Term(term),
+        OperationId(f"op{number}"),
+        None if wave is None else WaveName(wave),
+        None if target is None else PoolName(target),
+    )
+
+
+def wave(
+    name: str = "patch",
+    *,
+    selector: str = "",
+    action: WaveAction = WaveAction.REBOOT,
+    state: WaveState = WaveState.RUNNING,
+    order: str = "",
+) -> Wave:
+    return Wave(WaveName(name), selector, action, state, order)
--- /dev/null
+++ b/tests/waves/test_machine.py
@@ -0,0 +1,50 @@
+"""Conductors under faults: rivals, pauses, lost replies, outages, failures."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from amaranthtray.bench._waves_faults import Schedule
+
+SEEDS = range(400)
+FAULT_KINDS = len(Schedule(0).kinds())
+
+
+class ConductorMachine(RuleBasedStateMachine):
+    """Faults in any order and at any time; all must be done once they end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.schedule = Schedule(0)
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed: int) -> None:
+        self.schedule = Schedule(seed)
+
+    @rule(kind=st.integers(0, FAULT_KINDS - 1), wait_ms=st.integers(0, 15_000))
+    def fault(self, kind: int, wait_ms: int) -> None:
+        self.schedule.kinds()[kind]()
+        clock = self.schedule.world.clock
+        clock.run(clock.now_ms + wait_ms)
+
+    @invariant()
+    def nothing_is_broken(self) -> None:
+        assert not self.schedule.fleet.broken()
+
+    def teardown(self) -> None:
+        verdict = self.schedule.finish()
+        assert not verdict.broken
+        assert not verdict.missed
+
+
+TestConductorMachine = ConductorMachine.TestCase
+
+
+@pytest.mark.parametrize("first", range(0, len(SEEDS), 100))
+def test_seeded_schedules_keep_every_promise_and_reach_every_host(first: int) -> None:
+    verdicts = [Schedule(seed).run() for seed in SEEDS[first : first + 100]]
+    assert [verdict for verdict in verdicts if verdict.broken or verdict.missed] == []
+    assert sum(verdict.reboots for verdict in verdicts) > 300
+    assert sum(verdict.moves for verdict in verdicts) > 20
