--- a/tests/logs/test_metrics.py
+++ b/tests/logs/test_metrics.py
@@ -50,8 +50,12 @@
         metrics.timing(Metric.STORE_LATENCY, 2.5)
         metrics.flush()
         lines = server.recv(2_000).decode().splitlines()
+        metrics.count(Metric.REQUESTS_ACCEPTED)
+        metrics.flush()
+        later = server.recv(2_000).decode().splitlines()
     start = "amaranthtray.z1.e_1."
     assert f"{start}requests.accepted:1000|c" in lines
+    assert later == [f"{start}requests.accepted:1|c"]
     assert f"{start}requests.not_run.queue_full:1|c" in lines
     assert f"{start}slots.in_use:3|g" in lines
     assert any(line.startswith(f"{start}store.latency:2.5") for line in lines)
--- /dev/null
+++ b/tests/packaging/test_one_file.py
@@ -0,0 +1,158 @@
+"""The one executable file: answers, starts no process, writes only its cache."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from amaranthtray import __version__
+from amaranthtray.packaging import EXCLUDED, build, closure, declared
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+PYTHON = str(Path(sys.base_prefix) / "bin" / "python3")
+MAX_FILE_BYTES = 5_000_000
+MAX_UNPACKED_BYTES = 16_000_000
+TIMEOUT_S = 30
+
+CHILD_STARTED = 99
+WROTE_ELSEWHERE = 98
+SPY = f"""
+import os, sys
+STARTS = ("subprocess.Popen", "os.fork", "os.forkpty", "os.exec", "os.posix_spawn",
+          "os.system")
+WRITES = os.O_WRONLY | os.O_RDWR | os.O_CREAT
+def spy(event, args, allowed=os.environ["SHIV_ROOT"], end=os._exit):
+    if event in STARTS:
+        end({CHILD_STARTED})
+    if event == "open" and isinstance(args[0], str) and args[2] & WRITES:
+        if not args[0].startswith((allowed, "/dev/null")):
+            end({WROTE_ELSEWHERE})
+sys.addaudithook(spy)
+"""
+
+
+@pytest.fixture(scope="module")
+def binary(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    target = tmp_path_factory.mktemp("dist") / "amaranthtray"
+    result = CliRunner().invoke(build, [str(target)], catch_exceptions=False)
+    assert result.exit_code == 0
+    return target
+
+
+@pytest.fixture(scope="module")
+def env(tmp_path_factory: pytest.TempPathFactory) -> dict[str, str]:
+    """A bare environment whose interpreter reports processes and writes."""
+    spy = tmp_path_factory.mktemp("spy")
+    (spy / "sitecustomize.py").write_text(SPY)
+    cache = tmp_path_factory.mktemp("cache")
+    return {"PYTHONPATH": str(spy), "SHIV_ROOT": str(cache), "HOME": "/nonexistent"}
+
+
+def run(
+    binary: Path, env: dict[str, str], *args: str
+) -> subprocess.CompletedProcess[str]:
+    command = [PYTHON, str(binary), *args]
+    return subprocess.run(
+        command, env=env, cwd="/", capture_output=True, text=True, timeout=TIMEOUT_S
+    )
+
+
+def test_the_spy_sees_processes_and_writes(env: dict[str, str], tmp_path: Path) -> None:
+    for code, expected in (
+        ("import os; os.fork()", CHILD_STARTED),
+        ("import subprocess; subprocess.run(['true'])", CHILD_STARTED),
+        (f"open({str(tmp_path / 'x')!r}, 'w')", WROTE_ELSEWHERE),
+    ):
+        found = subprocess.run([PYTHON, "-c", code], env=env, timeout=TIMEOUT_S)
+        assert found.returncode == expected
+
+
+def test_it_answers_and_stays_small(binary: Path, env: dict[str, str]) -> None:
+    result = run(binary, env, "--version")
+    assert (result.returncode, result.stderr) == (0, "")
+    assert __version__ in result.stdout
+    checked = run(binary, env, "check", str(EXAMPLES / "kominar" / "fleet.toml"))
+    assert checked.returncode == 0, checked.stderr
+    assert os.access(binary, os.X_OK)
+    assert binary.stat().st_size < MAX_FILE_BYTES
+    files = [path for path in Path(env["SHIV_ROOT"]).rglob("*") if path.is_file()]
+    assert sum(path.stat().st_size for path in files) < MAX_UNPACKED_BYTES
+
+
+def test_all_modules_import_without_what_was_left_out(
+    binary: Path, env: dict[str, str]
+) -> None:
+    run(binary, env, "--version")
+    (packages,) = Path(env["SHIV_ROOT"]).glob("*/site-packages")
+    code = (
+        "import importlib, pkgutil, amaranthtray, cbor2, hdrh.histogram, websockets\n"
+        "import websockets.sync.server, websockets.sync.client, cherrypy\n"
+        "for m in pkgutil.walk_packages(amaranthtray.__path__, 'amaranthtray.'):\n"
+        "    if not m.name.endswith('__main__') and 'bench' not in m.name:\n"
+        "        importlib.import_module(m.name)\n"
+    )
+    command = [PYTHON, "-S", "-c", code]
+    found = subprocess.run(
+        command,
+        env={"PYTHONPATH": str(packages)},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+    assert found.returncode == 0, found.stderr
+
+
+def test_a_running_command_has_no_children(binary: Path, env: dict[str, str]) -> None:
+    called, seen = threading.Event(), threading.Event()
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            called.set()
+            seen.wait(TIMEOUT_S)
+
+        def log_message(self, *args: object) -> None:
+            """Keeps the test output clean."""
+
+    with HTTPServer(("127.0.0.1", 0), Handler) as server:
+        threading.Thread(target=server.handle_request).start()
+        url = f"http://127.0.0.1:{server.server_port}"
+        command = [PYTHON, str(binary), "--admin", url, "status"]
+        with subprocess.Popen(command, env=env, stderr=subprocess.PIPE) as process:
+            assert called.wait(TIMEOUT_S)
+            children = children_of(process.pid)
+            seen.set()
+            process.communicate(timeout=TIMEOUT_S)
+    assert children == []
+    assert process.returncode == 3  # the fake hangs up without a reply
+
+
+def children_of(pid: int) -> list[int]:
+    """Returns the processes whose parent is ``pid``."""
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = stat.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid:
+            found.append(int(stat.parent.name))
+    return found
+
+
+def test_the_same_input_gives_the_same_file(binary: Path, tmp_path: Path) -> None:
+    again = tmp_path / "again"
+    CliRunner().invoke(build, [str(again)], catch_exceptions=False)
+    assert again.read_bytes() == binary.read_bytes()
+
+
+def test_what_is_left_out_is_needed_by_others_only() -> None:
+    names = closure(declared())
+    assert names.isdisjoint(EXCLUDED)
+    assert {"cherrypy", "click", "msgspec", "returns", "websockets"} <= names
