--- a/src/amaranthtray/capacity/_render.py
+++ b/src/amaranthtray/capacity/_render.py
@@ -80,8 +80,8 @@
     for resource, limit in LIMITS.items():
         parts = [sums[role, resource] for role in DAEMON if (role, resource) in sums]
         name = "one process with all duties"
-        total = sum(parts) if parts else None
-        rows.append(_sum_row(name, resource, total, limit))
+        measured = sum(parts) if parts else None
+        rows.append(_sum_row(name, resource, measured, limit))
     return rows
 
 
--- a/src/amaranthtray/cli/main.py
+++ b/src/amaranthtray/cli/main.py
@@ -78,7 +78,7 @@
     help="File with the operator key, unless AMARANTHTRAY_OPERATOR_KEY holds it.",
 )
 @click.option(
-    "--timeout-ms", default=5_000, show_default=True, type=click.IntRange(min=1)
+    "--timeout-ms", default=10_000, show_default=True, type=click.IntRange(min=1)
 )
 @click.option("--op-id", metavar="ID", help="Repeat a change whose reply was lost.")
 @click.option(
--- a/src/amaranthtray/cli/operators.py
+++ b/src/amaranthtray/cli/operators.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import secrets
-
 import click
 
 from ..domain.configuration import AddOperator, Operator, Role, WithdrawOperator
+from ..domain.configuration.model import EMPTY_REVISION
 from ..domain.ids import KeyId
-from ..domain.keys import key_from_secret, mint_key
-from ..domain.keys.minting import SECRET_BYTES
-from ..settings import BootstrapSettings
+from ..domain.keys import mint_key
 from .errors import faulty
 from .keys import refuse_repeat
 from .options import FleetGroup, yes_option
@@ -58,10 +55,10 @@
 def first_key() -> None:
     """Makes the key of the first operator without calling an entry.
 
-    The digest goes into the settings as [bootstrap] operator_digest.
+    The digest goes into the settings as [bootstrap] operator_digest. With the
+    first change it becomes the operator named bootstrap.
     """
-    key_id = KeyId(BootstrapSettings().operator_key_id)
-    made = key_from_secret(key_id, secrets.token_urlsafe(SECRET_BYTES))
+    made = mint_key(EMPTY_REVISION)
     click.echo(f"key: {made.text}")
     click.echo(f"operator_digest: {made.digest}")
 
--- a/src/amaranthtray/cli/report.py
+++ b/src/amaranthtray/cli/report.py
@@ -77,6 +77,8 @@
     found = dict.fromkeys(client.endpoints, "given")
     status: Any = unwrap(client.read("status"))
     listed = status.get("entries", []) if isinstance(status, dict) else []
+    if not listed:
+        click.echo("warning: no list of entries; asked only --admin", err=True)
     for item in listed:
         if isinstance(item, dict) and item.get("admin_url"):
             found[str(item["admin_url"]).rstrip("/")] = str(item.get("entry", "?"))
--- a/src/amaranthtray/cli/session.py
+++ b/src/amaranthtray/cli/session.py
@@ -55,7 +55,7 @@
 
     admin: tuple[str, ...] = ()
     key_file: str | None = None
-    timeout_ms: int = 5_000
+    timeout_ms: int = 10_000
     op_id: str | None = None
     output: Output = Output.TABLE
 
