--- a/tests/packaging/test_one_file.py
+++ b/tests/packaging/test_one_file.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
 import threading
+import time
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from pathlib import Path
 
@@ -13,7 +15,10 @@
 from click.testing import CliRunner
 
 from amaranthtray import __version__
+from amaranthtray.entry.clock import now_ms
 from amaranthtray.packaging import EXCLUDED, build, closure, declared
+from amaranthtray.platform.memory import MemoryPlatform
+from amaranthtray.standins.platform import PlatformStandIn
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 PYTHON = str(Path(sys.base_prefix) / "bin" / "python3")
@@ -21,6 +26,22 @@
 MAX_UNPACKED_BYTES = 16_000_000
 TIMEOUT_S = 30
 
+SETTINGS = """\
+[entry]
+id = "e1"
+zone = "z1"
+region = "r1"
+address = "127.0.0.1"
+caller_port = 0
+admin_port = 0
+peer_port = 0
+threads = 8
+patient_threads = 4
+balancer_drain_ms = 0
+[platform]
+endpoints = ["{url}"]
+"""
+
 CHILD_STARTED = 99
 WROTE_ELSEWHERE = 98
 SPY = f"""
@@ -133,6 +154,29 @@
     assert process.returncode == 3  # the fake hangs up without a reply
 
 
+def test_an_entry_runs_alone_and_leaves_when_told(
+    binary: Path, env: dict[str, str], tmp_path: Path
+) -> None:
+    platform = PlatformStandIn(MemoryPlatform(now_ms).client("test", waits=True))
+    platform.start()
+    settings = tmp_path / "entry.toml"
+    settings.write_text(SETTINGS.format(url=platform.url))
+    command = [PYTHON, str(binary), "entry", "--settings", str(settings)]
+    secret = {"AMARANTHTRAY_PEER_SECRET": "s" * 32}
+    with subprocess.Popen(command, env=env | secret, cwd="/") as process:
+        for _ in range(TIMEOUT_S * 10):
+            if platform.calls >= 2 or process.poll() is not None:
+                break
+            time.sleep(0.1)
+        children = children_of(process.pid)
+        process.send_signal(signal.SIGTERM)
+        code = process.wait(TIMEOUT_S)
+    platform.stop()
+    assert platform.calls >= 2
+    assert children == []
+    assert code == 0
+
+
 def children_of(pid: int) -> list[int]:
     """Returns the processes whose parent is ``pid``."""
     found = []
