--- a/src/amaranthtray/cli/observe.py
+++ b/src/amaranthtray/cli/observe.py
@@ -5,9 +5,13 @@
 from typing import Any
 
 import click
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
 
+from .exits import ExitCode
+from .fanout import ask_all
 from .options import FleetCommand
-from .output import Output, print_line, print_tree
+from .output import Output, print_line, print_records
 from .session import Session, pass_session, unwrap
 
 WATCH_WAIT_MS = 30_000
@@ -15,9 +19,28 @@
 
 @click.command(cls=FleetCommand)
 @pass_session
-def status(session: Session) -> None:
-    """Shows entries, zones, duties and revisions, as one entry sees them."""
-    print_tree(unwrap(session.client().read("status")), session.output)
+@click.pass_context
+def status(ctx: click.Context, session: Session) -> None:
+    """Shows what each entry named by --admin says of itself and of the fleet.
+
+    Exits 3 when none answered.
+    """
+    replies = ask_all(session, session.client().endpoints, "status")
+    records = [_status_record(url, reply) for url, reply in replies.items()]
+    print_records(records, session.output)
+    if not any(is_successful(reply) for reply in replies.values()):
+        ctx.exit(ExitCode.UNREACHABLE)
+
+
+def _status_record(url: str, reply: Result[Any, str]) -> dict[str, Any]:
+    match reply:
+        case Success(dict(data)):
+            return {"admin": url, **data}
+        case Success(data):
+            return {"admin": url, "status": data}
+        case Failure(cause):
+            return {"admin": url, "error": cause}
+    raise AssertionError("a result is a success or a failure")
 
 
 @click.command(cls=FleetCommand)
--- a/src/amaranthtray/cli/report.py
+++ b/src/amaranthtray/cli/report.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from concurrent.futures import ThreadPoolExecutor
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import click
 import msgspec
-from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
 
 from ..domain.ids import EntryId
 from ..reports.burn import merge
@@ -19,6 +18,7 @@
 from ..reports.table import to_renderable
 from .errors import faulty
 from .exits import ExitCode
+from .fanout import ask_all
 from .options import FleetCommand, FleetGroup
 from .output import Output, console, print_json
 from .session import Session, pass_session, unwrap
@@ -27,8 +27,6 @@
     from ..reports.burn import BurnReport
     from .client import AdminClient
 
-MAX_CALLS_AT_ONCE = 16
-
 
 @click.group(cls=FleetGroup)
 def report() -> None:
@@ -62,13 +60,12 @@
     named = _entries(client)
     snapshots = []
     unanswered = {}
-    with ThreadPoolExecutor(MAX_CALLS_AT_ONCE) as pool:
-        replies = pool.map(lambda url: _ask(session, url), named)
-        for (url, name), reply in zip(named.items(), replies, strict=True):
-            if isinstance(reply, str):
-                unanswered[EntryId(f"{name} ({url})")] = reply
-            else:
-                snapshots.append(reply)
+    for url, reply in ask_all(session, named, "burn").items():
+        match reply.bind(_decode):
+            case Success(snapshot):
+                snapshots.append(snapshot)
+            case Failure(cause):
+                unanswered[EntryId(f"{named[url]} ({url})")] = cause
     return merge(snapshots, queues, unanswered=unanswered)
 
 
@@ -85,20 +82,11 @@
     return found
 
 
-def _ask(session: Session, url: str) -> BurnSnapshot | str:
-    """Returns the counts of the entry at ``url``, or why there are none."""
-    reply = session.client_of(url).read("burn")
-    if not is_successful(reply):
-        return _cause(reply.failure())
+def _decode(data: object) -> Result[BurnSnapshot, str]:
     try:
-        return msgspec.convert(reply.unwrap(), BurnSnapshot)
+        return Success(msgspec.convert(data, BurnSnapshot))
     except msgspec.ValidationError as exc:
-        return f"reply of unknown form: {exc}"
-
-
-def _cause(failure: Any) -> str:
-    tried = getattr(failure, "tried", None)
-    return "; ".join(tried) if tried else str(getattr(failure, "problem", failure))
+        return Failure(f"reply of unknown form: {exc}")
 
 
 def _write_page(path: str, made: BurnReport) -> None:
