--- a/src/amaranthtray/web/server.py
+++ b/src/amaranthtray/web/server.py
@@ -141,11 +141,15 @@
 def _application(root: object) -> Any:
     app = cherrypy.Application(root, "", {"/": _app_config()})
     app.log.screen = False
-    app.log.access_log.propagate = False
     app.log.error_log.propagate = False
+    app.log.access = _skip_access_log
     return app
 
 
+def _skip_access_log() -> None:
+    """Replaces the line for each request; requests are counted instead."""
+
+
 def _app_config() -> dict[str, Any]:
     return {
         "request.process_request_body": False,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -232,6 +232,8 @@
         entry=EntryId(entry),
         changes=changes or (PutTeam(team(f"t{revision}")),),
     )
+
+
 def location(number: int = 1, *, zone: str = "z1", rack: str | None = None) -> Location:
     listed = host(number, zone=zone, rack=rack)
     return Location(listed.host_id, listed.zone, listed.rack)
