--- a/src/amaranthtray/domain/requests/desk.py
+++ b/src/amaranthtray/domain/requests/desk.py
@@ -27,7 +27,7 @@
     import random
     from collections.abc import Mapping, Sequence
 
-    from ..ids import AttemptId, Millis, PoolName
+    from ..ids import AttemptId, Millis, PoolName, TeamName
     from ..inventory import Host
     from ..workers.book import WorkerBook
     from .counters import DeskCounters
@@ -125,6 +125,40 @@
             self._dispatcher.pump(pool, now_ms)
         return self._take_effects()
 
+    def reconsider(self, now_ms: Millis) -> list[DeskEffect]:
+        """Looks again at all that wait, after limits or shares have changed."""
+        for pool, queue in list(self._state.pools.items()):
+            queue.recheck_ms.clear()
+            self._dispatcher.pump(pool, now_ms)
+        return self._take_effects()
+
+    def waiting_teams(self) -> dict[PoolName, tuple[TeamName, ...]]:
+        """Returns the teams that wait for a slot, of each pool that has any."""
+        found = {}
+        for name, queue in self._state.pools.items():
+            teams = {*queue.urgent.teams, *queue.patient.teams}
+            teams -= queue.recheck_ms.keys()
+            if teams:
+                found[name] = tuple(sorted(teams))
+        return found
+
+    def demand(self) -> dict[TeamName, int]:
+        """Returns how many requests of each team wait, over all pools."""
+        found: dict[TeamName, int] = {}
+        for queue in self._state.pools.values():
+            for line in (queue.urgent, queue.patient):
+                for team in line.teams:
+                    found[team] = found.get(team, 0) + line.waiting(team)
+        return found
+
+    def attempts_by_team(self) -> dict[TeamName, list[AttemptId]]:
+        """Returns the attempts that may be running, oldest first, of each team."""
+        found: dict[TeamName, list[AttemptId]] = {}
+        for attempt_id, attempt in self._state.attempts.items():
+            if attempt.holds_slot:
+                found.setdefault(attempt.request.team, []).append(attempt_id)
+        return found
+
     def next_wake_ms(self) -> int | None:
         """Returns when the next ``Tick`` is due; none while nothing is timed."""
         state = self._state
--- /dev/null
+++ b/src/amaranthtray/domain/serving/__init__.py
@@ -0,0 +1,36 @@
+"""The request desk together with the limits and shares that it works under."""
+
+from __future__ import annotations
+
+from .messages import (
+    ConfigurationInForce,
+    GrantArrived,
+    HostsListed,
+    LeaveBegun,
+    SendReport,
+    SendUsage,
+    ServingEffect,
+    ServingMessage,
+    SourceEnded,
+    TermFollowed,
+    UsageArrived,
+)
+from .serving import Serving, ServingParts
+from .settings import ServingSettings
+
+__all__ = [
+    "ConfigurationInForce",
+    "GrantArrived",
+    "HostsListed",
+    "LeaveBegun",
+    "SendReport",
+    "SendUsage",
+    "Serving",
+    "ServingEffect",
+    "ServingMessage",
+    "ServingParts",
+    "ServingSettings",
+    "SourceEnded",
+    "TermFollowed",
+    "UsageArrived",
+]
--- /dev/null
+++ b/src/amaranthtray/domain/serving/settings.py
@@ -0,0 +1,44 @@
+"""Settings of the serving part, so that leases and grants fit together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from ..limits.timing import EscrowTiming
+from ..requests.settings import DeskSettings
+from ..shares.settings import ShareSettings
+from ..workers.settings import LeaseSettings, WorkerSettings
+
+RENEWALS_PER_LEASE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ServingSettings:
+    """Bounds of all aggregates that serve requests.
+
+    Attributes:
+        report_ms: Time between two reports to the zone steward.
+        hold_back_ms: Time after which a pool whose teams were held back is looked
+            at again.
+    """
+
+    desk: DeskSettings = field(default_factory=DeskSettings)
+    workers: WorkerSettings = field(default_factory=WorkerSettings)
+    leases: LeaseSettings = field(default_factory=LeaseSettings)
+    escrow: EscrowTiming = field(default_factory=EscrowTiming)
+    shares: ShareSettings = field(default_factory=ShareSettings)
+    report_ms: int = 250
+    hold_back_ms: int = 20
+
+    def with_task_lease(self, ttl_ms: int) -> ServingSettings:
+        """Returns settings whose grants outlast tasks under this lease.
+
+        A renewal may be under way for ``call_ms`` when the entry stops renewing, and
+        the host may take ``margin_ms`` to stop a lapsed task.
+        """
+        leases = replace(
+            self.leases, ttl_ms=ttl_ms, renew_every_ms=ttl_ms // RENEWALS_PER_LEASE
+        )
+        longest_ms = ttl_ms + leases.call_ms + leases.margin_ms
+        escrow = replace(self.escrow, task_lease_ms=longest_ms)
+        return replace(self, leases=leases, escrow=escrow)
