--- /dev/null
+++ b/src/amaranthtray/entry/observer.py
@@ -0,0 +1,85 @@
+"""What an entry tells about itself: counters first, lines for changes of state."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+from ..domain.requests.model import Answered, NotRun, Unknown, WorkClass
+from ..logs import StateLog
+from ..metrics import Metric, Metrics
+from ..reports import BurnCounts, is_good
+from ..settings import LogLevel
+from .clock import now_ms
+
+if TYPE_CHECKING:
+    from ..domain.keys import KeyRefused
+    from ..domain.requests.model import Outcome, Request
+    from ..settings import Settings
+
+_START_WAIT = {
+    WorkClass.URGENT: Metric.START_WAIT_URGENT,
+    WorkClass.PATIENT: Metric.START_WAIT_PATIENT,
+}
+
+
+class Observer:
+    """Metrics, state lines and service-level counts of one entry.
+
+    Args:
+        settings: Settings of the entry.
+        stream: Where state lines go.
+    """
+
+    def __init__(self, settings: Settings, stream: TextIO | None = None) -> None:
+        self.metrics = Metrics(settings)
+        self.log = StateLog(settings, stream or sys.stderr, now_ms)
+        self.burn = BurnCounts(now_ms())
+
+    def request_accepted(self) -> None:
+        """Counts a request that passed the border checks."""
+        self.metrics.count(Metric.REQUESTS_ACCEPTED)
+
+    def key_refused(self, refused: KeyRefused) -> None:
+        """Counts a request whose key was refused."""
+        del refused
+        self.metrics.count(Metric.KEYS_REFUSED)
+
+    def attempt_started(self, request: Request) -> None:
+        """Counts an attempt and how long its request has waited."""
+        self.metrics.count(Metric.ATTEMPTS_STARTED)
+        metric = _START_WAIT[request.work_class]
+        self.metrics.timing(metric, now_ms() - request.accepted_ms)
+
+    def request_finished(self, request: Request, outcome: Outcome) -> None:
+        """Counts a final outcome."""
+        ended_ms = now_ms()
+        in_time = ended_ms <= request.deadline_ms
+        match outcome:
+            case Answered():
+                self.metrics.count(Metric.REQUESTS_ANSWERED)
+                if not in_time:
+                    self.metrics.count(Metric.REQUESTS_LATE)
+            case NotRun(reason=reason):
+                self.metrics.count(Metric.REQUESTS_NOT_RUN, suffix=reason.value)
+            case Unknown(reason=unknown):
+                self.metrics.count(Metric.REQUESTS_UNKNOWN, suffix=unknown.value)
+        good = is_good(outcome, in_time=in_time)
+        if good is not None:
+            self.burn.record(request.queue, request.team, good=good, now_ms=ended_ms)
+
+    def changed(
+        self, event: str, *, level: LogLevel = LogLevel.INFO, **fields: object
+    ) -> None:
+        """Writes a line for a change of state."""
+        self.log.changed(event, level=level, **fields)
+
+    def fault(self, exc: Exception) -> None:
+        """Reports a fault of this program; the task that had it goes on."""
+        cause = f"{type(exc).__name__}: {exc}"
+        self.log.changed("internal-fault", level=LogLevel.ERROR, cause=cause)
+
+    def flush(self) -> None:
+        """Sends what was collected; call it about once a second."""
+        self.metrics.flush()
+        self.log.flush()
--- a/src/amaranthtray/entry/request_task.py
+++ b/src/amaranthtray/entry/request_task.py
@@ -1,20 +1,17 @@
-"""The task that owns the request desk and talks to callers' threads by messages."""
+"""The task that owns the serving of requests and hands it messages in order."""
 
 from __future__ import annotations
 
 import queue
 import threading
-from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
 from ..backend.client import Attempt, BackendAnswer, BackendClient, Payload
-from ..domain.ids import AttemptId, PoolName
-from ..domain.inventory import Host
+from ..domain.ids import AttemptId
 from ..domain.requests.messages import (
     AttemptEnded,
     Cancel,
-    DeskMessage,
     Finish,
     NothingSent,
     SlotsFreed,
@@ -23,6 +20,13 @@
     Tick,
 )
 from ..domain.requests.model import Answered, Outcome, Request
+from ..domain.serving import (
+    HostsListed,
+    SendReport,
+    SendUsage,
+    ServingEffect,
+    ServingMessage,
+)
 from .clock import now_ms
 from .mailbox import Mailbox
 
@@ -30,8 +34,9 @@
     from collections.abc import Callable
 
     from ..domain.ids import HostId, RequestId, TeamName
-    from ..domain.requests.desk import RequestDesk
-    from ..domain.requests.messages import DeskEffect
+    from ..domain.inventory import Host
+    from ..domain.serving import Serving
+    from .observer import Observer
     from .task_control import TaskControl
 
 LONGEST_SLEEP_MS = 200
@@ -58,14 +63,7 @@
     waiter: _Waiter
 
 
-@dataclass(frozen=True, slots=True)
-class _NewHosts:
-    """The platform's list by pool."""
-
-    hosts: Mapping[PoolName, Sequence[Host]]
-
-
-_Message: TypeAlias = DeskMessage | _Admit | _NewHosts
+_Message: TypeAlias = ServingMessage | _Admit
 _Step: TypeAlias = StartAttempt | Finish
 
 
@@ -83,24 +81,30 @@
     """Runs requests; every method may be called from any thread.
 
     Args:
-        desk: The decisions.
+        serving: The decisions.
         client: Runs attempts.
         control: Sends control calls and lease renewals to backend servers.
-        on_error: Called when the desk raised; a fault of this program.
+        observer: Is told of starts, outcomes and faults.
+        on_control: Takes reports and usage sums that go to other entries.
     """
 
     def __init__(
         self,
-        desk: RequestDesk,
+        serving: Serving,
         client: BackendClient,
         control: TaskControl,
+        observer: Observer,
         *,
-        on_error: Callable[[Exception], None],
+        on_control: Callable[[SendReport | SendUsage], None],
     ) -> None:
-        self._desk = desk
+        self._serving = serving
         self._client = client
         self._control = control
-        self._mailbox: Mailbox[_Message] = Mailbox(self._handle, on_error=on_error)
+        self._observer = observer
+        self._on_control = on_control
+        self._mailbox: Mailbox[_Message] = Mailbox(
+            self._handle, on_error=observer.fault
+        )
         self._waiters: dict[tuple[TeamName, RequestId], _Waiter] = {}
         self._hosts: dict[HostId, Host] = {}
         self._stopping = threading.Event()
@@ -133,9 +137,9 @@
         """Cancels a request if it is in flight here."""
         self._mailbox.post(Cancel(team, request_id))
 
-    def update_hosts(self, hosts: Mapping[PoolName, Sequence[Host]]) -> None:
-        """Takes over the platform's host list, by pool."""
-        self._mailbox.post(_NewHosts(hosts))
+    def post(self, message: ServingMessage) -> None:
+        """Hands over a message that needs no reply."""
+        self._mailbox.post(message)
 
     def free_slots(self, host: HostId, attempt_ids: tuple[AttemptId, ...]) -> None:
         """Records that these attempts run on the host no longer."""
@@ -173,45 +177,44 @@
         match message:
             case _Admit(request=request, waiter=waiter):
                 self._waiters[request.team, request.request_id] = waiter
-                effects = self._desk.handle(Submit(request), now)
-            case _NewHosts(hosts=hosts):
-                self._hosts = {
-                    host.host_id: host for held in hosts.values() for host in held
-                }
-                effects = self._desk.update_hosts(hosts, now)
+                effects = self._serving.handle(Submit(request), now)
+            case HostsListed(by_pool=by_pool):
+                listed = [host for held in by_pool.values() for host in held]
+                self._hosts = {host.host_id: host for host in listed}
+                effects = self._serving.handle(message, now)
             case _:
-                effects = self._desk.handle(message, now)
+                effects = self._serving.handle(message, now)
         for effect in effects:
             self._dispatch(effect)
-        wake_ms = self._desk.next_wake_ms()
-        if wake_ms is not None and wake_ms < self._sleeps_until_ms:
+        if self._serving.next_wake_ms() < self._sleeps_until_ms:
             self._woken.set()
 
-    def _dispatch(self, effect: DeskEffect) -> None:
+    def _dispatch(self, effect: ServingEffect) -> None:
         match effect:
             case StartAttempt(request=request, attempt_id=attempt_id):
                 waiter = self._waiters[request.team, request.request_id]
                 waiter.attempt_id = attempt_id
                 self._client.begin(attempt_id)
+                self._observer.attempt_started(request)
                 waiter.steps.put(effect)
             case Finish(request=request):
                 self._finish(request, effect)
+            case SendReport() | SendUsage():
+                self._on_control(effect)
             case _:
                 self._control.run(effect, self._hosts.get(effect.host))
 
     def _finish(self, request: Request, finish: Finish) -> None:
         waiter = self._waiters.pop((request.team, request.request_id))
+        self._observer.request_finished(request, finish.outcome)
         waiter.steps.put(finish)
         if waiter.attempt_id is not None:
             self._client.abort(waiter.attempt_id)
 
     def _tick(self) -> None:
         while not self._stopping.is_set():
-            wake_ms = self._desk.next_wake_ms()
             now = now_ms()
-            sleep_ms = LONGEST_SLEEP_MS
-            if wake_ms is not None:
-                sleep_ms = min(sleep_ms, wake_ms - now)
+            sleep_ms = min(LONGEST_SLEEP_MS, self._serving.next_wake_ms() - now)
             if sleep_ms <= 0:
                 self._mailbox.post(Tick())
                 continue
