--- a/src/amaranthtray/domain/limits/_proposal.py
+++ b/src/amaranthtray/domain/limits/_proposal.py
@@ -118,9 +118,9 @@
     Zones that cannot be reached keep theirs; after a while the others make up for it.
     """
     fitting = scaled_units(mine, row.limit)
-    if fitting < mine.units or not now.is_overdue:
+    if not now.is_overdue:
         return fitting
-    return max(0, mine.units + free)
+    return max(0, min(fitting, mine.units + free))
 
 
 def _with_headroom(now: Situation) -> int:
--- a/src/amaranthtray/domain/limits/timing.py
+++ b/src/amaranthtray/domain/limits/timing.py
@@ -13,28 +13,45 @@
     Attributes:
         entry_ttl_ms: Validity of an entry's grant, from when the entry sent the
             report that the grant answers.
+        run_on_ms: How long tasks may go on without cover before their entry stops
+            renewing their worker leases.
         zone_ttl_ms: Validity of a zone's lent units, from when the steward sent
             the renewal that the store accepted.
+        zone_run_on_ms: How long tasks on lent units that are no longer valid may
+            go on before the steward caps what its entries run.
+        task_lease_ms: Worker lease of a task, granted by a start or renewal.
+        call_ms: Longest time of one start or renewal call.
         renew_ms: Time between two renewals of a zone's record.
-        run_on_ms: How long tasks may go on without cover before the entry
-            stops renewing their worker leases.
-        task_lease_ms: How long a task can run after its last renewal.
+        retry_ms: Time after which a store call is repeated.
         rotate_ms: How long one holder keeps the odd units of a contended limit.
-        idle_ms: How long units stay unused before they count as idle.
+        overdue_ms: How long zones get to shrink to a lowered limit before the
+            others make up for those that do not.
         margin_ms: Added to each wait for another process's deadline.
         drift: Most relative error of a clock's rate.
     """
 
     entry_ttl_ms: int = 8_000
+    run_on_ms: int = 10_000
     zone_ttl_ms: int = 300_000
+    zone_run_on_ms: int = 60_000
+    task_lease_ms: int = 15_000
+    call_ms: int = 2_000
     renew_ms: int = 15_000
-    run_on_ms: int = 20_000
-    task_lease_ms: int = 10_000
+    retry_ms: int = 1_000
     rotate_ms: int = 2_000
-    idle_ms: int = 5_000
+    overdue_ms: int = 1_500
     margin_ms: int = 200
     drift: float = 0.001
 
+    @property
+    def last_run_ms(self) -> int:
+        """Returns how long a task can run after the last look that allowed it.
+
+        The process may be paused between the look and the call: the call still
+        takes effect if it arrives just before the lease from the call before ends.
+        """
+        return 2 * self.task_lease_ms + self.call_ms
+
     def outlast(self, duration_ms: int) -> int:
         """Returns a wait here that surely covers ``duration_ms`` on another clock."""
         stretched = duration_ms * (1 + self.drift) / (1 - self.drift)
@@ -46,7 +63,7 @@
 
         Its grant lapses, it stops renewing the leases of its tasks, they lapse.
         """
-        own = self.entry_ttl_ms + self.run_on_ms + self.task_lease_ms
+        own = self.entry_ttl_ms + self.run_on_ms + self.last_run_ms
         return self.outlast(own)
 
     @property
@@ -55,7 +72,7 @@
 
         It may go on for one ``entry_ttl_ms`` after its entries began to leave it.
         """
-        own = 2 * self.entry_ttl_ms + self.run_on_ms + self.task_lease_ms
+        own = 2 * self.entry_ttl_ms + self.run_on_ms + self.last_run_ms
         return self.outlast(own)
 
     @property
@@ -65,6 +82,6 @@
         The steward stops granting them and later caps its entries' tasks; an entry
         that does not hear of it lapses by itself.
         """
-        steward = self.zone_ttl_ms + self.run_on_ms
-        entry = self.entry_ttl_ms + self.run_on_ms + self.task_lease_ms
+        steward = self.zone_ttl_ms + self.zone_run_on_ms
+        entry = self.entry_ttl_ms + self.run_on_ms + self.last_run_ms
         return self.outlast(steward + entry)
--- a/src/amaranthtray/domain/limits/zone_holding.py
+++ b/src/amaranthtray/domain/limits/zone_holding.py
@@ -226,12 +226,12 @@
         account.record_grant(self._seq, changes, now_ms)
 
     def _is_short(self, team: TeamName, usable: int) -> bool:
-        """Returns whether an entry lacks units or too many are granted."""
+        """Returns whether an entry lacks units or too many are in use."""
         granted = 0
         is_lacking = False
         for account in self._accounts.values():
             units = account.units(team)
-            granted += units
+            granted += account.charge(team)
             is_lacking |= account.need(team) > units
         return is_lacking or granted > usable
 
@@ -241,13 +241,22 @@
         if account.is_leaving:
             return 0
         units = account.units(team)
+        free = usable - self.charged(team, now_ms)
+        if free < 0:
+            usable = max(0, usable - self._excess(team))
         target = self._target(account, team, usable, now_ms)
         if target <= units:
             return target
-        free = usable - self.charged(team, now_ms)
         already_charged = account.charge(team) - units
         return units + max(0, min(target - units, free + already_charged))
 
+    def _excess(self, team: TeamName) -> int:
+        """Returns the tasks that run beyond the units of their entries."""
+        return sum(
+            max(0, account.used(team) - account.units(team))
+            for account in self._accounts.values()
+        )
+
     def _target(
         self, account: EntryAccount, team: TeamName, usable: int, now_ms: Millis
     ) -> int:
--- a/src/amaranthtray/domain/limits/zone_steward.py
+++ b/src/amaranthtray/domain/limits/zone_steward.py
@@ -83,7 +83,7 @@
         ``is_superseded`` another steward has the zone; start with a new object.
         """
         if not self._own_epochs:
-            self.holding.set_predecessors(self.ledger.electorates(), now_ms)
+            self.holding.set_predecessors(self.ledger.electorates, now_ms)
         return self.ledger.take_over(self.holding.electorates(now_ms), now_ms)
 
     def on_store(self, result: StoreResult, now_ms: Millis) -> list[StoreEffect]:
@@ -115,7 +115,7 @@
         effects += self.ledger.renew(self.holding.electorates(now_ms), now_ms)
         for team in self.ledger.unadopted():
             effects += self._adopt(team, now_ms)
-        if effects and not self.is_ready:
+        if not self.is_ready:
             return effects
         self._review |= self.holding.expire(now_ms)
         self._take_changes(now_ms)
@@ -159,5 +159,5 @@
         alive = self.holding.alive(now_ms)
         return all(
             is_majority(len(alive.intersection(electorate)), len(electorate))
-            for electorate in self.ledger.own_electorates()
+            for electorate in self.ledger.own_electorates
         )
--- a/src/amaranthtray/domain/shares/_level.py
+++ b/src/amaranthtray/domain/shares/_level.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from ..ids import TeamName
 
@@ -55,14 +55,17 @@
         decay = self._decay(now_ms) * self._projection
         return min(teams, key=lambda t: goal[t] + offset[t] * decay, default=None)
 
-    def projected(self, team: TeamName, now_ms: int) -> float:
-        """Returns the team's level after the lookahead."""
-        decay = self._decay(now_ms) * self._projection
-        return self._goal.get(team, 0.0) + self._offset.get(team, 0.0) * decay
+    def goal(self, team: TeamName) -> float:
+        """Returns the team's present slots per weight."""
+        return self._goal.get(team, 0.0)
+
+    def level(self, team: TeamName, now_ms: int) -> float:
+        """Returns the team's smoothed slots per weight."""
+        return self.goal(team) + self._offset.get(team, 0.0) * self._decay(now_ms)
 
-    def step(self, weight: int) -> float:
-        """Returns how much one more slot raises a projected level."""
-        return (1.0 - self._projection) / weight
+    def teams(self) -> Iterable[TeamName]:
+        """Returns the teams that have used the pool."""
+        return self._goal.keys()
 
     def _decay(self, now_ms: int) -> float:
         age = (now_ms - self._reference_ms) / self._horizon_ms
--- a/src/amaranthtray/domain/shares/_sources.py
+++ b/src/amaranthtray/domain/shares/_sources.py
@@ -48,6 +48,12 @@
         """Returns the slots of the pool in use elsewhere."""
         return self._totals.get(pool, 0.0)
 
+    def rivals(self, pool: PoolName, team: TeamName) -> int:
+        """Returns how many sources have work of the team waiting for the pool."""
+        return sum(
+            team in source.waiting.get(pool, ()) for source in self._sources.values()
+        )
+
     def waiting(self, pool: PoolName) -> frozenset[TeamName]:
         """Returns the teams that wait for the pool elsewhere."""
         return self._waiting.get(pool, frozenset())
--- a/src/amaranthtray/domain/shares/fair_shares.py
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..ids import Millis
 from ._level import PoolLevels
 from ._own_use import OwnUse
 from ._sources import UsageSources
+from ._water import Claim, water_level
 from .frames import UsageFrame
 from .settings import ShareSettings
 
@@ -18,15 +20,29 @@
 
 DEFAULT_WEIGHT = 1
 
+ROUNDING = 0.5
+"""Part of a slot by which a team may pass its share."""
+
+
+RIVAL = 0.25
+"""Part of a slot left to each other entry that may fill the same gap meanwhile."""
+
+
+class _FullLevel(NamedTuple):
+    """Slots per weight that waiting teams are due, and until when that is used."""
+
+    level: float
+    until_ms: int
+
 
 class FairShares:
     """Implements ``ports.Shares`` for one entry.
 
     The team whose smoothed use per weight is lowest goes first. Use counts slots
     that are held, here and elsewhere, so long tasks and wrong declared sizes gain
-    nothing. In a full pool ``pick`` returns none while a team that waits elsewhere
-    is further behind than every team that waits here; ask again after some
-    milliseconds.
+    nothing. In a full pool, while other teams wait elsewhere, a team does not pass
+    its share; ``pick`` then returns none if no team fits, and is to be asked again
+    after some milliseconds.
     """
 
     def __init__(self, source: Incarnation, cfg: ShareSettings | None = None) -> None:
@@ -38,6 +54,7 @@
         self._own: dict[PoolName, dict[TeamName, OwnUse]] = {}
         self._running: dict[PoolName, int] = {}
         self._elsewhere = UsageSources(self._cfg.fresh_ms)
+        self._full: dict[PoolName, _FullLevel] = {}
         self._now_ms = 0
 
     def set_weights(self, weights: Mapping[TeamName, int]) -> None:
@@ -66,11 +83,13 @@
         self._advance(now_ms)
         levels = self._levels_of(pool)
         best = levels.lowest(waiting, self._now_ms)
-        if best is None or not self._is_full(pool):
+        if best is None or not self._is_contended(pool, waiting):
             return best
-        if self._is_behind_elsewhere(pool, best, waiting, levels):
-            return None
-        return best
+        full = self._full_level(pool, waiting)
+        if self._fits(pool, best, full):
+            return best
+        fitting = [team for team in waiting if self._fits(pool, team, full)]
+        return levels.lowest(fitting, self._now_ms)
 
     def started(self, pool: PoolName, team: TeamName, now_ms: Millis) -> None:
         """Records that a slot of the pool began to work for the team."""
@@ -127,28 +146,40 @@
                 totals[team] = total
         return totals
 
-    def _is_full(self, pool: PoolName) -> bool:
+    def _is_contended(self, pool: PoolName, waiting: Collection[TeamName]) -> bool:
+        """Returns whether the pool is full while others wait elsewhere."""
         slots = self._pool_slots.get(pool)
-        if not slots or not self._elsewhere.waiting(pool):
+        if not slots or self._elsewhere.waiting(pool).issubset(waiting):
             return False
         busy = self._running.get(pool, 0) + self._elsewhere.total(pool)
         return busy >= slots * self._cfg.full_part
 
-    def _is_behind_elsewhere(
-        self,
-        pool: PoolName,
-        best: TeamName,
-        waiting: Collection[TeamName],
-        levels: PoolLevels,
-    ) -> bool:
-        others = self._elsewhere.waiting(pool).difference(waiting)
-        behind = levels.lowest(others, self._now_ms)
-        if behind is None:
-            return False
-        ours = levels.projected(best, self._now_ms)
-        theirs = levels.projected(behind, self._now_ms)
-        allowance = levels.step(self._weight(best))
-        return ours > theirs * (1 + self._cfg.slack) + allowance
+    def _full_level(self, pool: PoolName, waiting: Collection[TeamName]) -> float:
+        """Returns the slots per weight that each waiting team is due."""
+        cached = self._full.get(pool)
+        if cached is not None and self._now_ms < cached.until_ms:
+            return cached.level
+        levels = self._levels_of(pool)
+        hungry = self._elsewhere.waiting(pool).union(waiting)
+        claims = [Claim(self._weight(team), inf) for team in hungry]
+        for team in levels.teams():
+            weight = self._weight(team)
+            if team not in hungry and levels.goal(team):
+                claims.append(Claim(weight, levels.goal(team) * weight))
+        level = water_level(self._pool_slots[pool], claims)
+        self._full[pool] = _FullLevel(level, self._now_ms + self._cfg.refresh_ms)
+        return level
+
+    def _fits(self, pool: PoolName, team: TeamName, full: float) -> bool:
+        """Returns whether one more slot keeps the team at its share.
+
+        Use of the recent past that was over or under the share is made up for.
+        """
+        levels = self._levels_of(pool)
+        rivals = self._elsewhere.rivals(pool, team)
+        after = levels.goal(team) + (ROUNDING + RIVAL * rivals) / self._weight(team)
+        surplus = levels.level(team, self._now_ms) - full
+        return after + surplus * self._cfg.correction <= full
 
     def _advance(self, now_ms: int) -> None:
         self._now_ms = max(self._now_ms, now_ms)
--- a/src/amaranthtray/domain/shares/settings.py
+++ b/src/amaranthtray/domain/shares/settings.py
@@ -17,7 +17,8 @@
         repeat_ms: How long a changed sum is repeated in frames.
         fresh_ms: Silence after which a source counts as idle.
         full_part: Part of the pool's slots in use from which the pool is full.
-        slack: How far a team may be ahead of one that waits elsewhere, as a part.
+        correction: Part of a team's smoothed surplus that is taken off its slots.
+        refresh_ms: How long the computed share of a full pool is used.
     """
 
     horizon_ms: int = 4_000
@@ -26,4 +27,5 @@
     repeat_ms: int = 2_000
     fresh_ms: int = 1_500
     full_part: float = 0.9
-    slack: float = 0.02
+    correction: float = 2.0
+    refresh_ms: int = 20
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from amaranthtray.bench._limits_world import Faults, LimitsWorld
 from amaranthtray.domain.configuration import (
     Budget,
     Change,
@@ -34,6 +35,7 @@
     TeamName,
     ZoneId,
 )
+from amaranthtray.domain.invariants import Watchdog
 from amaranthtray.domain.inventory import Host, HostState
 from amaranthtray.domain.keys.minting import key_from_secret
 from amaranthtray.domain.requests.desk import RequestDesk
@@ -226,3 +228,24 @@
         entry=EntryId(entry),
         changes=changes or (PutTeam(team(f"t{revision}")),),
     )
+
+
+def escrow_world(
+    seed: int = 1,
+    *,
+    zones: int = 2,
+    entries: int = 2,
+    limits: dict[str, int] | None = None,
+    faults: Faults | None = None,
+) -> tuple[LimitsWorld, Watchdog]:
+    """Returns a fleet of limit holders and the watchdog that observes it."""
+    watchdog = Watchdog()
+    world = LimitsWorld(
+        random.Random(seed),
+        watchdog.observe,
+        zones=zones,
+        entries=entries,
+        limits={TeamName(name): n for name, n in (limits or {"red": 10}).items()},
+        faults=faults or Faults(0, 0, 0, 0, 0, 0),
+    )
+    return world, watchdog
