--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from amaranthtray.domain.budgets import Ledger, Location, Order, OutCause
+from amaranthtray.bench._limits_world import Faults, LimitsWorld
 from amaranthtray.domain.configuration import (
     Budget,
     Change,
@@ -40,6 +41,7 @@
     WaveName,
     ZoneId,
 )
+from amaranthtray.domain.invariants import Watchdog
 from amaranthtray.domain.inventory import Host, HostState
 from amaranthtray.domain.keys.minting import key_from_secret
 from amaranthtray.domain.requests.desk import RequestDesk
@@ -269,3 +271,22 @@
     order: str = "",
 ) -> Wave:
     return Wave(WaveName(name), selector, action, state, order)
+def escrow_world(
+    seed: int = 1,
+    *,
+    zones: int = 2,
+    entries: int = 2,
+    limits: dict[str, int] | None = None,
+    faults: Faults | None = None,
+) -> tuple[LimitsWorld, Watchdog]:
+    """Returns a fleet of limit holders and the watchdog that observes it."""
+    watchdog = Watchdog()
+    world = LimitsWorld(
+        random.Random(seed),
+        watchdog.observe,
+        zones=zones,
+        entries=entries,
+        limits={TeamName(name): n for name, n in (limits or {"red": 10}).items()},
+        faults=faults or Faults(0, 0, 0, 0, 0, 0),
+    )
+    return world, watchdog
