--- /dev/null
+++ b/src/amaranthtray/entry/limits_runner.py
@@ -0,0 +1,216 @@
+"""Runs the zone steward's ledger work against the platform's store.
+
+It has no thread: its owner calls it with results of the watch and ticks.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import cbor2
+from returns.result import Failure, Result, Success
+
+from ..domain.ids import Millis, TeamName, ZoneId
+from ..domain.limits.effects import (
+    ReadRecord,
+    ReadRow,
+    RecordSeen,
+    RowSeen,
+    StoreEffect,
+    StoreResult,
+    WriteFailed,
+    WriteRecord,
+    WriteRow,
+    WriteUnknown,
+)
+from ..domain.limits.ledger import (
+    LEDGER_PREFIX,
+    TEAM_PREFIX,
+    ZONE_PREFIX,
+    TeamRow,
+    ZoneRecord,
+    team_key,
+    zone_key,
+)
+from ..domain.limits.zone_steward import ZoneSteward
+from ..platform.store import Conflict, EffectUnknown, Versioned
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from ..domain.ids import Incarnation, Revision, Term
+    from ..domain.limits.messages import UnitsGrant, UnitsReport
+    from ..domain.limits.timing import EscrowTiming
+    from ..platform.store import Store, StoreFailure, WatchEvent
+
+
+class LimitsRunner:
+    """One entry's work as zone steward towards the limits.
+
+    Args:
+        zone: The availability zone.
+        holder: This run of the entry.
+        timing: Durations of the escrow.
+        store: A store that does not settle lost replies; the ledger does.
+        clock: Monotonic clock in milliseconds.
+    """
+
+    def __init__(
+        self,
+        zone: ZoneId,
+        holder: Incarnation,
+        timing: EscrowTiming,
+        store: Store,
+        clock: Callable[[], Millis],
+    ) -> None:
+        self._zone = zone
+        self._holder = holder
+        self._timing = timing
+        self._store = store
+        self._clock = clock
+        self._steward: ZoneSteward | None = None
+        self._at_version = 0
+        self.unreadable = 0
+
+    @property
+    def term(self) -> Term | None:
+        """Returns the term that entries must follow; none until units can flow."""
+        steward = self._steward
+        return steward.term if steward is not None and steward.term else None
+
+    @property
+    def is_active(self) -> bool:
+        """Returns whether this entry works as the zone's steward."""
+        return self._steward is not None
+
+    @property
+    def at_version(self) -> int:
+        """Returns the store version from which to watch the ledger."""
+        return self._at_version
+
+    def begin(self) -> StoreFailure | None:
+        """Reads the whole ledger and takes the zone over; returns what failed."""
+        listed = self._store.list(LEDGER_PREFIX)
+        if isinstance(listed, Failure):
+            failure: StoreFailure = listed.failure()
+            return failure
+        steward = ZoneSteward(self._zone, self._holder, self._timing)
+        self._steward = steward
+        self._at_version = listed.unwrap().at_version
+        for item in listed.unwrap().items:
+            self._see(item.key, item.value, item.version)
+        self._run(steward.take_over(self._clock()))
+        return None
+
+    def end(self) -> None:
+        """Stops the work; units already granted run out by themselves."""
+        self._steward = None
+
+    def extend(self, until_ms: Millis) -> None:
+        """Records how long the duty is held for sure."""
+        if self._steward is not None:
+            self._steward.lease_until_ms = until_ms
+
+    def set_limits(self, revision: Revision, limits: Mapping[TeamName, int]) -> None:
+        """Puts the limits of a configuration in force."""
+        if self._steward is not None:
+            self._steward.set_limits(revision, limits, self._clock())
+
+    def watched(self, events: Iterable[WatchEvent]) -> None:
+        """Takes changes of the ledger by any steward."""
+        for event in events:
+            self._at_version = max(self._at_version, event.version)
+            if event.value is not None:
+                self._see(event.key, event.value, event.version)
+
+    def report(self, report: UnitsReport) -> UnitsGrant | None:
+        """Answers an entry's report; none when there is nothing to grant."""
+        if self._steward is None:
+            return None
+        return self._steward.on_report(report, self._clock())
+
+    def tick(self) -> bool:
+        """Does what is due; false when another steward has taken over."""
+        steward = self._steward
+        if steward is None:
+            return False
+        if steward.is_superseded:
+            self.end()
+            return False
+        if steward.is_fenced:
+            self._run(steward.take_over(self._clock()))
+        self._run(steward.tick(self._clock()))
+        return True
+
+    def _run(self, effects: Iterable[StoreEffect]) -> None:
+        waiting = deque(effects)
+        while waiting and self._steward is not None:
+            result = self._call(waiting.popleft())
+            if result is not None:
+                waiting.extend(self._steward.on_store(result, self._clock()))
+
+    def _call(self, effect: StoreEffect) -> StoreResult | None:
+        match effect:
+            case WriteRow(team=team, row=row, version=version):
+                written = self._write(team_key(team), row.encode(), version)
+                return self._row_result(effect, written)
+            case WriteRecord(zone=zone, record=record, version=version):
+                written = self._write(zone_key(zone), record.encode(), version)
+                return self._record_result(effect, written)
+            case ReadRow(team=team):
+                return self._read(team_key(team))
+            case ReadRecord(zone=zone):
+                return self._read(zone_key(zone))
+
+    def _write(self, key: str, value: bytes, version: int) -> Result[int, StoreFailure]:
+        if version == 0:
+            return self._store.create(key, value)
+        return self._store.compare_and_swap(key, value, version=version)
+
+    def _row_result(
+        self, effect: WriteRow, written: Result[int, StoreFailure]
+    ) -> StoreResult | None:
+        if isinstance(written, Success):
+            return RowSeen(effect.team, effect.row, written.unwrap())
+        return self._failed(effect, written.failure())
+
+    def _record_result(
+        self, effect: WriteRecord, written: Result[int, StoreFailure]
+    ) -> StoreResult | None:
+        if isinstance(written, Success):
+            return RecordSeen(effect.zone, effect.record, written.unwrap())
+        return self._failed(effect, written.failure())
+
+    def _failed(
+        self, effect: WriteRow | WriteRecord, failure: StoreFailure
+    ) -> StoreResult | None:
+        match failure:
+            case Conflict(found=Versioned() as found):
+                return self._decode(found.key, found.value, found.version)
+            case EffectUnknown():
+                return WriteUnknown(effect)
+        return WriteFailed(effect)
+
+    def _read(self, key: str) -> StoreResult | None:
+        found = self._store.get(key).value_or(None)
+        if found is None:
+            return None
+        return self._decode(found.key, found.value, found.version)
+
+    def _see(self, key: str, value: bytes, version: int) -> None:
+        steward = self._steward
+        result = self._decode(key, value, version)
+        if steward is not None and result is not None:
+            self._run(steward.on_store(result, self._clock()))
+
+    def _decode(self, key: str, value: bytes, version: int) -> StoreResult | None:
+        try:
+            if key.startswith(TEAM_PREFIX):
+                team = TeamName(key.removeprefix(TEAM_PREFIX))
+                return RowSeen(team, TeamRow.decode(value), version)
+            zone = ZoneId(key.removeprefix(ZONE_PREFIX))
+            return RecordSeen(zone, ZoneRecord.decode(value), version)
+        except (cbor2.CBORDecodeError, ValueError, TypeError):
+            self.unreadable += 1
+            return None
