Run an id at most once: issued ids that carry their home, claims for the rest

Owner by hash has two owners under a cut and ids that carry time trust clocks; ids that carry their home need neither store nor clock. Ids chosen by callers are claimed by create-if-absent; a lost reply is settled by operation id.

A delayed claim result is no longer used after 60 s.

--- /dev/null
+++ b/src/amaranthtray/domain/requests/idempotency.py
@@ -0,0 +1,400 @@
+"""At most one run of a request id, whatever its copies do.
+
+The table of one run of an entry. It decides who starts the work of an id; it does no
+store or network call and relies on no clock but its own monotonic one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from ..errors import Problem
+from ..ids import Millis, OperationId
+from ._records import Record, Records, Stage
+from .idempotency_messages import (
+    AnswerDropped,
+    Ask,
+    CallerLeft,
+    CancelAsked,
+    CancelWork,
+    Claim,
+    ClaimAbsent,
+    ClaimEnded,
+    ClaimHeld,
+    ClaimUnavailable,
+    ClaimUnsure,
+    ClaimWon,
+    Forward,
+    ForwardCancel,
+    ForwardEnded,
+    Reject,
+    Reply,
+    Run,
+    Sweep,
+    WantClaim,
+    WantClaimRead,
+    WorkEnded,
+)
+from .ids import IssuedId, parse_request_id
+from .model import NotRun, NotRunReason, Unknown, UnknownReason
+from .tracked import RequestKey
+
+if TYPE_CHECKING:
+    from ..ids import RequestId, TeamName
+    from .idempotency_messages import CallerRef, TableEffect, TableMessage
+    from .ids import Home
+    from .model import Outcome
+
+_STEP = "submit"
+
+
+@dataclass(frozen=True, slots=True)
+class IdempotencySettings:
+    """Bounds of the idempotency table.
+
+    Attributes:
+        issued_ms: Time within which an issued id must be used.
+        kept_ms: Time for which an outcome is kept for later copies.
+        max_kept: Most issued and finished ids that are kept.
+        retention_ms: Time for which the platform's store keeps a claim.
+        max_deadline_ms: Longest time to the deadline of an unrepeatable request with
+            a chosen id.
+        claim_call_ms: Longest time from the decision to claim to its settled result;
+            a later one is not used, since its entry may have been paused.
+        claim_margin_ms: Slack for the rates of the store's clock and this one.
+        max_reads: Times that a claim is read back after a lost reply.
+        store_retry_ms: Advice to come back when the store is away.
+    """
+
+    issued_ms: int = 600_000
+    kept_ms: int = 600_000
+    max_kept: int = 20_000
+    retention_ms: int = 86_400_000
+    max_deadline_ms: int = 43_200_000
+    claim_call_ms: int = 60_000
+    claim_margin_ms: int = 600_000
+    max_reads: int = 3
+    store_retry_ms: int = 2_000
+
+    @property
+    def claim_use_ms(self) -> int:
+        """Age of a claim up to which work may be taken up under it."""
+        return self.retention_ms - self.max_deadline_ms - self.claim_margin_ms
+
+
+class IdempotencyTable:
+    """Who starts the work of each request id.
+
+    Args:
+        home: This run of this entry.
+        cfg: Bounds.
+    """
+
+    def __init__(self, home: Home, cfg: IdempotencySettings | None = None) -> None:
+        self._home = home
+        self._cfg = cfg or IdempotencySettings()
+        self._records = Records(self._cfg.max_kept)
+        self._last_seq = 0
+        self._last_op = 0
+        self._effects: list[TableEffect] = []
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def issue(self, team: TeamName, now_ms: Millis) -> RequestId:
+        """Returns a new id, whose home is this run of this entry."""
+        self._last_seq += 1
+        request_id = IssuedId(self._home, self._last_seq).to_request_id()
+        key = RequestKey(team, request_id)
+        record = self._records.add(key, Record(Stage.ISSUED, is_mine=True))
+        self._records.keep(key, record, now_ms + self._cfg.issued_ms)
+        return request_id
+
+    def handle(self, message: TableMessage, now_ms: Millis) -> list[TableEffect]:
+        """Takes one message and returns what to do, in order.
+
+        Args:
+            message: What happened.
+            now_ms: Now, on the entry's monotonic clock.
+        """
+        match message:
+            case Ask():
+                self._ask(message, now_ms)
+            case ClaimEnded():
+                self._end_claim(message, now_ms)
+            case WorkEnded(key=key, outcome=outcome):
+                self._end_work(key, outcome, now_ms)
+            case ForwardEnded(key=key, outcome=outcome):
+                self._end_forward(key, outcome, now_ms)
+            case CallerLeft(key=key, caller=caller):
+                self._leave(key, caller, now_ms)
+            case CancelAsked(key=key):
+                self._cancel(key, now_ms)
+            case AnswerDropped(key=key):
+                self._drop_answer(key, now_ms)
+            case Sweep():
+                self._records.sweep(now_ms)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _ask(self, ask: Ask, now_ms: Millis) -> None:
+        key = RequestKey(ask.team, ask.request_id)
+        if ask.addressed_to not in (None, self._home.incarnation):
+            self._reply_unknown(key, ask, UnknownReason.HOME_GONE)
+            return
+        record = self._records.get(key, now_ms)
+        if record is not None:
+            self._ask_known(key, record, ask, now_ms)
+            return
+        parsed = parse_request_id(ask.request_id, peer=ask.team)
+        match parsed:
+            case Success(IssuedId() as issued):
+                self._ask_issued(key, issued, ask)
+            case Success(_):
+                self._ask_chosen(key, ask, now_ms)
+            case _:
+                self._effects.append(Reject(ask.caller, parsed.failure()))
+
+    def _ask_issued(self, key: RequestKey, issued: IssuedId, ask: Ask) -> None:
+        """Takes an issued id that this entry knows nothing of."""
+        home = issued.home
+        if home == self._home:
+            if issued.seq > self._last_seq:
+                self._reject(ask, "the id was never issued", "use ids as issued")
+                return
+            self._reply_unknown(key, ask, UnknownReason.ID_SPENT)
+        elif home.entry == self._home.entry or ask.addressed_to is not None:
+            self._reply_unknown(key, ask, UnknownReason.HOME_GONE)
+        else:
+            record = self._records.add(key, _record(Stage.FORWARDED, ask))
+            self._forward(key, record, home)
+
+    def _ask_chosen(self, key: RequestKey, ask: Ask, now_ms: Millis) -> None:
+        """Takes a chosen id that this entry knows nothing of."""
+        if ask.addressed_to is not None:
+            self._reply_unknown(key, ask, UnknownReason.ID_SPENT)
+        elif ask.repeatable:
+            self._records.add(key, _record(Stage.RUNNING, ask))
+            self._effects.append(Run(key))
+        elif ask.deadline_ms - now_ms > self._cfg.max_deadline_ms:
+            fix = f"set a deadline within {self._cfg.max_deadline_ms} ms"
+            self._reject(ask, "the deadline is too far for a chosen id", fix)
+        else:
+            record = self._records.add(key, _record(Stage.CLAIMING, ask))
+            self._claim(key, record, now_ms)
+
+    def _ask_known(
+        self, key: RequestKey, record: Record, ask: Ask, now_ms: Millis
+    ) -> None:
+        if record.fingerprint and record.fingerprint != ask.fingerprint:
+            what = "the id belongs to a request with other content"
+            self._reject(ask, what, "send the same content or choose another id")
+            return
+        if record.stage is Stage.ISSUED:
+            self._begin(key, record, ask)
+            self._run(key, record)
+        elif record.stage is not Stage.DONE:
+            record.callers[ask.caller] = ask.submission
+            record.submission = max(record.submission, ask.submission)
+        elif self._may_run_again(record, ask):
+            self._begin(key, record, ask)
+            self._run_again(key, record, now_ms)
+        elif record.outcome is not None:
+            self._effects.append(Reply(key, (ask.caller,), record.outcome))
+
+    def _may_run_again(self, record: Record, ask: Ask) -> bool:
+        return isinstance(record.outcome, NotRun) and ask.submission > record.submission
+
+    def _begin(self, key: RequestKey, record: Record, ask: Ask) -> None:
+        self._records.resume(key)
+        record.fingerprint = ask.fingerprint
+        record.repeatable = ask.repeatable
+        record.submission = ask.submission
+        record.callers[ask.caller] = ask.submission
+        record.outcome = None
+        record.is_cancelled = False
+
+    def _run(self, key: RequestKey, record: Record) -> None:
+        record.stage = Stage.RUNNING
+        self._effects.append(Run(key))
+
+    def _run_again(self, key: RequestKey, record: Record, now_ms: Millis) -> None:
+        if not record.is_mine:
+            self._claim(key, record, now_ms)
+        elif self._is_lasting(record.claimed_ms, now_ms):
+            self._run(key, record)
+        else:
+            self._end_elsewhere(key, record, Unknown(UnknownReason.ID_SPENT))
+
+    def _is_lasting(self, claimed_ms: int | None, now_ms: Millis) -> bool:
+        """Returns whether the claim outlives any work that begins now."""
+        return claimed_ms is None or now_ms - claimed_ms <= self._cfg.claim_use_ms
+
+    def _claim(self, key: RequestKey, record: Record, now_ms: Millis) -> None:
+        self._last_op += 1
+        home = self._home
+        op_id = OperationId(f"{home.entry}/{home.incarnation}/{self._last_op}")
+        record.stage = Stage.CLAIMING
+        record.op_id = op_id
+        record.claims[op_id] = now_ms
+        record.reads = 0
+        self._effects.append(WantClaim(key, Claim(home, op_id)))
+
+    def _end_claim(self, ended: ClaimEnded, now_ms: Millis) -> None:
+        record = self._records.get(ended.key, now_ms)
+        if record is None or record.stage is not Stage.CLAIMING:
+            return
+        if ended.op_id != record.op_id:
+            return
+        match ended.result:
+            case ClaimWon():
+                self._use_claim(ended.key, record, ended.op_id, now_ms)
+            case ClaimHeld(claim=claim):
+                self._meet_claim(ended.key, record, claim, now_ms)
+            case ClaimUnsure() if record.reads < self._cfg.max_reads:
+                record.reads += 1
+                self._effects.append(WantClaimRead(ended.key, ended.op_id))
+            case ClaimUnavailable(retry_after_ms=retry_after_ms):
+                self._refuse_without_store(ended.key, record, retry_after_ms, now_ms)
+            case ClaimUnsure() | ClaimAbsent():
+                self._refuse_without_store(ended.key, record, None, now_ms)
+
+    def _use_claim(
+        self, key: RequestKey, record: Record, op_id: OperationId, now_ms: Millis
+    ) -> None:
+        """Runs the work under a claim that is this entry's for sure."""
+        decided_ms = record.claims[record.op_id or op_id]
+        is_prompt = now_ms - decided_ms <= self._cfg.claim_call_ms
+        if not is_prompt or not self._is_lasting(record.claims[op_id], now_ms):
+            self._refuse_without_store(key, record, None, now_ms)
+            return
+        record.is_mine = True
+        record.claimed_ms = record.claims[op_id]
+        if record.is_cancelled:
+            self._finish(key, record, NotRun(NotRunReason.CANCELLED), now_ms)
+        else:
+            self._run(key, record)
+
+    def _meet_claim(
+        self, key: RequestKey, record: Record, claim: Claim, now_ms: Millis
+    ) -> None:
+        if claim.home == self._home:
+            if claim.op_id in record.claims:
+                self._use_claim(key, record, claim.op_id, now_ms)
+                return
+            self._end_elsewhere(key, record, Unknown(UnknownReason.ID_SPENT))
+        elif claim.home.entry == self._home.entry:
+            self._end_elsewhere(key, record, Unknown(UnknownReason.HOME_GONE))
+        else:
+            record.stage = Stage.FORWARDED
+            self._forward(key, record, claim.home)
+
+    def _refuse_without_store(
+        self,
+        key: RequestKey,
+        record: Record,
+        retry_after_ms: int | None,
+        now_ms: Millis,
+    ) -> None:
+        """Refuses; the record stays, since a delayed claim may yet take effect."""
+        advice_ms = retry_after_ms or self._cfg.store_retry_ms
+        detail = "the id could not be claimed"
+        refused = NotRun(NotRunReason.STORE_UNAVAILABLE, detail, advice_ms)
+        self._finish(key, record, refused, now_ms)
+
+    def _forward(self, key: RequestKey, record: Record, home: Home) -> None:
+        record.home = home
+        record.forwarded = record.submission
+        self._effects.append(Forward(key, home, record.submission))
+        if record.is_cancelled:
+            self._effects.append(ForwardCancel(key, home))
+
+    def _end_work(self, key: RequestKey, outcome: Outcome, now_ms: Millis) -> None:
+        record = self._records.get(key, now_ms)
+        if record is None or record.stage is not Stage.RUNNING:
+            return
+        if record.is_mine:
+            self._finish(key, record, outcome, now_ms)
+        else:
+            self._end_elsewhere(key, record, outcome)
+
+    def _end_forward(self, key: RequestKey, outcome: Outcome, now_ms: Millis) -> None:
+        record = self._records.get(key, now_ms)
+        if record is None or record.stage is not Stage.FORWARDED:
+            return
+        later = {c: n for c, n in record.callers.items() if n > record.forwarded}
+        if record.home is None or not later or not isinstance(outcome, NotRun):
+            self._end_elsewhere(key, record, outcome)
+            return
+        refused = tuple(c for c in record.callers if c not in later)
+        record.callers = later
+        if refused:
+            self._effects.append(Reply(key, refused, outcome))
+        self._forward(key, record, record.home)
+
+    def _finish(
+        self, key: RequestKey, record: Record, outcome: Outcome, now_ms: Millis
+    ) -> None:
+        """Gives the outcome to all who wait and keeps it for later copies."""
+        callers = tuple(record.callers)
+        record.callers = {}
+        record.stage = Stage.DONE
+        record.outcome = outcome
+        self._records.keep(key, record, now_ms + self._cfg.kept_ms)
+        if callers:
+            self._effects.append(Reply(key, callers, outcome))
+
+    def _end_elsewhere(self, key: RequestKey, record: Record, outcome: Outcome) -> None:
+        """Gives the outcome to all who wait; nothing is kept here."""
+        self._records.drop(key)
+        if record.callers:
+            self._effects.append(Reply(key, tuple(record.callers), outcome))
+
+    def _leave(self, key: RequestKey, caller: CallerRef, now_ms: Millis) -> None:
+        record = self._records.get(key, now_ms)
+        if record is None or caller not in record.callers:
+            return
+        del record.callers[caller]
+        is_wanted = bool(record.callers) or not record.repeatable
+        if record.stage is Stage.RUNNING and not is_wanted:
+            self._effects.append(CancelWork(key))
+
+    def _cancel(self, key: RequestKey, now_ms: Millis) -> None:
+        record = self._records.get(key, now_ms)
+        if record is None:
+            return
+        match record.stage:
+            case Stage.ISSUED:
+                self._records.resume(key)
+                self._finish(key, record, NotRun(NotRunReason.CANCELLED), now_ms)
+            case Stage.CLAIMING:
+                record.is_cancelled = True
+            case Stage.RUNNING:
+                self._effects.append(CancelWork(key))
+            case Stage.FORWARDED if record.home is not None:
+                self._effects.append(ForwardCancel(key, record.home))
+
+    def _drop_answer(self, key: RequestKey, now_ms: Millis) -> None:
+        record = self._records.get(key, now_ms)
+        if record is not None and record.stage is Stage.DONE:
+            record.outcome = Unknown(UnknownReason.ID_SPENT)
+
+    def _reply_unknown(self, key: RequestKey, ask: Ask, reason: UnknownReason) -> None:
+        self._effects.append(Reply(key, (ask.caller,), Unknown(reason)))
+
+    def _reject(self, ask: Ask, what: str, fix: str) -> None:
+        problem = Problem(_STEP, ask.team, what, f"request id {ask.request_id}", fix)
+        self._effects.append(Reject(ask.caller, problem))
+
+
+def _record(stage: Stage, ask: Ask) -> Record:
+    return Record(
+        stage,
+        fingerprint=ask.fingerprint,
+        repeatable=ask.repeatable,
+        submission=ask.submission,
+        callers={ask.caller: ask.submission},
+    )
--- /dev/null
+++ b/src/amaranthtray/domain/requests/idempotency_messages.py
@@ -0,0 +1,227 @@
+"""Messages that the idempotency table takes and the effects that it returns."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NewType, TypeAlias
+
+from ..errors import Problem
+from ..ids import Incarnation, Millis, OperationId, RequestId, TeamName
+from .ids import Home
+from .model import Outcome
+from .tracked import RequestKey
+
+CallerRef = NewType("CallerRef", int)
+"""A connection or peer exchange that waits for an outcome, unique in the entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A submission, from a caller or forwarded by another entry.
+
+    Attributes:
+        fingerprint: Digest of all that defines the work: queue, flags and body.
+        caller: Who waits for the outcome.
+        deadline_ms: When the answer stops being useful, on the entry's clock.
+        submission: Grows when the caller asks again after a not-run outcome; a
+            copy of an earlier submission never runs after its refusal.
+        addressed_to: Home incarnation that a forwarding entry names, else none.
+    """
+
+    team: TeamName
+    request_id: RequestId
+    repeatable: bool
+    fingerprint: str
+    caller: CallerRef
+    deadline_ms: Millis
+    submission: int = 1
+    addressed_to: Incarnation | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The value stored under an unrepeatable id that the caller chose."""
+
+    home: Home
+    op_id: OperationId
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWon:
+    """The create took effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimHeld:
+    """The key has this claim."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAbsent:
+    """Reading back showed no claim; a delayed create may still arrive."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnavailable:
+    """The call failed and certainly had no effect."""
+
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnsure:
+    """The reply was lost."""
+
+
+ClaimResult: TypeAlias = (
+    ClaimWon | ClaimHeld | ClaimAbsent | ClaimUnavailable | ClaimUnsure
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimEnded:
+    """Answer to ``WantClaim`` and to ``WantClaimRead``."""
+
+    key: RequestKey
+    op_id: OperationId
+    result: ClaimResult
+
+
+@dataclass(frozen=True, slots=True)
+class WorkEnded:
+    """The request desk finished the work of a ``Run``."""
+
+    key: RequestKey
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardEnded:
+    """The home's outcome, or ``Unknown`` when the home can't be asked."""
+
+    key: RequestKey
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """A caller no longer waits; the work goes on if it must not be repeated."""
+
+    key: RequestKey
+    caller: CallerRef
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAsked:
+    """A caller cancels the work itself."""
+
+    key: RequestKey
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerDropped:
+    """The kept answer of a finished request is no longer held."""
+
+    key: RequestKey
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """Time passed; expired records are forgotten."""
+
+
+TableMessage: TypeAlias = (
+    Ask
+    | ClaimEnded
+    | WorkEnded
+    | ForwardEnded
+    | CallerLeft
+    | CancelAsked
+    | AnswerDropped
+    | Sweep
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Submit the work to the request desk; answered by ``WorkEnded``."""
+
+    key: RequestKey
+
+
+@dataclass(frozen=True, slots=True)
+class WantClaim:
+    """Create the claim in the platform's store if the key is absent.
+
+    The claim must vanish no earlier than ``IdempotencySettings.retention_ms``.
+    """
+
+    key: RequestKey
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class WantClaimRead:
+    """Read the claim back, since the reply of the create was lost."""
+
+    key: RequestKey
+    op_id: OperationId
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Hand the request to its home; answered by ``ForwardEnded``.
+
+    Attributes:
+        submission: To be passed on in ``Ask``.
+    """
+
+    key: RequestKey
+    home: Home
+    submission: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardCancel:
+    """Ask the home to cancel the work."""
+
+    key: RequestKey
+    home: Home
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Give these callers the outcome; each waiting caller gets one reply."""
+
+    key: RequestKey
+    callers: tuple[CallerRef, ...]
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Refuse a submission that can't be taken at all; nothing was accepted."""
+
+    caller: CallerRef
+    problem: Problem
+
+
+@dataclass(frozen=True, slots=True)
+class CancelWork:
+    """Cancel at the request desk; it still ends with ``WorkEnded``."""
+
+    key: RequestKey
+
+
+TableEffect: TypeAlias = (
+    Run
+    | WantClaim
+    | WantClaimRead
+    | Forward
+    | ForwardCancel
+    | Reply
+    | Reject
+    | CancelWork
+)
