--- a/src/amaranthtray/backend/client.py
+++ b/src/amaranthtray/backend/client.py
@@ -32,10 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Payload:
-    """What the caller sent; kept out of the decisions."""
+    """What the caller sent; kept out of the decisions.
+
+    Attributes:
+        fingerprint: Digest of all that defines the work, to know copies by.
+    """
 
     content_type: str
     body: bytes
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/demo/fleet.py
+++ b/src/amaranthtray/demo/fleet.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import secrets
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -38,6 +40,7 @@
 WAIT_TIMEOUT_S = 15.0
 POLL_S = 0.02
 HOST_PREFIX = "hosts/"
+SECRET_BYTES = 32
 
 
 class NotInTimeError(Exception):
@@ -57,6 +60,10 @@
         time.sleep(POLL_S)
 
 
+def _stop_entry(entry: Entry) -> None:
+    entry.stop(idle_timeout_s=WAIT_TIMEOUT_S)
+
+
 @dataclass(slots=True)
 class Fleet:
     """Everything that the demo runs.
@@ -67,6 +74,7 @@
         servers: Backend servers by host.
         hosts: The platform's host list.
         entries: Entries; the first two share a zone.
+        secret: Secret that the entries share.
     """
 
     operator: MintedKey = field(default_factory=lambda: mint_key(EMPTY_REVISION))
@@ -74,6 +82,7 @@
     servers: dict[HostId, BackendStandIn] = field(default_factory=dict)
     hosts: dict[HostId, Host] = field(default_factory=dict)
     entries: list[Entry] = field(default_factory=list)
+    secret: bytes = field(default_factory=lambda: secrets.token_bytes(SECRET_BYTES))
     _memory: MemoryPlatform = field(default_factory=lambda: MemoryPlatform(now_ms))
 
     def start(self) -> None:
@@ -87,12 +96,10 @@
 
     def stop(self) -> None:
         """Stops all parts."""
-        for entry in self.entries:
-            entry.stop(idle_timeout_s=WAIT_TIMEOUT_S)
-        for server in self.servers.values():
-            server.stop()
-        for platform in self.platforms.values():
-            platform.stop()
+        with ThreadPoolExecutor() as executor:
+            list(executor.map(_stop_entry, self.entries))
+            list(executor.map(BackendStandIn.stop, self.servers.values()))
+            list(executor.map(PlatformStandIn.stop, self.platforms.values()))
 
     def caller_url(self, number: int) -> str:
         """Returns the base URL of an entry's caller interface."""
@@ -154,6 +161,6 @@
             platform=PlatformSettings(endpoints=[self.platforms[zone].url]),
             bootstrap=BootstrapSettings(operator_digest=self.operator.digest),
         )
-        entry = Entry(settings)
+        entry = Entry(settings, self.secret)
         entry.start()
         self.entries.append(entry)
--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import uuid
 
 import msgspec
@@ -31,7 +32,8 @@
 HOST = HostId("h1")
 ZONE = ZoneId("z1")
 REGION = RegionId("r1")
-ADMIN_TIMEOUT_MS = 5_000
+ADMIN_TIMEOUT_MS = 10_000
+SECRET_BYTES = 32
 
 
 class OneEntry:
@@ -77,7 +79,7 @@
         self._platform.start()
         key = f"hosts/{HOST}"
         self._memory.client("platform").create(key, msgspec.json.encode(self._host))
-        self._entry = Entry(self._settings())
+        self._entry = Entry(self._settings(), secrets.token_bytes(SECRET_BYTES))
         self._entry.start()
         self._configure()
 
--- a/src/amaranthtray/domain/serving/messages.py
+++ b/src/amaranthtray/domain/serving/messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from ..ids import Incarnation, PoolName, Revision, TeamName, Term
+from ..ids import HostId, Incarnation, PoolName, Revision, TeamName, Term
 from ..inventory import Host
 from ..limits.messages import UnitsGrant, UnitsReport
 from ..requests.messages import DeskEffect, DeskMessage
@@ -64,6 +64,13 @@
     source: Incarnation
 
 
+@dataclass(frozen=True, slots=True)
+class HostsReported:
+    """Another entry learned from these hosts themselves that they are leaving."""
+
+    leaving: tuple[HostId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LeaveBegun:
     """The entry is leaving: it takes no more units."""
@@ -77,6 +84,7 @@
     | GrantArrived
     | UsageArrived
     | SourceEnded
+    | HostsReported
     | LeaveBegun
 )
 
@@ -95,4 +103,11 @@
     frame: UsageFrame
 
 
-ServingEffect: TypeAlias = DeskEffect | SendReport | SendUsage
+@dataclass(frozen=True, slots=True)
+class SendHostNews:
+    """Tell the other entries which hosts said that they are leaving."""
+
+    leaving: tuple[HostId, ...]
+
+
+ServingEffect: TypeAlias = DeskEffect | SendReport | SendUsage | SendHostNews
--- a/src/amaranthtray/domain/serving/serving.py
+++ b/src/amaranthtray/domain/serving/serving.py
@@ -20,7 +20,9 @@
     ConfigurationInForce,
     GrantArrived,
     HostsListed,
+    HostsReported,
     LeaveBegun,
+    SendHostNews,
     SendReport,
     SendUsage,
     SourceEnded,
@@ -30,7 +32,7 @@
 from .settings import ServingSettings
 
 if TYPE_CHECKING:
-    from ..ids import AttemptId, Millis
+    from ..ids import AttemptId, HostId
     from ..requests.messages import DeskEffect
     from .messages import ServingEffect, ServingMessage
 
@@ -77,6 +79,7 @@
         self._report_due_ms = 0
         self._frame_due_ms = 0
         self._look_again_ms: int | None = None
+        self._leaving: frozenset[HostId] = frozenset()
 
     def handle(self, message: ServingMessage, now_ms: Millis) -> list[ServingEffect]:
         """Takes one message.
@@ -122,6 +125,8 @@
                 self.shares.merge(frame, now_ms)
             case SourceEnded(source=source):
                 self.shares.drop_source(source, now_ms)
+            case HostsReported(leaving=leaving):
+                self._note_leaving(leaving, now_ms)
             case LeaveBegun():
                 self.holding.leave()
                 self._report_due_ms = now_ms
@@ -145,11 +150,26 @@
         if now_ms >= self._report_due_ms:
             self._report_due_ms = now_ms + self.cfg.report_ms
             effects.append(self._report(now_ms))
+            effects.extend(self._host_news())
         if now_ms >= self._frame_due_ms:
             self._frame_due_ms = now_ms + self.cfg.shares.period_ms
             effects.append(SendUsage(self.shares.frame(waiting, now_ms)))
         return effects
 
+    def _host_news(self) -> list[ServingEffect]:
+        leaving = frozenset(self.book.leaving_hosts())
+        fresh = leaving - self._leaving
+        self._leaving = leaving
+        return [SendHostNews(tuple(sorted(fresh)))] if fresh else []
+
+    def _note_leaving(self, hosts: tuple[HostId, ...], now_ms: Millis) -> None:
+        """Believes another entry; what it said is not told any further."""
+        for host in hosts:
+            worker = self.book.worker(host)
+            if worker is not None and not worker.is_refused_leaving:
+                self.book.note_leaving(worker, now_ms)
+        self._leaving |= frozenset(hosts)
+
     def _report(self, now_ms: Millis) -> SendReport:
         for team, waiting in self.desk.demand().items():
             self._limits.note_demand(team, waiting, now_ms)
--- a/src/amaranthtray/domain/serving/settings.py
+++ b/src/amaranthtray/domain/serving/settings.py
@@ -33,12 +33,14 @@
     def with_task_lease(self, ttl_ms: int) -> ServingSettings:
         """Returns settings whose grants outlast tasks under this lease.
 
-        A renewal may be under way for ``call_ms`` when the entry stops renewing, and
-        the host may take ``margin_ms`` to stop a lapsed task.
+        The host may take ``margin_ms`` to stop a lapsed task.
         """
         leases = replace(
             self.leases, ttl_ms=ttl_ms, renew_every_ms=ttl_ms // RENEWALS_PER_LEASE
         )
-        longest_ms = ttl_ms + leases.call_ms + leases.margin_ms
-        escrow = replace(self.escrow, task_lease_ms=longest_ms)
+        escrow = replace(
+            self.escrow,
+            task_lease_ms=ttl_ms + leases.margin_ms,
+            call_ms=leases.call_ms,
+        )
         return replace(self, leases=leases, escrow=escrow)
--- a/src/amaranthtray/entry/admin_view.py
+++ b/src/amaranthtray/entry/admin_view.py
@@ -3,21 +3,27 @@
 from __future__ import annotations
 
 from dataclasses import asdict
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from returns.result import Failure, Success
+
+from ..domain.configuration.log import apply, propose
+from ..domain.errors import Problem
+from ..domain.ids import OperationId
+from ..domain.placement import desired_pools
+from .clock import now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from ..domain.configuration import Change
+    from ..domain.configuration import Change, Configuration
     from ..domain.ids import Revision, ZoneId
     from .context import EntryContext
+    from .control import Control
+    from .observer import Observer
 
-
-class ZoneRevisions(Protocol):
-    """Knows which revision each availability zone has in force."""
-
-    def wait(self, revision: Revision, timeout_ms: int) -> Mapping[ZoneId, Revision]:
-        """Waits until all zones have a revision, or the timeout; returns what is."""
+PREVIEW_OPERATION = "preview"
 
 
 class AdminView:
@@ -25,18 +31,22 @@
 
     Args:
         context: What the entry knows.
-        zones: Which zones have which revision.
+        control: The control part.
+        observer: Service-level counts.
     """
 
-    def __init__(self, context: EntryContext, zones: ZoneRevisions) -> None:
+    def __init__(
+        self, context: EntryContext, control: Control, observer: Observer
+    ) -> None:
         self._context = context
-        self._zones = zones
+        self._control = control
+        self._observer = observer
 
     def wait_for_zones(
         self, revision: Revision, timeout_ms: int
     ) -> Mapping[ZoneId, Revision]:
         """Waits until a revision is in force in all zones, or the timeout."""
-        return self._zones.wait(revision, timeout_ms)
+        return self._control.zones.wait(revision, timeout_ms)
 
     def read(self, path: str) -> dict[str, Any] | None:
         """Returns what stands at a path; none if nothing does."""
@@ -45,22 +55,63 @@
                 return self._status()
             case ["hosts"]:
                 return {"hosts": self._hosts()}
+            case ["burn"]:
+                return self._burn()
             case _:
                 return None
 
     def preview(self, changes: Sequence[Change], operator: str) -> dict[str, Any]:
         """Returns the hosts that changes would move, and what is wrong with them."""
-        del changes, operator
+        cfg = self._context.view.current
+        proposed = propose(
+            cfg,
+            changes,
+            rules=self._context.rules,
+            op_id=OperationId(PREVIEW_OPERATION),
+            operator=operator,
+            entry=self._context.entry,
+        )
+        match proposed:
+            case Success(record):
+                moves = self._moves(cfg, apply(cfg, record))
+                return {"moves": moves, "problems": []}
+            case Failure(Problem() as problem):
+                return {"moves": [], "problems": [asdict(problem)]}
         return {"moves": [], "problems": []}
 
+    def _moves(
+        self, before: Configuration, after: Configuration
+    ) -> list[dict[str, Any]]:
+        hosts = self._context.hosts.hosts()
+        old = desired_pools(before, hosts)
+        new = desired_pools(after, hosts)
+        return [
+            {"host": host, "from": old[host], "to": pool}
+            for host, pool in sorted(new.items())
+            if old[host] != pool
+        ]
+
+    def _burn(self) -> dict[str, Any]:
+        context = self._context
+        snapshot = self._observer.burn.snapshot(
+            context.entry, context.zone, context.incarnation, now_ms()
+        )
+        shown: dict[str, Any] = msgspec.to_builtins(snapshot)
+        return shown
+
     def _status(self) -> dict[str, Any]:
         context = self._context
         cfg = context.view.current
+        control = self._control
         return {
             "entry": context.entry,
             "zone": context.zone,
+            "incarnation": context.incarnation,
             "revision": int(cfg.revision),
             "configuration_age_ms": context.view.age_ms,
+            "zones": {z: int(r) for z, r in control.zones.revisions().items()},
+            "steward_term": int(control.stewardship.term),
+            "peers": sorted(peer.entry for peer in control.peers.all()),
             "pools": len(cfg.pools),
             "teams": len(cfg.teams),
             "hosts": len(context.hosts.hosts()),
--- a/src/amaranthtray/entry/config_view.py
+++ b/src/amaranthtray/entry/config_view.py
@@ -47,6 +47,11 @@
         """Returns the configuration in force."""
         return self._follower.cfg
 
+    @property
+    def revision(self) -> Revision:
+        """Returns the revision in force."""
+        return self._follower.cfg.revision
+
     @property
     def age_ms(self) -> int:
         """Returns how long the configuration has not been confirmed."""
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -8,44 +8,38 @@
 from typing import TYPE_CHECKING
 
 from .. import web
-from ..backend.client import BackendClient
-from ..backend.connections import ConnectionPools
 from ..domain.ids import EntryId, Incarnation, ZoneId
-from ..domain.requests.desk import RequestDesk
-from ..domain.requests.ports import FirstComeShares, Unlimited
-from ..domain.workers.book import WorkerBook
-from ..platform.budgeted import BudgetedStore, CallBudget
-from ..platform.config_log import ConfigFeed, ConfigLog
-from ..platform.etcd_json import EtcdStore
-from ..platform.settled import SettledStore
+from ..domain.serving import LeaveBegun
+from ..peers.hub import HubSettings
+from ..peers.messages import Member
+from . import wiring
 from .admin_api import AdminApi
 from .admin_service import AdminService
 from .admin_view import AdminView
 from .caller_api import CallerApi
-from .caller_service import CallerService
-from .clock import now_ms
+from .caller_service import CallerService, Services
 from .config_task import ConfigTask
 from .config_view import ConfigView
 from .context import EntryContext
-from .host_list import HostList, by_pool
+from .control_task import ControlTask
+from .host_list import HostList
 from .host_task import HostTask
-from .request_ids import RequestIds
-from .request_task import RequestTask
+from .links import HubLinks
+from .observer import Observer
+from .peer_events import PeerEvents
+from .pulse_task import PulseTask
 from .rules import configuration_rules
 from .shutdown import Phase, Readiness
-from .task_control import TaskControl
-from .zone_revisions import OwnZoneOnly
 
 if TYPE_CHECKING:
     from ..domain.configuration import Configuration
-    from ..platform.store import Store
     from ..settings import Settings
     from .worker_thread import WorkerThread
 
 ADMIN_THREADS = 6
 INCARNATION_BYTES = 4
 IDLE_TIMEOUT_S = 3_600.0
-THREAD_JOIN_S = 2.0
+GIVE_BACK_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +48,7 @@
 
     caller: int
     admin: int
+    peer: int
 
 
 class Entry:
@@ -61,47 +56,83 @@
 
     Args:
         settings: Settings of the entry.
+        secret: The secret that all entries share.
+        observer: Takes metrics and state lines.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self, settings: Settings, secret: bytes, *, observer: Observer | None = None
+    ) -> None:
         self.settings = settings
+        self._secret = secret
         self.incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
         self.readiness = Readiness()
-        self.store = _open_store(settings)
-        self.faults = 0
-        self._pools = ConnectionPools()
+        self.observer = observer or Observer(settings)
+        self._rng = random.Random(secrets.randbits(64))
+        self._stores = wiring.open_stores(settings)
+        self._view = ConfigView(self._apply_config)
         self._hosts = HostList(
-            self.store, settings.platform.hosts.prefix, self._apply_hosts
+            self._stores.platform, settings.platform.hosts.prefix, self._apply_hosts
         )
-        self._view = ConfigView(self._apply_config)
-        self._requests = self._make_requests()
+        self._context = self._make_context()
+        self._links = self._make_links()
+        self._slot = wiring.ControlSlot()
+        self._requests = wiring.make_requests(
+            self._context,
+            self._links,
+            self._stores,
+            self.observer,
+            self._rng,
+            self._slot,
+        )
+        self._services = Services(
+            settings, self._view, self._requests.table, self.readiness, self.observer
+        )
+        self._caller_service = CallerService(self._services)
+
+    def start(self) -> None:
+        """Starts all tasks, then the servers, then passes the health check."""
+        peer_port = self._links.hub.start()
+        self._control = self._make_control(peer_port)
+        self._slot.put = self._control.put
+        self._events.connect(self._control, self._requests)
         self._tasks = self._make_tasks()
-        self._callers = self._make_caller_server()
+        for task in self._tasks:
+            task.on_fault = self.observer.fault
+            task.start()
+        self._requests.task.start()
         self._admin = self._make_admin_server()
+        self._callers = self._make_caller_server()
+        self._admin.start()
+        self._callers.start()
+        self._ports = Ports(self._callers.port, self._admin.port, peer_port)
+        self.readiness.advance(Phase.SERVING)
+        self.observer.changed("entry-serving", incarnation=self.incarnation)
 
     @property
     def ports(self) -> Ports:
-        """Returns the ports that the entry listens on."""
-        return Ports(self._callers.port, self._admin.port)
+        """Returns the ports that the entry listens on, once it has started."""
+        return self._ports
 
     @property
     def view(self) -> ConfigView:
         """Returns the configuration in force."""
         return self._view
 
-    def start(self) -> None:
-        """Starts all tasks, then the servers, then passes the health check."""
-        for task in self._tasks:
-            task.on_fault = self._count_fault
-            task.start()
-        self._requests.start()
-        self._admin.start()
-        self._callers.start()
-        self.readiness.advance(Phase.SERVING)
+    @property
+    def links(self) -> HubLinks:
+        """Returns the links to other entries."""
+        return self._links
+
+    @property
+    def control(self) -> ControlTask:
+        """Returns the control part, once the entry has started."""
+        return self._control
 
     def drain(self) -> None:
         """Fails the health check; requests are still taken."""
-        self.readiness.advance(Phase.DRAINING)
+        if self.readiness.advance(Phase.DRAINING):
+            self.observer.changed("entry-draining", incarnation=self.incarnation)
 
     def stop(self, *, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
         """Finishes what is in flight, gives back what is held, and ends."""
@@ -109,49 +140,74 @@
         self.readiness.wait_until_idle(idle_timeout_s)
         self.readiness.advance(Phase.STOPPED)
         self._callers.stop()
+        self._give_back()
         self._admin.stop()
         for task in self._tasks:
             task.stop()
+        self._control.join(GIVE_BACK_S)
+        self._control.control.leave()
         self._requests.stop()
-        self._pools.close()
-
-    def _make_requests(self) -> RequestTask:
-        rng = random.Random(secrets.randbits(64))
-        cfg = self.settings
-        desk = RequestDesk(
-            limits=Unlimited(),
-            shares=FirstComeShares(),
-            rng=rng,
-            workers=WorkerBook(ZoneId(cfg.entry.zone), rng),
-            attempt_prefix=f"{cfg.entry.id}.{self.incarnation}",
-        )
-        control = TaskControl(
-            self._pools,
-            on_ended=lambda host, ids: self._requests.free_slots(host, ids),
-        )
-        client = BackendClient(self._pools)
-        return RequestTask(desk, client, control, on_error=self._count_fault)
-
-    def _make_tasks(self) -> tuple[WorkerThread, ...]:
-        entry = EntryId(self.settings.entry.id)
-        self._context = EntryContext(
+        self._links.hub.stop()
+        self.observer.changed("entry-stopped", incarnation=self.incarnation)
+        self.observer.flush()
+
+    def _give_back(self) -> None:
+        """Reports that the entry takes no more units, so that others get them."""
+        self._control.control.is_leaving = True
+        self._requests.task.post(LeaveBegun())
+        self._control.pause(int(GIVE_BACK_S * 500))
+
+    def _make_context(self) -> EntryContext:
+        return EntryContext(
             settings=self.settings,
             incarnation=self.incarnation,
             view=self._view,
             hosts=self._hosts,
             rules=configuration_rules(self._hosts.hosts),
         )
-        self._log = ConfigLog(self.store, entry=entry, rules=self._context.rules)
-        feed = ConfigFeed(self._log, self.store)
-        return (ConfigTask(feed, self._log, self._view), HostTask(self._hosts))
+
+    def _make_links(self) -> HubLinks:
+        cfg = self.settings.entry
+        self._events = PeerEvents()
+        hub = HubSettings(
+            entry=EntryId(cfg.id),
+            zone=ZoneId(cfg.zone),
+            incarnation=self.incarnation,
+            secret=self._secret,
+            address=cfg.address,
+            port=cfg.peer_port,
+        )
+        return HubLinks(
+            hub, on_event=self._events.take, on_wanted=self._events.want_link
+        )
+
+    def _make_control(self, peer_port: int) -> ControlTask:
+        cfg = self.settings.entry
+        member = Member(
+            EntryId(cfg.id), ZoneId(cfg.zone), self.incarnation, cfg.address, peer_port
+        )
+        control = wiring.make_control(
+            member, self._context, self._links, self._stores, self._requests, self._rng
+        )
+        return ControlTask(control, self._stores.settled)
+
+    def _make_tasks(self) -> tuple[WorkerThread, ...]:
+        self._log = wiring.make_log(self._context, self._stores)
+        feed = wiring.make_feed(self._log, self._stores)
+        return (
+            ConfigTask(feed, self._log, self._view),
+            HostTask(self._hosts),
+            self._control,
+            self._control.members,
+            self._control.ledger,
+            PulseTask(self.observer, self._view, self._requests, self._control),
+        )
 
     def _make_caller_server(self) -> web.WebServer:
         cfg = self.settings.entry
-        ids = RequestIds(self._context.entry, self.incarnation, self.store)
-        service = CallerService(
-            self.settings, self._view, self._requests, ids, self.readiness
+        api = CallerApi(
+            self._caller_service, self.readiness, max_body_bytes=cfg.max_body_bytes
         )
-        api = CallerApi(service, self.readiness, max_body_bytes=cfg.max_body_bytes)
         return web.WebServer(
             api,
             host=cfg.address,
@@ -164,8 +220,7 @@
 
     def _make_admin_server(self) -> web.WebServer:
         cfg = self.settings.entry
-        zones = OwnZoneOnly(self._context.zone, self._view)
-        view = AdminView(self._context, zones)
+        view = AdminView(self._context, self._control.control, self.observer)
         service = AdminService(self._context, self._log, view)
         return web.WebServer(
             AdminApi(service),
@@ -175,19 +230,9 @@
         )
 
     def _apply_config(self, cfg: Configuration) -> None:
-        self._requests.update_hosts(by_pool(cfg, self._hosts.hosts()))
+        wiring.apply_configuration(cfg, self._hosts.hosts(), self._requests.task)
+        self.observer.changed("configuration-in-force", revision=int(cfg.revision))
 
     def _apply_hosts(self) -> None:
-        self._apply_config(self._view.current)
-
-    def _count_fault(self, exc: Exception) -> None:
-        """Counts a fault of this program; the task that had it goes on."""
-        del exc
-        self.faults += 1
-
-
-def _open_store(settings: Settings) -> Store:
-    cfg = settings.platform
-    budget = CallBudget(calls_per_s=cfg.calls_per_s, burst=2 * cfg.calls_per_s)
-    remote = EtcdStore(cfg.endpoints, timeout_ms=cfg.timeout_ms)
-    return SettledStore(BudgetedStore(remote, clock=now_ms, budget=budget))
+        cfg = self._view.current
+        wiring.apply_hosts(cfg, self._hosts.hosts(), self._requests.task)
--- /dev/null
+++ b/src/amaranthtray/entry/peer_events.py
@@ -0,0 +1,49 @@
+"""Takes what happens on the links to the part that it concerns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..peers.events import LinkDown, PeerEvent, Received
+from ..peers.messages import ForwardCancelled, ForwardReply, ForwardRequest
+
+if TYPE_CHECKING:
+    from ..domain.ids import EntryId
+    from .control_task import ControlTask
+    from .wiring import Requests
+
+
+class PeerEvents:
+    """Called on the hub's thread; every part takes its messages without blocking."""
+
+    def __init__(self) -> None:
+        self._control: ControlTask | None = None
+        self._requests: Requests | None = None
+
+    def connect(self, control: ControlTask, requests: Requests) -> None:
+        """Names the parts, once they are there; earlier events are dropped."""
+        self._requests = requests
+        self._control = control
+
+    def want_link(self, entry: EntryId) -> None:
+        """Asks the control part for a link."""
+        if self._control is not None:
+            self._control.control.want_link(entry)
+
+    def take(self, event: PeerEvent) -> None:
+        """Passes an event on."""
+        control, requests = self._control, self._requests
+        if control is None or requests is None:
+            return
+        match event:
+            case Received(entry=entry, message=ForwardRequest() as message):
+                requests.home.take(entry, message)
+            case Received(message=ForwardCancelled() as message):
+                requests.home.cancel(message)
+            case Received(entry=entry, message=ForwardReply() as message):
+                requests.forwarder.replied(entry, message)
+            case LinkDown(entry=entry):
+                requests.forwarder.link_down(entry)
+                control.put(event)
+            case _:
+                control.put(event)
--- a/src/amaranthtray/entry/replies.py
+++ b/src/amaranthtray/entry/replies.py
@@ -7,11 +7,18 @@
 
 import msgspec
 
-from ..domain.requests.model import NotRun, NotRunReason, Unknown, UnknownReason
+from ..domain.requests.model import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
 
 if TYPE_CHECKING:
     from ..backend.client import BackendAnswer
     from ..domain.errors import Problem
+    from .request_task import Final
 
 MS_PER_S = 1_000
 JSON_TYPE = "application/json"
@@ -98,6 +105,18 @@
     return Reply(answer.status, answer.body, head)
 
 
+def final(request_id: str, result: Final) -> Reply:
+    """Returns the reply that a final outcome owes its caller."""
+    match result.outcome:
+        case Answered() if result.answer is not None:
+            return answered(request_id, result.answer)
+        case NotRun() as outcome:
+            return not_run(outcome, request_id)
+        case Unknown() as outcome:
+            return unknown(outcome, request_id)
+    raise ValueError("an answered outcome comes with its answer")
+
+
 def not_run(outcome: NotRun, request_id: str | None = None) -> Reply:
     """Returns the refusal of a request that did not run."""
     status = _NOT_RUN_STATUS.get(outcome.reason, _DEFAULT_NOT_RUN_STATUS)
--- a/src/amaranthtray/entry/request_task.py
+++ b/src/amaranthtray/entry/request_task.py
@@ -22,6 +22,7 @@
 from ..domain.requests.model import Answered, Outcome, Request
 from ..domain.serving import (
     HostsListed,
+    SendHostNews,
     SendReport,
     SendUsage,
     ServingEffect,
@@ -63,6 +64,9 @@
     waiter: _Waiter
 
 
+ControlEffect: TypeAlias = SendReport | SendUsage | SendHostNews
+"""What the serving part sends to other entries through the control part."""
+
 _Message: TypeAlias = ServingMessage | _Admit
 _Step: TypeAlias = StartAttempt | Finish
 
@@ -95,7 +99,7 @@
         control: TaskControl,
         observer: Observer,
         *,
-        on_control: Callable[[SendReport | SendUsage], None],
+        on_control: Callable[[ControlEffect], None],
     ) -> None:
         self._serving = serving
         self._client = client
@@ -199,7 +203,7 @@
                 waiter.steps.put(effect)
             case Finish(request=request):
                 self._finish(request, effect)
-            case SendReport() | SendUsage():
+            case SendReport() | SendUsage() | SendHostNews():
                 self._on_control(effect)
             case _:
                 self._control.run(effect, self._hosts.get(effect.host))
--- a/src/amaranthtray/entry/run.py
+++ b/src/amaranthtray/entry/run.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import os
 import signal
+import sys
 import threading
 from typing import TYPE_CHECKING
 
+from returns.result import Failure
+
+from ..settings import peer_secret
 from .entry import Entry
 
 if TYPE_CHECKING:
@@ -14,6 +19,7 @@
     from ..settings import Settings
 
 EXIT_OK = 0
+EXIT_FAULTY_INPUT = 2
 
 
 class StopSignal:
@@ -43,10 +49,19 @@
     """Runs an entry and returns the exit code of the process."""
     stop = StopSignal()
     stop.install()
-    entry = Entry(settings)
-    entry.start()
-    stop.asked.wait()
+    secret = peer_secret(settings, os.environ)
+    if isinstance(secret, Failure):
+        sys.stderr.write(f"{secret.failure()}\n")
+        return EXIT_FAULTY_INPUT
+    entry = Entry(settings, secret.unwrap())
+    if not stop.asked.is_set():
+        entry.start()
+        stop.asked.wait()
+        _leave(entry, stop)
+    return EXIT_OK
+
+
+def _leave(entry: Entry, stop: StopSignal) -> None:
     entry.drain()
-    stop.hurried.wait(settings.entry.balancer_drain_ms / 1_000)
+    stop.hurried.wait(entry.settings.entry.balancer_drain_ms / 1_000)
     entry.stop()
-    return EXIT_OK
--- a/src/amaranthtray/entry/submission.py
+++ b/src/amaranthtray/entry/submission.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
 
 from ..domain.errors import Problem
+from ..domain.requests.ids import parse_request_id
 from ..domain.requests.model import Needs, WorkClass
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
 DEADLINE_MS = "Deadline-Ms"
 WORK_CLASS = "Work-Class"
 REPEATABLE = "Repeatable"
+SUBMISSION = "Submission"
 NEEDS_CORES = "Needs-Cores"
 NEEDS_MEMORY_MB = "Needs-Memory-Mb"
 NEEDS_ACCELERATORS = "Needs-Accelerators"
@@ -28,9 +29,9 @@
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 MAX_NEED = 1_000_000_000
+MAX_SUBMISSION = 1_000_000
 _STEP = "submit"
 _PEER = "caller"
-_REQUEST_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")
 _BOOLEANS = {"true": True, "false": False}
 
 
@@ -42,6 +43,7 @@
         request_id: Chosen by the caller; none lets the entry issue one.
         deadline_ms: Time that the answer may take.
         respond_async: Whether to reply at once and let the answer be read back.
+        number: Grows when the caller asks again after a not-run outcome.
     """
 
     request_id: str | None
@@ -51,6 +53,7 @@
     needs: Needs
     content_type: str
     respond_async: bool
+    number: int = 1
 
 
 def parse_submission(
@@ -88,6 +91,7 @@
         needs=_needs(head),
         content_type=head.get("Content-Type") or DEFAULT_CONTENT_TYPE,
         respond_async=RESPOND_ASYNC in head.get(PREFER, "").lower(),
+        number=_number(head, SUBMISSION, 1, 1, MAX_SUBMISSION),
     )
 
 
@@ -95,11 +99,10 @@
     text = head.get(REQUEST_ID)
     if text is None:
         return None
-    if not _REQUEST_ID.fullmatch(text):
-        fix = "use 1 to 128 of the characters A-Z a-z 0-9 . _ ~ -"
-        raise _FieldError(
-            REQUEST_ID, "the id has a character or length not allowed", fix
-        )
+    parsed = parse_request_id(text, peer=_PEER)
+    if isinstance(parsed, Failure):
+        problem = parsed.failure()
+        raise _FieldError(REQUEST_ID, problem.what, problem.fix)
     return text
 
 
--- /dev/null
+++ b/src/amaranthtray/entry/wiring.py
@@ -0,0 +1,215 @@
+"""Makes the parts of an entry from its settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..backend.client import BackendAnswer, BackendClient
+from ..backend.connections import ConnectionPools
+from ..domain.requests.idempotency import IdempotencySettings, IdempotencyTable
+from ..domain.requests.ids import Home
+from ..domain.serving import (
+    ConfigurationInForce,
+    HostsListed,
+    Serving,
+    ServingParts,
+    ServingSettings,
+)
+from ..domain.serving.messages import TeamTerms
+from ..platform.budgeted import BudgetedStore, CallBudget
+from ..platform.config_log import ConfigFeed, ConfigLog
+from ..platform.etcd_json import EtcdStore
+from ..platform.prefixed import PrefixedStore
+from ..platform.settled import SettledStore
+from ..platform.store import Store
+from .claims import ClaimStore
+from .clock import now_ms
+from .control import Control, ControlParts
+from .forwarding import HomeService, PeerForwarder
+from .host_list import by_pool
+from .kept_values import KeptValues
+from .request_table import RequestTable
+from .request_task import RequestTask
+from .task_control import TaskControl
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from ..domain.configuration import Configuration
+    from ..domain.ids import PoolName, QueueName
+    from ..domain.inventory import Host
+    from ..peers.messages import Member
+    from ..settings import Settings
+    from .context import EntryContext
+    from .links import HubLinks
+    from .observer import Observer
+    from .request_task import ControlEffect
+
+BURST_SECONDS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Stores:
+    """The platform's store in the forms that the tasks need.
+
+    Attributes:
+        platform: All keys; holds the platform's own host list.
+        raw: Keys of this system; a lost reply is reported as such.
+        settled: The same; lost replies are settled by reading back.
+    """
+
+    platform: Store
+    raw: Store
+    settled: Store
+
+
+@dataclass(frozen=True, slots=True)
+class Requests:
+    """The parts that serve requests."""
+
+    serving: Serving
+    task: RequestTask
+    table: RequestTable
+    forwarder: PeerForwarder
+    home: HomeService
+    pools: ConnectionPools
+    control: TaskControl
+
+    def stop(self) -> None:
+        """Ends the threads of all parts."""
+        self.task.stop()
+        self.table.stop()
+        self.home.stop()
+        self.control.stop()
+        self.pools.close()
+
+
+class ControlSlot:
+    """Where the serving part's messages go once the control part is there."""
+
+    def __init__(self) -> None:
+        self.put: Callable[[ControlEffect], None] = lambda effect: None
+
+
+def open_stores(settings: Settings) -> Stores:
+    """Returns the platform's store as the settings describe it."""
+    cfg = settings.platform
+    budget = CallBudget(
+        calls_per_s=cfg.calls_per_s, burst=BURST_SECONDS * cfg.calls_per_s
+    )
+    remote = EtcdStore(cfg.endpoints, timeout_ms=cfg.timeout_ms)
+    platform = BudgetedStore(remote, clock=now_ms, budget=budget)
+    raw = PrefixedStore(platform, cfg.prefix)
+    return Stores(platform, raw, SettledStore(raw))
+
+
+def serving_settings(settings: Settings) -> ServingSettings:
+    """Returns the bounds of the decisions that the settings ask for."""
+    return ServingSettings().with_task_lease(settings.requests.task_lease_ms)
+
+
+def make_requests(
+    context: EntryContext,
+    links: HubLinks,
+    stores: Stores,
+    observer: Observer,
+    rng: random.Random,
+    slot: ControlSlot,
+) -> Requests:
+    """Returns the parts that serve requests, not yet started."""
+    settings = context.settings
+    pools = ConnectionPools()
+    parts = ServingParts(context.entry, context.incarnation, context.zone, rng)
+    serving = Serving(parts, serving_settings(settings))
+    control = TaskControl(
+        pools, on_ended=lambda host, attempts: task.free_slots(host, attempts)
+    )
+    task = RequestTask(
+        serving,
+        BackendClient(pools),
+        control,
+        observer,
+        on_control=lambda effect: slot.put(effect),
+    )
+    forwarder = PeerForwarder(links)
+    table = _make_table(context, stores, observer, task, forwarder)
+    home = HomeService(table, links, lambda queue: _pool_of(context, queue))
+    return Requests(serving, task, table, forwarder, home, pools, control)
+
+
+def make_control(
+    member: Member,
+    context: EntryContext,
+    links: HubLinks,
+    stores: Stores,
+    requests: Requests,
+    rng: random.Random,
+) -> Control:
+    """Returns the control part."""
+    parts = ControlParts(
+        member=member,
+        view=context.view,
+        links=links,
+        serving=requests.task,
+        store=stores.settled,
+        raw_store=stores.raw,
+        clock=now_ms,
+        rng=rng,
+        settings=requests.serving.cfg,
+    )
+    return Control(parts)
+
+
+def make_log(context: EntryContext, stores: Stores) -> ConfigLog:
+    """Returns the configuration log."""
+    return ConfigLog(stores.settled, entry=context.entry, rules=context.rules)
+
+
+def make_feed(log: ConfigLog, stores: Stores) -> ConfigFeed:
+    """Returns the watch of the configuration log."""
+    return ConfigFeed(log, stores.settled)
+
+
+def apply_configuration(
+    cfg: Configuration, hosts: Iterable[Host], task: RequestTask
+) -> None:
+    """Puts a configuration in force for the serving of requests."""
+    teams = {
+        name: TeamTerms(team.share, team.limit) for name, team in cfg.teams.items()
+    }
+    task.post(ConfigurationInForce(cfg.revision, teams))
+    apply_hosts(cfg, hosts, task)
+
+
+def apply_hosts(cfg: Configuration, hosts: Iterable[Host], task: RequestTask) -> None:
+    """Puts the hosts of each pool in force for the serving of requests."""
+    task.post(HostsListed(by_pool(cfg, list(hosts))))
+
+
+def _make_table(
+    context: EntryContext,
+    stores: Stores,
+    observer: Observer,
+    task: RequestTask,
+    forwarder: PeerForwarder,
+) -> RequestTable:
+    cfg = IdempotencySettings()
+    home = Home(context.zone, context.entry, context.incarnation)
+    claims = ClaimStore(stores.raw, retention_ms=cfg.retention_ms, clock=now_ms)
+    keep_ms = context.settings.requests.result_keep_ms
+    answers: KeptValues[BackendAnswer] = KeptValues(keep_ms=keep_ms)
+    return RequestTable(
+        IdempotencyTable(home, cfg),
+        task,
+        claims,
+        forwarder,
+        answers,
+        on_error=observer.fault,
+    )
+
+
+def _pool_of(context: EntryContext, queue: QueueName) -> PoolName | None:
+    found = context.view.current.queues.get(queue)
+    return found.pool if found else None
--- a/src/amaranthtray/peers/codec.py
+++ b/src/amaranthtray/peers/codec.py
@@ -8,11 +8,14 @@
 import msgspec
 
 from ..domain.errors import AmaranthtrayError, ProblemError
+from ..domain.limits.messages import UnitsGrant, UnitsReport
+from ..domain.shares.frames import UsageFrame
 from ..domain.tagged import TAG_FIELD
 from .messages import (
     PEER_MESSAGES,
     ConfigRecords,
     ConfigWanted,
+    ForwardCancelled,
     ForwardReply,
     ForwardRequest,
     Heartbeat,
@@ -29,6 +32,9 @@
 
 PeerMessage: TypeAlias = (
     Hello
+    | UsageFrame
+    | UnitsReport
+    | UnitsGrant
     | Proof
     | Heartbeat
     | MemberList
@@ -42,6 +48,7 @@
     | HostNews
     | ForwardRequest
     | ForwardReply
+    | ForwardCancelled
 )
 
 MAX_FRAME_BYTES = 4_000_000
--- a/src/amaranthtray/peers/messages.py
+++ b/src/amaranthtray/peers/messages.py
@@ -16,6 +16,8 @@
     Term,
     ZoneId,
 )
+from ..domain.limits.messages import UnitsGrant, UnitsReport
+from ..domain.shares.frames import UsageFrame
 from ..domain.tagged import TaggedUnion
 
 
@@ -46,12 +48,14 @@
         load: Tasks running from this entry.
         fresh_age_ms: Time since the sender knew that it had the latest revision;
             none if it never did.
+        follows: The steward of its zone that the sender follows, if any.
     """
 
     revision: Revision
     steward_term: Term
     load: int
     fresh_age_ms: int | None = None
+    follows: EntryId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,7 +214,7 @@
     request_id: RequestId
     team: TeamName
     deadline_left_ms: int
-    head: dict[str, str]
+    head: dict[str, Any]
     body: bytes
 
 
@@ -224,8 +228,19 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardCancelled:
+    """Asks the home to cancel a forwarded request."""
+
+    team: TeamName
+    request_id: RequestId
+
+
 PEER_MESSAGES = TaggedUnion(
     "peer message",
+    UsageFrame,
+    UnitsReport,
+    UnitsGrant,
     Hello,
     Proof,
     Heartbeat,
@@ -240,4 +255,5 @@
     HostNews,
     ForwardRequest,
     ForwardReply,
+    ForwardCancelled,
 )
--- a/src/amaranthtray/peers/outbox.py
+++ b/src/amaranthtray/peers/outbox.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from ..domain.shares.frames import UsageFrame
 from .messages import Heartbeat, MemberList, UsageSums, ZoneRevision
 
 if TYPE_CHECKING:
@@ -45,7 +46,9 @@
         return self._queue.popleft() if self._queue else None
 
     def _find_superseded(self, message: PeerMessage) -> PeerMessage | None:
-        if not isinstance(message, Heartbeat | UsageSums | MemberList | ZoneRevision):
+        if not isinstance(
+            message, Heartbeat | UsageFrame | UsageSums | MemberList | ZoneRevision
+        ):
             return None
         return next((one for one in self._queue if _supersedes(message, one)), None)
 
@@ -54,6 +57,8 @@
     match newer, older:
         case Heartbeat(), Heartbeat():
             return True
+        case UsageFrame(), UsageFrame():
+            return newer.source == older.source
         case MemberList(), MemberList():
             return newer.at_version >= older.at_version
         case ZoneRevision(), ZoneRevision():
