Add duties under a lease with a fencing term, and values that terms fence

The term key is read before the lease is granted and swapped last, so a holder that was paused on the way loses the swap. A new holder first writes its term into each value it will write; a write that the old holder prepared then fails on the version.

--- a/src/amaranthtray/domain/duties/__init__.py
+++ b/src/amaranthtray/domain/duties/__init__.py
@@ -1,1 +1,16 @@
-"""Duties held under platform leases with fencing terms."""
+"""Duties that move between entries: zone stewards and conductors of pools."""
+
+from __future__ import annotations
+
+from .holder import Acquiring, DutyHolder, DutySettings, Held, Idle
+from .names import conductor_of, steward_of
+
+__all__ = [
+    "Acquiring",
+    "DutyHolder",
+    "DutySettings",
+    "Held",
+    "Idle",
+    "conductor_of",
+    "steward_of",
+]
--- /dev/null
+++ b/src/amaranthtray/domain/duties/holder.py
@@ -0,0 +1,284 @@
+"""One entry's attempts to take, keep and give up a duty.
+
+The term key is read first and swapped last. Whoever took the duty in between has
+moved the term key on, so a holder that was paused on the way loses the swap.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, TypeAlias
+
+from ..ids import EntryId, Incarnation, Term
+from .messages import (
+    Claim,
+    Done,
+    DutyCall,
+    DutyReply,
+    Failed,
+    GrantLease,
+    HolderRead,
+    LeaseGranted,
+    LeaseNumber,
+    Lost,
+    ReadHolder,
+    ReadTerm,
+    RenewLease,
+    RevokeLease,
+    SwapTerm,
+    TakeDuty,
+    TermRead,
+    Unsure,
+)
+
+if TYPE_CHECKING:
+    import random
+
+NO_TERM = Term(0)
+
+
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Times of a duty.
+
+    Attributes:
+        ttl_ms: Time to live of the lease.
+        margin_ms: How long before the lease's end its holder stops acting; covers
+            clocks that run at different rates.
+        renew_every_ms: Time between renewals.
+        renew_retry_ms: Time before a failed renewal is repeated.
+        retry_ms: Longest time between attempts to take the duty; each is drawn
+            from its upper half.
+    """
+
+    ttl_ms: int = 9_000
+    margin_ms: int = 1_500
+    renew_every_ms: int = 3_000
+    renew_retry_ms: int = 500
+    retry_ms: int = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class Idle:
+    """Not held; the next attempt is due at ``retry_at_ms``."""
+
+    retry_at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Acquiring:
+    """On the way.
+
+    Attributes:
+        claim: This attempt.
+        term: Term that was read.
+        version: Version of the term key that was read.
+        until_ms: End of the lease less the margin, counted from before the grant.
+        lease: The lease, once granted.
+        is_swapping: Whether the duty is taken and only the term is missing.
+    """
+
+    claim: Claim
+    term: Term = NO_TERM
+    version: int = 0
+    until_ms: int = 0
+    lease: LeaseNumber | None = None
+    is_swapping: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Held under a term.
+
+    Attributes:
+        term: Fencing term.
+        lease: The lease.
+        until_ms: When the holder stops acting unless a renewal succeeds.
+        renew_at_ms: When the next renewal is due.
+        sent_ms: When the renewal under way was sent, if there is one.
+    """
+
+    term: Term
+    lease: LeaseNumber
+    until_ms: int
+    renew_at_ms: int
+    sent_ms: int | None = None
+
+
+Stage: TypeAlias = Idle | Acquiring | Held
+
+
+class DutyHolder:
+    """State machine of one duty at one entry.
+
+    Args:
+        entry: This entry.
+        incarnation: This run of it.
+        rng: Source of the jitter between attempts.
+        settings: Times.
+    """
+
+    def __init__(
+        self,
+        entry: EntryId,
+        incarnation: Incarnation,
+        *,
+        rng: random.Random,
+        settings: DutySettings | None = None,
+    ) -> None:
+        self.is_wanted = False
+        self.stage: Stage = Idle(0)
+        self._name = f"{entry}/{incarnation}"
+        self._rng = rng
+        self._settings = settings or DutySettings()
+        self._attempts = 0
+        self._now_ms = 0
+
+    def term_at(self, now_ms: int) -> Term | None:
+        """Returns the term to act under; none if the duty is not surely held.
+
+        Call it with a fresh monotonic time right before each act.
+        """
+        match self.stage:
+            case Held(term=term, until_ms=until_ms):
+                return term if self._now_ms <= now_ms < until_ms else None
+        return None
+
+    def tick(self, now_ms: int) -> tuple[DutyCall, ...]:
+        """Returns the calls that are due."""
+        stage = self.stage
+        is_stepped_back = now_ms < self._now_ms
+        self._now_ms = now_ms
+        match stage:
+            case Idle():
+                return self._begin(stage, is_stepped_back=is_stepped_back)
+            case Acquiring():
+                return self._give_up() if is_stepped_back else ()
+            case Held():
+                if is_stepped_back or now_ms >= stage.until_ms or not self.is_wanted:
+                    return self._give_up()
+                return self._renew(stage)
+
+    def handle(self, reply: DutyReply, now_ms: int) -> tuple[DutyCall, ...]:
+        """Takes the reply to the call under way and returns the next one."""
+        if now_ms < self._now_ms:
+            return self.tick(now_ms)
+        self._now_ms = now_ms
+        match self.stage:
+            case Idle():
+                return ()
+            case Acquiring() as stage:
+                return self._acquire(stage, reply)
+            case Held() as stage:
+                return self._renewed(stage, reply)
+
+    def fence(self, term: Term) -> tuple[DutyCall, ...]:
+        """Learns that a term is in use; a lower one gives up at once."""
+        match self.stage:
+            case Held(term=own) if own < term:
+                return self._give_up()
+        return ()
+
+    def _begin(self, stage: Idle, *, is_stepped_back: bool) -> tuple[DutyCall, ...]:
+        if is_stepped_back:
+            self.stage = Idle(self._retry_at_ms())
+        elif self.is_wanted and self._now_ms >= stage.retry_at_ms:
+            self._attempts += 1
+            self.stage = Acquiring(Claim(f"{self._name}/{self._attempts}"))
+            return (ReadTerm(),)
+        return ()
+
+    def _acquire(self, stage: Acquiring, reply: DutyReply) -> tuple[DutyCall, ...]:
+        if not self.is_wanted or (stage.lease and self._now_ms >= stage.until_ms):
+            return self._give_up()
+        match reply:
+            case TermRead() if stage.is_swapping:
+                return self._settle_term(stage, reply)
+            case TermRead():
+                return self._read(stage, reply)
+            case LeaseGranted(lease):
+                self.stage = replace(stage, lease=lease)
+                return (TakeDuty(lease, stage.claim),)
+            case HolderRead(claim) if stage.lease is not None:
+                return self._settle_holder(stage, stage.lease, claim)
+            case Done():
+                return self._hold(stage) if stage.is_swapping else self._swap(stage)
+            case Lost() | Unsure() if stage.is_swapping:
+                return (ReadTerm(),)
+            case Unsure() if stage.lease is not None:
+                return (ReadHolder(),)
+        return self._give_up()
+
+    def _read(self, stage: Acquiring, reply: TermRead) -> tuple[DutyCall, ...]:
+        settings = self._settings
+        self.stage = replace(
+            stage,
+            term=reply.term,
+            version=reply.version,
+            until_ms=self._now_ms + settings.ttl_ms - settings.margin_ms,
+        )
+        return (GrantLease(settings.ttl_ms),)
+
+    def _settle_holder(
+        self, stage: Acquiring, lease: LeaseNumber, claim: Claim | None
+    ) -> tuple[DutyCall, ...]:
+        """Decides after a lost reply whether the duty was taken."""
+        if claim == stage.claim:
+            return self._swap(stage)
+        return (TakeDuty(lease, stage.claim),) if claim is None else self._give_up()
+
+    def _swap(self, stage: Acquiring) -> tuple[DutyCall, ...]:
+        self.stage = replace(stage, is_swapping=True)
+        return (SwapTerm(Term(stage.term + 1), stage.claim, stage.version),)
+
+    def _settle_term(self, stage: Acquiring, reply: TermRead) -> tuple[DutyCall, ...]:
+        """Decides after a lost reply or a conflict whether the swap was ours."""
+        if reply.claim == stage.claim:
+            return self._hold(stage)
+        is_unchanged = reply.version == stage.version
+        return self._swap(stage) if is_unchanged else self._give_up()
+
+    def _hold(self, stage: Acquiring) -> tuple[DutyCall, ...]:
+        if stage.lease is None:
+            return self._give_up()
+        self.stage = Held(
+            term=Term(stage.term + 1),
+            lease=stage.lease,
+            until_ms=stage.until_ms,
+            renew_at_ms=self._now_ms,
+        )
+        return self._renew(self.stage)
+
+    def _renew(self, stage: Held) -> tuple[DutyCall, ...]:
+        if stage.sent_ms is not None or self._now_ms < stage.renew_at_ms:
+            return ()
+        self.stage = replace(stage, sent_ms=self._now_ms)
+        return (RenewLease(stage.lease),)
+
+    def _renewed(self, stage: Held, reply: DutyReply) -> tuple[DutyCall, ...]:
+        settings = self._settings
+        if stage.sent_ms is None:
+            return ()
+        if self._now_ms >= stage.until_ms or isinstance(reply, Lost):
+            return self._give_up()
+        match reply:
+            case Done():
+                self.stage = replace(
+                    stage,
+                    until_ms=stage.sent_ms + settings.ttl_ms - settings.margin_ms,
+                    renew_at_ms=stage.sent_ms + settings.renew_every_ms,
+                    sent_ms=None,
+                )
+            case Failed() | Unsure():
+                retry_at_ms = self._now_ms + settings.renew_retry_ms
+                self.stage = replace(stage, renew_at_ms=retry_at_ms, sent_ms=None)
+        return ()
+
+    def _give_up(self) -> tuple[DutyCall, ...]:
+        lease = None if isinstance(self.stage, Idle) else self.stage.lease
+        self.stage = Idle(self._retry_at_ms())
+        return () if lease is None else (RevokeLease(lease),)
+
+    def _retry_at_ms(self) -> int:
+        retry_ms = self._settings.retry_ms
+        return self._now_ms + self._rng.randint(retry_ms // 2, retry_ms)
--- /dev/null
+++ b/src/amaranthtray/domain/duties/names.py
@@ -0,0 +1,20 @@
+"""Names of duties."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NewType
+
+if TYPE_CHECKING:
+    from ..ids import PoolName, ZoneId
+
+DutyName = NewType("DutyName", str)
+
+
+def steward_of(zone: ZoneId) -> DutyName:
+    """Returns the duty of being an availability zone's link to the platform."""
+    return DutyName(f"steward/{zone}")
+
+
+def conductor_of(pool: PoolName) -> DutyName:
+    """Returns the duty of conducting a pool's maintenance."""
+    return DutyName(f"conductor/{pool}")
--- /dev/null
+++ b/src/amaranthtray/platform/duties.py
@@ -0,0 +1,154 @@
+"""Carries out the calls of a duty's holder against the store."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+from returns.result import Result, Success
+
+from ..domain.duties.messages import (
+    Claim,
+    Done,
+    DutyCall,
+    DutyReply,
+    Failed,
+    GrantLease,
+    HolderRead,
+    LeaseGranted,
+    LeaseNumber,
+    Lost,
+    ReadHolder,
+    ReadTerm,
+    RenewLease,
+    RevokeLease,
+    SwapTerm,
+    TakeDuty,
+    TermRead,
+    Unsure,
+)
+from ..domain.ids import Term
+from .store import Conflict, EffectUnknown, LeaseGone, LeaseId, StoreFailure, Versioned
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.duties import DutyHolder
+    from ..domain.duties.names import DutyName
+    from .store import Store
+
+T = TypeVar("T")
+
+PREFIX = "duties/"
+
+
+class _TermValue(msgspec.Struct):
+    """The term key: the last term and who claimed it."""
+
+    term: int
+    claim: str
+
+
+class DutyRunner:
+    """Runs one duty of one entry; own it by one thread.
+
+    Args:
+        name: The duty.
+        holder: Its state machine.
+        store: The platform's store.
+        clock: Monotonic clock in milliseconds.
+    """
+
+    def __init__(
+        self,
+        name: DutyName,
+        holder: DutyHolder,
+        *,
+        store: Store,
+        clock: Callable[[], int],
+    ) -> None:
+        self.holder = holder
+        self._store = store
+        self._clock = clock
+        self._term_key = f"{PREFIX}{name}/term"
+        self._holder_key = f"{PREFIX}{name}/holder"
+
+    def run(self) -> Term | None:
+        """Makes the calls that are due; returns the term held now, if any."""
+        calls = deque(self.holder.tick(self._clock()))
+        while calls:
+            reply = self.call(calls.popleft())
+            calls.extend(self.holder.handle(reply, self._clock()))
+        return self.term()
+
+    def term(self) -> Term | None:
+        """Returns the term to act under now; none if it is not surely held."""
+        return self.holder.term_at(self._clock())
+
+    def release(self) -> None:
+        """Gives the duty up, as an entry does that leaves."""
+        self.holder.is_wanted = False
+        self.run()
+
+    def call(self, call: DutyCall) -> DutyReply:
+        """Makes one call and returns its reply."""
+        store = self._store
+        match call:
+            case ReadTerm():
+                return _reply(store.get(self._term_key), _term_read)
+            case ReadHolder():
+                return _reply(store.get(self._holder_key), _holder_read)
+            case GrantLease(ttl_ms):
+                return _reply(
+                    store.grant_lease(ttl_ms),
+                    lambda lease: LeaseGranted(LeaseNumber(lease)),
+                )
+            case TakeDuty(lease, claim):
+                taken = store.create(
+                    self._holder_key, claim.encode(), lease=LeaseId(lease)
+                )
+                return _reply(taken, _done)
+            case SwapTerm():
+                return _reply(self._swap(call), _done)
+            case RenewLease(lease):
+                return _reply(store.renew_lease(LeaseId(lease)), _done)
+            case RevokeLease(lease):
+                return _reply(store.revoke_lease(LeaseId(lease)), _done)
+
+    def _swap(self, call: SwapTerm) -> Result[int, StoreFailure]:
+        value = msgspec.json.encode(_TermValue(call.term, call.claim))
+        if call.version == 0:
+            return self._store.create(self._term_key, value)
+        return self._store.compare_and_swap(self._term_key, value, version=call.version)
+
+
+def _reply(
+    result: Result[T, StoreFailure], on_success: Callable[[T], DutyReply]
+) -> DutyReply:
+    if isinstance(result, Success):
+        return on_success(result.unwrap())
+    match result.failure():
+        case Conflict() | LeaseGone():
+            return Lost()
+        case EffectUnknown():
+            return Unsure()
+    return Failed()
+
+
+def _done(_: object) -> DutyReply:
+    return Done()
+
+
+def _term_read(found: Versioned | None) -> DutyReply:
+    if found is None:
+        return TermRead(Term(0), Claim(""), 0)
+    try:
+        value = msgspec.json.decode(found.value, type=_TermValue)
+    except msgspec.DecodeError:
+        return Failed()
+    return TermRead(Term(value.term), Claim(value.claim), found.version)
+
+
+def _holder_read(found: Versioned | None) -> DutyReply:
+    return HolderRead(Claim(found.value.decode()) if found else None)
--- /dev/null
+++ b/src/amaranthtray/platform/fenced.py
@@ -0,0 +1,122 @@
+"""Values that only the holder of the highest term can write.
+
+A new holder first writes its term into the value. From then on a write that an
+earlier holder prepared fails, because the value is no longer at the version that the
+earlier holder read.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..domain.ids import Term
+from .store import StoreFailure, Unavailable, Versioned
+
+if TYPE_CHECKING:
+    from .store import Store
+
+STEP = "fenced-write"
+
+TermNow: TypeAlias = Callable[[], Term | None]
+"""Checks on a monotonic clock which term may be acted under at this moment."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """The write was refused: the term is not held, or a higher one has written."""
+
+    step: str
+    peer: str
+    highest: Term
+
+
+@dataclass(frozen=True, slots=True)
+class FencedValue:
+    """A value as its holder last read or wrote it."""
+
+    term: Term
+    data: bytes
+    version: int
+
+
+FencedFailure: TypeAlias = Fenced | StoreFailure
+
+
+class _Envelope(msgspec.Struct):
+    """Stored form; ``writer`` makes each write unique, so it can be read back."""
+
+    term: int
+    writer: str
+    data: bytes
+
+
+class FencedKey:
+    """One key that is written under the terms of a duty.
+
+    Args:
+        store: A store that settles lost replies by reading back.
+        key: The key.
+        writer: Unique name of this run of the entry.
+        term_now: Returns the term to act under, if it is held.
+    """
+
+    def __init__(
+        self, store: Store, key: str, *, writer: str, term_now: TermNow
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._writer = writer
+        self._term_now = term_now
+        self._writes = 0
+
+    def read(self) -> Result[FencedValue, FencedFailure]:
+        """Reads the value; an absent one is empty at term and version 0."""
+        found = self._store.get(self._key)
+        if isinstance(found, Failure):
+            return Failure(found.failure())
+        return _decode(found.unwrap())
+
+    def take_over(self) -> Result[FencedValue, FencedFailure]:
+        """Writes the new holder's term into the value and returns its data."""
+        found = self.read()
+        if isinstance(found, Failure):
+            return found
+        return self.write(found.unwrap(), found.unwrap().data)
+
+    def write(
+        self, before: FencedValue, data: bytes
+    ) -> Result[FencedValue, FencedFailure]:
+        """Replaces the value that was read or written ``before``.
+
+        Returns:
+            The value as written. ``Fenced`` or ``Conflict`` means that another
+            holder is at work; ``EffectUnknown`` means to take over again.
+        """
+        term = self._term_now()
+        if term is None or before.term > term:
+            return Failure(Fenced(STEP, self._key, before.term))
+        self._writes += 1
+        writer = f"{self._writer}/{self._writes}"
+        value = msgspec.json.encode(_Envelope(term, writer, data))
+        if before.version == 0:
+            written = self._store.create(self._key, value)
+        else:
+            written = self._store.compare_and_swap(
+                self._key, value, version=before.version
+            )
+        return written.map(lambda version: FencedValue(term, data, version))
+
+
+def _decode(found: Versioned | None) -> Result[FencedValue, FencedFailure]:
+    if found is None:
+        return Success(FencedValue(Term(0), b"", 0))
+    try:
+        value = msgspec.json.decode(found.value, type=_Envelope)
+    except msgspec.DecodeError as exc:
+        return Failure(Unavailable(STEP, found.key, str(exc)))
+    return Success(FencedValue(Term(value.term), value.data, found.version))
--- a/tests/peers/test_hub.py
+++ b/tests/peers/test_hub.py
@@ -166,7 +166,8 @@
             await conn.send(encode(proof))
             await conn.recv()
             await conn.send(b"0" * 8 + encode(BEAT))
-            await conn.wait_closed()
+            async with asyncio.timeout(WAIT_S):
+                await conn.wait_closed()
 
     with nodes(Node("a")) as (first,):
         asyncio.run(inject(first.address))
