--- a/src/amaranthtray/domain/shares/__init__.py
+++ b/src/amaranthtray/domain/shares/__init__.py
@@ -4,6 +4,7 @@
 
 from .fair_shares import FairShares
 from .frames import UsageFrame
+from .relay import UsageRelay
 from .settings import ShareSettings
 
-__all__ = ["FairShares", "ShareSettings", "UsageFrame"]
+__all__ = ["FairShares", "ShareSettings", "UsageFrame", "UsageRelay"]
--- a/src/amaranthtray/domain/shares/fair_shares.py
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -28,6 +28,10 @@
 """Part of a slot left to each other entry that may fill the same gap meanwhile."""
 
 
+CATCH_UP = 0.5
+"""Most of its share that a team can be behind and still make up for."""
+
+
 class _FullLevel(NamedTuple):
     """Slots per weight that waiting teams are due, and until when that is used."""
 
@@ -103,7 +107,7 @@
         use = self._own_use(pool, team)
         if use.running:
             self._running[pool] -= 1
-        use.end(slot_ms)
+        use.end(slot_ms, self._now_ms)
         self._update(pool, team)
 
     def merge(self, frame: UsageFrame, now_ms: Millis) -> None:
@@ -179,6 +183,7 @@
         rivals = self._elsewhere.rivals(pool, team)
         after = levels.goal(team) + (ROUNDING + RIVAL * rivals) / self._weight(team)
         surplus = levels.level(team, self._now_ms) - full
+        surplus = max(surplus, -CATCH_UP * full)
         return after + surplus * self._cfg.correction <= full
 
     def _advance(self, now_ms: int) -> None:
