--- a/tests/shares/test_fair_shares.py
+++ b/tests/shares/test_fair_shares.py
@@ -127,8 +127,17 @@
     shares = fair_shares(red=1, blue=1)
     shares.set_pool_slots(POOL, 10)
     shares.merge(peer_frame(0, (BLUE,)), Millis(0))
-    assert len(fill(shares, [RED], 20, 0)) == 9
-    assert shares.pick(POOL, [RED], Millis(10)) is None
+    assert len(fill(shares, [RED], 9, 0)) == 9
+    shares.merge(peer_frame(5_000, (BLUE,)), Millis(5_000))
+    assert shares.pick(POOL, [RED], Millis(5_000)) is None
+
+
+def test_a_returning_team_makes_up_for_no_more_than_its_share() -> None:
+    shares = fair_shares(red=1, blue=1, green=2)
+    shares.set_pool_slots(POOL, 40)
+    shares.merge(peer_frame(0, (BLUE, GREEN), blue=0), Millis(0))
+    shares.merge(peer_frame(1_000, (BLUE, GREEN), blue=40_000), Millis(1_000))
+    assert len(fill(shares, [RED], 40, 1_000)) <= 20
 
 
 def test_frames_grow_and_leave_out_what_is_old() -> None:
