--- a/src/amaranthtray/bench/_limits_world.py
+++ b/src/amaranthtray/bench/_limits_world.py
@@ -66,8 +66,8 @@
 """Every wait of the escrow within a few virtual seconds."""
 
 DUTY_TTL_MS = 800
-HEAL_DELAY_MS = 50
 MAX_START_MS = 60
+TASK_MS = (40, 200, 1_000, 6_000, 20_000)
 
 
 @dataclass(slots=True)
@@ -137,6 +137,7 @@
         limits: Upper limits at the start.
         faults: Chances of faults.
         timing: Durations of the escrow.
+        task_ms: Times of which one is drawn for each task.
     """
 
     def __init__(
@@ -149,9 +150,11 @@
         limits: dict[TeamName, int],
         faults: Faults | None = None,
         timing: EscrowTiming = FAST_TIMING,
+        task_ms: tuple[int, ...] = TASK_MS,
     ) -> None:
         self.rng = rng
         self.timing = timing
+        self.task_ms = task_ms
         self.faults = faults or Faults()
         self.now_ms = 0.0
         self.started: Counter[TeamName] = Counter()
@@ -312,7 +315,7 @@
         self._count += 1
         attempt_id = AttemptId(f"a{self._count}")
         process.running[attempt_id] = team
-        run_ms = self.rng.choice((40, 200, 1_000, 6_000, 20_000))
+        run_ms = self.rng.choice(self.task_ms)
         delay_ms = self.rng.uniform(0, MAX_START_MS)
         if process.paused_until_ms > self.now_ms:
             delay_ms += process.paused_until_ms - self.now_ms
--- a/src/amaranthtray/domain/limits/_account.py
+++ b/src/amaranthtray/domain/limits/_account.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from ._tally import EntryPart
+
 if TYPE_CHECKING:
     from ..ids import Incarnation, Millis, TeamName
     from .messages import UnitsReport
@@ -29,7 +31,6 @@
         alive_ms: When the grant was sent that it last said to have applied; it
             had followed no newer steward then.
         is_leaving: Whether it takes no more units.
-        dirty: Teams whose units have to be looked at.
     """
 
     def __init__(self, incarnation: Incarnation, *, lapse_ms: Millis) -> None:
@@ -40,7 +41,6 @@
         self.alive_ms: Millis | None = None
         self._sent_ms: dict[int, Millis] = {}
         self.is_leaving = False
-        self.dirty: set[TeamName] = set()
         self._first_seq: int | None = None
         self._used: dict[TeamName, int] = {}
         self._waiting: dict[TeamName, int] = {}
@@ -61,13 +61,13 @@
         history = self._history.get(team)
         return history[-1].units if history else 0
 
-    def need(self, team: TeamName) -> int:
-        """Returns the units that the entry's work could use."""
-        return self._used.get(team, 0) + self._waiting.get(team, 0)
-
-    def used(self, team: TeamName) -> int:
-        """Returns the units in use at the last report."""
-        return self._used.get(team, 0)
+    def part(self, team: TeamName) -> EntryPart:
+        """Returns the team's figures; a leaving entry counts what it uses."""
+        used = self._used.get(team, 0)
+        if self.is_leaving:
+            return EntryPart(used, used, 0, used)
+        need = used + self._waiting.get(team, 0)
+        return EntryPart(self.units(team), used, need, self.charge(team))
 
     def charge(self, team: TeamName) -> int:
         """Returns the most tasks that the team can be running from this entry."""
--- a/src/amaranthtray/domain/limits/entry_holding.py
+++ b/src/amaranthtray/domain/limits/entry_holding.py
@@ -43,6 +43,8 @@
         self._noted_ms: dict[TeamName, Millis] = {}
         self._valid_until = NEVER
         self._report_seq = 0
+        self._reported_ms = NEVER
+        self._is_urgent = False
         self._sent_ms: dict[int, Millis] = {}
         self._touched: dict[TeamName, int] = {}
         self._grant_seq = 0
@@ -72,8 +74,10 @@
     def note_demand(self, team: TeamName, waiting: int, now_ms: Millis) -> None:
         """Records how many requests of the team wait for a unit."""
         self._noted_ms[team] = now_ms
-        if self._waiting.get(team, 0) == waiting:
+        before = self._waiting.get(team, 0)
+        if before == waiting:
             return
+        self._is_urgent |= waiting > 0 and before == 0
         self._waiting[team] = waiting
         self._touch(team)
 
@@ -140,10 +144,19 @@
         self.is_leaving = True
         self._units.clear()
 
+    def is_report_due(self, now_ms: Millis) -> bool:
+        """Returns whether it is time to report; at once when work begins to wait."""
+        wait_ms = self._timing.report_ms
+        if self._is_urgent or self._grant_seq == 0:
+            wait_ms = self._timing.urgent_report_ms
+        return now_ms >= self._reported_ms + wait_ms
+
     def report(self, now_ms: Millis) -> UnitsReport:
         """Returns the next report to the steward, sent at ``now_ms``."""
         self._forget_old_demand(now_ms)
         self._report_seq += 1
+        self._reported_ms = now_ms
+        self._is_urgent = False
         self._sent_ms[self._report_seq] = now_ms
         self._sent_ms.pop(self._report_seq - REPORTS_REMEMBERED, None)
         is_new_here = self._grant_seq == 0
--- a/src/amaranthtray/domain/limits/timing.py
+++ b/src/amaranthtray/domain/limits/timing.py
@@ -11,6 +11,8 @@
     """Durations of the limit escrow, each counted on one process's own clock.
 
     Attributes:
+        report_ms: Longest time between two reports of an entry.
+        urgent_report_ms: Time between reports while work waits for units.
         entry_ttl_ms: Validity of an entry's grant, from when the entry sent the
             report that the grant answers.
         run_on_ms: How long tasks may go on without cover before their entry stops
@@ -30,6 +32,8 @@
         drift: Most relative error of a clock's rate.
     """
 
+    report_ms: int = 1_000
+    urgent_report_ms: int = 250
     entry_ttl_ms: int = 8_000
     run_on_ms: int = 10_000
     zone_ttl_ms: int = 300_000
--- a/src/amaranthtray/domain/limits/zone_holding.py
+++ b/src/amaranthtray/domain/limits/zone_holding.py
@@ -6,8 +6,8 @@
 
 from ..ids import Incarnation, Millis, Revision, TeamName, Term
 from ._account import EntryAccount
+from ._tally import NO_PART, TeamTally
 from .messages import UnitsGrant, UnitsReport
-from .split import fair_split
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -61,6 +61,8 @@
         self._followers: set[Incarnation] = set()
         self._gone: set[Incarnation] = set()
         self._quiet_since: Millis | None = None
+        self._tallies: dict[TeamName, TeamTally] = {}
+        self._short: set[TeamName] = set()
         self._seq = 0
 
     def continue_as(self, term: Term) -> None:
@@ -95,8 +97,7 @@
 
     def mark(self, teams: Iterable[TeamName]) -> None:
         """Has the units of ``teams`` looked at again for every entry."""
-        for account in self._accounts.values():
-            account.dirty.update(teams)
+        self._short.update(teams)
 
     def set_limits(self, revision: Revision, lowered: Iterable[TeamName]) -> None:
         """Puts a configuration in force; grants of lowered teams are repeated."""
@@ -114,11 +115,13 @@
 
     def need(self, team: TeamName) -> int:
         """Returns the units that the team's work in this zone could use."""
-        return sum(account.need(team) for account in self._accounts.values())
+        tally = self._tallies.get(team)
+        return tally.need if tally else 0
 
     def charged(self, team: TeamName, now_ms: Millis) -> int:
         """Returns the most tasks that the team can be running in this zone."""
-        heard = sum(account.charge(team) for account in self._accounts.values())
+        tally = self._tallies.get(team)
+        heard = tally.charge if tally else 0
         return heard + self._unheard(team, now_ms)
 
     def alive(self, now_ms: Millis) -> set[Incarnation]:
@@ -144,8 +147,10 @@
         freed: set[TeamName] = set()
         for incarnation, account in list(self._accounts.items()):
             if now_ms >= account.lapse_ms:
-                freed |= account.teams()
                 del self._accounts[incarnation]
+                freed |= account.teams()
+                for team in account.teams():
+                    self._tally(team).put(incarnation, NO_PART)
         self.mark(freed)
         return freed
 
@@ -167,7 +172,7 @@
         if account is None:
             account = self._open(report, now_ms)
         else:
-            self.mark(account.take_report(report))
+            self._note_changes(account, account.take_report(report))
         self._seq += 1
         self._settle(account, zone, now_ms)
         return self._grant(account, report, zone, now_ms)
@@ -203,71 +208,58 @@
         self._accounts[report.incarnation] = account
         self._followers.add(report.incarnation)
         self._look_for_predecessors(now_ms)
-        self.mark(account.take_report(report))
+        self._note_changes(account, account.take_report(report))
         for team in account.teams():
             before = self._accounted.get(team, 0)
             self._accounted[team] = before + account.charge(team)
         return account
 
+    def _note_changes(self, account: EntryAccount, teams: set[TeamName]) -> None:
+        for team in teams:
+            self._tally(team).put(account.incarnation, account.part(team))
+        self.mark(teams)
+
+    def _tally(self, team: TeamName) -> TeamTally:
+        return self._tallies.setdefault(team, TeamTally())
+
     def _settle(self, account: EntryAccount, zone: ZoneUnits, now_ms: Millis) -> None:
         """Moves units towards this entry's fair part, or away from it."""
         changes: dict[TeamName, int] = {}
-        settled: set[TeamName] = set()
-        for team in account.dirty:
+        for team in list(self._short):
+            tally = self._tally(team)
             usable = zone.usable(team, now_ms)
-            is_short = self._is_short(team, usable)
-            if not is_short and not account.is_leaving:
-                settled.add(team)
+            if not tally.lacking and tally.charge <= usable:
+                self._short.discard(team)
                 continue
             units = self._next_units(account, team, usable, now_ms)
             if units != account.units(team):
                 changes[team] = units
-        account.dirty -= settled
         account.record_grant(self._seq, changes, now_ms)
-
-    def _is_short(self, team: TeamName, usable: int) -> bool:
-        """Returns whether an entry lacks units or too many are in use."""
-        granted = 0
-        is_lacking = False
-        for account in self._accounts.values():
-            units = account.units(team)
-            granted += account.charge(team)
-            is_lacking |= account.need(team) > units
-        return is_lacking or granted > usable
+        for team in changes:
+            self._tally(team).put(account.incarnation, account.part(team))
 
     def _next_units(
         self, account: EntryAccount, team: TeamName, usable: int, now_ms: Millis
     ) -> int:
+        """Returns the units of the next grant of a team that is short somewhere.
+
+        While more runs than the zone may, nothing is left beside the tasks that
+        run beyond the units of their entries.
+        """
         if account.is_leaving:
             return 0
-        units = account.units(team)
+        tally = self._tally(team)
         free = usable - self.charged(team, now_ms)
         if free < 0:
-            usable = max(0, usable - self._excess(team))
-        target = self._target(account, team, usable, now_ms)
+            usable = max(0, usable - tally.excess)
+        turn = now_ms // self._timing.rotate_ms
+        target = tally.target(account.incarnation, usable, turn)
+        units = account.units(team)
         if target <= units:
             return target
         already_charged = account.charge(team) - units
         return units + max(0, min(target - units, free + already_charged))
 
-    def _excess(self, team: TeamName) -> int:
-        """Returns the tasks that run beyond the units of their entries."""
-        return sum(
-            max(0, account.used(team) - account.units(team))
-            for account in self._accounts.values()
-        )
-
-    def _target(
-        self, account: EntryAccount, team: TeamName, usable: int, now_ms: Millis
-    ) -> int:
-        """Returns the entry's fair part, with an equal part of what nobody needs."""
-        live = [item for item in self._accounts.values() if not item.is_leaving]
-        wants = {item.incarnation: item.need(team) for item in live}
-        turn = now_ms // self._timing.rotate_ms
-        parts = fair_split(usable, wants, turn=turn)
-        spare = max(0, usable - sum(parts.values()))
-        return parts[account.incarnation] + spare // len(live)
-
     def _grant(
         self,
         account: EntryAccount,
--- a/tests/limits/test_zone.py
+++ b/tests/limits/test_zone.py
@@ -15,6 +15,7 @@
     ZoneId,
 )
 from amaranthtray.domain.limits import (
+    EntryHolding,
     EscrowTiming,
     FleetLedger,
     Portion,
@@ -185,6 +186,34 @@
     assert holding.charged(RED, Millis(soon_ms)) == 0
 
 
+def test_nothing_starts_beside_tasks_that_run_past_a_lowered_limit() -> None:
+    holding = ZoneHolding(TIMING, term=Term(1))
+    zone = FixedUnits(10)
+    first, second = EntryHolding(A, TIMING), EntryHolding(B, TIMING)
+
+    def exchange(rounds: int) -> None:
+        for _ in range(rounds):
+            holding.mark([RED])
+            for entry in (first, second):
+                entry.follow(Term(1))
+                entry.note_demand(RED, 5, Millis(0))
+                answer = holding.on_report(entry.report(Millis(0)), zone, Millis(0))
+                assert answer is not None
+                entry.apply(answer, Millis(0))
+
+    exchange(4)
+    assert [first.try_take(RED, Millis(0)) for _ in range(5)] == [True] * 5
+    assert second.try_take(RED, Millis(0))
+    zone.units = 4
+    exchange(6)
+    second.give_back(RED, Millis(0))
+    assert not second.try_take(RED, Millis(0))
+    for _ in range(5):
+        first.give_back(RED, Millis(0))
+    exchange(6)
+    assert second.try_take(RED, Millis(0))
+
+
 def test_a_leaving_entry_keeps_only_what_it_uses() -> None:
     holding = ZoneHolding(TIMING, term=Term(1))
     zone = FixedUnits(10)
