--- a/src/amaranthtray/bench/shares.py
+++ b/src/amaranthtray/bench/shares.py
@@ -23,6 +23,9 @@
 SETTLE_MS = 10_000
 WINDOW_MS = 5_000
 SEEDS = 12
+BURST_SEEDS = 6
+BURSTS = 12
+BURST_MS = 5_000
 TARGET = "<= 0.05"
 
 
@@ -31,6 +34,8 @@
     for site in (KOMINAR, CRANNOG):
         for name, place in PLACES.items():
             yield from _nearness(site, name, place)
+        yield _relayed(site)
+        yield _bursts(site)
         yield _reaction(site)
     yield _pick_cost()
 
@@ -125,6 +130,49 @@
     yield Figure(f"{prefix}.slots_busy", min(busy), "of slots", ">= 0.95")
 
 
+def _relayed(site: Site) -> Figure:
+    """Measures the error when zone stewards relay the sums of their zones."""
+    runs = [measure(site, few_entries, "relay", seed) for seed in range(SEEDS)]
+    error = statistics.fmean(error for error, _ in runs)
+    name = f"shares.{site.name}.few_entries.error_relayed_by_zone"
+    return Figure(name, error, "of share", TARGET)
+
+
+def _bursts(site: Site) -> Figure:
+    """Measures the error over a time in which queues burst in turn."""
+    means = {
+        mode: statistics.fmean(
+            _burst_error(site, mode, seed) for seed in range(BURST_SEEDS)
+        )
+        for mode in ("exchange", "split")
+    }
+    name = f"shares.{site.name}.bursts_in_turn.error"
+    return Figure(
+        name, means["exchange"], "of share", "<= 1.0", means["split"], on_ratio=True
+    )
+
+
+def _burst_error(site: Site, mode: str, seed: int) -> float:
+    """Returns the mean error against shares that change with each burst."""
+    rng = random.Random(seed)
+    world = SharesWorld(site, rng, mode)
+    got: dict[TeamName, float] = {}
+    due: dict[TeamName, float] = {}
+    for _ in range(BURSTS):
+        wanted = demands(site, rng.sample(range(6), 4), one_zone, rng)
+        world.set_demands(wanted)
+        used = world.run(BURST_MS)
+        total = sum(used.values())
+        weights = sum(item.weight for item in wanted)
+        for item in wanted:
+            due[item.team] = due.get(item.team, 0.0) + total * item.weight / weights
+        for team, used_ms in used.items():
+            got[team] = got.get(team, 0.0) + used_ms
+    return statistics.fmean(
+        abs(got.get(team, 0.0) - share) / share for team, share in due.items()
+    )
+
+
 def _reaction(site: Site) -> Figure:
     """Measures when a team that comes back has its share, from then on."""
     worst_ms = 0.0
--- a/src/amaranthtray/capacity/limits.py
+++ b/src/amaranthtray/capacity/limits.py
@@ -9,7 +9,7 @@
 
 from ..bench.limits import burst_in_turn, two_year_world
 from ..domain.ids import Incarnation, Millis, PoolName, TeamName
-from ..domain.shares import FairShares, UsageFrame
+from ..domain.shares import FairShares, UsageFrame, UsageRelay
 from .slope import Resource, Role, Sample, Slope
 
 if TYPE_CHECKING:
@@ -21,16 +21,19 @@
 ZONES_IN_TWO_YEARS = 17
 ENTRIES_A_ZONE_IN_TWO_YEARS = 15
 POOLS_IN_TWO_YEARS = 39
+FULL_POOLS_IN_TWO_YEARS = 8
 TEAM_SAMPLES = (35, 70, 140)
 ZONE_SAMPLES = (4, 8, 17)
 ENTRY_SAMPLES = (2, 4, 8)
 TEAMS_A_POOL = 30
+ACTIVE_TEAMS_A_POOL = 10
 REPORTS_A_SECOND = 4
 FRAMES_A_SECOND = 4
 WARM_UP_MS = 5_000
 MEASURED_MS = 10_000
 
 ESCROW = "limit escrow: unit reports, grants and one ledger row a team"
+RELAY = "shares: sums of one zone relayed to the others every 250 ms"
 SUMS = "shares: cumulative usage sums every 250 ms"
 
 
@@ -41,6 +44,7 @@
     yield from _steward_by_entries()
     yield from _shares_by_sources()
     yield from _shares_by_teams()
+    yield _relays_by_zones()
 
 
 def _escrow_by_teams() -> Iterator[Slope]:
@@ -152,10 +156,13 @@
         shares = FairShares(Incarnation("here"))
         for number in range(teams):
             team = TeamName(f"team-{number:03}")
+            PoolName(f"pool-{number % POOLS_IN_TWO_YEARS}")
             shares.started(
                 PoolName(f"pool-{number % POOLS_IN_TWO_YEARS}"), team, Millis(0)
             )
-        frame = shares.frame({}, Millis(1_000))
+        full = range(FULL_POOLS_IN_TWO_YEARS)
+        waiting = {PoolName(f"pool-{number}"): (team,) for number in full}
+        frame = shares.frame(waiting, Millis(1_000))
         samples.append(Sample(teams, len(cbor2.dumps(frame.sums)) * FRAMES_A_SECOND))
     yield Slope(
         Role.ENTRY,
@@ -167,11 +174,23 @@
     )
 
 
-def _frame(source: int, second: int) -> UsageFrame:
-    teams = {
-        TeamName(f"team-{number:03}"): second * 1_000 for number in range(TEAMS_A_POOL)
-    }
-    pools = {PoolName(f"pool-{number}"): dict(teams) for number in range(4)}
+def _relays_by_zones() -> Slope:
+    """Returns the bytes that a steward receives from the relays of other zones."""
+    relay = UsageRelay(Incarnation("zone-a"))
+    for second in range(3):
+        relay.take(_frame(1, second, ACTIVE_TEAMS_A_POOL), Millis(second * 1_000))
+    frame = relay.frame(Millis(2_000))
+    size = len(cbor2.dumps(frame.sums)) * FRAMES_A_SECOND
+    samples = tuple(Sample(zones, size * (zones - 1)) for zones in ZONE_SAMPLES)
+    return Slope(
+        Role.STEWARD, Resource.TRAFFIC, "zones", RELAY, samples, ZONES_IN_TWO_YEARS
+    )
+
+
+def _frame(source: int, second: int, teams: int = TEAMS_A_POOL) -> UsageFrame:
+    sums = {TeamName(f"team-{n:03}"): second * 1_000 for n in range(teams)}
+    full = range(FULL_POOLS_IN_TWO_YEARS)
+    pools = {PoolName(f"pool-{number}"): dict(sums) for number in full}
     return UsageFrame(Incarnation(f"e{source}"), Millis(second * 1_000), pools)
 
 
--- a/src/amaranthtray/domain/shares/_sources.py
+++ b/src/amaranthtray/domain/shares/_sources.py
@@ -20,16 +20,33 @@
 
     at_ms: Millis
     heard_ms: Millis
+    pools_ms: dict[PoolName, Millis] = field(default_factory=dict)
     sums: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
     slots: dict[PoolName, dict[TeamName, float]] = field(default_factory=dict)
     waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
 
+    def take_sums(
+        self, pool: PoolName, sums: dict[TeamName, int], at_ms: Millis
+    ) -> dict[TeamName, float]:
+        """Records a pool's sums and returns the slots in use since they last came."""
+        known = self.sums.setdefault(pool, {})
+        before_ms = self.pools_ms.get(pool)
+        self.pools_ms[pool] = at_ms
+        slots: dict[TeamName, float] = {}
+        for team, total in sums.items():
+            growth = total - known.get(team, 0)
+            if growth > 0:
+                known[team] = total
+            if growth > 0 and before_ms is not None:
+                slots[team] = growth / (at_ms - before_ms)
+        return slots
+
 
 class UsageSources:
     """Turns cumulative sums into slots in use elsewhere, per pool and team.
 
-    The slots of a source are the growth of its sums over the time between its two
-    latest frames. A source that stays silent counts as idle.
+    The slots of a source are the growth of its sums over the time between the two
+    latest frames that named the pool. A source that stays silent counts as idle.
     """
 
     def __init__(self, fresh_ms: int) -> None:
@@ -64,21 +81,13 @@
         """Records a frame and returns the pools and teams whose slots changed."""
         source = self._sources.get(frame.source)
         if source is None:
-            first = _Source(frame.at_ms, now_ms, _copy(frame.sums))
-            self._sources[frame.source] = first
-            self._set_waiting(first, frame.waiting)
-            return set()
-        gap_ms = frame.at_ms - source.at_ms
-        if gap_ms <= 0:
+            source = self._sources[frame.source] = _Source(frame.at_ms, now_ms)
+        elif frame.at_ms <= source.at_ms:
             return set()
         slots = {
-            pool: _rates(source.sums.get(pool, {}), sums, gap_ms)
+            pool: source.take_sums(pool, sums, frame.at_ms)
             for pool, sums in frame.sums.items()
         }
-        for pool, sums in frame.sums.items():
-            known = source.sums.setdefault(pool, {})
-            for team, total in sums.items():
-                known[team] = max(total, known.get(team, 0))
         source.at_ms = frame.at_ms
         source.heard_ms = now_ms
         self._set_waiting(source, frame.waiting)
@@ -113,10 +122,10 @@
         self, source: _Source, slots: dict[PoolName, dict[TeamName, float]]
     ) -> Iterator[tuple[PoolName, TeamName]]:
         before, source.slots = source.slots, slots
-        for pool in {*before, *slots}:
+        for pool in dict.fromkeys((*before, *slots)):
             old, new = before.get(pool, {}), slots.get(pool, {})
             known = self._slots.setdefault(pool, {})
-            for team in {*old, *new}:
+            for team in dict.fromkeys((*old, *new)):
                 change = new.get(team, 0.0) - old.get(team, 0.0)
                 if change:
                     known[team] = max(0.0, known.get(team, 0.0) + change)
@@ -133,20 +142,3 @@
                 for item in self._sources.values()
                 for team in item.waiting.get(pool, ())
             )
-
-
-def _rates(
-    before: dict[TeamName, int], after: dict[TeamName, int], gap_ms: int
-) -> dict[TeamName, float]:
-    rates: dict[TeamName, float] = {}
-    for team, total in after.items():
-        growth = total - before.get(team, 0)
-        if growth > 0:
-            rates[team] = growth / gap_ms
-    return rates
-
-
-def _copy(
-    sums: dict[PoolName, dict[TeamName, int]],
-) -> dict[PoolName, dict[TeamName, int]]:
-    return {pool: dict(teams) for pool, teams in sums.items()}
--- a/src/amaranthtray/domain/shares/fair_shares.py
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -63,7 +63,7 @@
 
     def set_weights(self, weights: Mapping[TeamName, int]) -> None:
         """Puts the teams' shares in force."""
-        for team in {*self._weights, *weights}:
+        for team in dict.fromkeys((*self._weights, *weights)):
             before = self._weight(team)
             after = max(1, weights.get(team, DEFAULT_WEIGHT))
             if before != after:
@@ -123,17 +123,23 @@
         self._update_all(self._elsewhere.drop(source))
 
     def frame(
-        self, waiting: Mapping[PoolName, Iterable[TeamName]], now_ms: Millis
+        self, waiting: Mapping[PoolName, Collection[TeamName]], now_ms: Millis
     ) -> UsageFrame:
         """Returns the next frame for the other entries.
 
+        Only pools for which work waits somewhere are in it.
+
         Args:
             waiting: Teams of each pool that wait for a slot here and are not held
                 up by their limit.
             now_ms: Now.
         """
         self._advance(now_ms)
-        sums = {pool: self._recent_sums(pool) for pool in self._own}
+        sums = {
+            pool: self._recent_sums(pool)
+            for pool in self._own
+            if waiting.get(pool) or self._elsewhere.waiting(pool)
+        }
         return UsageFrame(
             source=self._source,
             at_ms=now_ms,
--- a/src/amaranthtray/domain/shares/relay.py
+++ b/src/amaranthtray/domain/shares/relay.py
@@ -26,6 +26,7 @@
 
     at_ms: Millis
     heard_ms: Millis
+    pools_ms: dict[PoolName, Millis] = field(default_factory=dict)
     sums: dict[tuple[PoolName, TeamName], int] = field(default_factory=dict)
     waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
 
@@ -35,7 +36,8 @@
 
     A zone steward has one for the entries of its zone, whose frames go to the other
     zones, and one for the other zones, whose frames go to its entries. A source
-    counts from its second frame on, so a source that is new here adds no lump.
+    counts from the second frame that names the pool, so neither a source that is new
+    here nor a pool that was quiet for long adds a lump.
 
     Args:
         source: This run of the relay.
@@ -55,7 +57,6 @@
     def take(self, frame: UsageFrame, now_ms: Millis) -> None:
         """Records a frame; late and repeated ones change nothing."""
         known = self._known.get(frame.source)
-        is_first = known is None
         if known is None:
             known = self._known[frame.source] = _Known(frame.at_ms, now_ms)
         elif frame.at_ms <= known.at_ms:
@@ -64,12 +65,13 @@
         known.heard_ms = now_ms
         known.waiting = dict(frame.waiting)
         for pool, sums in frame.sums.items():
+            is_lump = self._is_lump(known, pool, frame.at_ms)
             for team, total in sums.items():
                 growth = total - known.sums.get((pool, team), 0)
                 if growth <= 0:
                     continue
                 known.sums[pool, team] = total
-                if not is_first:
+                if not is_lump:
                     self._add(pool, team, growth, now_ms)
 
     def drop(self, source: Incarnation) -> None:
@@ -85,6 +87,12 @@
                 sums.setdefault(pool, {})[team] = total.total_ms
         return UsageFrame(self._source, now_ms, sums, self._waiting(now_ms))
 
+    def _is_lump(self, known: _Known, pool: PoolName, at_ms: Millis) -> bool:
+        """Returns whether the source has not named the pool for too long."""
+        before_ms = known.pools_ms.get(pool)
+        known.pools_ms[pool] = at_ms
+        return before_ms is None or at_ms > before_ms + self._fresh_ms
+
     def _add(self, pool: PoolName, team: TeamName, growth: int, now_ms: Millis) -> None:
         total = self._totals.setdefault((pool, team), _Total())
         total.total_ms += growth
--- a/src/amaranthtray/domain/shares/settings.py
+++ b/src/amaranthtray/domain/shares/settings.py
@@ -21,8 +21,8 @@
         refresh_ms: How long the computed share of a full pool is used.
     """
 
-    horizon_ms: int = 4_000
-    lookahead_ms: int = 1_000
+    horizon_ms: int = 3_000
+    lookahead_ms: int = 300
     period_ms: int = 250
     repeat_ms: int = 2_000
     fresh_ms: int = 1_500
