--- a/src/amaranthtray/capacity/limits.py
+++ b/src/amaranthtray/capacity/limits.py
@@ -33,7 +33,7 @@
 MEASURED_MS = 10_000
 
 ESCROW = "limit escrow: unit reports, grants and one ledger row a team"
-RELAY = "shares: sums of one zone relayed to the others every 250 ms"
+RELAY = "shares: slots of one zone relayed to the others every second"
 SUMS = "shares: cumulative usage sums every 250 ms"
 
 
@@ -177,18 +177,19 @@
 def _relays_by_zones() -> Slope:
     """Returns the bytes that a steward receives from the relays of other zones."""
     relay = UsageRelay(Incarnation("zone-a"))
-    for second in range(3):
-        relay.take(_frame(1, second, ACTIVE_TEAMS_A_POOL), Millis(second * 1_000))
-    frame = relay.frame(Millis(2_000))
-    size = len(cbor2.dumps(frame.sums)) * FRAMES_A_SECOND
+    counts = {TeamName(f"team-{n:03}"): 3 for n in range(ACTIVE_TEAMS_A_POOL)}
+    full = range(FULL_POOLS_IN_TWO_YEARS)
+    slots = {PoolName(f"pool-{number}"): dict(counts) for number in full}
+    relay.take(UsageFrame(Incarnation("e1"), Millis(0), slots=slots), Millis(0))
+    size = len(cbor2.dumps(relay.frame(Millis(0)).slots))
     samples = tuple(Sample(zones, size * (zones - 1)) for zones in ZONE_SAMPLES)
     return Slope(
         Role.STEWARD, Resource.TRAFFIC, "zones", RELAY, samples, ZONES_IN_TWO_YEARS
     )
 
 
-def _frame(source: int, second: int, teams: int = TEAMS_A_POOL) -> UsageFrame:
-    sums = {TeamName(f"team-{n:03}"): second * 1_000 for n in range(teams)}
+def _frame(source: int, second: int) -> UsageFrame:
+    sums = {TeamName(f"team-{n:03}"): second * 1_000 for n in range(TEAMS_A_POOL)}
     full = range(FULL_POOLS_IN_TWO_YEARS)
     pools = {PoolName(f"pool-{number}"): dict(sums) for number in full}
     return UsageFrame(Incarnation(f"e{source}"), Millis(second * 1_000), pools)
--- a/src/amaranthtray/domain/shares/_sources.py
+++ b/src/amaranthtray/domain/shares/_sources.py
@@ -46,7 +46,8 @@
     """Turns cumulative sums into slots in use elsewhere, per pool and team.
 
     The slots of a source are the growth of its sums over the time between the two
-    latest frames that named the pool. A source that stays silent counts as idle.
+    latest frames that named the pool, or what a frame without sums says. A source
+    that stays silent counts as idle.
     """
 
     def __init__(self, fresh_ms: int) -> None:
@@ -88,6 +89,9 @@
             pool: source.take_sums(pool, sums, frame.at_ms)
             for pool, sums in frame.sums.items()
         }
+        for pool, counts in frame.slots.items():
+            if pool not in frame.sums:
+                slots[pool] = {team: float(count) for team, count in counts.items()}
         source.at_ms = frame.at_ms
         source.heard_ms = now_ms
         self._set_waiting(source, frame.waiting)
--- a/src/amaranthtray/domain/shares/fair_shares.py
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -144,9 +144,14 @@
             source=self._source,
             at_ms=now_ms,
             sums={pool: totals for pool, totals in sums.items() if totals},
+            slots={pool: self._slots_in_use(pool) for pool in sums},
             waiting={pool: tuple(teams) for pool, teams in waiting.items()},
         )
 
+    def _slots_in_use(self, pool: PoolName) -> dict[TeamName, int]:
+        uses = self._own[pool].items()
+        return {team: use.running for team, use in uses if use.running}
+
     def _recent_sums(self, pool: PoolName) -> dict[TeamName, int]:
         oldest_ms = self._now_ms - self._cfg.repeat_ms
         totals: dict[TeamName, int] = {}
--- a/src/amaranthtray/domain/shares/settings.py
+++ b/src/amaranthtray/domain/shares/settings.py
@@ -21,11 +21,11 @@
         refresh_ms: How long the computed share of a full pool is used.
     """
 
-    horizon_ms: int = 3_000
+    horizon_ms: int = 2_000
     lookahead_ms: int = 300
     period_ms: int = 250
     repeat_ms: int = 2_000
     fresh_ms: int = 1_500
     full_part: float = 0.9
-    correction: float = 2.0
+    correction: float = 1.5
     refresh_ms: int = 20
