--- a/src/amaranthtray/bench/limits.py
+++ b/src/amaranthtray/bench/limits.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..domain.ids import TeamName, ZoneId
+from ..domain.ids import TeamName
 from ..domain.limits import EscrowTiming
 from ..domain.limits.split import equal_part
 from ._limits_meter import MeteredWorld, team_names
@@ -129,15 +129,14 @@
     """
     rng = world.rng
     until_s: dict[TeamName, int] = {}
-    place: dict[TeamName, ZoneId] = {}
+    place = {team: rng.choice(world.zones) for team in world.limits}
     for second in range(duration_ms // 1_000):
         for team in world.limits:
             if rng.random() < 1 / BURST_EVERY_S:
                 until_s[team] = second + BURST_S
                 place[team] = rng.choice(world.zones)
             is_burst = second < until_s.get(team, 0)
-            zone = place.get(team, world.zones[0])
             for process in world.processes:
-                if process.zone == zone:
+                if process.zone == place[team]:
                     process.backlog[team] = BURST_WAITING if is_burst else 1
         world.run(1_000)
--- a/src/amaranthtray/capacity/limits.py
+++ b/src/amaranthtray/capacity/limits.py
@@ -27,6 +27,7 @@
 ENTRY_SAMPLES = (2, 4, 8)
 TEAMS_A_POOL = 30
 ACTIVE_TEAMS_A_POOL = 10
+SAMPLED_ZONES = 8
 REPORTS_A_SECOND = 4
 FRAMES_A_SECOND = 4
 WARM_UP_MS = 5_000
@@ -96,7 +97,7 @@
     worlds: dict[int, MeteredWorld] = {}
     busy: dict[int, float] = {}
     for entries in ENTRY_SAMPLES:
-        world = two_year_world(2, TEAMS_IN_TWO_YEARS, entries)
+        world = two_year_world(SAMPLED_ZONES, TEAMS_IN_TWO_YEARS, entries)
         burst_in_turn(world, WARM_UP_MS)
         world.reset_counts()
         busy[entries] = _steward_ms(world)
--- a/src/amaranthtray/domain/shares/fair_shares.py
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -8,6 +8,7 @@
 from ..ids import Millis
 from ._level import PoolLevels
 from ._own_use import OwnUse
+from ._peak import RecentPeak
 from ._sources import UsageSources
 from ._water import Claim, water_level
 from .frames import UsageFrame
@@ -59,6 +60,7 @@
         self._running: dict[PoolName, int] = {}
         self._elsewhere = UsageSources(self._cfg.fresh_ms)
         self._full: dict[PoolName, _FullLevel] = {}
+        self._peaks: dict[PoolName, RecentPeak] = {}
         self._now_ms = 0
 
     def set_weights(self, weights: Mapping[TeamName, int]) -> None:
@@ -166,9 +168,14 @@
         slots = self._pool_slots.get(pool)
         if not slots or self._elsewhere.waiting(pool).issubset(waiting):
             return False
-        busy = self._running.get(pool, 0) + self._elsewhere.total(pool)
+        busy = self._recent_running(pool) + self._elsewhere.total(pool)
         return busy >= slots * self._cfg.full_part
 
+    def _recent_running(self, pool: PoolName) -> int:
+        """Returns the most tasks of late; others may have taken what they left."""
+        peak = self._peaks.setdefault(pool, RecentPeak(self._cfg.news_lag_ms))
+        return peak.put(self._running.get(pool, 0), self._now_ms)
+
     def _full_level(self, pool: PoolName, waiting: Collection[TeamName]) -> float:
         """Returns the slots per weight that each waiting team is due."""
         cached = self._full.get(pool)
