--- a/src/amaranthtray/bench/_limits_world.py
+++ b/src/amaranthtray/bench/_limits_world.py
@@ -9,6 +9,7 @@
 import heapq
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..domain.ids import (
@@ -66,8 +67,8 @@
 """Every wait of the escrow within a few virtual seconds."""
 
 DUTY_TTL_MS = 800
-HEAL_DELAY_MS = 50
 MAX_START_MS = 60
+TASK_MS = (40, 200, 1_000, 6_000, 20_000)
 
 
 @dataclass(slots=True)
@@ -137,6 +138,7 @@
         limits: Upper limits at the start.
         faults: Chances of faults.
         timing: Durations of the escrow.
+        task_ms: Times of which one is drawn for each task.
     """
 
     def __init__(
@@ -149,9 +151,11 @@
         limits: dict[TeamName, int],
         faults: Faults | None = None,
         timing: EscrowTiming = FAST_TIMING,
+        task_ms: tuple[int, ...] = TASK_MS,
     ) -> None:
         self.rng = rng
         self.timing = timing
+        self.task_ms = task_ms
         self.faults = faults or Faults()
         self.now_ms = 0.0
         self.started: Counter[TeamName] = Counter()
@@ -250,7 +254,7 @@
         for process in self.processes:
             if not self._reaches_store(process):
                 continue
-            self._when_awake(process, lambda p=process: self._configure(p))
+            self._when_awake(process, partial(self._configure, process))
 
     def _configure(self, process: Process) -> None:
         now_ms = process.clock(self.now_ms)
@@ -312,7 +316,7 @@
         self._count += 1
         attempt_id = AttemptId(f"a{self._count}")
         process.running[attempt_id] = team
-        run_ms = self.rng.choice((40, 200, 1_000, 6_000, 20_000))
+        run_ms = self.rng.choice(self.task_ms)
         delay_ms = self.rng.uniform(0, MAX_START_MS)
         if process.paused_until_ms > self.now_ms:
             delay_ms += process.paused_until_ms - self.now_ms
@@ -471,11 +475,8 @@
             return
         for peer in self.processes:
             if peer.zone == process.zone:
-                self._send(
-                    process,
-                    peer,
-                    lambda peer=peer: self._hear_steward(peer, process, term),
-                )
+                hear = partial(self._hear_steward, peer, process, term)
+                self._send(process, peer, hear)
 
     def _call_store(
         self, process: Process, steward: ZoneSteward, effects: list[StoreEffect]
@@ -483,9 +484,7 @@
         for effect in effects:
             self.store_calls[type(effect).__name__] += 1
             delay_ms = self.rng.uniform(0, 10)
-            self.after(
-                delay_ms, lambda e=effect: self._store_takes(process, steward, e)
-            )
+            self.after(delay_ms, partial(self._store_takes, process, steward, effect))
 
     def _store_takes(
         self, process: Process, steward: ZoneSteward, effect: StoreEffect
--- a/src/amaranthtray/domain/shares/fair_shares.py
+++ b/src/amaranthtray/domain/shares/fair_shares.py
@@ -8,6 +8,7 @@
 from ..ids import Millis
 from ._level import PoolLevels
 from ._own_use import OwnUse
+from ._peak import RecentPeak
 from ._sources import UsageSources
 from ._water import Claim, water_level
 from .frames import UsageFrame
@@ -28,6 +29,10 @@
 """Part of a slot left to each other entry that may fill the same gap meanwhile."""
 
 
+CATCH_UP = 0.5
+"""Most of its share that a team can be behind and still make up for."""
+
+
 class _FullLevel(NamedTuple):
     """Slots per weight that waiting teams are due, and until when that is used."""
 
@@ -55,11 +60,12 @@
         self._running: dict[PoolName, int] = {}
         self._elsewhere = UsageSources(self._cfg.fresh_ms)
         self._full: dict[PoolName, _FullLevel] = {}
+        self._peaks: dict[PoolName, RecentPeak] = {}
         self._now_ms = 0
 
     def set_weights(self, weights: Mapping[TeamName, int]) -> None:
         """Puts the teams' shares in force."""
-        for team in {*self._weights, *weights}:
+        for team in dict.fromkeys((*self._weights, *weights)):
             before = self._weight(team)
             after = max(1, weights.get(team, DEFAULT_WEIGHT))
             if before != after:
@@ -103,7 +109,7 @@
         use = self._own_use(pool, team)
         if use.running:
             self._running[pool] -= 1
-        use.end(slot_ms)
+        use.end(slot_ms, self._now_ms)
         self._update(pool, team)
 
     def merge(self, frame: UsageFrame, now_ms: Millis) -> None:
@@ -119,24 +125,35 @@
         self._update_all(self._elsewhere.drop(source))
 
     def frame(
-        self, waiting: Mapping[PoolName, Iterable[TeamName]], now_ms: Millis
+        self, waiting: Mapping[PoolName, Collection[TeamName]], now_ms: Millis
     ) -> UsageFrame:
         """Returns the next frame for the other entries.
 
+        Only pools for which work waits somewhere are in it.
+
         Args:
             waiting: Teams of each pool that wait for a slot here and are not held
                 up by their limit.
             now_ms: Now.
         """
         self._advance(now_ms)
-        sums = {pool: self._recent_sums(pool) for pool in self._own}
+        sums = {
+            pool: self._recent_sums(pool)
+            for pool in self._own
+            if waiting.get(pool) or self._elsewhere.waiting(pool)
+        }
         return UsageFrame(
             source=self._source,
             at_ms=now_ms,
             sums={pool: totals for pool, totals in sums.items() if totals},
+            slots={pool: self._slots_in_use(pool) for pool in sums},
             waiting={pool: tuple(teams) for pool, teams in waiting.items()},
         )
 
+    def _slots_in_use(self, pool: PoolName) -> dict[TeamName, int]:
+        uses = self._own[pool].items()
+        return {team: use.running for team, use in uses if use.running}
+
     def _recent_sums(self, pool: PoolName) -> dict[TeamName, int]:
         oldest_ms = self._now_ms - self._cfg.repeat_ms
         totals: dict[TeamName, int] = {}
@@ -151,9 +168,14 @@
         slots = self._pool_slots.get(pool)
         if not slots or self._elsewhere.waiting(pool).issubset(waiting):
             return False
-        busy = self._running.get(pool, 0) + self._elsewhere.total(pool)
+        busy = self._recent_running(pool) + self._elsewhere.total(pool)
         return busy >= slots * self._cfg.full_part
 
+    def _recent_running(self, pool: PoolName) -> int:
+        """Returns the most tasks of late; others may have taken what they left."""
+        peak = self._peaks.setdefault(pool, RecentPeak(self._cfg.news_lag_ms))
+        return peak.put(self._running.get(pool, 0), self._now_ms)
+
     def _full_level(self, pool: PoolName, waiting: Collection[TeamName]) -> float:
         """Returns the slots per weight that each waiting team is due."""
         cached = self._full.get(pool)
@@ -179,6 +201,7 @@
         rivals = self._elsewhere.rivals(pool, team)
         after = levels.goal(team) + (ROUNDING + RIVAL * rivals) / self._weight(team)
         surplus = levels.level(team, self._now_ms) - full
+        surplus = max(surplus, -CATCH_UP * full)
         return after + surplus * self._cfg.correction <= full
 
     def _advance(self, now_ms: int) -> None:
