Share hosts without talking and measure bursts, faults and choices

Machine and seeded schedules fail on a scratch copy when the may-have-run mark is dropped, unrepeatable work is retried or a lapse is taken for certain early.

--- /dev/null
+++ b/src/amaranthtray/bench/_requests_faults.py
@@ -0,0 +1,205 @@
+"""Seeded fault schedules of one desk and its backend servers."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from ..domain.ids import (
+    HostId,
+    Millis,
+    PoolName,
+    QueueName,
+    RackId,
+    RegionId,
+    RequestId,
+    TeamName,
+    ZoneId,
+)
+from ..domain.invariants import LimitSet, Watchdog
+from ..domain.inventory import Host
+from ..domain.requests.desk import RequestDesk
+from ..domain.requests.messages import Cancel, Submit
+from ..domain.requests.model import Request, WorkClass
+from ..domain.requests.ports import FirstComeShares
+from ..domain.workers.book import WorkerBook
+from ._requests_world import Fault, SimEntry, World
+
+POOL = PoolName("web")
+TEAMS = (TeamName("red"), TeamName("blue"))
+SETTLE_MS = 200_000
+"""Time after which no lease, deadline or backoff of a schedule is left."""
+
+
+class CountedUnits:
+    """A limit that is a plain number of units, checked by the watchdog."""
+
+    def __init__(self, units: int) -> None:
+        self._units = dict.fromkeys(TEAMS, units)
+
+    def try_take(self, team: TeamName, now_ms: Millis) -> bool:
+        """Takes a unit if one is left."""
+        if self._units[team] <= 0:
+            return False
+        self._units[team] -= 1
+        return True
+
+    def give_back(self, team: TeamName, now_ms: Millis) -> None:
+        """Returns a unit."""
+        self._units[team] += 1
+
+    def note_demand(self, team: TeamName, waiting: int, now_ms: Millis) -> None:
+        """Ignores the demand."""
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What went wrong in one schedule.
+
+    Attributes:
+        broken: Violations by promise.
+        without_outcome: Requests that did not end with exactly one outcome.
+        leaked: Attempts or requests still held after everything settled.
+        requests: Requests submitted.
+    """
+
+    broken: Counter[str]
+    without_outcome: int
+    leaked: int
+    requests: int
+
+
+def sim_host(
+    number: int, zone: str = "z1", *, pool: str = "web", slots: int = 2
+) -> Host:
+    """Returns a host for a simulation."""
+    return Host(
+        host_id=HostId(f"{zone}-{pool}-h{number}"),
+        zone=ZoneId(zone),
+        rack=RackId(f"{zone}-r{number // 4}"),
+        region=RegionId("r1"),
+        slots=slots,
+    )
+
+
+class FaultSchedule:
+    """One random history of submissions, cancels and faults.
+
+    Args:
+        seed: Decides everything.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.watchdog = Watchdog()
+        self.submitted: list[Request] = []
+        hosts = tuple(sim_host(n) for n in range(self.rng.randint(1, 4)))
+        self.world = World(
+            self.rng, hosts, self._service_ms, observe=self.watchdog.observe
+        )
+        units = self.rng.randint(1, 6)
+        for team in TEAMS:
+            self.watchdog.observe(LimitSet(0, team, units))
+        desk = RequestDesk(
+            limits=CountedUnits(units),
+            shares=FirstComeShares(),
+            rng=self.rng,
+            workers=WorkerBook(ZoneId("z1"), self.rng),
+        )
+        self.entry = SimEntry(self.world, desk)
+        self.entry.carry_out(desk.update_hosts({POOL: hosts}, self.world.now))
+        self.fault_rate = self.rng.choice((0.05, 0.3, 0.9))
+        self.world.control_loss = self.rng.choice((0.0, 0.3, 1.0))
+        self.world.draw_fault = self._draw_fault
+
+    def run(self, steps: int) -> Verdict:
+        """Plays the schedule to its end."""
+        for _ in range(steps):
+            self._step()
+            self.world.run_until(self.world.now + self.rng.choice((0, 1, 20, 900)))
+        self.world.run_until(self.world.now + SETTLE_MS)
+        return self.verdict()
+
+    def verdict(self) -> Verdict:
+        """Returns what went wrong; call it when everything has settled."""
+        finishes = Counter(id(item.request) for item in self.entry.finished)
+        odd = sum(finishes[id(req)] != 1 for req in self.submitted)
+        broken = Counter(item.promise for item in self.watchdog.violations)
+        desk = self.entry.desk
+        leaked = desk.in_flight + desk.held_attempts
+        return Verdict(broken, odd, leaked, len(self.submitted))
+
+    def submit(
+        self, *, repeatable: bool, work_class: WorkClass, within_ms: int
+    ) -> None:
+        """A caller submits."""
+        now = self.world.now
+        req = Request(
+            RequestId(f"q{len(self.submitted)}"),
+            self.rng.choice(TEAMS),
+            QueueName("bookings"),
+            POOL,
+            work_class,
+            repeatable,
+            now,
+            Millis(now + within_ms),
+        )
+        self.submitted.append(req)
+        self.entry.give(Submit(req))
+
+    def cancel(self, pick: int) -> None:
+        """A caller cancels, perhaps after the end."""
+        if self.submitted:
+            req = self.submitted[pick % len(self.submitted)]
+            self.entry.give(Cancel(req.team, req.request_id))
+
+    def disturb(self, pick: int) -> None:
+        """Something happens to a host or to the entry itself."""
+        hosts = sorted(self.world.hosts)
+        host = hosts[pick % len(hosts)]
+        sim = self.world.hosts[host]
+        match pick % 5:
+            case 0:
+                self.world.kill(host)
+            case 1 if not sim.is_leaving:
+                self.world.leave(host)
+            case 2:
+                sim.is_alive = True
+            case 3:
+                self.entry.pause(self.rng.choice((100, 3_000, 20_000)))
+            case _:
+                self._relist()
+
+    def _relist(self) -> None:
+        """The host list catches up with some of the hosts."""
+        listed = [
+            sim.host
+            for sim in self.world.hosts.values()
+            if sim.is_alive and self.rng.random() < 0.8
+        ]
+        desk = self.entry.desk
+        if self.world.now >= self.entry.paused_until_ms:
+            self.entry.carry_out(desk.update_hosts({POOL: listed}, self.world.now))
+
+    def _step(self) -> None:
+        draw = self.rng.random()
+        if draw < 0.7:
+            self.submit(
+                repeatable=self.rng.random() < 0.5,
+                work_class=self.rng.choice(tuple(WorkClass)),
+                within_ms=self.rng.choice((1, 300, 5_000, 60_000)),
+            )
+        elif draw < 0.85:
+            self.cancel(self.rng.randrange(1_000))
+        else:
+            self.disturb(self.rng.randrange(1_000))
+
+    def _draw_fault(self) -> Fault:
+        if self.rng.random() >= self.fault_rate:
+            return Fault.NONE
+        return self.rng.choice(tuple(Fault))
+
+    def _service_ms(self, req: Request) -> int:
+        median_log = self.rng.choice((5.0, 5.0, 10.0))
+        return int(self.rng.lognormvariate(median_log, 1.0))
--- a/src/amaranthtray/domain/requests/_admission.py
+++ b/src/amaranthtray/domain/requests/_admission.py
@@ -22,8 +22,6 @@
         return _can_never_run(req)
     queue = state.pool(req.pool)
     line = queue.line(req.work_class)
-    if not line.size:
-        return None
     wait_ms = implied_wait_ms(state, queue, req.work_class)
     bound_ms = state.cfg.max_wait_ms(req.work_class)
     if wait_ms > bound_ms or line.size >= state.cfg.max_waiting:
@@ -34,13 +32,19 @@
 
 
 def implied_wait_ms(state: DeskState, queue: PoolQueue, work_class: WorkClass) -> float:
-    """Returns how long a request that joins the line now would wait."""
-    fair = state.book.fair_slots(queue.name)
-    urgent_slots = max(fair, queue.urgent_running)
+    """Returns how long a request that joins the line now would wait.
+
+    Only slots in this entry's hands count: those that it holds and those open to it.
+    """
+    open_slots = state.book.open_slots(queue.name)
     if work_class is WorkClass.URGENT:
-        return queue.urgent_times.implied_wait_ms(queue.urgent.size, urgent_slots)
-    left = max(fair - queue.urgent_running, queue.patient_running)
-    return queue.patient_times.implied_wait_ms(queue.patient.size, left)
+        movable = len(queue.preemptable) + len(queue.making_room) + open_slots
+        ahead = queue.urgent.size + 1 - movable
+        slots = queue.urgent_running + movable
+        return queue.urgent_times.implied_wait_ms(ahead, slots)
+    ahead = queue.patient.size + 1 - open_slots
+    slots = queue.patient_running + open_slots
+    return queue.patient_times.implied_wait_ms(ahead, slots)
 
 
 def _too_close(
@@ -49,7 +53,7 @@
     mean_ms = queue.times(req.work_class).mean_ms
     left_ms = req.deadline_ms - now_ms
     late_ms = wait_ms + mean_ms - left_ms
-    if late_ms <= 0:
+    if wait_ms <= 0 or late_ms <= 0:
         return None
     detail = f"implied wait {int(wait_ms)} ms, mean slot time {int(mean_ms)} ms"
     can_ever_make_it = mean_ms <= left_ms
--- a/src/amaranthtray/domain/requests/_dispatch.py
+++ b/src/amaranthtray/domain/requests/_dispatch.py
@@ -19,6 +19,9 @@
     from .line import Line
     from .tracked import Tracked
 
+BURST_WAITING = 2
+"""Waiting urgent requests that show a burst."""
+
 
 class Dispatcher:
     """Matches waiting requests with open slots.
@@ -37,11 +40,22 @@
             return
         if queue.urgent.size:
             self._drain(queue, queue.urgent, now_ms)
-        if queue.patient.size:
+        if queue.urgent.size >= BURST_WAITING:
+            self._note_burst(queue, now_ms)
+        if queue.patient.size and queue.burst_until_ms <= now_ms:
             self._drain(queue, queue.patient, now_ms)
         if queue.urgent.size and queue.preemptable:
             self._make_room(queue, now_ms)
 
+    def _note_burst(self, queue: PoolQueue, now_ms: Millis) -> None:
+        """Keeps slots that urgent work leaves for the urgent work that follows."""
+        hold_ms = self._state.cfg.burst_hold_ms
+        if not hold_ms:
+            return
+        if queue.burst_until_ms <= now_ms:
+            self._state.timers.add(now_ms + hold_ms, TimerKind.POOL, queue.name)
+        queue.burst_until_ms = now_ms + hold_ms
+
     def expire(self, item: Tracked, now_ms: Millis) -> None:
         """Ends a request that does not run at its deadline."""
         queue = self._state.pool(item.request.pool)
@@ -107,7 +121,7 @@
         state.limits.note_demand(team, waiting, now_ms)
         recheck_ms = now_ms + state.cfg.limit_recheck_ms
         if queue.recheck_ms.get(team, 0) <= now_ms:
-            state.timers.add(recheck_ms, TimerKind.LIMIT, queue.name)
+            state.timers.add(recheck_ms, TimerKind.POOL, queue.name)
         queue.recheck_ms[team] = recheck_ms
 
     def _start(
--- a/src/amaranthtray/domain/requests/_state.py
+++ b/src/amaranthtray/domain/requests/_state.py
@@ -40,11 +40,14 @@
         patient_running: The same for patient attempts.
         preemptable: Patient attempts that may be asked to make room, oldest first.
         making_room: Attempts that were asked and hold their slot still.
+        burst_until_ms: Until when patient work starts on no slot, since urgent
+            work queued a moment ago.
         recheck_ms: When teams that reached their limit are tried again.
     """
 
     __slots__ = (
         "budget",
+        "burst_until_ms",
         "making_room",
         "name",
         "patient",
@@ -68,6 +71,7 @@
         self.patient_running = 0
         self.preemptable: dict[AttemptId, Attempt] = {}
         self.making_room: dict[AttemptId, Attempt] = {}
+        self.burst_until_ms = 0
         self.recheck_ms: dict[TeamName, int] = {}
 
     def line(self, work_class: WorkClass) -> Line:
--- a/src/amaranthtray/domain/requests/desk.py
+++ b/src/amaranthtray/domain/requests/desk.py
@@ -222,10 +222,17 @@
                 queue = self._state.pool(subject.request.pool)
                 queue.making_room.pop(subject.attempt_id, None)
                 return subject.request.pool
-            case TimerKind.LIMIT, str():
-                return subject
+            case TimerKind.POOL, str():
+                return self._look_again(subject, now_ms)
         raise TypeError(f"timer {timer.kind} of {type(subject).__name__}")
 
+    def _look_again(self, pool: PoolName, now_ms: Millis) -> PoolName:
+        """Keeps a timer while a burst is not over; the pool is pumped anyway."""
+        until_ms = self._state.pool(pool).burst_until_ms
+        if until_ms > now_ms:
+            self._state.timers.add(until_ms, TimerKind.POOL, pool)
+        return pool
+
     def _pass_deadline(self, item: Tracked, now_ms: Millis) -> None:
         if item.phase is Phase.RUNNING:
             self._abandon_running(item, UnknownReason.DEADLINE_PASSED, now_ms)
--- a/src/amaranthtray/domain/requests/settings.py
+++ b/src/amaranthtray/domain/requests/settings.py
@@ -33,6 +33,8 @@
         fixed_patient_share: Part of the slots that patient work may hold that
             cannot be checkpointed.
         checkpoints_patient: Whether patient work makes room for urgent work.
+        burst_hold_ms: Time after urgent work queued for which patient work does
+            not start; 0 lets it start at once.
         checkpoint_timeout_ms: Time after which another task is asked to make room.
         max_checkpoints: Times that one request makes room.
         limit_recheck_ms: Pause before a team that reached its limit is tried again.
@@ -40,10 +42,10 @@
         no_host_retry_ms: Advice to come back when a pool has no usable host.
     """
 
-    urgent_max_wait_ms: int = 800
+    urgent_max_wait_ms: int = 400
     patient_max_wait_ms: int = 3_600_000
     max_waiting: int = 20_000
-    first_urgent_service_ms: int = 500
+    first_urgent_service_ms: int = 250
     first_patient_service_ms: int = 5_000
     urgent_attempt_ms: int = 30_000
     patient_attempt_ms: int = 14_400_000
@@ -58,8 +60,9 @@
     bad_job_hosts: int = 3
     hang_factor: float = 5.0
     reserve_share: float = 0.0
-    fixed_patient_share: float = 0.5
+    fixed_patient_share: float = 0.25
     checkpoints_patient: bool = True
+    burst_hold_ms: int = 500
     checkpoint_timeout_ms: int = 1_000
     max_checkpoints: int = 16
     limit_recheck_ms: int = 50
--- a/src/amaranthtray/domain/requests/timers.py
+++ b/src/amaranthtray/domain/requests/timers.py
@@ -23,7 +23,7 @@
     DEADLINE = "deadline"
     BACKOFF = "backoff"
     CHECKPOINT = "checkpoint"
-    LIMIT = "limit"
+    POOL = "pool"
 
 
 class Timer(NamedTuple):
--- a/src/amaranthtray/domain/requests/waits.py
+++ b/src/amaranthtray/domain/requests/waits.py
@@ -5,6 +5,9 @@
 SMOOTHING = 0.05
 """Weight of one measurement in the running mean."""
 
+WON_SLOTS = 0.25
+"""Slots that a line without any is assumed to win from others, on average."""
+
 WARM_UP = 20
 """Measurements over which a plain mean is taken first."""
 
@@ -30,6 +33,9 @@
         weight = max(SMOOTHING, 1 / self._count) if self._count < WARM_UP else SMOOTHING
         self.mean_ms += weight * (slot_ms - self.mean_ms)
 
-    def implied_wait_ms(self, ahead: int, slots: float) -> float:
-        """Returns the time until ``ahead`` tasks have left ``slots`` slots."""
-        return ahead * self.mean_ms / max(slots, 1.0)
+    def implied_wait_ms(self, ahead: int, slots: int) -> float:
+        """Returns the time until ``ahead`` of the tasks in ``slots`` have ended.
+
+        Without a slot in hand, one is assumed to be won rarely.
+        """
+        return max(ahead, 0) * self.mean_ms / max(slots, WON_SLOTS)
--- a/src/amaranthtray/domain/workers/book.py
+++ b/src/amaranthtray/domain/workers/book.py
@@ -5,7 +5,8 @@
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
-from .choice import PowerOfTwo
+from ..requests.model import WorkClass
+from .choice import HomeThenShared
 from .health import HealthState
 from .pool import PoolWorkers
 from .settings import WorkerSettings
@@ -13,7 +14,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Hashable, Mapping, Sequence
+    from collections.abc import Callable, Collection, Hashable, Mapping, Sequence
 
     from ..ids import HostId, PoolName, ZoneId
     from ..inventory import Host
@@ -42,10 +43,11 @@
         self._zone = zone
         self._rng = rng
         self._cfg = cfg or WorkerSettings()
-        self._choice: HostChoice = choice or PowerOfTwo(self._cfg.seen_ms)
+        self._choice: HostChoice = choice or HomeThenShared(zone)
         self._pools: dict[PoolName, PoolWorkers] = {}
         self._workers: dict[HostId, Worker] = {}
         self._total_slots: dict[PoolName, int] = {}
+        self._fair_slots: dict[PoolName, float] = {}
         self._wakes: list[tuple[int, HostId]] = []
         self.ejections = 0
 
@@ -71,12 +73,14 @@
         """Takes over how many entries share the hosts and this one's place."""
         self._choice = self._choice.with_stripe(stripe)
         for worker in self._workers.values():
-            worker.slots = self._choice.slots(worker.host)
+            self._divide(worker)
             self._refresh(worker, now_ms)
+        for pool in self._pools:
+            self._count_slots(pool)
 
     def fair_slots(self, pool: PoolName) -> float:
         """Returns this entry's part of the pool's slots if all entries are alike."""
-        return self.total_slots(pool) / self._choice.stripe.count
+        return self._fair_slots.get(pool, 0.0)
 
     def open_slots(self, pool: PoolName) -> int:
         """Returns the slots to which work may be sent now."""
@@ -109,19 +113,38 @@
     def choose(
         self, request: Request, avoid: Collection[Worker], now_ms: int
     ) -> Worker | None:
-        """Returns a worker with an open slot for the request, own zone first."""
+        """Returns a worker with an open slot for the request, own zone first.
+
+        Urgent work also tries slots that other entries may have left by now.
+        """
         held = self._pools.get(request.pool)
         if held is None or held.open_slots <= 0:
             return None
-        needs = request.needs
         if request.repeatable and held.probes:
             for worker in held.probes.values():
-                if worker not in avoid and worker.fits(needs):
+                if worker not in avoid and worker.fits(request.needs):
                     return worker
+        suits = self._suits(request, avoid, now_ms)
+        home = self._pick(held, lambda w: w.taken < w.home and suits(w), now_ms)
+        return home or self._pick(held, suits, now_ms)
+
+    def _suits(
+        self, request: Request, avoid: Collection[Worker], now_ms: int
+    ) -> Callable[[Worker], bool]:
+        needs = request.needs
+        is_urgent = request.work_class is WorkClass.URGENT
+        trust_ms = self._cfg.patient_trust_ms
 
         def suits(worker: Worker) -> bool:
-            return worker.fits(needs) and worker not in avoid
+            if worker in avoid or not worker.fits(needs):
+                return False
+            return is_urgent or worker.may_take_patient(now_ms, trust_ms)
+
+        return suits
 
+    def _pick(
+        self, held: PoolWorkers, suits: Callable[[Worker], bool], now_ms: int
+    ) -> Worker | None:
         near = self._choice.pick(held.near, suits, now_ms, self._rng)
         if near is not None:
             return near
@@ -167,9 +190,13 @@
         self, worker: Worker, retry_after_ms: int | None, now_ms: int
     ) -> None:
         """Records that the host refused work because its slots are taken."""
-        bound = self._cfg.full_ms if retry_after_ms is None else retry_after_ms
-        pause = bound // 2 + int(self._rng.random() * bound / 2)
-        self._close(worker, now_ms + max(1, pause), now_ms)
+        worker.others = max(1, worker.host.slots - worker.taken)
+        worker.seen_ms = now_ms
+        bound = max(retry_after_ms or 0, worker.decay_ms * 2)
+        worker.decay_ms = min(bound, self._cfg.decay_cap_ms)
+        jitter = int(self._rng.random() * worker.decay_ms / 2)
+        worker.decay_ms -= jitter
+        self._refresh(worker, now_ms)
 
     def note_leaving(self, worker: Worker, now_ms: int) -> None:
         """Records that the host refused work because it is leaving."""
@@ -181,6 +208,11 @@
         """Records the free slots that a host reported with an answer."""
         worker.others = max(0, worker.host.slots - free - worker.taken)
         worker.seen_ms = now_ms
+        self._refresh(worker, now_ms)
+
+    def note_ran(self, worker: Worker) -> None:
+        """Records that the host took work in, so its slots are tried sooner."""
+        worker.decay_ms = self._cfg.decay_ms
 
     def leaving_hosts(self) -> list[HostId]:
         """Returns the hosts that refused work because they are leaving."""
@@ -235,12 +267,30 @@
         heappush(self._wakes, (when_ms, worker.host.host_id))
 
     def _refresh(self, worker: Worker, now_ms: int) -> None:
-        if worker.pool is not None:
-            self._pools[worker.pool].refresh(worker, now_ms)
+        if worker.pool is None:
+            return
+        self._pools[worker.pool].refresh(worker, now_ms)
+        if worker.others and not worker.open_slots:
+            self._wake_after_decay(worker, now_ms)
+
+    def _wake_after_decay(self, worker: Worker, now_ms: int) -> None:
+        """Looks again when one of the slots that others hold may be free."""
+        if worker.wake_ms > now_ms or worker.taken >= worker.slots:
+            return
+        held = max(0, worker.taken + worker.others - worker.host.slots)
+        worker.wake_ms = max(now_ms + 1, worker.seen_ms + (held + 1) * worker.decay_ms)
+        self._wake_at(worker.wake_ms, worker)
+
+    def _divide(self, worker: Worker) -> None:
+        worker.slots = self._choice.slots(worker.host)
+        worker.home = self._choice.home_slots(worker.host)
 
     def _count_slots(self, pool: PoolName | None) -> None:
-        if pool is not None:
-            self._total_slots[pool] = self._pools[pool].usable_slots()
+        if pool is None:
+            return
+        usable = [w for w in self._pools[pool].workers.values() if w.is_usable]
+        self._total_slots[pool] = sum(worker.host.slots for worker in usable)
+        self._fair_slots[pool] = sum(worker.home for worker in usable)
 
     def _may_eject(self, worker: Worker) -> bool:
         if worker.health.state is HealthState.EJECTED or worker.pool is None:
@@ -255,14 +305,14 @@
     def _list(self, host: Host, pool: PoolName, now_ms: int) -> None:
         worker = self._workers.get(host.host_id)
         if worker is None:
-            worker = Worker.of(host, pool, self._choice.slots(host), self._cfg)
+            worker = Worker.of(host, pool, self._cfg)
             self._workers[host.host_id] = worker
         if worker.host.state is not host.state:
             worker.closed_until_ms = 0
             worker.is_refused_leaving = False
         worker.host = host
         worker.pool = pool
-        worker.slots = self._choice.slots(host)
+        self._divide(worker)
         if pool not in self._pools:
             self._pools[pool] = PoolWorkers(self._zone)
         self._pools[pool].workers[host.host_id] = worker
--- a/src/amaranthtray/domain/workers/choice.py
+++ b/src/amaranthtray/domain/workers/choice.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, Protocol
 from zlib import crc32
 
+from ..ids import ZoneId
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Sequence
@@ -30,6 +32,9 @@
     def slots(self, host: Host) -> int:
         """Returns how many slots of a host this entry may use."""
 
+    def home_slots(self, host: Host) -> float:
+        """Returns how many of them it uses before any others."""
+
     def pick(
         self,
         workers: Sequence[Worker],
@@ -56,11 +61,9 @@
     """Any slot may be used; the less loaded of two random workers gets the task.
 
     Attributes:
-        seen_ms: Time for which reported free slots are believed.
         stripe: Place among the entries that share the connections of a host.
     """
 
-    seen_ms: int = 250
     stripe: Stripe = ALONE
 
     def with_stripe(self, stripe: Stripe) -> PowerOfTwo:
@@ -71,6 +74,10 @@
         """Returns all slots, within this entry's part of the connections."""
         return min(host.slots, max(1, host.connections // self.stripe.count))
 
+    def home_slots(self, host: Host) -> float:
+        """Returns an equal part; no slot is used before another."""
+        return host.slots / self.stripe.count
+
     def pick(
         self,
         workers: Sequence[Worker],
@@ -79,19 +86,7 @@
         rng: random.Random,
     ) -> Worker | None:
         """Returns the less loaded of two, judged by local knowledge."""
-        first = _sample(workers, suits, rng)
-        if first is None:
-            return None
-        second = workers[int(rng.random() * len(workers))]
-        if second is first or not suits(second):
-            return first
-        if self._load(second, now_ms) < self._load(first, now_ms):
-            return second
-        return first
-
-    def _load(self, worker: Worker, now_ms: int) -> float:
-        others = worker.others if worker.seen_ms + self.seen_ms > now_ms else 0
-        return (worker.taken + others) / worker.host.slots
+        return _less_loaded(workers, suits, now_ms, rng)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +105,11 @@
 
     def slots(self, host: Host) -> int:
         """Returns the slots of this entry's stripe."""
-        shift = crc32(host.host_id.encode())
-        index, count = self.stripe.index, self.stripe.count
-        return sum((shift + slot) % count == index for slot in range(host.slots))
+        return _striped(host, self.stripe)
+
+    def home_slots(self, host: Host) -> float:
+        """Returns the same; an entry uses no other slots."""
+        return _striped(host, self.stripe)
 
     def pick(
         self,
@@ -125,6 +122,65 @@
         return _sample(workers, suits, rng)
 
 
+@dataclass(frozen=True, slots=True)
+class HomeThenShared:
+    """Slots of the own stripe first, then any slot that others seem to leave.
+
+    The entries of an availability zone divide the slots of its hosts, so that a
+    zone that is cut off has all its slots and idle entries' slots are lent.
+
+    Attributes:
+        zone: This entry's availability zone.
+        stripe: This entry's place among the entries of the zone.
+    """
+
+    zone: ZoneId
+    stripe: Stripe = ALONE
+
+    def with_stripe(self, stripe: Stripe) -> HomeThenShared:
+        """Returns the same way for another place."""
+        return replace(self, stripe=stripe)
+
+    def slots(self, host: Host) -> int:
+        """Returns all slots, within this entry's part of the connections."""
+        return min(host.slots, max(1, host.connections // self.stripe.count))
+
+    def home_slots(self, host: Host) -> float:
+        """Returns the slots of this entry's stripe, none in other zones."""
+        return _striped(host, self.stripe) if host.zone == self.zone else 0
+
+    def pick(
+        self,
+        workers: Sequence[Worker],
+        suits: Callable[[Worker], bool],
+        now_ms: int,
+        rng: random.Random,
+    ) -> Worker | None:
+        """Returns the less loaded of two, judged by local knowledge."""
+        return _less_loaded(workers, suits, now_ms, rng)
+
+
+def _striped(host: Host, stripe: Stripe) -> int:
+    shift = crc32(host.host_id.encode())
+    slots = range(shift, shift + host.slots)
+    return sum(slot % stripe.count == stripe.index for slot in slots)
+
+
+def _less_loaded(
+    workers: Sequence[Worker],
+    suits: Callable[[Worker], bool],
+    now_ms: int,
+    rng: random.Random,
+) -> Worker | None:
+    first = _sample(workers, suits, rng)
+    if first is None:
+        return None
+    second = workers[int(rng.random() * len(workers))]
+    if second is first or not suits(second):
+        return first
+    return second if second.load(now_ms) < first.load(now_ms) else first
+
+
 def _sample(
     workers: Sequence[Worker],
     suits: Callable[[Worker], bool],
--- a/src/amaranthtray/domain/workers/leases.py
+++ b/src/amaranthtray/domain/workers/leases.py
@@ -59,10 +59,10 @@
             host: Where it may run.
             now_ms: Now, which is not before the connection was closed.
         """
-        held = self._started.get(host, {})
-        started_ms = held.pop(attempt_id, now_ms)
-        renewed_ms = self._renewed_ms.get(host, started_ms)
-        last_reach_ms = max(now_ms, renewed_ms + self._cfg.call_ms)
+        self.end(attempt_id, host)
+        last_reach_ms = now_ms
+        if host in self._renewed_ms:
+            last_reach_ms = max(now_ms, self._renewed_ms[host] + self._cfg.call_ms)
         lapse_ms = last_reach_ms + self._cfg.ttl_ms + self._cfg.margin_ms
         heappush(self._lapses, (lapse_ms, attempt_id))
         return lapse_ms
--- a/src/amaranthtray/domain/workers/pool.py
+++ b/src/amaranthtray/domain/workers/pool.py
@@ -61,10 +61,6 @@
         self.open_slots -= worker.open_slots
         worker.open_slots = 0
 
-    def usable_slots(self) -> int:
-        """Returns the slots of all workers that are not out for a longer time."""
-        return sum(w.host.slots for w in self.workers.values() if w.is_usable)
-
     def can_fit(self, needs: Needs) -> bool:
         """Returns whether any listed worker could run a task with these needs."""
         return any(worker.fits(needs) for worker in self.workers.values())
--- a/src/amaranthtray/domain/workers/settings.py
+++ b/src/amaranthtray/domain/workers/settings.py
@@ -19,8 +19,11 @@
         probe_patience_ms: Time after which a host that got no probe comes back
             with one slot.
         leaving_ms: Time for which a host that refused as leaving gets no work.
-        full_ms: Longest time for which a host that refused as full gets no work.
-        seen_ms: Time for which the free slots that a host reported are believed.
+        decay_ms: Time in which one of the slots that others hold is assumed to
+            be free again; it doubles with each refusal in a row.
+        decay_cap_ms: Longest such time.
+        patient_trust_ms: Time for which patient work tries no slot that others
+            held; it must not race urgent work of other entries.
     """
 
     eject_after: int = 5
@@ -31,8 +34,9 @@
     ejection_cap_ms: int = 120_000
     probe_patience_ms: int = 20_000
     leaving_ms: int = 60_000
-    full_ms: int = 100
-    seen_ms: int = 250
+    decay_ms: int = 250
+    decay_cap_ms: int = 4_000
+    patient_trust_ms: int = 5_000
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/requests/test_desk_machine.py
@@ -0,0 +1,81 @@
+"""The desk among failing hosts, lost messages, pauses and cancellations."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from amaranthtray.bench._requests_faults import SETTLE_MS, FaultSchedule
+from amaranthtray.bench._requests_world import Fault
+from amaranthtray.domain.requests.model import WorkClass
+
+SEEDS = 150
+STEPS = 25
+
+
+class DeskMachine(RuleBasedStateMachine):
+    """Callers, one entry and its hosts; hypothesis chooses each fault."""
+
+    @initialize(seed=st.integers(0, 2**16), control_loss=st.sampled_from([0.0, 1.0]))
+    def begin(self, seed: int, control_loss: float) -> None:
+        self.schedule = FaultSchedule(seed)
+        self.world = self.schedule.world
+        self.world.control_loss = control_loss
+        self.faults: list[Fault] = []
+        self.world.draw_fault = self._next_fault
+
+    def _next_fault(self) -> Fault:
+        return self.faults.pop(0) if self.faults else Fault.NONE
+
+    @rule(faults=st.lists(st.sampled_from(Fault), max_size=4))
+    def plan_faults(self, faults: list[Fault]) -> None:
+        self.faults = faults
+
+    @rule(
+        repeatable=st.booleans(),
+        work_class=st.sampled_from(WorkClass),
+        within_ms=st.sampled_from([1, 300, 5_000, 60_000]),
+    )
+    def submit(self, repeatable: bool, work_class: WorkClass, within_ms: int) -> None:
+        self.schedule.submit(
+            repeatable=repeatable, work_class=work_class, within_ms=within_ms
+        )
+
+    @rule(pick=st.integers(0, 50))
+    def cancel(self, pick: int) -> None:
+        self.schedule.cancel(pick)
+
+    @rule(pick=st.integers(0, 19))
+    def disturb(self, pick: int) -> None:
+        self.schedule.disturb(pick)
+
+    @rule(ms=st.sampled_from([1, 20, 900, 16_000, 30_000]))
+    def pass_time(self, ms: int) -> None:
+        self.world.run_until(self.world.now + ms)
+
+    @invariant()
+    def promises_hold(self) -> None:
+        if hasattr(self, "schedule"):
+            assert self.schedule.watchdog.violations == []
+
+    def teardown(self) -> None:
+        """Everything settles; each request has one outcome and nothing is held."""
+        if not hasattr(self, "schedule"):
+            return
+        self.world.run_until(self.world.now + SETTLE_MS)
+        verdict = self.schedule.verdict()
+        assert not verdict.broken
+        assert verdict.without_outcome == 0
+        assert verdict.leaked == 0
+
+
+TestDeskMachine = DeskMachine.TestCase
+
+
+@pytest.mark.parametrize("first", range(0, SEEDS, 50))
+def test_seeded_fault_schedules_keep_every_promise(first: int) -> None:
+    for seed in range(first, first + 50):
+        verdict = FaultSchedule(seed).run(STEPS)
+        assert not verdict.broken, seed
+        assert (verdict.without_outcome, verdict.leaked) == (0, 0), seed
--- /dev/null
+++ b/tests/workers/test_worker_book.py
@@ -0,0 +1,229 @@
+"""Ejection, refusals, leaving hosts and the order of choice."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from amaranthtray.domain.ids import HostId, PoolName, ZoneId
+from amaranthtray.domain.inventory import Host, HostState
+from amaranthtray.domain.requests.model import Needs, Request, WorkClass
+from amaranthtray.domain.workers.book import WorkerBook
+from amaranthtray.domain.workers.choice import (
+    HomeThenShared,
+    HostChoice,
+    PowerOfTwo,
+    Stripe,
+    StripedSlots,
+)
+from amaranthtray.domain.workers.settings import WorkerSettings
+from builders import host, request
+
+if TYPE_CHECKING:
+    from amaranthtray.domain.workers.worker import Worker
+
+WEB = PoolName("web")
+CFG = WorkerSettings()
+ONCE = request(1, repeatable=False)
+AGAIN = request(2)
+LATER_MS = CFG.ejection_first_ms
+
+
+def book(*hosts: Host, choice: HostChoice | None = None) -> WorkerBook:
+    made = WorkerBook(ZoneId("z1"), random.Random(1), choice=choice)
+    made.update({WEB: hosts}, 0)
+    return made
+
+
+def worker(made: WorkerBook, item: Host) -> Worker:
+    found = made.worker(item.host_id)
+    assert found is not None
+    return found
+
+
+def chosen(made: WorkerBook, req: Request = ONCE, now: int = 0) -> set[HostId]:
+    picks = [made.choose(req, (), now) for _ in range(40)]
+    return {item.host.host_id for item in picks if item is not None}
+
+
+def fail(made: WorkerBook, item: Host, count: int, now: int = 0) -> None:
+    for number in range(count):
+        made.note_failure(worker(made, item), f"q{number}", now)
+
+
+BAD, GOOD, THIRD = host(1), host(2), host(3)
+
+
+def test_host_that_fails_distinct_requests_is_ejected() -> None:
+    made = book(BAD, GOOD, THIRD)
+    fail(made, BAD, CFG.eject_after - 1)
+    assert BAD.host_id in chosen(made)
+    fail(made, BAD, CFG.eject_after)
+    assert made.ejected_hosts() == [BAD.host_id]
+    assert BAD.host_id not in chosen(made)
+
+
+def test_one_request_that_fails_often_ejects_nobody() -> None:
+    made = book(BAD, GOOD, THIRD)
+    for _ in range(50):
+        made.note_failure(worker(made, BAD), "same", 0)
+    assert made.ejected_hosts() == []
+
+
+def test_bad_jobs_count_against_no_host() -> None:
+    made = book(BAD, GOOD, THIRD)
+    for number in range(100):
+        for item in (BAD, GOOD, THIRD):
+            made.note_failure(worker(made, item), f"job{number}", 0)
+        for item in (BAD, GOOD, THIRD):
+            made.forgive(worker(made, item), f"job{number}")
+    assert made.ejected_hosts() == []
+
+
+def test_ejection_is_capped() -> None:
+    hosts = [host(number) for number in range(9)]
+    made = book(*hosts)
+    for item in hosts:
+        fail(made, item, 20)
+    assert len(made.ejected_hosts()) == 3
+
+
+def test_the_only_host_is_never_ejected() -> None:
+    made = book(BAD)
+    fail(made, BAD, 100)
+    assert made.ejected_hosts() == []
+
+
+def test_ejected_host_returns_by_one_repeatable_probe_and_a_slow_start() -> None:
+    made = book(BAD, GOOD, THIRD)
+    fail(made, BAD, CFG.eject_after)
+    made.wake(LATER_MS)
+    assert BAD.host_id not in chosen(made, ONCE, LATER_MS)
+    probe = made.choose(AGAIN, (), LATER_MS)
+    assert probe is worker(made, BAD)
+    assert made.take(probe, LATER_MS)
+    assert made.choose(AGAIN, (), LATER_MS) is not probe
+    made.free(probe, was_probe=True, now_ms=LATER_MS)
+    made.note_success(probe, LATER_MS)
+    allowed = []
+    for _ in range(4):
+        allowed.append(probe.free_slots(LATER_MS))
+        made.note_success(probe, LATER_MS)
+    assert allowed == [1, 2, 4, 8]
+
+
+def test_failed_probe_ejects_for_longer() -> None:
+    made = book(BAD, GOOD, THIRD)
+    fail(made, BAD, CFG.eject_after)
+    made.wake(LATER_MS)
+    made.note_failure(worker(made, BAD), "probe", LATER_MS)
+    assert made.ejected_hosts() == [BAD.host_id]
+    assert worker(made, BAD).health.until_ms >= LATER_MS + CFG.ejection_first_ms
+
+
+def test_host_that_gets_no_probe_comes_back_with_one_slot() -> None:
+    made = book(BAD, GOOD, THIRD)
+    fail(made, BAD, CFG.eject_after)
+    made.wake(LATER_MS)
+    now = LATER_MS + CFG.probe_patience_ms
+    made.wake(now)
+    assert worker(made, BAD).free_slots(now) == 1
+    assert BAD.host_id in chosen(made, ONCE, now)
+
+
+def test_leaving_host_gets_nothing_until_the_list_or_time_says_so() -> None:
+    made = book(BAD, GOOD)
+    made.note_leaving(worker(made, BAD), 0)
+    assert chosen(made) == {GOOD.host_id}
+    made.update({WEB: [BAD, GOOD]}, 1)
+    assert chosen(made, ONCE, 1) == {GOOD.host_id}
+    made.wake(CFG.leaving_ms)
+    assert chosen(made, ONCE, CFG.leaving_ms) == {BAD.host_id, GOOD.host_id}
+
+
+def test_host_listed_as_leaving_gets_nothing_and_its_return_counts() -> None:
+    made = book(host(1, state=HostState.LEAVING), GOOD)
+    assert chosen(made) == {GOOD.host_id}
+    made.note_leaving(worker(made, BAD), 0)
+    made.update({WEB: [BAD, GOOD]}, 1)
+    assert chosen(made, ONCE, 1) == {BAD.host_id, GOOD.host_id}
+
+
+def test_full_host_is_tried_again_one_slot_at_a_time() -> None:
+    made = book(BAD)
+    full = worker(made, BAD)
+    made.note_full(full, None, 0)
+    assert made.open_slots(WEB) == 0
+    wake_ms = made.next_wake_ms()
+    assert wake_ms is not None
+    made.wake(wake_ms)
+    assert made.open_slots(WEB) == 1
+
+
+def test_patient_work_does_not_race_for_slots_that_others_held() -> None:
+    made = book(BAD)
+    made.note_full(worker(made, BAD), None, 0)
+    made.wake(CFG.decay_cap_ms)
+    patient = request(3, work_class=WorkClass.PATIENT)
+    assert chosen(made, ONCE, CFG.decay_cap_ms) == {BAD.host_id}
+    assert chosen(made, patient, CFG.decay_cap_ms) == set()
+    assert chosen(made, patient, CFG.patient_trust_ms + 1) == {BAD.host_id}
+
+
+def test_own_zone_comes_first_and_spills() -> None:
+    near, far = host(1, slots=1), host(2, zone="z2")
+    made = book(near, far)
+    assert chosen(made) == {near.host_id}
+    made.take(worker(made, near), 0)
+    assert chosen(made) == {far.host_id}
+
+
+def test_needs_bound_the_choice() -> None:
+    small, large = host(1, cores=4), host(2, cores=64)
+    made = book(small, large)
+    wide = request(3, needs=Needs(cores=32))
+    assert chosen(made, wide) == {large.host_id}
+    assert not made.can_ever_run(WEB, Needs(cores=65))
+
+
+def test_host_that_is_unlisted_keeps_its_taken_slots_until_they_are_free() -> None:
+    made = book(BAD, GOOD)
+    held = worker(made, BAD)
+    made.take(held, 0)
+    made.update({WEB: [GOOD]}, 1)
+    assert made.worker(BAD.host_id) is held
+    made.update({WEB: [BAD, GOOD]}, 2)
+    assert worker(made, BAD).free_slots(2) == 7
+    made.update({WEB: [GOOD]}, 3)
+    made.free(held, was_probe=False, now_ms=4)
+    assert made.worker(BAD.host_id) is None
+
+
+@pytest.mark.parametrize("entries", [1, 3, 8, 9])
+def test_stripes_divide_each_slot_to_one_entry(entries: int) -> None:
+    for item in (host(number) for number in range(20)):
+        parts = [
+            StripedSlots(Stripe(index, entries)).slots(item) for index in range(entries)
+        ]
+        assert sum(parts) == item.slots
+
+
+@pytest.mark.parametrize("choice", [PowerOfTwo(), HomeThenShared(ZoneId("z1"))])
+def test_connections_are_shared_between_entries(choice: HostChoice) -> None:
+    wide = choice.with_stripe(Stripe(0, 32))
+    assert wide.slots(host(1)) == 2
+    assert choice.slots(host(1)) == 8
+
+
+def test_home_slots_are_used_before_shared_ones() -> None:
+    hosts = [host(number, slots=2) for number in range(4)]
+    made = book(*hosts)
+    made.share_with(Stripe(0, 2), 0)
+    for _ in hosts:
+        pick = made.choose(ONCE, (), 0)
+        assert pick is not None
+        assert pick.taken < pick.home
+        made.take(pick, 0)
+    assert made.choose(ONCE, (), 0) is not None
