--- a/src/amaranthtray/domain/requests/line.py
+++ b/src/amaranthtray/domain/requests/line.py
@@ -57,6 +57,11 @@
         line = self._teams.get(team)
         return 0 if line is None else line.live
 
+    def stored(self, team: TeamName) -> int:
+        """Returns how many items are stored for the team, removed ones included."""
+        line = self._teams.get(team)
+        return 0 if line is None else len(line.items)
+
     def push(self, item: Tracked, *, front: bool = False) -> None:
         """Adds a request at the end, or at the front if it waited before."""
         item.phase = Phase.WAITING
--- /dev/null
+++ b/tests/requests/test_queueing.py
@@ -0,0 +1,182 @@
+"""Urgent over patient work, limits, and queues that leave nothing behind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthtray.domain.ids import Millis, TeamName
+from amaranthtray.domain.requests.line import COMPACT_FROM, Line
+from amaranthtray.domain.requests.messages import (
+    AttemptEnded,
+    CheckpointTask,
+    DeskEffect,
+    Finish,
+    SlotsFreed,
+    StartAttempt,
+    Submit,
+    Tick,
+    WholeAnswer,
+)
+from amaranthtray.domain.requests.model import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Request,
+    WorkClass,
+)
+from amaranthtray.domain.requests.ports import Unlimited
+from amaranthtray.domain.requests.settings import DeskSettings
+from amaranthtray.domain.requests.timers import TimerKind, Timers
+from amaranthtray.domain.requests.tracked import Phase, RequestKey, Tracked
+from builders import desk, host, request
+
+if TYPE_CHECKING:
+    from amaranthtray.domain.requests.desk import RequestDesk
+
+ROOMY = DeskSettings(urgent_max_wait_ms=10**6, burst_hold_ms=500)
+RED = TeamName("red")
+
+
+class OneUnit(Unlimited):
+    """Red may run one task, all others as many as they like."""
+
+    def __init__(self) -> None:
+        self.left = 1
+
+    def try_take(self, team: TeamName, now_ms: Millis) -> bool:
+        if team != RED:
+            return True
+        self.left -= 1
+        if self.left < 0:
+            self.left = 0
+            return False
+        return True
+
+    def give_back(self, team: TeamName, now_ms: Millis) -> None:
+        self.left += team == RED
+
+
+def give(made: RequestDesk, *requests: Request, now: int = 0) -> list[DeskEffect]:
+    effects: list[DeskEffect] = []
+    for item in requests:
+        effects += made.handle(Submit(item), Millis(now))
+    return effects
+
+
+def starts(effects: list[DeskEffect]) -> list[StartAttempt]:
+    return [item for item in effects if isinstance(item, StartAttempt)]
+
+
+def answer(made: RequestDesk, start: StartAttempt, now: int) -> list[DeskEffect]:
+    ended = AttemptEnded(start.attempt_id, WholeAnswer())
+    return made.handle(ended, Millis(now))
+
+
+def patient(number: int, *, team: str = "red", repeatable: bool = True) -> Request:
+    return request(
+        number,
+        team=team,
+        work_class=WorkClass.PATIENT,
+        repeatable=repeatable,
+        deadline_ms=10**6,
+    )
+
+
+def test_team_at_its_limit_blocks_no_other() -> None:
+    made = desk(hosts=(host(1),), cfg=ROOMY, limits=OneUnit())
+    red = [request(number, team="red") for number in range(3)]
+    effects = give(made, *red, request(9, team="blue"))
+    assert [item.request.request_id for item in starts(effects)] == ["q0", "q9"]
+
+
+def test_team_at_its_limit_goes_on_when_a_unit_returns() -> None:
+    made = desk(hosts=(host(1),), cfg=ROOMY, limits=OneUnit())
+    (first,) = starts(give(made, request(1), request(2)))
+    (second,) = starts(answer(made, first, 5))
+    assert second.request.request_id == "q2"
+
+
+def test_team_at_its_limit_goes_on_when_its_limit_grows() -> None:
+    limits = OneUnit()
+    made = desk(hosts=(host(1),), cfg=ROOMY, limits=limits)
+    give(made, request(1), request(2))
+    limits.left = 1
+    wake = made.next_wake_ms()
+    assert wake is not None
+    assert len(starts(made.handle(Tick(), Millis(wake)))) == 1
+
+
+def test_urgent_work_gets_the_limit_unit_of_its_teams_patient_work() -> None:
+    made = desk(hosts=(host(1),), cfg=ROOMY, limits=OneUnit())
+    (held,) = starts(give(made, patient(1)))
+    effects = give(made, request(2))
+    assert effects == [CheckpointTask(held.attempt_id, held.host)]
+
+
+def test_patient_work_that_makes_no_room_holds_few_slots() -> None:
+    made = desk(hosts=(host(1, slots=8),), cfg=ROOMY)
+    fixed = [patient(number, repeatable=False) for number in range(8)]
+    assert len(starts(give(made, *fixed))) == 8 * ROOMY.fixed_patient_share
+
+
+def test_slots_are_kept_for_urgent_work_for_a_moment_after_it_queued() -> None:
+    made = desk(hosts=(host(1, slots=1),), cfg=ROOMY)
+    urgent = [request(number) for number in range(3)]
+    (first,) = starts(give(made, *urgent, patient(8)))
+    (second,) = starts(answer(made, first, 10))
+    (third,) = starts(answer(made, second, 20))
+    assert starts(answer(made, third, 30)) == []
+    made.handle(Tick(), Millis(400))
+    (late,) = starts(made.handle(Tick(), Millis(30 + ROOMY.burst_hold_ms)))
+    assert late.request.request_id == "q8"
+
+
+def test_expired_request_is_not_started_although_the_tick_is_late() -> None:
+    made = desk(hosts=(host(1, slots=1),), cfg=ROOMY)
+    waits = request(2, deadline_ms=1_000)
+    (first,) = starts(give(made, request(1), waits))
+    effects = answer(made, first, 1_000)
+    assert starts(effects) == []
+    assert [e.request for e in effects if isinstance(e, Finish)][-1] is waits
+
+
+def test_slot_that_the_host_says_is_free_is_used_while_the_answer_travels() -> None:
+    made = desk(hosts=(host(1, slots=1),), cfg=ROOMY)
+    (first,) = starts(give(made, request(1), request(2)))
+    freed = SlotsFreed(first.host, (first.attempt_id,))
+    (second,) = starts(made.handle(freed, Millis(5)))
+    assert second.request.request_id == "q2"
+    (done,) = answer(made, first, 6)
+    assert isinstance(done, Finish)
+    assert done.outcome == Answered(first.attempt_id, first.host)
+    assert made.running(first.request.pool) == 1
+
+
+def test_backlog_of_cancelled_requests_is_compacted() -> None:
+    line, timers = Line(), Timers()
+    items = [_tracked(number) for number in range(10_000)]
+    for item in items:
+        line.push(item)
+        timers.add(10**9, TimerKind.DEADLINE, item)
+    keep = items.pop(5_000)
+    for item in items:
+        line.discard(item, Phase.DONE)
+        timers.note_finished()
+    assert line.size == 1
+    assert line.head(RED) is keep
+    assert len(timers) < 1_000
+    assert line.stored(RED) <= 2 * COMPACT_FROM
+
+
+def _tracked(number: int) -> Tracked:
+    req = request(number)
+    return Tracked(req, RequestKey(req.team, req.request_id), 0)
+
+
+def test_pool_whose_hosts_all_leave_refuses_at_once() -> None:
+    made = desk(hosts=(host(1),), cfg=ROOMY)
+    made.update_hosts({}, Millis(1))
+    (refused,) = give(made, request(1), now=2)
+    assert isinstance(refused, Finish)
+    assert isinstance(refused.outcome, NotRun)
+    assert refused.outcome.reason is NotRunReason.NO_HOST
