--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,8 +5,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from amaranthtray.domain.budgets import Ledger, Location, Order, OutCause
 from amaranthtray.bench._limits_world import Faults, LimitsWorld
+from amaranthtray.domain.budgets import Ledger, Location, Order, OutCause
 from amaranthtray.domain.configuration import (
     Budget,
     Change,
@@ -271,6 +271,8 @@
     order: str = "",
 ) -> Wave:
     return Wave(WaveName(name), selector, action, state, order)
+
+
 def escrow_world(
     seed: int = 1,
     *,
