--- a/src/amaranthtray/domain/serving/serving.py
+++ b/src/amaranthtray/domain/serving/serving.py
@@ -32,7 +32,7 @@
 from .settings import ServingSettings
 
 if TYPE_CHECKING:
-    from ..ids import AttemptId, HostId
+    from ..ids import AttemptId, HostId, Millis
     from ..requests.messages import DeskEffect
     from .messages import ServingEffect, ServingMessage
 
@@ -148,8 +148,8 @@
         held_back = any(self.book.open_slots(pool) > 0 for pool in waiting)
         self._look_again_ms = now_ms + self.cfg.hold_back_ms if held_back else None
         if now_ms >= self._report_due_ms:
-            self._report_due_ms = now_ms + self.cfg.report_ms
-            effects.append(self._report(now_ms))
+            self._report_due_ms = now_ms + self.cfg.escrow.urgent_report_ms
+            effects.extend(self._report(now_ms))
             effects.extend(self._host_news())
         if now_ms >= self._frame_due_ms:
             self._frame_due_ms = now_ms + self.cfg.shares.period_ms
@@ -170,10 +170,12 @@
                 self.book.note_leaving(worker, now_ms)
         self._leaving |= frozenset(hosts)
 
-    def _report(self, now_ms: Millis) -> SendReport:
+    def _report(self, now_ms: Millis) -> list[ServingEffect]:
         for team, waiting in self.desk.demand().items():
             self._limits.note_demand(team, waiting, now_ms)
-        return SendReport(self.holding.report(now_ms))
+        if not self.holding.is_report_due(now_ms):
+            return []
+        return [SendReport(self.holding.report(now_ms))]
 
     def _checked(self, effect: DeskEffect, now_ms: Millis) -> list[ServingEffect]:
         """Keeps leases from being renewed that no unit covers any more."""
--- a/src/amaranthtray/domain/serving/settings.py
+++ b/src/amaranthtray/domain/serving/settings.py
@@ -17,7 +17,6 @@
     """Bounds of all aggregates that serve requests.
 
     Attributes:
-        report_ms: Time between two reports to the zone steward.
         hold_back_ms: Time after which a pool whose teams were held back is looked
             at again.
     """
@@ -27,7 +26,6 @@
     leases: LeaseSettings = field(default_factory=LeaseSettings)
     escrow: EscrowTiming = field(default_factory=EscrowTiming)
     shares: ShareSettings = field(default_factory=ShareSettings)
-    report_ms: int = 250
     hold_back_ms: int = 20
 
     def with_task_lease(self, ttl_ms: int) -> ServingSettings:
--- a/src/amaranthtray/entry/caller_api.py
+++ b/src/amaranthtray/entry/caller_api.py
@@ -67,8 +67,9 @@
         return _send(reply)
 
     @web.exposed
-    def requests(self, request_id: str = "") -> bytes:
-        """Reads a reply back, or cancels a request."""
+    def requests(self, *parts: str) -> bytes:
+        """Reads a reply back, or cancels a request; an id may contain slashes."""
+        request_id = "/".join(parts)
         web.require(bool(request_id), 404, "name a request")
         match cherrypy.request.method:
             case "GET":
--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -22,7 +22,7 @@
     TermFollowed,
     UsageArrived,
 )
-from ...domain.shares import UsageFrame
+from ...domain.shares import UsageFrame, UsageRelay
 from ...peers.events import DialFailed, LinkDown, LinkUp, PeerEvent, Received
 from ...peers.messages import (
     ConfigRecords,
@@ -39,7 +39,6 @@
 from .peer_table import PeerTable
 from .ports import Links, ServingPort
 from .stewardship import Stewardship
-from .usage import ZoneUsage
 from .zone_status import ZoneStatus
 
 if TYPE_CHECKING:
@@ -49,7 +48,7 @@
 HEARTBEAT_MS = 1_000
 ZONE_REPORT_MS = 1_000
 DIAL_AGAIN_MS = 2_000
-RELAY_MS = 500
+RELAY_MS = 1_000
 WANTED_LINK_MS = 60_000
 IDLE_CHECKS = 2
 
@@ -106,7 +105,8 @@
         self._own = own
         self._registration = Registration(own, parts.store, parts.clock)
         self._sync = ConfigSync(parts.view, parts.links)
-        self._usage = self._new_usage()
+        self._near_usage = self._relay("near")
+        self._far_usage = self._relay("far")
         self._inputs: deque[ControlInput] = deque()
         self._dialed_ms: dict[EntryId, int] = {}
         self._wanted_until_ms: dict[EntryId, int] = {}
@@ -187,7 +187,7 @@
             case Received(entry=entry, message=received):
                 self._receive(entry, received, now_ms)
 
-    def _receive(self, entry: EntryId, message: object, now_ms: int) -> None:
+    def _receive(self, entry: EntryId, message: object, now_ms: Millis) -> None:
         peer = self.peers.get(entry)
         if peer is None:
             self.refused += 1
@@ -269,30 +269,34 @@
 
     # -- usage sums --------------------------------------------------------------
 
-    def _new_usage(self) -> ZoneUsage:
-        source = Incarnation(f"{self._own.zone}/{self._own.incarnation}")
-        return ZoneUsage(source, fresh_ms=self._parts.settings.shares.fresh_ms)
+    def _relay(self, name: str) -> UsageRelay:
+        """Returns a relay of this run; its name tells it from entries and others."""
+        own = self._own
+        source = Incarnation(f"{name}/{own.zone}/{own.incarnation}")
+        return UsageRelay(source, fresh_ms=self._parts.settings.shares.fresh_ms)
 
-    def _send_usage(self, frame: UsageFrame, now_ms: int) -> None:
-        self._usage.take(frame, now_ms)
+    def _send_usage(self, frame: UsageFrame, now_ms: Millis) -> None:
+        self._near_usage.take(frame, now_ms)
         for peer in self.peers.near():
             self._parts.links.send(peer.entry, frame)
 
-    def _take_usage(self, peer: Peer, frame: UsageFrame, now_ms: int) -> None:
-        if peer.zone == self._own.zone:
-            if frame.source == peer.incarnation:
-                self._usage.take(frame, now_ms)
-            self._parts.serving.post(UsageArrived(frame))
+    def _take_usage(self, peer: Peer, frame: UsageFrame, now_ms: Millis) -> None:
+        if peer.zone != self._own.zone:
+            self._far_usage.take(frame, now_ms)
             return
+        if frame.source == peer.incarnation:
+            self._near_usage.take(frame, now_ms)
         self._parts.serving.post(UsageArrived(frame))
-        if self.stewardship.is_active:
-            for near in self.peers.near():
-                self._parts.links.send(near.entry, frame)
 
     def _relay_usage(self, now_ms: Millis) -> None:
-        frame = self._usage.frame(now_ms)
+        """Tells other zones of this one, and this zone's entries of the others."""
+        outward = self._near_usage.frame(now_ms)
         for steward in self.peers.stewards(now_ms):
-            self._parts.links.send(steward.entry, frame)
+            self._parts.links.send(steward.entry, outward)
+        inward = self._far_usage.frame(now_ms)
+        self._parts.serving.post(UsageArrived(inward))
+        for peer in self.peers.near():
+            self._parts.links.send(peer.entry, inward)
 
     # -- configuration -----------------------------------------------------------
 
--- a/src/amaranthtray/scenarios/steps.py
+++ b/src/amaranthtray/scenarios/steps.py
@@ -88,7 +88,9 @@
         self.scenario = scenario
         self.world = World(scenario.document.site)
         self._keys = {
-            key.name: key_from_secret(format_key_id(Revision(0), f"n{number}"), key.name)
+            key.name: key_from_secret(
+                format_key_id(Revision(0), f"n{number}"), key.name
+            )
             for number, key in enumerate(scenario.document.key)
         }
         self._named: dict[str, Work] = {}
--- a/tests/serving/test_serving.py
+++ b/tests/serving/test_serving.py
@@ -67,7 +67,7 @@
         return self.take(Tick())
 
     def report(self) -> SendReport:
-        self.now_ms += self.serving.cfg.report_ms
+        self.now_ms += self.serving.cfg.escrow.report_ms
         return next(e for e in self.take(Tick()) if isinstance(e, SendReport))
 
     def grant(
