--- a/src/amaranthtray/bench/_waves_world.py
+++ b/src/amaranthtray/bench/_waves_world.py
@@ -280,8 +280,11 @@
             self.fleet.obey(order)
 
     def _spread_report(self, report: HostReport) -> None:
+        """Reports go to the conductors of the pool whose order it was."""
         is_doubled = self.rng.random() < self.settings.doubled_report
         for holder in self._alive():
+            if not report.op_id.startswith(f"{holder.pool}-"):
+                continue
             for _ in range(2 if is_doubled else 1):
                 delay_ms = self.rng.randint(*self.settings.call_ms)
                 self.clock.after(delay_ms, partial(self.deliver, holder, report))
--- /dev/null
+++ b/src/amaranthtray/bench/waves.py
@@ -0,0 +1,120 @@
+"""Measures maintenance waves and moves: safety, roll-out time, cost and moves."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+from ._waves_faults import Schedule
+from ._waves_sites import (
+    SITES,
+    WEEK_MS,
+    one_at_a_time,
+    relabel,
+    roll_out,
+    weekly_share,
+)
+from .figure import Figure
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ._waves_sites import Site
+
+SCHEDULES = 7_000
+SITE_RUNS = 20
+FAILURES = 6
+RELABELLED = 5
+BUDGET_PROMISE = "BudgetsHold"
+PLACE_PROMISE = "OnePoolAHost"
+
+
+def figures() -> Iterator[Figure]:
+    """Yields the figures of this group."""
+    yield from _safety()
+    for site in SITES:
+        yield from _site(site)
+    yield from _two_years()
+
+
+def _safety() -> Iterator[Figure]:
+    budgets = places = others = missed = 0
+    for seed in range(SCHEDULES):
+        verdict = Schedule(seed).run()
+        for detail in verdict.broken:
+            budgets += detail.startswith(BUDGET_PROMISE) or "bound" in detail
+            places += detail.startswith(PLACE_PROMISE)
+            others += not detail.startswith((BUDGET_PROMISE, PLACE_PROMISE))
+        missed += len(verdict.missed)
+    yield Figure("waves.schedules", SCHEDULES, "runs", ">= 7000")
+    yield Figure("waves.budget_breaks", budgets, "count", "== 0")
+    yield Figure("waves.hosts_not_in_one_pool", places, "count", "== 0")
+    yield Figure("waves.other_breaks", others, "count", "== 0")
+    yield Figure("waves.hosts_never_reached", missed, "count", "== 0")
+
+
+def _site(site: Site) -> Iterator[Figure]:
+    runs = [roll_out(site, seed) for seed in range(SITE_RUNS)]
+    slow = [roll_out(one_at_a_time(site), seed) for seed in range(SITE_RUNS)]
+    failing = [roll_out(site, seed, failures=FAILURES) for seed in range(SITE_RUNS)]
+    name = f"waves.{site.name}"
+    hosts = site.pools * site.pool_size
+    took = statistics.mean(run.took_ms for run in runs) / 1_000
+    yield Figure(
+        f"{name}.roll_out_over_bound",
+        statistics.mean(run.took_ms / run.bound_ms for run in runs),
+        "ratio",
+        "<= 1.15",
+    )
+    yield Figure(
+        f"{name}.roll_out_over_bound_worst",
+        max(run.took_ms / run.bound_ms for run in runs),
+        "ratio",
+        "<= 1.15",
+    )
+    baseline = statistics.mean(run.took_ms for run in slow) / 1_000
+    yield Figure(
+        f"{name}.roll_out", took, "s", "<= 1.0", baseline=baseline, on_ratio=True
+    )
+    yield Figure(
+        f"{name}.buffer_cost",
+        statistics.mean(run.out_ms for run in runs) / 1_000,
+        "host-seconds",
+        "<= 1.15",
+        baseline=statistics.mean(run.out_ms for run in slow) / 1_000,
+        on_ratio=True,
+    )
+    yield Figure(
+        f"{name}.roll_out_with_failures",
+        statistics.mean(run.took_ms for run in failing) / 1_000,
+        "s",
+        "<= 1.0",
+        baseline=baseline,
+        on_ratio=True,
+    )
+    broken = sum(run.broken for run in (*runs, *slow, *failing))
+    yield Figure(f"{name}.breaks_with_failures", broken, "count", "== 0")
+    unreached = sum(hosts - run.done for run in (*runs, *failing))
+    yield Figure(f"{name}.hosts_never_reached", unreached, "count", "== 0")
+    moves, placed = relabel(site, seed=1, changed=RELABELLED)
+    yield Figure(
+        f"{name}.relabel_moves",
+        moves,
+        "moves",
+        "== 1",
+        baseline=RELABELLED,
+        on_ratio=True,
+    )
+    yield Figure(f"{name}.relabel_placed", placed, "hosts", f"== {RELABELLED}")
+
+
+def _two_years() -> Iterator[Figure]:
+    run = weekly_share()
+    yield Figure("waves.two_years.week_used", run.took_ms / WEEK_MS, "ratio", "<= 1")
+    yield Figure(
+        "waves.two_years.roll_out_over_bound",
+        run.took_ms / run.bound_ms,
+        "ratio",
+        "<= 1.15",
+    )
+    yield Figure("waves.two_years.breaks", run.broken, "count", "== 0")
--- a/src/amaranthtray/domain/budgets/rules.py
+++ b/src/amaranthtray/domain/budgets/rules.py
@@ -157,15 +157,16 @@
 def excess(ledger: Ledger, budget: Budget, size: int) -> tuple[HostId, ...]:
     """Returns the drains to cancel so that the budget holds again, youngest first.
 
-    Failures during a wave, a smaller budget or a smaller pool bring this about.
+    Failures during a wave, a smaller budget or a smaller pool bring this about. Hosts
+    that are on their way back are no reason to cancel more.
     """
     drains = [out for out in ledger.out.values() if out.is_revocable]
     if not drains:
         return ()
     drains.sort(key=lambda out: (-out.since_ms, out.location.host))
-    counted = ledger.counted()
-    total = len(counted)
-    taken = [out.location for out in counted if out.cause.is_voluntary]
+    staying = [out for out in ledger.counted() if out.stage is not Stage.RETURNING]
+    total = len(staying)
+    taken = [out.location for out in staying if out.cause.is_voluntary]
     zones = Counter(place.zone for place in taken)
     racks = Counter(place.rack for place in taken)
     cancelled: list[HostId] = []
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -13,7 +13,7 @@
 from ._situation import is_open, waiting_hosts
 
 if TYPE_CHECKING:
-    from ..budgets.model import Ledger, OutHost
+    from ..budgets.model import Ledger, OutHost, WaveLog
     from ..ids import HostId
     from ._situation import Situation
 
@@ -188,9 +188,9 @@
     for host, out in ledger.out.items():
         if not out.is_revocable or out.wave is None:
             continue
-        if now.wall_ms - out.since_ms < now.settings.defer_drain_ms:
-            continue
         log = ledger.wave_log(out.wave)
+        if now.wall_ms - out.since_ms < _patience_ms(log, now):
+            continue
         task = now.view.waves[out.wave]
         if task.state is not WaveState.RUNNING:
             continue
@@ -203,6 +203,11 @@
     return ledger
 
 
+def _patience_ms(log: WaveLog, now: Situation) -> int:
+    mean_ms = log.took_ms // len(log.done) if log.done else 0
+    return max(now.settings.defer_drain_ms, now.settings.defer_factor * mean_ms)
+
+
 def _prune_logs(ledger: Ledger, now: Situation) -> Ledger:
     if ledger.waves.keys() <= now.view.waves.keys():
         return ledger
--- a/src/amaranthtray/domain/waves/settings.py
+++ b/src/amaranthtray/domain/waves/settings.py
@@ -16,7 +16,9 @@
         max_retry_ms: Longest delay between store calls.
         reissue_ms: Orders to hosts that are out are given again after this.
         max_starts: Most hosts that one write of the ledger takes out.
-        defer_drain_ms: A drain longer than this is given up once, if others wait.
+        defer_drain_ms: A drain longer than this, and than ``defer_factor`` times the
+            wave's mean so far, is given up once if others wait.
+        defer_factor: See ``defer_drain_ms``.
         overdue_ms: A host out for maintenance longer than this is reported.
         forget_after_ms: A host that the platform's list lacks for longer leaves
             its pool.
@@ -28,6 +30,7 @@
     max_retry_ms: int = 15_000
     reissue_ms: int = 30_000
     max_starts: int = 64
-    defer_drain_ms: int = 15 * 60_000
+    defer_drain_ms: int = 60 * 60_000
+    defer_factor: int = 3
     overdue_ms: int = 30 * 60_000
     forget_after_ms: int = 60 * 60_000
