--- a/src/amaranthtray/domain/serving/serving.py
+++ b/src/amaranthtray/domain/serving/serving.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import random
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
-from ..ids import EntryId, Incarnation, ZoneId
 from ..limits.entry_holding import EntryHolding
 from ..limits.messages import GrantVerdict
 from ..requests.desk import RequestDesk
@@ -32,13 +29,14 @@
 from .settings import ServingSettings
 
 if TYPE_CHECKING:
-    from ..ids import AttemptId, HostId, Millis
+    import random
+
+    from ..ids import AttemptId, EntryId, HostId, Incarnation, Millis, ZoneId
     from ..requests.messages import DeskEffect
     from .messages import ServingEffect, ServingMessage
 
 
-@dataclass(frozen=True, slots=True)
-class ServingParts:
+class ServingParts(NamedTuple):
     """Who serves.
 
     Attributes:
