--- a/src/amaranthtray/platform/config_log.py
+++ b/src/amaranthtray/platform/config_log.py
@@ -52,7 +52,6 @@
 ]
 
 KEPT_RECORDS = 64
-"""Records before the snapshot that a compaction leaves for those that lag behind."""
 COMPACT_AFTER_RECORDS = 192
 """Length of the log in the store at which a compaction is due."""
 MAX_DELETES = 64
@@ -91,12 +90,22 @@
         store: The platform's store.
         entry: This entry.
         rules: Rules that other aggregates own.
+        kept_records: Records before the snapshot that a compaction leaves for
+            those that lag behind.
     """
 
-    def __init__(self, store: Store, *, entry: EntryId, rules: Rules) -> None:
+    def __init__(
+        self,
+        store: Store,
+        *,
+        entry: EntryId,
+        rules: Rules,
+        kept_records: int = KEPT_RECORDS,
+    ) -> None:
         self._store = store
         self._entry = entry
         self._rules = rules
+        self._kept_records = kept_records
 
     def commit(
         self,
@@ -121,7 +130,8 @@
         Returns:
             The place in the log, a refusal, or a store failure. Only
             ``EffectUnknown`` leaves open whether the change was made; repeat the
-            operation with the same ``op_id`` to settle it.
+            operation with the same ``op_id`` to settle it. A failure of such a
+            repetition says nothing of the attempt before it.
         """
         commit = Commit(
             log=self,
@@ -164,7 +174,7 @@
             if isinstance(written, Failure):
                 return written
             covered = cfg.revision
-        deleted = self._delete_covered(Revision(covered - KEPT_RECORDS))
+        deleted = self._delete_covered(Revision(covered - self._kept_records))
         return deleted.map(lambda _: is_newer)
 
     def _write_snapshot(
--- a/src/amaranthtray/platform/memory.py
+++ b/src/amaranthtray/platform/memory.py
@@ -113,6 +113,10 @@
         """Adds faults that strike the client's next calls, in order."""
         self._plans.setdefault(ClientName(client), []).extend(faults)
 
+    def plan_none(self) -> None:
+        """Forgets all planned faults."""
+        self._plans.clear()
+
     def next_fault(self, client: ClientName, step: str) -> PlannedFault | None:
         """Takes the first planned fault that strikes this call."""
         plans = self._plans.get(client, [])
