Add membership, configuration spreading and zone reports between entries

Full mesh inside a zone, stewards between zones, others on demand. Pushes are hints: each heartbeat names the sender's revision and an entry that hears a higher one asks.

The virtual fleet passes real frames on a manual clock; its tests cut zones in one and both directions, lose 30 % of the pushes, stop and pause stewards and start an entry during an outage.

--- /dev/null
+++ b/src/amaranthtray/bench/_virtual_fleet.py
@@ -0,0 +1,315 @@
+"""Entries, their peers and the platform in virtual time, with real frames."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..domain.configuration.follower import ConfigFollower
+from ..domain.configuration.log import Rules
+from ..domain.duties import DutyHolder, steward_of
+from ..domain.ids import EntryId, Incarnation, OperationId, Revision, ZoneId
+from ..domain.invariants import (
+    ConfigApplied,
+    ConfigCommitted,
+    ReachChanged,
+    Watchdog,
+)
+from ..peers.codec import PeerMessage, decode, encode
+from ..peers.control import Applied, ControlCommand, Deliver, PeerControl
+from ..peers.events import Dial, HangUp, LinkDown, LinkUp, PeerEvent, Received, Send
+from ..peers.handshake import SEAL_BYTES
+from ..peers.messages import ConfigRecords, Member, MemberList
+from ..peers.sync import SyncSettings
+from ..platform.config_log import ConfigFeed, ConfigLog
+from ..platform.duties import DutyRunner
+from ..platform.memory import ClientName, MemoryPlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.configuration.changes import Change
+    from ..domain.configuration.model import Configuration
+
+TICK_MS = 50
+DUTY_EVERY_MS = 250
+MEMBERS_EVERY_MS = 1_000
+DELAY_MS = 1
+WEBSOCKET_BYTES = 8
+"""Header of a websocket frame with a mask."""
+TCP_IP_BYTES = 52
+"""Headers of one TCP segment with time stamps."""
+
+RULES = Rules(selector=lambda _: None, pools=lambda *_: None)
+PORT_BASE = 10_000
+
+
+@dataclass
+class VirtualEntry:
+    """One run of an entry."""
+
+    member: Member
+    control: PeerControl
+    log: ConfigLog
+    feed: ConfigFeed
+    duty: DutyRunner
+    links: set[EntryId] = field(default_factory=set)
+    is_paused: bool = False
+    delivered: list[Deliver] = field(default_factory=list)
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    frames: int = 0
+    busy_s: float = 0.0
+
+
+class VirtualFleet:
+    """A fleet on a manual clock; every frame is encoded and decoded.
+
+    Args:
+        zones: Entries of each availability zone.
+        seed: Seed of all random choices.
+        loss: Part of the pushed configuration records that is lost.
+        sync: Times of catching up.
+        cfg: Configuration that every entry begins with.
+    """
+
+    def __init__(
+        self,
+        zones: dict[str, int],
+        *,
+        seed: int = 1,
+        loss: float = 0.0,
+        sync: SyncSettings | None = None,
+        cfg: Configuration | None = None,
+    ) -> None:
+        self.now_ms = 0
+        self.loss = loss
+        self.watchdog = Watchdog()
+        self.platform = MemoryPlatform(lambda: self.now_ms)
+        self.calls = self.platform.calls
+        self.blocked: set[tuple[EntryId, EntryId]] = set()
+        self.committed_ms: dict[Revision, int] = {}
+        self.applied_ms: dict[tuple[EntryId, Revision], int] = {}
+        self._rng = random.Random(seed)
+        self._sync = sync or SyncSettings()
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._cfg = cfg
+        self._ops = 0
+        self.entries: dict[EntryId, VirtualEntry] = {}
+        for zone, count in zones.items():
+            for number in range(count):
+                self.start(f"{zone}-e{number}", zone)
+
+    def start(self, name: str, zone: str, run: int = 0) -> VirtualEntry:
+        """Starts an entry, or a new run of one."""
+        port = PORT_BASE + len(self.entries)
+        incarnation = Incarnation(f"i{run}")
+        member = Member(EntryId(name), ZoneId(zone), incarnation, "10.0.0.1", port)
+        rng = random.Random(self._rng.random())
+        store = self.platform.client(name)
+        follower = ConfigFollower(self._cfg)
+        log = ConfigLog(store, entry=member.entry, rules=RULES)
+        holder = DutyHolder(member.entry, incarnation, rng=rng)
+        entry = VirtualEntry(
+            member,
+            PeerControl(member, follower=follower, rng=rng, sync=self._sync),
+            log,
+            ConfigFeed(log, store),
+            DutyRunner(
+                steward_of(member.zone), holder, store=store, clock=lambda: self.now_ms
+            ),
+        )
+        self.entries[member.entry] = entry
+        return entry
+
+    def stop(self, name: str) -> VirtualEntry:
+        """Ends an entry at once; its links break."""
+        entry = self.entries.pop(EntryId(name))
+        for peer in list(entry.links):
+            self._break_link(entry.member.entry, peer)
+        return entry
+
+    def cut_platform(self, *names: str) -> None:
+        """Cuts entries off from the platform."""
+        self.platform.cut_clients.update(ClientName(name) for name in names)
+
+    def cut_zones(self, one: str, other: str, *, is_one_way: bool = False) -> None:
+        """Lets frames between two zones vanish."""
+        for left in self.in_zone(one):
+            for right in self.in_zone(other):
+                self.blocked.add((left, right))
+                if not is_one_way:
+                    self.blocked.add((right, left))
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.blocked.clear()
+        self.platform.cut_clients.clear()
+        self.platform.is_down = False
+
+    def in_zone(self, zone: str) -> list[EntryId]:
+        """Returns the entries of a zone."""
+        return [key for key, one in self.entries.items() if one.member.zone == zone]
+
+    def note_reach(self, *, is_reachable: bool, zone: str) -> None:
+        """Tells the checkers that a zone is (not) reachable at all."""
+        for entry in self.in_zone(zone):
+            self.watchdog.observe(ReachChanged(self.now_ms, entry, is_reachable))
+
+    def run(self, for_ms: int) -> None:
+        """Lets time pass."""
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            for entry in list(self.entries.values()):
+                if not entry.is_paused:
+                    self._tick(entry)
+            self._deliver_until(min(self.now_ms + TICK_MS, end_ms))
+
+    def commit(self, name: str, *changes: Change) -> Revision | None:
+        """Commits changes at an entry; none if the platform did not take them."""
+        entry = self.entries[EntryId(name)]
+        self._ops += 1
+        outcome = entry.log.commit(
+            entry.control.cfg,
+            changes,
+            op_id=OperationId(f"op-{self._ops}"),
+            operator="bench",
+        )
+        committed = outcome.value_or(None)
+        if committed is None:
+            return None
+        self.committed_ms[committed.revision] = self.now_ms
+        self.watchdog.observe(ConfigCommitted(self.now_ms, committed.revision))
+        commands = entry.control.take_feed(
+            committed.records, committed.cfg, self.now_ms
+        )
+        self._carry_out(entry, commands)
+        return committed.revision
+
+    def in_force_after_ms(self, revision: Revision) -> int | None:
+        """Returns how long a revision took to reach all entries; none if it did not."""
+        times = [self.applied_ms.get((entry, revision), None) for entry in self.entries]
+        known = [at for at in times if at is not None]
+        if len(known) < len(times):
+            return None
+        return max(known) - self.committed_ms[revision]
+
+    def _tick(self, entry: VirtualEntry) -> None:
+        began = time.perf_counter()
+        control, now_ms = entry.control, self.now_ms
+        commands: list[ControlCommand] = []
+        if now_ms % DUTY_EVERY_MS == 0:
+            entry.duty.holder.is_wanted = control.wants_stewardship(now_ms)
+            control.set_steward_term(entry.duty.run())
+        if control.needs_platform(now_ms):
+            commands += self._follow_platform(entry)
+        commands += control.tick(now_ms)
+        self._carry_out(entry, commands)
+        entry.busy_s += time.perf_counter() - began
+
+    def _follow_platform(self, entry: VirtualEntry) -> list[ControlCommand]:
+        control = entry.control
+        news = entry.feed.poll(timeout_ms=0).value_or(None)
+        if news is None:
+            control.platform_lost()
+            return []
+        commands = control.take_feed(news.records, news.snapshot, self.now_ms)
+        control.platform_seen(self.now_ms)
+        if self.now_ms % MEMBERS_EVERY_MS == 0:
+            members = tuple(one.member for one in self.entries.values())
+            if set(members) != set(control.members.members.values()):
+                commands += control.list_members(MemberList(self.now_ms, members))
+        return commands
+
+    def _carry_out(self, entry: VirtualEntry, commands: list[ControlCommand]) -> None:
+        own = entry.member.entry
+        for command in commands:
+            match command:
+                case Send(to, message):
+                    self._send(entry, to, message)
+                case Dial(target):
+                    self._dial(own, target.port)
+                case HangUp(peer):
+                    self._break_link(own, peer)
+                case Applied(cfg=cfg, in_force=in_force):
+                    self._note_applied(entry, cfg, len(in_force.records))
+                case Deliver():
+                    entry.delivered.append(command)
+
+    def _note_applied(
+        self, entry: VirtualEntry, cfg: Configuration, records: int
+    ) -> None:
+        own = entry.member
+        first = cfg.revision - records + 1 if records else cfg.revision
+        for revision in range(first, cfg.revision + 1):
+            exact = Revision(revision)
+            self.applied_ms.setdefault((own.entry, exact), self.now_ms)
+        applied = ConfigApplied(self.now_ms, own.entry, own.incarnation, cfg.revision)
+        self.watchdog.observe(applied)
+
+    def _send(self, entry: VirtualEntry, to: EntryId, message: PeerMessage) -> None:
+        own = entry.member.entry
+        if to not in entry.links:
+            return
+        frame = encode(message)
+        size = len(frame) + SEAL_BYTES + WEBSOCKET_BYTES + TCP_IP_BYTES
+        entry.bytes_sent += size
+        entry.frames += 1
+        is_push = isinstance(message, ConfigRecords)
+        if (own, to) in self.blocked or (is_push and self._rng.random() < self.loss):
+            return
+        self._after(DELAY_MS, lambda: self._arrive(own, to, frame, size))
+
+    def _arrive(self, source: EntryId, to: EntryId, frame: bytes, size: int) -> None:
+        entry = self.entries.get(to)
+        if entry is None or source not in entry.links:
+            return
+        if entry.is_paused:
+            self._after(TICK_MS, lambda: self._arrive(source, to, frame, size))
+            return
+        entry.bytes_received += size
+        entry.frames += 1
+        began = time.perf_counter()
+        self._report(entry, Received(source, decode(frame, peer=source)))
+        entry.busy_s += time.perf_counter() - began
+
+    def _dial(self, own: EntryId, port: int) -> None:
+        peers = [key for key, one in self.entries.items() if one.member.port == port]
+        for peer in peers:
+            is_cut = (own, peer) in self.blocked or (peer, own) in self.blocked
+            if not is_cut and peer not in self.entries[own].links:
+                self._after(3 * DELAY_MS, lambda peer=peer: self._join(own, peer))  # type: ignore[misc]
+
+    def _join(self, one: EntryId, other: EntryId) -> None:
+        for own, peer in ((one, other), (other, one)):
+            if own not in self.entries or peer not in self.entries:
+                return
+        for own, peer in ((one, other), (other, one)):
+            entry, known = self.entries[own], self.entries[peer].member
+            entry.links.add(peer)
+            self._report(entry, LinkUp(peer, known.zone, known.incarnation))
+
+    def _break_link(self, one: EntryId, other: EntryId) -> None:
+        for own, peer in ((one, other), (other, one)):
+            entry = self.entries.get(own)
+            if entry is not None and peer in entry.links:
+                entry.links.discard(peer)
+                self._report(entry, LinkDown(peer, "broken"))
+
+    def _report(self, entry: VirtualEntry, event: PeerEvent) -> None:
+        self._carry_out(entry, entry.control.handle(event, self.now_ms))
+
+    def _after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, self._sequence, action))
+
+    def _deliver_until(self, end_ms: int) -> None:
+        while self._queue and self._queue[0][0] <= end_ms:
+            at_ms, _, action = heapq.heappop(self._queue)
+            self.now_ms = max(self.now_ms, at_ms)
+            action()
+        self.now_ms = end_ms
--- a/src/amaranthtray/peers/messages.py
+++ b/src/amaranthtray/peers/messages.py
@@ -46,12 +46,14 @@
         load: Tasks running from this entry.
         fresh_age_ms: Time since the sender knew that it had the latest revision;
             none if it never did.
+        steward: Entry that the sender knows as steward of its own zone.
     """
 
     revision: Revision
     steward_term: Term
     load: int
     fresh_age_ms: int | None = None
+    steward: EntryId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/amaranthtray/peers/reach.py
@@ -0,0 +1,87 @@
+"""In which availability zones a revision is in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from ..domain.ids import EntryId, Revision, Term, ZoneId
+from .messages import ZoneRevision
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class ReachState(StrEnum):
+    """What is known of a zone."""
+
+    IN_FORCE = "in force"
+    BEHIND = "behind"
+    UNREACHED = "not reached"
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneReach:
+    """What is known of a revision in one zone.
+
+    Attributes:
+        zone: Availability zone.
+        state: Whether every entry of the zone has the revision in force.
+        revision: Lowest revision in force there, as last reported.
+        unheard: Entries of the zone that its steward does not hear.
+    """
+
+    zone: ZoneId
+    state: ReachState
+    revision: Revision
+    unheard: tuple[EntryId, ...] = ()
+
+
+@dataclass(slots=True)
+class _Report:
+    report: ZoneRevision
+    heard_ms: int
+
+
+@dataclass(slots=True)
+class ZoneReports:
+    """The latest report of each zone's steward.
+
+    Attributes:
+        stale_ms: Age after which a report says nothing any more.
+    """
+
+    stale_ms: int = 25_000
+    _reports: dict[ZoneId, _Report] = field(default_factory=dict)
+
+    def take(self, report: ZoneRevision, now_ms: int) -> bool:
+        """Keeps a report; false if one as new is known."""
+        known = self._reports.get(report.zone)
+        if known is not None and _order(report) <= _order(known.report):
+            return False
+        self._reports[report.zone] = _Report(report, now_ms)
+        return True
+
+    def reach(
+        self, revision: Revision, zones: Iterable[ZoneId], now_ms: int
+    ) -> tuple[ZoneReach, ...]:
+        """Returns what is known of a revision in each zone, by zone name."""
+        names = sorted({*zones, *self._reports})
+        return tuple(self._reach_of(zone, revision, now_ms) for zone in names)
+
+    def _reach_of(self, zone: ZoneId, revision: Revision, now_ms: int) -> ZoneReach:
+        known = self._reports.get(zone)
+        if known is None:
+            return ZoneReach(zone, ReachState.UNREACHED, Revision(0))
+        report = known.report
+        state = ReachState.IN_FORCE
+        if now_ms - known.heard_ms > self.stale_ms or report.unheard:
+            state = ReachState.UNREACHED
+        elif report.revision < revision:
+            state = ReachState.BEHIND
+        return ZoneReach(zone, state, report.revision, report.unheard)
+
+
+def _order(report: ZoneRevision) -> tuple[Term, int]:
+    return report.term, report.seq
--- /dev/null
+++ b/tests/peers/test_control.py
@@ -0,0 +1,189 @@
+"""Entries of several zones in virtual time: cuts, deaths, lost pushes."""
+
+from __future__ import annotations
+
+import pytest
+
+import builders
+from amaranthtray.bench._virtual_fleet import VirtualEntry, VirtualFleet
+from amaranthtray.domain.configuration import PutTeam
+from amaranthtray.domain.ids import EntryId, HostId, Term
+from amaranthtray.peers.events import PeerAddress
+from amaranthtray.peers.membership import StewardSeen
+from amaranthtray.peers.messages import HostNews, UnitsGranted
+from amaranthtray.peers.reach import ReachState
+
+IN_FORCE_MS = 3_000
+SETTLE_MS = 4_000
+RED = PutTeam(builders.team("red"))
+ZONES = {"z1": 3, "z2": 3, "z3": 2}
+
+
+def settled(*, loss: float = 0.0, seed: int = 1) -> VirtualFleet:
+    fleet = VirtualFleet(ZONES, seed=seed, loss=loss)
+    fleet.run(SETTLE_MS)
+    assert all(steward(fleet, zone) for zone in ZONES)
+    return fleet
+
+
+def steward(fleet: VirtualFleet, zone: str) -> VirtualEntry | None:
+    entries = [fleet.entries[one] for one in fleet.in_zone(zone)]
+    found = [one for one in entries if one.control.members.steward_term]
+    return found[0] if found else None
+
+
+def mate(fleet: VirtualFleet, zone: str) -> VirtualEntry:
+    entries = [fleet.entries[one] for one in fleet.in_zone(zone)]
+    return next(one for one in entries if not one.control.members.steward_term)
+
+
+def assert_in_force(fleet: VirtualFleet, revision: int) -> None:
+    late = [
+        key for key, one in fleet.entries.items() if one.control.cfg.revision < revision
+    ]
+    assert late == []
+    assert fleet.watchdog.violations == []
+
+
+def test_links_are_a_mesh_in_each_zone_and_stewards_between_zones() -> None:
+    fleet = settled()
+    fleet.run(40_000)
+
+    for entry in fleet.entries.values():
+        mates = set(fleet.in_zone(entry.member.zone)) - {entry.member.entry}
+        others = {steward(fleet, zone).member.entry for zone in ZONES}
+        is_steward = bool(entry.control.members.steward_term)
+        expected = mates | (others - {entry.member.entry} if is_steward else set())
+        assert entry.links == expected
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3, 1.0])
+@pytest.mark.parametrize("at", ["z1-e0", "z3-e1"])
+def test_a_change_is_in_force_everywhere_in_time(loss: float, at: str) -> None:
+    fleet = settled(loss=loss)
+    fleet.loss = 0.3 if loss == 1.0 else loss
+    revision = fleet.commit(at, RED)
+
+    fleet.run(IN_FORCE_MS)
+
+    assert_in_force(fleet, revision)
+
+
+def test_a_change_reports_the_zones_where_it_is_in_force() -> None:
+    fleet = settled()
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(IN_FORCE_MS)
+
+    for entry in fleet.entries.values():
+        reach = entry.control.reach(revision, fleet.now_ms)
+        assert [one.state for one in reach] == [ReachState.IN_FORCE] * 3
+
+
+def test_a_zone_cut_off_from_all_is_named_and_catches_up() -> None:
+    fleet = settled()
+    fleet.cut_platform(*fleet.in_zone("z3"))
+    fleet.cut_zones("z3", "z1")
+    fleet.cut_zones("z3", "z2")
+    fleet.note_reach(is_reachable=False, zone="z3")
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(30_000)
+
+    reach = {
+        one.zone: one.state
+        for one in fleet.entries[EntryId("z1-e0")].control.reach(revision, fleet.now_ms)
+    }
+    assert reach == {
+        "z1": ReachState.IN_FORCE,
+        "z2": ReachState.IN_FORCE,
+        "z3": ReachState.UNREACHED,
+    }
+    cut_off = mate(fleet, "z3").control
+    assert cut_off.cfg.revision == 0
+    assert cut_off.config_age_ms(fleet.now_ms) >= 29_000
+
+    fleet.heal()
+    fleet.note_reach(is_reachable=True, zone="z3")
+    fleet.run(IN_FORCE_MS)
+    assert_in_force(fleet, revision)
+
+
+def test_a_zone_cut_off_from_the_platform_learns_from_its_peers() -> None:
+    fleet = settled()
+    fleet.cut_platform(*fleet.in_zone("z2"))
+    fleet.run(20_000)
+    assert steward(fleet, "z2") is None
+
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(IN_FORCE_MS)
+
+    assert_in_force(fleet, revision)
+    for entry in fleet.in_zone("z2"):
+        assert fleet.entries[entry].control.config_age_ms(fleet.now_ms) < IN_FORCE_MS
+
+
+def test_a_change_is_in_time_although_the_steward_dies_or_is_paused() -> None:
+    fleet = settled()
+    fleet.stop(steward(fleet, "z2").member.entry)
+    steward(fleet, "z1").is_paused = True
+    paused = steward(fleet, "z1").member.entry
+    revision = fleet.commit("z3-e0", RED)
+
+    fleet.run(IN_FORCE_MS)
+    late = [
+        key
+        for key, one in fleet.entries.items()
+        if one.control.cfg.revision < revision and key != paused
+    ]
+    assert late == []
+    fleet.run(20_000)
+    assert steward(fleet, "z2") is not None
+
+
+def test_an_entry_that_starts_in_an_outage_learns_from_a_peer() -> None:
+    fleet = settled()
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(IN_FORCE_MS)
+    fleet.platform.is_down = True
+    fleet.stop("z2-e0")
+    new = fleet.start("z2-e0", "z2", run=1)
+    seed = fleet.entries[EntryId("z2-e1")].member
+    new.control.members.seeds = [PeerAddress(seed.address, seed.port)]
+    fleet.run(10_000)
+
+    assert new.control.cfg.revision == revision
+
+
+def test_news_of_a_host_reaches_every_entry_once() -> None:
+    fleet = settled()
+    news = HostNews(leaving=(HostId("h1"),))
+    source = fleet.entries[EntryId("z1-e0")]
+    fleet._carry_out(source, source.control.share_news(news, fleet.now_ms))
+    fleet.run(200)
+
+    for key, entry in fleet.entries.items():
+        seen = [one.message for one in entry.delivered if one.message == news]
+        assert len(seen) == (key != "z1-e0")
+
+
+def test_a_grant_of_an_old_term_is_refused_and_counted() -> None:
+    fleet = settled()
+    entry = mate(fleet, "z1")
+    source = steward(fleet, "z1")
+    seen = StewardSeen(source.member.entry, Term(9))
+    entry.control.members.stewards[source.member.zone] = seen
+    grant = UnitsGranted(Term(1), 1, 1_000, 1, {})
+    fleet._send(source, entry.member.entry, grant)
+    fleet.run(10)
+
+    assert entry.delivered == []
+    assert entry.control.members.old_terms >= 1
+
+
+def test_a_one_way_cut_ends_the_links_and_the_zones_go_on() -> None:
+    fleet = settled()
+    fleet.cut_zones("z1", "z2", is_one_way=True)
+    fleet.run(8_000)
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(IN_FORCE_MS)
+
+    assert_in_force(fleet, revision)
