--- a/tests/peers/test_control.py
+++ b/tests/peers/test_control.py
@@ -14,7 +14,8 @@
 from amaranthtray.peers.reach import ReachState
 
 IN_FORCE_MS = 3_000
-SETTLE_MS = 4_000
+SETTLE_MS = 45_000
+"""Time until the entries agree on stewards and have closed links of no use."""
 RED = PutTeam(builders.team("red"))
 ZONES = {"z1": 3, "z2": 3, "z3": 2}
 
@@ -47,7 +48,6 @@
 
 def test_links_are_a_mesh_in_each_zone_and_stewards_between_zones() -> None:
     fleet = settled()
-    fleet.run(40_000)
 
     for entry in fleet.entries.values():
         mates = set(fleet.in_zone(entry.member.zone)) - {entry.member.entry}
@@ -121,6 +121,35 @@
         assert fleet.entries[entry].control.config_age_ms(fleet.now_ms) < IN_FORCE_MS
 
 
+def test_a_zone_without_platform_and_steward_finds_other_zones() -> None:
+    fleet = settled()
+    fleet.cut_platform(*fleet.in_zone("z2"))
+    fleet.stop(steward(fleet, "z2").member.entry)
+    fleet.run(10_000)
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(IN_FORCE_MS)
+
+    assert_in_force(fleet, revision)
+
+
+def test_a_zone_catches_up_from_peers_while_the_platform_is_down_for_all() -> None:
+    fleet = settled()
+    fleet.cut_platform(*fleet.in_zone("z2"))
+    fleet.cut_zones("z2", "z1")
+    fleet.cut_zones("z2", "z3")
+    fleet.note_reach(is_reachable=False, zone="z2")
+    revision = fleet.commit("z1-e0", RED)
+    fleet.run(5_000)
+    fleet.platform.is_down = True
+    fleet.run(60_000)
+    assert not any(steward(fleet, zone) for zone in ZONES)
+
+    fleet.blocked.clear()
+    fleet.run(10_000)
+
+    assert_in_force(fleet, revision)
+
+
 def test_a_change_is_in_time_although_the_steward_dies_or_is_paused() -> None:
     fleet = settled()
     fleet.stop(steward(fleet, "z2").member.entry)
@@ -156,13 +185,13 @@
 def test_news_of_a_host_reaches_every_entry_once() -> None:
     fleet = settled()
     news = HostNews(leaving=(HostId("h1"),))
-    source = fleet.entries[EntryId("z1-e0")]
+    source = mate(fleet, "z1")
     fleet._carry_out(source, source.control.share_news(news, fleet.now_ms))
     fleet.run(200)
 
     for key, entry in fleet.entries.items():
         seen = [one.message for one in entry.delivered if one.message == news]
-        assert len(seen) == (key != "z1-e0")
+        assert len(seen) == (key != source.member.entry)
 
 
 def test_a_grant_of_an_old_term_is_refused_and_counted() -> None:
