--- a/src/amaranthtray/bench/_virtual_fleet.py
+++ b/src/amaranthtray/bench/_virtual_fleet.py
@@ -56,6 +56,7 @@
     log: ConfigLog
     feed: ConfigFeed
     duty: DutyRunner
+    revision: int = 0
     links: set[EntryId] = field(default_factory=set)
     is_paused: bool = False
     delivered: list[Deliver] = field(default_factory=list)
@@ -64,6 +65,11 @@
     frames: int = 0
     busy_s: float = 0.0
 
+    @property
+    def bytes_total(self) -> int:
+        """Returns the bytes sent and received, with the headers of all layers."""
+        return self.bytes_sent + self.bytes_received
+
 
 class VirtualFleet:
     """A fleet on a manual clock; every frame is encoded and decoded.
@@ -89,7 +95,6 @@
         self.loss = loss
         self.watchdog = Watchdog()
         self.platform = MemoryPlatform(lambda: self.now_ms)
-        self.calls = self.platform.calls
         self.blocked: set[tuple[EntryId, EntryId]] = set()
         self.committed_ms: dict[Revision, int] = {}
         self.applied_ms: dict[tuple[EntryId, Revision], int] = {}
@@ -198,6 +203,10 @@
             return None
         return max(known) - self.committed_ms[revision]
 
+    def calls_made(self) -> int:
+        """Returns the calls to the platform; a watch is polled here and left out."""
+        return sum(n for step, n in self.platform.calls.items() if step != "watch")
+
     def _tick(self, entry: VirtualEntry) -> None:
         began = time.perf_counter()
         control, now_ms = entry.control, self.now_ms
@@ -235,19 +244,17 @@
                     self._dial(own, target.port)
                 case HangUp(peer):
                     self._break_link(own, peer)
-                case Applied(cfg=cfg, in_force=in_force):
-                    self._note_applied(entry, cfg, len(in_force.records))
+                case Applied(cfg=cfg):
+                    self._note_applied(entry, cfg)
                 case Deliver():
                     entry.delivered.append(command)
 
-    def _note_applied(
-        self, entry: VirtualEntry, cfg: Configuration, records: int
-    ) -> None:
+    def _note_applied(self, entry: VirtualEntry, cfg: Configuration) -> None:
+        """Notes all revisions up to the one in force, a snapshot's included."""
         own = entry.member
-        first = cfg.revision - records + 1 if records else cfg.revision
-        for revision in range(first, cfg.revision + 1):
-            exact = Revision(revision)
-            self.applied_ms.setdefault((own.entry, exact), self.now_ms)
+        for number in range(entry.revision + 1, cfg.revision + 1):
+            self.applied_ms[own.entry, Revision(number)] = self.now_ms
+        entry.revision = cfg.revision
         applied = ConfigApplied(self.now_ms, own.entry, own.incarnation, cfg.revision)
         self.watchdog.observe(applied)
 
--- a/src/amaranthtray/peers/control.py
+++ b/src/amaranthtray/peers/control.py
@@ -173,11 +173,14 @@
         snapshot: Configuration | None,
         now_ms: int,
     ) -> list[ControlCommand]:
-        """Takes records and snapshots from the platform or from an own commit."""
+        """Takes records and snapshots from the platform or from an own commit.
+
+        Records come first: those that follow are pushed on, a snapshot is not.
+        """
         follower = self.sync.follower
-        adopted = follower.offer_snapshot(snapshot) if snapshot else InForce()
         followed = follower.offer_records(records)
-        in_force = InForce(adopted.records + followed.records, adopted.adopted)
+        adopted = follower.offer_snapshot(snapshot) if snapshot else InForce()
+        in_force = InForce(followed.records + adopted.records, adopted.adopted)
         return self._applied(in_force, list(self.members.links), now_ms)
 
     def share_news(self, news: HostNews, now_ms: int) -> list[ControlCommand]:
