--- a/src/amaranthtray/bench/_limits_world.py
+++ b/src/amaranthtray/bench/_limits_world.py
@@ -174,6 +174,7 @@
         self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._count = 0
         self._overdue_lowered: dict[TeamName, int] = {}
+        self._unheard: dict[TeamName, int] = {}
         for team, limit in limits.items():
             observe(LimitSet(0, team, limit))
         for zone in self.zones:
@@ -232,18 +233,22 @@
         for team, limit in self._overdue_lowered.items():
             self._observe(LimitSet(int(self.now_ms), team, limit))
         self._overdue_lowered.clear()
+        self._unheard.clear()
 
     def set_limit(self, team: TeamName, limit: int) -> None:
         """Commits a new upper limit, in force at once where it can be known.
 
-        A lowered limit counts as in force everywhere only if every process can be
-        reached, else from the next ``heal``.
+        A limit below one that a process out of reach may still have in force counts
+        from the next ``heal`` on.
         """
         before = self.limits.get(team, 0)
         self.limits[team] = limit
         self.revision = Revision(self.revision + 1)
-        is_whole = all(self._reaches_store(process) for process in self.processes)
-        if is_whole or limit >= before:
+        if all(self._reaches_store(process) for process in self.processes):
+            self._unheard.pop(team, None)
+        else:
+            self._unheard[team] = max(before, self._unheard.get(team, 0))
+        if limit >= self._unheard.get(team, 0):
             self._observe(LimitSet(int(self.now_ms), team, limit))
             self._overdue_lowered.pop(team, None)
         else:
