--- a/src/amaranthtray/cli/operators.py
+++ b/src/amaranthtray/cli/operators.py
@@ -5,16 +5,15 @@
 import click
 
 from ..domain.configuration import AddOperator, Operator, Role, WithdrawOperator
+from ..domain.configuration.model import EMPTY_REVISION
 from ..domain.ids import KeyId
+from ..domain.keys import mint_key
 from .errors import faulty
 from .keys import refuse_repeat
-from .new_key import make_key
 from .options import FleetGroup, yes_option
 from .output import print_records
 from .session import Session, pass_session
 
-OPERATOR_PREFIX = "o"
-
 
 @click.group(cls=FleetGroup)
 def operator() -> None:
@@ -45,9 +44,10 @@
 def add_operator(session: Session, name: str, role: str) -> None:
     """Adds an operator and prints the key once."""
     refuse_repeat(session)
-    made = make_key(OPERATOR_PREFIX)
+    cfg = session.configuration()
+    made = mint_key(cfg.revision)
     added = AddOperator(Operator(made.key_id, name, Role(role), made.digest))
-    committed = session.commit([added])
+    committed = session.commit([added], expected=cfg.revision)
     session.done(committed, key=made.text, key_id=made.key_id, operator=name)
 
 
@@ -55,9 +55,10 @@
 def first_key() -> None:
     """Makes the key of the first operator without calling an entry.
 
-    The digest goes into the settings as [bootstrap] operator_digest.
+    The digest goes into the settings as [bootstrap] operator_digest. With the
+    first change it becomes the operator named bootstrap.
     """
-    made = make_key(OPERATOR_PREFIX)
+    made = mint_key(EMPTY_REVISION)
     click.echo(f"key: {made.text}")
     click.echo(f"operator_digest: {made.digest}")
 
--- a/src/amaranthtray/cli/session.py
+++ b/src/amaranthtray/cli/session.py
@@ -55,7 +55,7 @@
 
     admin: tuple[str, ...] = ()
     key_file: str | None = None
-    timeout_ms: int = 5_000
+    timeout_ms: int = 10_000
     op_id: str | None = None
     output: Output = Output.TABLE
 
@@ -68,7 +68,11 @@
         if not self.admin:
             fix = f"give --admin URL or set {ADMIN_VARIABLE}"
             raise faulty("no entry to call", where="--admin", fix=fix)
-        return AdminClient(self.admin, self._key(), timeout_ms=self.timeout_ms)
+        return self.client_of(*self.admin)
+
+    def client_of(self, *endpoints: str) -> AdminClient:
+        """Returns a client of the entries at ``endpoints`` only."""
+        return AdminClient(endpoints, self._key(), timeout_ms=self.timeout_ms)
 
     def configuration(self) -> Configuration:
         """Reads the configuration.
--- a/src/amaranthtray/domain/requests/_results.py
+++ b/src/amaranthtray/domain/requests/_results.py
@@ -82,6 +82,7 @@
         state = self._state
         self._measure(attempt, now_ms)
         state.release(attempt, now_ms)
+        state.book.note_ran(attempt.worker)
         answered = Answered(attempt.attempt_id, attempt.worker.host.host_id)
         if not is_error:
             state.book.note_success(attempt.worker, now_ms)
@@ -209,8 +210,7 @@
         """Puts a request back at the head of its team's line."""
         item.attempt = None
         req = item.request
-        hosts = self._state.book.host_count(req.pool)
-        if len(item.failed_on) >= hosts:
+        if not self._state.book.has_other(req.pool, item.failed_on):
             item.failed_on.clear()
         queue = self._state.pool(req.pool)
         queue.line(req.work_class).push(item, front=True)
--- /dev/null
+++ b/src/amaranthtray/entry/admin_view.py
@@ -0,0 +1,125 @@
+"""What operators can see of the fleet through one entry."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from returns.result import Failure, Success
+
+from ..domain.configuration.log import apply, propose
+from ..domain.errors import Problem
+from ..domain.ids import OperationId
+from ..domain.placement import desired_pools
+from .clock import now_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from ..domain.configuration import Change, Configuration
+    from ..domain.ids import Revision, ZoneId
+    from .context import EntryContext
+    from .control import Control
+    from .observer import Observer
+
+PREVIEW_OPERATION = "preview"
+
+
+class AdminView:
+    """Reads what the tasks of the entry know.
+
+    Args:
+        context: What the entry knows.
+        control: The control part.
+        observer: Service-level counts.
+    """
+
+    def __init__(
+        self, context: EntryContext, control: Control, observer: Observer
+    ) -> None:
+        self._context = context
+        self._control = control
+        self._observer = observer
+
+    def wait_for_zones(
+        self, revision: Revision, timeout_ms: int
+    ) -> Mapping[ZoneId, Revision]:
+        """Waits until a revision is in force in all zones, or the timeout."""
+        return self._control.zones.wait(revision, timeout_ms)
+
+    def read(self, path: str) -> dict[str, Any] | None:
+        """Returns what stands at a path; none if nothing does."""
+        match path.split("/"):
+            case ["status"]:
+                return self._status()
+            case ["hosts"]:
+                return {"hosts": self._hosts()}
+            case ["burn"]:
+                return self._burn()
+            case _:
+                return None
+
+    def preview(self, changes: Sequence[Change], operator: str) -> dict[str, Any]:
+        """Returns the hosts that changes would move, and what is wrong with them."""
+        cfg = self._context.view.current
+        proposed = propose(
+            cfg,
+            changes,
+            rules=self._context.rules,
+            op_id=OperationId(PREVIEW_OPERATION),
+            operator=operator,
+            entry=self._context.entry,
+        )
+        match proposed:
+            case Success(record):
+                moves = self._moves(cfg, apply(cfg, record))
+                return {"moves": moves, "problems": []}
+            case Failure(Problem() as problem):
+                return {"moves": [], "problems": [asdict(problem)]}
+        return {"moves": [], "problems": []}
+
+    def _moves(
+        self, before: Configuration, after: Configuration
+    ) -> list[dict[str, Any]]:
+        hosts = self._context.hosts.hosts()
+        old = desired_pools(before, hosts)
+        new = desired_pools(after, hosts)
+        return [
+            {"host": host, "from": old[host], "to": pool}
+            for host, pool in sorted(new.items())
+            if old[host] != pool
+        ]
+
+    def _burn(self) -> dict[str, Any]:
+        context = self._context
+        snapshot = self._observer.burn.snapshot(
+            context.entry, context.zone, context.incarnation, now_ms()
+        )
+        shown: dict[str, Any] = msgspec.to_builtins(snapshot)
+        return shown
+
+    def _status(self) -> dict[str, Any]:
+        context = self._context
+        cfg = context.view.current
+        control = self._control
+        return {
+            "entry": context.entry,
+            "zone": context.zone,
+            "incarnation": context.incarnation,
+            "revision": int(cfg.revision),
+            "configuration_age_ms": context.view.age_ms,
+            "zones": {z: int(r) for z, r in control.zones.revisions().items()},
+            "steward_term": int(control.stewardship.term),
+            "peers": sorted(peer.entry for peer in control.peers.all()),
+            "pools": len(cfg.pools),
+            "teams": len(cfg.teams),
+            "hosts": len(context.hosts.hosts()),
+        }
+
+    def _hosts(self) -> list[dict[str, Any]]:
+        cfg = self._context.view.current
+        return [
+            {**asdict(host), "pool": cfg.pool_of(host.host_id)}
+            for host in self._context.hosts.hosts()
+        ]
--- /dev/null
+++ b/src/amaranthtray/entry/entry.py
@@ -0,0 +1,238 @@
+"""One entry: its tasks, wired together."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .. import web
+from ..domain.ids import EntryId, Incarnation, ZoneId
+from ..domain.serving import LeaveBegun
+from ..peers.hub import HubSettings
+from ..peers.messages import Member
+from . import wiring
+from .admin_api import AdminApi
+from .admin_service import AdminService
+from .admin_view import AdminView
+from .caller_api import CallerApi
+from .caller_service import CallerService, Services
+from .config_task import ConfigTask
+from .config_view import ConfigView
+from .context import EntryContext
+from .control_task import ControlTask
+from .host_list import HostList
+from .host_task import HostTask
+from .links import HubLinks
+from .observer import Observer
+from .peer_events import PeerEvents
+from .pulse_task import PulseTask
+from .rules import configuration_rules
+from .shutdown import Phase, Readiness
+
+if TYPE_CHECKING:
+    from ..domain.configuration import Configuration
+    from ..settings import Settings
+    from .worker_thread import WorkerThread
+
+ADMIN_THREADS = 6
+INCARNATION_BYTES = 4
+IDLE_TIMEOUT_S = 3_600.0
+GIVE_BACK_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """TCP ports that an entry listens on."""
+
+    caller: int
+    admin: int
+    peer: int
+
+
+class Entry:
+    """A whole entry; several may run in one process.
+
+    Args:
+        settings: Settings of the entry.
+        secret: The secret that all entries share.
+        observer: Takes metrics and state lines.
+    """
+
+    def __init__(
+        self, settings: Settings, secret: bytes, *, observer: Observer | None = None
+    ) -> None:
+        self.settings = settings
+        self._secret = secret
+        self.incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
+        self.readiness = Readiness()
+        self.observer = observer or Observer(settings)
+        self._rng = random.Random(secrets.randbits(64))
+        self._stores = wiring.open_stores(settings)
+        self._view = ConfigView(self._apply_config)
+        self._hosts = HostList(
+            self._stores.platform, settings.platform.hosts.prefix, self._apply_hosts
+        )
+        self._context = self._make_context()
+        self._links = self._make_links()
+        self._slot = wiring.ControlSlot()
+        self._requests = wiring.make_requests(
+            self._context,
+            self._links,
+            self._stores,
+            self.observer,
+            self._rng,
+            self._slot,
+        )
+        self._services = Services(
+            settings, self._view, self._requests.table, self.readiness, self.observer
+        )
+        self._caller_service = CallerService(self._services)
+
+    def start(self) -> None:
+        """Starts all tasks, then the servers, then passes the health check."""
+        peer_port = self._links.hub.start()
+        self._control = self._make_control(peer_port)
+        self._slot.put = self._control.put
+        self._events.connect(self._control, self._requests)
+        self._tasks = self._make_tasks()
+        for task in self._tasks:
+            task.on_fault = self.observer.fault
+            task.start()
+        self._requests.task.start()
+        self._admin = self._make_admin_server()
+        self._callers = self._make_caller_server()
+        self._admin.start()
+        self._callers.start()
+        self._ports = Ports(self._callers.port, self._admin.port, peer_port)
+        self.readiness.advance(Phase.SERVING)
+        self.observer.changed("entry-serving", incarnation=self.incarnation)
+
+    @property
+    def ports(self) -> Ports:
+        """Returns the ports that the entry listens on, once it has started."""
+        return self._ports
+
+    @property
+    def view(self) -> ConfigView:
+        """Returns the configuration in force."""
+        return self._view
+
+    @property
+    def links(self) -> HubLinks:
+        """Returns the links to other entries."""
+        return self._links
+
+    @property
+    def control(self) -> ControlTask:
+        """Returns the control part, once the entry has started."""
+        return self._control
+
+    def drain(self) -> None:
+        """Fails the health check; requests are still taken."""
+        if self.readiness.advance(Phase.DRAINING):
+            self.observer.changed("entry-draining", incarnation=self.incarnation)
+
+    def stop(self, *, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
+        """Finishes what is in flight, gives back what is held, and ends."""
+        self.drain()
+        self.readiness.wait_until_idle(idle_timeout_s)
+        self.readiness.advance(Phase.STOPPED)
+        self._callers.stop()
+        self._give_back()
+        self._admin.stop()
+        for task in self._tasks:
+            task.stop()
+        self._control.join(GIVE_BACK_S)
+        self._control.control.leave()
+        self._requests.stop()
+        self._links.hub.stop()
+        self.observer.changed("entry-stopped", incarnation=self.incarnation)
+        self.observer.flush()
+
+    def _give_back(self) -> None:
+        """Reports that the entry takes no more units, so that others get them."""
+        self._control.control.is_leaving = True
+        self._requests.task.post(LeaveBegun())
+        self._control.pause(int(GIVE_BACK_S * 500))
+
+    def _make_context(self) -> EntryContext:
+        return EntryContext(
+            settings=self.settings,
+            incarnation=self.incarnation,
+            view=self._view,
+            hosts=self._hosts,
+            rules=configuration_rules(self._hosts.hosts),
+        )
+
+    def _make_links(self) -> HubLinks:
+        cfg = self.settings.entry
+        self._events = PeerEvents()
+        hub = HubSettings(
+            entry=EntryId(cfg.id),
+            zone=ZoneId(cfg.zone),
+            incarnation=self.incarnation,
+            secret=self._secret,
+            address=cfg.address,
+            port=cfg.peer_port,
+        )
+        return HubLinks(
+            hub, on_event=self._events.take, on_wanted=self._events.want_link
+        )
+
+    def _make_control(self, peer_port: int) -> ControlTask:
+        cfg = self.settings.entry
+        member = Member(
+            EntryId(cfg.id), ZoneId(cfg.zone), self.incarnation, cfg.address, peer_port
+        )
+        control = wiring.make_control(
+            member, self._context, self._links, self._stores, self._requests, self._rng
+        )
+        return ControlTask(control, self._stores.settled)
+
+    def _make_tasks(self) -> tuple[WorkerThread, ...]:
+        self._log = wiring.make_log(self._context, self._stores)
+        feed = wiring.make_feed(self._log, self._stores)
+        return (
+            ConfigTask(feed, self._log, self._view),
+            HostTask(self._hosts),
+            self._control,
+            self._control.members,
+            self._control.ledger,
+            PulseTask(self.observer, self._view, self._requests, self._control),
+        )
+
+    def _make_caller_server(self) -> web.WebServer:
+        cfg = self.settings.entry
+        api = CallerApi(
+            self._caller_service, self.readiness, max_body_bytes=cfg.max_body_bytes
+        )
+        return web.WebServer(
+            api,
+            host=cfg.address,
+            port=cfg.caller_port,
+            threads=cfg.threads,
+            max_body_bytes=cfg.max_body_bytes,
+            max_header_bytes=cfg.max_header_bytes,
+            read_timeout_ms=cfg.read_timeout_ms,
+        )
+
+    def _make_admin_server(self) -> web.WebServer:
+        cfg = self.settings.entry
+        view = AdminView(self._context, self._control.control, self.observer)
+        service = AdminService(self._context, self._log, view)
+        return web.WebServer(
+            AdminApi(service),
+            host=cfg.address,
+            port=cfg.admin_port,
+            threads=ADMIN_THREADS,
+        )
+
+    def _apply_config(self, cfg: Configuration) -> None:
+        wiring.apply_configuration(cfg, self._hosts.hosts(), self._requests.task)
+        self.observer.changed("configuration-in-force", revision=int(cfg.revision))
+
+    def _apply_hosts(self) -> None:
+        cfg = self._view.current
+        wiring.apply_hosts(cfg, self._hosts.hosts(), self._requests.task)
--- a/src/amaranthtray/entry/replies.py
+++ b/src/amaranthtray/entry/replies.py
@@ -7,11 +7,18 @@
 
 import msgspec
 
-from ..domain.requests.model import NotRun, NotRunReason, Unknown, UnknownReason
+from ..domain.requests.model import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
 
 if TYPE_CHECKING:
     from ..backend.client import BackendAnswer
     from ..domain.errors import Problem
+    from .request_task import Final
 
 MS_PER_S = 1_000
 JSON_TYPE = "application/json"
@@ -56,6 +63,19 @@
     retry_after_ms: int | None
 
 
+class AcceptedBody(msgspec.Struct, frozen=True):
+    """Body of a reply that is not final."""
+
+    request_id: str
+    state: str
+
+
+class IdsBody(msgspec.Struct, frozen=True):
+    """Body of a reply with issued ids."""
+
+    ids: tuple[str, ...]
+
+
 class ProblemBody(msgspec.Struct, frozen=True):
     """Body of a reply to malformed input; such input is never run."""
 
@@ -85,6 +105,18 @@
     return Reply(answer.status, answer.body, head)
 
 
+def final(request_id: str, result: Final) -> Reply:
+    """Returns the reply that a final outcome owes its caller."""
+    match result.outcome:
+        case Answered() if result.answer is not None:
+            return answered(request_id, result.answer)
+        case NotRun() as outcome:
+            return not_run(outcome, request_id)
+        case Unknown() as outcome:
+            return unknown(outcome, request_id)
+    raise ValueError("an answered outcome comes with its answer")
+
+
 def not_run(outcome: NotRun, request_id: str | None = None) -> Reply:
     """Returns the refusal of a request that did not run."""
     status = _NOT_RUN_STATUS.get(outcome.reason, _DEFAULT_NOT_RUN_STATUS)
@@ -107,6 +139,32 @@
     return _refusal(status, body)
 
 
+def accepted(request_id: str, state: str) -> Reply:
+    """Returns the reply to a request whose answer is to be read back."""
+    body = AcceptedBody(request_id, state)
+    head = {
+        "Content-Type": JSON_TYPE,
+        OUTCOME: OutcomeName.ACCEPTED,
+        REQUEST_ID: request_id,
+        "Location": f"/v1/requests/{request_id}",
+    }
+    return Reply(202, msgspec.json.encode(body), head)
+
+
+def ids(request_ids: list[str]) -> Reply:
+    """Returns the reply to a caller who asked for request ids."""
+    body = msgspec.json.encode(IdsBody(tuple(request_ids)))
+    return Reply(200, body, {"Content-Type": JSON_TYPE})
+
+
+def not_found(request_id: str) -> Reply:
+    """Returns the reply to a read or cancellation of a request not held here."""
+    body = RefusalBody(
+        OutcomeName.UNKNOWN, "not_held_here", "ask its entry", request_id, None
+    )
+    return _refusal(404, body)
+
+
 def malformed(problem: Problem, *, status: int = 400) -> Reply:
     """Returns the reply to input that could not be read."""
     body = ProblemBody(problem.what, problem.where, problem.fix)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from amaranthtray.bench._limits_world import Faults, LimitsWorld
+from amaranthtray.domain.budgets import Ledger, Location, Order, OutCause
 from amaranthtray.domain.configuration import (
     Budget,
     Change,
@@ -18,6 +19,9 @@
     Role,
     Team,
     TeamKey,
+    Wave,
+    WaveAction,
+    WaveState,
 )
 from amaranthtray.domain.configuration.key_ids import format_key_id
 from amaranthtray.domain.configuration.log import PoolCheck, Rules
@@ -33,6 +37,8 @@
     RequestId,
     Revision,
     TeamName,
+    Term,
+    WaveName,
     ZoneId,
 )
 from amaranthtray.domain.invariants import Watchdog
@@ -230,6 +236,43 @@
     )
 
 
+def location(number: int = 1, *, zone: str = "z1", rack: str | None = None) -> Location:
+    listed = host(number, zone=zone, rack=rack)
+    return Location(listed.host_id, listed.zone, listed.rack)
+
+
+def ledger(pool: str = "web", *, term: int = 1) -> Ledger:
+    return Ledger(PoolName(pool), term=Term(term))
+
+
+def order(
+    number: int = 1,
+    *,
+    cause: OutCause = OutCause.MAINTENANCE,
+    term: int = 1,
+    wave: str | None = "patch",
+    target: str | None = None,
+) -> Order:
+    return Order(
+        cause,
+        Term(term),
+        OperationId(f"op{number}"),
+        None if wave is None else WaveName(wave),
+        None if target is None else PoolName(target),
+    )
+
+
+def wave(
+    name: str = "patch",
+    *,
+    selector: str = "",
+    action: WaveAction = WaveAction.REBOOT,
+    state: WaveState = WaveState.RUNNING,
+    order: str = "",
+) -> Wave:
+    return Wave(WaveName(name), selector, action, state, order)
+
+
 def escrow_world(
     seed: int = 1,
     *,
