--- a/src/amaranthtray/bench/_limits_world.py
+++ b/src/amaranthtray/bench/_limits_world.py
@@ -120,7 +120,6 @@
     is_cut_off: bool = False
     running: dict[AttemptId, TeamName] = field(default_factory=dict)
     backlog: Counter[TeamName] = field(default_factory=Counter)
-    taken_over_ms: float = -1e9
 
     def clock(self, true_ms: float) -> Millis:
         """Returns the time on the process's own monotonic clock."""
@@ -461,6 +460,10 @@
             process.steward = ZoneSteward(process.zone, incarnation, self.timing)
             self._configure(process)
             self._list_ledger(process)
+            now_ms = process.clock(self.now_ms)
+            self._call_store(
+                process, process.steward, process.steward.take_over(now_ms)
+            )
         usable_ms = DUTY_TTL_MS * (1 - 2 * self.timing.drift)
         lease_until_ms = process.clock(self.now_ms) + usable_ms
         process.steward.lease_until_ms = Millis(int(lease_until_ms))
@@ -470,10 +473,6 @@
         if steward.is_superseded:
             process.steward = None
             return
-        is_due = self.now_ms - process.taken_over_ms >= self.timing.retry_ms
-        if (not steward.ledger.epoch or steward.is_fenced) and is_due:
-            process.taken_over_ms = self.now_ms
-            self._call_store(process, steward, steward.take_over(now_ms))
         self._call_store(process, steward, steward.tick(now_ms))
         term = steward.term
         if not term:
--- a/src/amaranthtray/domain/limits/zone_steward.py
+++ b/src/amaranthtray/domain/limits/zone_steward.py
@@ -39,6 +39,8 @@
         self.ledger = FleetLedger(zone, holder, timing)
         self.holding = ZoneHolding(timing, term=Term(0))
         self.lease_until_ms = NO_LEASE
+        self._asked_ms: Millis | None = None
+        self._retry_ms = timing.retry_ms
         self._own_epochs: set[int] = set()
         self._review: set[TeamName] = set()
 
@@ -79,11 +81,12 @@
     def take_over(self, now_ms: Millis) -> list[StoreEffect]:
         """Starts a new epoch; the ledger must have been listed and fed before.
 
-        Called again when ``is_fenced`` while the duty is still held. Once
-        ``is_superseded`` another steward has the zone; start with a new object.
+        ``tick`` asks again while the duty is held. Once ``is_superseded`` another
+        steward has the zone; start with a new object.
         """
         if not self._own_epochs:
             self.holding.set_predecessors(self.ledger.electorates, now_ms)
+        self._asked_ms = now_ms
         return self.ledger.take_over(self.holding.electorates(now_ms), now_ms)
 
     def on_store(self, result: StoreResult, now_ms: Millis) -> list[StoreEffect]:
@@ -111,7 +114,7 @@
         """Renews, adopts, lends and reclaims; called every 100 to 250 ms."""
         effects: list[StoreEffect] = []
         if not self.ledger.epoch or self.ledger.is_fenced:
-            return effects
+            return self._take_over_again(now_ms)
         effects += self.ledger.renew(self.holding.electorates(now_ms), now_ms)
         for team in self.ledger.unadopted():
             effects += self._adopt(team, now_ms)
@@ -124,6 +127,15 @@
             effects += self._look_at(team, now_ms)
         return effects
 
+    def _take_over_again(self, now_ms: Millis) -> list[StoreEffect]:
+        """Asks again for an epoch that was lost or never confirmed."""
+        if self._asked_ms is None or self.is_superseded:
+            return []
+        is_held = now_ms < self.lease_until_ms
+        if not is_held or now_ms < self._asked_ms + self._retry_ms:
+            return []
+        return self.take_over(now_ms)
+
     def _begin_epoch(self) -> None:
         self.holding.continue_as(Term(self.ledger.epoch))
         self._own_epochs.add(self.ledger.epoch)
--- a/src/amaranthtray/domain/shares/frames.py
+++ b/src/amaranthtray/domain/shares/frames.py
@@ -20,12 +20,12 @@
         at_ms: When it was made, on the source's monotonic clock.
         sums: Slot milliseconds by pool and team; sums that have not changed for
             long are left out.
-        slots: Slots in use when the frame was made, by pool and team.
         waiting: Teams of each pool that wait for a slot; not those at their limit.
+        slots: Slots in use when the frame was made, by pool and team.
     """
 
     source: Incarnation
     at_ms: Millis
     sums: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
-    slots: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
     waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
+    slots: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
--- a/tests/limits/test_zone.py
+++ b/tests/limits/test_zone.py
@@ -29,6 +29,7 @@
     WriteUnknown,
     ZoneHolding,
     ZoneRecord,
+    ZoneSteward,
     fair_split,
 )
 
@@ -142,6 +143,22 @@
     assert claim(found, 90, later_ms).row.portions[HERE].units >= 90
 
 
+def test_a_takeover_that_failed_is_asked_for_again_while_the_duty_is_held() -> None:
+    steward = ZoneSteward(HERE, A, TIMING)
+    steward.lease_until_ms = Millis(10_000)
+    (first,) = steward.take_over(Millis(0))
+    assert isinstance(first, WriteRecord)
+    steward.on_store(WriteFailed(first), Millis(1))
+    assert not steward.tick(Millis(TIMING.retry_ms - 1))
+    (again,) = steward.tick(Millis(TIMING.retry_ms))
+    assert isinstance(again, WriteRecord)
+    steward.on_store(RecordSeen(HERE, again.record, 1), Millis(TIMING.retry_ms))
+    assert steward.is_ready
+    other = ZoneSteward(HERE, B, TIMING)
+    other.take_over(Millis(0))
+    assert not other.tick(Millis(10_000))
+
+
 def test_units_of_a_silent_entry_are_free_after_its_grant_and_tasks_ran_out() -> None:
     holding = ZoneHolding(TIMING, term=Term(1))
     zone = FixedUnits(10)
