--- a/src/amaranthtray/bench/_limits_world.py
+++ b/src/amaranthtray/bench/_limits_world.py
@@ -57,6 +57,7 @@
     zone_run_on_ms=400,
     task_lease_ms=300,
     call_ms=100,
+    stop_ms=0,
     renew_ms=300,
     retry_ms=200,
     rotate_ms=300,
--- a/src/amaranthtray/domain/limits/timing.py
+++ b/src/amaranthtray/domain/limits/timing.py
@@ -23,6 +23,7 @@
             go on before the steward caps what its entries run.
         task_lease_ms: Worker lease of a task, granted by a start or renewal.
         call_ms: Longest time of one start or renewal call.
+        stop_ms: Time that a host may take to stop a task whose lease has lapsed.
         renew_ms: Time between two renewals of a zone's record.
         retry_ms: Time after which a store call is repeated.
         rotate_ms: How long one holder keeps the odd units of a contended limit.
@@ -40,6 +41,7 @@
     zone_run_on_ms: int = 60_000
     task_lease_ms: int = 15_000
     call_ms: int = 2_000
+    stop_ms: int = 1_000
     renew_ms: int = 15_000
     retry_ms: int = 1_000
     rotate_ms: int = 2_000
@@ -54,7 +56,7 @@
         The process may be paused between the look and the call: the call still
         takes effect if it arrives just before the lease from the call before ends.
         """
-        return 2 * self.task_lease_ms + self.call_ms
+        return 2 * self.task_lease_ms + self.call_ms + self.stop_ms
 
     def outlast(self, duration_ms: int) -> int:
         """Returns a wait here that surely covers ``duration_ms`` on another clock."""
--- a/src/amaranthtray/domain/limits/zone_holding.py
+++ b/src/amaranthtray/domain/limits/zone_holding.py
@@ -225,7 +225,7 @@
     def _settle(self, account: EntryAccount, zone: ZoneUnits, now_ms: Millis) -> None:
         """Moves units towards this entry's fair part, or away from it."""
         changes: dict[TeamName, int] = {}
-        for team in list(self._short):
+        for team in sorted(self._short):
             tally = self._tally(team)
             usable = zone.usable(team, now_ms)
             if not tally.lacking and tally.charge <= usable:
--- a/src/amaranthtray/domain/limits/zone_steward.py
+++ b/src/amaranthtray/domain/limits/zone_steward.py
@@ -123,7 +123,7 @@
         self._review |= self.holding.expire(now_ms)
         self._take_changes(now_ms)
         effects += self.ledger.fence_silent(now_ms)
-        for team in list(self._review):
+        for team in sorted(self._review):
             effects += self._look_at(team, now_ms)
         return effects
 
