--- a/src/amaranthtray/bench/_limits_world.py
+++ b/src/amaranthtray/bench/_limits_world.py
@@ -57,6 +57,7 @@
     zone_run_on_ms=400,
     task_lease_ms=300,
     call_ms=100,
+    stop_ms=0,
     renew_ms=300,
     retry_ms=200,
     rotate_ms=300,
@@ -120,7 +121,6 @@
     is_cut_off: bool = False
     running: dict[AttemptId, TeamName] = field(default_factory=dict)
     backlog: Counter[TeamName] = field(default_factory=Counter)
-    taken_over_ms: float = -1e9
 
     def clock(self, true_ms: float) -> Millis:
         """Returns the time on the process's own monotonic clock."""
@@ -174,6 +174,7 @@
         self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._count = 0
         self._overdue_lowered: dict[TeamName, int] = {}
+        self._unheard: dict[TeamName, int] = {}
         for team, limit in limits.items():
             observe(LimitSet(0, team, limit))
         for zone in self.zones:
@@ -232,18 +233,22 @@
         for team, limit in self._overdue_lowered.items():
             self._observe(LimitSet(int(self.now_ms), team, limit))
         self._overdue_lowered.clear()
+        self._unheard.clear()
 
     def set_limit(self, team: TeamName, limit: int) -> None:
         """Commits a new upper limit, in force at once where it can be known.
 
-        A lowered limit counts as in force everywhere only if every process can be
-        reached, else from the next ``heal``.
+        A limit below one that a process out of reach may still have in force counts
+        from the next ``heal`` on.
         """
         before = self.limits.get(team, 0)
         self.limits[team] = limit
         self.revision = Revision(self.revision + 1)
-        is_whole = all(self._reaches_store(process) for process in self.processes)
-        if is_whole or limit >= before:
+        if all(self._reaches_store(process) for process in self.processes):
+            self._unheard.pop(team, None)
+        else:
+            self._unheard[team] = max(before, self._unheard.get(team, 0))
+        if limit >= self._unheard.get(team, 0):
             self._observe(LimitSet(int(self.now_ms), team, limit))
             self._overdue_lowered.pop(team, None)
         else:
@@ -456,6 +461,10 @@
             process.steward = ZoneSteward(process.zone, incarnation, self.timing)
             self._configure(process)
             self._list_ledger(process)
+            now_ms = process.clock(self.now_ms)
+            self._call_store(
+                process, process.steward, process.steward.take_over(now_ms)
+            )
         usable_ms = DUTY_TTL_MS * (1 - 2 * self.timing.drift)
         lease_until_ms = process.clock(self.now_ms) + usable_ms
         process.steward.lease_until_ms = Millis(int(lease_until_ms))
@@ -465,10 +474,6 @@
         if steward.is_superseded:
             process.steward = None
             return
-        is_due = self.now_ms - process.taken_over_ms >= self.timing.retry_ms
-        if (not steward.ledger.epoch or steward.is_fenced) and is_due:
-            process.taken_over_ms = self.now_ms
-            self._call_store(process, steward, steward.take_over(now_ms))
         self._call_store(process, steward, steward.tick(now_ms))
         term = steward.term
         if not term:
