--- /dev/null
+++ b/src/amaranthtray/scenarios/conducting.py
@@ -0,0 +1,212 @@
+"""Conductors of the pools whose duty a virtual entry holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from ..domain.budgets import decode, encode
+from ..domain.budgets.codec import LEDGER_PREFIX
+from ..domain.configuration import SPARE_POOL, PlaceHosts
+from ..domain.errors import Problem
+from ..domain.ids import HostId, Millis, PoolName
+from ..domain.placement import pool_views
+from ..domain.waves import (
+    CasLedger,
+    CommitMoves,
+    Conductor,
+    DutyGained,
+    DutyLost,
+    DutyRenewed,
+    HealthChanged,
+    HealthListed,
+    LedgerRead,
+    LedgerSwapped,
+    MovesRefused,
+    OrderDropped,
+    ReadLedger,
+    StepDown,
+    StoreAway,
+    SwapConflict,
+    SwapUnknown,
+    Tick,
+    ViewChanged,
+)
+from ..platform.store import Conflict, EffectUnknown, Versioned
+from .duty import Duty, DutyNews
+
+if TYPE_CHECKING:
+    from ..domain.budgets import Ledger
+    from ..domain.configuration import Configuration
+    from ..domain.invariants import OutCause
+    from ..domain.waves import ConductorEffect, ConductorMessage, Fence
+    from ..platform.store import StoreFailure
+    from .entry import VirtualEntry
+    from .world import World
+
+DUTY_PREFIX = "duty/conductor/"
+
+
+class Conducting:
+    """All conductors of one run of an entry."""
+
+    def __init__(self, world: World, entry: VirtualEntry) -> None:
+        self.world = world
+        self.entry = entry
+        self._duties: dict[PoolName, Duty] = {}
+        self._conductors: dict[PoolName, Conductor] = {}
+
+    def step(self) -> None:
+        """Holds duties and lets time pass for their conductors."""
+        cfg = self.entry.control.cfg
+        for pool in sorted({*cfg.pools, SPARE_POOL}):
+            duty = self._duties.get(pool)
+            if duty is None:
+                store = self.entry.control.store
+                duty = Duty(store, DUTY_PREFIX + pool, self.entry.incarnation)
+                self._duties[pool] = duty
+            self._step_duty(pool, duty)
+
+    def hear(self, message: ConductorMessage) -> None:
+        """Takes a report of a host, or news of its health."""
+        for pool in list(self._conductors):
+            if isinstance(message, HealthChanged) and message.cause is not None:
+                self.world.know_out(self._pool_of(message.host), message)
+            self._deliver(pool, message)
+
+    def stop(self) -> None:
+        """Gives all duties up."""
+        for duty in self._duties.values():
+            duty.give_up()
+        self._conductors.clear()
+
+    def _pool_of(self, host: HostId) -> PoolName:
+        return self.entry.control.cfg.pool_of(host)
+
+    def _step_duty(self, pool: PoolName, duty: Duty) -> None:
+        news = duty.step(self.world.now_ms)
+        until_ms = Millis(duty.until_ms)
+        match news:
+            case DutyNews.GAINED:
+                self._conductors[pool] = Conductor(pool)
+                self._deliver(pool, DutyGained(duty.term, until_ms))
+                causes: dict[HostId, OutCause] = dict(self.world.maintenance.failed)
+                for host, cause in causes.items():
+                    self.world.know_out(self._pool_of(host), HealthChanged(host, cause))
+                self._deliver(pool, HealthListed(causes))
+            case DutyNews.RENEWED:
+                self._deliver(pool, DutyRenewed(duty.term, until_ms))
+            case DutyNews.LOST:
+                self._deliver(pool, DutyLost())
+                self._conductors.pop(pool, None)
+        if pool in self._conductors:
+            self._show(pool)
+            self._deliver(pool, Tick())
+
+    def _show(self, pool: PoolName) -> None:
+        control = self.entry.control
+        done = {
+            name: {wave: log.done for wave, log in ledger.waves.items()}
+            for name, ledger in self.world.maintenance.ledgers.items()
+        }
+        views = pool_views(
+            control.cfg, control.listed, done=done, only=frozenset({pool})
+        )
+        if self._conductors[pool].view != views[pool]:
+            self._deliver(pool, ViewChanged(views[pool]))
+
+    def _deliver(self, pool: PoolName, message: ConductorMessage) -> None:
+        conductor = self._conductors.get(pool)
+        if conductor is None:
+            return
+        now_ms = self.world.now_ms
+        self._conductors[pool], effects = conductor.step(
+            message, now_ms=Millis(now_ms), wall_ms=now_ms
+        )
+        for effect in effects:
+            self._carry_out(pool, effect)
+
+    def _carry_out(self, pool: PoolName, effect: ConductorEffect) -> None:
+        delay_ms = self.world.store_call_ms
+        match effect:
+            case ReadLedger():
+                reply = self._read(effect)
+                self._later(delay_ms, pool, reply)
+            case CasLedger() if self._is_in_time(effect.fence):
+                self._later(delay_ms, pool, self._swap(effect))
+            case CommitMoves() if self._is_in_time(effect.fence):
+                self._move(pool, effect)
+            case StepDown():
+                self._duties[pool].give_up()
+                self._conductors.pop(pool, None)
+            case CasLedger() | CommitMoves():
+                self._later(1, pool, OrderDropped())
+            case _:
+                self.world.maintenance.obey(self.entry, effect)
+
+    def _is_in_time(self, fence: Fence) -> bool:
+        return self.world.now_ms <= fence.not_after_ms
+
+    def _later(self, delay_ms: int, pool: PoolName, message: ConductorMessage) -> None:
+        def hear() -> None:
+            self.entry.run(lambda: self._deliver(pool, message))
+
+        self.world.clock.after(delay_ms, hear)
+
+    def _read(self, effect: ReadLedger) -> ConductorMessage:
+        found = self.entry.control.store.get(LEDGER_PREFIX + effect.pool)
+        if isinstance(found, Failure):
+            return StoreAway(effect.op_id)
+        item = found.unwrap()
+        ledger, version = _decode(effect.pool, item)
+        return LedgerRead(effect.op_id, ledger, version)
+
+    def _swap(self, effect: CasLedger) -> ConductorMessage:
+        store, op_id = self.entry.control.store, effect.fence.op_id
+        pool, value = effect.ledger.pool, encode(effect.ledger)
+        key = LEDGER_PREFIX + pool
+        written = (
+            store.compare_and_swap(key, value, version=effect.version)
+            if effect.version
+            else store.create(key, value)
+        )
+        self.world.maintenance.note_ledgers()
+        if isinstance(written, Success):
+            return LedgerSwapped(op_id, written.unwrap())
+        failure: StoreFailure = written.failure()
+        match failure:
+            case Conflict(found=found):
+                ledger, version = _decode(pool, found)
+                return SwapConflict(op_id, ledger, version)
+            case EffectUnknown():
+                return SwapUnknown(op_id)
+        return StoreAway(op_id)
+
+    def _move(self, pool: PoolName, effect: CommitMoves) -> None:
+        control = self.entry.control
+
+        def permit(cfg: Configuration) -> Problem | None:
+            if all(cfg.pool_of(host) == effect.source for host in effect.moves):
+                return None
+            fix = "look at the configuration again"
+            return Problem("move", self.entry.name, "a host has moved", pool, fix)
+
+        done = control.log.commit(
+            control.cfg,
+            [PlaceHosts(effect.moves)],
+            op_id=effect.fence.op_id,
+            operator="conductor",
+            permit=permit,
+        )
+        self.world.note_commits()
+        if isinstance(done, Success):
+            control.offer_snapshot(done.unwrap().cfg)
+        elif isinstance(done.failure(), Problem):
+            self._later(1, pool, MovesRefused(effect.fence.op_id))
+
+
+def _decode(pool: PoolName, item: Versioned | None) -> tuple[Ledger | None, int]:
+    if item is None:
+        return None, 0
+    return decode(item.value, pool=pool).unwrap(), item.version
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from ..domain.configuration.follower import ConfigFollower
 from ..domain.ids import Millis, PoolName
@@ -22,7 +22,7 @@
 from ..entry.limits_runner import LimitsRunner
 from ..entry.rules import configuration_rules
 from ..platform.config_log import ConfigFeed, ConfigLog
-from ..platform.store import LeaseGone
+from .duty import Duty, DutyNews
 
 if TYPE_CHECKING:
     from ..domain.configuration import Configuration
@@ -31,14 +31,11 @@
     from ..domain.inventory import Host
     from ..domain.limits.messages import UnitsReport
     from ..domain.serving.messages import UsageArrived
-    from ..platform.store import LeaseId
     from .entry import VirtualEntry
     from .world import World
 
 STEP_MS = 200
 DUTY_PREFIX = "duty/steward/"
-DUTY_TTL_MS = 3_000
-DUTY_MARGIN_MS = 500
 
 
 class Control:
@@ -48,14 +45,14 @@
         self.world = world
         self.entry = entry
         self.store = world.store_of(entry.name)
-        rules = configuration_rules(lambda: self._listed)
+        rules = configuration_rules(lambda: self.listed)
         self.log = ConfigLog(self.store, entry=entry.name, rules=rules)
         self._feed = ConfigFeed(self.log, self.store)
         self._follower = ConfigFollower()
         self._confirmed_ms = world.now_ms
-        self._listed: list[Host] = []
+        self.listed: list[Host] = []
         self._shown: tuple[Revision, list[Host]] | None = None
-        self._lease: LeaseId | None = None
+        self._duty = Duty(self.store, DUTY_PREFIX + entry.zone, entry.incarnation)
         self._steward: VirtualEntry | None = None
         escrow = entry.serving.cfg.escrow
         self.runner = LimitsRunner(
@@ -94,11 +91,12 @@
                 self.offer(self._follower.offer_records(news.records))
                 self._confirmed_ms = max(asked_ms, self._confirmed_ms)
         if self.world.reads_platform(self.entry):
-            self._listed = self.world.listed()
+            self.listed = self.world.listed()
         self._show_hosts()
         self._ask_peers()
         self._hold_duty()
         self._work_as_steward()
+        self.entry.conducting.step()
 
     # -- configuration ----------------------------------------------------------
 
@@ -156,11 +154,11 @@
         self._confirmed_ms = max(confirmed_ms, self._confirmed_ms)
 
     def _show_hosts(self) -> None:
-        shown = (self.cfg.revision, self._listed)
+        shown = (self.cfg.revision, self.listed)
         if self.cfg.revision == 0 or shown == self._shown:
             return
         self._shown = shown
-        pools = by_pool(self.cfg, self._listed)
+        pools = by_pool(self.cfg, self.listed)
         everything = {name: pools.get(name, ()) for name in (*self.cfg.pools, *pools)}
         self.world.placed(everything)
         self.entry.handle(HostsListed({PoolName(k): v for k, v in everything.items()}))
@@ -168,32 +166,18 @@
     # -- duty and units ---------------------------------------------------------
 
     def _hold_duty(self) -> None:
-        now_ms = self.world.now_ms
-        if self._lease is None:
-            self._try_gain()
-            return
-        renewed = self.store.renew_lease(self._lease)
-        if isinstance(renewed, Success):
-            self.runner.extend(Millis(now_ms + DUTY_TTL_MS - DUTY_MARGIN_MS))
-        elif isinstance(renewed.failure(), LeaseGone):
-            self._lease = None
-            self.runner.end()
-
-    def _try_gain(self) -> None:
-        now_ms = self.world.now_ms
-        key = DUTY_PREFIX + self.entry.zone
-        found = self.store.get(key)
-        if isinstance(found, Failure) or found.unwrap() is not None:
-            return
-        lease = self.store.grant_lease(DUTY_TTL_MS).value_or(None)
-        if lease is None:
-            return
-        created = self.store.create(key, self.entry.incarnation.encode(), lease=lease)
-        if isinstance(created, Failure) or self.runner.begin() is not None:
-            return
-        self._lease = lease
-        self.runner.extend(Millis(now_ms + DUTY_TTL_MS - DUTY_MARGIN_MS))
-        self._set_limits()
+        news = self._duty.step(self.world.now_ms)
+        match news:
+            case DutyNews.GAINED if self.runner.is_active:
+                self.runner.extend(Millis(self._duty.until_ms))
+            case DutyNews.GAINED:
+                if self.runner.begin() is not None:
+                    self._duty.give_up()
+                    return
+                self._set_limits()
+                self.runner.extend(Millis(self._duty.until_ms))
+            case DutyNews.RENEWED:
+                self.runner.extend(Millis(self._duty.until_ms))
 
     def _work_as_steward(self) -> None:
         if not self.runner.is_active:
@@ -248,5 +232,4 @@
     def stop(self) -> None:
         """Gives the duty up."""
         self.runner.end()
-        if self._lease is not None:
-            self.store.revoke_lease(self._lease)
+        self._duty.give_up()
--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -61,6 +61,7 @@
 from ..domain.serving.messages import UsageArrived
 from ..entry.rules import selects
 from ..platform.store import Conflict, EffectUnknown, Versioned
+from .conducting import Conducting
 from .control import Control
 from .work import NoOutcome
 
@@ -112,6 +113,7 @@
         self._refs = 0
         self._leave_by_ms = 0
         self.control = Control(world, self)
+        self.conducting = Conducting(world, self)
 
     # -- life -------------------------------------------------------------------
 
@@ -160,6 +162,7 @@
 
     def _stop(self) -> None:
         self.control.stop()
+        self.conducting.stop()
         self.kill()
         self.world.update_reach()
 
--- /dev/null
+++ b/src/amaranthtray/scenarios/maintenance.py
@@ -0,0 +1,142 @@
+"""The platform's side of maintenance: hosts that drain, reboot and fail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..bench._waves_hosts import HostStandIn
+from ..domain.budgets import decode
+from ..domain.budgets.codec import LEDGER_PREFIX
+from ..domain.ids import HostId, PoolName
+from ..domain.invariants import HostBack, HostOut, OutCause
+from ..domain.waves import (
+    DrainHost,
+    HealthChanged,
+    OrderDropped,
+    RebootHost,
+    ReturnHost,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..bench._waves_hosts import HostReport
+    from ..domain.budgets import Ledger
+    from .backend import Backend
+    from .entry import VirtualEntry
+    from .world import World
+
+DRAIN_MS = -1
+REBOOT_MS = 1_000
+NOTICE_MS = 500
+"""Time until a host's failure is known."""
+
+
+class Maintenance:
+    """Drains, reboots and failures of all hosts, and the ledgers that list them.
+
+    Attributes:
+        failed: Hosts that are out by themselves.
+        ledgers: The ledgers as they stand in the store.
+        done: When a wave had maintained a host.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.failed: dict[HostId, OutCause] = {}
+        self.ledgers: dict[PoolName, Ledger] = {}
+        self.done: dict[tuple[str, HostId], int] = {}
+        self._hosts = {
+            name: self._stand_in(backend) for name, backend in world.hosts.items()
+        }
+
+    def _stand_in(self, backend: Backend) -> HostStandIn:
+        def schedule(delay_ms: int, act: Callable[[], None]) -> None:
+            if delay_ms == DRAIN_MS:
+                backend.when_empty(act)
+            else:
+                backend.clock.after(delay_ms, act)
+
+        name = backend.host.host_id
+        return HostStandIn(name, DRAIN_MS, REBOOT_MS, schedule, self._report)
+
+    def obey(
+        self, entry: VirtualEntry, order: DrainHost | RebootHost | ReturnHost
+    ) -> None:
+        """Carries out an order whose time has not passed."""
+        world = self._world
+        if world.now_ms > order.fence.not_after_ms:
+            entry.run(lambda: entry.conducting.hear(OrderDropped()))
+            return
+        if not world.network.passes(entry.name, order.host):
+            return
+        stand_in = self._hosts[order.host]
+        match order:
+            case DrainHost():
+                stand_in.drain(order.fence)
+            case RebootHost():
+                stand_in.reboot(order.fence)
+            case ReturnHost():
+                stand_in.give_back(order.fence)
+        self._sync(order.host)
+
+    def fail(self, host: HostId) -> None:
+        """A host dies; its failure is known a little later."""
+        self._hosts[host].is_up = False
+        self._notice(host, OutCause.FAILED)
+
+    def recover(self, host: HostId) -> None:
+        """A host is up again."""
+        self._hosts[host].is_up = True
+        self._notice(host, None)
+
+    def _notice(self, host: HostId, cause: OutCause | None) -> None:
+        def tell() -> None:
+            self.failed.pop(host, None)
+            if cause is not None:
+                self.failed[host] = cause
+            self._tell_all(HealthChanged(host, cause))
+
+        self._world.clock.after(NOTICE_MS, tell)
+
+    def _report(self, report: HostReport) -> None:
+        for fault in self._hosts[report.host].faults:
+            self._world.history.faults.append(("BudgetsHold", fault))
+        self._hosts[report.host].faults.clear()
+        self._sync(report.host)
+        self._tell_all(report)
+
+    def _tell_all(self, news: HostReport | HealthChanged) -> None:
+        for entry in self._world.entries.values():
+            if self._world.network.passes(news.host, entry.name):
+                delay_ms = self._world.site.delay_ms
+                self._world.clock.after(delay_ms, self._telling(entry, news))
+
+    def _telling(
+        self, entry: VirtualEntry, news: HostReport | HealthChanged
+    ) -> Callable[[], None]:
+        return lambda: entry.run(lambda: entry.conducting.hear(news))
+
+    def _sync(self, host: HostId) -> None:
+        stand_in, backend = self._hosts[host], self._world.hosts[host]
+        backend.is_up = stand_in.is_up
+        backend.refuses = backend.is_leaving or stand_in.drain_op is not None
+
+    def note_ledgers(self) -> None:
+        """Observes each change of the ledgers in the store."""
+        now_ms, observe = self._world.now_ms, self._world.history.observe
+        for item in self._world.platform.read_all(LEDGER_PREFIX).items:
+            pool = PoolName(item.key.removeprefix(LEDGER_PREFIX))
+            ledger = decode(item.value, pool=pool).unwrap()
+            old = self.ledgers.get(pool)
+            before = old.out if old is not None else {}
+            self.ledgers[pool] = ledger
+            for host in sorted(before.keys() - ledger.out.keys()):
+                if self._hosts[host].is_serving:
+                    observe(HostBack(now_ms, host))
+            for host, out in ledger.out.items():
+                if host not in before:
+                    observe(HostOut(now_ms, pool, host, out.cause))
+            for wave, log in ledger.waves.items():
+                for host in sorted(log.done):
+                    self.done.setdefault((wave, host), now_ms)
--- a/src/amaranthtray/scenarios/steps.py
+++ b/src/amaranthtray/scenarios/steps.py
@@ -88,7 +88,9 @@
         self.scenario = scenario
         self.world = World(scenario.document.site)
         self._keys = {
-            key.name: key_from_secret(format_key_id(Revision(0), f"n{number}"), key.name)
+            key.name: key_from_secret(
+                format_key_id(Revision(0), f"n{number}"), key.name
+            )
             for number, key in enumerate(scenario.document.key)
         }
         self._named: dict[str, Work] = {}
@@ -363,9 +365,11 @@
         match step.kind:
             case "kill_host" if host.is_up:
                 host.kill()
+                world.maintenance.fail(host.host.host_id)
             case "revive_host" if not host.is_up or host.is_leaving:
                 host.is_up, host.is_leaving, host.refuses = True, False, False
                 world.history.observe(HostBack(world.now_ms, host.host.host_id))
+                world.maintenance.recover(host.host.host_id)
             case "break_host" if not host.is_broken:
                 host.is_broken = True
             case "mend_host" if host.is_broken:
--- a/src/amaranthtray/scenarios/world.py
+++ b/src/amaranthtray/scenarios/world.py
@@ -8,12 +8,14 @@
 from typing import TYPE_CHECKING, Any
 
 from ..bench._waves_clock import VirtualClock
-from ..domain.configuration import PutPool, PutTeam, WithdrawKey
+from ..domain.configuration import PlaceHosts, PutPool, PutTeam, WithdrawKey
 from ..domain.ids import EntryId, HostId, RackId, RegionId, ZoneId
 from ..domain.invariants import (
     AnswerGiven,
     BudgetSet,
     ConfigCommitted,
+    HostBack,
+    HostOut,
     HostPlaced,
     KeyWithdrawn,
     LimitSet,
@@ -34,6 +36,7 @@
 from .backend import Backend
 from .entry import VirtualEntry
 from .history import IN_FORCE_MS, Call, History
+from .maintenance import Maintenance
 from .network import PLATFORM, Network
 from .work import NoOutcome, Work
 
@@ -47,6 +50,7 @@
     from ..domain.requests.messages import AttemptResult, StartAttempt
     from ..domain.requests.model import Outcome, Request
     from ..domain.requests.tracked import RequestKey
+    from ..domain.waves import HealthChanged
     from ..platform.memory import MemoryStore
     from .model import Site
 
@@ -97,6 +101,7 @@
         self._committed: dict[int, int] = {}
         for zone in site.zones:
             self._build_zone(zone)
+        self.maintenance = Maintenance(self)
         self.list_hosts(at_once=True)
 
     @property
@@ -166,8 +171,8 @@
 
     def wave_done(self, wave: str, by_ms: int) -> int:
         """Returns how many hosts a wave had maintained by a time."""
-        del wave, by_ms
-        return 0
+        done = self.maintenance.done
+        return sum(name == wave and at <= by_ms for (name, _), at in done.items())
 
     def pool_at_end(self, host: str) -> str:
         """Returns the pool that the entries' latest configuration has a host in."""
@@ -214,6 +219,9 @@
                     observe(BudgetSet(now_ms, pool.name, pool.budget.max_out))
                 case WithdrawKey(key_id=key_id):
                     observe(KeyWithdrawn(now_ms, key_id))
+                case PlaceHosts(moves=moves):
+                    for host in moves:
+                        observe(HostBack(now_ms, host))
 
     # -- who reaches whom -------------------------------------------------------
 
@@ -258,6 +266,12 @@
                 detail = f"{name} has revision {revision}, not {max(due)}"
                 self.history.faults.append(("InForceInTime", detail))
 
+    def know_out(self, pool: PoolName, news: HealthChanged) -> None:
+        """Observes that whoever conducts knows a host to be out by itself."""
+        if news.cause is not None:
+            out = HostOut(self.now_ms, pool, news.host, news.cause)
+            self.history.observe(out)
+
     def applied(self, seen: ConfigApplied) -> None:
         """Observes a revision put in force."""
         self.history.observe(seen)
