Run scenarios with the entry's own control part and virtual links

Duties, limits, usage sums and configuration between entries are now decided by the control part that the entry runs.

--- a/src/amaranthtray/scenarios/conducting.py
+++ b/src/amaranthtray/scenarios/conducting.py
@@ -201,7 +201,7 @@
         )
         self.world.note_commits()
         if isinstance(done, Success):
-            control.offer_snapshot(done.unwrap().cfg)
+            control.view.offer_snapshot(done.unwrap().cfg)
         elif isinstance(done.failure(), Problem):
             self._later(1, pool, MovesRefused(effect.fence.op_id))
 
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -1,235 +1,180 @@
-"""What a virtual entry does besides requests: configuration, duty, units, hosts."""
+"""The control part of a virtual entry: the real one with stand-ins around it."""
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.result import Success
 
-from ..domain.configuration.follower import ConfigFollower
-from ..domain.ids import Millis, PoolName
+from ..domain.ids import Millis
 from ..domain.invariants import ConfigApplied
 from ..domain.limits.ledger import LEDGER_PREFIX
-from ..domain.serving import (
-    ConfigurationInForce,
-    GrantArrived,
-    HostsListed,
-    TermFollowed,
-)
+from ..domain.serving import ConfigurationInForce, HostsListed
 from ..domain.serving.messages import TeamTerms
+from ..entry.config_view import ConfigView
+from ..entry.control import Control, ControlParts
+from ..entry.control.members import MEMBER_PREFIX
+from ..entry.control.watches import PrefixWatch
 from ..entry.host_list import by_pool
-from ..entry.limits_runner import LimitsRunner
 from ..entry.rules import configuration_rules
+from ..peers.messages import Member
 from ..platform.config_log import ConfigFeed, ConfigLog
-from .duty import Duty, DutyNews
+from ..platform.settled import SettledStore
 
 if TYPE_CHECKING:
     from ..domain.configuration import Configuration
-    from ..domain.configuration.follower import CatchUp, InForce
-    from ..domain.ids import Revision, Term
+    from ..domain.ids import Revision
     from ..domain.inventory import Host
-    from ..domain.limits.messages import UnitsReport
-    from ..domain.serving.messages import UsageArrived
+    from ..domain.serving import ServingMessage
+    from ..entry.control.control import ControlInput
     from .entry import VirtualEntry
     from .world import World
 
-STEP_MS = 200
-DUTY_PREFIX = "duty/steward/"
+STEP_MS = 100
 
 
-class Control:
-    """The control side of one run of an entry."""
+class _View(ConfigView):
+    """A view whose age is counted on the scenario's clock."""
+
+    def __init__(self, control: VirtualControl) -> None:
+        self._world = control.world
+        self._confirmed_ms = control.world.now_ms
+        super().__init__(control.apply)
+
+    @property
+    def age_ms(self) -> int:
+        """Returns how long the configuration has not been confirmed."""
+        return self._world.now_ms - self._confirmed_ms
+
+    def confirm(self, confirmed_ms: int) -> None:
+        """Records that nothing newer existed at that moment."""
+        self._confirmed_ms = max(confirmed_ms, self._confirmed_ms)
+
+
+class VirtualControl:
+    """Everything that one run of an entry does besides serving requests."""
 
     def __init__(self, world: World, entry: VirtualEntry) -> None:
         self.world = world
         self.entry = entry
         self.store = world.store_of(entry.name)
-        rules = configuration_rules(lambda: self.listed)
-        self.log = ConfigLog(self.store, entry=entry.name, rules=rules)
-        self._feed = ConfigFeed(self.log, self.store)
-        self._follower = ConfigFollower()
-        self._confirmed_ms = world.now_ms
         self.listed: list[Host] = []
+        self.view = _View(self)
+        settled = SettledStore(self.store)
+        rules = configuration_rules(lambda: self.listed)
+        self.log = ConfigLog(settled, entry=entry.name, rules=rules)
+        self._feed = ConfigFeed(self.log, settled)
         self._shown: tuple[Revision, list[Host]] | None = None
-        self._duty = Duty(self.store, DUTY_PREFIX + entry.zone, entry.incarnation)
-        self._steward: VirtualEntry | None = None
-        escrow = entry.serving.cfg.escrow
-        self.runner = LimitsRunner(
-            entry.zone, entry.incarnation, escrow, self.store, self._now
+        self._members = PrefixWatch(self.store, MEMBER_PREFIX)
+        self._ledger = PrefixWatch(self.store, LEDGER_PREFIX)
+        self._takeovers = 0
+        self._part = Control(
+            ControlParts(
+                member=Member(entry.name, entry.zone, entry.incarnation, entry.name, 1),
+                view=self.view,
+                links=entry.links,
+                serving=self,
+                store=settled,
+                raw_store=self.store,
+                clock=lambda: Millis(world.now_ms),
+                rng=entry.rng,
+                settings=entry.serving.cfg,
+            )
         )
         world.clock.after(1, self._step)
 
     @property
     def cfg(self) -> Configuration:
         """Returns the configuration in force."""
-        return self._follower.cfg
+        return self.view.current
 
     @property
     def config_age_ms(self) -> int:
         """Returns how long the configuration has not been confirmed."""
-        return self.world.now_ms - self._confirmed_ms
+        return self.view.age_ms
 
-    def _now(self) -> Millis:
-        return Millis(self.world.now_ms)
+    def put(self, message: ControlInput) -> None:
+        """Queues an input for the next step."""
+        self._part.put(message)
 
-    def _step(self) -> None:
+    def want_link(self, entry: VirtualEntry) -> None:
+        """Asks for a link, as for a forwarded request."""
+        self._part.want_link(entry.name)
+
+    def post(self, message: ServingMessage) -> None:
+        """Hands a message over to the serving part."""
+        self.entry.handle(message)
+
+    def apply(self, cfg: Configuration) -> None:
+        """Puts a configuration in force."""
         entry = self.entry
-        if not entry.is_alive:
+        now_ms = self.world.now_ms
+        self.world.applied(
+            ConfigApplied(now_ms, entry.name, entry.incarnation, cfg.revision)
+        )
+        teams = {
+            name: TeamTerms(team.share, team.limit) for name, team in cfg.teams.items()
+        }
+        entry.handle(ConfigurationInForce(cfg.revision, teams))
+        self._show_hosts(cfg)
+
+    def stop(self) -> None:
+        """Gives duty and registration back."""
+        self._part.leave()
+
+    def _step(self) -> None:
+        if not self.entry.is_alive:
             return
-        if not entry.is_paused:
-            entry.run(self._work)
+        if not self.entry.is_paused:
+            self.entry.run(self._work)
         delay_ms = STEP_MS + self.world.store_call_ms
         self.world.clock.after(delay_ms, self._step)
 
     def _work(self) -> None:
-        asked_ms = self.world.now_ms
-        match self._feed.poll(timeout_ms=0):
-            case Success(news):
-                if news.snapshot is not None:
-                    self.offer(self._follower.offer_snapshot(news.snapshot))
-                self.offer(self._follower.offer_records(news.records))
-                self._confirmed_ms = max(asked_ms, self._confirmed_ms)
+        self._follow_configuration()
         if self.world.reads_platform(self.entry):
             self.listed = self.world.listed()
-        self._show_hosts()
-        self._ask_peers()
-        self._hold_duty()
-        self._work_as_steward()
+        self._show_hosts(self.cfg)
+        self._follow_members()
+        self._follow_ledger()
+        self._part.step()
         self.entry.conducting.step()
 
-    # -- configuration ----------------------------------------------------------
-
-    def offer(self, change: InForce) -> None:
-        """Puts what changed in force."""
-        if not change.has_changed:
+    def _follow_configuration(self) -> None:
+        asked_ms = self.world.now_ms
+        match self._feed.poll(timeout_ms=0):
+            case Success(news):
+                if news.snapshot is not None:
+                    self.view.offer_snapshot(news.snapshot)
+                self.view.offer_records(news.records)
+                if self.view.wanted_after() is not None:
+                    self._feed.reset()
+                self.view.confirm(asked_ms)
+
+    def _follow_members(self) -> None:
+        if self._members.needs_read and self._part.read_members():
+            self._members.begin(self._part.members.at_version or 0)
+        events = self._members.poll(0)
+        if events:
+            self._part.watched(MEMBER_PREFIX, events)
+
+    def _follow_ledger(self) -> None:
+        stewardship = self._part.stewardship
+        if not stewardship.is_active:
+            self._ledger.reset()
             return
-        cfg, now_ms = self.cfg, self.world.now_ms
-        entry = self.entry
-        seen = ConfigApplied(now_ms, entry.name, entry.incarnation, cfg.revision)
-        self.world.applied(seen)
-        teams = {
-            name: TeamTerms(team.share, team.limit) for name, team in cfg.teams.items()
-        }
-        entry.handle(ConfigurationInForce(cfg.revision, teams))
-        self._set_limits()
-        self._show_hosts()
-
-    def offer_snapshot(self, cfg: Configuration) -> None:
-        """Takes a whole configuration, as after an own commit."""
-        self.offer(self._follower.offer_snapshot(cfg))
-
-    def offer_quietly(self, cfg: Configuration) -> None:
-        """Takes a configuration that nobody is to hear of, as at the set-up."""
-        self._follower.offer_snapshot(cfg)
-
-    def _set_limits(self) -> None:
-        limits = {name: team.limit for name, team in self.cfg.teams.items()}
-        self.runner.set_limits(self.cfg.revision, limits)
-
-    def _ask_peers(self) -> None:
-        after = self.cfg.revision
-        for peer in self.world.peers(self.entry):
-            self.world.send(
-                self.entry,
-                peer,
-                partial(peer.control.tell, self.entry, after),
-            )
-
-    def tell(self, asker: VirtualEntry, after: Revision) -> None:
-        """Answers a peer with what it lacks, and how fresh that is."""
-        found = self._follower.catch_up(after)
-        confirmed_ms = self._confirmed_ms
-        self.world.send(
-            self.entry,
-            asker,
-            lambda: asker.control.hear(found, confirmed_ms),
-        )
-
-    def hear(self, found: CatchUp, confirmed_ms: int) -> None:
-        """Takes what a peer knows."""
-        if found.snapshot is not None:
-            self.offer(self._follower.offer_snapshot(found.snapshot))
-        self.offer(self._follower.offer_records(found.records))
-        self._confirmed_ms = max(confirmed_ms, self._confirmed_ms)
-
-    def _show_hosts(self) -> None:
-        shown = (self.cfg.revision, self.listed)
-        if self.cfg.revision == 0 or shown == self._shown:
+        if self._takeovers != stewardship.takeovers:
+            self._takeovers = stewardship.takeovers
+            self._ledger.begin(stewardship.at_version)
+        events = self._ledger.poll(0)
+        if events:
+            self._part.watched(LEDGER_PREFIX, events)
+
+    def _show_hosts(self, cfg: Configuration) -> None:
+        shown = (cfg.revision, self.listed)
+        if cfg.revision == 0 or shown == self._shown:
             return
         self._shown = shown
-        pools = by_pool(self.cfg, self.listed)
-        everything = {name: pools.get(name, ()) for name in (*self.cfg.pools, *pools)}
-        self.world.placed(everything)
-        self.entry.handle(HostsListed({PoolName(k): v for k, v in everything.items()}))
-
-    # -- duty and units ---------------------------------------------------------
-
-    def _hold_duty(self) -> None:
-        news = self._duty.step(self.world.now_ms)
-        match news:
-            case DutyNews.GAINED if self.runner.is_active:
-                self.runner.extend(Millis(self._duty.until_ms))
-            case DutyNews.GAINED:
-                if self.runner.begin() is not None:
-                    self._duty.give_up()
-                    return
-                self._set_limits()
-                self.runner.extend(Millis(self._duty.until_ms))
-            case DutyNews.RENEWED:
-                self.runner.extend(Millis(self._duty.until_ms))
-
-    def _work_as_steward(self) -> None:
-        if not self.runner.is_active:
-            return
-        watched = self.store.watch(
-            LEDGER_PREFIX, after_version=self.runner.at_version, timeout_ms=0
-        )
-        if isinstance(watched, Success):
-            self.runner.watched(watched.unwrap().events)
-        self.runner.tick()
-        term = self.runner.term
-        if term is None:
-            return
-        for peer in (self.entry, *self.world.peers(self.entry)):
-            if peer.zone == self.entry.zone:
-                self.world.send(
-                    self.entry,
-                    peer,
-                    partial(peer.control.follow, self.entry, term),
-                )
-
-    def follow(self, steward: VirtualEntry, term: Term) -> None:
-        """Reports to the steward of this term from now on."""
-        holding = self.entry.serving.holding
-        if term < holding.term or (steward is self._steward and term == holding.term):
-            return
-        self._steward = steward
-        self.entry.handle(TermFollowed(term))
-
-    def send_report(self, report: UnitsReport) -> None:
-        """Sends what this entry uses and wants to its steward."""
-        steward = self._steward
-        if steward is not None:
-            self.world.send(
-                self.entry,
-                steward,
-                lambda: steward.control.take_report(self.entry, report),
-            )
-
-    def take_report(self, sender: VirtualEntry, report: UnitsReport) -> None:
-        """Answers a report as steward."""
-        grant = self.runner.report(report)
-        if grant is not None:
-            arrived = GrantArrived(grant)
-            self.world.send(self.entry, sender, lambda: sender.handle(arrived))
-
-    def send_usage(self, usage: UsageArrived) -> None:
-        """Sends usage sums to all other entries."""
-        for peer in self.world.peers(self.entry):
-            self.world.send(self.entry, peer, partial(peer.handle, usage))
-
-    def stop(self) -> None:
-        """Gives the duty up."""
-        self.runner.end()
-        self._duty.give_up()
+        pools = dict.fromkeys(cfg.pools, ()) | dict(by_pool(cfg, self.listed))
+        self.world.placed(pools)
+        self.entry.handle(HostsListed(pools))
--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -57,12 +57,19 @@
     Request,
 )
 from ..domain.requests.tracked import RequestKey
-from ..domain.serving import LeaveBegun, SendReport, SendUsage, Serving, ServingParts
-from ..domain.serving.messages import UsageArrived
+from ..domain.serving import (
+    LeaveBegun,
+    SendHostNews,
+    SendReport,
+    SendUsage,
+    Serving,
+    ServingParts,
+)
 from ..entry.rules import selects
 from ..platform.store import Conflict, EffectUnknown, Versioned
 from .conducting import Conducting
-from .control import Control
+from .control import VirtualControl
+from .links import VirtualLinks
 from .work import NoOutcome
 
 if TYPE_CHECKING:
@@ -112,7 +119,8 @@
         self._open: set[AttemptId] = set()
         self._refs = 0
         self._leave_by_ms = 0
-        self.control = Control(world, self)
+        self.links = VirtualLinks(world, self)
+        self.control = VirtualControl(world, self)
         self.conducting = Conducting(world, self)
 
     # -- life -------------------------------------------------------------------
@@ -138,6 +146,7 @@
     def kill(self) -> None:
         """Ends this run at once; callers see their connections break."""
         self.is_alive = self.is_ready = False
+        self.links.break_all()
         waiters, self._waiters = self._waiters, {}
         for tell in waiters.values():
             tell(NoOutcome.BROKEN)
@@ -326,10 +335,8 @@
                 )
             case Finish(request=request, outcome=outcome):
                 self._finish(request, outcome)
-            case SendReport(report=report):
-                self.control.send_report(report)
-            case SendUsage(frame=frame):
-                self.control.send_usage(UsageArrived(frame))
+            case SendReport() | SendUsage() | SendHostNews():
+                self.control.put(effect)
             case StopTask() | CheckpointTask() | RenewLeases():
                 self._order(effect)
 
--- a/src/amaranthtray/scenarios/steps.py
+++ b/src/amaranthtray/scenarios/steps.py
@@ -12,6 +12,7 @@
     CHANGES,
     AddKey,
     Change,
+    Configuration,
     PlaceHosts,
     PutPool,
     PutQueue,
@@ -26,6 +27,7 @@
 from ..domain.configuration.log import ChangeConflict
 from ..domain.errors import Problem, ProblemError
 from ..domain.ids import (
+    EntryId,
     HostId,
     OperationId,
     QueueName,
@@ -39,6 +41,8 @@
 from ..domain.placement import desired_pools
 from ..domain.requests.model import OPEN_TEAM
 from ..domain.requests.tracked import RequestKey
+from ..entry.rules import configuration_rules
+from ..platform.config_log import ConfigLog
 from ..platform.store import EffectUnknown
 from .history import Call
 from .model import (
@@ -94,6 +98,7 @@
             for number, key in enumerate(scenario.document.key)
         }
         self._named: dict[str, Work] = {}
+        self._start = Configuration()
         self._requests = 0
         self._operations = 0
 
@@ -123,30 +128,25 @@
             minted = self._keys[key.name]
             team = TeamKey(minted.key_id, key.team, minted.digest)  # type: ignore[arg-type]
             changes.append(AddKey(team))
-        self.world.start_entry("setup", "")
-        entry = self.world.entries.pop("setup")
-        entry.is_alive = False
-        for batch in (changes, None):
-            found = batch if batch is not None else self._places(entry)
-            done = entry.control.log.commit(
-                entry.control.cfg,
-                found,
-                op_id=self._operation(),
-                operator=OPERATOR,
-            )
-            if isinstance(done, Failure):
-                self._refuse_start(done.failure())
-            entry.control.offer_quietly(done.unwrap().cfg)
-            self.world.note_commits()
-
-    def _places(self, entry: VirtualEntry) -> list[Change]:
-        wanted = desired_pools(entry.control.cfg, self.world.listed())
-        return [PlaceHosts(dict(wanted))]
+        self._commit_start(changes)
+        hosts = self.world.listed()
+        self._commit_start([PlaceHosts(dict(desired_pools(self._start, hosts)))])
+
+    def _commit_start(self, changes: Sequence[Change]) -> None:
+        rules = configuration_rules(self.world.listed)
+        store = self.world.platform.client(OPERATOR)
+        log = ConfigLog(store, entry=EntryId(OPERATOR), rules=rules)
+        op_id = self._operation()
+        done = log.commit(self._start, changes, op_id=op_id, operator=OPERATOR)
+        self.world.note_commits()
+        if isinstance(done, Failure):
+            raise self._refuse_start(done.failure())
+        self._start = done.unwrap().cfg
 
-    def _refuse_start(self, failure: CommitFailure) -> None:
+    def _refuse_start(self, failure: CommitFailure) -> ProblemError:
         name = self.scenario.name
         fix = "mend the teams, pools, queues and keys of the file"
-        raise ProblemError(Problem(STEP, name, str(failure), name, fix))
+        return ProblemError(Problem(STEP, name, str(failure), name, fix))
 
     def _operation(self) -> OperationId:
         self._operations += 1
@@ -194,7 +194,7 @@
             )
             return
         if isinstance(done, Success):
-            control.offer_snapshot(done.unwrap().cfg)
+            control.view.offer_snapshot(done.unwrap().cfg)
         found = _told(done)
         if found != commit.expect and commit.expect == "committed":
             fix = "mend the change, or state what is expected"
--- a/src/amaranthtray/scenarios/world.py
+++ b/src/amaranthtray/scenarios/world.py
@@ -289,10 +289,6 @@
 
     # -- entries ----------------------------------------------------------------
 
-    def peers(self, entry: VirtualEntry) -> list[VirtualEntry]:
-        """Returns all other entries that are not known to have ended."""
-        return [item for item in self.entries.values() if item is not entry]
-
     def send(
         self, sender: VirtualEntry, receiver: VirtualEntry, act: Callable[[], Any]
     ) -> None:
