--- a/src/amaranthtray/scenarios/conducting.py
+++ b/src/amaranthtray/scenarios/conducting.py
@@ -72,7 +72,7 @@
         """Takes a report of a host, or news of its health."""
         for pool in list(self._conductors):
             if isinstance(message, HealthChanged) and message.cause is not None:
-                self.world.know_out(self._pool_of(message.host), message)
+                self.world.observer.know_out(self._pool_of(message.host), message)
             self._deliver(pool, message)
 
     def stop(self) -> None:
@@ -93,7 +93,9 @@
                 self._deliver(pool, DutyGained(duty.term, until_ms))
                 causes: dict[HostId, OutCause] = dict(self.world.maintenance.failed)
                 for host, cause in causes.items():
-                    self.world.know_out(self._pool_of(host), HealthChanged(host, cause))
+                    self.world.observer.know_out(
+                        self._pool_of(host), HealthChanged(host, cause)
+                    )
                 self._deliver(pool, HealthListed(causes))
             case DutyNews.RENEWED:
                 self._deliver(pool, DutyRenewed(duty.term, until_ms))
@@ -199,7 +201,7 @@
             operator="conductor",
             permit=permit,
         )
-        self.world.note_commits()
+        self.world.observer.note_commits()
         if isinstance(done, Success):
             control.view.offer_snapshot(done.unwrap().cfg)
         elif isinstance(done.failure(), Problem):
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -109,7 +109,7 @@
         """Puts a configuration in force."""
         entry = self.entry
         now_ms = self.world.now_ms
-        self.world.applied(
+        self.world.observer.applied(
             ConfigApplied(now_ms, entry.name, entry.incarnation, cfg.revision)
         )
         teams = {
@@ -176,5 +176,5 @@
             return
         self._shown = shown
         pools = dict.fromkeys(cfg.pools, ()) | dict(by_pool(cfg, self.listed))
-        self.world.placed(pools)
+        self.world.observer.placed(pools)
         self.entry.handle(HostsListed(pools))
--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -173,7 +173,7 @@
         self.control.stop()
         self.conducting.stop()
         self.kill()
-        self.world.update_reach()
+        self.world.observer.update_reach()
 
     def _arm(self) -> None:
         wake_ms = max(self.serving.next_wake_ms(), self.world.now_ms + 1)
