Stand the control part on the proven peer state machine

Cause: membership, heartbeats, configuration spreading and zone reports stood twice, once proven in peers and once in the entry. The entry's own copies are gone. A new steward's heartbeat now goes out at once, and the units of a replaced run are freed when its next run is heard.

--- a/src/amaranthtray/entry/admin_view.py
+++ b/src/amaranthtray/entry/admin_view.py
@@ -111,7 +111,7 @@
             "configuration_age_ms": context.view.age_ms,
             "zones": {z: int(r) for z, r in control.zones.revisions().items()},
             "steward_term": int(control.stewardship.term),
-            "peers": sorted(peer.entry for peer in control.peers.all()),
+            "peers": sorted(control.peers.members.links),
             "pools": len(cfg.pools),
             "teams": len(cfg.teams),
             "hosts": len(context.hosts.hosts()),
--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -8,7 +8,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from ...domain.ids import EntryId, HostId, Incarnation, Millis, Revision, Term
+from returns.result import Success
+
+from ...domain.ids import EntryId, HostId, Millis, Revision, Term
 from ...domain.limits.ledger import LEDGER_PREFIX
 from ...domain.limits.messages import UnitsGrant, UnitsReport
 from ...domain.serving import (
@@ -20,37 +22,32 @@
     ServingSettings,
     SourceEnded,
     TermFollowed,
-    UsageArrived,
-)
-from ...domain.shares import UsageFrame, UsageRelay
-from ...peers.events import DialFailed, LinkDown, LinkUp, PeerEvent, Received
-from ...peers.messages import (
-    ConfigRecords,
-    ConfigWanted,
-    Heartbeat,
-    HostNews,
-    Member,
-    ZoneRevision,
 )
+from ...domain.shares import UsageFrame
+from ...peers.control import Applied, Deliver, PeerControl
+from ...peers.events import Dial, HangUp, LinkUp, PeerEvent, Send
+from ...peers.messages import HostNews, Member, MemberList
+from ...platform.registry import PREFIX as MEMBER_PREFIX
+from ...platform.registry import EntryRegistry
 from ...platform.store import Store
 from ..config_view import ConfigView
-from .config_sync import ConfigSync
-from .members import MEMBER_PREFIX, MemberList, Registration
-from .peer_table import PeerTable
 from .ports import Links, ServingPort
 from .stewardship import Stewardship
-from .zone_status import ZoneStatus
+from .usage_exchange import UsageExchange
+from .zone_board import ZoneBoard
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ...peers.control import ControlCommand
     from ...platform.store import WatchEvent
-    from .peer_table import Peer
 
-HEARTBEAT_MS = 1_000
-ZONE_REPORT_MS = 1_000
-DIAL_AGAIN_MS = 2_000
 RELAY_MS = 1_000
-WANTED_LINK_MS = 60_000
-IDLE_CHECKS = 2
+JOIN_MS = 2_000
+"""Time for links to come up before a duty that is free is taken."""
+
+PLATFORM_SILENT_MS = 12_000
+"""Age of the platform's last word after which it counts as away."""
 
 ControlInput: TypeAlias = PeerEvent | SendReport | SendUsage | SendHostNews
 
@@ -87,9 +84,8 @@
 
     def __init__(self, parts: ControlParts) -> None:
         own = parts.member
-        self.members = MemberList(parts.store, own.entry)
-        self.peers = PeerTable(own.zone)
-        self.zones = ZoneStatus()
+        self.peers = PeerControl(own, follower=parts.view.follower, rng=parts.rng)
+        self.zones = ZoneBoard()
         self.stewardship = Stewardship(
             own.entry,
             own.incarnation,
@@ -103,19 +99,22 @@
         self.is_leaving = False
         self._parts = parts
         self._own = own
-        self._registration = Registration(own, parts.store, parts.clock)
-        self._sync = ConfigSync(parts.view, parts.links)
-        self._near_usage = self._relay("near")
-        self._far_usage = self._relay("far")
+        self._registry = EntryRegistry(own, store=parts.store, clock=parts.clock)
+        self._usage = UsageExchange(
+            own,
+            self.peers,
+            parts.links,
+            parts.serving,
+            fresh_ms=parts.settings.shares.fresh_ms,
+        )
         self._inputs: deque[ControlInput] = deque()
-        self._dialed_ms: dict[EntryId, int] = {}
-        self._wanted_until_ms: dict[EntryId, int] = {}
+        self._wanted: deque[EntryId] = deque()
         self._followed = Term(0)
-        self._idle_checks: dict[EntryId, int] = {}
-        self._due_ms: dict[str, int] = {}
+        self._pushed = parts.view.revision
+        self._relay_due_ms = 0
         self._started_ms = parts.clock()
 
-    # -- inputs, from any thread -------------------------------------------------
+    # -- from any thread ---------------------------------------------------------
 
     def put(self, message: ControlInput) -> None:
         """Queues an input for the next step."""
@@ -123,48 +122,51 @@
 
     def want_link(self, entry: EntryId) -> None:
         """Asks for a link to an entry of any zone, for a forwarded request."""
-        self._wanted_until_ms[entry] = self._parts.clock() + WANTED_LINK_MS
+        self._wanted.append(entry)
 
     # -- the owner's thread ------------------------------------------------------
 
     def watched(self, prefix: str, events: list[WatchEvent]) -> None:
         """Takes changes that a watch reported."""
         if prefix == MEMBER_PREFIX:
-            self.members.watched(events)
-            self._members_changed()
+            self.read_members()
         elif prefix == LEDGER_PREFIX:
             self.stewardship.watched(events)
 
-    def read_members(self) -> bool:
-        """Reads the list of entries; false if the store is away."""
-        is_read = self.members.read()
-        if is_read:
-            self._members_changed()
-        return is_read
+    def read_members(self) -> int | None:
+        """Reads the list of entries; returns its store version, none on failure."""
+        listed = self._registry.members()
+        if not isinstance(listed, Success):
+            return None
+        members: MemberList = listed.unwrap()
+        self._note_replaced(members)
+        self._carry_out(self.peers.list_members(members))
+        self._parts.links.admit(self.peers.admission)
+        return members.at_version
 
     def step(self) -> None:
         """Takes the inputs and does what is due."""
+        while self._wanted:
+            self.peers.members.demand(self._wanted.popleft(), self._parts.clock())
         while self._inputs:
             self._take(self._inputs.popleft())
         if not self.is_leaving:
-            self._registration.step()
+            self._registry.run()
         now_ms = self._parts.clock()
+        self._note_platform(now_ms)
         self._work_as_steward(now_ms)
         self._follow_steward(now_ms)
-        self._drop_silent(now_ms)
-        self._push_configuration()
-        if self._is_due("heartbeat", HEARTBEAT_MS, now_ms):
-            self._send_heartbeats(now_ms)
-        if self._is_due("dial", DIAL_AGAIN_MS // 4, now_ms):
-            self._dial_missing(now_ms)
-        if self._is_due("idle", WANTED_LINK_MS, now_ms):
-            self._drop_idle_links(now_ms)
+        with self._parts.view.exclusive():
+            commands = self._spread(now_ms)
+            commands += self.peers.tick(now_ms)
+        self._carry_out(commands)
+        self.zones.put(self.peers.reach(Revision(0), now_ms))
 
     def leave(self) -> None:
         """Gives the duty and the registration back."""
         self.is_leaving = True
         self.stewardship.release()
-        self._registration.end()
+        self._registry.leave()
 
     # -- inputs ------------------------------------------------------------------
 
@@ -174,49 +176,85 @@
             case SendReport(report=report):
                 self._send_report(report, now_ms)
             case SendUsage(frame=frame):
-                self._send_usage(frame, now_ms)
+                self._usage.send(frame, now_ms)
             case SendHostNews(leaving=leaving):
-                self._send_host_news(frozenset(leaving))
-            case LinkUp(entry=entry, zone=zone, incarnation=incarnation):
-                self.peers.linked(entry, zone, incarnation, now_ms)
-                self._parts.links.send(entry, self._heartbeat())
-            case LinkDown(entry=entry):
-                self.peers.unlinked(entry)
-            case DialFailed():
-                pass
-            case Received(entry=entry, message=received):
-                self._receive(entry, received, now_ms)
-
-    def _receive(self, entry: EntryId, message: object, now_ms: Millis) -> None:
-        peer = self.peers.get(entry)
-        if peer is None:
-            self.refused += 1
-            return
-        match message:
-            case Heartbeat():
-                self._heard(peer, message, now_ms)
-            case ConfigWanted():
-                self._sync.wanted(entry, message)
-            case ConfigRecords():
-                self._sync.received(entry, message)
-            case UnitsReport():
-                self._answer_report(entry, message)
-            case UnitsGrant():
-                self._take_grant(peer, message)
-            case UsageFrame():
-                self._take_usage(peer, message, now_ms)
-            case ZoneRevision():
-                self._take_zone_report(peer, message)
-            case HostNews():
-                self._take_host_news(peer, message)
+                news = HostNews(leaving=leaving)
+                self._carry_out(self.peers.share_news(news, now_ms))
+            case LinkUp():
+                self._end_older_run(message)
+                self._handle(message, now_ms)
+            case _:
+                self._handle(message, now_ms)
+
+    def _handle(self, event: PeerEvent, now_ms: int) -> None:
+        with self._parts.view.exclusive():
+            commands = self.peers.handle(event, now_ms)
+        self._carry_out(commands)
+
+    def _end_older_run(self, event: LinkUp) -> None:
+        older = self.peers.members.links.get(event.entry)
+        if older is not None and older.incarnation != event.incarnation:
+            self._usage.drop(older.incarnation)
+            self.stewardship.note_gone(older.incarnation)
+            self._parts.serving.post(SourceEnded(older.incarnation))
+
+    def _note_replaced(self, listed: MemberList) -> None:
+        """Frees the units of runs of this zone that a later run has replaced."""
+        known = self.peers.members.members
+        for member in listed.members:
+            older = known.get(member.entry)
+            if older is not None and older.incarnation != member.incarnation:
+                self.stewardship.note_gone(older.incarnation)
+
+    def _carry_out(self, commands: Iterable[ControlCommand]) -> None:
+        links = self._parts.links
+        for command in commands:
+            match command:
+                case Send(to=entry, message=message):
+                    links.send(entry, message)
+                case Dial(entry=entry) if entry in self.peers.members.members:
+                    links.dial(self.peers.members.members[entry])
+                case HangUp(entry=entry):
+                    links.hang_up(entry)
+                case Applied(in_force=in_force):
+                    self._parts.view.announce(in_force)
+                case Deliver():
+                    self._deliver(command)
+
+    def _deliver(self, command: Deliver) -> None:
+        now_ms = self._parts.clock()
+        match command.message:
+            case UnitsReport() as report:
+                self._answer_report(command.entry, report)
+            case UnitsGrant() as grant:
+                self._take_grant(command, grant)
+            case UsageFrame() as frame:
+                self._usage.take(command.entry, frame, now_ms)
+            case HostNews(leaving=leaving):
+                hosts = tuple(HostId(host) for host in leaving)
+                self._parts.serving.post(HostsReported(hosts))
             case _:
                 self.refused += 1
 
-    def _heard(self, peer: Peer, beat: Heartbeat, now_ms: int) -> None:
-        self.peers.heartbeat(peer.entry, beat, now_ms)
-        self._sync.heartbeat(peer.entry, beat, now_ms)
-        if peer.zone == self._own.zone and beat.steward_term:
-            self.stewardship.heard(beat.steward_term)
+    # -- configuration -----------------------------------------------------------
+
+    def _note_platform(self, now_ms: int) -> None:
+        """Tells the peers' part how fresh the platform's word is."""
+        view = self._parts.view
+        if view.platform_age_ms <= PLATFORM_SILENT_MS:
+            self.peers.platform_seen(now_ms - view.platform_age_ms)
+        else:
+            self.peers.platform_lost()
+        view.confirm_by_peers(now_ms - self.peers.config_age_ms(now_ms))
+
+    def _spread(self, now_ms: int) -> list[ControlCommand]:
+        """Hands on what came into force from the platform or an own commit."""
+        view = self._parts.view
+        if view.revision <= self._pushed:
+            return []
+        records = self.peers.sync.follower.catch_up(self._pushed).records
+        self._pushed = view.revision
+        return self.peers.spread(records, now_ms)
 
     # -- limits ------------------------------------------------------------------
 
@@ -226,206 +264,50 @@
             if grant is not None:
                 self._parts.serving.post(GrantArrived(grant))
             return
-        steward = self.peers.own_steward(now_ms)
+        steward = self.peers.members.live_steward(self._own.zone, now_ms)
         if steward is not None:
-            self._parts.links.send(steward.entry, report)
+            self._parts.links.send(steward, report)
 
     def _answer_report(self, entry: EntryId, report: UnitsReport) -> None:
         grant = self.stewardship.report(report)
         if grant is not None:
             self._parts.links.send(entry, grant)
 
-    def _take_grant(self, peer: Peer, grant: UnitsGrant) -> None:
-        if peer.zone != self._own.zone or grant.term < self._followed:
+    def _take_grant(self, command: Deliver, grant: UnitsGrant) -> None:
+        is_near = command.zone == self._own.zone
+        if not is_near or self.peers.members.is_old_term(command.zone, grant.term):
             self.refused += 1
             return
         self._parts.serving.post(GrantArrived(grant))
 
-    def _work_as_steward(self, now_ms: int) -> None:
-        other = self.peers.own_steward(now_ms)
-        is_wanted = other is None and not self.is_leaving and self._may_take_duty()
+    def _work_as_steward(self, now_ms: Millis) -> None:
+        is_wanted = self._may_take_duty() and self.peers.wants_stewardship(now_ms)
         self.stewardship.step(self._parts.view.current, is_wanted=is_wanted)
-        if not self.stewardship.is_active:
-            return
-        if self._is_due("relay", RELAY_MS, now_ms):
-            self._relay_usage(Millis(now_ms))
-        if self._is_due("zone", ZONE_REPORT_MS, now_ms):
-            self._report_zone()
+        self.peers.set_steward_term(self.stewardship.term)
+        if self.stewardship.is_active and now_ms >= self._relay_due_ms:
+            self._relay_due_ms = now_ms + RELAY_MS
+            self._usage.relay(now_ms)
 
     def _may_take_duty(self) -> bool:
         """Lets links to a steward that is already there come up first."""
-        alone = not any(m.zone == self._own.zone for m in self.members.others())
-        waited_ms = self._parts.clock() - self._started_ms
-        return self.members.at_version is not None and (
-            alone or waited_ms >= DIAL_AGAIN_MS
-        )
+        members = self.peers.members
+        if self.is_leaving or members.at_version < 0:
+            return False
+        mates = [
+            one
+            for one in members.members.values()
+            if one.zone == self._own.zone and one.entry != self._own.entry
+        ]
+        return not mates or self._parts.clock() >= self._started_ms + JOIN_MS
 
     def _follow_steward(self, now_ms: int) -> None:
-        other = self.peers.own_steward(now_ms)
-        term = max(self.stewardship.term, other.term if other else Term(0))
+        members = self.peers.members
+        steward = members.live_steward(self._own.zone, now_ms)
+        term = self.stewardship.term
+        if steward is not None and steward != self._own.entry:
+            seen = members.stewards[self._own.zone].term
+            self.stewardship.heard(seen)
+            term = max(term, seen)
         if term > self._followed:
             self._followed = term
             self._parts.serving.post(TermFollowed(term))
-
-    # -- usage sums --------------------------------------------------------------
-
-    def _relay(self, name: str) -> UsageRelay:
-        """Returns a relay of this run; its name tells it from entries and others."""
-        own = self._own
-        source = Incarnation(f"{name}/{own.zone}/{own.incarnation}")
-        return UsageRelay(source, fresh_ms=self._parts.settings.shares.fresh_ms)
-
-    def _send_usage(self, frame: UsageFrame, now_ms: Millis) -> None:
-        self._near_usage.take(frame, now_ms)
-        for peer in self.peers.near():
-            self._parts.links.send(peer.entry, frame)
-
-    def _take_usage(self, peer: Peer, frame: UsageFrame, now_ms: Millis) -> None:
-        if peer.zone != self._own.zone:
-            self._far_usage.take(frame, now_ms)
-            return
-        if frame.source == peer.incarnation:
-            self._near_usage.take(frame, now_ms)
-        self._parts.serving.post(UsageArrived(frame))
-
-    def _relay_usage(self, now_ms: Millis) -> None:
-        """Tells other zones of this one, and this zone's entries of the others."""
-        outward = self._near_usage.frame(now_ms)
-        for steward in self.peers.stewards(now_ms):
-            self._parts.links.send(steward.entry, outward)
-        inward = self._far_usage.frame(now_ms)
-        self._parts.serving.post(UsageArrived(inward))
-        for peer in self.peers.near():
-            self._parts.links.send(peer.entry, inward)
-
-    # -- configuration -----------------------------------------------------------
-
-    def _push_configuration(self) -> None:
-        revision = self._parts.view.revision
-        for peer in self.peers.all():
-            known = max(peer.revision, peer.pushed)
-            if known < revision and known > 0:
-                self._sync.push(peer.entry, Revision(known))
-                peer.pushed = revision
-
-    def _report_zone(self) -> None:
-        near = {peer.entry: peer for peer in self.peers.near()}
-        registered = [
-            member.entry
-            for member in self.members.in_zone(self._own.zone)
-            if member.entry != self._own.entry
-        ]
-        report = self.zones.own_report(
-            self._own.zone,
-            self.stewardship.term,
-            self._parts.view.revision,
-            registered,
-            near,
-        )
-        self.zones.take(report)
-        for peer in self.peers.all():
-            self._parts.links.send(peer.entry, report)
-
-    def _take_zone_report(self, peer: Peer, report: ZoneRevision) -> None:
-        if not self.zones.take(report) or not self.stewardship.is_active:
-            return
-        if peer.zone != self._own.zone:
-            for near in self.peers.near():
-                self._parts.links.send(near.entry, report)
-
-    # -- hosts -------------------------------------------------------------------
-
-    def _send_host_news(self, leaving: frozenset[HostId]) -> None:
-        news = HostNews(leaving=tuple(sorted(leaving)))
-        for peer in self.peers.all():
-            self._parts.links.send(peer.entry, news)
-
-    def _take_host_news(self, peer: Peer, news: HostNews) -> None:
-        self._parts.serving.post(HostsReported(news.leaving))
-        if self.stewardship.is_active and peer.zone != self._own.zone:
-            for near in self.peers.near():
-                self._parts.links.send(near.entry, news)
-
-    # -- links -------------------------------------------------------------------
-
-    def _members_changed(self) -> None:
-        self._parts.links.admit(self.members.admission())
-        self.zones.know(self.members.zones())
-        for peer in self.peers.all():
-            member = self.members.get(peer.entry)
-            if member is not None and member.incarnation != peer.incarnation:
-                self._parts.serving.post(SourceEnded(peer.incarnation))
-                self._parts.links.hang_up(peer.entry)
-
-    def _dial_missing(self, now_ms: int) -> None:
-        for member in self.members.others():
-            if self.peers.get(member.entry) is not None:
-                continue
-            last_ms = self._dialed_ms.get(member.entry, now_ms - DIAL_AGAIN_MS)
-            is_due = now_ms - last_ms >= DIAL_AGAIN_MS
-            if is_due and self._should_link(member, now_ms):
-                self._dialed_ms[member.entry] = now_ms
-                self._parts.links.dial(member)
-
-    def _should_link(self, member: Member, now_ms: int) -> bool:
-        """Full mesh in a zone; between zones stewards, and what is asked for."""
-        if member.zone == self._own.zone or self._is_wanted(member.entry, now_ms):
-            return True
-        return self.stewardship.is_active and self._is_gateway(member, now_ms)
-
-    def _is_wanted(self, entry: EntryId, now_ms: int) -> bool:
-        return now_ms < self._wanted_until_ms.get(entry, now_ms)
-
-    def _is_gateway(self, member: Member, now_ms: int) -> bool:
-        """Returns whether a member is the one to reach its zone through.
-
-        That is its steward where it is known, else each member in its turn.
-        """
-        linked = [peer for peer in self.peers.all() if peer.zone == member.zone]
-        if any(peer.term for peer in linked):
-            return False
-        hints = {peer.follows for peer in linked if peer.follows is not None}
-        if hints:
-            return member.entry in hints
-        names = sorted(item.entry for item in self.members.in_zone(member.zone))
-        turn = now_ms // (2 * DIAL_AGAIN_MS) % len(names)
-        return names[turn] == member.entry
-
-    def _drop_idle_links(self, now_ms: int) -> None:
-        """Ends links to other zones that neither side needs any more."""
-        for peer in self.peers.all():
-            is_near = peer.zone == self._own.zone
-            if is_near or peer.term or self._is_wanted(peer.entry, now_ms):
-                continue
-            gateway = any(
-                other.term for other in self.peers.all() if other.zone == peer.zone
-            )
-            if gateway or not self.stewardship.is_active:
-                self._idle_checks[peer.entry] = self._idle_checks.get(peer.entry, 0) + 1
-            if self._idle_checks.get(peer.entry, 0) > IDLE_CHECKS:
-                del self._idle_checks[peer.entry]
-                self._parts.links.hang_up(peer.entry)
-
-    def _drop_silent(self, now_ms: int) -> None:
-        for entry in self.peers.silent(now_ms):
-            self.peers.unlinked(entry)
-            self._parts.links.hang_up(entry)
-
-    def _send_heartbeats(self, now_ms: int) -> None:
-        beat = self._heartbeat()
-        for peer in self.peers.all():
-            self._parts.links.send(peer.entry, beat)
-
-    def _heartbeat(self) -> Heartbeat:
-        view = self._parts.view
-        steward = self.peers.own_steward(self._parts.clock())
-        follows = steward.entry if steward else None
-        if self.stewardship.term:
-            follows = self._own.entry
-        return Heartbeat(view.revision, self.stewardship.term, 0, view.age_ms, follows)
-
-    def _is_due(self, what: str, every_ms: int, now_ms: int) -> bool:
-        if now_ms < self._due_ms.get(what, 0):
-            return False
-        self._due_ms[what] = now_ms + every_ms
-        return True
--- a/src/amaranthtray/entry/control_task.py
+++ b/src/amaranthtray/entry/control_task.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from .control.members import MEMBER_PREFIX
+from ..platform.registry import PREFIX as MEMBER_PREFIX
 from .control.stewardship import LEDGER_PREFIX
 from .control.watches import PrefixWatch
 from .worker_thread import WorkerThread
@@ -77,8 +77,9 @@
             return
         if self._steps % 5 and self._steps > 5 and not is_due:
             return
-        if self.control.read_members():
-            self.members.watch.begin(self.control.members.at_version or 0)
+        at_version = self.control.read_members()
+        if at_version is not None:
+            self.members.watch.begin(at_version)
 
     def _follow_ledger(self) -> None:
         """Watches the ledger from where each takeover has read it."""
--- a/src/amaranthtray/entry/pulse_task.py
+++ b/src/amaranthtray/entry/pulse_task.py
@@ -49,7 +49,7 @@
         metrics.gauge(Metric.SLOTS_IN_USE, desk.held_attempts)
         metrics.gauge(Metric.CONFIGURATION_REVISION, int(self._view.revision))
         control = self._control.control
-        metrics.gauge(Metric.PEERS_CONNECTED, len(control.peers.all()))
+        metrics.gauge(Metric.PEERS_CONNECTED, len(control.peers.members.links))
         metrics.gauge(Metric.DUTIES_HELD, int(control.stewardship.holds_duty))
         self._note_stewardship()
         self._observer.flush()
--- a/src/amaranthtray/peers/control.py
+++ b/src/amaranthtray/peers/control.py
@@ -137,8 +137,14 @@
         return self._reports.reach(revision, zones | {self.own.zone}, now_ms)
 
     def set_steward_term(self, term: Term | None) -> None:
-        """Notes that this entry took or lost its zone's steward duty."""
-        self.members.steward_term = term or Term(0)
+        """Notes that this entry took or lost its zone's steward duty.
+
+        The next beat is then due at once: the zone waits for it.
+        """
+        held = term or Term(0)
+        if held != self.members.steward_term:
+            self.members.steward_term = held
+            self._beat_at_ms = 0
 
     def handle(self, event: PeerEvent, now_ms: int) -> list[ControlCommand]:
         """Takes an event of the hub."""
@@ -183,6 +189,11 @@
         in_force = InForce(followed.records + adopted.records, adopted.adopted)
         return self._applied(in_force, list(self.members.links), now_ms)
 
+    def spread(self, records: Sequence[Record], now_ms: int) -> list[ControlCommand]:
+        """Pushes records that another owner of the follower put in force."""
+        self._beat_at_ms = now_ms
+        return list(self.sync.push(records, list(self.members.links)))
+
     def share_news(self, news: HostNews, now_ms: int) -> list[ControlCommand]:
         """Tells all peers what this entry learned from a backend server."""
         novel = self._news.take(news, now_ms)
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -13,12 +13,12 @@
 from ..domain.serving.messages import TeamTerms
 from ..entry.config_view import ConfigView
 from ..entry.control import Control, ControlParts
-from ..entry.control.members import MEMBER_PREFIX
 from ..entry.control.watches import PrefixWatch
 from ..entry.host_list import by_pool
 from ..entry.rules import configuration_rules
 from ..peers.messages import Member
 from ..platform.config_log import ConfigFeed, ConfigLog
+from ..platform.registry import PREFIX as MEMBER_PREFIX
 from ..platform.settled import SettledStore
 
 if TYPE_CHECKING:
@@ -33,24 +33,6 @@
 STEP_MS = 100
 
 
-class _View(ConfigView):
-    """A view whose age is counted on the scenario's clock."""
-
-    def __init__(self, control: VirtualControl) -> None:
-        self._world = control.world
-        self._confirmed_ms = control.world.now_ms
-        super().__init__(control.apply)
-
-    @property
-    def age_ms(self) -> int:
-        """Returns how long the configuration has not been confirmed."""
-        return self._world.now_ms - self._confirmed_ms
-
-    def confirm(self, confirmed_ms: int) -> None:
-        """Records that nothing newer existed at that moment."""
-        self._confirmed_ms = max(confirmed_ms, self._confirmed_ms)
-
-
 class VirtualControl:
     """Everything that one run of an entry does besides serving requests."""
 
@@ -59,7 +41,7 @@
         self.entry = entry
         self.store = world.store_of(entry.name)
         self.listed: list[Host] = []
-        self.view = _View(self)
+        self.view = ConfigView(self.apply, clock=lambda: world.now_ms)
         settled = SettledStore(self.store)
         rules = configuration_rules(lambda: self.listed)
         self.log = ConfigLog(settled, entry=entry.name, rules=rules)
@@ -152,8 +134,10 @@
                 self.view.confirm(asked_ms)
 
     def _follow_members(self) -> None:
-        if self._members.needs_read and self._part.read_members():
-            self._members.begin(self._part.members.at_version or 0)
+        if self._members.needs_read:
+            at_version = self._part.read_members()
+            if at_version is not None:
+                self._members.begin(at_version)
         events = self._members.poll(0)
         if events:
             self._part.watched(MEMBER_PREFIX, events)
