--- a/src/amaranthtray/bench/_limits_meter.py
+++ b/src/amaranthtray/bench/_limits_meter.py
@@ -8,12 +8,18 @@
 import cbor2
 
 from ..domain.ids import TeamName
-from ..domain.limits import EscrowTiming, RowSeen, UnitsGrant, UnitsReport
-from ._limits_world import Faults, LimitsWorld
+from ..domain.limits import (
+    EscrowTiming,
+    RecordSeen,
+    RowSeen,
+    UnitsGrant,
+    UnitsReport,
+)
+from ._limits_parts import Faults
+from ._limits_world import LimitsWorld
 
 if TYPE_CHECKING:
-    from ..domain.limits import StoreResult
-    from ._limits_world import Process
+    from ._limits_parts import Process
 
 STEP_MS = 250
 NO_FAULTS = Faults(0, 0, 0, 0, 0, 0)
@@ -77,11 +83,9 @@
         self.grant_bytes += encoded_size(grant)
         super()._take_grant(process, grant)
 
-    def _notify(self, result: StoreResult) -> None:
-        if isinstance(result, RowSeen):
-            self.watch_bytes += len(result.row.encode())
-        else:
-            self.watch_bytes += len(result.record.encode())  # type: ignore[union-attr]
+    def _notify(self, result: RowSeen | RecordSeen) -> None:
+        value = result.row if isinstance(result, RowSeen) else result.record
+        self.watch_bytes += len(value.encode())
         super()._notify(result)
 
 
--- a/src/amaranthtray/bench/_limits_schedule.py
+++ b/src/amaranthtray/bench/_limits_schedule.py
@@ -8,7 +8,8 @@
 
 from ..domain.ids import TeamName
 from ..domain.invariants.running import LimitsHold
-from ._limits_world import Faults, LimitsWorld
+from ._limits_parts import Faults
+from ._limits_world import LimitsWorld
 
 if TYPE_CHECKING:
     from ..domain.invariants.observations import Observation
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,7 +5,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from amaranthtray.bench._limits_world import Faults, LimitsWorld
+from amaranthtray.bench._limits_parts import Faults
+from amaranthtray.bench._limits_world import LimitsWorld
 from amaranthtray.domain.budgets import Ledger, Location, Order, OutCause
 from amaranthtray.domain.configuration import (
     Budget,
--- a/tests/limits/test_escrow_machine.py
+++ b/tests/limits/test_escrow_machine.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from amaranthtray.bench._limits_world import Faults, LimitsWorld, Process
+from amaranthtray.bench._limits_parts import Faults, Process
+from amaranthtray.bench._limits_world import LimitsWorld
 from amaranthtray.domain.ids import TeamName
 from amaranthtray.domain.invariants import Watchdog
 
