--- a/src/amaranthtray/domain/serving/serving.py
+++ b/src/amaranthtray/domain/serving/serving.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import random
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
-from ..ids import EntryId, Incarnation, ZoneId
 from ..limits.entry_holding import EntryHolding
 from ..limits.messages import GrantVerdict
 from ..requests.desk import RequestDesk
@@ -32,13 +29,14 @@
 from .settings import ServingSettings
 
 if TYPE_CHECKING:
-    from ..ids import AttemptId, HostId
+    import random
+
+    from ..ids import AttemptId, EntryId, HostId, Incarnation, Millis, ZoneId
     from ..requests.messages import DeskEffect
     from .messages import ServingEffect, ServingMessage
 
 
-@dataclass(frozen=True, slots=True)
-class ServingParts:
+class ServingParts(NamedTuple):
     """Who serves.
 
     Attributes:
@@ -148,8 +146,8 @@
         held_back = any(self.book.open_slots(pool) > 0 for pool in waiting)
         self._look_again_ms = now_ms + self.cfg.hold_back_ms if held_back else None
         if now_ms >= self._report_due_ms:
-            self._report_due_ms = now_ms + self.cfg.report_ms
-            effects.append(self._report(now_ms))
+            self._report_due_ms = now_ms + self.cfg.escrow.urgent_report_ms
+            effects.extend(self._report(now_ms))
             effects.extend(self._host_news())
         if now_ms >= self._frame_due_ms:
             self._frame_due_ms = now_ms + self.cfg.shares.period_ms
@@ -170,10 +168,12 @@
                 self.book.note_leaving(worker, now_ms)
         self._leaving |= frozenset(hosts)
 
-    def _report(self, now_ms: Millis) -> SendReport:
+    def _report(self, now_ms: Millis) -> list[ServingEffect]:
         for team, waiting in self.desk.demand().items():
             self._limits.note_demand(team, waiting, now_ms)
-        return SendReport(self.holding.report(now_ms))
+        if not self.holding.is_report_due(now_ms):
+            return []
+        return [SendReport(self.holding.report(now_ms))]
 
     def _checked(self, effect: DeskEffect, now_ms: Millis) -> list[ServingEffect]:
         """Keeps leases from being renewed that no unit covers any more."""
--- a/src/amaranthtray/entry/control/peer_table.py
+++ b/src/amaranthtray/entry/control/peer_table.py
@@ -65,7 +65,7 @@
         peer.heard_ms = now_ms
         peer.revision = max(peer.revision, beat.revision)
         peer.term = beat.steward_term
-        peer.follows = beat.follows
+        peer.follows = beat.steward
 
     def get(self, entry: EntryId) -> Peer | None:
         """Returns a linked entry."""
