--- a/tests/requests/test_retries.py
+++ b/tests/requests/test_retries.py
@@ -20,6 +20,7 @@
 from amaranthtray.domain.requests.model import (
     Answered,
     NotRun,
+    NotRunReason,
     Outcome,
     Request,
     Unknown,
@@ -121,3 +122,4 @@
     run.submit(request(2))
     (refused,) = run.outcomes
     assert isinstance(refused, NotRun)
+    assert refused.reason is NotRunReason.NO_HOST
