--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -57,11 +57,19 @@
     Request,
 )
 from ..domain.requests.tracked import RequestKey
-from ..domain.serving import LeaveBegun, SendReport, SendUsage, Serving, ServingParts
-from ..domain.serving.messages import UsageArrived
+from ..domain.serving import (
+    LeaveBegun,
+    SendHostNews,
+    SendReport,
+    SendUsage,
+    Serving,
+    ServingParts,
+)
 from ..entry.rules import selects
 from ..platform.store import Conflict, EffectUnknown, Versioned
-from .control import Control
+from .conducting import Conducting
+from .control import VirtualControl
+from .links import VirtualLinks
 from .work import NoOutcome
 
 if TYPE_CHECKING:
@@ -111,7 +119,9 @@
         self._open: set[AttemptId] = set()
         self._refs = 0
         self._leave_by_ms = 0
-        self.control = Control(world, self)
+        self.links = VirtualLinks(world, self)
+        self.control = VirtualControl(world, self)
+        self.conducting = Conducting(world, self)
 
     # -- life -------------------------------------------------------------------
 
@@ -136,6 +146,7 @@
     def kill(self) -> None:
         """Ends this run at once; callers see their connections break."""
         self.is_alive = self.is_ready = False
+        self.links.break_all()
         waiters, self._waiters = self._waiters, {}
         for tell in waiters.values():
             tell(NoOutcome.BROKEN)
@@ -160,8 +171,9 @@
 
     def _stop(self) -> None:
         self.control.stop()
+        self.conducting.stop()
         self.kill()
-        self.world.update_reach()
+        self.world.observer.update_reach()
 
     def _arm(self) -> None:
         wake_ms = max(self.serving.next_wake_ms(), self.world.now_ms + 1)
@@ -323,10 +335,8 @@
                 )
             case Finish(request=request, outcome=outcome):
                 self._finish(request, outcome)
-            case SendReport(report=report):
-                self.control.send_report(report)
-            case SendUsage(frame=frame):
-                self.control.send_usage(UsageArrived(frame))
+            case SendReport() | SendUsage() | SendHostNews():
+                self.control.put(effect)
             case StopTask() | CheckpointTask() | RenewLeases():
                 self._order(effect)
 
