Refuse early what a team's limit delays past its deadline

Work that waited for a unit of its team's limit was accepted without bound and started too late to end in time, so most of it ended as unknown. Its place over the team's own units now bounds it, and nothing that waited starts with less time left than the mean slot time.

--- a/src/amaranthtray/bench/_requests_burst.py
+++ b/src/amaranthtray/bench/_requests_burst.py
@@ -14,8 +14,9 @@
 from ..domain.requests.settings import DeskSettings
 from ..domain.workers.book import WorkerBook
 from ..domain.workers.choice import Stripe
+from ._requests_entry import SimEntry
 from ._requests_faults import sim_host
-from ._requests_world import SimEntry, World
+from ._requests_world import World
 
 if TYPE_CHECKING:
     from ..domain.inventory import Host
--- a/src/amaranthtray/bench/_requests_faults.py
+++ b/src/amaranthtray/bench/_requests_faults.py
@@ -24,7 +24,8 @@
 from ..domain.requests.model import Request, WorkClass
 from ..domain.requests.ports import FirstComeShares
 from ..domain.workers.book import WorkerBook
-from ._requests_world import Fault, SimEntry, World
+from ._requests_entry import SimEntry
+from ._requests_world import Fault, World
 
 POOL = PoolName("web")
 TEAMS = (TeamName("red"), TeamName("blue"))
--- a/src/amaranthtray/bench/_requests_world.py
+++ b/src/amaranthtray/bench/_requests_world.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from ..domain.ids import AttemptId, HostId, Millis, RequestId
 from ..domain.invariants import (
-    AnswerGiven,
     HostLeaving,
     Observation,
-    RefusedNotRun,
     TaskEnded,
     TaskStarted,
 )
@@ -25,25 +22,20 @@
     BrokeAfterSend,
     Checkpointed,
     CheckpointTask,
-    Finish,
-    NothingSent,
     RefusedByHost,
     RenewLeases,
     SlotsFreed,
     StartAttempt,
     StopTask,
-    Tick,
-    TimedOut,
     WholeAnswer,
 )
-from ..domain.requests.model import Answered, NotRun, Request
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from ..domain.requests.desk import RequestDesk
-    from ..domain.requests.messages import DeskEffect, DeskMessage
+    from ..domain.requests.messages import DeskMessage
+    from ..domain.requests.model import Request
 
 LATE_REQUEST_MS = 400
 """Longest time for which bytes outlive their broken connection."""
@@ -67,12 +59,22 @@
     PAUSED = "paused"
 
 
+class Runtime(Protocol):
+    """The entry that an attempt came from."""
+
+    def give(self, message: DeskMessage) -> None:
+        """Hands a message to the desk."""
+
+    def end(self, attempt_id: AttemptId, result: AttemptResult) -> None:
+        """Reports the end of an attempt."""
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """A task as its backend server sees it."""
 
     start: StartAttempt
-    entry: SimEntry
+    entry: Runtime
     fault: Fault
     lease_until_ms: int
     ends_ms: int = 0
@@ -191,7 +193,7 @@
         del host.tasks[task.start.attempt_id]
         self.see(TaskEnded(self.now, task.start.attempt_id))
 
-    def stop_asked(self, entry: SimEntry, effect: StopTask) -> None:
+    def stop_asked(self, entry: Runtime, effect: StopTask) -> None:
         """A backend server is asked to stop a task and never to start it."""
         host = self.hosts[effect.host]
         if not host.is_alive or self.rng.random() < self.control_loss:
@@ -296,116 +298,3 @@
                 self.stop(host, task)
 
         self.at(task.lease_until_ms, lapse)
-
-
-class SimEntry:
-    """The runtime of one entry: carries out the effects of its desk.
-
-    Args:
-        world: The world.
-        desk: The desk.
-    """
-
-    def __init__(self, world: World, desk: RequestDesk) -> None:
-        self.world = world
-        self.desk = desk
-        self.finished: list[Finish] = []
-        self.paused_until_ms = 0
-        self._wake_ms: int | None = None
-        self._inbox: deque[DeskMessage] = deque()
-
-    def pause(self, ms: int) -> None:
-        """Stops the process for a time; what arrives waits."""
-        self.paused_until_ms = self.world.now + ms
-        self.world.at(self.paused_until_ms, self._resume)
-
-    def give(self, message: DeskMessage) -> None:
-        """Hands a message to the desk, after a pause if there is one."""
-        if self.world.now < self.paused_until_ms:
-            self._inbox.append(message)
-            return
-        now = self.world.now
-        self.carry_out(self.desk.handle(message, now))
-
-    def end(self, attempt_id: AttemptId, result: AttemptResult) -> None:
-        """Reports the end of an attempt."""
-        self.give(AttemptEnded(attempt_id, result))
-
-    def carry_out(self, effects: list[DeskEffect]) -> None:
-        """Carries out effects in order and sets the next wake."""
-        world = self.world
-        for effect in effects:
-            match effect:
-                case StartAttempt():
-                    self._send(effect)
-                case Finish():
-                    self._finish(effect)
-                case StopTask():
-                    world.after(lambda e=effect: world.stop_asked(self, e))  # type: ignore[misc]
-                case CheckpointTask():
-                    world.after(lambda e=effect: world.checkpoint_asked(e))  # type: ignore[misc]
-                case RenewLeases():
-                    world.after(lambda e=effect: world.renew_asked(e))  # type: ignore[misc]
-        self._set_wake()
-
-    def _resume(self) -> None:
-        if self.world.now < self.paused_until_ms:
-            return
-        while self._inbox:
-            self.give(self._inbox.popleft())
-        self._tick()
-
-    def _send(self, start: StartAttempt) -> None:
-        world = self.world
-        world.at(start.give_up_ms, lambda: self.end(start.attempt_id, TimedOut()))
-        task = Task(start, self, world.draw_fault(), 0)
-        if task.fault is Fault.PAUSED:
-            late_ms = world.now + int(world.rng.random() * PAUSE_MS)
-            world.at(late_ms, lambda: self._send_task(task))
-        else:
-            self._send_task(task)
-
-    def _send_task(self, task: Task) -> None:
-        world, start = self.world, task.start
-        if world.now > start.send_by_ms:
-            late = NothingSent(is_host_fault=False)
-            world.after(lambda: self.end(start.attempt_id, late))
-            return
-        match task.fault:
-            case Fault.UNSENT:
-                world.after(lambda: self.end(start.attempt_id, NothingSent()))
-            case Fault.LOST_REQUEST:
-                world.after(lambda: self.end(start.attempt_id, BrokeAfterSend()))
-            case Fault.LATE_REQUEST:
-                late_ms = world.now + int(world.rng.random() * LATE_REQUEST_MS)
-                self.end(start.attempt_id, BrokeAfterSend())
-                world.at(late_ms, lambda: world.arrive(task))
-            case _:
-                world.after(lambda: world.arrive(task))
-
-    def _finish(self, finish: Finish) -> None:
-        self.finished.append(finish)
-        world, req = self.world, finish.request
-        match finish.outcome:
-            case Answered(attempt_id=attempt_id):
-                answers = world.answers[attempt_id].request_id
-                is_whole = attempt_id in world.whole
-                world.see(AnswerGiven(world.now, req.request_id, answers, is_whole))
-            case NotRun():
-                world.see(RefusedNotRun(world.now, req.request_id))
-
-    def _set_wake(self) -> None:
-        wake_ms = self.desk.next_wake_ms()
-        if wake_ms is None:
-            return
-        if self._wake_ms is None or wake_ms < self._wake_ms:
-            self._wake_ms = wake_ms
-            self.world.at(wake_ms, self._tick)
-
-    def _tick(self) -> None:
-        if self.world.now < self.paused_until_ms:
-            return
-        if self._wake_ms is not None and self._wake_ms > self.world.now:
-            return
-        self._wake_ms = None
-        self.give(Tick())
--- a/src/amaranthtray/domain/requests/_admission.py
+++ b/src/amaranthtray/domain/requests/_admission.py
@@ -28,7 +28,30 @@
         detail = f"implied wait {int(wait_ms)} ms, {line.size} requests wait"
         retry_after_ms = state.retry_after_ms(wait_ms - bound_ms)
         return NotRun(NotRunReason.QUEUE_FULL, detail, retry_after_ms)
-    return _too_close(state, queue, req, wait_ms, now_ms)
+    return _beyond_limit(state, queue, req, now_ms) or _too_close(
+        state, queue, req, wait_ms, now_ms
+    )
+
+
+def _beyond_limit(
+    state: DeskState, queue: PoolQueue, req: Request, now_ms: Millis
+) -> NotRun | None:
+    """Refuses what waits for a unit of its team's limit until it is too late.
+
+    While no unit is held nothing is refused, since the first may be on its way.
+    """
+    units = state.units[req.team]
+    if queue.recheck_ms.get(req.team, -1) < now_ms or not units:
+        return None
+    times = queue.times(req.work_class)
+    ahead = queue.line(req.work_class).waiting(req.team) + 1
+    wait_ms = times.implied_wait_ms(ahead, units)
+    late_ms = wait_ms + times.mean_ms - (req.deadline_ms - now_ms)
+    if late_ms <= 0:
+        return None
+    detail = f"implied wait {int(wait_ms)} ms for a unit of the team's limit"
+    retry_after_ms = state.retry_after_ms(late_ms)
+    return NotRun(NotRunReason.LIMIT_REACHED, detail, retry_after_ms)
 
 
 def implied_wait_ms(state: DeskState, queue: PoolQueue, work_class: WorkClass) -> float:
--- a/src/amaranthtray/domain/requests/_dispatch.py
+++ b/src/amaranthtray/domain/requests/_dispatch.py
@@ -74,7 +74,7 @@
             if team is None:
                 return
             item = line.head(team)
-            if item.request.deadline_ms <= now_ms:
+            if self._is_too_late(queue, item, now_ms):
                 line.pop(team)
                 self.expire(item, now_ms)
             elif (
@@ -82,6 +82,13 @@
             ) or not self._try_start(queue, line, item, now_ms):
                 skipped.add(team)
 
+    def _is_too_late(self, queue: PoolQueue, item: Tracked, now_ms: Millis) -> bool:
+        """Returns whether a request that had to wait can't end in time any more."""
+        left_ms = item.request.deadline_ms - now_ms
+        if item.queued_ms >= now_ms or left_ms <= 0:
+            return left_ms <= 0
+        return left_ms < queue.times(item.request.work_class).mean_ms
+
     def _at_limit(self, queue: PoolQueue, line: Line, now_ms: Millis) -> set[TeamName]:
         if not queue.recheck_ms:
             return set()
@@ -134,6 +141,7 @@
         attempt = Attempt(attempt_id, item, req, worker, now_ms)
         attempt.is_probe = state.book.take(worker, now_ms)
         state.attempts[attempt_id] = attempt
+        state.units[req.team] += 1
         item.attempt = attempt
         item.phase = Phase.RUNNING
         if req.work_class is WorkClass.URGENT:
--- a/src/amaranthtray/domain/requests/_state.py
+++ b/src/amaranthtray/domain/requests/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from .counters import DeskCounters
@@ -115,6 +116,7 @@
         self.tracked: dict[RequestKey, Tracked] = {}
         self.attempts: dict[AttemptId, Attempt] = {}
         self.pools: dict[PoolName, PoolQueue] = {}
+        self.units: Counter[TeamName] = Counter()
         self.effects: list[DeskEffect] = []
         self.attempt_count = 0
 
@@ -175,6 +177,7 @@
             queue.making_room.pop(attempt.attempt_id, None)
         self.leases.end(attempt.attempt_id, attempt.worker.host.host_id)
         self.book.free(attempt.worker, was_probe=attempt.is_probe, now_ms=now_ms)
+        self.units[req.team] -= 1
         self.limits.give_back(req.team, now_ms)
         queue.recheck_ms.pop(req.team, None)
         self.shares.ended(req.pool, req.team, now_ms - attempt.started_ms)
--- a/tests/requests/test_queueing.py
+++ b/tests/requests/test_queueing.py
@@ -180,3 +180,26 @@
     assert isinstance(refused, Finish)
     assert isinstance(refused.outcome, NotRun)
     assert refused.outcome.reason is NotRunReason.NO_HOST
+
+
+def test_request_that_waits_too_long_for_its_teams_limit_is_refused_at_once() -> None:
+    made = desk(hosts=(host(1),), cfg=ROOMY, limits=OneUnit())
+    service_ms = ROOMY.first_urgent_service_ms
+    within_ms = 4 * service_ms
+    effects = give(made, *[request(n, deadline_ms=within_ms) for n in range(9)])
+    refused = [item.outcome for item in effects if isinstance(item, Finish)]
+    assert made.waiting(request().pool, WorkClass.URGENT) == 3
+    assert [item.reason for item in refused if isinstance(item, NotRun)] == [
+        NotRunReason.LIMIT_REACHED
+    ] * 5
+
+
+def test_request_that_waited_is_not_started_too_late_to_end_in_time() -> None:
+    made = desk(hosts=(host(1, slots=1),), cfg=ROOMY)
+    service_ms = ROOMY.first_urgent_service_ms
+    (first,) = starts(give(made, request(1), request(2, deadline_ms=2 * service_ms)))
+    effects = made.handle(SlotsFreed(first.host, (first.attempt_id,)), Millis(300))
+    (late,) = effects
+    assert isinstance(late, Finish)
+    assert isinstance(late.outcome, NotRun)
+    assert late.outcome.reason is NotRunReason.DEADLINE_TOO_CLOSE
