Start what waited if it is more likely than not to end in time

The mean slot time as bound refused work whose median time was still left, since times are lognormal.

--- a/src/amaranthtray/domain/requests/_dispatch.py
+++ b/src/amaranthtray/domain/requests/_dispatch.py
@@ -83,11 +83,12 @@
                 skipped.add(team)
 
     def _is_too_late(self, queue: PoolQueue, item: Tracked, now_ms: Millis) -> bool:
-        """Returns whether a request that had to wait can't end in time any more."""
+        """Returns whether a request that had to wait is unlikely to end in time."""
         left_ms = item.request.deadline_ms - now_ms
         if item.queued_ms >= now_ms or left_ms <= 0:
             return left_ms <= 0
-        return left_ms < queue.times(item.request.work_class).mean_ms
+        mean_ms = queue.times(item.request.work_class).mean_ms
+        return left_ms < mean_ms * self._state.cfg.least_time_share
 
     def _at_limit(self, queue: PoolQueue, line: Line, now_ms: Millis) -> set[TeamName]:
         if not queue.recheck_ms:
--- a/src/amaranthtray/domain/requests/settings.py
+++ b/src/amaranthtray/domain/requests/settings.py
@@ -38,6 +38,8 @@
         checkpoint_timeout_ms: Time after which another task is asked to make room.
         max_checkpoints: Times that one request makes room.
         limit_recheck_ms: Pause before a team that reached its limit is tried again.
+        least_time_share: Part of the mean slot time that must be left to start a
+            request that waited; the median of lognormal times is below the mean.
         retry_after_floor_ms: Shortest advice to come back.
         no_host_retry_ms: Advice to come back when a pool has no usable host.
     """
@@ -66,6 +68,7 @@
     checkpoint_timeout_ms: int = 1_000
     max_checkpoints: int = 16
     limit_recheck_ms: int = 50
+    least_time_share: float = 0.6
     retry_after_floor_ms: int = 100
     no_host_retry_ms: int = 1_000
 
