Let a zone that is cut off serve from the start, and idle teams too

Cause 1: the zone's record named its entries only at its renewal, 15 s after the takeover; a steward cut off before that found no majority that could keep it in office. Cause 2: a zone took its reserve of a team's limit only once the team had worked there. Cause 3: an entry whose work waited for units reported once at once and then only after a second. Ruled out: the duty lease, the links within the zone, and the entries' grants.

--- a/src/amaranthtray/domain/limits/_proposal.py
+++ b/src/amaranthtray/domain/limits/_proposal.py
@@ -61,7 +61,8 @@
 
 def propose(row: TeamRow, now: Situation) -> Proposal:
     """Returns the next row and target; ``row`` is without void units."""
-    if not now.need and not now.charged and now.zone not in row.portions:
+    is_idle = not now.need and not now.charged and not now.reserve
+    if is_idle and now.zone not in row.portions:
         return Proposal(row, 0)
     if now.revision > row.revision:
         row = replace(row, limit=now.limit, revision=now.revision)
--- a/src/amaranthtray/domain/limits/_zone_records.py
+++ b/src/amaranthtray/domain/limits/_zone_records.py
@@ -118,11 +118,17 @@
     def renew(
         self, electorates: tuple[Electorate, ...], now_ms: Millis
     ) -> WriteRecord | None:
-        """Returns the next renewal when it is due."""
+        """Returns the next renewal when it is due.
+
+        Electorates that have changed are written soon: a steward whose record names
+        nobody cannot go on without the platform.
+        """
         mine = self._seen.get(self._zone)
         if mine is None or not self.epoch or self.is_fenced:
             return None
-        if self._sent_ms is not None and now_ms < self._sent_ms + self._wait_ms():
+        has_changed = electorates != mine.record.electorates
+        wait_ms = self._timing.retry_ms if has_changed else self._wait_ms()
+        if self._sent_ms is not None and now_ms < self._sent_ms + wait_ms:
             return None
         return self._write(replace(mine.record, electorates=electorates), now_ms)
 
--- a/src/amaranthtray/domain/limits/entry_holding.py
+++ b/src/amaranthtray/domain/limits/entry_holding.py
@@ -145,9 +145,9 @@
         self._units.clear()
 
     def is_report_due(self, now_ms: Millis) -> bool:
-        """Returns whether it is time to report; at once when work begins to wait."""
+        """Returns whether it is time to report; sooner while work waits for units."""
         wait_ms = self._timing.report_ms
-        if self._is_urgent or self._grant_seq == 0:
+        if self._is_urgent or self._grant_seq == 0 or any(self._waiting.values()):
             wait_ms = self._timing.urgent_report_ms
         return now_ms >= self._reported_ms + wait_ms
 
--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -43,7 +43,7 @@
     from ...platform.store import WatchEvent
 
 RELAY_MS = 1_000
-JOIN_MS = 2_000
+JOIN_MS = 500
 """Time for links to come up before a duty that is free is taken."""
 
 PLATFORM_SILENT_MS = 12_000
