--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.result import Success
@@ -27,6 +28,7 @@
     from ..domain.inventory import Host
     from ..domain.serving import ServingMessage
     from ..entry.control.control import ControlInput
+    from ..platform.config_log import Feed
     from .entry import VirtualEntry
     from .world import World
 
@@ -127,8 +129,7 @@
             return
         if not self.entry.is_paused:
             self.entry.run(self._work)
-        delay_ms = STEP_MS + self.world.store_call_ms
-        self.world.clock.after(delay_ms, self._step)
+        self.world.clock.after(STEP_MS, self._step)
 
     def _work(self) -> None:
         self._follow_configuration()
@@ -141,15 +142,22 @@
         self.entry.conducting.step()
 
     def _follow_configuration(self) -> None:
+        """Reads now and hears of it after the calls' time; a first read takes two."""
         asked_ms = self.world.now_ms
         match self._feed.poll(timeout_ms=0):
             case Success(news):
-                if news.snapshot is not None:
-                    self.view.offer_snapshot(news.snapshot)
-                self.view.offer_records(news.records)
-                if self.view.wanted_after() is not None:
-                    self._feed.reset()
-                self.view.confirm(asked_ms)
+                calls = 1 if news.snapshot is None else 2
+                hear = partial(self._hear, news, asked_ms)
+                delay_ms = calls * self.world.store_call_ms
+                self.world.clock.after(delay_ms, lambda: self.entry.run(hear))
+
+    def _hear(self, news: Feed, asked_ms: int) -> None:
+        if news.snapshot is not None:
+            self.view.offer_snapshot(news.snapshot)
+        self.view.offer_records(news.records)
+        if self.view.wanted_after() is not None:
+            self._feed.reset()
+        self.view.confirm(asked_ms)
 
     def _follow_members(self) -> None:
         if self._members.needs_read and self._part.read_members():
--- a/src/amaranthtray/scenarios/history.py
+++ b/src/amaranthtray/scenarios/history.py
@@ -68,7 +68,7 @@
     Attributes:
         faults: Broken promises that the checkers cannot see by themselves.
         expectations: What operators were told, where a step states it.
-        in_force: Revisions by entry, with the time of each.
+        in_force: Revisions by entry, with the time of each; 0 where a run begins.
     """
 
     watchdog: Watchdog = field(default_factory=Watchdog)
--- a/src/amaranthtray/scenarios/outcomes.py
+++ b/src/amaranthtray/scenarios/outcomes.py
@@ -178,9 +178,8 @@
 
 def _has(claim: InForce, name: str, world: World) -> bool:
     seen = world.history.in_force.get(name, [])
-    return any(
-        revision >= claim.revision and at_ms <= claim.by_ms for at_ms, revision in seen
-    )
+    by_then = [revision for at_ms, revision in seen if at_ms <= claim.by_ms]
+    return bool(by_then) and by_then[-1] >= claim.revision
 
 
 def _start_wait(item: Located[Claim], claim: StartWait, world: World) -> Verdict:
--- a/src/amaranthtray/scenarios/world.py
+++ b/src/amaranthtray/scenarios/world.py
@@ -125,6 +125,7 @@
     def start_entry(self, name: str, zone: str) -> None:
         """Starts the next run of an entry."""
         self._runs[name] += 1
+        self.history.in_force.setdefault(name, []).append((self.now_ms, 0))
         self.network.zones[name] = zone
         self.entries[name] = VirtualEntry(self, name, zone, self._runs[name])
 
