--- a/src/amaranthtray/peers/messages.py
+++ b/src/amaranthtray/peers/messages.py
@@ -48,14 +48,14 @@
         load: Tasks running from this entry.
         fresh_age_ms: Time since the sender knew that it had the latest revision;
             none if it never did.
-        follows: The steward of its zone that the sender follows, if any.
+        steward: Entry that the sender knows as steward of its own zone.
     """
 
     revision: Revision
     steward_term: Term
     load: int
     fresh_age_ms: int | None = None
-    follows: EntryId | None = None
+    steward: EntryId | None = None
 
 
 @dataclass(frozen=True, slots=True)
