--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.result import Success
@@ -27,10 +28,12 @@
     from ..domain.inventory import Host
     from ..domain.serving import ServingMessage
     from ..entry.control.control import ControlInput
+    from ..platform.config_log import Feed
     from .entry import VirtualEntry
     from .world import World
 
 STEP_MS = 100
+WAKE_MS = 1
 
 
 class VirtualControl:
@@ -50,6 +53,7 @@
         self._members = PrefixWatch(self.store, MEMBER_PREFIX)
         self._ledger = PrefixWatch(self.store, LEDGER_PREFIX)
         self._takeovers = 0
+        self._is_woken = False
         self._part = Control(
             ControlParts(
                 member=Member(entry.name, entry.zone, entry.incarnation, entry.name, 1),
@@ -76,8 +80,16 @@
         return self.view.age_ms
 
     def put(self, message: ControlInput) -> None:
-        """Queues an input for the next step."""
+        """Queues an input and wakes the control part, as its task does."""
         self._part.put(message)
+        if not self._is_woken:
+            self._is_woken = True
+            self.world.clock.after(WAKE_MS, lambda: self.entry.run(self._wake))
+
+    def _wake(self) -> None:
+        self._is_woken = False
+        self._follow_ledger()
+        self._part.step()
 
     def want_link(self, entry: VirtualEntry) -> None:
         """Asks for a link, as for a forwarded request."""
@@ -109,8 +121,7 @@
             return
         if not self.entry.is_paused:
             self.entry.run(self._work)
-        delay_ms = STEP_MS + self.world.store_call_ms
-        self.world.clock.after(delay_ms, self._step)
+        self.world.clock.after(STEP_MS, self._step)
 
     def _work(self) -> None:
         self._follow_configuration()
@@ -123,15 +134,22 @@
         self.entry.conducting.step()
 
     def _follow_configuration(self) -> None:
+        """Reads now and hears of it after the calls' time; a first read takes two."""
         asked_ms = self.world.now_ms
         match self._feed.poll(timeout_ms=0):
             case Success(news):
-                if news.snapshot is not None:
-                    self.view.offer_snapshot(news.snapshot)
-                self.view.offer_records(news.records)
-                if self.view.wanted_after() is not None:
-                    self._feed.reset()
-                self.view.confirm(asked_ms)
+                calls = 1 if news.snapshot is None else 2
+                hear = partial(self._hear, news, asked_ms)
+                delay_ms = calls * self.world.store_call_ms
+                self.world.clock.after(delay_ms, lambda: self.entry.run(hear))
+
+    def _hear(self, news: Feed, asked_ms: int) -> None:
+        if news.snapshot is not None:
+            self.view.offer_snapshot(news.snapshot)
+        self.view.offer_records(news.records)
+        if self.view.wanted_after() is not None:
+            self._feed.reset()
+        self.view.confirm(asked_ms)
 
     def _follow_members(self) -> None:
         if self._members.needs_read:
