Accept patient work that its fair part of the slots can serve in time

An entry whose hosts had just refused counted a quarter of a slot in hand and refused patient work with 80 s left as too close. Patient work has time to win its fair part, so that bounds it now.

--- a/src/amaranthtray/domain/requests/_admission.py
+++ b/src/amaranthtray/domain/requests/_admission.py
@@ -57,7 +57,8 @@
 def implied_wait_ms(state: DeskState, queue: PoolQueue, work_class: WorkClass) -> float:
     """Returns how long a request that joins the line now would wait.
 
-    Only slots in this entry's hands count: those that it holds and those open to it.
+    For urgent work only slots in this entry's hands count: those that it holds and
+    those open to it. Patient work has time to win its fair part.
     """
     open_slots = state.book.open_slots(queue.name)
     if work_class is WorkClass.URGENT:
@@ -66,7 +67,8 @@
         slots = queue.urgent_running + movable
         return queue.urgent_times.implied_wait_ms(ahead, slots)
     ahead = queue.patient.size + 1 - open_slots
-    slots = queue.patient_running + open_slots
+    fair = int(state.book.fair_slots(queue.name)) - queue.urgent_running
+    slots = max(queue.patient_running + open_slots, fair)
     return queue.patient_times.implied_wait_ms(ahead, slots)
 
 
--- a/tests/requests/test_queueing.py
+++ b/tests/requests/test_queueing.py
@@ -11,6 +11,7 @@
     CheckpointTask,
     DeskEffect,
     Finish,
+    RefusedByHost,
     SlotsFreed,
     StartAttempt,
     Submit,
@@ -203,3 +204,16 @@
     assert isinstance(late, Finish)
     assert isinstance(late.outcome, NotRun)
     assert late.outcome.reason is NotRunReason.DEADLINE_TOO_CLOSE
+
+
+def test_patient_work_is_not_refused_while_others_hold_the_slots_for_a_moment() -> None:
+    made = desk(hosts=(host(1, slots=4),), cfg=ROOMY)
+    (start,) = starts(give(made, patient(1)))
+    refused = AttemptEnded(start.attempt_id, RefusedByHost())
+    assert starts(made.handle(refused, Millis(1))) == []
+    far_ms = 30 * ROOMY.first_patient_service_ms
+    waiting = [
+        request(number, work_class=WorkClass.PATIENT, deadline_ms=far_ms)
+        for number in range(10, 40)
+    ]
+    assert give(made, *waiting, now=2) == []
