--- a/src/amaranthtray/bench/_waves_fleet.py
+++ b/src/amaranthtray/bench/_waves_fleet.py
@@ -10,7 +10,13 @@
 from ..domain.ids import HostId, PoolName, Revision, WaveName
 from ..domain.invariants import BudgetSet, HostBack, HostPlaced, OutCause, Watchdog
 from ..domain.placement import PoolView, pool_views
-from ..domain.waves import CommitMoves, DrainHost, RebootHost, ReturnHost
+from ..domain.waves import (
+    CommitMoves,
+    DrainHost,
+    MovesCommitted,
+    RebootHost,
+    ReturnHost,
+)
 from ._waves_hosts import HostStandIn
 from ._waves_store import LedgerStore
 
@@ -24,6 +30,8 @@
     from ._waves_clock import VirtualClock
     from ._waves_hosts import HostReport
 
+    Report = HostReport | MovesCommitted
+
 Order = DrainHost | RebootHost | ReturnHost | CommitMoves
 
 
@@ -47,7 +55,7 @@
         faults: Broken promises that the checkers of the package do not cover.
         moves: Hosts moved by the conductors.
         out_ms: Host-milliseconds that ended entries of the ledgers lasted.
-        on_report: Takes what hosts report.
+        on_report: Takes what hosts and the configuration log report.
         on_views: Called after each change of the configuration or of the list.
         on_health: Takes hosts that fail or recover.
     """
@@ -70,10 +78,10 @@
         self.moves = 0
         self.out_ms = 0
         self.reboots: Counter[tuple[WaveName, HostId]] = Counter()
-        self.on_report: Callable[[HostReport], None] = lambda _report: None
+        self.on_report: Callable[[Report], None] = lambda _report: None
         self.on_views: Callable[[], None] = lambda: None
         self.on_health: Callable[[HostId, OutCause | None], None] = lambda *_: None
-        self._records: set[OperationId] = set()
+        self._records: dict[OperationId, Revision] = {}
         self._served: set[tuple[HostId, OperationId]] = set()
         self.hosts = {
             host: HostStandIn(
@@ -167,16 +175,22 @@
 
     def _commit(self, order: CommitMoves) -> None:
         if order.fence.op_id in self._records:
+            self._tell_committed(order)
             return
         if any(self.cfg.pool_of(host) != order.source for host in order.moves):
             return
-        self._records.add(order.fence.op_id)
         for host in order.moves:
             self._check_move(host, order.source)
         self.change(replace(self.cfg, placement={**self.cfg.placement, **order.moves}))
+        self._records[order.fence.op_id] = self.cfg.revision
+        self._tell_committed(order)
         for host in order.moves:
             self.watchdog.observe(HostBack(self.clock.now_ms, host))
 
+    def _tell_committed(self, order: CommitMoves) -> None:
+        op_id = order.fence.op_id
+        self.on_report(MovesCommitted(op_id, self._records[op_id]))
+
     def _check_move(self, host: HostId, source: PoolName) -> None:
         out = self.ledgers[source].out.get(host)
         if out is None or out.stage is not Stage.PLACING:
--- a/src/amaranthtray/bench/_waves_world.py
+++ b/src/amaranthtray/bench/_waves_world.py
@@ -24,6 +24,7 @@
     HealthListed,
     LedgerRead,
     LedgerSwapped,
+    MovesCommitted,
     OrderDropped,
     ReadLedger,
     StepDown,
@@ -279,7 +280,7 @@
         else:
             self.fleet.obey(order)
 
-    def _spread_report(self, report: HostReport) -> None:
+    def _spread_report(self, report: HostReport | MovesCommitted) -> None:
         """Reports go to the conductors of the pool whose order it was."""
         is_doubled = self.rng.random() < self.settings.doubled_report
         for holder in self._alive():
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -109,7 +109,7 @@
 def _revoke_needless(ledger: Ledger, now: Situation) -> Ledger:
     """Returns hosts whose wave was aborted, or whose move is wanted no more."""
     for host, out in ledger.out.items():
-        if out.record_op in now.refused and out.stage is Stage.PLACING:
+        if out.stage is Stage.PLACING and now.is_not_to_move(out):
             ledger = advance(ledger, host, Stage.RETURNING)
         elif out.is_revocable:
             ledger = _revoke_one(ledger, host, out, now)
--- a/src/amaranthtray/domain/waves/_situation.py
+++ b/src/amaranthtray/domain/waves/_situation.py
@@ -7,7 +7,7 @@
 
 from ..budgets.rules import Order
 from ..configuration.model import WaveState
-from ..ids import HostId, OperationId, PoolName, Term, WaveName
+from ..ids import HostId, OperationId, PoolName, Revision, Term, WaveName
 from ..invariants.observations import OutCause
 from ..placement.view import PoolView
 from .settings import ConductorSettings
@@ -32,6 +32,7 @@
         back: Reboot operations that ended.
         returned: Return operations that ended.
         refused: Move operations that the configuration log refused.
+        committed: Move operations in the configuration log, and their revisions.
     """
 
     view: PoolView
@@ -44,6 +45,7 @@
     back: frozenset[tuple[HostId, OperationId]]
     returned: frozenset[tuple[HostId, OperationId]]
     refused: frozenset[OperationId]
+    committed: dict[OperationId, Revision]
 
     @property
     def size(self) -> int:
@@ -71,6 +73,16 @@
         """Returns whether the host's own drain has ended."""
         return (out.location.host, out.op_id) in self.drained
 
+    def is_not_to_move(self, out: OutHost) -> bool:
+        """Returns whether the record that moves the host can't do so any more.
+
+        It was refused, or it took effect and the host has come back since.
+        """
+        if out.record_op is None or out.record_op in self.refused:
+            return out.record_op is not None
+        revision = self.committed.get(out.record_op)
+        return revision is not None and self.view.revision >= revision
+
     def is_back(self, out: OutHost) -> bool:
         """Returns whether the host's own reboot has ended."""
         return (out.location.host, out.op_id) in self.back
--- a/src/amaranthtray/domain/waves/conductor.py
+++ b/src/amaranthtray/domain/waves/conductor.py
@@ -7,7 +7,7 @@
 
 from ..budgets.model import Ledger, Stage
 from ..budgets.rules import stamp
-from ..ids import HostId, Millis, OperationId, PoolName, Term
+from ..ids import HostId, Millis, OperationId, PoolName, Revision, Term
 from ..invariants.observations import OutCause
 from ..placement.view import PoolView
 from ._orders import orders
@@ -26,6 +26,7 @@
     HostReturned,
     LedgerRead,
     LedgerSwapped,
+    MovesCommitted,
     MovesRefused,
     OrderDropped,
     ReadLedger,
@@ -81,6 +82,7 @@
         back: Reboot operations that ended.
         returned: Return operations that ended.
         refused: Move operations that the configuration log refused.
+        committed: Move operations in the configuration log, and their revisions.
         told: Orders given to hosts, by operation and stage.
         reissue_at_ms: When the orders to hosts that are out are given again.
         seq: Operation ids made by this holder.
@@ -102,6 +104,7 @@
     back: frozenset[tuple[HostId, OperationId]] = frozenset()
     returned: frozenset[tuple[HostId, OperationId]] = frozenset()
     refused: frozenset[OperationId] = frozenset()
+    committed: dict[OperationId, Revision] = field(default_factory=dict)
     told: dict[HostId, tuple[OperationId, Stage]] = field(default_factory=dict)
     reissue_at_ms: Millis = Millis(0)  # noqa: RUF009
     seq: int = 0
@@ -159,6 +162,8 @@
                 if not takes_work and self._is_member(host):
                     return self
                 return replace(self, returned=self.returned | {(host, op_id)})
+            case MovesCommitted(op_id, revision):
+                return replace(self, committed={**self.committed, op_id: revision})
             case MovesRefused(op_id):
                 return replace(self, refused=self.refused | {op_id})
             case OrderDropped():
@@ -202,6 +207,7 @@
     def _known(self, ledger: Ledger | None, version: int) -> Conductor:
         found = ledger if ledger is not None else Ledger(self.pool)
         pending = {(host, out.op_id) for host, out in found.out.items()}
+        records = {out.record_op for out in found.out.values()}
         return replace(
             self,
             ledger=found,
@@ -211,7 +217,8 @@
             drained=self.drained & pending,
             back=self.back & pending,
             returned=self.returned & pending,
-            refused=self.refused & {out.record_op for out in found.out.values()},
+            refused=self.refused & records,
+            committed={op: at for op, at in self.committed.items() if op in records},
         )
 
     def _call_failed(self, now_ms: Millis, *, is_unsure: bool) -> Conductor:
@@ -308,4 +315,5 @@
             back=self.back,
             returned=self.returned,
             refused=self.refused,
+            committed=self.committed,
         )
--- a/src/amaranthtray/domain/waves/messages.py
+++ b/src/amaranthtray/domain/waves/messages.py
@@ -6,7 +6,7 @@
 from typing import TypeAlias
 
 from ..budgets.model import Ledger
-from ..ids import HostId, Millis, OperationId, PoolName, Term
+from ..ids import HostId, Millis, OperationId, PoolName, Revision, Term
 from ..invariants.observations import OutCause
 from ..placement.view import PoolView
 
@@ -148,6 +148,19 @@
     op_id: OperationId
 
 
+@dataclass(frozen=True, slots=True)
+class MovesCommitted:
+    """The record is in the configuration log, from this commit or an earlier one.
+
+    Attributes:
+        revision: Its place in the log. A host that is in the source pool at a later
+            revision was moved away and back in the meantime.
+    """
+
+    op_id: OperationId
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class OrderDropped:
     """The runtime did not carry out an act because its time had passed."""
@@ -173,6 +186,7 @@
     | HostDrained
     | HostBack
     | HostReturned
+    | MovesCommitted
     | MovesRefused
     | OrderDropped
     | Tick
--- a/tests/waves/test_conductor.py
+++ b/tests/waves/test_conductor.py
@@ -33,6 +33,7 @@
     HostReturned,
     LedgerRead,
     LedgerSwapped,
+    MovesCommitted,
     MovesRefused,
     OrderDropped,
     ReadLedger,
@@ -422,6 +423,21 @@
     assert NAMES[1] not in driver.stages()
 
 
+def test_a_host_that_moved_away_and_back_is_not_waited_for() -> None:
+    cfg = replace(config(), waves={})
+    driver = Driver(cfg)
+    driver.change(replace(cfg, host_labels={NAMES[0]: {"pool": "db"}}))
+    (commit,) = [
+        effect for effect in driver.drained(NAMES[0]) if isinstance(effect, CommitMoves)
+    ]
+    driver.change(cfg)
+    assert driver.stages() == {NAMES[0]: "placing"}
+    driver.send(MovesCommitted(commit.fence.op_id, Revision(99)))
+    assert driver.stages() == {NAMES[0]: "placing"}
+    driver.send(MovesCommitted(commit.fence.op_id, driver.cfg.revision))
+    assert driver.stages() == {NAMES[0]: "returning"}
+
+
 def test_hosts_ready_at_once_move_with_one_record() -> None:
     cfg = replace(config(), waves={})
     driver = Driver(cfg)
