--- a/src/amaranthtray/bench/waves.py
+++ b/src/amaranthtray/bench/waves.py
@@ -22,7 +22,7 @@
     from ._waves_sites import Site
 
 SCHEDULES = 7_000
-SITE_RUNS = 15
+SITE_RUNS = 20
 FAILURES = 6
 RELABELLED = 5
 BUDGET_PROMISE = "BudgetsHold"
--- a/tests/placement/test_claims.py
+++ b/tests/placement/test_claims.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 import builders
-from amaranthtray.domain.configuration import SPARE_POOL, Configuration
+from amaranthtray.domain.configuration import SPARE_POOL, Budget, Configuration
 from amaranthtray.domain.ids import HostId
 from amaranthtray.domain.placement import (
     check_ambiguity,
@@ -101,6 +101,8 @@
     before = config(WEB, rival)
     after = config(WEB, rival, DB)
     assert check_ambiguity(before, after, [HOST]) == Success(None)
+    larger = replace(rival, budget=Budget(3))
+    assert check_ambiguity(before, config(WEB, larger), [HOST]) == Success(None)
 
 
 def test_pools_of_different_priority_may_overlap() -> None:
--- a/tests/selectors/test_parsing.py
+++ b/tests/selectors/test_parsing.py
@@ -123,6 +123,24 @@
     assert not matches(Nothing(), LABELS)
 
 
+@pytest.mark.parametrize(
+    ("text", "canonical"),
+    [
+        ("a,(b,c)", "a,b,c"),
+        ("a or (b or c)", "a or b or c"),
+        ("a in (y, x, y)", "a in (x,y)"),
+        ("a in (x)", "a=x"),
+        ("not a!=x", "a=x"),
+        ("a and b or c", "(a,b) or c"),
+    ],
+)
+def test_texts_of_one_meaning_have_one_canonical_text(
+    text: str, canonical: str
+) -> None:
+    assert to_text(parse(text).unwrap()) == canonical
+    assert parse(text) == parse(canonical)
+
+
 @given(SELECTORS)
 def test_canonical_text_parses_back(selector: Selector) -> None:
     assert parse(to_text(selector)).unwrap() == selector
