--- a/src/amaranthtray/bench/waves.py
+++ b/src/amaranthtray/bench/waves.py
@@ -72,8 +72,12 @@
     yield _against(with_failures, _mean_s(failing), _mean_s(slow), "s", "<= 1.0")
     broken = sum(run.broken for run in (*runs, *slow, *failing))
     yield Figure(f"{name}.breaks_with_failures", broken, "count", "== 0")
+    yield from _reached_and_moved(site, name, [*runs, *failing])
+
+
+def _reached_and_moved(site: Site, name: str, runs: list[RollOut]) -> Iterator[Figure]:
     hosts = site.pools * site.pool_size
-    unreached = sum(hosts - run.done for run in (*runs, *failing))
+    unreached = sum(hosts - run.done for run in runs)
     yield Figure(f"{name}.hosts_never_reached", unreached, "count", "== 0")
     moves, placed = relabel(site, seed=1, changed=RELABELLED)
     yield _against(f"{name}.relabel_moves", moves, RELABELLED, "moves", "== 1")
