Let stewards alone pass on member lists; let no late word take freshness back

Now the steward passes on what the platform lists, and a list from another zone is passed on once in this one. A word of the platform that is older than a peer's had lowered the known freshness of the configuration.

--- a/src/amaranthtray/peers/control.py
+++ b/src/amaranthtray/peers/control.py
@@ -161,13 +161,15 @@
         return []
 
     def list_members(self, listed: MemberList) -> list[ControlCommand]:
-        """Takes the members as the platform lists them."""
-        return self._spread_members() if self.members.take_list(listed) else []
+        """Takes the members as the platform lists them; stewards pass them on."""
+        if not self.members.take_list(listed) or not self.members.steward_term:
+            return []
+        return [Send(peer, listed) for peer in self.members.links]
 
     def platform_seen(self, now_ms: int) -> None:
         """Notes that all the log's records up to now have been taken."""
         self.members.sees_platform = True
-        self._fresh_ms = now_ms
+        self._confirm(now_ms)
 
     def platform_lost(self) -> None:
         """Notes that the platform does not answer."""
@@ -230,7 +232,7 @@
             case Heartbeat():
                 self._take_beat(entry, message, now_ms)
             case MemberList():
-                return self.list_members(message)
+                return self._take_members(entry, message)
             case ConfigWanted():
                 return [self.sync.answer(entry, message)]
             case ConfigRecords():
@@ -245,13 +247,22 @@
                 return [Deliver(entry, peer.zone, message)]
         return []
 
+    def _take_members(self, entry: EntryId, listed: MemberList) -> list[ControlCommand]:
+        if not self.members.take_list(listed):
+            return []
+        return [Send(peer, listed) for peer in self._onward(entry)]
+
     def _take_beat(self, entry: EntryId, beat: Heartbeat, now_ms: int) -> None:
         self.members.take_beat(entry, beat, now_ms)
         self.sync.hear(entry, beat.revision, now_ms)
         if beat.fresh_age_ms is None or beat.revision > self.sync.revision:
             return
-        fresh_ms = now_ms - beat.fresh_age_ms
-        self._fresh_ms = max(fresh_ms, self._fresh_ms or fresh_ms)
+        self._confirm(now_ms - beat.fresh_age_ms)
+
+    def _confirm(self, fresh_ms: int) -> None:
+        """Notes that nothing newer existed then; older news takes nothing back."""
+        known_ms = fresh_ms if self._fresh_ms is None else self._fresh_ms
+        self._fresh_ms = max(fresh_ms, known_ms)
 
     def _take_records(
         self, entry: EntryId, message: ConfigRecords, now_ms: int
@@ -300,10 +311,6 @@
             return []
         return [one for one, peer in links.items() if peer.zone != self.own.zone]
 
-    def _spread_members(self) -> list[ControlCommand]:
-        listed = self.members.member_list()
-        return [Send(peer, listed) for peer in self.members.links]
-
     def _heartbeat(self, now_ms: int) -> Heartbeat:
         age_ms = None if self._fresh_ms is None else self.config_age_ms(now_ms)
         return Heartbeat(
--- a/tests/peers/test_control.py
+++ b/tests/peers/test_control.py
@@ -8,9 +8,9 @@
 from amaranthtray.bench._virtual_fleet import VirtualEntry, VirtualFleet
 from amaranthtray.domain.configuration import PutTeam
 from amaranthtray.domain.ids import EntryId, HostId, Term
-from amaranthtray.peers.events import PeerAddress
+from amaranthtray.peers.events import PeerAddress, Received
 from amaranthtray.peers.membership import StewardSeen
-from amaranthtray.peers.messages import HostNews, UnitsGranted
+from amaranthtray.peers.messages import HostNews, MemberList, UnitsGranted
 from amaranthtray.peers.reach import ReachState
 
 IN_FORCE_MS = 3_000
@@ -216,3 +216,48 @@
     fleet.run(IN_FORCE_MS)
 
     assert_in_force(fleet, revision)
+
+
+def test_a_late_word_of_the_platform_takes_no_freshness_back() -> None:
+    fleet = settled()
+    control = mate(fleet, "z1").control
+    age_ms = control.config_age_ms(fleet.now_ms)
+    control.platform_seen(fleet.now_ms - 10_000)
+
+    assert control.config_age_ms(fleet.now_ms) == age_ms
+
+
+def test_only_stewards_pass_on_what_the_platform_lists() -> None:
+    fleet = settled()
+    listed = MemberList(
+        fleet.now_ms, tuple(one.member for one in fleet.entries.values())
+    )
+
+    assert mate(fleet, "z1").control.list_members(listed) == []
+    assert steward(fleet, "z1").control.list_members(listed)
+
+
+def test_a_member_list_reaches_a_zone_that_is_cut_off_from_the_platform() -> None:
+    fleet = settled()
+    fleet.cut_platform(*fleet.in_zone("z2"))
+    fleet.run(20_000)
+    fleet.start("z1-e9", "z1")
+    fleet.run(IN_FORCE_MS)
+
+    for entry in fleet.in_zone("z2"):
+        assert "z1-e9" in fleet.entries[entry].control.members.members
+
+
+def test_a_member_list_from_another_zone_is_passed_on_in_this_one() -> None:
+    fleet = settled()
+    own, other = steward(fleet, "z2"), steward(fleet, "z1")
+    listed = MemberList(
+        fleet.now_ms, tuple(one.member for one in fleet.entries.values())
+    )
+
+    event = Received(other.member.entry, listed)
+    commands = own.control.handle(event, fleet.now_ms)
+
+    mates = set(fleet.in_zone("z2")) - {own.member.entry}
+    assert {one.to for one in commands} == mates
+    assert own.control.handle(event, fleet.now_ms) == []
