--- a/tests/requests/test_queueing.py
+++ b/tests/requests/test_queueing.py
@@ -11,6 +11,7 @@
     CheckpointTask,
     DeskEffect,
     Finish,
+    RefusedByHost,
     SlotsFreed,
     StartAttempt,
     Submit,
@@ -180,3 +181,39 @@
     assert isinstance(refused, Finish)
     assert isinstance(refused.outcome, NotRun)
     assert refused.outcome.reason is NotRunReason.NO_HOST
+
+
+def test_request_that_waits_too_long_for_its_teams_limit_is_refused_at_once() -> None:
+    made = desk(hosts=(host(1),), cfg=ROOMY, limits=OneUnit())
+    service_ms = ROOMY.first_urgent_service_ms
+    within_ms = 4 * service_ms
+    effects = give(made, *[request(n, deadline_ms=within_ms) for n in range(9)])
+    refused = [item.outcome for item in effects if isinstance(item, Finish)]
+    assert made.waiting(request().pool, WorkClass.URGENT) == 3
+    assert [item.reason for item in refused if isinstance(item, NotRun)] == [
+        NotRunReason.LIMIT_REACHED
+    ] * 5
+
+
+def test_request_that_waited_is_not_started_too_late_to_end_in_time() -> None:
+    made = desk(hosts=(host(1, slots=1),), cfg=ROOMY)
+    service_ms = ROOMY.first_urgent_service_ms
+    (first,) = starts(give(made, request(1), request(2, deadline_ms=2 * service_ms)))
+    effects = made.handle(SlotsFreed(first.host, (first.attempt_id,)), Millis(400))
+    (late,) = effects
+    assert isinstance(late, Finish)
+    assert isinstance(late.outcome, NotRun)
+    assert late.outcome.reason is NotRunReason.DEADLINE_TOO_CLOSE
+
+
+def test_patient_work_is_not_refused_while_others_hold_the_slots_for_a_moment() -> None:
+    made = desk(hosts=(host(1, slots=4),), cfg=ROOMY)
+    (start,) = starts(give(made, patient(1)))
+    refused = AttemptEnded(start.attempt_id, RefusedByHost())
+    assert starts(made.handle(refused, Millis(1))) == []
+    far_ms = 30 * ROOMY.first_patient_service_ms
+    waiting = [
+        request(number, work_class=WorkClass.PATIENT, deadline_ms=far_ms)
+        for number in range(10, 40)
+    ]
+    assert give(made, *waiting, now=2) == []
