--- a/src/amaranthtray/backend/client.py
+++ b/src/amaranthtray/backend/client.py
@@ -121,7 +121,7 @@
         try:
             return self._exchange(attempt, deadline_s)
         except AttemptAbortedError as exc:
-            return AttemptReport(NothingSent(str(exc)))
+            return AttemptReport(NothingSent(str(exc), is_host_fault=False))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             return AttemptReport(self._failure(exc, deadline_s))
         finally:
--- a/src/amaranthtray/domain/serving/__init__.py
+++ b/src/amaranthtray/domain/serving/__init__.py
@@ -16,6 +16,7 @@
     SourceEnded,
     TermFollowed,
     UsageArrived,
+    ZoneShared,
 )
 from .serving import Serving, ServingParts
 from .settings import ServingSettings
@@ -37,4 +38,5 @@
     "SourceEnded",
     "TermFollowed",
     "UsageArrived",
+    "ZoneShared",
 ]
--- a/src/amaranthtray/domain/serving/messages.py
+++ b/src/amaranthtray/domain/serving/messages.py
@@ -11,6 +11,7 @@
 from ..limits.messages import UnitsGrant, UnitsReport
 from ..requests.messages import DeskEffect, DeskMessage
 from ..shares.frames import UsageFrame
+from ..workers.choice import Stripe
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,13 @@
     leaving: tuple[HostId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneShared:
+    """This entry's place among the entries of its zone, which share its hosts."""
+
+    stripe: Stripe
+
+
 @dataclass(frozen=True, slots=True)
 class LeaveBegun:
     """The entry is leaving: it takes no more units."""
@@ -85,6 +93,7 @@
     | UsageArrived
     | SourceEnded
     | HostsReported
+    | ZoneShared
     | LeaveBegun
 )
 
--- a/src/amaranthtray/domain/serving/serving.py
+++ b/src/amaranthtray/domain/serving/serving.py
@@ -25,6 +25,7 @@
     SourceEnded,
     TermFollowed,
     UsageArrived,
+    ZoneShared,
 )
 from .settings import ServingSettings
 
@@ -125,6 +126,8 @@
                 self.shares.drop_source(source, now_ms)
             case HostsReported(leaving=leaving):
                 self._note_leaving(leaving, now_ms)
+            case ZoneShared(stripe=stripe):
+                self.book.share_with(stripe, now_ms)
             case LeaveBegun():
                 self.holding.leave()
                 self._report_due_ms = now_ms
--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -22,10 +22,12 @@
     ServingSettings,
     SourceEnded,
     TermFollowed,
+    ZoneShared,
 )
 from ...domain.shares import UsageFrame
+from ...domain.workers.choice import Stripe
 from ...peers.control import Applied, Deliver, PeerControl
-from ...peers.events import Dial, HangUp, LinkUp, PeerEvent, Send
+from ...peers.events import Dial, HangUp, LinkUp, PeerAddress, PeerEvent, Send
 from ...peers.messages import HostNews, Member, MemberList
 from ...platform.registry import PREFIX as MEMBER_PREFIX
 from ...platform.registry import EntryRegistry
@@ -62,6 +64,7 @@
         raw_store: The same store without that, for duties and the ledger.
         clock: Monotonic clock in milliseconds.
         rng: Source of jitter.
+        seeds: Entries to ask while the platform lists none, as during an outage.
     """
 
     member: Member
@@ -73,6 +76,7 @@
     clock: Callable[[], Millis]
     rng: random.Random
     settings: ServingSettings
+    seeds: tuple[PeerAddress, ...] = ()
 
 
 class Control:
@@ -84,7 +88,9 @@
 
     def __init__(self, parts: ControlParts) -> None:
         own = parts.member
-        self.peers = PeerControl(own, follower=parts.view.follower, rng=parts.rng)
+        self.peers = PeerControl(
+            own, follower=parts.view.follower, rng=parts.rng, seeds=parts.seeds
+        )
         self.zones = ZoneBoard()
         self.stewardship = Stewardship(
             own.entry,
@@ -110,6 +116,7 @@
         self._inputs: deque[ControlInput] = deque()
         self._wanted: deque[EntryId] = deque()
         self._followed = Term(0)
+        self._stripe: Stripe | None = None
         self._pushed = parts.view.revision
         self._relay_due_ms = 0
         self._started_ms = parts.clock()
@@ -142,6 +149,7 @@
         self._note_replaced(members)
         self._carry_out(self.peers.list_members(members))
         self._parts.links.admit(self.peers.admission)
+        self._share_zone()
         return members.at_version
 
     def step(self) -> None:
@@ -198,6 +206,16 @@
             self.stewardship.note_gone(older.incarnation)
             self._parts.serving.post(SourceEnded(older.incarnation))
 
+    def _share_zone(self) -> None:
+        """Tells the serving part its place among the entries of the zone."""
+        known = self.peers.members.members.values()
+        mates = {one.entry for one in known if one.zone == self._own.zone}
+        names = sorted(mates | {self._own.entry})
+        stripe = Stripe(names.index(self._own.entry), len(names))
+        if stripe != self._stripe:
+            self._stripe = stripe
+            self._parts.serving.post(ZoneShared(stripe))
+
     def _note_replaced(self, listed: MemberList) -> None:
         """Frees the units of runs of this zone that a later run has replaced."""
         known = self.peers.members.members
@@ -212,8 +230,8 @@
             match command:
                 case Send(to=entry, message=message):
                     links.send(entry, message)
-                case Dial(entry=entry) if entry in self.peers.members.members:
-                    links.dial(self.peers.members.members[entry])
+                case Dial():
+                    links.dial(command)
                 case HangUp(entry=entry):
                     links.hang_up(entry)
                 case Applied(in_force=in_force):
--- a/src/amaranthtray/entry/control/ports.py
+++ b/src/amaranthtray/entry/control/ports.py
@@ -8,8 +8,8 @@
     from ...domain.ids import EntryId
     from ...domain.serving import ServingMessage
     from ...peers.codec import PeerMessage
+    from ...peers.events import Dial
     from ...peers.handshake import Admission
-    from ...peers.messages import Member
 
 
 class Links(Protocol):
@@ -18,7 +18,7 @@
     def send(self, to: EntryId, message: PeerMessage) -> None:
         """Sends a message; without a link it is dropped."""
 
-    def dial(self, member: Member) -> None:
+    def dial(self, dial: Dial) -> None:
         """Tries to connect; the outcome arrives as an event."""
 
     def hang_up(self, entry: EntryId) -> None:
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -89,6 +89,8 @@
             settings, self._view, self._requests.table, self.readiness, self.observer
         )
         self._caller_service = CallerService(self._services)
+        self._tasks: tuple[WorkerThread, ...] = ()
+        self._servers: list[web.WebServer] = []
 
     def start(self) -> None:
         """Starts all tasks, then the servers, then passes the health check."""
@@ -97,14 +99,15 @@
         self._slot.put = self._control.put
         self._events.connect(self._control, self._requests)
         self._tasks = self._make_tasks()
+        self._admin = self._make_admin_server()
+        self._callers = self._make_caller_server()
+        for server in (self._admin, self._callers):
+            server.start()
+            self._servers.append(server)
         for task in self._tasks:
             task.on_fault = self.observer.fault
             task.start()
         self._requests.task.start()
-        self._admin = self._make_admin_server()
-        self._callers = self._make_caller_server()
-        self._admin.start()
-        self._callers.start()
         self._ports = Ports(self._callers.port, self._admin.port, peer_port)
         self.readiness.advance(Phase.SERVING)
         self.observer.changed("entry-serving", incarnation=self.incarnation)
@@ -129,6 +132,15 @@
         """Returns the control part, once the entry has started."""
         return self._control
 
+    def abandon(self) -> None:
+        """Ends what a start that failed has left behind."""
+        for server in self._servers:
+            server.stop()
+        for task in self._tasks:
+            task.stop()
+        self._requests.stop()
+        self._links.hub.stop()
+
     def drain(self) -> None:
         """Fails the health check; requests are still taken."""
         if self.readiness.advance(Phase.DRAINING):
--- a/src/amaranthtray/entry/links.py
+++ b/src/amaranthtray/entry/links.py
@@ -5,7 +5,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from ..peers.events import Dial, HangUp, LinkDown, LinkUp, PeerAddress, PeerEvent
+from ..peers.events import Dial, HangUp, LinkDown, LinkUp, PeerEvent
 from ..peers.hub import HubSettings, PeerHub
 
 if TYPE_CHECKING:
@@ -14,7 +14,6 @@
     from ..domain.ids import EntryId
     from ..peers.codec import PeerMessage
     from ..peers.handshake import Admission
-    from ..peers.messages import Member
 
 
 class HubLinks:
@@ -43,10 +42,9 @@
         """Sends a message; without a link it is dropped."""
         self.hub.send(to, message)
 
-    def dial(self, member: Member) -> None:
+    def dial(self, dial: Dial) -> None:
         """Tries to connect."""
-        address = PeerAddress(member.address, member.port)
-        self.hub.submit(Dial(address, member.entry))
+        self.hub.submit(dial)
 
     def hang_up(self, entry: EntryId) -> None:
         """Ends the link to an entry."""
--- a/src/amaranthtray/entry/request_task.py
+++ b/src/amaranthtray/entry/request_task.py
@@ -156,8 +156,8 @@
         timeout_ms = start.give_up_ms - now
         if host is None or timeout_ms <= 0 or now > start.send_by_ms:
             self._client.forget(start.attempt_id)
-            ended = AttemptEnded(start.attempt_id, NothingSent("too late to send"))
-            self._mailbox.post(ended)
+            late = NothingSent("too late to send", is_host_fault=False)
+            self._mailbox.post(AttemptEnded(start.attempt_id, late))
             return
         report = self._client.run(
             Attempt(
--- a/src/amaranthtray/entry/run.py
+++ b/src/amaranthtray/entry/run.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure
 
+from ..domain.errors import Problem
 from ..settings import peer_secret
 from .entry import Entry
 
@@ -54,13 +55,26 @@
         sys.stderr.write(f"{secret.failure()}\n")
         return EXIT_FAULTY_INPUT
     entry = Entry(settings, secret.unwrap())
-    if not stop.asked.is_set():
+    if stop.asked.is_set():
+        return EXIT_OK
+    try:
         entry.start()
-        stop.asked.wait()
-        _leave(entry, stop)
+    except OSError as exc:
+        sys.stderr.write(f"{_cannot_listen(settings, exc)}\n")
+        entry.abandon()
+        return EXIT_FAULTY_INPUT
+    stop.asked.wait()
+    _leave(entry, stop)
     return EXIT_OK
 
 
+def _cannot_listen(settings: Settings, exc: OSError) -> Problem:
+    cfg = settings.entry
+    where = f"{cfg.address} ports {cfg.caller_port}, {cfg.admin_port}, {cfg.peer_port}"
+    fix = "choose free ports in [entry], or end the process that has them"
+    return Problem("start", cfg.id, str(exc), where, fix)
+
+
 def _leave(entry: Entry, stop: StopSignal) -> None:
     entry.drain()
     stop.hurried.wait(entry.settings.entry.balancer_drain_ms / 1_000)
--- a/src/amaranthtray/entry/wiring.py
+++ b/src/amaranthtray/entry/wiring.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..backend.client import BackendAnswer, BackendClient
@@ -17,6 +17,7 @@
     ServingSettings,
 )
 from ..domain.serving.messages import TeamTerms
+from ..peers.events import PeerAddress
 from ..platform.budgeted import BudgetedStore, CallBudget
 from ..platform.config_log import ConfigFeed, ConfigLog
 from ..platform.etcd_json import EtcdStore
@@ -48,6 +49,7 @@
     from .request_task import ControlEffect
 
 BURST_SECONDS = 2
+PERCENT = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +109,22 @@
 
 def serving_settings(settings: Settings) -> ServingSettings:
     """Returns the bounds of the decisions that the settings ask for."""
-    return ServingSettings().with_task_lease(settings.requests.task_lease_ms)
+    asked = settings.requests
+    bounds = ServingSettings()
+    desk = replace(
+        bounds.desk,
+        max_retries=asked.max_attempts - 1,
+        retry_ratio=asked.retry_budget_percent / PERCENT,
+        backoff_first_ms=asked.retry_backoff_ms,
+    )
+    workers = replace(
+        bounds.workers,
+        eject_after=asked.eject_after_failures,
+        ejection_first_ms=asked.eject_ms,
+        max_ejected_share=asked.eject_max_percent / PERCENT,
+    )
+    bounds = replace(bounds, desk=desk, workers=workers)
+    return bounds.with_task_lease(asked.task_lease_ms)
 
 
 def make_requests(
@@ -158,6 +175,7 @@
         clock=now_ms,
         rng=rng,
         settings=requests.serving.cfg,
+        seeds=tuple(_address(text) for text in context.settings.peers.seeds),
     )
     return Control(parts)
 
@@ -210,6 +228,11 @@
     )
 
 
+def _address(text: str) -> PeerAddress:
+    address, _, port = text.rpartition(":")
+    return PeerAddress(address.strip("[]"), int(port))
+
+
 def _pool_of(context: EntryContext, queue: QueueName) -> PoolName | None:
     found = context.view.current.queues.get(queue)
     return found.pool if found else None
--- a/src/amaranthtray/replay/trace.py
+++ b/src/amaranthtray/replay/trace.py
@@ -43,6 +43,7 @@
     SourceEnded,
     TermFollowed,
     UsageArrived,
+    ZoneShared,
 )
 from ..domain.tagged import TaggedUnion
 
@@ -71,6 +72,7 @@
     TermFollowed,
     Tick,
     UsageArrived,
+    ZoneShared,
 )
 RESULTS = TaggedUnion(
     "attempt result",
--- a/src/amaranthtray/scenarios/links.py
+++ b/src/amaranthtray/scenarios/links.py
@@ -5,13 +5,13 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ..peers.events import DialFailed, LinkDown, LinkUp, PeerAddress, Received
+from ..peers.events import DialFailed, LinkDown, LinkUp, Received
 
 if TYPE_CHECKING:
     from ..domain.ids import EntryId
     from ..peers.codec import PeerMessage
+    from ..peers.events import Dial
     from ..peers.handshake import Admission
-    from ..peers.messages import Member
     from .entry import VirtualEntry
     from .world import World
 
@@ -31,17 +31,17 @@
             received = Received(self._entry.name, message)
             self._world.send(self._entry, peer, partial(peer.control.put, received))
 
-    def dial(self, member: Member) -> None:
+    def dial(self, dial: Dial) -> None:
         """Links two entries if messages pass in both directions."""
-        peer = self._world.entries.get(member.entry)
+        peer = self._world.entries.get(dial.entry) if dial.entry else None
         name = self._entry.name
         if (
             peer is None
             or not peer.is_alive
             or not self._world.network.joins(name, peer.name)
         ):
-            target = PeerAddress(member.address, member.port)
-            self._entry.control.put(DialFailed(target, member.entry, "no connection"))
+            failed = DialFailed(dial.target, dial.entry, "no connection")
+            self._entry.control.put(failed)
             return
         self._world.send(self._entry, peer, partial(peer.links.up, self._entry))
         self._world.send(peer, self._entry, partial(self.up, peer))
--- a/src/amaranthtray/settings/model.py
+++ b/src/amaranthtray/settings/model.py
@@ -117,10 +117,16 @@
         secret_file: File with the secret that entries authenticate each other by;
             empty when the environment gives the secret.
         max_frame_bytes: Largest frame accepted of a peer.
+        seeds: Peer addresses as ``IP:PORT`` to ask while the platform is away.
     """
 
     secret_file: str = ""
     max_frame_bytes: Count = 2_097_152
+    seeds: list[str] = []
+
+    def __post_init__(self) -> None:
+        for seed in self.seeds:
+            _check_address(seed)
 
 
 class RequestSettings(Struct, frozen=True, kw_only=True):
@@ -217,6 +223,13 @@
     return found
 
 
+def _check_address(text: str) -> None:
+    address, _, port = text.rpartition(":")
+    ipaddress.ip_address(address.strip("[]"))
+    if not port.isdecimal():
+        raise ValueError(f"{text!r} is no IP:PORT")
+
+
 def _check_http_url(url: str) -> None:
     parts = urlsplit(url)
     if parts.scheme not in ("http", "https") or not parts.hostname:
