--- a/src/amaranthtray/bench/_load.py
+++ b/src/amaranthtray/bench/_load.py
@@ -39,9 +39,13 @@
         url: Where to send.
         callers: Number of callers.
         body: Body of each request.
+        key: Bearer key of the callers.
     """
 
-    def __init__(self, url: str, *, callers: int, body: bytes = b"x" * 200) -> None:
+    def __init__(
+        self, url: str, *, callers: int, body: bytes = b"x" * 200, key: str = ""
+    ) -> None:
+        self._key = key
         self._url = url
         self._callers = callers
         self._body = body
@@ -82,7 +86,7 @@
                 "POST",
                 self._url,
                 body=self._body,
-                headers={"Request-Id": f"{caller}-{sent}", "Repeatable": "true"},
+                headers=self._head(f"{caller}-{started}-{sent}"),
             )
             taken.append(int((time.perf_counter() - started) * US_PER_S))
             failed += resp.status != HTTP_OK
@@ -90,3 +94,9 @@
             self._failed += failed
             for micros in taken:
                 self._histogram.record_value(micros)
+
+    def _head(self, request_id: str) -> dict[str, str]:
+        head = {"Request-Id": request_id, "Repeatable": "true"}
+        if self._key:
+            head["Authorization"] = f"Bearer {self._key}"
+        return head
--- a/src/amaranthtray/bench/_serve.py
+++ b/src/amaranthtray/bench/_serve.py
@@ -21,6 +21,7 @@
 
 THREADS = 64
 SLOTS = 64
+ENTRY_THREADS = 512
 MAX_BODY_BYTES = 1 << 20
 LEASE_MS = "10000"
 
@@ -87,8 +88,9 @@
 @click.argument("port_file", type=click.Path())
 def entry(backend_port: int, port_file: str) -> None:
     """A whole entry with a platform of its own."""
-    one = OneEntry(backend_port, slots=SLOTS, threads=THREADS)
+    one = OneEntry(backend_port, slots=SLOTS, threads=ENTRY_THREADS)
     one.start()
+    Path(port_file + ".key").write_text(one.caller_key.text)
     _wait(port_file, one.caller_port, one.stop)
 
 
--- a/src/amaranthtray/bench/path.py
+++ b/src/amaranthtray/bench/path.py
@@ -6,14 +6,18 @@
 from typing import TYPE_CHECKING
 
 from ._load import Load, LoadResult
+from ._waiting import WaitingCallers, resident_mb
 from .figure import Figure
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 ENTRY_VARIABLE = "AMARANTHTRAY_BENCH_ENTRY_PORT"
+PID_VARIABLE = "AMARANTHTRAY_BENCH_ENTRY_PID"
+KEY_VARIABLE = "AMARANTHTRAY_BENCH_CALLER_KEY"
 BARE_VARIABLE = "AMARANTHTRAY_BENCH_BARE_PORT"
 CALLERS = 8
+WAITING = 500
 WARM_UP_S = 1.0
 ROUND_S = 3.0
 ROUNDS = 3
@@ -25,14 +29,15 @@
 
 def figures() -> Iterator[Figure]:
     """Measures throughput and latency; rounds alternate, the medians count."""
-    entry_url = f"http://127.0.0.1:{_port(ENTRY_VARIABLE)}/v1/queues/echo/requests"
+    entry_url = f"http://127.0.0.1:{_port(ENTRY_VARIABLE)}/v1/queues/keyed/requests"
     bare_url = f"http://127.0.0.1:{_port(BARE_VARIABLE)}/"
+    key = os.environ.get(KEY_VARIABLE, "")
     for url in (entry_url, bare_url):
-        Load(url, callers=CALLERS).run(WARM_UP_S)
+        Load(url, callers=CALLERS, key=key).run(WARM_UP_S)
     entry, bare = [], []
     for _ in range(ROUNDS):
-        bare.append(Load(bare_url, callers=CALLERS).run(ROUND_S))
-        entry.append(Load(entry_url, callers=CALLERS).run(ROUND_S))
+        bare.append(Load(bare_url, callers=CALLERS, key=key).run(ROUND_S))
+        entry.append(Load(entry_url, callers=CALLERS, key=key).run(ROUND_S))
     mine, theirs = _median(entry), _median(bare)
     failed = sum(result.failed for result in entry + bare)
     yield Figure("path.failed", failed, "requests", "== 0")
@@ -44,6 +49,7 @@
         baseline=theirs.per_s,
         on_ratio=True,
     )
+    yield from _memory()
     yield Figure(
         "path.p99", mine.p99_ms, "ms", "<= 2", baseline=theirs.p99_ms, on_ratio=True
     )
@@ -58,3 +64,17 @@
     if text is None:
         raise PartMissingError(f"run `make bench`, which sets {variable}")
     return int(text)
+
+
+def _memory() -> Iterator[Figure]:
+    """Resident memory of the entry after the load, and with many callers waiting."""
+    pid = int(os.environ[PID_VARIABLE])
+    yield Figure("path.memory_idle", resident_mb(pid), "MB", "<= 64")
+    port = _port(ENTRY_VARIABLE)
+    url = f"http://127.0.0.1:{port}/v1/queues/keyed/requests"
+    key = os.environ.get(KEY_VARIABLE, "")
+    waiting = WaitingCallers(url, key, WAITING)
+    waiting.begin()
+    peak = resident_mb(pid)
+    waiting.end()
+    yield Figure("path.memory_waiting_500", peak, "MB", ">= 0")
--- a/src/amaranthtray/demo/story.py
+++ b/src/amaranthtray/demo/story.py
@@ -54,6 +54,10 @@
     Args:
         fleet: A fleet that has been started.
         say: Prints a line.
+
+    Attributes:
+        red: Key of the larger team.
+        blue: Key of the smaller team.
     """
 
     def __init__(self, fleet: Fleet, say: Callable[[str], None]) -> None:
@@ -66,19 +70,20 @@
         self._admin = AdminClient(
             admin, fleet.operator.text, timeout_ms=ADMIN_TIMEOUT_MS
         )
-        self._red = mint_key(EMPTY_REVISION)
-        self._blue = mint_key(EMPTY_REVISION)
+        self.red = mint_key(EMPTY_REVISION)
+        self.blue = mint_key(EMPTY_REVISION)
 
     def run(self) -> Summary:
         """Tells the whole story and returns what callers got."""
-        self._configure()
+        self.configure()
         self._say("round 1: urgent, patient, open and unrepeatable work")
         self._callers.send_all(self._round(1))
         self._lose_servers()
         self._withdraw_key()
         return self._tally.summary(self._fleet.servers.values())
 
-    def _configure(self) -> None:
+    def configure(self) -> None:
+        """Creates pools, teams, queues and keys, and places the hosts."""
         self._commit(
             PutPool(Pool(WEB, "tier=web", budget=Budget(max_out=2))),
             PutPool(Pool(BATCH, "tier=batch", budget=Budget(max_out=2))),
@@ -87,8 +92,8 @@
             PutQueue(Queue(BOOKINGS, WEB)),
             PutQueue(Queue(REPORTS, BATCH)),
             PutQueue(Queue(SIGNS, WEB, is_open=True)),
-            AddKey(_team_key(self._red, RED)),
-            AddKey(_team_key(self._blue, BLUE)),
+            AddKey(_team_key(self.red, RED)),
+            AddKey(_team_key(self.blue, BLUE)),
         )
         self._wait_for_placement()
         self._say("configured 2 pools, 2 teams, 3 queues and 2 keys")
@@ -111,10 +116,10 @@
         self._fleet.servers[DRAINED].leave()
 
     def _withdraw_key(self) -> None:
-        revision = self._commit(WithdrawKey(self._blue.key_id))
+        revision = self._commit(WithdrawKey(self.blue.key_id))
         self._say(f"withdrew the key of team {BLUE} at revision {revision}")
         before = len(self._tally.sent)
-        calls = (self._call(3, number, self._blue) for number in range(6))
+        calls = (self._call(3, number, self.blue) for number in range(6))
         results = self._callers.send_all(calls)
         refused = sum(result.status == BAD_KEY_STATUS for result in results)
         sent = len(self._tally.sent) - before
@@ -122,12 +127,12 @@
 
     def _round(self, number: int) -> Iterator[Call]:
         for index in range(CALLS_PER_ROUND):
-            key = self._red if index % 3 else self._blue
+            key = self.red if index % 3 else self.blue
             yield self._call(number, index, key)
-        issued = self._callers.issue_ids(self._red.text, UNREPEATABLE_PER_ROUND)
+        issued = self._callers.issue_ids(self.red.text, UNREPEATABLE_PER_ROUND)
         for request_id in issued:
             body = b"sleep:5 once " + request_id.encode()
-            yield Call(request_id, BOOKINGS, body, self._red.text, repeatable=False)
+            yield Call(request_id, BOOKINGS, body, self.red.text, repeatable=False)
 
     def _call(self, round_number: int, index: int, key: MintedKey) -> Call:
         request_id = f"r{round_number}-{index}"
--- /dev/null
+++ b/tests/entry/test_once_over_entries.py
@@ -0,0 +1,144 @@
+"""Unrepeatable requests through several entries, over real links and HTTP."""
+
+from __future__ import annotations
+
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+
+from amaranthtray.demo.callers import Call, Callers, CallResult
+from amaranthtray.demo.fleet import Fleet, wait_until
+from amaranthtray.demo.story import BOOKINGS, Story
+from amaranthtray.demo.tally import Tally
+from amaranthtray.standins.faults import Faults
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+E1, E2, E3 = range(3)
+STORE_AWAY = Faults(cut=True)
+
+
+class Trio:
+    """Three entries in two zones, configured as in the demo."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet()
+        self.fleet.start()
+        self.story = Story(self.fleet, lambda line: None)
+        self.story.configure()
+        urls = [self.fleet.caller_url(number) for number in range(3)]
+        self.callers = Callers(urls, Tally())
+        self.key = self.story.red.text
+
+    def call(
+        self, request_id: str, entry: int, *, work: str = "sleep:50"
+    ) -> CallResult:
+        body = f"{work} {request_id}".encode()
+        call = Call(request_id, BOOKINGS, body, self.key, repeatable=False)
+        return self.callers.send(call, entry)
+
+    def issue(self, entry: int) -> str:
+        return self.callers.issue_ids(self.key, 1, entry)[0]
+
+    def runs(self, request_id: str) -> int:
+        counts = Counter(
+            run.request_id
+            for server in self.fleet.servers.values()
+            for run in server.runs
+        )
+        return counts[request_id]
+
+
+@pytest.fixture(scope="module")
+def trio() -> Iterator[Trio]:
+    trio = Trio()
+    yield trio
+    trio.fleet.stop()
+
+
+@pytest.fixture(autouse=True)
+def _healed(trio: Trio) -> Iterator[None]:
+    yield
+    for platform in trio.fleet.platforms.values():
+        platform.plan.heal()
+
+
+@pytest.mark.parametrize("entry", [E1, E2, E3])
+def test_issued_id_runs_at_its_home_whoever_takes_it(trio: Trio, entry: int) -> None:
+    request_id = trio.issue(E1)
+    result = trio.call(request_id, entry)
+    assert (result.status, result.outcome) == (200, "answered")
+    assert result.body.startswith(request_id.encode() + b"|")
+    assert trio.runs(request_id) == 1
+
+
+def test_copies_in_flight_at_all_entries_run_once(trio: Trio) -> None:
+    for request_id in (trio.issue(E2), "sweep-17"):
+        with ThreadPoolExecutor(6) as executor:
+            calls = [
+                executor.submit(trio.call, request_id, number % 3, work="sleep:200")
+                for number in range(6)
+            ]
+            results = [call.result() for call in calls]
+        assert trio.runs(request_id) == 1
+        assert {result.outcome for result in results} == {"answered"}
+        assert len({result.body for result in results}) == 1
+
+
+def test_copy_after_the_end_gets_the_kept_answer(trio: Trio) -> None:
+    first = trio.call("sweep-18", E1)
+    again = trio.call("sweep-18", E3)
+    assert again.body == first.body
+    assert trio.runs("sweep-18") == 1
+
+
+def test_same_id_with_other_content_is_refused(trio: Trio) -> None:
+    trio.call("sweep-19", E1)
+    other = trio.call("sweep-19", E1, work="sleep:51")
+    assert other.status == 422
+    assert trio.runs("sweep-19") == 1
+
+
+def test_chosen_id_without_the_store_is_not_run_and_issued_ids_go_on(
+    trio: Trio,
+) -> None:
+    issued = trio.issue(E1)
+    for platform in trio.fleet.platforms.values():
+        platform.plan.set(STORE_AWAY)
+    refused = trio.call("sweep-20", E1)
+    assert refused.outcome == "not_run"
+    assert trio.runs("sweep-20") == 0
+    assert trio.call(issued, E1).outcome == "answered"
+
+
+def test_lost_reply_of_the_claim_is_settled(trio: Trio) -> None:
+    zone = trio.fleet.entries[E1].settings.entry.zone
+    platform = next(p for z, p in trio.fleet.platforms.items() if z == zone)
+    platform.plan.lose_next_replies(1)
+    result = trio.call("sweep-21", E1)
+    assert result.outcome in ("answered", "not_run")
+    assert trio.runs("sweep-21") == (1 if result.outcome == "answered" else 0)
+
+
+def test_home_that_is_cut_off_leaves_the_outcome_unknown(trio: Trio) -> None:
+    issued = trio.issue(E1)
+    assert trio.call(issued, E1).outcome == "answered"
+    home, other = trio.fleet.entries[E1], trio.fleet.entries[E2]
+    other.links.hub.block(home.links.hub.settings.entry)
+    try:
+        copied = Call(
+            issued,
+            BOOKINGS,
+            f"sleep:50 {issued}".encode(),
+            trio.key,
+            repeatable=False,
+            deadline_ms=700,
+        )
+        assert trio.callers.send(copied, E2).outcome == "unknown"
+    finally:
+        other.links.hub.unblock(home.links.hub.settings.entry)
+    assert trio.runs(issued) == 1
+    wait_until(lambda: trio.call(issued, E2).outcome == "answered", "the link is back")
