--- a/src/amaranthtray/bench/_serve.py
+++ b/src/amaranthtray/bench/_serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import signal
 import threading
 from pathlib import Path
@@ -13,8 +14,9 @@
 
 from .. import web
 from ..backend import wire
-from ..demo.one_entry import OneEntry
+from ..entry.entry import Entry
 from ..standins.backend import BackendStandIn
+from ._ready_platform import ReadyPlatform, entry_settings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +26,7 @@
 ENTRY_THREADS = 512
 MAX_BODY_BYTES = 1 << 20
 LEASE_MS = "10000"
+SECRET_BYTES = 32
 
 
 class BareForwarder:
@@ -86,12 +89,23 @@
 @serve.command()
 @click.argument("backend_port", type=int)
 @click.argument("port_file", type=click.Path())
-def entry(backend_port: int, port_file: str) -> None:
-    """A whole entry with a platform of its own."""
-    one = OneEntry(backend_port, slots=SLOTS, threads=ENTRY_THREADS)
+def platform(backend_port: int, port_file: str) -> None:
+    """The platform, with the host and the whole configuration in it."""
+    ready = ReadyPlatform(backend_port, slots=SLOTS)
+    ready.start()
+    Path(port_file + ".key").write_text(ready.caller_key.text)
+    _wait(port_file, ready.port, ready.stop)
+
+
+@serve.command()
+@click.argument("platform_port", type=int)
+@click.argument("port_file", type=click.Path())
+def entry(platform_port: int, port_file: str) -> None:
+    """An entry and nothing else, so that its memory is its own."""
+    settings = entry_settings(f"http://127.0.0.1:{platform_port}", ENTRY_THREADS)
+    one = Entry(settings, secrets.token_bytes(SECRET_BYTES))
     one.start()
-    Path(port_file + ".key").write_text(one.caller_key.text)
-    _wait(port_file, one.caller_port, one.stop)
+    _wait(port_file, one.ports.caller, one.stop)
 
 
 def _wait(port_file: str, port: int, stop: Callable[[], None]) -> None:
--- a/src/amaranthtray/bench/path.py
+++ b/src/amaranthtray/bench/path.py
@@ -32,6 +32,7 @@
     entry_url = f"http://127.0.0.1:{_port(ENTRY_VARIABLE)}/v1/queues/keyed/requests"
     bare_url = f"http://127.0.0.1:{_port(BARE_VARIABLE)}/"
     key = os.environ.get(KEY_VARIABLE, "")
+    yield from _memory(entry_url, key)
     for url in (entry_url, bare_url):
         Load(url, callers=CALLERS, key=key).run(WARM_UP_S)
     entry, bare = [], []
@@ -49,7 +50,6 @@
         baseline=theirs.per_s,
         on_ratio=True,
     )
-    yield from _memory()
     yield Figure(
         "path.p99", mine.p99_ms, "ms", "<= 2", baseline=theirs.p99_ms, on_ratio=True
     )
@@ -66,15 +66,12 @@
     return int(text)
 
 
-def _memory() -> Iterator[Figure]:
-    """Resident memory of the entry after the load, and with many callers waiting."""
+def _memory(url: str, key: str) -> Iterator[Figure]:
+    """Resident memory of a fresh entry, and of one with many callers waiting."""
     pid = int(os.environ[PID_VARIABLE])
     yield Figure("path.memory_idle", resident_mb(pid), "MB", "<= 64")
-    port = _port(ENTRY_VARIABLE)
-    url = f"http://127.0.0.1:{port}/v1/queues/keyed/requests"
-    key = os.environ.get(KEY_VARIABLE, "")
     waiting = WaitingCallers(url, key, WAITING)
     waiting.begin()
-    peak = resident_mb(pid)
+    held_mb = resident_mb(pid)
     waiting.end()
-    yield Figure("path.memory_waiting_500", peak, "MB", ">= 0")
+    yield Figure("path.memory_waiting_500", held_mb, "MB", ">= 0")
--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -9,15 +9,11 @@
 
 from ..cli.client import AdminClient
 from ..domain.configuration import (
-    AddKey,
     PlaceHosts,
     Pool,
     PutPool,
     PutQueue,
-    PutTeam,
     Queue,
-    Team,
-    TeamKey,
 )
 from ..domain.configuration.model import EMPTY_REVISION
 from ..domain.ids import (
@@ -27,7 +23,6 @@
     QueueName,
     RackId,
     RegionId,
-    TeamName,
     ZoneId,
 )
 from ..domain.inventory import Host
@@ -39,9 +34,6 @@
 from ..standins.platform import PlatformStandIn
 
 QUEUE = QueueName("echo")
-KEYED_QUEUE = QueueName("keyed")
-TEAM = TeamName("red")
-TEAM_LIMIT = 1_000
 POOL = PoolName("echo")
 HOST = HostId("h1")
 ZONE = ZoneId("z1")
@@ -58,9 +50,6 @@
         slots: Slots of the backend server.
         threads: Threads of the entry.
         read_timeout_ms: Longest wait for bytes of a caller.
-
-    Attributes:
-        caller_key: Key of the team that may use the keyed queue.
     """
 
     def __init__(
@@ -74,7 +63,6 @@
         self._memory = MemoryPlatform(now_ms)
         self._platform = PlatformStandIn(self._memory.client("z1", waits=True))
         self._operator = mint_key(EMPTY_REVISION)
-        self.caller_key = mint_key(EMPTY_REVISION)
         self._host = Host(
             host_id=HOST,
             zone=ZONE,
@@ -128,9 +116,6 @@
         changes = (
             PutPool(Pool(POOL, "pool=echo")),
             PutQueue(Queue(QUEUE, POOL, is_open=True)),
-            PutQueue(Queue(KEYED_QUEUE, POOL)),
-            PutTeam(Team(TEAM, limit=TEAM_LIMIT)),
-            AddKey(TeamKey(self.caller_key.key_id, TEAM, self.caller_key.digest)),
             PlaceHosts({HOST: POOL}),
         )
         admin.commit(changes, op_id=OperationId(uuid.uuid4().hex)).unwrap()
