Give a copy its own deadline, and forget refused work

Cause: a copy that joined a request in flight waited for the first one's outcome, beyond its own deadline; and the work of a rejected submission stayed in a table. Before: the copy's caller waited 1.5 s with a deadline of 0.2 s. After: it is told unknown at its deadline and the first goes on.

--- a/src/amaranthtray/entry/request_table.py
+++ b/src/amaranthtray/entry/request_table.py
@@ -13,6 +13,7 @@
 from ..domain.requests.idempotency_messages import (
     AnswerDropped,
     Ask,
+    CallerLeft,
     CallerRef,
     CancelAsked,
     CancelWork,
@@ -49,6 +50,9 @@
 
 ORPHAN_THREADS = 2
 SWEEP_EVERY_ASKS = 256
+MS_PER_S = 1_000
+DEADLINE_GRACE_MS = 100
+"""Time for the request desk to give its own, more exact outcome first."""
 
 
 class Forwarder(Protocol):
@@ -127,7 +131,15 @@
     issued: queue.SimpleQueue[list[RequestId]]
 
 
-_Message: TypeAlias = TableMessage | _Asked | _Ended | _IssueAsked
+@dataclass(frozen=True, slots=True)
+class _WaitedTooLong:
+    """A thread's own deadline has passed; others may go on waiting."""
+
+    key: RequestKey
+    ref: CallerRef
+
+
+_Message: TypeAlias = TableMessage | _Asked | _Ended | _IssueAsked | _WaitedTooLong
 
 
 class RequestTable:
@@ -175,7 +187,7 @@
         caller = _Caller(ref, work)
         self._mailbox.post(_Asked(_ask(work, ref), caller))
         while True:
-            step = caller.steps.get()
+            step = self._next_step(caller)
             match step:
                 case _Delivered(final=final):
                     return final
@@ -184,6 +196,15 @@
                 case _:
                     self._do(step, work)
 
+    def _next_step(self, caller: _Caller) -> _Step:
+        """Waits for a step; a copy does not wait beyond its own deadline."""
+        wait_ms = caller.work.request.deadline_ms + DEADLINE_GRACE_MS - now_ms()
+        try:
+            return caller.steps.get(timeout=max(0, wait_ms) / MS_PER_S)
+        except queue.Empty:
+            self._mailbox.post(_WaitedTooLong(caller.work.key, caller.ref))
+            return caller.steps.get()
+
     def cancel(self, key: RequestKey) -> None:
         """Cancels a request; whoever waits for it gets the final outcome."""
         self._mailbox.post(CancelAsked(key))
@@ -227,6 +248,10 @@
                 if answer is not None:
                     self._answers.put(ended.key, answer, len(answer.body), now)
                 effects = self._table.handle(ended, now)
+            case _WaitedTooLong(key=key, ref=ref):
+                effects = self._table.handle(CallerLeft(key, ref), now)
+                late = Unknown(UnknownReason.DEADLINE_PASSED)
+                self._give(key, ref, _Delivered(Final(late)))
             case _IssueAsked(team=team, count=count, issued=issued):
                 issued.put([self._table.issue(team, now) for _ in range(count)])
                 return
@@ -270,7 +295,10 @@
                 if key not in self._waiting:
                     self._works.pop(key, None)
             case Reject(caller=ref):
-                self._give(self._key_of(ref), ref, effect)
+                key = self._key_of(ref)
+                self._give(key, ref, effect)
+                if key not in self._waiting:
+                    self._works.pop(key, None)
             case CancelWork(key=key):
                 self._task.cancel(key.team, key.request_id)
             case ForwardCancel(key=key, home=home):
--- a/tests/entry/test_once_over_entries.py
+++ b/tests/entry/test_once_over_entries.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -142,3 +143,17 @@
         other.links.hub.unblock(home.links.hub.settings.entry)
     assert trio.runs(issued) == 1
     wait_until(lambda: trio.call(issued, E2).outcome == "answered", "the link is back")
+
+
+def test_copy_does_not_wait_beyond_its_own_deadline(trio: Trio) -> None:
+    issued = trio.issue(E1)
+    body = f"sleep:1500 {issued}".encode()
+    first = Call(issued, BOOKINGS, body, trio.key, repeatable=False)
+    hasty = replace(first, deadline_ms=200)
+    with ThreadPoolExecutor(2) as executor:
+        running = executor.submit(trio.callers.send, first, E1)
+        wait_until(lambda: trio.runs(issued) == 1, "the first has begun")
+        assert trio.callers.send(hasty, E1).outcome == "unknown"
+        assert not running.done()
+        assert running.result().outcome == "answered"
+    assert trio.runs(issued) == 1
