Keep a moved host in its old ledger until its drain is over

A host that was down for longer than an hour after its move was dropped from the ledger of the pool it left, and nobody ended its drain: it refused work for ever. It is dropped only when the platform lists it no more. The observer's check of drains goes by the ledger of the pool that gave the order.

--- a/src/amaranthtray/bench/_waves_fleet.py
+++ b/src/amaranthtray/bench/_waves_fleet.py
@@ -156,7 +156,9 @@
         stand_in = self.hosts[host]
         was_serving = stand_in.is_serving
         stand_in.drain(fence)
-        if was_serving and not stand_in.is_serving and not self._is_out(host):
+        out = self.ledgers[fence.pool].out.get(host)
+        is_listed = out is not None and out.op_id == fence.op_id
+        if was_serving and not stand_in.is_serving and not is_listed:
             self.faults.append(f"{host} drained while no ledger lists it")
 
     def _reboot(self, host: HostId, fence: Fence) -> None:
--- a/src/amaranthtray/domain/placement/view.py
+++ b/src/amaranthtray/domain/placement/view.py
@@ -66,6 +66,7 @@
 
     Attributes:
         placement: Where the configuration places each host of the fleet.
+        listed: All hosts that the platform lists.
     """
 
     pool: PoolName
@@ -74,6 +75,7 @@
     members: dict[HostId, Member]
     placement: Mapping[HostId, PoolName]
     waves: dict[WaveName, WaveTask] = field(default_factory=dict)
+    listed: frozenset[HostId] = frozenset()
 
     def pool_of(self, host: HostId) -> PoolName:
         """Returns the pool that the configuration places a host in."""
@@ -139,6 +141,7 @@
         members=members,
         placement=cfg.placement,
         waves=waves,
+        listed=frozenset(known),
     )
 
 
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -56,7 +56,8 @@
 def _mark_departed(ledger: Ledger, now: Situation) -> Ledger:
     """Marks hosts that the configuration has placed in another pool.
 
-    They are kept until their drain is over, so that a new holder sees to it.
+    They are kept until their drain is over, so that a new holder sees to it, however
+    long the host is down; one that the platform lists no more is dropped in the end.
     """
     for host, out in ledger.out.items():
         has_left = now.view.pool_of(host) != ledger.pool
@@ -64,7 +65,7 @@
             is_late = now.wall_ms - out.since_ms >= now.settings.forget_after_ms
             if not has_left:
                 ledger = advance(ledger, host, Stage.RETURNING)
-            elif is_late:
+            elif is_late and host not in now.view.listed:
                 ledger = ledger.without(host)
         elif has_left and out.stage is not Stage.REBOOTING:
             left = replace(out, stage=Stage.LEFT, since_ms=now.wall_ms)
--- a/tests/waves/test_work.py
+++ b/tests/waves/test_work.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 import builders
 from amaranthtray.domain.budgets import OutCause, Stage
 from amaranthtray.domain.configuration import (
@@ -188,6 +190,24 @@
     assert driver.stages() == {NAMES[0]: "returning"}
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_a_host_that_left_is_dropped_only_when_the_platform_lacks_it(
+    is_listed: bool,
+) -> None:
+    cfg = replace(config(), waves={})
+    driver = Driver(cfg)
+    driver.change(replace(cfg, host_labels={NAMES[0]: {"pool": "db"}}))
+    driver.drained(NAMES[0])
+    moved = {**driver.cfg.placement, NAMES[0]: PoolName("db")}
+    driver.change(replace(driver.cfg, placement=moved))
+    if not is_listed:
+        view = view_of(driver.cfg, HOSTS[1:])
+        driver.send(ViewChanged(view))
+    driver.now_ms += 60 * 60_000
+    driver.send(Tick())
+    assert driver.stages() == ({NAMES[0]: "left"} if is_listed else {})
+
+
 def test_hosts_ready_at_once_move_with_one_record() -> None:
     cfg = replace(config(), waves={})
     driver = Driver(cfg)
