--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -30,7 +30,13 @@
 from ..entry.clock import now_ms
 from ..entry.entry import Entry
 from ..platform.memory import MemoryPlatform
-from ..settings import BootstrapSettings, EntrySettings, PlatformSettings, Settings
+from ..settings import (
+    BootstrapSettings,
+    EntrySettings,
+    PlatformSettings,
+    Settings,
+    TraceSettings,
+)
 from ..standins.platform import PlatformStandIn
 
 QUEUE = QueueName("echo")
@@ -50,6 +56,7 @@
         slots: Slots of the backend server.
         threads: Threads of the entry.
         read_timeout_ms: Longest wait for bytes of a caller.
+        trace: File to record to; none records nothing.
     """
 
     def __init__(
@@ -59,6 +66,7 @@
         slots: int = 8,
         threads: int = 16,
         read_timeout_ms: int = 10_000,
+        trace: str = "",
     ) -> None:
         self._memory = MemoryPlatform(now_ms)
         self._platform = PlatformStandIn(self._memory.client("z1", waits=True))
@@ -73,6 +81,7 @@
         )
         self._threads = threads
         self._read_timeout_ms = read_timeout_ms
+        self._trace = trace
         self._entry: Entry | None = None
 
     @property
@@ -136,5 +145,6 @@
                 balancer_drain_ms=0,
             ),
             platform=PlatformSettings(endpoints=[self._platform.url]),
+            trace=TraceSettings(path=self._trace),
             bootstrap=BootstrapSettings(operator_digest=self._operator.digest),
         )
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -82,7 +82,6 @@
             self._links,
             self._stores,
             self.observer,
-            self._rng,
             self._slot,
         )
         self._services = Services(
--- a/src/amaranthtray/entry/openapi.py
+++ b/src/amaranthtray/entry/openapi.py
@@ -61,6 +61,7 @@
                 submission.WORK_CLASS, {"enum": [item.value for item in WorkClass]}
             ),
             _header(submission.REPEATABLE, {"type": "boolean", "default": False}),
+            _header(submission.SUBMISSION, {"type": "integer", "minimum": 1}),
             _header(submission.NEEDS_CORES, {"type": "integer", "minimum": 0}),
             _header(submission.NEEDS_MEMORY_MB, {"type": "integer", "minimum": 0}),
             _header(submission.NEEDS_ACCELERATORS, {"type": "integer", "minimum": 0}),
--- /dev/null
+++ b/src/amaranthtray/entry/recording.py
@@ -0,0 +1,57 @@
+"""The serving machine of an entry, recorded if the settings ask for it."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from pathlib import Path
+from typing import TYPE_CHECKING, Protocol
+
+from ..domain.serving import Serving, ServingParts
+from ..replay.recorder import Recorder
+
+if TYPE_CHECKING:
+    from ..domain.ids import Millis
+    from ..domain.serving import ServingEffect, ServingMessage, ServingSettings
+    from ..settings import TraceSettings
+    from .context import EntryContext
+
+SEED_BITS = 63
+
+
+class ServingMachine(Protocol):
+    """Takes messages one at a time; a ``Serving``, or a recorder around it."""
+
+    def handle(self, message: ServingMessage, now_ms: Millis) -> list[ServingEffect]:
+        """Takes one message and returns what to do."""
+
+    def next_wake_ms(self) -> int:
+        """Returns when the next ``Tick`` is due."""
+
+
+def make_serving(
+    context: EntryContext, bounds: ServingSettings
+) -> tuple[Serving, ServingMachine]:
+    """Returns the serving part, and what messages are to be handed to.
+
+    Raises:
+        OSError: The trace file exists or cannot be written.
+    """
+    seed = secrets.randbits(SEED_BITS)
+    parts = ServingParts(
+        context.entry, context.incarnation, context.zone, random.Random(seed)
+    )
+    serving = Serving(parts, bounds)
+    cfg = context.settings.trace
+    if not cfg.path:
+        return serving, serving
+    return serving, _recorded(serving, parts, seed, cfg)
+
+
+def _recorded(
+    serving: Serving, parts: ServingParts, seed: int, cfg: TraceSettings
+) -> Recorder:
+    sink = Path(cfg.path).open("x", encoding="utf-8")  # noqa: SIM115  closed at exit
+    recorder = Recorder(serving, parts, seed, sink, max_bytes=cfg.max_bytes)
+    recorder.start()
+    return recorder
--- a/src/amaranthtray/entry/request_task.py
+++ b/src/amaranthtray/entry/request_task.py
@@ -36,8 +36,8 @@
 
     from ..domain.ids import HostId, RequestId, TeamName
     from ..domain.inventory import Host
-    from ..domain.serving import Serving
     from .observer import Observer
+    from .recording import ServingMachine
     from .task_control import TaskControl
 
 LONGEST_SLEEP_MS = 200
@@ -94,7 +94,7 @@
 
     def __init__(
         self,
-        serving: Serving,
+        serving: ServingMachine,
         client: BackendClient,
         control: TaskControl,
         observer: Observer,
--- a/src/amaranthtray/entry/wiring.py
+++ b/src/amaranthtray/entry/wiring.py
@@ -13,7 +13,6 @@
     ConfigurationInForce,
     HostsListed,
     Serving,
-    ServingParts,
     ServingSettings,
 )
 from ..domain.serving.messages import TeamTerms
@@ -24,12 +23,14 @@
 from ..platform.prefixed import PrefixedStore
 from ..platform.settled import SettledStore
 from ..platform.store import Store
+from ..replay.recorder import Recorder
 from .claims import ClaimStore
 from .clock import now_ms
 from .control import Control, ControlParts
 from .forwarding import HomeService, PeerForwarder
 from .host_list import by_pool
 from .kept_values import KeptValues
+from .recording import ServingMachine, make_serving
 from .request_table import RequestTable
 from .request_task import RequestTask
 from .task_control import TaskControl
@@ -72,6 +73,7 @@
     """The parts that serve requests."""
 
     serving: Serving
+    machine: ServingMachine
     task: RequestTask
     table: RequestTable
     forwarder: PeerForwarder
@@ -86,6 +88,8 @@
         self.home.stop()
         self.control.stop()
         self.pools.close()
+        if isinstance(self.machine, Recorder):
+            self.machine.close()
 
 
 class ControlSlot:
@@ -132,19 +136,17 @@
     links: HubLinks,
     stores: Stores,
     observer: Observer,
-    rng: random.Random,
     slot: ControlSlot,
 ) -> Requests:
     """Returns the parts that serve requests, not yet started."""
     settings = context.settings
     pools = ConnectionPools()
-    parts = ServingParts(context.entry, context.incarnation, context.zone, rng)
-    serving = Serving(parts, serving_settings(settings))
+    serving, machine = make_serving(context, serving_settings(settings))
     control = TaskControl(
         pools, on_ended=lambda host, attempts: task.free_slots(host, attempts)
     )
     task = RequestTask(
-        serving,
+        machine,
         BackendClient(pools),
         control,
         observer,
@@ -153,7 +155,7 @@
     forwarder = PeerForwarder(links)
     table = _make_table(context, stores, observer, task, forwarder)
     home = HomeService(table, links, lambda queue: _pool_of(context, queue))
-    return Requests(serving, task, table, forwarder, home, pools, control)
+    return Requests(serving, machine, task, table, forwarder, home, pools, control)
 
 
 def make_control(
--- a/src/amaranthtray/settings/__init__.py
+++ b/src/amaranthtray/settings/__init__.py
@@ -15,6 +15,7 @@
     PlatformSettings,
     RequestSettings,
     Settings,
+    TraceSettings,
 )
 from .toml_document import TomlDocument
 
@@ -32,6 +33,7 @@
     "RequestSettings",
     "Settings",
     "TomlDocument",
+    "TraceSettings",
     "load",
     "loads",
     "peer_secret",
--- a/src/amaranthtray/settings/model.py
+++ b/src/amaranthtray/settings/model.py
@@ -191,6 +191,18 @@
     format: LogFormat = LogFormat.JSON
 
 
+class TraceSettings(Struct, frozen=True, kw_only=True):
+    """Section ``[trace]``: a recording for ``replay``; an empty path records none.
+
+    Attributes:
+        path: File to write; it must not exist, so that no trace is overwritten.
+        max_bytes: Longest recording; it stops there and the entry goes on.
+    """
+
+    path: str = ""
+    max_bytes: Count = 67_108_864
+
+
 class BootstrapSettings(Struct, frozen=True, kw_only=True):
     """Section ``[bootstrap]``: how the first operator gets in.
 
@@ -211,6 +223,7 @@
     requests: RequestSettings = field(default_factory=RequestSettings)
     metrics: MetricSettings = field(default_factory=MetricSettings)
     logs: LogSettings = field(default_factory=LogSettings)
+    trace: TraceSettings = field(default_factory=TraceSettings)
     bootstrap: BootstrapSettings = field(default_factory=BootstrapSettings)
 
 
--- /dev/null
+++ b/tests/entry/test_recording.py
@@ -0,0 +1,34 @@
+"""A recorded entry replays as it ran."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from amaranthtray.demo.one_entry import OneEntry
+from amaranthtray.replay.run import run_files
+from amaranthtray.standins.backend import BackendStandIn
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+CALLS = 20
+
+
+def test_trace_of_a_running_entry_replays_the_same(tmp_path: Path) -> None:
+    trace = tmp_path / "entry.jsonl"
+    backend = BackendStandIn("h1")
+    backend.start()
+    one = OneEntry(backend.port, trace=str(trace))
+    one.start()
+    url = f"http://127.0.0.1:{one.caller_port}/v1/queues/echo/requests"
+    for number in range(CALLS):
+        reply = urllib3.request("POST", url, body=b"secret loaf", retries=False)
+        assert reply.status == 200, number
+    one.stop()
+    backend.stop()
+    assert run_files([str(trace)]) == 0
+    text = trace.read_text()
+    assert text.count('"Finish"') == CALLS
+    assert "secret loaf" not in text
