Carry the limits' and shares' own messages between entries

Four peer messages stood beside the domain's reports, grants and usage frames; they are gone, and the tests of old terms and merged sums now bind the messages that are really sent.

--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -292,8 +292,7 @@
             self._parts.links.send(entry, grant)
 
     def _take_grant(self, command: Deliver, grant: UnitsGrant) -> None:
-        is_near = command.zone == self._own.zone
-        if not is_near or self.peers.members.is_old_term(command.zone, grant.term):
+        if command.zone != self._own.zone:
             self.refused += 1
             return
         self._parts.serving.post(GrantArrived(grant))
--- a/src/amaranthtray/peers/codec.py
+++ b/src/amaranthtray/peers/codec.py
@@ -23,10 +23,6 @@
     HostNews,
     MemberList,
     Proof,
-    UnitsGranted,
-    UnitsWanted,
-    UsageRelay,
-    UsageSums,
     ZoneRevision,
 )
 
@@ -41,10 +37,6 @@
     | ZoneRevision
     | ConfigWanted
     | ConfigRecords
-    | UsageSums
-    | UsageRelay
-    | UnitsWanted
-    | UnitsGranted
     | HostNews
     | ForwardRequest
     | ForwardReply
--- a/src/amaranthtray/peers/control.py
+++ b/src/amaranthtray/peers/control.py
@@ -12,6 +12,7 @@
 from ..domain.configuration.follower import ConfigFollower, InForce
 from ..domain.configuration.model import Configuration
 from ..domain.ids import EntryId, Revision, Term, ZoneId
+from ..domain.limits.messages import UnitsGrant
 from .codec import PeerMessage
 from .events import (
     DialFailed,
@@ -32,7 +33,6 @@
     HostNews,
     Member,
     MemberList,
-    UnitsGranted,
     ZoneRevision,
 )
 from .news import HostNewsFilter
@@ -241,7 +241,7 @@
                 return self._take_report(entry, message, now_ms)
             case HostNews():
                 return self._take_news(entry, message, now_ms)
-            case UnitsGranted(term=term) if self.members.is_old_term(peer.zone, term):
+            case UnitsGrant(term=term) if self.members.is_old_term(peer.zone, term):
                 pass
             case _:
                 return [Deliver(entry, peer.zone, message)]
--- a/src/amaranthtray/peers/messages.py
+++ b/src/amaranthtray/peers/messages.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from ..domain.ids import (
     EntryId,
     HostId,
     Incarnation,
-    PoolName,
     RequestId,
     Revision,
     TeamName,
@@ -127,65 +126,6 @@
     snapshot: bytes | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class UsageSums:
-    """Slot time used since the sender started, per pool and team.
-
-    Sums only grow within an incarnation, so a lost or repeated frame does no harm.
-
-    Attributes:
-        sums: Slot milliseconds by pool and team; only what changed is sent.
-        waiting: Teams of each pool with waiting work.
-    """
-
-    incarnation: Incarnation
-    sums: dict[PoolName, dict[TeamName, int]] = field(default_factory=dict)
-    waiting: dict[PoolName, tuple[TeamName, ...]] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class UsageRelay:
-    """Usage sums of other entries, passed on between zones by stewards."""
-
-    sums: dict[EntryId, UsageSums] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class UnitsWanted:
-    """An entry tells its zone steward what it uses and wants of the limits.
-
-    Attributes:
-        seq: Grows with each report of an incarnation; older ones are ignored.
-        used: Units in use, by team.
-        waiting: Requests waiting for a unit, by team.
-    """
-
-    incarnation: Incarnation
-    seq: int
-    used: dict[TeamName, int]
-    waiting: dict[TeamName, int]
-
-
-@dataclass(frozen=True, slots=True)
-class UnitsGranted:
-    """The steward's grant to one entry; it replaces any with a lower number.
-
-    Attributes:
-        term: Steward term; an old term is refused.
-        seq: Grows with each grant of the term.
-        ttl_ms: Validity, counted by the entry from when it sent the report
-            that ``answers`` names.
-        answers: ``UnitsWanted.seq`` that this grant answers.
-        units: Units the entry may use, by team.
-    """
-
-    term: Term
-    seq: int
-    ttl_ms: int
-    answers: int
-    units: dict[TeamName, int]
-
-
 @dataclass(frozen=True, slots=True)
 class HostNews:
     """What an entry learned from a backend server itself.
@@ -248,10 +188,6 @@
     ZoneRevision,
     ConfigWanted,
     ConfigRecords,
-    UsageSums,
-    UsageRelay,
-    UnitsWanted,
-    UnitsGranted,
     HostNews,
     ForwardRequest,
     ForwardReply,
--- a/src/amaranthtray/peers/outbox.py
+++ b/src/amaranthtray/peers/outbox.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ..domain.shares.frames import UsageFrame
-from .messages import Heartbeat, MemberList, UsageSums, ZoneRevision
+from .messages import Heartbeat, MemberList, ZoneRevision
 
 if TYPE_CHECKING:
     from .codec import PeerMessage
@@ -46,9 +47,7 @@
         return self._queue.popleft() if self._queue else None
 
     def _find_superseded(self, message: PeerMessage) -> PeerMessage | None:
-        if not isinstance(
-            message, Heartbeat | UsageFrame | UsageSums | MemberList | ZoneRevision
-        ):
+        if not isinstance(message, Heartbeat | UsageFrame | MemberList | ZoneRevision):
             return None
         return next((one for one in self._queue if _supersedes(message, one)), None)
 
@@ -63,16 +62,14 @@
             return newer.at_version >= older.at_version
         case ZoneRevision(), ZoneRevision():
             return newer.zone == older.zone
-        case UsageSums(), UsageSums():
-            return newer.incarnation == older.incarnation
     return False
 
 
 def _merge(older: PeerMessage, newer: PeerMessage) -> PeerMessage:
     """Keeps sums that changed in the older message only."""
-    if not isinstance(older, UsageSums) or not isinstance(newer, UsageSums):
+    if not isinstance(older, UsageFrame) or not isinstance(newer, UsageFrame):
         return newer
     sums = {pool: dict(teams) for pool, teams in older.sums.items()}
     for pool, teams in newer.sums.items():
         sums.setdefault(pool, {}).update(teams)
-    return UsageSums(newer.incarnation, sums, {**older.waiting, **newer.waiting})
+    return replace(newer, sums=sums)
--- a/tests/peers/test_control.py
+++ b/tests/peers/test_control.py
@@ -7,10 +7,11 @@
 import builders
 from amaranthtray.bench._virtual_fleet import VirtualEntry, VirtualFleet
 from amaranthtray.domain.configuration import PutTeam
-from amaranthtray.domain.ids import EntryId, HostId, Term
+from amaranthtray.domain.ids import EntryId, HostId, Revision, Term
+from amaranthtray.domain.limits.messages import UnitsGrant
 from amaranthtray.peers.events import PeerAddress, Received
 from amaranthtray.peers.membership import StewardSeen
-from amaranthtray.peers.messages import HostNews, MemberList, UnitsGranted
+from amaranthtray.peers.messages import HostNews, MemberList
 from amaranthtray.peers.reach import ReachState
 
 IN_FORCE_MS = 3_000
@@ -200,7 +201,7 @@
     source = steward(fleet, "z1")
     seen = StewardSeen(source.member.entry, Term(9))
     entry.control.members.stewards[source.member.zone] = seen
-    grant = UnitsGranted(Term(1), 1, 1_000, 1, {})
+    grant = UnitsGrant(entry.member.incarnation, Term(1), 1, 1, 1_000, Revision(1))
     fleet._send(source, entry.member.entry, grant)
     fleet.run(10)
 
--- a/tests/peers/test_outbox.py
+++ b/tests/peers/test_outbox.py
@@ -4,14 +4,21 @@
 
 import pytest
 
-from amaranthtray.domain.ids import Incarnation, PoolName, Revision, TeamName, Term
+from amaranthtray.domain.ids import (
+    Incarnation,
+    Millis,
+    PoolName,
+    Revision,
+    TeamName,
+    Term,
+)
+from amaranthtray.domain.shares import UsageFrame
 from amaranthtray.peers.codec import PeerMessage, decode, encode
 from amaranthtray.peers.messages import (
     ConfigWanted,
     ForwardReply,
     Heartbeat,
     MemberList,
-    UsageSums,
 )
 from amaranthtray.peers.outbox import Outbox
 
@@ -20,8 +27,9 @@
     return Heartbeat(Revision(revision), Term(0), 0)
 
 
-def sums(team: str, used_ms: int, run: str = "i1") -> UsageSums:
-    return UsageSums(Incarnation(run), {PoolName("web"): {TeamName(team): used_ms}})
+def sums(team: str, used_ms: int, run: str = "i1") -> UsageFrame:
+    used = {PoolName("web"): {TeamName(team): used_ms}}
+    return UsageFrame(Incarnation(run), Millis(used_ms), used)
 
 
 def drain(outbox: Outbox) -> list[PeerMessage]:
