--- a/src/amaranthtray/bench/_ready_platform.py
+++ b/src/amaranthtray/bench/_ready_platform.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
+from ..demo.entry_settings import loopback_settings
 from ..domain.configuration import (
     AddKey,
     Configuration,
@@ -35,9 +38,12 @@
 from ..platform.config_log import ConfigLog
 from ..platform.memory import MemoryPlatform
 from ..platform.prefixed import PrefixedStore
-from ..settings import EntrySettings, PlatformSettings, Settings
+from ..settings import PlatformSettings
 from ..standins.platform import PlatformStandIn
 
+if TYPE_CHECKING:
+    from ..settings import Settings
+
 KEYED_QUEUE = QueueName("keyed")
 POOL = PoolName("echo")
 TEAM = TeamName("red")
@@ -104,18 +110,4 @@
 
 def entry_settings(platform_url: str, threads: int) -> Settings:
     """Returns the settings of an entry in front of such a platform."""
-    return Settings(
-        entry=EntrySettings(
-            id="e1",
-            zone=ZONE,
-            region=REGION,
-            address="127.0.0.1",
-            caller_port=0,
-            admin_port=0,
-            peer_port=0,
-            threads=threads,
-            patient_threads=threads // 2,
-            balancer_drain_ms=0,
-        ),
-        platform=PlatformSettings(endpoints=[platform_url]),
-    )
+    return loopback_settings(platform_url, zone=ZONE, region=REGION, threads=threads)
--- a/src/amaranthtray/demo/fleet.py
+++ b/src/amaranthtray/demo/fleet.py
@@ -17,14 +17,9 @@
 from ..entry.clock import now_ms
 from ..entry.entry import Entry
 from ..platform.memory import MemoryPlatform
-from ..settings import (
-    BootstrapSettings,
-    EntrySettings,
-    PlatformSettings,
-    Settings,
-)
 from ..standins.backend import BackendStandIn
 from ..standins.platform import PlatformStandIn
+from .entry_settings import loopback_settings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +31,6 @@
 HOSTS_PER_RACK = 2
 SLOTS = 8
 ENTRY_THREADS = 64
-PATIENT_THREADS = 32
 WAIT_TIMEOUT_S = 15.0
 POLL_S = 0.02
 HOST_PREFIX = "hosts/"
@@ -145,21 +139,13 @@
         self.list_host(host)
 
     def _start_entry(self, number: int, zone: ZoneId) -> None:
-        settings = Settings(
-            entry=EntrySettings(
-                id=f"e{number}",
-                zone=zone,
-                region=REGION,
-                address="127.0.0.1",
-                caller_port=0,
-                admin_port=0,
-                peer_port=0,
-                threads=ENTRY_THREADS,
-                patient_threads=PATIENT_THREADS,
-                balancer_drain_ms=0,
-            ),
-            platform=PlatformSettings(endpoints=[self.platforms[zone].url]),
-            bootstrap=BootstrapSettings(operator_digest=self.operator.digest),
+        settings = loopback_settings(
+            self.platforms[zone].url,
+            zone=zone,
+            region=REGION,
+            entry=f"e{number}",
+            threads=ENTRY_THREADS,
+            operator_digest=self.operator.digest,
         )
         entry = Entry(settings, self.secret)
         entry.start()
--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -4,6 +4,7 @@
 
 import secrets
 import uuid
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -30,14 +31,11 @@
 from ..entry.clock import now_ms
 from ..entry.entry import Entry
 from ..platform.memory import MemoryPlatform
-from ..settings import (
-    BootstrapSettings,
-    EntrySettings,
-    PlatformSettings,
-    Settings,
-    TraceSettings,
-)
 from ..standins.platform import PlatformStandIn
+from .entry_settings import loopback_settings
+
+if TYPE_CHECKING:
+    from ..settings import Settings
 
 QUEUE = QueueName("echo")
 POOL = PoolName("echo")
@@ -130,21 +128,12 @@
         admin.commit(changes, op_id=OperationId(uuid.uuid4().hex)).unwrap()
 
     def _settings(self) -> Settings:
-        return Settings(
-            entry=EntrySettings(
-                id="e1",
-                zone=ZONE,
-                region=REGION,
-                address="127.0.0.1",
-                caller_port=0,
-                admin_port=0,
-                peer_port=0,
-                threads=self._threads,
-                patient_threads=self._threads // 2,
-                read_timeout_ms=self._read_timeout_ms,
-                balancer_drain_ms=0,
-            ),
-            platform=PlatformSettings(endpoints=[self._platform.url]),
-            trace=TraceSettings(path=self._trace),
-            bootstrap=BootstrapSettings(operator_digest=self._operator.digest),
+        return loopback_settings(
+            self._platform.url,
+            zone=ZONE,
+            region=REGION,
+            threads=self._threads,
+            read_timeout_ms=self._read_timeout_ms,
+            operator_digest=self._operator.digest,
+            trace=self._trace,
         )
