Let backend servers be drained, rebooted and returned over HTTP

Each order carries the pool's fencing term and an operation id; a lower term has no effect and an operation is done once. The reply is the health of the server, so that one call both gives an order and tells how far it is.

--- /dev/null
+++ b/src/amaranthtray/backend/maintenance.py
@@ -0,0 +1,69 @@
+"""Orders to whole backend servers, and their health."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+import urllib3
+
+from ..domain.waves import DrainHost, RebootHost, ReturnHost
+from . import wire
+
+if TYPE_CHECKING:
+    from ..domain.inventory import Host
+    from .connections import ConnectionPools
+
+Order: TypeAlias = DrainHost | RebootHost | ReturnHost
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+
+class MaintenanceClient:
+    """Asks backend servers for their health, with an order or without.
+
+    Args:
+        pools: Connections that no task uses, so that no call waits for one.
+        timeout_ms: Longest wait to connect, and for the reply.
+    """
+
+    def __init__(self, pools: ConnectionPools, *, timeout_ms: int = 1_000) -> None:
+        self._pools = pools
+        self._timeout_s = timeout_ms / 1_000
+
+    def ask(self, host: Host, order: Order | None) -> wire.Health | None:
+        """Gives the order, if there is one; returns none after any failure."""
+        if order is None:
+            return self._call(host, "GET", wire.HEALTH_PATH, b"")
+        fence = order.fence
+        body = wire.HostOrder(fence.op_id, fence.pool, int(fence.term))
+        path = wire.host_path(_verb(order))
+        return self._call(host, "POST", path, msgspec.json.encode(body))
+
+    def _call(
+        self, host: Host, method: str, path: str, body: bytes
+    ) -> wire.Health | None:
+        pool = self._pools.get(host.address, host.port)
+        try:
+            resp = pool.urlopen(
+                method, path, body=body, retries=False, timeout=self._timeout_s
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return None
+        if resp.status not in (HTTP_OK, HTTP_CONFLICT):
+            return None
+        try:
+            return msgspec.json.decode(resp.data, type=wire.Health)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return None
+
+
+def _verb(order: Order) -> str:
+    match order:
+        case DrainHost():
+            return wire.DRAIN
+        case RebootHost():
+            return wire.REBOOT
+        case ReturnHost():
+            return wire.RETURN
--- a/src/amaranthtray/backend/wire.py
+++ b/src/amaranthtray/backend/wire.py
@@ -6,6 +6,10 @@
 ``POST /v1/tasks/ATTEMPT/VERB`` controls a running task; its reply comes when the
 task has stopped, or after a second at most.
 A task that was checkpointed answers with ``Checkpointed``.
+``POST /v1/host/VERB`` drains, reboots or returns the whole server; the body is a
+``HostOrder``, the reply is the ``Health`` after it, with status 409 if the order's
+term is lower than one seen from the pool. A server keeps the terms and the operations
+that ended over its reboots, and does each operation once.
 """
 
 from __future__ import annotations
@@ -17,6 +21,7 @@
 TASKS_PATH = "/v1/tasks"
 LEASES_PATH = "/v1/leases"
 HEALTH_PATH = "/v1/health"
+HOST_PATH = "/v1/host"
 
 ATTEMPT_ID = "Attempt-Id"
 REQUEST_ID = "Request-Id"
@@ -38,6 +43,10 @@
 THROTTLE = "throttle"
 STOP = "stop"
 
+DRAIN = "drain"
+REBOOT = "reboot"
+RETURN = "return"
+
 
 class TaskState(StrEnum):
     """State of a task as its backend server knows it."""
@@ -72,9 +81,38 @@
     ended: tuple[str, ...]
 
 
+class HostOrder(msgspec.Struct, frozen=True):
+    """Body of an order to the whole server.
+
+    Attributes:
+        op_id: Operation of the drain that the order belongs to.
+        pool: Pool whose conductor gives it.
+        term: Fencing term of that conductor.
+    """
+
+    op_id: str
+    pool: str
+    term: int
+
+
 class Health(msgspec.Struct, frozen=True):
-    """State of a backend server."""
+    """State of a backend server.
+
+    Attributes:
+        state: ``live``, or ``leaving`` while it refuses new work.
+        draining: Operation of the drain in force, if there is one.
+        ended: The latest drain operations that are over.
+        rebooted: The latest operations that rebooted the server.
+    """
 
     state: str
     free_slots: int
     running: tuple[str, ...]
+    draining: str | None = None
+    ended: tuple[str, ...] = ()
+    rebooted: tuple[str, ...] = ()
+
+
+def host_path(verb: str) -> str:
+    """Returns the path of an order to the whole server."""
+    return f"{HOST_PATH}/{verb}"
--- a/src/amaranthtray/standins/backend.py
+++ b/src/amaranthtray/standins/backend.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import cherrypy
 import msgspec
@@ -14,6 +14,7 @@
 from .. import web
 from ..backend import wire
 from .faults import FaultPlan
+from .maintenance import Maintenance
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +22,8 @@
 MAX_TASK_BYTES = 16 << 20
 CONTROL_WAIT_S = 1.0
 MS_PER_S = 1_000
+REBOOT_MS = 200
+MAINTENANCE_VERBS = (wire.DRAIN, wire.REBOOT, wire.RETURN)
 
 
 class RunState(StrEnum):
@@ -78,6 +81,7 @@
         work: What a task does.
         keeps_runs: Whether ended runs are kept for an observer.
         port: TCP port; 0 takes a free one.
+        reboot_ms: How long a reboot takes; none if the server never comes back.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         work: Callable[[Run, bytes], Answer] = echo,
         keeps_runs: bool = True,
         port: int = 0,
+        reboot_ms: int | None = REBOOT_MS,
     ) -> None:
         self.host_id = host_id
         self.slots = slots
@@ -96,6 +101,7 @@
         self._keeps_runs = keeps_runs
         self.plan = FaultPlan()
         self.state = RunState.LIVE
+        self.maintenance = Maintenance(reboot_ms)
         self.runs: list[Run] = []
         self._running: dict[str, Run] = {}
         self._lock = threading.Lock()
@@ -128,7 +134,7 @@
         """Takes a slot for a task, or returns why it was not started."""
         with self._lock:
             self._stop_lapsed()
-            if self.state is RunState.LEAVING:
+            if not self._takes_work():
                 return wire.REFUSED_LEAVING
             if len(self._running) >= self.slots:
                 return wire.REFUSED_BUSY
@@ -171,13 +177,39 @@
         with self._lock:
             return next((r for r in self.runs if r.attempt_id == attempt_id), None)
 
-    def health(self) -> dict[str, Any]:
-        """Returns the state, free slots and running attempts."""
+    def health(self) -> wire.Health:
+        """Returns the state, free slots, running attempts and operations."""
         with self._lock:
-            self._stop_lapsed()
-            running = sorted(self._running)
-        free = self.slots - len(running)
-        return {"state": self.state.value, "free_slots": free, "running": running}
+            return self._health()
+
+    def is_down(self) -> bool:
+        """Returns whether the server reboots and answers nothing."""
+        with self._lock:
+            return self.maintenance.is_down
+
+    def obey(self, verb: str, order: wire.HostOrder) -> tuple[bool, wire.Health]:
+        """Carries out an order; returns whether it was taken, and the state then."""
+        with self._lock:
+            is_empty = not self._running
+            is_taken = self.maintenance.obey(verb, order, is_empty=is_empty)
+            return is_taken, self._health()
+
+    def _takes_work(self) -> bool:
+        is_live = self.state is RunState.LIVE
+        return is_live and self.maintenance.draining is None
+
+    def _health(self) -> wire.Health:
+        self._stop_lapsed()
+        done = self.maintenance
+        state = RunState.LIVE if self._takes_work() else RunState.LEAVING
+        return wire.Health(
+            state=state.value,
+            free_slots=self.slots - len(self._running),
+            running=tuple(sorted(self._running)),
+            draining=done.draining,
+            ended=tuple(done.ended),
+            rebooted=tuple(done.rebooted),
+        )
 
     def free_slots(self) -> int:
         """Returns the number of free slots."""
@@ -204,10 +236,23 @@
     @web.exposed
     def health(self) -> bytes:
         """Tells the state of the server."""
-        if self._server.plan.before_effect().cut:
+        if self._server.plan.before_effect().cut or self._server.is_down():
             web.break_connection()
+            return b""
         return web.json_body(self._server.health())
 
+    @web.exposed
+    def host(self, verb: str = "") -> bytes:
+        """Drains, reboots or returns the whole server."""
+        web.require(verb in MAINTENANCE_VERBS, 404, "use drain, reboot or return")
+        if self._server.plan.before_effect().cut or self._server.is_down():
+            web.break_connection()
+            return b""
+        body = web.read_body(MAX_TASK_BYTES)
+        order = msgspec.json.decode(body, type=wire.HostOrder)
+        is_taken, health = self._server.obey(verb, order)
+        return web.json_body(health, status=200 if is_taken else 409)
+
     @web.exposed
     def leases(self) -> bytes:
         """Renews a batch of task leases."""
@@ -230,7 +275,7 @@
     def _run(self) -> bytes:
         server = self._server
         faults = server.plan.before_effect()
-        if faults.cut:
+        if faults.cut or server.is_down():
             web.break_connection()
             return b""
         run = _new_run()
--- /dev/null
+++ b/src/amaranthtray/standins/maintenance.py
@@ -0,0 +1,90 @@
+"""Drains and reboots of one stand-in backend server, fenced by terms."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ..backend import wire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+KEPT_OPERATIONS = 64
+MS_PER_S = 1_000
+
+
+class Maintenance:
+    """What orders have done to a server; use it under the server's lock.
+
+    Args:
+        reboot_ms: How long a reboot takes; none if the server never comes back.
+        clock: Monotonic clock in seconds.
+
+    Attributes:
+        draining: Operation of the drain in force.
+        ended: Operations that are over, in order.
+        rebooted: Operations that rebooted the server, in order.
+        faults: Orders that a correct conductor never gives.
+    """
+
+    def __init__(
+        self,
+        reboot_ms: int | None,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.reboot_ms = reboot_ms
+        self.draining: str | None = None
+        self.ended: list[str] = []
+        self.rebooted: list[str] = []
+        self.faults: list[str] = []
+        self._clock = clock
+        self._rebooting: str | None = None
+        self._up_at_s = 0.0
+        self._terms: dict[str, int] = {}
+
+    @property
+    def is_down(self) -> bool:
+        """Returns whether a reboot is under way."""
+        if self._rebooting is None:
+            return False
+        if self.reboot_ms is None or self._clock() < self._up_at_s:
+            return True
+        self._end(self._rebooting)
+        self._rebooting = None
+        return False
+
+    def obey(self, verb: str, order: wire.HostOrder, *, is_empty: bool) -> bool:
+        """Carries an order out once; returns false if its term is too low.
+
+        Args:
+            verb: What to do.
+            order: The operation and its fence.
+            is_empty: Whether no task runs.
+        """
+        if order.term < self._terms.get(order.pool, order.term):
+            return False
+        self._terms[order.pool] = order.term
+        match verb:
+            case wire.DRAIN if order.op_id not in self.ended:
+                self.draining = order.op_id
+            case wire.REBOOT if order.op_id not in self.rebooted:
+                self._reboot(order.op_id, is_empty=is_empty)
+            case wire.RETURN:
+                self._end(order.op_id)
+        return True
+
+    def _reboot(self, op_id: str, *, is_empty: bool) -> None:
+        if self.draining != op_id or not is_empty:
+            self.faults.append(f"rebooted by {op_id} undrained")
+            return
+        self.rebooted = [*self.rebooted, op_id][-KEPT_OPERATIONS:]
+        self._rebooting = op_id
+        self._up_at_s = self._clock() + (self.reboot_ms or 0) / MS_PER_S
+
+    def _end(self, op_id: str) -> None:
+        if op_id not in self.ended:
+            self.ended = [*self.ended, op_id][-KEPT_OPERATIONS:]
+        if self.draining == op_id:
+            self.draining = None
