Run the conductors in each entry; hosts are placed by themselves

An entry tries for the duty of a pool only when no holder is listed and its turn has come by rendezvous hash. A poller on bounded threads asks the members of the pools that are held; silent hosts have threads of their own. An order is repeated with each call until the host shows that it is done, or until its fence's time has passed.

--- a/src/amaranthtray/demo/story.py
+++ b/src/amaranthtray/demo/story.py
@@ -11,7 +11,6 @@
     AddKey,
     Budget,
     Change,
-    PlaceHosts,
     Pool,
     PutPool,
     PutQueue,
@@ -94,10 +93,17 @@
         self._say("configured 2 pools, 2 teams, 3 queues and 2 keys")
 
     def _wait_for_placement(self) -> None:
-        moves = {}
-        for host in self._fleet.hosts.values():
-            moves[host.host_id] = PoolName(host.labels["tier"])
-        self._commit(PlaceHosts(moves))
+        wait_until(self._is_placed, "all hosts placed by the conductors")
+        count = len(self._fleet.hosts)
+        self._say(f"the conductors placed {count} hosts by their labels")
+
+    def _is_placed(self) -> bool:
+        hosts = self._fleet.hosts.values()
+        return all(
+            entry.view.current.pool_of(host.host_id) == host.labels["tier"]
+            for entry in self._fleet.entries
+            for host in hosts
+        )
 
     def _lose_servers(self) -> None:
         self._say(f"round 2: {KILLED} is killed and {DRAINED} drained on the way")
--- /dev/null
+++ b/src/amaranthtray/entry/conducting/ledgers.py
@@ -0,0 +1,81 @@
+"""A conductor's ledger calls against the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from ...domain.budgets import decode, encode
+from ...domain.budgets.codec import LEDGER_PREFIX
+from ...domain.ids import PoolName
+from ...domain.waves import (
+    CasLedger,
+    LedgerRead,
+    LedgerSwapped,
+    ReadLedger,
+    StoreAway,
+    SwapConflict,
+    SwapUnknown,
+)
+from ...platform.store import Conflict, EffectUnknown
+
+if TYPE_CHECKING:
+    from ...domain.budgets import Ledger
+    from ...domain.waves import ConductorMessage
+    from ...platform.store import Store, StoreFailure, Versioned
+
+
+def read_ledger(store: Store, effect: ReadLedger) -> ConductorMessage:
+    """Reads the pool's ledger; one that is unreadable counts as no answer."""
+    found = store.get(LEDGER_PREFIX + effect.pool)
+    if isinstance(found, Failure):
+        return StoreAway(effect.op_id)
+    known = _decode(effect.pool, found.unwrap())
+    if known is None:
+        return StoreAway(effect.op_id)
+    return LedgerRead(effect.op_id, *known)
+
+
+def swap_ledger(store: Store, effect: CasLedger) -> ConductorMessage:
+    """Writes the ledger over the version that it was made from."""
+    op_id, pool = effect.fence.op_id, effect.ledger.pool
+    key, value = LEDGER_PREFIX + pool, encode(effect.ledger)
+    if effect.version:
+        written = store.compare_and_swap(key, value, version=effect.version)
+    else:
+        written = store.create(key, value)
+    if isinstance(written, Success):
+        return LedgerSwapped(op_id, written.unwrap())
+    failure: StoreFailure = written.failure()
+    match failure:
+        case Conflict(found=found):
+            known = _decode(pool, found)
+            return StoreAway(op_id) if known is None else SwapConflict(op_id, *known)
+        case EffectUnknown():
+            return SwapUnknown(op_id)
+    return StoreAway(op_id)
+
+
+def list_ledgers(store: Store) -> Result[dict[PoolName, Ledger], StoreFailure]:
+    """Reads all ledgers at one version; unreadable ones are left out."""
+    return store.list(LEDGER_PREFIX).map(
+        lambda listing: {
+            ledger.pool: ledger for item in listing.items for ledger in _readable(item)
+        }
+    )
+
+
+def _readable(item: Versioned) -> list[Ledger]:
+    pool = PoolName(item.key.removeprefix(LEDGER_PREFIX))
+    decoded = decode(item.value, pool=pool)
+    return [decoded.unwrap()] if isinstance(decoded, Success) else []
+
+
+def _decode(pool: PoolName, item: Versioned | None) -> tuple[Ledger | None, int] | None:
+    if item is None:
+        return None, 0
+    decoded = decode(item.value, pool=pool)
+    if isinstance(decoded, Failure):
+        return None
+    return decoded.unwrap(), item.version
--- /dev/null
+++ b/src/amaranthtray/entry/conducting/moves.py
@@ -0,0 +1,44 @@
+"""A conductor's records in the configuration log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...domain.configuration import PlaceHosts
+from ...domain.errors import Problem
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from ...domain.configuration import Configuration
+    from ...domain.waves import CommitMoves
+    from ...platform.config_log import CommitFailure, Committed, ConfigLog
+
+OPERATOR = "conductor"
+
+
+def commit_moves(
+    log: ConfigLog, cfg: Configuration, effect: CommitMoves, *, peer: str
+) -> Result[Committed, CommitFailure]:
+    """Commits the moves, unless the configuration has a host elsewhere by then.
+
+    Args:
+        log: The configuration log.
+        cfg: The configuration in force here.
+        effect: The moves and their fence.
+        peer: Name of this entry.
+    """
+
+    def permit(found: Configuration) -> Problem | None:
+        if all(found.pool_of(host) == effect.source for host in effect.moves):
+            return None
+        fix = "look at the configuration again"
+        return Problem("move", peer, "a host has moved", effect.source, fix)
+
+    return log.commit(
+        cfg,
+        [PlaceHosts(effect.moves)],
+        op_id=effect.fence.op_id,
+        operator=OPERATOR,
+        permit=permit,
+    )
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -146,6 +146,8 @@
             task.stop()
         self._control.join(GIVE_BACK_S)
         self._control.control.leave()
+        self._conducting.join(GIVE_BACK_S)
+        self._conducting.leave()
         self._requests.stop()
         self._links.hub.stop()
         self.observer.changed("entry-stopped", incarnation=self.incarnation)
@@ -194,12 +196,20 @@
     def _make_tasks(self) -> tuple[WorkerThread, ...]:
         self._log = wiring.make_log(self._context, self._stores)
         feed = wiring.make_feed(self._log, self._stores)
+        self._conducting = wiring.make_conducting(
+            self._context,
+            self._stores,
+            self._log,
+            self._control.control,
+            self._rng.getrandbits(64),
+        )
         return (
             ConfigTask(feed, self._log, self._view),
             HostTask(self._hosts),
             self._control,
             self._control.members,
             self._control.ledger,
+            self._conducting,
             PulseTask(self.observer, self._view, self._requests, self._control),
         )
 
--- a/src/amaranthtray/entry/wiring.py
+++ b/src/amaranthtray/entry/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,9 @@
 from ..platform.store import Store
 from .claims import ClaimStore
 from .clock import now_ms
+from .conducting import Conducting, ConductingParts
+from .conducting.poller import HostPoller
+from .conducting_task import ConductingTask
 from .control import Control, ControlParts
 from .forwarding import HomeService, PeerForwarder
 from .host_list import by_pool
@@ -34,7 +38,6 @@
 from .task_control import TaskControl
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable, Iterable
 
     from ..domain.configuration import Configuration
@@ -162,6 +165,28 @@
     return Control(parts)
 
 
+def make_conducting(
+    context: EntryContext, stores: Stores, log: ConfigLog, control: Control, seed: int
+) -> ConductingTask:
+    """Returns the conductors; they draw from their own random source."""
+    poller = HostPoller(now_ms)
+    parts = ConductingParts(
+        entry=context.entry,
+        incarnation=context.incarnation,
+        view=context.view,
+        log=log,
+        raw_store=stores.raw,
+        hosts=poller,
+        listed=context.hosts.hosts,
+        entries=lambda: [
+            one.entry for one in tuple(control.peers.members.members.values())
+        ],
+        clock=now_ms,
+        rng=random.Random(seed),
+    )
+    return ConductingTask(Conducting(parts), poller)
+
+
 def make_log(context: EntryContext, stores: Stores) -> ConfigLog:
     """Returns the configuration log."""
     return ConfigLog(stores.settled, entry=context.entry, rules=context.rules)
