--- a/src/amaranthtray/scenarios/conducting.py
+++ b/src/amaranthtray/scenarios/conducting.py
@@ -4,11 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Success
+from returns.result import Success
 
-from ..domain.budgets import decode, encode
-from ..domain.budgets.codec import LEDGER_PREFIX
-from ..domain.configuration import SPARE_POOL, PlaceHosts
+from ..domain.configuration import SPARE_POOL
 from ..domain.errors import Problem
 from ..domain.ids import HostId, Millis, PoolName
 from ..domain.placement import pool_views
@@ -21,27 +19,20 @@
     DutyRenewed,
     HealthChanged,
     HealthListed,
-    LedgerRead,
-    LedgerSwapped,
     MovesRefused,
     OrderDropped,
     ReadLedger,
     StepDown,
-    StoreAway,
-    SwapConflict,
-    SwapUnknown,
     Tick,
     ViewChanged,
 )
-from ..platform.store import Conflict, EffectUnknown, Versioned
+from ..entry.conducting.ledgers import read_ledger, swap_ledger
+from ..entry.conducting.moves import commit_moves
 from .duty import Duty, DutyNews
 
 if TYPE_CHECKING:
-    from ..domain.budgets import Ledger
-    from ..domain.configuration import Configuration
     from ..domain.invariants import OutCause
     from ..domain.waves import ConductorEffect, ConductorMessage, Fence
-    from ..platform.store import StoreFailure
     from .entry import VirtualEntry
     from .world import World
 
@@ -133,7 +124,7 @@
         delay_ms = self.world.store_call_ms
         match effect:
             case ReadLedger():
-                reply = self._read(effect)
+                reply = read_ledger(self.entry.control.store, effect)
                 self._later(delay_ms, pool, reply)
             case CasLedger() if self._is_in_time(effect.fence):
                 self._later(delay_ms, pool, self._swap(effect))
@@ -156,59 +147,17 @@
 
         self.world.clock.after(delay_ms, hear)
 
-    def _read(self, effect: ReadLedger) -> ConductorMessage:
-        found = self.entry.control.store.get(LEDGER_PREFIX + effect.pool)
-        if isinstance(found, Failure):
-            return StoreAway(effect.op_id)
-        item = found.unwrap()
-        ledger, version = _decode(effect.pool, item)
-        return LedgerRead(effect.op_id, ledger, version)
-
     def _swap(self, effect: CasLedger) -> ConductorMessage:
-        store, op_id = self.entry.control.store, effect.fence.op_id
-        pool, value = effect.ledger.pool, encode(effect.ledger)
-        key = LEDGER_PREFIX + pool
-        written = (
-            store.compare_and_swap(key, value, version=effect.version)
-            if effect.version
-            else store.create(key, value)
-        )
+        reply = swap_ledger(self.entry.control.store, effect)
         self.world.maintenance.note_ledgers()
-        if isinstance(written, Success):
-            return LedgerSwapped(op_id, written.unwrap())
-        failure: StoreFailure = written.failure()
-        match failure:
-            case Conflict(found=found):
-                ledger, version = _decode(pool, found)
-                return SwapConflict(op_id, ledger, version)
-            case EffectUnknown():
-                return SwapUnknown(op_id)
-        return StoreAway(op_id)
+        return reply
 
     def _move(self, pool: PoolName, effect: CommitMoves) -> None:
         control = self.entry.control
 
-        def permit(cfg: Configuration) -> Problem | None:
-            if all(cfg.pool_of(host) == effect.source for host in effect.moves):
-                return None
-            fix = "look at the configuration again"
-            return Problem("move", self.entry.name, "a host has moved", pool, fix)
-
-        done = control.log.commit(
-            control.cfg,
-            [PlaceHosts(effect.moves)],
-            op_id=effect.fence.op_id,
-            operator="conductor",
-            permit=permit,
-        )
+        done = commit_moves(control.log, control.cfg, effect, peer=self.entry.name)
         self.world.observer.note_commits()
         if isinstance(done, Success):
             control.view.offer_snapshot(done.unwrap().cfg)
         elif isinstance(done.failure(), Problem):
             self._later(1, pool, MovesRefused(effect.fence.op_id))
-
-
-def _decode(pool: PoolName, item: Versioned | None) -> tuple[Ledger | None, int]:
-    if item is None:
-        return None, 0
-    return decode(item.value, pool=pool).unwrap(), item.version
