--- a/tests/conducting_fleet.py
+++ b/tests/conducting_fleet.py
@@ -8,6 +8,8 @@
 
 import builders
 from amaranthtray.backend import wire
+from amaranthtray.domain.budgets import Ledger, decode
+from amaranthtray.domain.budgets.codec import LEDGER_PREFIX
 from amaranthtray.domain.configuration import PutPool, PutWave
 from amaranthtray.domain.ids import (
     EntryId,
@@ -27,7 +29,6 @@
 from amaranthtray.domain.inventory import Host
 from amaranthtray.domain.waves import DrainHost, RebootHost
 from amaranthtray.entry.conducting import Conducting, ConductingParts
-from amaranthtray.entry.conducting.ledgers import list_ledgers
 from amaranthtray.entry.conducting.tracker import HostTracker
 from amaranthtray.entry.config_view import ConfigView
 from amaranthtray.platform.config_log import ConfigLog
@@ -95,21 +96,20 @@
         self.view = ConfigView(lambda cfg: None, clock=clock)
         self.link = FakeLink(fleet)
         self.is_paused = False
-        self.conducting = Conducting(
-            ConductingParts(
-                entry=EntryId(name),
-                incarnation=Incarnation(f"{name}-1"),
-                view=self.view,
-                log=self.log,
-                raw_store=raw,
-                hosts=self.link,
-                listed=fleet.listed,
-                entries=lambda: [EntryId(one) for one in fleet.entries],
-                clock=clock,
-                rng=random.Random(name),
-                wall_clock=clock,
-            )
+        self.parts = ConductingParts(
+            entry=EntryId(name),
+            incarnation=Incarnation(f"{name}-1"),
+            view=self.view,
+            log=self.log,
+            raw_store=raw,
+            hosts=self.link,
+            listed=fleet.listed,
+            entries=lambda: [EntryId(one) for one in fleet.entries],
+            clock=clock,
+            rng=random.Random(name),
+            wall_clock=clock,
         )
+        self.conducting = Conducting(self.parts)
 
     def step(self) -> None:
         if self.is_paused:
@@ -183,6 +183,27 @@
             self._observe()
         assert self.watchdog.violations == []
         assert [f for one in self.hosts.values() for f in one.work.faults] == []
+        assert self._drains() <= self._ledgered()
+
+    def _drains(self) -> set[str]:
+        drains = {one.work.draining for one in self.hosts.values()}
+        return {op_id for op_id in drains if op_id is not None}
+
+    def _ledgered(self) -> set[str]:
+        """Returns the operations in ledgers: a drain begins after the write only."""
+        found = self.ledgers().values()
+        return {out.op_id for ledger in found for out in ledger.out.values()}
+
+    def ledgers(self) -> dict[PoolName, Ledger]:
+        """Returns the ledgers in the store, which the observer always reaches."""
+        listing = self.platform.read_all(LEDGER_PREFIX)
+        names = [
+            PoolName(item.key.removeprefix(LEDGER_PREFIX)) for item in listing.items
+        ]
+        return {
+            name: decode(item.value, pool=name).unwrap()
+            for name, item in zip(names, listing.items, strict=True)
+        }
 
     def _observe(self) -> None:
         """Watches hosts that have served in the pool; others are no capacity yet."""
@@ -217,7 +238,7 @@
         return [len(one.work.rebooted) for one in self.hosts.values()]
 
     def done(self) -> frozenset[HostId]:
-        found = list_ledgers(self.platform.client("observer")).unwrap()
+        found = self.ledgers()
         return found[WEB].wave_log(PATCH).done if WEB in found else frozenset()
 
 
