Answer unknown, not not-run, for a chosen id that can't be claimed

Cause: an entry that cannot reach the store said not run for a chosen id, while a copy of it ran through a zone that could. The state machine let that reason pass its check of refusals; the exemption is gone. Cost: in an outage for all, callers with chosen ids hear unknown where nothing ran; issued ids are not touched.

--- a/src/amaranthtray/domain/requests/idempotency.py
+++ b/src/amaranthtray/domain/requests/idempotency.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from returns.result import Success
@@ -38,6 +37,7 @@
     WantClaimRead,
     WorkEnded,
 )
+from .idempotency_settings import IdempotencySettings
 from .ids import IssuedId, parse_request_id
 from .model import NotRun, NotRunReason, Unknown, UnknownReason
 from .tracked import RequestKey
@@ -48,41 +48,9 @@
     from .ids import Home
     from .model import Outcome
 
-_STEP = "submit"
-
-
-@dataclass(frozen=True, slots=True)
-class IdempotencySettings:
-    """Bounds of the idempotency table.
-
-    Attributes:
-        issued_ms: Time within which an issued id must be used.
-        kept_ms: Time for which an outcome is kept for later copies.
-        max_kept: Most issued and finished ids that are kept.
-        retention_ms: Time for which the platform's store keeps a claim.
-        max_deadline_ms: Longest time to the deadline of an unrepeatable request with
-            a chosen id.
-        claim_call_ms: Longest time from the decision to claim to its settled result;
-            a later one is not used, since its entry may have been paused.
-        claim_margin_ms: Slack for the rates of the store's clock and this one.
-        max_reads: Times that a claim is read back after a lost reply.
-        store_retry_ms: Advice to come back when the store is away.
-    """
+__all__ = ["IdempotencySettings", "IdempotencyTable"]
 
-    issued_ms: int = 600_000
-    kept_ms: int = 600_000
-    max_kept: int = 20_000
-    retention_ms: int = 86_400_000
-    max_deadline_ms: int = 43_200_000
-    claim_call_ms: int = 60_000
-    claim_margin_ms: int = 600_000
-    max_reads: int = 3
-    store_retry_ms: int = 2_000
-
-    @property
-    def claim_use_ms(self) -> int:
-        """Age of a claim up to which work may be taken up under it."""
-        return self.retention_ms - self.max_deadline_ms - self.claim_margin_ms
+_STEP = "submit"
 
 
 class IdempotencyTable:
@@ -206,7 +174,12 @@
             self._effects.append(Reply(key, (ask.caller,), record.outcome))
 
     def _may_run_again(self, record: Record, ask: Ask) -> bool:
-        return isinstance(record.outcome, NotRun) and ask.submission > record.submission
+        match record.outcome:
+            case NotRun():
+                return ask.submission > record.submission
+            case Unknown(reason=UnknownReason.STORE_UNAVAILABLE):
+                return True
+        return False
 
     def _begin(self, key: RequestKey, record: Record, ask: Ask) -> None:
         self._records.resume(key)
@@ -258,9 +231,9 @@
                 record.reads += 1
                 self._effects.append(WantClaimRead(ended.key, ended.op_id))
             case ClaimUnavailable(retry_after_ms=retry_after_ms):
-                self._refuse_without_store(ended.key, record, retry_after_ms, now_ms)
+                self._end_unclaimed(ended.key, record, retry_after_ms, now_ms)
             case ClaimUnsure() | ClaimAbsent():
-                self._refuse_without_store(ended.key, record, None, now_ms)
+                self._end_unclaimed(ended.key, record, None, now_ms)
 
     def _use_claim(
         self, key: RequestKey, record: Record, op_id: OperationId, now_ms: Millis
@@ -269,7 +242,7 @@
         decided_ms = record.claims[record.op_id or op_id]
         is_prompt = now_ms - decided_ms <= self._cfg.claim_call_ms
         if not is_prompt or not self._is_lasting(record.claims[op_id], now_ms):
-            self._refuse_without_store(key, record, None, now_ms)
+            self._end_unclaimed(key, record, None, now_ms)
             return
         record.is_mine = True
         record.claimed_ms = record.claims[op_id]
@@ -292,18 +265,21 @@
             record.stage = Stage.FORWARDED
             self._forward(key, record, claim.home)
 
-    def _refuse_without_store(
+    def _end_unclaimed(
         self,
         key: RequestKey,
         record: Record,
         retry_after_ms: int | None,
         now_ms: Millis,
     ) -> None:
-        """Refuses; the record stays, since a delayed claim may yet take effect."""
+        """Gives up on the claim; a copy may run where the store can be reached.
+
+        The record stays, since a delayed claim may yet take effect.
+        """
         advice_ms = retry_after_ms or self._cfg.store_retry_ms
         detail = "the id could not be claimed"
-        refused = NotRun(NotRunReason.STORE_UNAVAILABLE, detail, advice_ms)
-        self._finish(key, record, refused, now_ms)
+        unclaimed = Unknown(UnknownReason.STORE_UNAVAILABLE, detail, advice_ms)
+        self._finish(key, record, unclaimed, now_ms)
 
     def _forward(self, key: RequestKey, record: Record, home: Home) -> None:
         record.home = home
--- a/src/amaranthtray/domain/requests/model.py
+++ b/src/amaranthtray/domain/requests/model.py
@@ -84,7 +84,6 @@
     CANCELLED = "cancelled"
     ENTRY_LEAVING = "entry_leaving"
     ENTRY_BUSY = "entry_busy"
-    STORE_UNAVAILABLE = "store_unavailable"
     NOT_READY = "not_ready"
 
 
@@ -98,6 +97,7 @@
     HOME_UNREACHABLE = "home_unreachable"
     HOME_GONE = "home_gone"
     ID_SPENT = "id_spent"
+    STORE_UNAVAILABLE = "store_unavailable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +123,7 @@
 
     reason: UnknownReason
     detail: str = ""
+    retry_after_ms: int | None = None
 
 
 Outcome: TypeAlias = Answered | NotRun | Unknown
--- a/src/amaranthtray/entry/forwarding.py
+++ b/src/amaranthtray/entry/forwarding.py
@@ -252,6 +252,6 @@
 def _to_unknown(reply: ForwardReply) -> Unknown:
     try:
         body = msgspec.json.decode(reply.body, type=RefusalBody)
-        return Unknown(UnknownReason(body.reason), body.detail)
+        return Unknown(UnknownReason(body.reason), body.detail, body.retry_after_ms)
     except (msgspec.ValidationError, ValueError):
         return Unknown(UnknownReason.HOME_UNREACHABLE, "the home's reply is malformed")
--- a/src/amaranthtray/entry/replies.py
+++ b/src/amaranthtray/entry/replies.py
@@ -39,6 +39,7 @@
     UnknownReason.DEADLINE_PASSED: 504,
     UnknownReason.CANCELLED: 409,
     UnknownReason.ID_SPENT: 409,
+    UnknownReason.STORE_UNAVAILABLE: 503,
 }
 _DEFAULT_NOT_RUN_STATUS = 503
 _DEFAULT_UNKNOWN_STATUS = 502
@@ -134,7 +135,11 @@
     """Returns the reply to a request that may have run."""
     status = _UNKNOWN_STATUS.get(outcome.reason, _DEFAULT_UNKNOWN_STATUS)
     body = RefusalBody(
-        OutcomeName.UNKNOWN, outcome.reason.value, outcome.detail, request_id, None
+        OutcomeName.UNKNOWN,
+        outcome.reason.value,
+        outcome.detail,
+        request_id,
+        outcome.retry_after_ms,
     )
     return _refusal(status, body)
 
--- a/tests/entry/test_once_over_entries.py
+++ b/tests/entry/test_once_over_entries.py
@@ -103,14 +103,14 @@
     assert trio.runs("sweep-19") == 1
 
 
-def test_chosen_id_without_the_store_is_not_run_and_issued_ids_go_on(
+def test_chosen_id_without_the_store_is_unknown_and_issued_ids_go_on(
     trio: Trio,
 ) -> None:
     issued = trio.issue(E1)
     for platform in trio.fleet.platforms.values():
         platform.plan.set(STORE_AWAY)
     refused = trio.call("sweep-20", E1)
-    assert refused.outcome == "not_run"
+    assert (refused.status, refused.outcome) == (503, "unknown")
     assert trio.runs("sweep-20") == 0
     assert trio.call(issued, E1).outcome == "answered"
 
@@ -120,7 +120,7 @@
     platform = next(p for z, p in trio.fleet.platforms.items() if z == zone)
     platform.plan.lose_next_replies(1)
     result = trio.call("sweep-21", E1)
-    assert result.outcome in ("answered", "not_run")
+    assert result.outcome in ("answered", "unknown")
     assert trio.runs("sweep-21") == (1 if result.outcome == "answered" else 0)
 
 
--- a/tests/requests/test_idempotency.py
+++ b/tests/requests/test_idempotency.py
@@ -68,8 +68,8 @@
 FULL = NotRun(NotRunReason.QUEUE_FULL)
 SPENT = Unknown(UnknownReason.ID_SPENT)
 GONE = Unknown(UnknownReason.HOME_GONE)
-AWAY = NotRun(
-    NotRunReason.STORE_UNAVAILABLE, "the id could not be claimed", CFG.store_retry_ms
+AWAY = Unknown(
+    UnknownReason.STORE_UNAVAILABLE, "the id could not be claimed", CFG.store_retry_ms
 )
 HOUR_MS = 3_600_000
 
@@ -177,13 +177,18 @@
         (1, ended(1, ClaimUnsure()), [READ]),
         (2, ended(1, held(THERE, "e2/i1/1")), [Forward(KEY, THERE, 1)]),
     ],
-    "a create that arrives after its refusal is met by the next submission": [
+    "a create that arrives after its caller was told is met by the next copy": [
         (0, ask(1), [want(1)]),
         (1, ended(1, ClaimUnsure()), [READ]),
         (2, ended(1, ClaimAbsent()), [reply(AWAY, 1)]),
-        (3, ask(2), [reply(AWAY, 2)]),
-        (4, ask(3, submission=2), [want(2)]),
-        (5, ended(2, held(HERE, op(1))), [RUN]),
+        (3, ask(2), [want(2)]),
+        (4, ended(2, held(HERE, op(1))), [RUN]),
+    ],
+    "the id was claimed elsewhere while the store was away from here": [
+        (0, ask(1), [want(1)]),
+        (1, ended(1, ClaimUnavailable()), [reply(AWAY, 1)]),
+        (2, ask(2), [want(2)]),
+        (3, ended(2, held(THERE, "e2/i1/1")), [Forward(KEY, THERE, 1)]),
     ],
     "replies lost again and again": [
         (0, ask(1), [want(1)]),
--- a/tests/requests/test_idempotency_machine.py
+++ b/tests/requests/test_idempotency_machine.py
@@ -473,8 +473,6 @@
             self.pending.append(back)
 
     def _check_refusal(self, waiting: Waiting, outcome: NotRun) -> None:
-        if outcome.reason is NotRunReason.STORE_UNAVAILABLE:
-            return
         key, submission = waiting.key, waiting.ask.submission
         assert self.ran.get(key, submission + 1) > submission, "false not-run"
         self.refused[key] = max(self.refused[key], submission)
