Show waves to operators and reboot a pool in the demo while requests run

GET /admin/v1/waves and /admin/v1/waves/NAME read the ledgers in the store; what can't be known is told as unknown.

--- a/src/amaranthtray/backend/wire.py
+++ b/src/amaranthtray/backend/wire.py
@@ -1,7 +1,8 @@
 """HTTP interface of backend servers, as both the client and the stand-in use it.
 
 ``POST /v1/tasks`` runs a task and answers with its result. A 503 with
-``Not-Started`` is the server's own word that the task was not started.
+``Not-Started`` is the server's own word that the task was not started: it is busy,
+leaving for good, or draining for maintenance and back before long.
 ``POST /v1/leases`` renews the task leases of one caller in a batch.
 ``POST /v1/tasks/ATTEMPT/VERB`` controls a running task; its reply comes when the
 task has stopped, or after a second at most.
@@ -37,6 +38,7 @@
 
 REFUSED_BUSY = "busy"
 REFUSED_LEAVING = "leaving"
+REFUSED_DRAINING = "draining"
 
 CANCEL = "cancel"
 CHECKPOINT = "checkpoint"
--- a/src/amaranthtray/demo/story.py
+++ b/src/amaranthtray/demo/story.py
@@ -4,7 +4,7 @@
 
 import threading
 import uuid
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ..cli.client import AdminClient
 from ..domain.configuration import (
@@ -15,13 +15,23 @@
     PutPool,
     PutQueue,
     PutTeam,
+    PutWave,
     Queue,
     Team,
     TeamKey,
+    Wave,
     WithdrawKey,
 )
 from ..domain.configuration.model import EMPTY_REVISION
-from ..domain.ids import HostId, OperationId, PoolName, QueueName, Revision, TeamName
+from ..domain.ids import (
+    HostId,
+    OperationId,
+    PoolName,
+    QueueName,
+    Revision,
+    TeamName,
+    WaveName,
+)
 from ..domain.keys import MintedKey, mint_key
 from ..domain.requests.model import WorkClass
 from .callers import Call, Callers
@@ -43,6 +53,9 @@
 BAD_KEY_STATUS = 401
 CALLS_PER_ROUND = 96
 UNREPEATABLE_PER_ROUND = 24
+REBOOTS = WaveName("reboots")
+WAVE_ROUND = 100
+WAVE_ROUNDS = 20
 KILLED = HostId("z1-h1")
 DRAINED = HostId("z2-h1")
 
@@ -73,6 +86,7 @@
         self._configure()
         self._say("round 1: urgent, patient, open and unrepeatable work")
         self._callers.send_all(self._round(1))
+        self._reboot_web()
         self._lose_servers()
         self._withdraw_key()
         return self._tally.summary(self._fleet.servers.values())
@@ -105,6 +119,24 @@
             for host in hosts
         )
 
+    def _reboot_web(self) -> None:
+        self._say(f"a wave reboots the hosts of pool {WEB} while requests run")
+        self._commit(PutWave(Wave(REBOOTS, f"tier={WEB}")))
+        for number in range(WAVE_ROUNDS):
+            if self._is_rebooted():
+                break
+            self._callers.send_all(self._round(WAVE_ROUND + number))
+        wait_until(self._is_rebooted, f"the end of wave {REBOOTS}")
+        shown = self._wave()
+        self._say(f"wave {REBOOTS} has rebooted {shown['done']} hosts")
+
+    def _is_rebooted(self) -> bool:
+        return self._wave().get("is_complete") is True
+
+    def _wave(self) -> dict[str, Any]:
+        found: dict[str, Any] = self._admin.read(f"waves/{REBOOTS}").unwrap()
+        return found
+
     def _lose_servers(self) -> None:
         self._say(f"round 2: {KILLED} is killed and {DRAINED} drained on the way")
         timer = threading.Timer(0.1, self._kill_and_drain)
--- a/src/amaranthtray/entry/admin_view.py
+++ b/src/amaranthtray/entry/admin_view.py
@@ -10,7 +10,7 @@
 
 from ..domain.configuration.log import apply, propose
 from ..domain.errors import Problem
-from ..domain.ids import OperationId
+from ..domain.ids import OperationId, WaveName
 from ..domain.placement import desired_pools
 from .clock import now_ms
 
@@ -22,6 +22,7 @@
     from .context import EntryContext
     from .control import Control
     from .observer import Observer
+    from .wave_view import WaveView
 
 PREVIEW_OPERATION = "preview"
 
@@ -33,11 +34,17 @@
         context: What the entry knows.
         control: The control part.
         observer: Service-level counts.
+        waves: Progress of waves.
     """
 
     def __init__(
-        self, context: EntryContext, control: Control, observer: Observer
+        self,
+        context: EntryContext,
+        control: Control,
+        observer: Observer,
+        waves: WaveView,
     ) -> None:
+        self._waves = waves
         self._context = context
         self._control = control
         self._observer = observer
@@ -57,6 +64,10 @@
                 return {"hosts": self._hosts()}
             case ["burn"]:
                 return self._burn()
+            case ["waves"]:
+                return self._waves.all()
+            case ["waves", name]:
+                return self._waves.one(WaveName(name))
             case _:
                 return None
 
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -30,6 +30,7 @@
 from .pulse_task import PulseTask
 from .rules import configuration_rules
 from .shutdown import Phase, Readiness
+from .wave_view import WaveView
 
 if TYPE_CHECKING:
     from ..domain.configuration import Configuration
@@ -230,7 +231,8 @@
 
     def _make_admin_server(self) -> web.WebServer:
         cfg = self.settings.entry
-        view = AdminView(self._context, self._control.control, self.observer)
+        waves = WaveView(self._context, self._stores.settled)
+        view = AdminView(self._context, self._control.control, self.observer, waves)
         service = AdminService(self._context, self._log, view)
         return web.WebServer(
             AdminApi(service),
--- /dev/null
+++ b/src/amaranthtray/entry/wave_view.py
@@ -0,0 +1,82 @@
+"""What operators can see of maintenance waves."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure
+
+from ..domain.budgets import Ledger
+from ..domain.placement import pool_views
+from ..domain.waves import combine, progress
+from .conducting.ledgers import list_ledgers
+from .conducting.pool import wall_clock_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from ..domain.configuration import Configuration
+    from ..domain.ids import PoolName, WaveName
+    from ..domain.placement import PoolView
+    from ..domain.waves import WaveProgress
+    from ..platform.store import Store
+    from .context import EntryContext
+
+UNKNOWN = "unknown"
+
+
+class WaveView:
+    """Reads the progress of waves from the ledgers in the store.
+
+    Args:
+        context: What the entry knows.
+        store: The platform's store.
+    """
+
+    def __init__(self, context: EntryContext, store: Store) -> None:
+        self._context = context
+        self._store = store
+
+    def all(self) -> dict[str, Any]:
+        """Returns all waves by name."""
+        cfg = self._context.view.current
+        return {"waves": [self._show(cfg, name) for name in sorted(cfg.waves)]}
+
+    def one(self, name: WaveName) -> dict[str, Any] | None:
+        """Returns one wave; none if there is none of that name."""
+        cfg = self._context.view.current
+        return self._show(cfg, name) if name in cfg.waves else None
+
+    def _show(self, cfg: Configuration, name: WaveName) -> dict[str, Any]:
+        wave = cfg.waves[name]
+        asked = {"wave": name, "state": wave.state, "action": wave.action}
+        ledgers = list_ledgers(self._store)
+        if isinstance(ledgers, Failure):
+            why = "the platform's store gave no answer"
+            return {**asked, "progress": UNKNOWN, "progress_unknown": why}
+        parts = list(self._parts(cfg, name, ledgers.unwrap()))
+        if not parts:
+            return {**asked, "progress": "no host matches the selector"}
+        whole = combine(parts)
+        end = UNKNOWN if whole.end_ms is None else whole.end_ms
+        shown = {**asdict(whole), "end_ms": end, "is_complete": whole.is_complete}
+        return {**asked, **shown, "per_pool": [asdict(part) for part in parts]}
+
+    def _parts(
+        self, cfg: Configuration, name: WaveName, ledgers: Mapping[PoolName, Ledger]
+    ) -> Iterator[WaveProgress]:
+        done = {
+            pool: {wave: log.done for wave, log in ledger.waves.items()}
+            for pool, ledger in ledgers.items()
+        }
+        views = pool_views(cfg, self._context.hosts.hosts(), done=done)
+        for pool, view in views.items():
+            ledger = ledgers.get(pool, Ledger(pool))
+            if _takes_part(ledger, view, name):
+                yield progress(ledger, view, name, wall_ms=wall_clock_ms())
+
+
+def _takes_part(ledger: Ledger, view: PoolView, name: WaveName) -> bool:
+    has_hosts = bool(view.waves[name].hosts or ledger.wave_log(name).done)
+    return has_hosts or any(out.wave == name for out in ledger.out.values())
--- a/src/amaranthtray/standins/backend.py
+++ b/src/amaranthtray/standins/backend.py
@@ -134,8 +134,10 @@
         """Takes a slot for a task, or returns why it was not started."""
         with self._lock:
             self._stop_lapsed()
-            if not self._takes_work():
+            if self.state is RunState.LEAVING:
                 return wire.REFUSED_LEAVING
+            if self.maintenance.is_down or self.maintenance.draining is not None:
+                return wire.REFUSED_DRAINING
             if len(self._running) >= self.slots:
                 return wire.REFUSED_BUSY
             self._running[run.attempt_id] = run
@@ -183,7 +185,7 @@
             return self._health()
 
     def is_down(self) -> bool:
-        """Returns whether the server reboots and answers nothing."""
+        """Returns whether the server reboots; it runs no task and tells no health."""
         with self._lock:
             return self.maintenance.is_down
 
@@ -275,7 +277,7 @@
     def _run(self) -> bytes:
         server = self._server
         faults = server.plan.before_effect()
-        if faults.cut or server.is_down():
+        if faults.cut:
             web.break_connection()
             return b""
         run = _new_run()
--- a/src/amaranthtray/standins/maintenance.py
+++ b/src/amaranthtray/standins/maintenance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..backend import wire
@@ -14,6 +15,21 @@
 MS_PER_S = 1_000
 
 
+@dataclass(slots=True)
+class Out:
+    """A time in which an order kept the server out of service.
+
+    Attributes:
+        pool: Pool whose conductor gave the order.
+        ended_s: None while it lasts.
+    """
+
+    op_id: str
+    pool: str
+    began_s: float
+    ended_s: float | None = None
+
+
 class Maintenance:
     """What orders have done to a server; use it under the server's lock.
 
@@ -25,6 +41,7 @@
         draining: Operation of the drain in force.
         ended: Operations that are over, in order.
         rebooted: Operations that rebooted the server, in order.
+        outs: All times out of service, for the observer of tests.
         faults: Orders that a correct conductor never gives.
     """
 
@@ -38,6 +55,7 @@
         self.draining: str | None = None
         self.ended: list[str] = []
         self.rebooted: list[str] = []
+        self.outs: list[Out] = []
         self.faults: list[str] = []
         self._clock = clock
         self._rebooting: str | None = None
@@ -68,13 +86,24 @@
         self._terms[order.pool] = order.term
         match verb:
             case wire.DRAIN if order.op_id not in self.ended:
-                self.draining = order.op_id
+                self._drain(order)
             case wire.REBOOT if order.op_id not in self.rebooted:
                 self._reboot(order.op_id, is_empty=is_empty)
             case wire.RETURN:
                 self._end(order.op_id)
         return True
 
+    def _drain(self, order: wire.HostOrder) -> None:
+        if self.draining == order.op_id:
+            return
+        self._close()
+        self.draining = order.op_id
+        self.outs.append(Out(order.op_id, order.pool, self._clock()))
+
+    def _close(self) -> None:
+        if self.outs and self.outs[-1].ended_s is None:
+            self.outs[-1].ended_s = self._clock()
+
     def _reboot(self, op_id: str, *, is_empty: bool) -> None:
         if self.draining != op_id or not is_empty:
             self.faults.append(f"rebooted by {op_id} undrained")
@@ -87,4 +116,5 @@
         if op_id not in self.ended:
             self.ended = [*self.ended, op_id][-KEPT_OPERATIONS:]
         if self.draining == op_id:
+            self._close()
             self.draining = None
