--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..cli.client import AdminClient
-from ..domain.configuration import PlaceHosts, Pool, PutPool, PutQueue, Queue
+from ..domain.configuration import Pool, PutPool, PutQueue, Queue
 from ..domain.configuration.model import EMPTY_REVISION
 from ..domain.ids import (
     HostId,
@@ -26,6 +26,7 @@
 from ..platform.memory import MemoryPlatform
 from ..settings import BootstrapSettings, EntrySettings, PlatformSettings, Settings
 from ..standins.platform import PlatformStandIn
+from .fleet import wait_until
 
 QUEUE = QueueName("echo")
 POOL = PoolName("echo")
@@ -64,6 +65,7 @@
             region=REGION,
             port=backend_port,
             slots=slots,
+            labels={"pool": POOL},
         )
         self._threads = threads
         self._read_timeout_ms = read_timeout_ms
@@ -110,9 +112,12 @@
         changes = (
             PutPool(Pool(POOL, "pool=echo")),
             PutQueue(Queue(QUEUE, POOL, is_open=True)),
-            PlaceHosts({HOST: POOL}),
         )
         admin.commit(changes, op_id=OperationId(uuid.uuid4().hex)).unwrap()
+        wait_until(self._is_placed, f"{HOST} placed by the conductor")
+
+    def _is_placed(self) -> bool:
+        return self._running.view.current.pool_of(HOST) == POOL
 
     def _settings(self) -> Settings:
         return Settings(
