--- a/src/amaranthtray/web/server.py
+++ b/src/amaranthtray/web/server.py
@@ -75,6 +75,7 @@
         self._server.senders = self.senders
         self._server.error_log = _ignore_server_log
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._start_error: OSError | None = None
 
     @property
     def port(self) -> int:
@@ -83,11 +84,26 @@
         return port
 
     def start(self) -> None:
-        """Binds the address and serves from a thread of its own."""
+        """Binds the address and serves from a thread of its own.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        starter = threading.Thread(target=self._prepare, daemon=True)
+        starter.start()
+        starter.join()
+        if self._start_error is not None:
+            raise self._start_error
         self.senders.start()
-        self._server.prepare()
         self._thread.start()
 
+    def _prepare(self) -> None:
+        """Binds, and makes the threads of a daemon one, so that none holds the exit."""
+        try:
+            self._server.prepare()
+        except OSError as exc:
+            self._start_error = exc
+
     def stop(self) -> None:
         """Stops accepting, ends idle connections and lets replies be written."""
         self._server.stop()
--- a/tests/entry/test_recording.py
+++ b/tests/entry/test_recording.py
@@ -23,11 +23,13 @@
     one = OneEntry(backend.port, trace=str(trace))
     one.start()
     url = f"http://127.0.0.1:{one.caller_port}/v1/queues/echo/requests"
-    for number in range(CALLS):
-        reply = urllib3.request("POST", url, body=b"secret loaf", retries=False)
-        assert reply.status == 200, number
-    one.stop()
-    backend.stop()
+    try:
+        for number in range(CALLS):
+            reply = urllib3.request("POST", url, body=b"secret loaf", retries=False)
+            assert reply.status == 200, (number, reply.data)
+    finally:
+        one.stop()
+        backend.stop()
     assert run_files([str(trace)]) == 0
     text = trace.read_text()
     assert text.count('"Finish"') == CALLS
