Say unknown when a busy entry has not looked an id up; no record for unnamed work

Cause: a full entry told a copy of unrepeatable work that it had not run, without asking its home; and each request without an id took a record for ten minutes, so that 20,000 of them pushed out issued ids not yet used. After: such a copy hears unknown with advice to come back, and work whose id nobody knows passes the table by.

--- a/src/amaranthtray/domain/requests/model.py
+++ b/src/amaranthtray/domain/requests/model.py
@@ -98,6 +98,7 @@
     HOME_GONE = "home_gone"
     ID_SPENT = "id_spent"
     STORE_UNAVAILABLE = "store_unavailable"
+    NOT_LOOKED_UP = "not_looked_up"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/entry/caller_service.py
+++ b/src/amaranthtray/entry/caller_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import secrets
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -18,6 +20,8 @@
     NotRun,
     NotRunReason,
     Request,
+    Unknown,
+    UnknownReason,
     WorkClass,
 )
 from ..domain.requests.tracked import RequestKey
@@ -45,6 +49,7 @@
 """Threads kept free, so that a full entry can still refuse at once."""
 
 MAX_ASYNC_THREADS = 64
+UNNAMED_BYTES = 4
 MAX_IDS_PER_CALL = 1_000
 MAX_COUNT_DIGITS = 4
 
@@ -85,6 +90,8 @@
         self._results: KeptValues[Reply] = KeptValues(
             keep_ms=cfg.requests.result_keep_ms
         )
+        self._unnamed = f"{cfg.entry.id}.{secrets.token_hex(UNNAMED_BYTES)}."
+        self._numbers = itertools.count(1)
         busy = cfg.entry.threads - SPARE_THREADS
         self._callers = threading.BoundedSemaphore(max(1, busy))
         self._patient = threading.BoundedSemaphore(cfg.entry.patient_threads)
@@ -171,18 +178,26 @@
     def _take(
         self, team: TeamName, queue: QueueName, sub: Submission, body: bytes
     ) -> Reply:
-        request_id = sub.request_id or self._with.table.issue(team)[0]
+        is_unnamed = sub.request_id is None and not sub.respond_async
+        request_id = sub.request_id or self._new_id(team, is_unnamed=is_unnamed)
         request = self._request(team, queue, RequestId(request_id), sub)
         work = Work(
             request=request,
             payload=Payload(sub.content_type, body, fingerprint_of(request, body)),
             submission=sub.number,
+            is_named=not is_unnamed,
         )
         if sub.respond_async:
             self._begin_background(work)
             return replies.accepted(request_id, "accepted")
         return self._run(work)
 
+    def _new_id(self, team: TeamName, *, is_unnamed: bool) -> str:
+        """Returns an id; one that no caller gets to know needs no record."""
+        if is_unnamed:
+            return f"{self._unnamed}{next(self._numbers)}"
+        return self._with.table.issue(team)[0]
+
     def _begin_background(self, work: Work) -> None:
         """Counts the request in until it is over, so that a shutdown waits for it."""
         self._with.readiness.begin()
@@ -203,10 +218,9 @@
         try:
             for limit in classes:
                 if not limit.acquire(blocking=False):
-                    request_id = work.request.request_id
-                    return _refuse(NotRunReason.ENTRY_BUSY, BUSY_RETRY_MS, request_id)
+                    return self._kept(work, _busy(work))
                 taken.append(limit)
-            return self._execute(work)
+            return self._kept(work, self._execute(work))
         finally:
             for limit in taken:
                 limit.release()
@@ -215,8 +229,12 @@
         result = self._with.table.submit(work)
         if isinstance(result, Problem):
             return replies.malformed(result, status=422)
-        reply = replies.final(work.request.request_id, result)
-        self._results.put(work.key, reply, len(reply.body), now_ms())
+        return replies.final(work.request.request_id, result)
+
+    def _kept(self, work: Work, reply: Reply) -> Reply:
+        """Keeps a final reply, so that it can be read back."""
+        if work.is_named:
+            self._results.put(work.key, reply, len(reply.body), now_ms())
         return reply
 
     def _request(
@@ -252,6 +270,19 @@
     return replies.not_run(outcome, request_id)
 
 
+def _busy(work: Work) -> Reply:
+    """Returns the refusal of an entry that has no thread to spare.
+
+    A copy of unrepeatable work may have run before; its id was not looked up.
+    """
+    request = work.request
+    if work.is_named and not request.repeatable:
+        detail = "the entry is busy and did not look the id up"
+        outcome = Unknown(UnknownReason.NOT_LOOKED_UP, detail, BUSY_RETRY_MS)
+        return replies.unknown(outcome, request.request_id)
+    return _refuse(NotRunReason.ENTRY_BUSY, BUSY_RETRY_MS, request.request_id)
+
+
 def _count(text: str) -> int | None:
     is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
     if not is_number or not 1 <= int(text) <= MAX_IDS_PER_CALL:
--- a/src/amaranthtray/entry/replies.py
+++ b/src/amaranthtray/entry/replies.py
@@ -40,6 +40,7 @@
     UnknownReason.CANCELLED: 409,
     UnknownReason.ID_SPENT: 409,
     UnknownReason.STORE_UNAVAILABLE: 503,
+    UnknownReason.NOT_LOOKED_UP: 503,
 }
 _DEFAULT_NOT_RUN_STATUS = 503
 _DEFAULT_UNKNOWN_STATUS = 502
--- a/src/amaranthtray/entry/request_table.py
+++ b/src/amaranthtray/entry/request_table.py
@@ -74,12 +74,14 @@
     Attributes:
         submission: Number of the submission, which grows after a not-run outcome.
         addressed_to: Home incarnation that a forwarding entry names, else none.
+        is_named: Whether anybody else can know the id; else no copy can come.
     """
 
     request: Request
     payload: Payload
     submission: int = 1
     addressed_to: Incarnation | None = None
+    is_named: bool = True
 
     @property
     def key(self) -> RequestKey:
@@ -183,6 +185,8 @@
 
     def submit(self, work: Work) -> Final | Problem:
         """Returns the outcome of a request; the calling thread does its calls."""
+        if not work.is_named:
+            return self._task.submit(work.request, work.payload)
         ref = CallerRef(next(self._refs))
         caller = _Caller(ref, work)
         self._mailbox.post(_Asked(_ask(work, ref), caller))
--- /dev/null
+++ b/tests/entry/test_busy.py
@@ -0,0 +1,73 @@
+"""A full entry refuses at once, and truly."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+import urllib3
+
+from amaranthtray.demo.fleet import wait_until
+from amaranthtray.demo.one_entry import OneEntry
+from amaranthtray.standins.backend import BackendStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+THREADS = 6
+AT_ONCE = 2
+
+
+class Busy:
+    """An entry whose threads for requests are all taken."""
+
+    def __init__(self) -> None:
+        self.backend = BackendStandIn("h1")
+        self.backend.start()
+        self.one = OneEntry(self.backend.port, threads=THREADS)
+        self.one.start()
+        self._executor = ThreadPoolExecutor(AT_ONCE)
+        self.held = [
+            self._executor.submit(self.send, b"sleep:1500", {}) for _ in range(AT_ONCE)
+        ]
+        wait_until(self._is_full, "all threads taken")
+
+    def _is_full(self) -> bool:
+        ended = [reply.result() for reply in self.held if reply.done()]
+        assert not ended, [(reply.status, reply.data) for reply in ended]
+        return len(self.backend.runs) == AT_ONCE
+
+    def send(self, body: bytes, head: dict[str, str]) -> urllib3.BaseHTTPResponse:
+        url = f"http://127.0.0.1:{self.one.caller_port}/v1/queues/echo/requests"
+        return urllib3.request("POST", url, body=body, headers=head, retries=False)
+
+    def stop(self) -> None:
+        assert {reply.result().status for reply in self.held} == {200}
+        self.one.stop()
+        self.backend.stop()
+
+
+@pytest.fixture(scope="module")
+def busy() -> Iterator[Busy]:
+    busy = Busy()
+    yield busy
+    busy.stop()
+
+
+@pytest.mark.parametrize(
+    ("head", "outcome", "reason"),
+    [
+        ({}, "not_run", "entry_busy"),
+        ({"Request-Id": "a", "Repeatable": "true"}, "not_run", "entry_busy"),
+        ({"Request-Id": "b"}, "unknown", "not_looked_up"),
+    ],
+)
+def test_full_entry_says_what_it_knows(
+    busy: Busy, head: dict[str, str], outcome: str, reason: str
+) -> None:
+    reply = busy.send(b"x", head)
+    assert (reply.status, reply.headers["Outcome"]) == (503, outcome)
+    assert reply.json()["reason"] == reason
+    assert reply.headers["Retry-After"] == "1"
+    assert len(busy.backend.runs) == AT_ONCE
