--- a/src/amaranthtray/bench/_ready_platform.py
+++ b/src/amaranthtray/bench/_ready_platform.py
@@ -75,6 +75,7 @@
             region=REGION,
             port=backend_port,
             slots=slots,
+            labels={"pool": POOL},
         )
 
     @property
