Wait until the one host takes work, and give loaded test runs time

Cause: a host that has moved refuses tasks until its new pool's conductor ends the drain, and the one-entry fixture did not wait for that; besides, the test's own caller gave up after 3 s.

--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import urllib3
 
+from ..backend import wire
 from ..cli.client import AdminClient
 from ..domain.configuration import Pool, PutPool, PutQueue, Queue
 from ..domain.configuration.model import EMPTY_REVISION
@@ -27,7 +29,7 @@
 from ..platform.memory import MemoryPlatform
 from ..standins.platform import PlatformStandIn
 from .entry_settings import loopback_settings
-from .fleet import wait_until
+from .fleet import WAIT_TIMEOUT_S, wait_until
 
 if TYPE_CHECKING:
     from ..settings import Settings
@@ -122,10 +124,17 @@
         )
         admin.commit(changes, op_id=OperationId(uuid.uuid4().hex)).unwrap()
         wait_until(self._is_placed, f"{HOST} placed by the conductor")
+        wait_until(self._takes_work, f"{HOST} returned from its move")
 
     def _is_placed(self) -> bool:
         return self._running.view.current.pool_of(HOST) == POOL
 
+    def _takes_work(self) -> bool:
+        """Returns whether the drain of the host's move is over."""
+        url = f"http://{self._host.address}:{self._host.port}{wire.HEALTH_PATH}"
+        reply = urllib3.request("GET", url, timeout=WAIT_TIMEOUT_S)
+        return msgspec.json.decode(reply.data, type=wire.Health).draining is None
+
     def _settings(self) -> Settings:
         return loopback_settings(
             self._platform.url,
--- a/tests/entry/test_busy.py
+++ b/tests/entry/test_busy.py
@@ -17,6 +17,7 @@
 
 THREADS = 6
 AT_ONCE = 2
+PATIENCE_S = 20.0
 
 
 class Busy:
@@ -40,7 +41,9 @@
 
     def send(self, body: bytes, head: dict[str, str]) -> urllib3.BaseHTTPResponse:
         url = f"http://127.0.0.1:{self.one.caller_port}/v1/queues/echo/requests"
-        return urllib3.request("POST", url, body=body, headers=head, retries=False)
+        return urllib3.request(
+            "POST", url, body=body, headers=head, retries=False, timeout=PATIENCE_S
+        )
 
     def stop(self) -> None:
         assert {reply.result().status for reply in self.held} == {200}
--- a/tests/entry/test_recording.py
+++ b/tests/entry/test_recording.py
@@ -14,6 +14,7 @@
     from pathlib import Path
 
 CALLS = 20
+PATIENCE_S = 20.0
 
 
 def test_trace_of_a_running_entry_replays_the_same(tmp_path: Path) -> None:
@@ -25,7 +26,9 @@
     url = f"http://127.0.0.1:{one.caller_port}/v1/queues/echo/requests"
     try:
         for number in range(CALLS):
-            reply = urllib3.request("POST", url, body=b"secret loaf", retries=False)
+            reply = urllib3.request(
+                "POST", url, body=b"secret loaf", retries=False, timeout=PATIENCE_S
+            )
             assert reply.status == 200, (number, reply.data)
     finally:
         one.stop()
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -66,7 +66,9 @@
 ) -> None:
     url = f"http://127.0.0.1:{one.caller_port}/v1/queues/echo/requests"
     head = {"Prefer": "respond-async"}
-    accepted = urllib3.request("POST", url, body=b"sleep:500", headers=head)
+    accepted = urllib3.request(
+        "POST", url, body=b"sleep:500", headers=head, timeout=PATIENCE_S
+    )
     assert accepted.status == 202
     wait_for_run(backend)
     one.stop()
