Bound slots by connections in one place; end the background threads

The same bound stood in two ways of choosing a host. The caller service's stop was written and never called, so a stopped entry kept its idle background threads until the process ended. Nothing that a caller or operator sees changes.

--- a/src/amaranthtray/domain/workers/choice.py
+++ b/src/amaranthtray/domain/workers/choice.py
@@ -72,7 +72,7 @@
 
     def slots(self, host: Host) -> int:
         """Returns all slots, within this entry's part of the connections."""
-        return min(host.slots, max(1, host.connections // self.stripe.count))
+        return _within_connections(host, self.stripe)
 
     def home_slots(self, host: Host) -> float:
         """Returns an equal part; no slot is used before another."""
@@ -143,7 +143,7 @@
 
     def slots(self, host: Host) -> int:
         """Returns all slots, within this entry's part of the connections."""
-        return min(host.slots, max(1, host.connections // self.stripe.count))
+        return _within_connections(host, self.stripe)
 
     def home_slots(self, host: Host) -> float:
         """Returns the slots of this entry's stripe, none in other zones."""
@@ -160,6 +160,10 @@
         return _less_loaded(workers, suits, now_ms, rng)
 
 
+def _within_connections(host: Host, stripe: Stripe) -> int:
+    return min(host.slots, max(1, host.connections // stripe.count))
+
+
 def _striped(host: Host, stripe: Stripe) -> int:
     shift = crc32(host.host_id.encode())
     slots = range(shift, shift + host.slots)
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -160,6 +160,7 @@
         self._control.control.leave()
         self._conducting.join(GIVE_BACK_S)
         self._conducting.leave()
+        self._caller_service.stop()
         self._requests.stop()
         self._links.hub.stop()
         self.observer.changed("entry-stopped", incarnation=self.incarnation)
