Give the key-value store its own package

platform/ becomes the one adapter to the users' platform; the store contract, the in-memory store, the configuration log and the etcd dialect are ours.

--- a/examples/one_entry.py
+++ b/examples/one_entry.py
@@ -18,7 +18,7 @@
 from amaranthtray.domain.keys import mint_key
 from amaranthtray.entry.clock import now_ms
 from amaranthtray.entry.entry import Entry
-from amaranthtray.platform.memory import MemoryPlatform
+from amaranthtray.store.memory import MemoryPlatform
 from amaranthtray.settings import loads
 from amaranthtray.standins.backend import BackendStandIn
 from amaranthtray.standins.platform import PlatformStandIn
--- a/src/amaranthtray/bench/_config_schedule.py
+++ b/src/amaranthtray/bench/_config_schedule.py
@@ -18,10 +18,10 @@
 from ..domain.configuration.model import Configuration, Team
 from ..domain.ids import EntryId, Incarnation, OperationId, Revision, TeamName
 from ..domain.invariants import ConfigApplied, ConfigCommitted, Watchdog
-from ..platform.config_keys import LOG_PREFIX, decode_record
-from ..platform.config_log import ConfigFeed, ConfigLog
-from ..platform.memory import ClientName, Fault, MemoryPlatform, PlannedFault
-from ..platform.store import EffectUnknown
+from ..store.config_keys import LOG_PREFIX, decode_record
+from ..store.config_log import ConfigFeed, ConfigLog
+from ..store.contract import EffectUnknown
+from ..store.memory import ClientName, Fault, MemoryPlatform, PlannedFault
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/amaranthtray/bench/_ready_platform.py
+++ b/src/amaranthtray/bench/_ready_platform.py
@@ -35,11 +35,11 @@
 from ..domain.keys import mint_key
 from ..entry.clock import now_ms
 from ..entry.rules import configuration_rules
-from ..platform.config_log import ConfigLog
-from ..platform.memory import MemoryPlatform
-from ..platform.prefixed import PrefixedStore
 from ..settings import PlatformSettings
 from ..standins.platform import PlatformStandIn
+from ..store.config_log import ConfigLog
+from ..store.memory import MemoryPlatform
+from ..store.prefixed import PrefixedStore
 
 if TYPE_CHECKING:
     from ..settings import Settings
--- a/src/amaranthtray/bench/_virtual_fleet.py
+++ b/src/amaranthtray/bench/_virtual_fleet.py
@@ -24,9 +24,9 @@
 from ..peers.handshake import SEAL_BYTES
 from ..peers.messages import ConfigRecords, Member, MemberList
 from ..peers.sync import SyncSettings
-from ..platform.config_log import ConfigFeed, ConfigLog
-from ..platform.duties import DutyRunner
-from ..platform.memory import ClientName, MemoryPlatform
+from ..store.config_log import ConfigFeed, ConfigLog
+from ..store.duties import DutyRunner
+from ..store.memory import ClientName, MemoryPlatform
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/amaranthtray/demo/fleet.py
+++ b/src/amaranthtray/demo/fleet.py
@@ -16,9 +16,9 @@
 from ..domain.keys import MintedKey, mint_key
 from ..entry.clock import now_ms
 from ..entry.entry import Entry
-from ..platform.memory import MemoryPlatform
 from ..standins.backend import BackendStandIn
 from ..standins.platform import PlatformStandIn
+from ..store.memory import MemoryPlatform
 from .entry_settings import loopback_settings
 
 if TYPE_CHECKING:
--- a/src/amaranthtray/demo/one_entry.py
+++ b/src/amaranthtray/demo/one_entry.py
@@ -26,8 +26,8 @@
 from ..domain.keys import mint_key
 from ..entry.clock import now_ms
 from ..entry.entry import Entry
-from ..platform.memory import MemoryPlatform
 from ..standins.platform import PlatformStandIn
+from ..store.memory import MemoryPlatform
 from .entry_settings import loopback_settings
 from .fleet import WAIT_TIMEOUT_S, wait_until
 
--- a/src/amaranthtray/entry/admin_replies.py
+++ b/src/amaranthtray/entry/admin_replies.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING, Any
 
 from ..domain.errors import Problem
-from ..platform.store import CallsSpent, EffectUnknown
+from ..store.contract import CallsSpent, EffectUnknown
 
 if TYPE_CHECKING:
     from ..domain.configuration.log import ChangeConflict
-    from ..platform.store import StoreFailure
+    from ..store.contract import StoreFailure
 
 OK = 200
 CONFLICT = 409
--- a/src/amaranthtray/entry/admin_service.py
+++ b/src/amaranthtray/entry/admin_service.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from ..domain.configuration import Change, Configuration, Operator
-    from ..platform.config_log import Committed, ConfigLog
+    from ..store.config_log import Committed, ConfigLog
     from .admin_replies import AdminReply
     from .admin_view import AdminView
     from .context import EntryContext
--- a/src/amaranthtray/entry/claims.py
+++ b/src/amaranthtray/entry/claims.py
@@ -18,13 +18,13 @@
     ClaimUnsure,
     ClaimWon,
 )
-from ..platform.store import CallsSpent, Conflict, EffectUnknown, LeaseGone, Versioned
+from ..store.contract import CallsSpent, Conflict, EffectUnknown, LeaseGone, Versioned
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..domain.requests.tracked import RequestKey
-    from ..platform.store import LeaseId, Store, StoreFailure
+    from ..store.contract import LeaseId, Store, StoreFailure
 
 CLAIM_PREFIX = "claims/"
 LEASE_SPAN_MS = 3_600_000
--- a/src/amaranthtray/entry/conducting/conducting.py
+++ b/src/amaranthtray/entry/conducting/conducting.py
@@ -15,8 +15,8 @@
 from ...domain.inventory import Host
 from ...domain.placement import pool_views
 from ...domain.waves import HealthListed, OrderDropped
-from ...platform.config_log import ConfigLog
-from ...platform.store import Store
+from ...store.config_log import ConfigLog
+from ...store.contract import Store
 from ..config_view import ConfigView
 from .duties import DutyBoard
 from .ledgers import list_ledgers
--- a/src/amaranthtray/entry/conducting/duties.py
+++ b/src/amaranthtray/entry/conducting/duties.py
@@ -9,13 +9,13 @@
 
 from ...domain.duties import conductor_of
 from ...domain.ids import PoolName
-from ...platform.duties import PREFIX
+from ...store.duties import PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ...domain.ids import EntryId
-    from ...platform.store import Store
+    from ...store.contract import Store
 
 LOOK_MS = 3_000
 TURN_MS = 1_000
--- a/src/amaranthtray/entry/conducting/ledgers.py
+++ b/src/amaranthtray/entry/conducting/ledgers.py
@@ -18,12 +18,12 @@
     SwapConflict,
     SwapUnknown,
 )
-from ...platform.store import Conflict, EffectUnknown
+from ...store.contract import Conflict, EffectUnknown
 
 if TYPE_CHECKING:
     from ...domain.budgets import Ledger
     from ...domain.waves import ConductorMessage
-    from ...platform.store import Store, StoreFailure, Versioned
+    from ...store.contract import Store, StoreFailure, Versioned
 
 
 def read_ledger(store: Store, effect: ReadLedger) -> ConductorMessage:
--- a/src/amaranthtray/entry/conducting/moves.py
+++ b/src/amaranthtray/entry/conducting/moves.py
@@ -12,7 +12,7 @@
 
     from ...domain.configuration import Configuration
     from ...domain.waves import CommitMoves
-    from ...platform.config_log import CommitFailure, Committed, ConfigLog
+    from ...store.config_log import CommitFailure, Committed, ConfigLog
 
 OPERATOR = "conductor"
 
--- a/src/amaranthtray/entry/conducting/pool.py
+++ b/src/amaranthtray/entry/conducting/pool.py
@@ -25,7 +25,7 @@
     Tick,
     ViewChanged,
 )
-from ...platform.duties import DutyRunner
+from ...store.duties import DutyRunner
 from .ledgers import read_ledger, swap_ledger
 from .moves import commit_moves
 
--- a/src/amaranthtray/entry/config_task.py
+++ b/src/amaranthtray/entry/config_task.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from ..domain.configuration import Configuration
-    from ..platform.config_log import ConfigFeed, ConfigLog, Feed
+    from ..store.config_log import ConfigFeed, ConfigLog, Feed
     from .config_view import ConfigView
 
 WATCH_MS = 10_000
--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -29,9 +29,9 @@
 from ...peers.control import Applied, Deliver, PeerControl
 from ...peers.events import Dial, HangUp, LinkUp, PeerAddress, PeerEvent, Send
 from ...peers.messages import HostNews, Member, MemberList
-from ...platform.registry import PREFIX as MEMBER_PREFIX
-from ...platform.registry import EntryRegistry
-from ...platform.store import Store
+from ...store.contract import Store
+from ...store.registry import PREFIX as MEMBER_PREFIX
+from ...store.registry import EntryRegistry
 from ..config_view import ConfigView
 from .ports import Links, ServingPort
 from .stewardship import Stewardship
@@ -42,7 +42,7 @@
     from collections.abc import Iterable
 
     from ...peers.control import ControlCommand
-    from ...platform.store import WatchEvent
+    from ...store.contract import WatchEvent
 
 RELAY_MS = 1_000
 JOIN_MS = 500
--- a/src/amaranthtray/entry/control/stewardship.py
+++ b/src/amaranthtray/entry/control/stewardship.py
@@ -7,7 +7,7 @@
 from ...domain.duties import DutyHolder, Held, steward_of
 from ...domain.ids import Millis, Term
 from ...domain.limits.ledger import LEDGER_PREFIX
-from ...platform.duties import DutyRunner
+from ...store.duties import DutyRunner
 from ..limits_runner import LimitsRunner
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from ...domain.ids import EntryId, Incarnation, ZoneId
     from ...domain.limits.messages import UnitsGrant, UnitsReport
     from ...domain.limits.timing import EscrowTiming
-    from ...platform.store import Store, WatchEvent
+    from ...store.contract import Store, WatchEvent
 
 __all__ = ["LEDGER_PREFIX", "Stewardship"]
 
--- a/src/amaranthtray/entry/control/watches.py
+++ b/src/amaranthtray/entry/control/watches.py
@@ -6,10 +6,10 @@
 
 from returns.result import Success
 
-from ...platform.store import Compacted
+from ...store.contract import Compacted
 
 if TYPE_CHECKING:
-    from ...platform.store import Store, WatchEvent
+    from ...store.contract import Store, WatchEvent
 
 
 class PrefixWatch:
--- a/src/amaranthtray/entry/control_task.py
+++ b/src/amaranthtray/entry/control_task.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from ..platform.registry import PREFIX as MEMBER_PREFIX
+from ..store.registry import PREFIX as MEMBER_PREFIX
 from .control.stewardship import LEDGER_PREFIX
 from .control.watches import PrefixWatch
 from .worker_thread import WorkerThread
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..platform.store import Store, WatchEvent
+    from ..store.contract import Store, WatchEvent
     from .control import Control
     from .control.control import ControlInput
 
--- a/src/amaranthtray/entry/host_list.py
+++ b/src/amaranthtray/entry/host_list.py
@@ -9,14 +9,14 @@
 from returns.result import Success
 
 from ..domain.inventory import Host
-from ..platform.store import Compacted
+from ..store.contract import Compacted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from ..domain.configuration import Configuration
     from ..domain.ids import HostId, PoolName
-    from ..platform.store import Listing, Store, StoreFailure, WatchBatch
+    from ..store.contract import Listing, Store, StoreFailure, WatchBatch
 
 
 class HostList:
--- a/src/amaranthtray/entry/limits_runner.py
+++ b/src/amaranthtray/entry/limits_runner.py
@@ -34,7 +34,7 @@
     zone_key,
 )
 from ..domain.limits.zone_steward import ZoneSteward
-from ..platform.store import Conflict, EffectUnknown, Versioned
+from ..store.contract import Conflict, EffectUnknown, Versioned
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -42,7 +42,7 @@
     from ..domain.ids import Incarnation, Revision, Term
     from ..domain.limits.messages import UnitsGrant, UnitsReport
     from ..domain.limits.timing import EscrowTiming
-    from ..platform.store import Store, StoreFailure, WatchEvent
+    from ..store.contract import Store, StoreFailure, WatchEvent
 
 
 class LimitsRunner:
--- a/src/amaranthtray/entry/wave_view.py
+++ b/src/amaranthtray/entry/wave_view.py
@@ -20,7 +20,7 @@
     from ..domain.ids import PoolName, WaveName
     from ..domain.placement import PoolView
     from ..domain.waves import WaveProgress
-    from ..platform.store import Store
+    from ..store.contract import Store
     from .context import EntryContext
 
 UNKNOWN = "unknown"
--- a/src/amaranthtray/entry/wiring.py
+++ b/src/amaranthtray/entry/wiring.py
@@ -18,13 +18,13 @@
 )
 from ..domain.serving.messages import TeamTerms
 from ..peers.events import PeerAddress
-from ..platform.budgeted import BudgetedStore, CallBudget
-from ..platform.config_log import ConfigFeed, ConfigLog
-from ..platform.etcd_json import EtcdStore
-from ..platform.prefixed import PrefixedStore
-from ..platform.settled import SettledStore
-from ..platform.store import Store
 from ..replay.recorder import Recorder
+from ..store.budgeted import BudgetedStore, CallBudget
+from ..store.config_log import ConfigFeed, ConfigLog
+from ..store.contract import Store
+from ..store.etcd_json import EtcdStore
+from ..store.prefixed import PrefixedStore
+from ..store.settled import SettledStore
 from .claims import ClaimStore
 from .clock import now_ms
 from .conducting import Conducting, ConductingParts
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -18,9 +18,9 @@
 from ..entry.host_list import by_pool
 from ..entry.rules import configuration_rules
 from ..peers.messages import Member
-from ..platform.config_log import ConfigFeed, ConfigLog
-from ..platform.registry import PREFIX as MEMBER_PREFIX
-from ..platform.settled import SettledStore
+from ..store.config_log import ConfigFeed, ConfigLog
+from ..store.registry import PREFIX as MEMBER_PREFIX
+from ..store.settled import SettledStore
 
 if TYPE_CHECKING:
     from ..domain.configuration import Configuration
@@ -28,7 +28,7 @@
     from ..domain.inventory import Host
     from ..domain.serving import ServingMessage
     from ..entry.control.control import ControlInput
-    from ..platform.config_log import Feed
+    from ..store.config_log import Feed
     from .entry import VirtualEntry
     from .world import World
 
--- a/src/amaranthtray/scenarios/duty.py
+++ b/src/amaranthtray/scenarios/duty.py
@@ -8,10 +8,10 @@
 from returns.result import Failure, Success
 
 from ..domain.ids import Term
-from ..platform.store import LeaseGone
+from ..store.contract import LeaseGone
 
 if TYPE_CHECKING:
-    from ..platform.store import LeaseId, Store
+    from ..store.contract import LeaseId, Store
 
 DUTY_TTL_MS = 3_000
 DUTY_MARGIN_MS = 500
--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -66,7 +66,7 @@
     ServingParts,
 )
 from ..entry.rules import selects
-from ..platform.store import Conflict, EffectUnknown, Versioned
+from ..store.contract import Conflict, EffectUnknown, Versioned
 from .conducting import Conducting
 from .control import VirtualControl
 from .links import VirtualLinks
--- a/src/amaranthtray/scenarios/observer.py
+++ b/src/amaranthtray/scenarios/observer.py
@@ -16,7 +16,7 @@
     LimitSet,
     ReachChanged,
 )
-from ..platform.config_keys import LOG_PREFIX, decode_record
+from ..store.config_keys import LOG_PREFIX, decode_record
 from .history import IN_FORCE_MS
 
 if TYPE_CHECKING:
--- a/src/amaranthtray/scenarios/operators.py
+++ b/src/amaranthtray/scenarios/operators.py
@@ -26,13 +26,13 @@
 from ..domain.keys.minting import MintedKey, key_from_secret
 from ..domain.placement import desired_pools
 from ..entry.rules import configuration_rules
-from ..platform.config_log import ConfigLog
-from ..platform.store import EffectUnknown
+from ..store.config_log import ConfigLog
+from ..store.contract import EffectUnknown
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ..platform.config_log import CommitFailure, Committed
+    from ..store.config_log import CommitFailure, Committed
     from .backend import Backend
     from .entry import VirtualEntry
     from .model import Action, Commit
--- a/src/amaranthtray/scenarios/world.py
+++ b/src/amaranthtray/scenarios/world.py
@@ -22,7 +22,7 @@
     WholeAnswer,
 )
 from ..domain.requests.model import Answered, NotRun, Unknown, UnknownReason
-from ..platform.memory import ClientName, Fault, MemoryPlatform, PlannedFault
+from ..store.memory import ClientName, Fault, MemoryPlatform, PlannedFault
 from .backend import Backend
 from .entry import VirtualEntry
 from .history import Call, History
@@ -39,7 +39,7 @@
     from ..domain.requests.messages import AttemptResult, StartAttempt
     from ..domain.requests.model import Outcome, Request
     from ..domain.requests.tracked import RequestKey
-    from ..platform.memory import MemoryStore
+    from ..store.memory import MemoryStore
     from .model import Site
 
 REGION = RegionId("r1")
--- a/src/amaranthtray/standins/platform.py
+++ b/src/amaranthtray/standins/platform.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import web
-from ..platform.store import (
+from ..store.contract import (
     Compacted,
     Conflict,
     LeaseGone,
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from ..platform.store import Store
+    from ..store.contract import Store
 
 MAX_REQUEST_BYTES = 2 << 20
 WATCH_SLICE_MS = 500
--- a/src/amaranthtray/platform/_commit.py
+++ b/src/amaranthtray/store/_commit.py
@@ -23,7 +23,7 @@
 from ..domain.errors import Problem
 from ..domain.ids import Revision
 from .config_keys import PEER, decode_record, record_key
-from .store import (
+from .contract import (
     MAX_VALUE_BYTES,
     Conflict,
     EffectUnknown,
@@ -36,7 +36,7 @@
     from ..domain.configuration.log import Refusal, Rules
     from ..domain.ids import EntryId, OperationId
     from .config_log import ConfigLog
-    from .store import Store, Versioned
+    from .contract import Store, Versioned
 
 MAX_ATTEMPTS = 16
 STEP = "commit"
--- a/src/amaranthtray/platform/budgeted.py
+++ b/src/amaranthtray/store/budgeted.py
@@ -11,7 +11,7 @@
 
 from returns.result import Failure, Result
 
-from .store import (
+from .contract import (
     CallsSpent,
     EffectUnknown,
     LeaseId,
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from .store import Store, StoreFailure
+    from .contract import Store, StoreFailure
 
 T = TypeVar("T")
 Clock: TypeAlias = Callable[[], int]
--- a/src/amaranthtray/platform/config_log.py
+++ b/src/amaranthtray/store/config_log.py
@@ -31,7 +31,7 @@
     decode_record,
     revision_of_key,
 )
-from .store import Compacted, Unavailable
+from .contract import Compacted, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -39,7 +39,7 @@
     from ..domain.configuration.changes import Change
     from ..domain.configuration.log import Rules
     from ..domain.ids import EntryId, OperationId
-    from .store import Listing, Store, StoreFailure, Versioned, WatchEvent
+    from .contract import Listing, Store, StoreFailure, Versioned, WatchEvent
 
 __all__ = [
     "CommitFailure",
--- a/src/amaranthtray/platform/duties.py
+++ b/src/amaranthtray/store/duties.py
@@ -29,14 +29,21 @@
     Unsure,
 )
 from ..domain.ids import Term
-from .store import Conflict, EffectUnknown, LeaseGone, LeaseId, StoreFailure, Versioned
+from .contract import (
+    Conflict,
+    EffectUnknown,
+    LeaseGone,
+    LeaseId,
+    StoreFailure,
+    Versioned,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..domain.duties import DutyHolder
     from ..domain.duties.names import DutyName
-    from .store import Store
+    from .contract import Store
 
 T = TypeVar("T")
 
--- a/src/amaranthtray/platform/etcd_json.py
+++ b/src/amaranthtray/store/etcd_json.py
@@ -13,7 +13,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
-from .store import (
+from .contract import (
     Compacted,
     Conflict,
     EffectUnknown,
--- a/src/amaranthtray/platform/fenced.py
+++ b/src/amaranthtray/store/fenced.py
@@ -15,10 +15,10 @@
 from returns.result import Failure, Result, Success
 
 from ..domain.ids import Term
-from .store import StoreFailure, Unavailable, Versioned
+from .contract import StoreFailure, Unavailable, Versioned
 
 if TYPE_CHECKING:
-    from .store import Store
+    from .contract import Store
 
 STEP = "fenced-write"
 
--- a/src/amaranthtray/platform/memory.py
+++ b/src/amaranthtray/store/memory.py
@@ -14,7 +14,7 @@
 
 from returns.result import Failure, Result, Success
 
-from .store import (
+from .contract import (
     MAX_VALUE_BYTES,
     Compacted,
     Conflict,
--- a/src/amaranthtray/platform/prefixed.py
+++ b/src/amaranthtray/store/prefixed.py
@@ -5,12 +5,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from .store import Conflict, Listing, WatchBatch
+from .contract import Conflict, Listing, WatchBatch
 
 if TYPE_CHECKING:
     from returns.result import Result
 
-    from .store import LeaseId, Store, StoreFailure, Versioned, WatchEvent
+    from .contract import LeaseId, Store, StoreFailure, Versioned, WatchEvent
 
 
 class PrefixedStore:
--- a/src/amaranthtray/platform/registry.py
+++ b/src/amaranthtray/store/registry.py
@@ -9,12 +9,12 @@
 from returns.result import Failure, Result, Success
 
 from ..peers.messages import Member, MemberList
-from .store import Conflict, LeaseGone, LeaseId, StoreFailure, Versioned
+from .contract import Conflict, LeaseGone, LeaseId, StoreFailure, Versioned
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .store import Listing, Store
+    from .contract import Listing, Store
 
 PREFIX = "entries/"
 STEP = "register"
--- a/src/amaranthtray/platform/settled.py
+++ b/src/amaranthtray/store/settled.py
@@ -6,12 +6,12 @@
 
 from returns.result import Failure, Result, Success
 
-from .store import Conflict, EffectUnknown, LeaseId, Listing, Versioned, WatchBatch
+from .contract import Conflict, EffectUnknown, LeaseId, Listing, Versioned, WatchBatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .store import Store, StoreFailure
+    from .contract import Store, StoreFailure
 
 MAX_SETTLE_ATTEMPTS = 3
 
--- a/tests/budgets/test_rules.py
+++ b/tests/budgets/test_rules.py
@@ -37,7 +37,7 @@
     Term,
     WaveName,
 )
-from amaranthtray.platform.store import MAX_VALUE_BYTES
+from amaranthtray.store.contract import MAX_VALUE_BYTES
 
 SIZE = 12
 
--- a/tests/cli/test_against_an_entry.py
+++ b/tests/cli/test_against_an_entry.py
@@ -14,10 +14,10 @@
 from amaranthtray.domain.keys import mint_key
 from amaranthtray.entry.clock import now_ms
 from amaranthtray.entry.entry import Entry
-from amaranthtray.platform.memory import MemoryPlatform
 from amaranthtray.settings import loads
 from amaranthtray.standins.faults import Faults
 from amaranthtray.standins.platform import PlatformStandIn
+from amaranthtray.store.memory import MemoryPlatform
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/tests/conducting_fleet.py
+++ b/tests/conducting_fleet.py
@@ -31,10 +31,10 @@
 from amaranthtray.entry.conducting import Conducting, ConductingParts
 from amaranthtray.entry.conducting.tracker import HostTracker
 from amaranthtray.entry.config_view import ConfigView
-from amaranthtray.platform.config_log import ConfigLog
-from amaranthtray.platform.memory import MemoryPlatform
-from amaranthtray.platform.settled import SettledStore
 from amaranthtray.standins.maintenance import Maintenance
+from amaranthtray.store.config_log import ConfigLog
+from amaranthtray.store.memory import MemoryPlatform
+from amaranthtray.store.settled import SettledStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/configuration/test_config_machine.py
+++ b/tests/configuration/test_config_machine.py
@@ -11,7 +11,7 @@
     ConfigSchedule,
     run_seed,
 )
-from amaranthtray.platform.memory import Fault
+from amaranthtray.store.memory import Fault
 
 INDEX = st.integers(0, 2)
 
--- a/tests/duties/duty_site.py
+++ b/tests/duties/duty_site.py
@@ -12,10 +12,10 @@
 from amaranthtray.domain.duties.messages import DutyCall, DutyReply
 from amaranthtray.domain.duties.names import DutyName
 from amaranthtray.domain.ids import EntryId, Incarnation, Term
-from amaranthtray.platform.duties import DutyRunner
-from amaranthtray.platform.fenced import FencedKey, FencedValue
-from amaranthtray.platform.memory import MemoryPlatform
-from amaranthtray.platform.settled import SettledStore
+from amaranthtray.store.duties import DutyRunner
+from amaranthtray.store.fenced import FencedKey, FencedValue
+from amaranthtray.store.memory import MemoryPlatform
+from amaranthtray.store.settled import SettledStore
 
 LEDGER = "ledger"
 
--- a/tests/duties/test_duty_machine.py
+++ b/tests/duties/test_duty_machine.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from amaranthtray.domain.duties import DutySettings
-from amaranthtray.platform.memory import ClientName, Fault, PlannedFault
+from amaranthtray.store.memory import ClientName, Fault, PlannedFault
 from duties.duty_site import LEDGER, DutySite
 
 ENTRIES = st.sampled_from(["e0", "e1", "e2"])
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -6,8 +6,8 @@
 
 from amaranthtray.domain.duties import DutySettings, Idle, conductor_of, steward_of
 from amaranthtray.domain.ids import PoolName, Term, ZoneId
-from amaranthtray.platform.memory import Fault, PlannedFault
-from amaranthtray.platform.store import Conflict
+from amaranthtray.store.contract import Conflict
+from amaranthtray.store.memory import Fault, PlannedFault
 from duties.duty_site import DutySite
 
 SETTINGS = DutySettings()
--- a/tests/entry/test_conducting.py
+++ b/tests/entry/test_conducting.py
@@ -15,7 +15,7 @@
 from amaranthtray.entry.conducting.pool import PoolConducting
 from amaranthtray.entry.conducting.ports import OrderLate
 from amaranthtray.entry.conducting.tracker import HostTracker
-from amaranthtray.platform.memory import Fault, PlannedFault
+from amaranthtray.store.memory import Fault, PlannedFault
 
 LEASE_MS = 9_000
 
--- a/tests/packaging/test_one_file.py
+++ b/tests/packaging/test_one_file.py
@@ -17,8 +17,8 @@
 from amaranthtray import __version__
 from amaranthtray.entry.clock import now_ms
 from amaranthtray.packaging import EXCLUDED, build, closure, declared
-from amaranthtray.platform.memory import MemoryPlatform
 from amaranthtray.standins.platform import PlatformStandIn
+from amaranthtray.store.memory import MemoryPlatform
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 PYTHON = str(Path(sys.base_prefix) / "bin" / "python3")
--- a/tests/standins/test_platform_dialect.py
+++ b/tests/standins/test_platform_dialect.py
@@ -8,10 +8,9 @@
 import pytest
 
 from amaranthtray.entry.clock import now_ms
-from amaranthtray.platform.etcd_json import EtcdStore
-from amaranthtray.platform.memory import MemoryPlatform
-from amaranthtray.platform.settled import SettledStore
-from amaranthtray.platform.store import (
+from amaranthtray.standins.faults import Faults
+from amaranthtray.standins.platform import PlatformStandIn
+from amaranthtray.store.contract import (
     Compacted,
     Conflict,
     EffectUnknown,
@@ -20,13 +19,14 @@
     Unavailable,
     WatchEvent,
 )
-from amaranthtray.standins.faults import Faults
-from amaranthtray.standins.platform import PlatformStandIn
+from amaranthtray.store.etcd_json import EtcdStore
+from amaranthtray.store.memory import MemoryPlatform
+from amaranthtray.store.settled import SettledStore
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from amaranthtray.platform.store import StoreFailure
+    from amaranthtray.store.contract import StoreFailure
 
 WAIT_MS = 5_000
 
--- a/tests/platform/test_config_log.py
+++ b/tests/store/test_config_log.py
@@ -11,8 +11,8 @@
 from amaranthtray.domain.configuration.log import ChangeConflict
 from amaranthtray.domain.errors import Problem
 from amaranthtray.domain.ids import EntryId, OperationId, Revision, TeamName
-from amaranthtray.platform.config_keys import SNAPSHOT_KEY, record_key
-from amaranthtray.platform.config_log import (
+from amaranthtray.store.config_keys import SNAPSHOT_KEY, record_key
+from amaranthtray.store.config_log import (
     COMPACT_AFTER_RECORDS,
     KEPT_RECORDS,
     CommitFailure,
@@ -20,8 +20,8 @@
     ConfigFeed,
     ConfigLog,
 )
-from amaranthtray.platform.memory import Fault, MemoryPlatform, PlannedFault
-from amaranthtray.platform.store import EffectUnknown, Unavailable
+from amaranthtray.store.contract import EffectUnknown, Unavailable
+from amaranthtray.store.memory import Fault, MemoryPlatform, PlannedFault
 
 RED = PutTeam(builders.team("red"))
 
--- a/tests/platform/test_memory.py
+++ b/tests/store/test_memory.py
@@ -5,13 +5,7 @@
 import pytest
 from returns.result import Success
 
-from amaranthtray.platform.memory import (
-    Fault,
-    MemoryPlatform,
-    MemoryStore,
-    PlannedFault,
-)
-from amaranthtray.platform.store import (
+from amaranthtray.store.contract import (
     MAX_VALUE_BYTES,
     Compacted,
     Conflict,
@@ -19,6 +13,12 @@
     LeaseGone,
     Unavailable,
 )
+from amaranthtray.store.memory import (
+    Fault,
+    MemoryPlatform,
+    MemoryStore,
+    PlannedFault,
+)
 
 
 class Site:
--- a/tests/platform/test_registry.py
+++ b/tests/store/test_registry.py
@@ -6,10 +6,10 @@
 
 from amaranthtray.domain.ids import EntryId, Incarnation, ZoneId
 from amaranthtray.peers.messages import Member
-from amaranthtray.platform.memory import Fault, MemoryPlatform, PlannedFault
-from amaranthtray.platform.registry import EntryRegistry, RegistrySettings, Superseded
-from amaranthtray.platform.settled import SettledStore
-from amaranthtray.platform.store import Unavailable
+from amaranthtray.store.contract import Unavailable
+from amaranthtray.store.memory import Fault, MemoryPlatform, PlannedFault
+from amaranthtray.store.registry import EntryRegistry, RegistrySettings, Superseded
+from amaranthtray.store.settled import SettledStore
 
 SETTINGS = RegistrySettings()
 
--- a/tests/platform/test_wrappers.py
+++ b/tests/store/test_wrappers.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from amaranthtray.platform.budgeted import BudgetedStore, CallBudget
-from amaranthtray.platform.memory import Fault, MemoryPlatform, PlannedFault
-from amaranthtray.platform.settled import SettledStore
-from amaranthtray.platform.store import (
+from amaranthtray.store.budgeted import BudgetedStore, CallBudget
+from amaranthtray.store.contract import (
     CallsSpent,
     Conflict,
     EffectUnknown,
     Unavailable,
 )
+from amaranthtray.store.memory import Fault, MemoryPlatform, PlannedFault
+from amaranthtray.store.settled import SettledStore
 
 
 class Site:
