--- /dev/null
+++ b/src/amaranthtray/domain/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: steps of tasks that need processor, memory and a place."""
--- /dev/null
+++ b/src/amaranthtray/domain/jobs/catalog.py
@@ -0,0 +1,114 @@
+"""Queues, pools and teams as jobs see them, at one version of the configuration."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..ids import PoolName, QueueName, TeamName
+from .model import NO_RESOURCES, Resources
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobQueue:
+    """A queue of jobs.
+
+    Attributes:
+        name: Its name.
+        host_header: Host that callers name.
+        path_prefix: Paths of the queue begin so.
+        pool: Pool whose hosts run its tasks.
+        priority: 0 goes first.
+        max_attempts: Failed runs of a task after which its job has failed.
+        slowdown_factor: Multiple of a job's longest chain that is still in time.
+        target_ms: Time that may be added to it.
+        timeout_ms: Longest time for a call.
+        is_open: Whether calls need no key.
+        needs_advice: Whether a policy chooses the hosts.
+    """
+
+    name: QueueName
+    host_header: str
+    path_prefix: str
+    pool: PoolName
+    priority: int = 0
+    max_attempts: int = 1
+    slowdown_factor: float = 1.0
+    target_ms: int = 0
+    timeout_ms: int = 0
+    is_open: bool = False
+    needs_advice: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobPool:
+    """A pool of hosts.
+
+    Attributes:
+        name: Its name.
+        is_guarded: Whether its hosts refuse what does not fit.
+        is_standby: Whether its hosts are off and cost nothing.
+    """
+
+    name: PoolName
+    is_guarded: bool = True
+    is_standby: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobTeam:
+    """A team.
+
+    Attributes:
+        name: Its name.
+        weight: Its share of a full pool.
+        cap: What it may have running; 0 for no limit.
+    """
+
+    name: TeamName
+    weight: int = 1
+    cap: Resources = NO_RESOURCES
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Catalog:
+    """One version of the configuration.
+
+    Attributes:
+        version: Version given by the operator.
+        store_version: Version of the stored document.
+        queues: Queues, those with longer prefixes first.
+        pools: Pools by name.
+        teams: Teams by name.
+        team_by_digest: Teams by the digest of their keys.
+        max_body_bytes: Largest body of a call.
+    """
+
+    version: int
+    store_version: int
+    queues: tuple[JobQueue, ...] = ()
+    pools: Mapping[PoolName, JobPool]
+    teams: Mapping[TeamName, JobTeam]
+    team_by_digest: Mapping[str, TeamName]
+    max_body_bytes: int = 262_144
+
+    def route(self, host_header: str, path: str) -> JobQueue | None:
+        """Returns the queue of a call: the longest prefix under its host."""
+        for queue in self.queues:
+            if queue.host_header == host_header and path.startswith(queue.path_prefix):
+                return queue
+        return None
+
+    def queue(self, name: QueueName) -> JobQueue | None:
+        """Returns the queue of that name."""
+        return next((queue for queue in self.queues if queue.name == name), None)
+
+    def team_of_key(self, key: str) -> TeamName | None:
+        """Returns the team that holds ``key``; only digests are compared."""
+        return self.team_by_digest.get(digest_of(key))
+
+
+def digest_of(key: str) -> str:
+    """Returns the digest under which a key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -0,0 +1,197 @@
+"""The job aggregate: which tasks may start, what their ends mean, its state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from .model import JobSpec, StepSpec, TaskName
+from .task import HowEnded, Run, RunPhase, Task
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..ids import HostId
+
+
+class JobState(StrEnum):
+    """What callers are told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Returns whether the job never runs again."""
+        return self not in (JobState.QUEUED, JobState.RUNNING)
+
+
+@dataclass(slots=True)
+class Job:
+    """A job and how far it has come.
+
+    Attributes:
+        spec: What was asked for.
+        state: Its state.
+        past: Occurrences that are wholly done.
+        ended_ms: Wall time at which it reached a final state.
+        is_stored: Whether its record was ever written.
+    """
+
+    spec: JobSpec
+    state: JobState = JobState.QUEUED
+    past: set[int] = field(default_factory=set)
+    ended_ms: int = 0
+    is_stored: bool = False
+    _tasks: dict[tuple[int, int], list[Task]] = field(default_factory=dict)
+
+    @property
+    def occurrences(self) -> int:
+        """Returns how often the steps run."""
+        return self.spec.recurrence.count if self.spec.recurrence else 1
+
+    def due_ms(self, occurrence: int) -> int:
+        """Returns the wall time at which an occurrence may start."""
+        recurrence = self.spec.recurrence
+        if recurrence is None:
+            return 0
+        return recurrence.first_due_ms + occurrence * recurrence.interval_ms
+
+    def tasks(self, occurrence: int, step: int) -> list[Task]:
+        """Returns the tasks of a step, which exist from the first call on."""
+        found = self._tasks.get((occurrence, step))
+        if found is None:
+            count = self.spec.steps[step].count
+            found = self._tasks[occurrence, step] = [Task() for _ in range(count)]
+        return found
+
+    def task(self, name: TaskName) -> Task | None:
+        """Returns the task of that name, if the job has one."""
+        is_known = (
+            name.occurrence < self.occurrences
+            and name.step < len(self.spec.steps)
+            and name.number < self.spec.steps[name.step].count
+            and name.occurrence not in self.past
+        )
+        return self.tasks(name.occurrence, name.step)[name.number] if is_known else None
+
+    def touched(self) -> Iterator[tuple[TaskName, StepSpec, Task]]:
+        """Yields the tasks of all steps that were ever looked at."""
+        for (occurrence, step), tasks in self._tasks.items():
+            spec = self.spec.steps[step]
+            for number, task in enumerate(tasks):
+                yield TaskName(self.spec.id, occurrence, step, number), spec, task
+
+    def runs(self) -> Iterator[tuple[TaskName, Run]]:
+        """Yields the runs that may be on hosts."""
+        for name, _, task in self.touched():
+            for run in task.runs:
+                yield name, run
+
+    def open_steps(self, wall_ms: int) -> Iterator[tuple[int, int]]:
+        """Yields occurrence and step whose tasks may run now."""
+        if self.state.is_final:
+            return
+        for occurrence in range(self.occurrences):
+            if occurrence in self.past:
+                continue
+            if self.due_ms(occurrence) > wall_ms:
+                return
+            for step, spec in enumerate(self.spec.steps):
+                if all(self.is_step_done(occurrence, before) for before in spec.after):
+                    yield occurrence, step
+
+    def next_due_ms(self, wall_ms: int) -> int | None:
+        """Returns the wall time at which the next occurrence is due, if any is."""
+        later = (self.due_ms(number) for number in range(self.occurrences))
+        return min((due for due in later if due > wall_ms), default=None)
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Returns whether all tasks of a step have ended as done."""
+        if occurrence in self.past:
+            return True
+        tasks = self._tasks.get((occurrence, step))
+        return tasks is not None and all(task.is_done for task in tasks)
+
+    def place(self, name: TaskName, number: int, host: HostId, born: int) -> Run:
+        """Records that a run is about to be ordered."""
+        task = self.tasks(name.occurrence, name.step)[name.number]
+        task.last_run = number
+        run = Run(number, host, born, RunPhase.RESERVED)
+        task.runs.append(run)
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        return run
+
+    def end(self, name: TaskName, run: Run, how: HowEnded, saved: str) -> None:
+        """Takes the end of a run."""
+        task = self.task(name)
+        if task is None:
+            return
+        task.runs.remove(run)
+        step = self.spec.steps[name.step]
+        if saved:
+            self._keep_checkpoint(name, saved)
+        if how is HowEnded.DONE and not step.is_lasting:
+            self._mark_done(name, step)
+        elif how is HowEnded.FAILED and not step.is_lasting:
+            self._count_failure(name, run.number)
+        if not self.state.is_final:
+            self._close_occurrence(name.occurrence)
+
+    def drop(self, name: TaskName, run: Run) -> None:
+        """Takes that a run is not on its host and left no end."""
+        task = self.task(name)
+        if task is not None:
+            task.runs.remove(run)
+            if run.saved:
+                self._keep_checkpoint(name, run.saved)
+            if not self.state.is_final:
+                self._close_occurrence(name.occurrence)
+
+    def cancel(self) -> bool:
+        """Cancels the job; returns whether that changed its state."""
+        if self.state.is_final:
+            return False
+        self.state = JobState.CANCELLED
+        return True
+
+    def _mark_done(self, name: TaskName, step: StepSpec) -> None:
+        tasks = self.tasks(name.occurrence, name.step)
+        for task in tasks if step.is_gang else [tasks[name.number]]:
+            task.is_done = True
+            task.checkpoint = ""
+
+    def _keep_checkpoint(self, name: TaskName, saved: str) -> None:
+        step = self.spec.steps[name.step]
+        tasks = self.tasks(name.occurrence, name.step)
+        for task in tasks if step.is_gang else [tasks[name.number]]:
+            task.checkpoint = saved
+
+    def _count_failure(self, name: TaskName, number: int) -> None:
+        """Counts a failed run; the members of a gang fail once together."""
+        is_gang = self.spec.steps[name.step].is_gang
+        tasks = self.tasks(name.occurrence, name.step)
+        task = tasks[0] if is_gang else tasks[name.number]
+        if task.failed_run == number:
+            return
+        task.failed_run = number
+        task.failures += 1
+        if task.failures >= self.spec.max_attempts and not task.is_done:
+            self.state = JobState.FAILED
+
+    def _close_occurrence(self, occurrence: int) -> None:
+        steps = range(len(self.spec.steps))
+        if not all(self.is_step_done(occurrence, step) for step in steps):
+            return
+        if any(run for name, run in self.runs() if name.occurrence == occurrence):
+            return
+        self.past.add(occurrence)
+        for step in steps:
+            self._tasks.pop((occurrence, step), None)
+        if len(self.past) == self.occurrences:
+            self.state = JobState.COMPLETED
--- /dev/null
+++ b/src/amaranthtray/domain/jobs/record.py
@@ -0,0 +1,120 @@
+"""Stored forms of jobs: the unchanging specification and the progress record."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import HostId
+from .job import Job, JobState
+from .model import JobSpec, TaskName
+from .task import Run, RunPhase, Task
+
+
+class RunRecord(msgspec.Struct, array_like=True):
+    """A run that may be on a host."""
+
+    number: int
+    host: str
+    host_born: int
+
+
+class TaskRecord(msgspec.Struct, array_like=True):
+    """A task that was ever started."""
+
+    occurrence: int
+    step: int
+    number: int
+    last_run: int
+    failures: int
+    failed_run: int
+    is_done: bool
+    checkpoint: str
+    runs: list[RunRecord]
+
+
+class JobRecord(msgspec.Struct):
+    """How far a job has come."""
+
+    state: JobState
+    ended_ms: int = 0
+    past: list[int] = []
+    tasks: list[TaskRecord] = []
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Returns the stored form of a specification."""
+    return msgspec.json.encode(spec)
+
+
+def decode_spec(data: bytes) -> JobSpec:
+    """Returns the specification stored as ``data``.
+
+    Raises:
+        msgspec.ValidationError: It is not one.
+    """
+    return msgspec.json.decode(data, type=JobSpec)
+
+
+def encode_job(job: Job) -> bytes:
+    """Returns the stored form of a job's progress."""
+    tasks = [_task_record(name, task) for name, _, task in job.touched()]
+    record = JobRecord(
+        state=job.state,
+        ended_ms=job.ended_ms,
+        past=sorted(job.past),
+        tasks=[task for task in tasks if task.last_run],
+    )
+    return msgspec.json.encode(record)
+
+
+def decode_state(data: bytes) -> JobState:
+    """Returns the state in a stored progress record.
+
+    Raises:
+        msgspec.ValidationError: ``data`` is no such record.
+    """
+    return msgspec.json.decode(data, type=JobRecord).state
+
+
+def restore(spec: JobSpec, data: bytes | None) -> Job:
+    """Returns a job as it was stored; its runs are unsure until hosts are asked.
+
+    Raises:
+        msgspec.ValidationError: ``data`` is no progress record.
+    """
+    job = Job(spec)
+    if data is None:
+        return job
+    record = msgspec.json.decode(data, type=JobRecord)
+    job.state, job.ended_ms = record.state, record.ended_ms
+    job.past, job.is_stored = set(record.past), True
+    for found in record.tasks:
+        task = job.task(TaskName(spec.id, found.occurrence, found.step, found.number))
+        if task is not None:
+            _restore_task(task, found)
+    return job
+
+
+def _task_record(name: TaskName, task: Task) -> TaskRecord:
+    runs = [RunRecord(run.number, run.host, run.host_born) for run in task.runs]
+    return TaskRecord(
+        name.occurrence,
+        name.step,
+        name.number,
+        task.last_run,
+        task.failures,
+        task.failed_run,
+        task.is_done,
+        task.checkpoint,
+        runs,
+    )
+
+
+def _restore_task(task: Task, found: TaskRecord) -> None:
+    task.last_run, task.failures = found.last_run, found.failures
+    task.failed_run, task.is_done = found.failed_run, found.is_done
+    task.checkpoint = found.checkpoint
+    task.runs = [
+        Run(run.number, HostId(run.host), run.host_born, RunPhase.UNSURE)
+        for run in found.runs
+    ]
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -0,0 +1,87 @@
+"""Chooses the runs to start now."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..jobs.model import Resources, TaskName
+from .host import StepKey
+from .messages import StartRun
+from .placement import place_each, place_gang
+from .ranking import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..jobs.job import Job
+    from ..jobs.model import StepSpec
+    from ._board import Board
+    from .host import Host
+    from .placement import Choice
+    from .ranking import Rank
+
+
+def plan_starts(board: Board) -> None:
+    """Places waiting tasks while there is room for any."""
+    hosts = [host for host in board.hosts.values() if host.is_open(board.now_ms)]
+    if not hosts:
+        return
+    for job in _by_rank(board):
+        room = _largest_room(hosts)
+        if room.memory_mb <= 0:
+            return
+        for key, step, waiting in _waiting_steps(board, job):
+            if not step.reserved.fits(room):
+                continue
+            place = place_gang if step.is_gang else place_each
+            choices = place(step, key, waiting, hosts)
+            _start(board, job, key, choices)
+
+
+def _by_rank(board: Board) -> list[Job]:
+    ranked: list[tuple[Rank, str, Job]] = []
+    for job in board.active.values():
+        queue = board.queue_of(job)
+        if not job.state.is_final:
+            ranked.append((rank(job, queue, board.wall_ms), job.spec.id, job))
+    ranked.sort(key=lambda each: each[:2])
+    return [job for _, _, job in ranked]
+
+
+def _largest_room(hosts: list[Host]) -> Resources:
+    return Resources(
+        max(host.free.cpu for host in hosts),
+        max(host.free.memory_mb for host in hosts),
+        max(host.free.gpu for host in hosts),
+    )
+
+
+def _waiting_steps(
+    board: Board, job: Job
+) -> Iterator[tuple[StepKey, StepSpec, list[int]]]:
+    """Yields open steps and the indices of their tasks that may start now."""
+    for occurrence, number in job.open_steps(board.wall_ms):
+        step = job.spec.steps[number]
+        tasks = job.tasks(occurrence, number)
+        waiting = [
+            index
+            for index, task in enumerate(tasks)
+            if task.is_waiting and task.not_before_ms <= board.now_ms
+        ]
+        if not waiting or (step.is_gang and len(waiting) < len(tasks)):
+            continue
+        yield StepKey(job.spec.id, occurrence, number), step, waiting
+
+
+def _start(board: Board, job: Job, key: StepKey, choices: list[Choice]) -> None:
+    tasks = job.tasks(key.occurrence, key.step)
+    is_gang = job.spec.steps[key.step].is_gang
+    gang_run = max((task.last_run for task in tasks), default=0) + 1
+    for task_number, host in choices:
+        task = tasks[task_number]
+        number = gang_run if is_gang else task.last_run + 1
+        name = TaskName(*key, task_number)
+        run = board.place(job, name, host, number)
+        board.gated.append(
+            StartRun(host.info.id, name, run.number, job.spec.payload, task.checkpoint)
+        )
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -0,0 +1,85 @@
+"""What a host's lists mean for the runs that may be there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..jobs.task import HowEnded, RunPhase
+from .messages import Effect, HostReport, RunReport, StopRun
+
+if TYPE_CHECKING:
+    from ._board import Board
+    from .host import Host, Placed
+
+FAILURE_PAUSE_MS = 200
+"""A task that failed waits so long, so that a bad host can be told from a bad job."""
+
+
+def take_report(board: Board, host: Host, report: HostReport) -> list[Effect]:
+    """Brings the board up to a host's answer; returns orders to stop strays."""
+    effects: list[Effect] = []
+    if host.born is not None and host.born != report.born:
+        effects += _reborn(board, host)
+    if host.born != report.born:
+        host.acknowledged = 0
+    host.born = report.born
+    host.is_silent = False
+    _take_ends(board, host, report)
+    running = {(run.name, run.number): run for run in report.running}
+    for placed in host.placed():
+        listed = running.pop((placed.name, placed.run.number), None)
+        if listed is not None:
+            _running(placed, listed, report)
+        elif _is_surely_gone(placed, report):
+            board.drop(placed.name, placed.run)
+    host.has_strays = bool(running)
+    effects += [StopRun(host.info.id, name, number) for name, number in running]
+    return effects
+
+
+def _reborn(board: Board, host: Host) -> list[Effect]:
+    """Ends what ran before; an unanswered order may still arrive at the new run."""
+    effects: list[Effect] = []
+    for placed in host.placed():
+        if placed.run.phase in (RunPhase.STARTING, RunPhase.STOPPING):
+            placed.run.phase = RunPhase.STOPPING
+            placed.run.settled_ms = None
+            order = StopRun(host.info.id, placed.name, placed.run.number)
+            effects.append(order)
+        elif placed.run.phase is not RunPhase.RESERVED:
+            board.drop(placed.name, placed.run)
+    return effects
+
+
+def _take_ends(board: Board, host: Host, report: HostReport) -> None:
+    for end in report.ends:
+        placed = host.find(end.name, end.number)
+        if placed is None:
+            continue
+        if placed.run.phase is RunPhase.RESERVED:
+            continue
+        task = board.jobs[end.name.job].task(end.name)
+        if task is not None and end.how is HowEnded.FAILED:
+            task.not_before_ms = board.now_ms + FAILURE_PAUSE_MS
+        board.end(end.name, placed.run, end.how, end.saved or placed.run.saved)
+    if report.ends:
+        board.acknowledge(host, max(end.sequence for end in report.ends))
+
+
+def _running(placed: Placed, listed: RunReport, report: HostReport) -> None:
+    run = placed.run
+    run.saved, run.percent, run.load = listed.saved, listed.percent, listed.load
+    if run.phase in (RunPhase.STARTING, RunPhase.UNSURE):
+        run.phase = RunPhase.RUNNING
+        run.settled_ms = report.received_ms
+
+
+def _is_surely_gone(placed: Placed, report: HostReport) -> bool:
+    """Returns whether lists without the run prove that it is not there."""
+    run = placed.run
+    match run.phase:
+        case RunPhase.UNSURE:
+            return True
+        case RunPhase.RUNNING | RunPhase.STOPPING:
+            return run.settled_ms is not None and run.settled_ms <= report.sent_ms
+    return False
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -0,0 +1,239 @@
+"""The scheduler of one pool: messages and time in, effects out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..jobs.record import restore
+from ..jobs.task import RunPhase
+from ._board import Board
+from ._planner import plan_starts
+from ._reports import take_report
+from .host import Host
+from .messages import (
+    CatalogChanged,
+    Effect,
+    ForgetHost,
+    HostLapsed,
+    HostReport,
+    HostSilent,
+    HostsListed,
+    JobCancelled,
+    JobFound,
+    Message,
+    NotStored,
+    StartOutcome,
+    StartReplied,
+    StartRun,
+    StopReplied,
+    StopRun,
+    Stored,
+    Superseded,
+    WatchHost,
+)
+
+if TYPE_CHECKING:
+    from ..ids import HostId, PoolName
+    from ..jobs.catalog import Catalog
+    from ..jobs.job import Job
+    from ..jobs.model import JobId
+
+FULL_PAUSE_MS = 500
+"""A host that refused a run for want of room gets none for this long."""
+
+UNHEALTHY_PAUSE_MS = 1_000
+"""A host that called itself unhealthy gets no runs for this long."""
+
+PENDING_EVERY_MS = 500
+"""Longest time that changed numbers of waiting jobs stay unpublished."""
+
+
+class PoolScheduler:
+    """Decides for one pool under one term.
+
+    Args:
+        pool: The pool.
+        catalog: Configuration in force.
+    """
+
+    def __init__(self, pool: PoolName, catalog: Catalog) -> None:
+        self.board = Board(pool, catalog)
+        self.board.take_catalog(catalog)
+        self._published: dict[str, int] = {}
+        self._published_ms = 0
+
+    def handle(self, message: Message, now_ms: int, wall_ms: int) -> list[Effect]:
+        """Takes one message; returns what is to be done at once."""
+        self.board.now_ms, self.board.wall_ms = now_ms, wall_ms
+        match message:
+            case JobFound():
+                return self._job_found(message)
+            case JobCancelled(job):
+                return self._cancelled(job)
+            case HostsListed():
+                return self._hosts_listed(message)
+            case HostReport():
+                host = self.board.hosts.get(message.host)
+                return take_report(self.board, host, message) if host else []
+            case HostSilent(host_id):
+                return self._silent(host_id)
+            case HostLapsed(host_id):
+                return self._lapsed(host_id)
+            case StartReplied():
+                return self._start_replied(message)
+            case StopReplied():
+                return self._stop_replied(message)
+            case CatalogChanged(catalog):
+                self.board.take_catalog(catalog)
+            case Stored(batch):
+                return self._stored(batch)
+            case NotStored(batch):
+                if batch == self.board.batch:
+                    self.board.batch_failed()
+        return []
+
+    def plan(self, now_ms: int, wall_ms: int) -> list[Effect]:
+        """Chooses what to start, and begins a batch if one is due."""
+        board = self.board
+        board.now_ms, board.wall_ms = now_ms, wall_ms
+        if board.is_storing:
+            return []
+        stops = [stop for job in board.changed() for stop in self._stop_needless(job)]
+        plan_starts(board)
+        if board.dirty or self._is_pending_due():
+            batch = board.next_batch()
+            self._published, self._published_ms = batch.pending, now_ms
+            return [*stops, batch]
+        released, board.gated = board.gated, []
+        return [*stops, *self._release(released)]
+
+    def _is_pending_due(self) -> bool:
+        if self.board.now_ms - self._published_ms < PENDING_EVERY_MS:
+            return False
+        return self.board.pending() != self._published
+
+    def _job_found(self, found: JobFound) -> list[Effect]:
+        spec = found.spec
+        if spec.id not in self.board.jobs:
+            self.board.add_job(restore(spec, found.record))
+        return self._cancelled(spec.id) if found.is_cancelled else []
+
+    def _cancelled(self, job_id: JobId) -> list[Effect]:
+        job = self.board.jobs.get(job_id)
+        if job is None or not job.cancel():
+            return []
+        self.board.touch(job)
+        return self._stop_needless(job)
+
+    def _stop_needless(self, job: Job) -> list[Effect]:
+        """Stops runs whose task or job is over; those not ordered yet are dropped."""
+        effects: list[Effect] = []
+        for name, run in list(job.runs()):
+            task = job.task(name)
+            if not job.state.is_final and not (task and task.is_done):
+                continue
+            if run.phase is RunPhase.RESERVED:
+                self.board.drop(name, run)
+            elif run.phase is not RunPhase.STOPPING:
+                run.phase, run.settled_ms = RunPhase.STOPPING, None
+                effects.append(StopRun(run.host, name, run.number))
+        return effects
+
+    def _hosts_listed(self, message: HostsListed) -> list[Effect]:
+        effects: list[Effect] = []
+        hosts = self.board.hosts
+        listed = {info.id for info in message.hosts}
+        for info in message.hosts:
+            host = hosts.get(info.id)
+            if host is None:
+                host = hosts[info.id] = Host(info)
+                self._adopt_runs(host)
+                effects.append(WatchHost(info))
+            elif host.info != info:
+                if host.info.address != info.address:
+                    effects.append(WatchHost(info))
+                host.info = info
+            host.is_listed = True
+        for host in hosts.values():
+            if host.info.id not in listed:
+                host.is_listed = False
+        return effects
+
+    def _adopt_runs(self, host: Host) -> None:
+        for job in self.board.active.values():
+            for name, run in job.runs():
+                if run.host == host.info.id:
+                    host.add(name, job.spec.steps[name.step], run)
+
+    def _silent(self, host_id: HostId) -> list[Effect]:
+        host = self.board.hosts.get(host_id)
+        if host is not None:
+            host.is_silent = True
+        return []
+
+    def _lapsed(self, host_id: HostId) -> list[Effect]:
+        host = self.board.hosts.get(host_id)
+        if host is None:
+            return []
+        for placed in host.placed():
+            self.board.drop(placed.name, placed.run)
+        host.born = None
+        if host.is_listed:
+            return []
+        del self.board.hosts[host_id]
+        return [ForgetHost(host_id)]
+
+    def _start_replied(self, reply: StartReplied) -> list[Effect]:
+        host = self.board.hosts.get(reply.host)
+        placed = host.find(reply.name, reply.number) if host else None
+        if host is None or placed is None:
+            return []
+        run = placed.run
+        if reply.outcome is StartOutcome.STARTED:
+            if run.phase is RunPhase.STARTING:
+                run.phase, run.settled_ms = RunPhase.RUNNING, reply.replied_ms
+            return []
+        if reply.outcome is StartOutcome.NO_REPLY:
+            run.phase, run.settled_ms = RunPhase.STOPPING, None
+            return [StopRun(reply.host, reply.name, reply.number)]
+        if reply.outcome is StartOutcome.FENCED:
+            return [Superseded(reply.host)]
+        self.board.drop(reply.name, run)
+        self._pause(host, reply)
+        return []
+
+    def _pause(self, host: Host, reply: StartReplied) -> None:
+        now_ms = self.board.now_ms
+        match reply.outcome:
+            case StartOutcome.NO_ROOM:
+                host.avoid_until_ms = now_ms + FULL_PAUSE_MS
+            case StartOutcome.UNHEALTHY:
+                host.avoid_until_ms = now_ms + UNHEALTHY_PAUSE_MS
+            case StartOutcome.REFUSED | StartOutcome.NO_TICKET:
+                task = self.board.jobs[reply.name.job].task(reply.name)
+                if task is not None:
+                    task.not_before_ms = now_ms + FULL_PAUSE_MS
+
+    def _stop_replied(self, reply: StopReplied) -> list[Effect]:
+        host = self.board.hosts.get(reply.host)
+        placed = host.find(reply.name, reply.number) if host else None
+        if placed is not None and placed.run.phase is RunPhase.STOPPING:
+            placed.run.settled_ms = reply.replied_ms
+        return []
+
+    def _stored(self, batch: int) -> list[Effect]:
+        if batch != self.board.batch or not self.board.is_storing:
+            return []
+        return self._release(self.board.batch_stored())
+
+    def _release(self, effects: list[Effect]) -> list[Effect]:
+        """Lets effects happen that waited; orders that lost their purpose do not."""
+        released: list[Effect] = []
+        for effect in effects:
+            if isinstance(effect, StartRun):
+                run = self.board.still_wanted(effect)
+                if run is None or run.phase is not RunPhase.RESERVED:
+                    continue
+                run.phase = RunPhase.STARTING
+            released.append(effect)
+        return released
--- /dev/null
+++ b/src/amaranthtray/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of an entry that takes jobs and conducts pools."""
--- /dev/null
+++ b/src/amaranthtray/jobs/acceptance.py
@@ -0,0 +1,171 @@
+"""Writes accepted jobs, several at a time, each exactly once."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from ..domain.ids import PoolName
+from ..domain.jobs.model import JobSpec
+from ..domain.jobs.record import encode_spec
+from ..store.contract import Conflicts, EffectUnknown, Put, Transaction
+from . import keys
+
+if TYPE_CHECKING:
+    from ..store.contract import TransactionalStore, TransactionFailure
+    from .event_log import EventLog
+
+JOBS_PER_WRITE = 15
+"""A transaction takes 32 keys: two for each job and one for the configuration."""
+
+TRIES = 3
+"""Tries of a write whose outcome is not known."""
+
+WRITERS = 2
+"""Writes under way at once; callers that come meanwhile share the next one."""
+
+
+class Outcome(Enum):
+    """What became of a job that was to be stored.
+
+    Attributes:
+        STORED: It is in the store.
+        OUTDATED: The configuration has changed; nothing was written.
+        NOT_STORED: Surely not written, and never will be.
+        UNKNOWN: It may be there, or may still be written.
+    """
+
+    STORED = 1
+    OUTDATED = 2
+    NOT_STORED = 3
+    UNKNOWN = 4
+
+
+@dataclass(slots=True)
+class Submission:
+    """A job that waits to be stored.
+
+    Attributes:
+        pool: Pool that runs it.
+        spec: The job.
+        config_version: Stored version of the configuration that allowed it.
+        outcome: What became of it, once ``done`` is set.
+        was_tried: Whether an earlier try may have written it.
+    """
+
+    pool: PoolName
+    spec: JobSpec
+    config_version: int
+    outcome: Outcome = Outcome.UNKNOWN
+    done: threading.Event = field(default_factory=threading.Event)
+    was_tried: bool = False
+
+    @property
+    def key(self) -> str:
+        """Returns the key of its specification."""
+        return keys.job_key(self.pool, self.spec.id, keys.SPEC)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Tells the caller that waits."""
+        self.outcome = outcome
+        self.done.set()
+
+
+class Acceptance:
+    """Groups submissions into transactions.
+
+    Each transaction names the configuration's version, so that a job is stored only
+    while the configuration that allowed it is the newest.
+
+    Args:
+        store: The platform's store.
+        configuration_key: Key of the configuration.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self, store: TransactionalStore, configuration_key: str, log: EventLog
+    ) -> None:
+        self._store = store
+        self._configuration_key = configuration_key
+        self._log = log
+        self._queue: queue.SimpleQueue[Submission] = queue.SimpleQueue()
+
+    def start(self) -> None:
+        """Starts the writers."""
+        for _ in range(WRITERS):
+            threading.Thread(target=self._run, daemon=True).start()
+
+    def submit(self, submission: Submission, timeout_s: float) -> Outcome:
+        """Stores a job; unknown if that takes longer than ``timeout_s``."""
+        self._queue.put(submission)
+        submission.done.wait(timeout_s)
+        return submission.outcome
+
+    def _run(self) -> None:
+        while True:
+            group = [self._queue.get()]
+            later: list[Submission] = []
+            while len(group) < JOBS_PER_WRITE and not self._queue.empty():
+                each = self._queue.get_nowait()
+                fits = each.config_version == group[0].config_version
+                is_new = each.key not in {other.key for other in group}
+                (group if fits and is_new else later).append(each)
+            for each in later:
+                self._queue.put(each)
+            self._store_group(group)
+
+    def _store_group(self, group: list[Submission]) -> None:
+        for _ in range(TRIES):
+            written = self._store.commit(self._transaction(group))
+            if isinstance(written, Success):
+                for each in group:
+                    each.finish(Outcome.STORED)
+                return
+            failure = written.failure()
+            group = self._settle(group, failure)
+            if not group:
+                return
+        for each in group:
+            each.finish(Outcome.UNKNOWN if each.was_tried else Outcome.NOT_STORED)
+
+    def _settle(
+        self, group: list[Submission], failure: TransactionFailure
+    ) -> list[Submission]:
+        """Finishes what a failed write decides; returns what is to be tried again."""
+        match failure:
+            case Conflicts():
+                return self._settle_conflicts(group, failure)
+            case EffectUnknown():
+                for each in group:
+                    each.was_tried = True
+                return group
+        self._log.event("jobs-not-stored", why=repr(failure), jobs=len(group))
+        for each in group:
+            each.finish(Outcome.UNKNOWN if each.was_tried else Outcome.NOT_STORED)
+        return []
+
+    def _settle_conflicts(
+        self, group: list[Submission], conflicts: Conflicts
+    ) -> list[Submission]:
+        present = [each for each in group if conflicts.version_of(each.key)]
+        for each in present:
+            each.finish(Outcome.STORED)
+        absent = [each for each in group if not conflicts.version_of(each.key)]
+        found = conflicts.version_of(self._configuration_key)
+        if absent and found != absent[0].config_version:
+            for each in absent:
+                each.finish(Outcome.OUTDATED)
+            return []
+        return absent
+
+    def _transaction(self, group: list[Submission]) -> Transaction:
+        absent = tuple((each.key, 0) for each in group)
+        configuration = (self._configuration_key, group[0].config_version)
+        puts = tuple(Put(each.key, encode_spec(each.spec)) for each in group)
+        return Transaction(expect=(configuration, *absent), puts=puts)
--- /dev/null
+++ b/src/amaranthtray/jobs/config_follower.py
@@ -0,0 +1,129 @@
+"""Follows the operator's configuration and knows the age of its view."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Success
+
+from ..store.contract import Compacted, Versioned
+from .clock import steady_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.jobs.catalog import Catalog
+    from ..store.contract import TransactionalStore
+    from .event_log import EventLog
+    from .ports import Platform
+
+WATCH_MS = 1_000
+"""Each answer confirms the view; a keyed call may rely on it for a few seconds."""
+
+RETRY_PAUSE_MS = 100
+
+
+class ConfigFollower:
+    """Keeps the newest configuration; it never goes back to an older one.
+
+    Args:
+        store: The platform's store.
+        platform: Decodes the document.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self, store: TransactionalStore, platform: Platform, log: EventLog
+    ) -> None:
+        self._store = store
+        self._platform = platform
+        self._log = log
+        self._lock = threading.Lock()
+        self._catalog: Catalog | None = None
+        self._confirmed_ms: int | None = None
+        self._watched = 0
+        self._listeners: list[Callable[[Catalog], None]] = []
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begins to follow."""
+        self._thread.start()
+
+    def catalog(self) -> Catalog | None:
+        """Returns the configuration in force, if one is known."""
+        return self._catalog
+
+    def age_ms(self) -> int | None:
+        """Returns the time since the view was surely the newest; none if never."""
+        confirmed_ms = self._confirmed_ms
+        return None if confirmed_ms is None else steady_ms() - confirmed_ms
+
+    def listen(self, listener: Callable[[Catalog], None]) -> None:
+        """Calls ``listener`` with each newer configuration."""
+        self._listeners.append(listener)
+
+    def refresh(self) -> bool:
+        """Reads the configuration now; returns whether the store answered."""
+        sent_ms = steady_ms()
+        read = self._store.get(self._platform.configuration_key)
+        if not isinstance(read, Success):
+            self._log.event("configuration-not-read", why=repr(read.failure()))
+            return False
+        found = read.unwrap()
+        if found is not None:
+            self._take(found)
+            self._confirmed_ms = max(sent_ms, self._confirmed_ms or 0)
+        return True
+
+    def _run(self) -> None:
+        while True:
+            if not (self._follow() if self._watched else self.refresh()):
+                threading.Event().wait(RETRY_PAUSE_MS / 1_000)
+            if not self._watched:
+                self._watched = self._catalog.store_version if self._catalog else 0
+            if not self._watched:
+                threading.Event().wait(RETRY_PAUSE_MS / 1_000)
+
+    def _follow(self) -> bool:
+        sent_ms = steady_ms()
+        key = self._platform.configuration_key
+        watched = self._store.watch(
+            key, after_version=self._watched, timeout_ms=WATCH_MS
+        )
+        if not isinstance(watched, Success):
+            if isinstance(watched.failure(), Compacted):
+                self._log.event("watch-compacted", prefix=key)
+                self._watched = 0
+                return True
+            return False
+        batch = watched.unwrap()
+        for event in batch.events:
+            if event.key == key and event.value is not None:
+                self._take(Versioned(key, event.value, event.version))
+        self._watched = max(self._watched, batch.at_version)
+        self._confirmed_ms = max(sent_ms, self._confirmed_ms or 0)
+        return True
+
+    def _take(self, found: Versioned) -> None:
+        with self._lock:
+            known = self._catalog
+            if known is not None and found.version <= known.store_version:
+                return
+            try:
+                catalog = self._platform.decode_configuration(
+                    found.value, found.version
+                )
+            except msgspec.MsgspecError as exc:
+                self._log.event("configuration-unreadable", why=str(exc))
+                return
+            self._catalog = catalog
+        self._log.event(
+            "configuration",
+            version=catalog.version,
+            store_version=catalog.store_version,
+            queues=len(catalog.queues),
+        )
+        for listener in self._listeners:
+            listener(catalog)
--- /dev/null
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -0,0 +1,180 @@
+"""The tasks that take and keep the entry's duties."""
+
+from __future__ import annotations
+
+import random
+import threading
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from ..domain.duties.holder import DutyHolder, DutySettings
+from ..store.contract import Compacted
+from ..store.duties import PREFIX, DutyRunner
+from .clock import steady_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.duties.names import DutyName
+    from ..domain.ids import EntryId, Incarnation, Term
+    from .context import Context
+
+DUTY_TIMES = DutySettings(
+    ttl_ms=2_500,
+    margin_ms=500,
+    renew_every_ms=700,
+    renew_retry_ms=150,
+    retry_ms=600,
+)
+"""A duty whose holder died is free after the lease; runs outlive that by far."""
+
+TICK_MS = 50
+WATCH_MS = 15_000
+RETRY_PAUSE_MS = 150
+
+LOAD_DELAY_MS = 150
+"""An entry waits so long for each duty that it has before it takes another."""
+
+JITTER_MS = 150
+
+
+class DutyView:
+    """Which duties have a holder, as the store's watch tells."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._held: dict[str, int] = {}
+        self._free_since_ms: dict[str, int] = {}
+        self._version: int | None = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begins to follow."""
+        self._thread.start()
+
+    def free_for_ms(self, duty: DutyName) -> int | None:
+        """Returns how long a duty has had no holder; none if it has one."""
+        if self._version is None or f"{PREFIX}{duty}/holder" in self._held:
+            return None
+        since_ms = self._free_since_ms.setdefault(duty, steady_ms())
+        return steady_ms() - since_ms
+
+    def _run(self) -> None:
+        while True:
+            is_read = self._list() if self._version is None else self._follow()
+            if not is_read:
+                threading.Event().wait(RETRY_PAUSE_MS / 1_000)
+
+    def _list(self) -> bool:
+        listed = self._context.store.list(PREFIX)
+        if not isinstance(listed, Success):
+            return False
+        listing = listed.unwrap()
+        self._held = {item.key: item.version for item in listing.items}
+        self._free_since_ms = {}
+        self._version = listing.at_version
+        return True
+
+    def _follow(self) -> bool:
+        version = self._version or 0
+        watched = self._context.store.watch(
+            PREFIX, after_version=version, timeout_ms=WATCH_MS
+        )
+        if not isinstance(watched, Success):
+            if isinstance(watched.failure(), Compacted):
+                self._version = None
+                return True
+            return False
+        batch = watched.unwrap()
+        for event in batch.events:
+            if event.value is None:
+                self._held.pop(event.key, None)
+            else:
+                self._held[event.key] = event.version
+            duty = event.key.removeprefix(PREFIX).removesuffix("/holder")
+            self._free_since_ms.pop(duty, None)
+        self._version = max(version, batch.at_version)
+        return True
+
+
+class DutyTask:
+    """Takes one duty when it is free, and runs what it is for.
+
+    Args:
+        name: The duty.
+        entry: This entry.
+        incarnation: This run of it.
+        context: What all tasks of the entry share.
+        view: Tells whether the duty is free.
+        load: Returns how many duties the entry has.
+        begin: Called when the duty is held, with term and a check of it; returns
+            what ends the work.
+    """
+
+    def __init__(
+        self,
+        name: DutyName,
+        entry: EntryId,
+        incarnation: Incarnation,
+        *,
+        context: Context,
+        view: DutyView,
+        load: Callable[[], int],
+        begin: Callable[[Term, Callable[[], Term | None]], Callable[[], None]],
+    ) -> None:
+        self._name = name
+        self._context = context
+        self._view = view
+        self._load = load
+        self._begin = begin
+        rng = random.Random(f"{incarnation}/{name}")
+        self._jitter_ms = rng.randint(0, JITTER_MS)
+        holder = DutyHolder(entry, incarnation, rng=rng, settings=DUTY_TIMES)
+        self._runner = DutyRunner(name, holder, store=context.store, clock=steady_ms)
+        self._term: Term | None = None
+        self._end: Callable[[], None] | None = None
+        self._leaving = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    @property
+    def is_held(self) -> bool:
+        """Returns whether the entry has the duty."""
+        return self._term is not None
+
+    def start(self) -> None:
+        """Begins to look for the duty."""
+        self._thread.start()
+
+    def leave(self) -> None:
+        """Gives the duty up, and does not take it again."""
+        self._leaving.set()
+
+    def join(self, timeout_s: float) -> None:
+        """Waits until the duty is given up."""
+        self._thread.join(timeout_s)
+
+    def _run(self) -> None:
+        holder = self._runner.holder
+        while not self._leaving.wait(TICK_MS / 1_000):
+            holder.is_wanted = self._term is not None or self._is_our_turn()
+            term = self._runner.run()
+            if term != self._term:
+                self._changed(term)
+        if self._end is not None:
+            self._end()
+        self._runner.release()
+
+    def _is_our_turn(self) -> bool:
+        free_ms = self._view.free_for_ms(self._name)
+        if free_ms is None or self._context.catalog() is None:
+            return False
+        return free_ms >= self._jitter_ms + LOAD_DELAY_MS * self._load()
+
+    def _changed(self, term: Term | None) -> None:
+        self._context.log.event("duty", duty=self._name, term=term, was=self._term)
+        self._term = term
+        if term is not None:
+            if self._end is not None:
+                self._end()
+            self._end = self._begin(term, self._runner.term)
--- /dev/null
+++ b/src/amaranthtray/jobs/entry.py
@@ -0,0 +1,138 @@
+"""An entry that takes jobs and conducts pools, as a set of tasks."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from ..domain.duties.names import conductor_of
+from ..domain.ids import EntryId, Incarnation
+from .acceptance import Acceptance
+from .conducting import PoolConductor
+from .config_follower import ConfigFollower
+from .context import Context
+from .duty_task import DutyTask, DutyView
+from .event_log import EventLog
+from .host_board import HostBoard
+from .service import JobService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.ids import PoolName, Term
+    from ..domain.jobs.catalog import Catalog
+    from ..settings.job_entry import JobEntrySettings
+    from ..store.contract import TransactionalStore
+    from .ports import Platform
+
+READY_VIEW_MS = 2_500
+"""An entry whose configuration is older is not ready: it may be cut off."""
+
+DUTY_JOIN_S = 1.0
+
+
+class JobEntry:
+    """All tasks of one entry.
+
+    Args:
+        settings: Its settings.
+        store: The platform's store.
+        platform: Translates what the platform keeps there.
+    """
+
+    def __init__(
+        self,
+        settings: JobEntrySettings,
+        store: TransactionalStore,
+        platform: Platform,
+    ) -> None:
+        cfg = settings.entry
+        self.log = EventLog({"entry": cfg.name, "zone": cfg.zone})
+        self._config = ConfigFollower(store, platform, self.log)
+        self._context = Context(
+            settings=settings,
+            store=store,
+            platform=platform,
+            log=self.log,
+            hosts=HostBoard(store, platform, self.log),
+            catalog=self._config.catalog,
+        )
+        self._acceptance = Acceptance(store, platform.configuration_key, self.log)
+        self.service = JobService(self._context, self._config, self._acceptance)
+        self._view = DutyView(self._context)
+        self._incarnation = Incarnation(secrets.token_hex(8))
+        self._duties: dict[PoolName, DutyTask] = {}
+        self._conductors: dict[PoolName, PoolConductor] = {}
+        self._lock = threading.Lock()
+        self._leaving = threading.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Returns whether callers may be sent here."""
+        age_ms = self._config.age_ms()
+        is_fresh = age_ms is not None and age_ms < READY_VIEW_MS
+        return is_fresh and not self._leaving.is_set()
+
+    def start(self) -> None:
+        """Starts all tasks."""
+        self.log.start()
+        self.log.event("started", incarnation=self._incarnation)
+        self._config.listen(self._take_catalog)
+        for task in (self._config, self._context.hosts, self._acceptance, self._view):
+            task.start()
+
+    def leave(self, drain_s: float) -> None:
+        """Becomes not ready, hands duties over and waits for the balancer."""
+        self.log.event("leaving")
+        self._leaving.set()
+        with self._lock:
+            duties = list(self._duties.values())
+        for duty in duties:
+            duty.leave()
+        time.sleep(drain_s)
+        for duty in duties:
+            duty.join(DUTY_JOIN_S)
+
+    def render_metrics(self) -> str:
+        """Returns all metrics as text."""
+        age_ms = self._config.age_ms()
+        duties = sum(duty.is_held for duty in self._duties.values())
+        return (
+            f"configuration_age_ms {age_ms}\n"
+            f"duties_held {duties}\n"
+            f"log_lines_dropped {self.log.dropped}\n"
+        )
+
+    def _take_catalog(self, catalog: Catalog) -> None:
+        with self._lock:
+            for conductor in self._conductors.values():
+                conductor.take_catalog(catalog)
+            if self._leaving.is_set():
+                return
+            for pool in catalog.pools.values():
+                if pool.name not in self._duties and not pool.is_standby:
+                    self._duties[pool.name] = self._candidate(pool.name)
+                    self._duties[pool.name].start()
+
+    def _candidate(self, pool: PoolName) -> DutyTask:
+        def begin(term: Term, held: Callable[[], Term | None]) -> Callable[[], None]:
+            conductor = PoolConductor(pool, term, held, self._context)
+            with self._lock:
+                self._conductors[pool] = conductor
+            conductor.start()
+            return conductor.stop
+
+        return DutyTask(
+            conductor_of(pool),
+            EntryId(self._context.settings.entry.name),
+            self._incarnation,
+            context=self._context,
+            view=self._view,
+            load=self._load,
+            begin=begin,
+        )
+
+    def _load(self) -> int:
+        return sum(duty.is_held for duty in list(self._duties.values()))
--- /dev/null
+++ b/src/amaranthtray/jobs/event_log.py
@@ -0,0 +1,94 @@
+"""Structured log lines on standard output that never hold up who writes them."""
+
+from __future__ import annotations
+
+import os
+import queue
+import sys
+import threading
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .clock import steady_ms, wall_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+QUEUE_LINES = 2_000
+"""Lines that wait at most; more are dropped and counted."""
+
+LINES_PER_S = 200
+"""Lines of one second; a storm is counted, not written."""
+
+
+class EventLog:
+    """Writes one JSON line an event from a thread of its own.
+
+    Args:
+        context: Fields of every line.
+        write: Takes the bytes of whole lines.
+    """
+
+    def __init__(
+        self, context: dict[str, str], write: Callable[[bytes], object] | None = None
+    ) -> None:
+        self.dropped = 0
+        self._context = context
+        self._write = write or _to_stdout
+        self._queue: queue.Queue[bytes] = queue.Queue(QUEUE_LINES)
+        self._second = 0
+        self._lines = 0
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def event(self, event: str, **fields: object) -> None:
+        """Writes that something was decided, or that a belief changed.
+
+        Args:
+            event: Fixed name of the event.
+            fields: What it is about, and the inputs that decided it.
+        """
+        second = steady_ms() // 1_000
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > LINES_PER_S:
+            self.dropped += 1
+            return
+        line = {"t": wall_ms(), "event": event, **self._context, **fields}
+        try:
+            self._queue.put_nowait(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        except queue.Full:
+            self.dropped += 1
+
+    def flush(self, timeout_s: float) -> None:
+        """Waits a while until all lines are written."""
+        done = threading.Event()
+        waiter = threading.Thread(target=self._join, args=(done,), daemon=True)
+        waiter.start()
+        done.wait(timeout_s)
+
+    def _join(self, done: threading.Event) -> None:
+        self._queue.join()
+        done.set()
+
+    def _run(self) -> None:
+        while True:
+            lines = [self._queue.get()]
+            while not self._queue.empty():
+                lines.append(self._queue.get_nowait())
+            try:
+                self._write(b"".join(lines))
+            except OSError:
+                # Nobody reads the log any more; there is no place left to say so.
+                self.dropped += len(lines)
+            for _ in lines:
+                self._queue.task_done()
+
+
+def _to_stdout(data: bytes) -> None:
+    os.write(sys.stdout.fileno(), data)
--- /dev/null
+++ b/src/amaranthtray/jobs/host_board.py
@@ -0,0 +1,133 @@
+"""Follows the platform's list of hosts while the entry conducts a pool."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from ..domain.scheduling.messages import HostsListed
+from ..store.contract import Compacted
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.ids import PoolName
+    from ..domain.scheduling.messages import HostInfo, Message
+    from ..store.contract import TransactionalStore
+    from .event_log import EventLog
+    from .ports import Platform
+
+WATCH_MS = 15_000
+RETRY_PAUSE_MS = 200
+
+
+class HostBoard:
+    """Tells conductors the hosts of their pools.
+
+    Args:
+        store: The platform's store.
+        platform: Decodes the entries of the list.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self, store: TransactionalStore, platform: Platform, log: EventLog
+    ) -> None:
+        self._store = store
+        self._platform = platform
+        self._log = log
+        self._lock = threading.Lock()
+        self._hosts: dict[str, tuple[PoolName, HostInfo]] = {}
+        self._posts: dict[PoolName, Callable[[Message], None]] = {}
+        self._version: int | None = None
+        self._wanted = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread; it reads nothing until somebody subscribes."""
+        self._thread.start()
+
+    def subscribe(self, pool: PoolName, post: Callable[[Message], None]) -> None:
+        """Posts the pool's hosts to a conductor, now and at each change."""
+        with self._lock:
+            self._posts[pool] = post
+            if self._version is not None:
+                post(self._listed(pool))
+        self._wanted.set()
+
+    def unsubscribe(self, pool: PoolName, post: Callable[[Message], None]) -> None:
+        """Ends what ``subscribe`` began, unless another conductor has followed."""
+        with self._lock:
+            if self._posts.get(pool) == post:
+                del self._posts[pool]
+            if not self._posts:
+                self._wanted.clear()
+                self._version = None
+
+    def _listed(self, pool: PoolName) -> HostsListed:
+        return HostsListed(
+            tuple(info for owner, info in self._hosts.values() if owner == pool)
+        )
+
+    def _run(self) -> None:
+        while True:
+            self._wanted.wait()
+            if self._version is None:
+                is_read = self._list()
+            else:
+                is_read = self._follow(self._version)
+            if not is_read:
+                threading.Event().wait(RETRY_PAUSE_MS / 1_000)
+
+    def _list(self) -> bool:
+        listed = self._store.list(self._platform.hosts_prefix)
+        if not isinstance(listed, Success):
+            self._log.event("hosts-not-read", why=repr(listed.failure()))
+            return False
+        listing = listed.unwrap()
+        with self._lock:
+            self._hosts = {}
+            for item in listing.items:
+                self._set(item.key, item.value)
+            self._version = listing.at_version
+            self._publish(set(self._posts))
+        return True
+
+    def _follow(self, version: int) -> bool:
+        watched = self._store.watch(
+            self._platform.hosts_prefix, after_version=version, timeout_ms=WATCH_MS
+        )
+        if not isinstance(watched, Success):
+            if isinstance(watched.failure(), Compacted):
+                self._log.event("watch-compacted", prefix=self._platform.hosts_prefix)
+                return self._list()
+            return False
+        batch = watched.unwrap()
+        with self._lock:
+            if self._version is None:
+                return True
+            pools: set[PoolName] = set()
+            for event in batch.events:
+                pools |= self._set(event.key, event.value)
+            self._version = max(version, batch.at_version)
+            self._publish(pools)
+        return True
+
+    def _set(self, key: str, value: bytes | None) -> set[PoolName]:
+        """Takes an entry of the list; returns the pools that it changes."""
+        pools = {found[0] for found in [self._hosts.pop(key, None)] if found}
+        decoded = None if value is None else self._platform.decode_host(key, value)
+        if decoded is not None:
+            self._hosts[key] = decoded
+            pools.add(decoded[0])
+        elif value is not None:
+            self._log.event("host-entry-unreadable", key=key)
+        return pools
+
+    def _publish(self, pools: set[PoolName]) -> None:
+        for pool in pools:
+            post = self._posts.get(pool)
+            if post is not None:
+                post(self._listed(pool))
--- /dev/null
+++ b/src/amaranthtray/jobs/host_link.py
@@ -0,0 +1,210 @@
+"""The tasks that talk to one host: one gives orders, one keeps its lease."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from typing import TYPE_CHECKING
+
+from ..domain.scheduling.messages import (
+    HostLapsed,
+    HostReport,
+    HostSilent,
+    Message,
+    PaceRun,
+    StartOutcome,
+    StartReplied,
+    StartRun,
+    StopReplied,
+    StopRun,
+)
+from .clock import steady_ms
+from .ports import Lists, OrderLost, OtherHost, Refused
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.scheduling.lease import HostLease
+    from ..domain.scheduling.messages import HostInfo
+    from .conducting import TermWatch
+    from .event_log import EventLog
+    from .ports import HostOrders
+
+HOLD_WAIT_MS = 2_000
+"""Longest wait that a host accepts; fewer calls while nothing ends."""
+
+STORING_PAUSE_MS = 400
+"""Longest wait for ends to be stored before the host is asked again."""
+
+SILENT_PAUSE_MS = 250
+"""Pause between calls to a host that does not answer."""
+
+START_TRIES = 3
+"""Tries of an order to start; a host that is up answers one of them."""
+
+STOP_PAUSE_MS = 150
+"""Pause between tries of an order to stop."""
+
+
+class HostLink:
+    """Talks to one host under one term.
+
+    Args:
+        info: The host.
+        orders: Client of the host.
+        lease: Its lease.
+        term: Tells how long leases may be renewed and orders given.
+        post: Takes messages to the conductor.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self,
+        info: HostInfo,
+        *,
+        orders: HostOrders,
+        lease: HostLease,
+        term: TermWatch,
+        post: Callable[[Message], None],
+        log: EventLog,
+    ) -> None:
+        self.info = info
+        self._orders = orders
+        self._lease = lease
+        self._term = term
+        self._post = post
+        self._log = log
+        self._closing = threading.Event()
+        self._changed = threading.Condition()
+        self._acknowledged = (0, 0)
+        self._is_silent = False
+        self._queue: queue.SimpleQueue[StartRun | StopRun | PaceRun | None]
+        self._queue = queue.SimpleQueue()
+        self._order_thread: threading.Thread | None = None
+        self._hold_thread = threading.Thread(target=self._hold_loop, daemon=True)
+
+    def start(self) -> None:
+        """Begins to keep the lease."""
+        self._hold_thread.start()
+
+    def close(self) -> None:
+        """Ends both tasks after the calls under way."""
+        self._closing.set()
+        self._queue.put(None)
+        with self._changed:
+            self._changed.notify_all()
+
+    def order(self, order: StartRun | StopRun | PaceRun) -> None:
+        """Queues an order."""
+        if self._order_thread is None:
+            self._order_thread = threading.Thread(target=self._order_loop, daemon=True)
+            self._order_thread.start()
+        self._queue.put(order)
+
+    def acknowledge(self, born: int, sequence: int) -> None:
+        """Lets the host forget ends from the next call on."""
+        with self._changed:
+            self._acknowledged = (born, sequence)
+            self._changed.notify_all()
+
+    def _hold_loop(self) -> None:
+        born, pending = 0, 0
+        while not self._closing.is_set() and self._term.may_renew():
+            with self._changed:
+                known_born, sequence = self._acknowledged
+            acknowledged = sequence if known_born == born else 0
+            wait_ms = HOLD_WAIT_MS if pending <= acknowledged else 0
+            lists = self._hold(acknowledged, wait_ms)
+            if isinstance(lists, Lists):
+                born = lists.born
+                pending = max((end.sequence for end in lists.ends), default=0)
+                self._await_stored(born, pending)
+            else:
+                self._closing.wait(SILENT_PAUSE_MS / 1_000)
+        self._orders.close()
+
+    def _hold(self, acknowledged: int, wait_ms: int) -> Lists | None:
+        sent_ms = steady_ms()
+        until_ms = self._lease.next_until_ms(sent_ms)
+        if until_ms is None:
+            wait_ms = 0
+        found = self._orders.hold(until_ms, acknowledged, wait_ms)
+        received_ms = steady_ms()
+        match found:
+            case Lists():
+                self._lease.answered(found.clock_ms, found.born, received_ms)
+                self._is_silent = False
+                self._post(
+                    HostReport(
+                        self.info.id,
+                        found.born,
+                        sent_ms,
+                        received_ms,
+                        found.running,
+                        found.ends,
+                    )
+                )
+                return found
+            case OtherHost():
+                self._post(HostLapsed(self.info.id))
+            case Refused():
+                self._term.supersede(self.info.id)
+            case OrderLost(detail):
+                self._silent(detail)
+        return None
+
+    def _silent(self, detail: str) -> None:
+        if not self._is_silent:
+            self._is_silent = True
+            self._log.event("host-silent", host=self.info.id, detail=detail)
+            self._post(HostSilent(self.info.id))
+        if self._lease.is_lapsed(steady_ms()):
+            self._post(HostLapsed(self.info.id))
+
+    def _await_stored(self, born: int, pending: int) -> None:
+        """Waits a while until reported ends may be acknowledged."""
+        deadline_ms = steady_ms() + STORING_PAUSE_MS
+        with self._changed:
+            while not self._closing.is_set() and self._acknowledged < (born, pending):
+                left_ms = deadline_ms - steady_ms()
+                if left_ms <= 0:
+                    return
+                self._changed.wait(left_ms / 1_000)
+
+    def _order_loop(self) -> None:
+        while not self._closing.is_set():
+            order = self._queue.get()
+            match order:
+                case StartRun():
+                    self._start(order)
+                case StopRun():
+                    self._stop(order)
+                case PaceRun() if self._term.may_order():
+                    self._orders.pace(order.name, order.number, order.percent)
+
+    def _start(self, order: StartRun) -> None:
+        outcome: StartOutcome | OtherHost = StartOutcome.NO_REPLY
+        for _ in range(START_TRIES):
+            now_ms = steady_ms()
+            until_ms = self._lease.next_until_ms(now_ms)
+            if until_ms is None or self._closing.is_set():
+                break
+            if not self._term.may_order():
+                return
+            outcome = self._orders.start(order, until_ms)
+            if outcome is not StartOutcome.NO_REPLY:
+                break
+        if isinstance(outcome, OtherHost):
+            self._post(HostLapsed(self.info.id))
+            return
+        self._post(
+            StartReplied(self.info.id, order.name, order.number, outcome, steady_ms())
+        )
+
+    def _stop(self, order: StopRun) -> None:
+        while not self._closing.is_set() and self._term.may_order():
+            if self._orders.stop(order.name, order.number):
+                reply = StopReplied(self.info.id, order.name, order.number, steady_ms())
+                self._post(reply)
+                return
+            self._closing.wait(STOP_PAUSE_MS / 1_000)
--- /dev/null
+++ b/src/amaranthtray/jobs/job_feed.py
@@ -0,0 +1,118 @@
+"""Reads a pool's jobs from the store and follows them."""
+
+from __future__ import annotations
+
+import threading
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Success
+
+from ..domain.jobs.record import decode_spec
+from ..domain.scheduling.messages import JobCancelled, JobFound, Message
+from ..store.contract import Compacted
+from . import keys
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.ids import PoolName
+    from .context import Context
+
+WATCH_MS = 15_000
+"""Wait of a watch; shorter ones cost calls, longer ones hide a dead connection."""
+
+RETRY_PAUSE_MS = 100
+
+
+class JobFeed:
+    """Posts each job and cancellation of a pool.
+
+    Args:
+        pool: The pool.
+        context: What all tasks of the entry share.
+        post: Takes messages to the conductor.
+        goes_on: Whether the conductor still works.
+    """
+
+    def __init__(
+        self,
+        pool: PoolName,
+        context: Context,
+        post: Callable[[Message], None],
+        goes_on: Callable[[], bool],
+    ) -> None:
+        self._prefix = keys.jobs_prefix(pool)
+        self._context = context
+        self._post = post
+        self._goes_on = goes_on
+        self._version = 0
+        self._pause = threading.Event()
+        self._thread = threading.Thread(target=self._follow, daemon=True)
+
+    def load(self) -> bool:
+        """Posts all jobs; returns whether the conductor still works."""
+        while self._goes_on():
+            if self._list():
+                return True
+            self._pause.wait(RETRY_PAUSE_MS / 1_000)
+        return False
+
+    def start(self) -> None:
+        """Begins to follow."""
+        self._thread.start()
+
+    def _list(self) -> bool:
+        listed = self._context.store.list(self._prefix)
+        if not isinstance(listed, Success):
+            self._context.log.event("jobs-not-read", why=repr(listed.failure()))
+            return False
+        listing = listed.unwrap()
+        parts: dict[str, dict[str, bytes]] = defaultdict(dict)
+        for item in listing.items:
+            split = keys.split_job_key(item.key)
+            if split is not None:
+                parts[split[0]][split[1]] = item.value
+        for found in parts.values():
+            if keys.SPEC in found:
+                record, cancel = found.get(keys.RECORD), keys.CANCEL in found
+                self._found(found[keys.SPEC], record, is_cancelled=cancel)
+        self._version = listing.at_version
+        return True
+
+    def _found(self, spec: bytes, record: bytes | None, *, is_cancelled: bool) -> None:
+        try:
+            decoded = decode_spec(spec)
+        except msgspec.MsgspecError as exc:
+            self._context.log.event("job-unreadable", why=str(exc))
+            return
+        self._post(JobFound(decoded, record, is_cancelled))
+
+    def _follow(self) -> None:
+        while self._goes_on():
+            batch = self._context.store.watch(
+                self._prefix, after_version=self._version, timeout_ms=WATCH_MS
+            )
+            if isinstance(batch, Success):
+                self._take(batch.unwrap().events)
+                self._version = max(self._version, batch.unwrap().at_version)
+            elif isinstance(batch.failure(), Compacted):
+                self._context.log.event("watch-compacted", prefix=self._prefix)
+                self._list()
+            else:
+                self._pause.wait(RETRY_PAUSE_MS / 1_000)
+
+    def _take(self, events: tuple[object, ...]) -> None:
+        from ..store.contract import WatchEvent
+
+        for event in events:
+            if not isinstance(event, WatchEvent) or event.value is None:
+                continue
+            split = keys.split_job_key(event.key)
+            if split is None:
+                continue
+            if split[1] == keys.SPEC:
+                self._found(event.value, None, is_cancelled=False)
+            elif split[1] == keys.CANCEL:
+                self._post(JobCancelled(split[0]))
--- /dev/null
+++ b/src/amaranthtray/jobs/ledger.py
@@ -0,0 +1,30 @@
+"""A pool's ledger: the value through which its conductor's writes are fenced."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Ledger(msgspec.Struct, kw_only=True):
+    """Stored by each write of a conductor.
+
+    Attributes:
+        term: Term of the writer.
+        batch: Numbers the writes of a term; with it a lost reply is settled.
+        pending: Jobs of each queue that have not begun.
+        written_ms: Wall time of the write.
+    """
+
+    term: int = 0
+    batch: int = 0
+    pending: dict[str, int] = {}
+    written_ms: int = 0
+
+
+def decode_ledger(data: bytes) -> Ledger:
+    """Returns the ledger stored as ``data``.
+
+    Raises:
+        msgspec.MsgspecError: It is not one.
+    """
+    return msgspec.json.decode(data, type=Ledger)
--- /dev/null
+++ b/src/amaranthtray/jobs/ports.py
@@ -0,0 +1,89 @@
+"""What the tasks of an entry need from the platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from ..domain.scheduling.messages import EndReport, RunReport
+
+if TYPE_CHECKING:
+    from ..domain.ids import PoolName, Term
+    from ..domain.jobs.catalog import Catalog
+    from ..domain.jobs.model import TaskName
+    from ..domain.scheduling.messages import HostInfo, StartOutcome, StartRun
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Lists:
+    """A host's lists.
+
+    Attributes:
+        clock_ms: The host's steady clock when it answered.
+        born: Wall time at which this run of it began.
+        running: What runs there.
+        ends: Ends that were not acknowledged.
+    """
+
+    clock_ms: int
+    born: int
+    running: tuple[RunReport, ...]
+    ends: tuple[EndReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The host obeys a higher term."""
+
+
+@dataclass(frozen=True, slots=True)
+class OtherHost:
+    """The address belongs to another host now."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderLost:
+    """No usable answer came."""
+
+    detail: str
+
+
+class HostOrders(Protocol):
+    """Orders to one host; each call may block up to its timeout."""
+
+    def start(self, order: StartRun, until_ms: int) -> StartOutcome | OtherHost:
+        """Orders a start; ``until_ms`` is the lease's end on the host's clock."""
+
+    def stop(self, name: TaskName, number: int) -> bool:
+        """Orders a stop; returns whether the host took it."""
+
+    def pace(self, name: TaskName, number: int, percent: int) -> bool:
+        """Orders a run to work at a share of its speed."""
+
+    def hold(
+        self, until_ms: int | None, acknowledged: int, wait_ms: int
+    ) -> Lists | Refused | OtherHost | OrderLost:
+        """Extends the lease, lets ends be forgotten and reads the lists."""
+
+    def close(self) -> None:
+        """Closes idle connections."""
+
+
+class Platform(Protocol):
+    """Translates what the platform keeps in the store."""
+
+    configuration_key: str
+    hosts_prefix: str
+
+    def decode_configuration(self, data: bytes, store_version: int) -> Catalog:
+        """Returns a stored configuration.
+
+        Raises:
+            msgspec.MsgspecError: ``data`` is not one.
+        """
+
+    def decode_host(self, key: str, data: bytes) -> tuple[PoolName, HostInfo] | None:
+        """Returns a host and its pool, or none for what names no host."""
+
+    def orders_to(self, info: HostInfo, term: Term) -> HostOrders:
+        """Returns a client of a host."""
--- /dev/null
+++ b/src/amaranthtray/platform/_http.py
@@ -0,0 +1,121 @@
+"""HTTP calls to one peer over kept connections, with typed outcomes."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NameResolutionError,
+    NewConnectionError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONNECT_TIMEOUT_S = 0.5
+"""A connection within a region opens in a few milliseconds."""
+
+SILENCE_TIMEOUT_MS = 2_000
+"""Unacknowledged bytes for this long end a connection."""
+
+KEEP_ALIVE_IDLE_S = 2
+KEEP_ALIVE_EVERY_S = 1
+KEEP_ALIVE_PROBES = 2
+
+_SOCKET_OPTIONS = [
+    *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_EVERY_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS),
+]
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+    @property
+    def is_done(self) -> bool:
+        """Returns whether the call was carried out."""
+        return 200 <= self.status < 300
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """No whole answer came.
+
+    Attributes:
+        detail: What went wrong.
+        was_sent: Whether the peer may have got the call.
+    """
+
+    detail: str
+    was_sent: bool
+
+
+CallOutcome: TypeAlias = Answer | NoAnswer
+
+
+class HttpPeer:
+    """A peer and the connections to it.
+
+    Args:
+        address: IP address and port.
+        connections: Connections that are kept.
+    """
+
+    def __init__(self, address: str, *, connections: int) -> None:
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=connections,
+            retries=False,
+            socket_options=_SOCKET_OPTIONS,
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_ms: int,
+        payload: object = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> CallOutcome:
+        """Makes one call, once."""
+        body = None if payload is None else msgspec.json.encode(payload)
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_ms / 1_000)
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=body,
+                headers={**JSON_HEADERS, **(headers or {})},
+                timeout=timeout,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as exc:
+            return NoAnswer(type(exc).__name__, was_sent=False)
+        except (HTTPError, OSError) as exc:
+            return NoAnswer(type(exc).__name__, was_sent=True)
+        return Answer(response.status, response.data)
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
--- /dev/null
+++ b/src/amaranthtray/platform/documents.py
@@ -0,0 +1,166 @@
+"""Documents that the operator and the hosts keep in the store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..domain.ids import HostId, PoolName, QueueName, RackId, TeamName, ZoneId
+from ..domain.jobs.catalog import Catalog, JobPool, JobQueue, JobTeam, digest_of
+from ..domain.jobs.model import Resources
+from ..domain.scheduling.messages import HostInfo
+
+CONFIGURATION_KEY = "op/config"
+HOSTS_PREFIX = "servers/"
+STATES = ("ready", "draining")
+
+
+class _Amounts(msgspec.Struct, rename="camel"):
+    cpu: int = 0
+    requested_memory_mb: int = 0
+    gpu: int = 0
+
+    def resources(self) -> Resources:
+        return Resources(self.cpu, self.requested_memory_mb, self.gpu)
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """A route; to the product it is a queue."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int = 0
+    target_latency_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    slowdown_factor: float = 1.0
+    public: bool = False
+    # Holds how long the service takes and how long an answer is valid; only its
+    # presence matters here, because each answer repeats the validity.
+    advice: dict[str, float] | None = None
+
+    def queue(self) -> JobQueue:
+        return JobQueue(
+            name=QueueName(self.name),
+            host_header=self.host,
+            path_prefix=self.prefix,
+            pool=PoolName(self.service),
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            slowdown_factor=self.slowdown_factor,
+            target_ms=self.target_latency_ms,
+            timeout_ms=self.timeout_ms,
+            is_open=self.public,
+            needs_advice=self.advice is not None,
+        )
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    """A service; to the product it is a pool."""
+
+    name: str
+    enforce_capacity: bool = True
+    standby: bool = False
+
+    def pool(self) -> JobPool:
+        return JobPool(
+            name=PoolName(self.name),
+            is_guarded=self.enforce_capacity,
+            is_standby=self.standby,
+        )
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    """A tenant; to the product it is a team."""
+
+    name: str
+    api_keys: list[str] = []
+    weight: int = 1
+    cap: _Amounts = msgspec.field(default_factory=_Amounts)
+
+    def team(self) -> JobTeam:
+        return JobTeam(
+            name=TeamName(self.name), weight=self.weight, cap=self.cap.resources()
+        )
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_body_bytes: int = 262_144
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Beat(msgspec.Struct, rename="camel"):
+    """What a host says of itself."""
+
+    service: str
+    address: str
+    state: str
+    zone: str = ""
+    capacity: _Amounts = msgspec.field(default_factory=_Amounts)
+    labels: list[str] = []
+    remaining_ms: int = 0
+    machine: str = ""
+
+
+def decode_configuration(data: bytes, store_version: int) -> Catalog:
+    """Returns the configuration stored as ``data``.
+
+    Raises:
+        msgspec.MsgspecError: It is not one.
+    """
+    found = msgspec.json.decode(data, type=_Configuration)
+    queues = [route.queue() for route in found.routes]
+    queues.sort(key=lambda queue: -len(queue.path_prefix))
+    return Catalog(
+        version=found.version,
+        store_version=store_version,
+        queues=tuple(queues),
+        pools={PoolName(each.name): each.pool() for each in found.services},
+        teams={TeamName(each.name): each.team() for each in found.tenants},
+        team_by_digest={
+            digest_of(key): TeamName(each.name)
+            for each in found.tenants
+            for key in each.api_keys
+        },
+        max_body_bytes=found.limits.max_body_bytes,
+    )
+
+
+def decode_host(key: str, data: bytes) -> tuple[PoolName, HostInfo] | None:
+    """Returns a host and its pool, or none for what names no host to use."""
+    try:
+        beat = msgspec.json.decode(data, type=_Beat)
+    except msgspec.MsgspecError:
+        return None
+    if beat.state not in STATES or not _is_address(beat.address):
+        return None
+    info = HostInfo(
+        id=HostId(key.removeprefix(HOSTS_PREFIX)),
+        address=beat.address,
+        zone=ZoneId(beat.zone),
+        rack=_rack(beat.labels),
+        labels=frozenset(beat.labels),
+        capacity=beat.capacity.resources(),
+        is_draining=beat.state == "draining",
+        remaining_ms=beat.remaining_ms,
+        machine=beat.machine,
+    )
+    return PoolName(beat.service), info
+
+
+def _rack(labels: list[str]) -> RackId:
+    """Returns the rack: the labels are the host's kind and its rack."""
+    return RackId(labels[-1]) if len(labels) > 1 else RackId("")
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdecimal()
--- /dev/null
+++ b/src/amaranthtray/platform/host_client.py
@@ -0,0 +1,178 @@
+"""Orders to one host, and its lists."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeAlias
+
+import msgspec
+
+from ..domain.jobs.model import TaskName
+from ..domain.jobs.task import HowEnded
+from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome, StartRun
+from ..jobs.ports import Lists, OrderLost, OtherHost, Refused
+from ._http import Answer, CallOutcome, HttpPeer
+
+if TYPE_CHECKING:
+    from ..domain.ids import HostId, Term
+
+ORDER_TIMEOUT_MS = 700
+"""An order is answered within milliseconds; a slow link takes some tens."""
+
+CONNECTIONS = 2
+"""One for orders and one for the call that waits for ends."""
+
+MISDIRECTED = 421
+
+_REASONS = {
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.NO_TICKET,
+    "fence": StartOutcome.FENCED,
+}
+
+ListsOutcome: TypeAlias = Lists | Refused | OtherHost | OrderLost
+
+
+class _Refusal(msgspec.Struct, rename="camel"):
+    reason: str = ""
+    clock_ms: int = 0
+
+
+class _Lists(msgspec.Struct, rename="camel"):
+    # Milliseconds on the host's own steady clock, which begins at its start.
+    clock_ms: int
+    running: list[list[Any]] = []
+    finished: list[list[Any]] = []
+    # Wall time of the host's start in milliseconds.
+    born: int = 0
+
+
+class HostClient:
+    """Calls one host; one thread gives orders while another reads its lists.
+
+    Args:
+        host: Its id.
+        address: IP address and port.
+        term: Fencing term of all orders.
+    """
+
+    def __init__(self, host: HostId, address: str, term: Term) -> None:
+        self._peer = HttpPeer(address, connections=CONNECTIONS)
+        self._headers = {"Expected-Instance": str(host)}
+        self._term = term
+
+    def start(self, order: StartRun, until_ms: int) -> StartOutcome | OtherHost:
+        """Orders a start; ``until_ms`` is the lease's end on the host's clock."""
+        payload: dict[str, Any] = {
+            "task": str(order.name),
+            "run": order.number,
+            "spec": order.payload,
+            "untilMs": until_ms,
+            "fencingToken": self._term,
+        }
+        if order.checkpoint:
+            payload["checkpoint"] = order.checkpoint
+        if order.ticket:
+            payload["ticket"] = order.ticket
+        match self._order("/v1/run-start", payload):
+            case Answer(status=status) if 200 <= status < 300:
+                return StartOutcome.STARTED
+            case Answer(status=409, body=body):
+                refusal = msgspec.json.decode(body, type=_Refusal)
+                return _REASONS.get(refusal.reason, StartOutcome.REFUSED)
+            case Answer(status=429 | 503):
+                return StartOutcome.UNHEALTHY
+            case Answer(status=status) if status == MISDIRECTED:
+                return OtherHost()
+            case Answer():
+                return StartOutcome.REFUSED
+        return StartOutcome.NO_REPLY
+
+    def stop(self, name: TaskName, number: int) -> bool:
+        """Orders a stop; returns whether the host took it."""
+        payload = {"task": str(name), "run": number, "fencingToken": self._term}
+        return _is_taken(self._order("/v1/run-stop", payload))
+
+    def pace(self, name: TaskName, number: int, percent: int) -> bool:
+        """Orders a run to work at a share of its speed."""
+        payload = {
+            "task": str(name),
+            "run": number,
+            "percent": percent,
+            "fencingToken": self._term,
+        }
+        return _is_taken(self._order("/v1/pace", payload))
+
+    def hold(
+        self, until_ms: int | None, acknowledged: int, wait_ms: int
+    ) -> ListsOutcome:
+        """Extends the lease, lets ends be forgotten and reads the lists.
+
+        Args:
+            until_ms: End of the lease on the host's clock; none leaves it.
+            acknowledged: Highest end that the host may forget.
+            wait_ms: Longest time to wait for an end.
+        """
+        payload = {
+            "fencingToken": self._term,
+            "acknowledged": acknowledged,
+            "waitMs": wait_ms,
+        }
+        if until_ms is not None:
+            payload["untilMs"] = until_ms
+        outcome = self._order("/v1/hold", payload, ORDER_TIMEOUT_MS + wait_ms)
+        match outcome:
+            case Answer(status=status, body=body) if 200 <= status < 300:
+                return _lists(body)
+            case Answer(status=409):
+                return Refused()
+            case Answer(status=status) if status == MISDIRECTED:
+                return OtherHost()
+            case Answer(status=status):
+                return OrderLost(f"status {status}")
+        return OrderLost(outcome.detail)
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._peer.close()
+
+    def _order(
+        self, path: str, payload: object, timeout_ms: int = ORDER_TIMEOUT_MS
+    ) -> CallOutcome:
+        return self._peer.call(
+            "POST", path, timeout_ms=timeout_ms, payload=payload, headers=self._headers
+        )
+
+
+def _is_taken(outcome: CallOutcome) -> bool:
+    """Returns whether an order needs no repeat: taken, fenced or another host."""
+    match outcome:
+        case Answer(status=status):
+            return status < 300 or status in (400, 409, MISDIRECTED)
+    return False
+
+
+def _lists(body: bytes) -> ListsOutcome:
+    try:
+        found = msgspec.json.decode(body, type=_Lists)
+        running = [_run(row) for row in found.running]
+        ends = [_end(row) for row in found.finished]
+    except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+        return OrderLost(f"unreadable lists: {exc}")
+    return Lists(
+        clock_ms=found.clock_ms,
+        born=found.born,
+        running=tuple(run for run in running if run is not None),
+        ends=tuple(end for end in ends if end is not None),
+    )
+
+
+def _run(row: list[Any]) -> RunReport | None:
+    name = TaskName.parse(row[0])
+    load = int(row[4]) if len(row) > 4 else 0
+    return name and RunReport(name, int(row[1]), str(row[2]), int(row[3]), load)
+
+
+def _end(row: list[Any]) -> EndReport | None:
+    name = TaskName.parse(row[1])
+    how = HowEnded(row[3])
+    return name and EndReport(int(row[0]), name, int(row[2]), how, str(row[4]))
--- /dev/null
+++ b/src/amaranthtray/platform/job_wire.py
@@ -0,0 +1,97 @@
+"""Bodies of callers: jobs as they come in."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..domain.ids import RackId
+from ..domain.jobs.model import Recurrence, Resources, StepSpec
+
+MAX_PAYLOAD_BYTES = 4_000
+MAX_TASKS = 10_000
+
+Amount = Annotated[int, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1, le=MAX_TASKS)]
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    count: Count = 1
+    cpu: Amount = 0
+    requested_memory_mb: Amount = 0
+    gpu: Amount = 0
+    estimated_ms: Amount = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    # One label that the host must have, though the name is in the plural.
+    requirements: str = ""
+    # The rack where the data is.
+    affinity: str = ""
+    # Tasks of the step that may run on one host.
+    anti_affinity: Amount = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: Amount = 0
+    fills: bool = False
+    may_miss: Amount = 0
+
+    def spec(self) -> StepSpec:
+        return StepSpec(
+            count=self.count,
+            need=Resources(self.cpu, self.requested_memory_mb, self.gpu),
+            estimated_ms=self.estimated_ms,
+            after=tuple(self.after),
+            is_checkpointing=self.checkpointing,
+            is_gang=self.gang,
+            is_same_rack=self.same_rack,
+            required_label=self.requirements,
+            data_rack=RackId(self.affinity),
+            max_per_host=self.anti_affinity,
+            allows_copies=self.speculative,
+            is_lasting=self.long_running,
+            image=self.image,
+            target_ms=self.target_ms,
+            fills=self.fills,
+            may_miss=self.may_miss,
+        )
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    spec: str
+    steps: Annotated[list[_Step], Meta(min_length=1)]
+    repeat_count: Amount = 0
+    start_at_ms: Amount = 0
+    interval_ms: Amount = 0
+
+
+class JobBody(msgspec.Struct, frozen=True):
+    """A job as a caller sent it, decoded and checked."""
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    recurrence: Recurrence | None
+
+
+def decode_job(data: bytes) -> JobBody:
+    """Returns the job in a body.
+
+    Raises:
+        msgspec.ValidationError: The body is not a job; says what is wrong where.
+    """
+    job = msgspec.json.decode(data, type=_Job)
+    if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
+        message = f"spec is longer than {MAX_PAYLOAD_BYTES} bytes - at `$.spec`"
+        raise msgspec.ValidationError(message)
+    for number, step in enumerate(job.steps):
+        if any(not 0 <= before < number for before in step.after):
+            message = f"after names no earlier step - at `$.steps[{number}].after`"
+            raise msgspec.ValidationError(message)
+    recurrence = None
+    if job.repeat_count:
+        recurrence = Recurrence(job.repeat_count, job.start_at_ms, job.interval_ms)
+    return JobBody(job.spec, tuple(step.spec() for step in job.steps), recurrence)
--- /dev/null
+++ b/src/amaranthtray/platform/run.py
@@ -0,0 +1,91 @@
+"""Runs an entry on the platform until it is told to leave."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from ..jobs.entry import JobEntry
+from ..settings.job_entry import load_job_entry
+from ..web import WebServer
+from . import documents
+from .host_client import HostClient
+from .ingress import Ingress, MetricsPage, ReadinessPage
+from .store_client import PlatformStore
+
+if TYPE_CHECKING:
+    from ..domain.ids import HostId, PoolName, Term
+    from ..domain.jobs.catalog import Catalog
+    from ..domain.scheduling.messages import HostInfo
+    from ..settings.job_entry import JobEntrySettings
+
+SETTINGS_VARIABLE = "AMARANTHTRAY_NODE_FILE"
+EXIT_FAULTY_INPUT = 2
+CALLER_THREADS = 32
+PAGE_THREADS = 2
+BALANCER_DRAIN_S = 2.5
+"""The balancer asks each second and takes an entry out after two misses."""
+
+
+class PlatformAdapter:
+    """Translates what the platform keeps in its store."""
+
+    configuration_key = documents.CONFIGURATION_KEY
+    hosts_prefix = documents.HOSTS_PREFIX
+
+    def decode_configuration(self, data: bytes, store_version: int) -> Catalog:
+        """Returns a stored configuration."""
+        return documents.decode_configuration(data, store_version)
+
+    def decode_host(self, key: str, data: bytes) -> tuple[PoolName, HostInfo] | None:
+        """Returns a host and its pool, or none for what names no host."""
+        return documents.decode_host(key, data)
+
+    def orders_to(self, info: HostInfo, term: Term) -> HostClient:
+        """Returns a client of a host."""
+        host: HostId = info.id
+        return HostClient(host, info.address, term)
+
+
+def main() -> None:
+    """Runs an entry with the settings file that the environment names."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    loaded = load_job_entry(os.environ[SETTINGS_VARIABLE])
+    if isinstance(loaded, Failure):
+        sys.stderr.write(f"{loaded.failure()}\n")
+        sys.exit(EXIT_FAULTY_INPUT)
+    settings = loaded.unwrap()
+    entry = JobEntry(settings, PlatformStore(settings.store.address), PlatformAdapter())
+    servers = _servers(settings, entry)
+    entry.start()
+    for server in servers:
+        server.start()
+    stop.wait()
+    entry.leave(BALANCER_DRAIN_S)
+    for server in servers:
+        server.stop()
+    entry.log.event("stopped")
+    entry.log.flush(1)
+    os._exit(0)
+
+
+def _servers(settings: JobEntrySettings, entry: JobEntry) -> list[WebServer]:
+    cfg = settings.entry
+    pages = (
+        (Ingress(entry.service), cfg.callers_address, CALLER_THREADS),
+        (ReadinessPage(lambda: entry.is_ready), cfg.readiness_address, PAGE_THREADS),
+        (MetricsPage(entry.render_metrics), cfg.metrics_address, PAGE_THREADS),
+    )
+    servers = []
+    for root, address, threads in pages:
+        host, _, port = address.rpartition(":")
+        servers.append(WebServer(root, host=host, port=int(port), threads=threads))
+    return servers
--- /dev/null
+++ b/src/amaranthtray/platform/store_client.py
@@ -0,0 +1,249 @@
+"""The platform's key-value store behind the contract of ``store``."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..store.contract import (
+    CallsSpent,
+    Compacted,
+    Conflict,
+    Conflicts,
+    EffectUnknown,
+    LeaseGone,
+    LeaseId,
+    Listing,
+    Put,
+    StoreFailure,
+    Transaction,
+    TransactionFailure,
+    Unavailable,
+    Versioned,
+    WatchBatch,
+    WatchEvent,
+)
+from ._http import Answer, CallOutcome, HttpPeer
+
+CALL_TIMEOUT_MS = 1_000
+"""An answer takes some milliseconds; a slow store may take fifty times as long."""
+
+WATCH_SLACK_MS = 500
+"""An answer to a watch may come this much after its wait is over."""
+
+CONNECTIONS = 16
+RETRY_AFTER_MS = 100
+MAX_PAGES = 10_000
+
+T = TypeVar("T")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: bytes = b""
+    revision: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+    def versioned(self) -> Versioned:
+        lease = LeaseId(self.lease) if self.lease else None
+        return Versioned(self.key, self.value, self.revision, lease)
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    items: list[_Item]
+    has_more: bool
+    current_rev: int
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[_Item]
+    current_rev: int
+
+
+class _Refused(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _Lease(msgspec.Struct, rename="camel"):
+    ttl_ms: int
+    lease: int = 0
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class PlatformStore:
+    """The store of the platform; safe to use from any thread.
+
+    Args:
+        address: IP address and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._peer = HttpPeer(address, connections=CONNECTIONS)
+        self._address = address
+
+    def get(self, key: str) -> Result[Versioned | None, StoreFailure]:
+        """Reads one key."""
+        step = "read-key"
+        outcome = self._read(f"/v1/kv-key?key={quote(key, safe='')}")
+        if isinstance(outcome, Answer) and outcome.status == 404:
+            return Success(None)
+        return self._decoded(step, outcome, _Item).map(_Item.versioned)
+
+    def list(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys under a prefix; a watch goes on from its version."""
+        items: list[Versioned] = []
+        first_version, after = 0, ""
+        for _ in range(MAX_PAGES):
+            path = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
+            path += f"&after={quote(after, safe='')}" if after else ""
+            found = self._decoded("read-prefix", self._read(path), _Page)
+            if isinstance(found, Failure):
+                return found
+            page = found.unwrap()
+            first_version = first_version or page.current_rev
+            items.extend(item.versioned() for item in page.items)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return Success(Listing(tuple(items), first_version))
+
+    def create(
+        self, key: str, value: bytes, *, lease: LeaseId | None = None
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be absent and returns its version."""
+        return self.compare_and_swap(key, value, version=0, lease=lease)
+
+    def compare_and_swap(
+        self, key: str, value: bytes, *, version: int, lease: LeaseId | None = None
+    ) -> Result[int, StoreFailure]:
+        """Writes a key that must be at ``version`` and returns the new version."""
+        put = Put(key, value, lease)
+        return self._commit_one(Transaction(expect=((key, version),), puts=(put,)))
+
+    def delete(self, key: str, *, version: int) -> Result[None, StoreFailure]:
+        """Deletes a key that must be at ``version``."""
+        transaction = Transaction(expect=((key, version),), removes=(key,))
+        return self._commit_one(transaction).map(lambda _: None)
+
+    def commit(self, transaction: Transaction) -> Result[int, TransactionFailure]:
+        """Carries out a transaction and returns the version of its writes."""
+        step = "write"
+        outcome = self._write("POST", "/v1/kv-txn", _transaction(transaction))
+        if isinstance(outcome, Answer):
+            if outcome.status == 412:
+                refused = msgspec.json.decode(outcome.body, type=_Refused)
+                found = tuple(item.versioned() for item in refused.items)
+                present = tuple(item for item in found if item.version)
+                return Failure(Conflicts(step, self._address, present))
+            if outcome.status == 404:
+                return Failure(LeaseGone(step, self._address))
+        written = self._decoded(step, outcome, _Written, is_write=True)
+        return written.map(lambda each: each.revision)  # type: ignore[return-value]
+
+    def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
+        """Grants a lease."""
+        outcome = self._write("POST", "/v1/kv-lease", {"ttlMs": ttl_ms})
+        granted = self._decoded("grant-lease", outcome, _Lease, is_write=True)
+        return granted.map(lambda each: LeaseId(each.lease))
+
+    def renew_lease(self, lease: LeaseId) -> Result[int, StoreFailure]:
+        """Renews a lease and returns its time to live in milliseconds."""
+        step = "renew-lease"
+        outcome = self._write("POST", f"/v1/kv-keep/{lease}", {})
+        if isinstance(outcome, Answer) and outcome.status == 404:
+            return Failure(LeaseGone(step, self._address))
+        renewed = self._decoded(step, outcome, _Lease, is_write=True)
+        return renewed.map(lambda each: each.ttl_ms)
+
+    def revoke_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        """Ends a lease and deletes its keys."""
+        step = "end-lease"
+        outcome = self._write("DELETE", f"/v1/kv-lease-end/{lease}", None)
+        if isinstance(outcome, Answer) and (outcome.is_done or outcome.status == 404):
+            return Success(None)
+        return Failure(self._failure(step, outcome, is_write=True))
+
+    def watch(
+        self, prefix: str, *, after_version: int, timeout_ms: int
+    ) -> Result[WatchBatch, StoreFailure]:
+        """Waits for changes later than ``after_version``; empty after the timeout."""
+        step = "watch"
+        path = f"/v1/kv-watch?prefix={quote(prefix, safe='')}"
+        path += f"&after={after_version}&waitMs={timeout_ms}"
+        outcome = self._peer.call("GET", path, timeout_ms=timeout_ms + WATCH_SLACK_MS)
+        if isinstance(outcome, Answer) and outcome.status == 410:
+            return Failure(Compacted(step, self._address))
+        return self._decoded(step, outcome, _Events).map(_batch)
+
+    def _commit_one(self, transaction: Transaction) -> Result[int, StoreFailure]:
+        """Carries out a transaction of one key."""
+        written = self.commit(transaction)
+        if isinstance(written, Success):
+            return Success(written.unwrap())
+        failure = written.failure()
+        if isinstance(failure, Conflicts):
+            found = next(iter(failure.found), None)
+            return Failure(Conflict(failure.step, failure.peer, found))
+        return Failure(failure)
+
+    def _read(self, path: str) -> CallOutcome:
+        return self._peer.call("GET", path, timeout_ms=CALL_TIMEOUT_MS)
+
+    def _write(self, method: str, path: str, payload: object) -> CallOutcome:
+        return self._peer.call(
+            method, path, timeout_ms=CALL_TIMEOUT_MS, payload=payload
+        )
+
+    def _decoded(
+        self, step: str, outcome: CallOutcome, form: type[T], *, is_write: bool = False
+    ) -> Result[T, StoreFailure]:
+        if isinstance(outcome, Answer) and outcome.is_done:
+            try:
+                return Success(msgspec.json.decode(outcome.body, type=form))
+            except msgspec.MsgspecError as exc:
+                return Failure(EffectUnknown(step, self._address, str(exc)))
+        return Failure(self._failure(step, outcome, is_write=is_write))
+
+    def _failure(
+        self, step: str, outcome: CallOutcome, *, is_write: bool
+    ) -> Unavailable | EffectUnknown | CallsSpent:
+        peer = self._address
+        match outcome:
+            case Answer(status=429):
+                return CallsSpent(step, peer, RETRY_AFTER_MS)
+            case Answer(status=503):
+                return Unavailable(step, peer, "503")
+            case Answer(status=status):
+                return Unavailable(step, peer, f"status {status}")
+        if is_write and outcome.was_sent:
+            return EffectUnknown(step, peer, outcome.detail)
+        return Unavailable(step, peer, outcome.detail)
+
+
+def _transaction(transaction: Transaction) -> dict[str, Any]:
+    return {
+        "precondition": [
+            {"key": key, "revision": version} for key, version in transaction.expect
+        ],
+        "setKeys": [
+            {"key": put.key, "value": put.value}
+            | ({"lease": put.lease} if put.lease else {})
+            for put in transaction.puts
+        ],
+        "remove": list(transaction.removes),
+    }
+
+
+def _batch(found: _Events) -> WatchBatch:
+    events = tuple(
+        WatchEvent(each.key, None if each.deleted else each.value, each.revision)
+        for each in found.events
+    )
+    return WatchBatch(events, found.current_rev)
--- a/src/amaranthtray/store/contract.py
+++ b/src/amaranthtray/store/contract.py
@@ -107,11 +107,59 @@
     peer: str
 
 
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A value to write in a transaction."""
+
+    key: str
+    value: bytes
+    lease: LeaseId | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Transaction:
+    """Writes that happen together or not at all.
+
+    Attributes:
+        expect: Versions that keys must be at; 0 for absent.
+        puts: Values to write.
+        removes: Keys to delete.
+    """
+
+    expect: tuple[tuple[str, int], ...] = ()
+    puts: tuple[Put, ...] = ()
+    removes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Conflicts:
+    """A transaction's expectations did not hold; nothing was written.
+
+    Attributes:
+        step: The operation.
+        peer: The store.
+        found: The keys of its expectations that exist, as they are now.
+    """
+
+    step: str
+    peer: str
+    found: tuple[Versioned, ...]
+
+    def version_of(self, key: str) -> int:
+        """Returns the version that a key was found at."""
+        return next((item.version for item in self.found if item.key == key), 0)
+
+
 StoreFailure: TypeAlias = (
     Conflict | Unavailable | EffectUnknown | CallsSpent | LeaseGone | Compacted
 )
 
 
+TransactionFailure: TypeAlias = (
+    Conflicts | Unavailable | EffectUnknown | CallsSpent | LeaseGone
+)
+
+
 class Store(Protocol):
     """Compare-and-swap, leases and watches; every call may block up to its timeout."""
 
@@ -147,3 +195,10 @@
         self, prefix: str, *, after_version: int, timeout_ms: int
     ) -> Result[WatchBatch, StoreFailure]:
         """Waits for changes later than ``after_version``; empty after the timeout."""
+
+
+class TransactionalStore(Store, Protocol):
+    """A store that also writes several keys at once."""
+
+    def commit(self, transaction: Transaction) -> Result[int, TransactionFailure]:
+        """Carries out a transaction and returns the version of its writes."""
