Empty and maintain machines in waves

The fleet's duty asks conductors to empty hosts, orders the maintenance of those that are empty, and tells the operator.

--- a/src/amaranthtray/domain/duties/names.py
+++ b/src/amaranthtray/domain/duties/names.py
@@ -9,6 +9,9 @@
 
 DutyName = NewType("DutyName", str)
 
+FLEET_DUTY = DutyName("fleet")
+"""The duty of moving and maintaining machines, which spans pools."""
+
 
 def steward_of(zone: ZoneId) -> DutyName:
     """Returns the duty of being an availability zone's link to the platform."""
--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -28,6 +28,8 @@
         active: Jobs that may run or have runs somewhere.
         hosts: Hosts by id, those that are gone for as long as runs may be there.
         queues: All queues that the conductor has known.
+        to_vacate: Hosts that are to be emptied.
+        vacant: Those of them that are empty, as last stored.
         dirty: Jobs whose record is behind.
         gated: Effects that may happen once the dirty records are stored.
         in_flight: Effects that wait for the batch that is being stored.
@@ -43,6 +45,8 @@
     active: dict[JobId, Job] = field(default_factory=dict)
     hosts: dict[HostId, Host] = field(default_factory=dict)
     queues: dict[QueueName, JobQueue] = field(default_factory=dict)
+    to_vacate: frozenset[HostId] = frozenset()
+    vacant: frozenset[str] = frozenset()
     dirty: set[JobId] = field(default_factory=set)
     gated: list[Effect] = field(default_factory=list)
     in_flight: list[Effect] = field(default_factory=list)
@@ -136,7 +140,7 @@
             for job_id in sorted(self.stored_jobs)
             if job_id in self.jobs
         )
-        return StoreJobs(self.batch, records, self.pending())
+        return StoreJobs(self.batch, records, self.pending(), self.vacant)
 
     def batch_stored(self) -> list[Effect]:
         """Ends a batch that was written; returns what waited for it."""
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -0,0 +1,84 @@
+"""Empties hosts that are to be maintained or moved, or that leave."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..jobs.task import RunPhase
+from .host import StepKey
+from .messages import StopRun
+from .placement import place_each
+
+if TYPE_CHECKING:
+    from ..jobs.job import Job
+    from ._board import Board
+    from .host import Host, Placed
+
+PATIENCE_MS = 4_000
+"""Runs that can't be resumed may end by themselves for so long."""
+
+WORKING_PERCENT = 100
+
+
+def vacate_hosts(board: Board) -> list[StopRun]:
+    """Stops what may be stopped on hosts that are to be emptied."""
+    orders: list[StopRun] = []
+    for host in board.hosts.values():
+        if host.info.id in board.to_vacate and host.vacate_since_ms is None:
+            host.vacate_since_ms = board.now_ms
+        elif host.info.id not in board.to_vacate:
+            host.vacate_since_ms = None
+        if host.vacate_since_ms is None and not host.info.is_draining:
+            continue
+        for placed in host.placed():
+            if placed.run.phase is RunPhase.RUNNING and _may_stop(board, host, placed):
+                placed.run.phase, placed.run.settled_ms = RunPhase.STOPPING, None
+                orders.append(StopRun(host.info.id, placed.name, placed.run.number))
+    return orders
+
+
+def vacant_hosts(board: Board) -> frozenset[str]:
+    """Returns the hosts that were to be emptied and are empty."""
+    return frozenset(
+        host.info.id
+        for host in board.hosts.values()
+        if host.vacate_since_ms is not None
+        and host.born is not None
+        and not host.placed()
+        and not host.has_strays
+    )
+
+
+def _may_stop(board: Board, host: Host, placed: Placed) -> bool:
+    step, job = placed.step, board.jobs[placed.name.job]
+    if step.is_lasting:
+        return _may_be_missed(board, host, job, placed)
+    if host.info.is_draining:
+        return step.is_checkpointing
+    waited_ms = board.now_ms - (host.vacate_since_ms or board.now_ms)
+    return step.is_checkpointing or waited_ms > PATIENCE_MS
+
+
+def _may_be_missed(board: Board, host: Host, job: Job, placed: Placed) -> bool:
+    """Returns whether a lasting task may be away while it goes to another host."""
+    step, name = placed.step, placed.name
+    if host.info.is_draining:
+        return True
+    if step.may_miss and away(job, placed) >= step.may_miss:
+        return False
+    hosts = [each for each in board.hosts.values() if each.is_open(board.now_ms)]
+    return bool(place_each(step, StepKey(*name[:3]), [name.number], hosts))
+
+
+def away(job: Job, placed: Placed) -> int:
+    """Returns how many other tasks of the step are not fully at work."""
+    name = placed.name
+    tasks = job.tasks(name.occurrence, name.step)
+    others = [task for number, task in enumerate(tasks) if number != name.number]
+    return sum(
+        not any(
+            run.phase is RunPhase.RUNNING and run.percent >= WORKING_PERCENT
+            for run in task.runs
+        )
+        for task in others
+    )
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -44,7 +44,7 @@
         has_strays: Whether it runs what no record knows.
         acknowledged: Highest number of an end that it may forget.
         used: What its runs count for.
-        is_released: Whether it is to be emptied.
+        vacate_since_ms: Steady time since when it is to be emptied, if it is.
     """
 
     info: HostInfo
@@ -55,7 +55,7 @@
     has_strays: bool = False
     acknowledged: int = 0
     used: Resources = NO_RESOURCES
-    is_released: bool = False
+    vacate_since_ms: int | None = None
     _placed: dict[tuple[TaskName, int], Placed] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
@@ -71,7 +71,7 @@
             and self.born is not None
             and not self.is_silent
             and not self.info.is_draining
-            and not self.is_released
+            and self.vacate_since_ms is None
             and now_ms >= self.avoid_until_ms
         )
 
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -55,6 +55,13 @@
     job: JobId
 
 
+@dataclass(frozen=True, slots=True)
+class VacateAsked:
+    """Hosts of the pool that are to be emptied and kept empty, whole."""
+
+    hosts: frozenset[HostId]
+
+
 @dataclass(frozen=True, slots=True)
 class HostsListed:
     """The hosts of the pool, whole."""
@@ -186,6 +193,7 @@
 Message: TypeAlias = (
     JobFound
     | JobCancelled
+    | VacateAsked
     | HostsListed
     | HostReport
     | HostSilent
@@ -200,11 +208,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreJobs:
-    """Write the records of jobs and the numbers of waiting jobs by queue."""
+    """Write records of jobs and what others are to know of the pool.
+
+    Attributes:
+        batch: Numbers the batches of a conductor.
+        records: Progress records.
+        pending: Jobs of each queue that have not begun.
+        vacant: Hosts that were emptied.
+    """
 
     batch: int
     records: tuple[tuple[JobId, bytes], ...]
     pending: dict[str, int]
+    vacant: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -9,6 +9,7 @@
 from ._board import Board
 from ._planner import plan_starts
 from ._reports import take_report
+from ._vacating import vacant_hosts, vacate_hosts
 from .host import Host
 from .messages import (
     CatalogChanged,
@@ -29,6 +30,7 @@
     StopRun,
     Stored,
     Superseded,
+    VacateAsked,
     WatchHost,
 )
 
@@ -70,6 +72,8 @@
                 return self._job_found(message)
             case JobCancelled(job):
                 return self._cancelled(job)
+            case VacateAsked(hosts):
+                self.board.to_vacate = hosts
             case HostsListed():
                 return self._hosts_listed(message)
             case HostReport():
@@ -98,9 +102,13 @@
         board.now_ms, board.wall_ms = now_ms, wall_ms
         if board.is_storing:
             return []
-        stops = [stop for job in board.changed() for stop in self._stop_needless(job)]
+        stops: list[Effect] = []
+        for job in board.changed():
+            stops += self._stop_needless(job)
+        stops += vacate_hosts(board)
         plan_starts(board)
-        if board.dirty or self._is_pending_due():
+        vacant, board.vacant = board.vacant, vacant_hosts(board)
+        if board.dirty or board.vacant != vacant or self._is_pending_due():
             batch = board.next_batch()
             self._published, self._published_ms = batch.pending, now_ms
             return [*stops, batch]
--- /dev/null
+++ b/src/amaranthtray/domain/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of machines between pools and maintenance of machines in waves."""
--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -4,7 +4,7 @@
 
 import random
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from returns.result import Success
 
@@ -39,6 +39,10 @@
 JITTER_MS = 150
 
 
+Begin: TypeAlias = "Callable[[Term, Callable[[], Term | None]], Callable[[], None]]"
+"""Begins what a duty is for, with its term and a check of it; returns its end."""
+
+
 class DutyView:
     """Which duties have a holder, as the store's watch tells."""
 
@@ -121,7 +125,7 @@
         context: Context,
         view: DutyView,
         load: Callable[[], int],
-        begin: Callable[[Term, Callable[[], Term | None]], Callable[[], None]],
+        begin: Begin,
     ) -> None:
         self._name = name
         self._context = context
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -7,14 +7,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from ..domain.duties.names import conductor_of
+from ..domain.duties.names import FLEET_DUTY, DutyName, conductor_of
 from ..domain.ids import EntryId, Incarnation
 from .acceptance import Acceptance
 from .conducting import PoolConductor
 from .config_follower import ConfigFollower
 from .context import Context
-from .duty_task import DutyTask, DutyView
+from .duty_task import Begin, DutyTask, DutyView
 from .event_log import EventLog
+from .fleet_duty import FleetDuty
 from .host_board import HostBoard
 from .service import JobService
 
@@ -63,7 +64,7 @@
         self.service = JobService(self._context, self._config, self._acceptance)
         self._view = DutyView(self._context)
         self._incarnation = Incarnation(secrets.token_hex(8))
-        self._duties: dict[PoolName, DutyTask] = {}
+        self._duties: dict[DutyName, DutyTask] = {}
         self._conductors: dict[PoolName, PoolConductor] = {}
         self._lock = threading.Lock()
         self._leaving = threading.Event()
@@ -111,10 +112,22 @@
                 conductor.take_catalog(catalog)
             if self._leaving.is_set():
                 return
+            if FLEET_DUTY not in self._duties:
+                self._duties[FLEET_DUTY] = self._fleet_candidate()
+                self._duties[FLEET_DUTY].start()
             for pool in catalog.pools.values():
-                if pool.name not in self._duties and not pool.is_standby:
-                    self._duties[pool.name] = self._candidate(pool.name)
-                    self._duties[pool.name].start()
+                duty = conductor_of(pool.name)
+                if duty not in self._duties and not pool.is_standby:
+                    self._duties[duty] = self._candidate(pool.name)
+                    self._duties[duty].start()
+
+    def _fleet_candidate(self) -> DutyTask:
+        def begin(term: Term, held: Callable[[], Term | None]) -> Callable[[], None]:
+            duty = FleetDuty(term, held, self._context)
+            duty.start()
+            return duty.stop
+
+        return self._duty(FLEET_DUTY, begin)
 
     def _candidate(self, pool: PoolName) -> DutyTask:
         def begin(term: Term, held: Callable[[], Term | None]) -> Callable[[], None]:
@@ -124,8 +137,11 @@
             conductor.start()
             return conductor.stop
 
+        return self._duty(conductor_of(pool), begin)
+
+    def _duty(self, name: DutyName, begin: Begin) -> DutyTask:
         return DutyTask(
-            conductor_of(pool),
+            name,
             EntryId(self._context.settings.entry.name),
             self._incarnation,
             context=self._context,
--- /dev/null
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -0,0 +1,241 @@
+"""The task that maintains machines in waves, at one entry at a time."""
+
+from __future__ import annotations
+
+import threading
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Success
+
+from ..domain.ids import HostId, PoolName, WaveName
+from ..domain.upkeep.model import MachineName, OrderOutcome, Wave
+from ..domain.upkeep.waves import Fleet, plan_wave, take_order, take_reply, wave_of
+from ..store.contract import Put, Transaction
+from . import keys
+from .clock import steady_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.ids import Term
+    from ..domain.upkeep.model import Machine, MachineOrder
+    from .context import Context
+    from .ports import MachineOrders
+
+ROUND_MS = 300
+"""Time between looks while a wave is under way."""
+
+IDLE_WATCH_MS = 2_000
+"""Wait for a new wave while none is under way."""
+
+HANDOVER_SLACK_MS = 500
+"""Added to the platform's shortest time between orders of two holders."""
+
+
+class _Progress(msgspec.Struct):
+    """What was done of a wave; kept in the store for the next holder."""
+
+    done: list[str] = []
+    down: dict[str, str] = {}
+    is_over: bool = False
+
+
+class FleetDuty:
+    """Carries out waves under one term.
+
+    Args:
+        term: The term.
+        held: Returns the term that is surely held at this moment.
+        context: What all tasks of the entry share.
+    """
+
+    def __init__(
+        self, term: Term, held: Callable[[], Term | None], context: Context
+    ) -> None:
+        self._term = term
+        self._held = held
+        self._context = context
+        self._stopping = threading.Event()
+        self._waves: dict[str, Wave] = {}
+        self._saved: dict[str, bytes] = {}
+        self._vacate: dict[PoolName, frozenset[HostId]] = {}
+        self._version = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begins to work."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends after the order under way."""
+        self._stopping.set()
+
+    def _goes_on(self) -> bool:
+        return not self._stopping.is_set() and self._held() == self._term
+
+    def _run(self) -> None:
+        orders = self._context.platform.machine_orders(self._term)
+        machines = self._context.settings.machines
+        if orders is None or machines is None:
+            return
+        # An order of the last holder may just have been given.
+        wait_ms = machines.holder_change_ms + HANDOVER_SLACK_MS
+        self._stopping.wait(wait_ms / 1_000)
+        while self._goes_on() and not self._list():
+            self._stopping.wait(ROUND_MS / 1_000)
+        while self._goes_on():
+            if all(wave.is_over for wave in self._waves.values()):
+                self._await_wave()
+                continue
+            self._round(orders)
+            self._stopping.wait(ROUND_MS / 1_000)
+        orders.close()
+
+    def _list(self) -> bool:
+        """Reads all waves, and what earlier holders did of them."""
+        store = self._context.store
+        waves = store.list(self._context.platform.waves_prefix)
+        progress = store.list(keys.PROGRESS_PREFIX)
+        if not isinstance(waves, Success) or not isinstance(progress, Success):
+            return False
+        found = {item.key: item.value for item in progress.unwrap().items}
+        for item in waves.unwrap().items:
+            self._add(item.value, found)
+        self._version = waves.unwrap().at_version
+        return True
+
+    def _add(self, value: bytes, progress: dict[str, bytes]) -> None:
+        try:
+            asked = self._context.platform.decode_wave(value)
+        except msgspec.MsgspecError as exc:
+            self._context.log.event("wave-unreadable", why=str(exc))
+            return
+        name = str(asked.number)
+        if name in self._waves:
+            return
+        wave = wave_of(asked, steady_ms())
+        known = progress.get(keys.progress_key(WaveName(name)))
+        if known is not None:
+            saved = msgspec.json.decode(known, type=_Progress)
+            wave.done = {MachineName(each) for each in saved.done}
+            wave.down = {
+                MachineName(each): HostId(host) for each, host in saved.down.items()
+            }
+            wave.is_announced, wave.is_over = True, saved.is_over
+            self._saved[name] = known
+        self._waves[name] = wave
+        self._context.log.event(
+            "wave", number=asked.number, machines=len(asked.machines), cap=asked.cap
+        )
+
+    def _await_wave(self) -> None:
+        watched = self._context.store.watch(
+            self._context.platform.waves_prefix,
+            after_version=self._version,
+            timeout_ms=IDLE_WATCH_MS,
+        )
+        if not isinstance(watched, Success):
+            self._stopping.wait(ROUND_MS / 1_000)
+            self._list()
+            return
+        for event in watched.unwrap().events:
+            if event.value is not None:
+                self._add(event.value, {})
+        self._version = max(self._version, watched.unwrap().at_version)
+
+    def _round(self, orders: MachineOrders) -> None:
+        vacant = self._context.store.list(keys.VACANT_PREFIX)
+        machines = orders.machines()
+        if not isinstance(vacant, Success) or machines is None:
+            return
+        hosts = {
+            HostId(host)
+            for item in vacant.unwrap().items
+            for host in msgspec.json.decode(item.value, type=list[str])
+        }
+        fleet = Fleet({each.name: each for each in machines}, hosts)
+        vacate: dict[PoolName, set[HostId]] = defaultdict(set)
+        for name, wave in self._waves.items():
+            if wave.is_over:
+                continue
+            plan = plan_wave(wave, fleet, steady_ms())
+            for pool, host in plan.vacate:
+                vacate[pool].add(host)
+            for pool, host in self._down(wave, fleet):
+                vacate[pool].add(host)
+            if self._save(name, wave):
+                for order in plan.orders:
+                    self._maintain(
+                        name, wave, fleet.machines[order.machine], order, orders
+                    )
+        self._ask_to_vacate(vacate)
+
+    def _down(self, wave: Wave, fleet: Fleet) -> list[tuple[PoolName, HostId]]:
+        """Returns the lives that are to stay empty until they have ended."""
+        return [
+            (fleet.machines[name].pool, host)
+            for name, host in wave.down.items()
+            if name in fleet.machines and host
+        ]
+
+    def _maintain(
+        self,
+        name: str,
+        wave: Wave,
+        machine: Machine,
+        order: MachineOrder,
+        orders: MachineOrders,
+    ) -> None:
+        take_order(wave, machine, steady_ms())
+        if not self._save(name, wave) or not self._goes_on():
+            return
+        outcome = orders.order(order)
+        self._context.log.event(
+            "maintain",
+            machine=machine.name,
+            wave=name,
+            outcome=outcome,
+            term=self._term,
+        )
+        if outcome is OrderOutcome.UNKNOWN:
+            outcome = orders.order(order) if self._goes_on() else outcome
+        take_reply(wave, machine.name, outcome)
+
+    def _save(self, name: str, wave: Wave) -> bool:
+        """Stores the progress and tells the operator; returns whether that is done."""
+        is_over = not wave.left and not wave.down
+        progress = _Progress(
+            done=sorted(wave.done),
+            down=dict(sorted(wave.down.items())),
+            is_over=is_over,
+        )
+        value = msgspec.json.encode(progress)
+        if value == self._saved.get(name):
+            return True
+        puts = [Put(keys.progress_key(WaveName(name)), value)]
+        if is_over or not wave.is_announced:
+            status = self._context.platform.encode_wave_status(
+                wave.asked.number, is_over=is_over
+            )
+            puts.append(Put(*status))
+        written = self._context.store.commit(Transaction(puts=tuple(puts)))
+        if not isinstance(written, Success):
+            why = repr(written.failure())
+            self._context.log.event("wave-not-stored", wave=name, why=why)
+            return False
+        self._saved[name] = value
+        wave.is_announced, wave.is_over = True, is_over
+        return True
+
+    def _ask_to_vacate(self, wanted: dict[PoolName, set[HostId]]) -> None:
+        for pool in {*wanted, *self._vacate}:
+            hosts = frozenset(wanted.get(pool, ()))
+            if hosts == self._vacate.get(pool):
+                continue
+            put = Put(keys.vacate_key(pool), msgspec.json.encode(sorted(hosts)))
+            written = self._context.store.commit(Transaction(puts=(put,)))
+            self._context.log.event("vacate", pool=pool, hosts=sorted(hosts))
+            if isinstance(written, Success):
+                self._vacate[pool] = hosts
--- a/src/amaranthtray/jobs/job_feed.py
+++ b/src/amaranthtray/jobs/job_feed.py
@@ -9,8 +9,14 @@
 import msgspec
 from returns.result import Success
 
+from ..domain.ids import HostId
 from ..domain.jobs.record import decode_spec
-from ..domain.scheduling.messages import JobCancelled, JobFound, Message
+from ..domain.scheduling.messages import (
+    JobCancelled,
+    JobFound,
+    Message,
+    VacateAsked,
+)
 from ..store.contract import Compacted
 from . import keys
 
@@ -18,6 +24,7 @@
     from collections.abc import Callable
 
     from ..domain.ids import PoolName
+    from ..store.contract import WatchEvent
     from .context import Context
 
 WATCH_MS = 15_000
@@ -43,7 +50,10 @@
         post: Callable[[Message], None],
         goes_on: Callable[[], bool],
     ) -> None:
-        self._prefix = keys.jobs_prefix(pool)
+        self._pool = pool
+        self._prefix = keys.inbox(pool)
+        self._vacate_key = keys.vacate_key(pool)
+        self._records: dict[str, bytes] = {}
         self._context = context
         self._post = post
         self._goes_on = goes_on
@@ -54,7 +64,8 @@
     def load(self) -> bool:
         """Posts all jobs; returns whether the conductor still works."""
         while self._goes_on():
-            if self._list():
+            if self._read_records() and self._list():
+                self._records = {}
                 return True
             self._pause.wait(RETRY_PAUSE_MS / 1_000)
         return False
@@ -63,6 +74,17 @@
         """Begins to follow."""
         self._thread.start()
 
+    def _read_records(self) -> bool:
+        prefix = keys.records_prefix(self._pool)
+        listed = self._context.store.list(prefix)
+        if not isinstance(listed, Success):
+            self._context.log.event("records-not-read", why=repr(listed.failure()))
+            return False
+        self._records = {
+            item.key.removeprefix(prefix): item.value for item in listed.unwrap().items
+        }
+        return True
+
     def _list(self) -> bool:
         listed = self._context.store.list(self._prefix)
         if not isinstance(listed, Success):
@@ -74,9 +96,11 @@
             split = keys.split_job_key(item.key)
             if split is not None:
                 parts[split[0]][split[1]] = item.value
-        for found in parts.values():
+            elif item.key == self._vacate_key:
+                self._vacate(item.value)
+        for job, found in parts.items():
             if keys.SPEC in found:
-                record, cancel = found.get(keys.RECORD), keys.CANCEL in found
+                record, cancel = self._records.get(job), keys.CANCEL in found
                 self._found(found[keys.SPEC], record, is_cancelled=cancel)
         self._version = listing.at_version
         return True
@@ -89,6 +113,10 @@
             return
         self._post(JobFound(decoded, record, is_cancelled))
 
+    def _vacate(self, value: bytes) -> None:
+        hosts = msgspec.json.decode(value, type=list[str])
+        self._post(VacateAsked(frozenset(HostId(host) for host in hosts)))
+
     def _follow(self) -> None:
         while self._goes_on():
             batch = self._context.store.watch(
@@ -103,13 +131,13 @@
             else:
                 self._pause.wait(RETRY_PAUSE_MS / 1_000)
 
-    def _take(self, events: tuple[object, ...]) -> None:
-        from ..store.contract import WatchEvent
-
+    def _take(self, events: tuple[WatchEvent, ...]) -> None:
         for event in events:
-            if not isinstance(event, WatchEvent) or event.value is None:
+            if event.value is None:
                 continue
             split = keys.split_job_key(event.key)
+            if event.key == self._vacate_key:
+                self._vacate(event.value)
             if split is None:
                 continue
             if split[1] == keys.SPEC:
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -1,38 +1,75 @@
-"""Keys of the store that hold jobs and what is known of pools."""
+"""Keys of the store that hold jobs and what is known of pools.
+
+What a conductor watches lies under its pool's inbox; what it writes lies elsewhere,
+so that its own writes do not wake it.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from ..domain.ids import PoolName
 from ..domain.jobs.model import JobId
 
 if TYPE_CHECKING:
-    from ..domain.ids import PoolName
+    from ..domain.ids import WaveName
 
-SPEC, RECORD, CANCEL = "spec", "state", "cancel"
+SPEC, CANCEL = "spec", "cancel"
+VACANT_PREFIX = "vacant/"
+PROGRESS_PREFIX = "maintenance/"
 
 
-def jobs_prefix(pool: PoolName) -> str:
-    """Returns the prefix of all jobs of a pool."""
-    return f"jobs/{pool}/"
+def inbox(pool: PoolName) -> str:
+    """Returns the prefix of what a pool's conductor is asked for."""
+    return f"inbox/{pool}/"
 
 
 def job_prefix(pool: PoolName, job: JobId) -> str:
-    """Returns the prefix of one job."""
-    return f"jobs/{pool}/{job}/"
+    """Returns the prefix of what callers have said of a job."""
+    return f"inbox/{pool}/jobs/{job}/"
 
 
 def job_key(pool: PoolName, job: JobId, part: str) -> str:
-    """Returns the key of a part of a job."""
-    return f"jobs/{pool}/{job}/{part}"
+    """Returns the key of a part of what callers have said of a job."""
+    return f"inbox/{pool}/jobs/{job}/{part}"
 
 
 def split_job_key(key: str) -> tuple[JobId, str] | None:
     """Returns job and part of a key, if it is one of a job."""
     parts = key.split("/")
-    return (JobId(parts[2]), parts[3]) if len(parts) == 4 else None
+    return (JobId(parts[3]), parts[4]) if len(parts) == 5 else None
+
+
+def vacate_key(pool: PoolName) -> str:
+    """Returns the key of the hosts that a pool's conductor is to empty."""
+    return f"inbox/{pool}/vacate"
+
+
+def records_prefix(pool: PoolName) -> str:
+    """Returns the prefix of the progress records of a pool's jobs."""
+    return f"records/{pool}/"
+
+
+def record_key(pool: PoolName, job: JobId) -> str:
+    """Returns the key of a job's progress record."""
+    return f"records/{pool}/{job}"
 
 
 def ledger_key(pool: PoolName) -> str:
     """Returns the key that each write of a pool's conductor goes through."""
-    return f"pools/{pool}/ledger"
+    return f"ledgers/{pool}"
+
+
+def vacant_key(pool: PoolName) -> str:
+    """Returns the key of the hosts that a pool's conductor has emptied."""
+    return f"{VACANT_PREFIX}{pool}"
+
+
+def pool_of_vacant(key: str) -> PoolName:
+    """Returns the pool whose emptied hosts a key holds."""
+    return PoolName(key.removeprefix(VACANT_PREFIX))
+
+
+def progress_key(wave: WaveName) -> str:
+    """Returns the key of what was done of a wave."""
+    return f"{PROGRESS_PREFIX}{wave}"
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -12,6 +12,7 @@
     from ..domain.jobs.catalog import Catalog
     from ..domain.jobs.model import TaskName
     from ..domain.scheduling.messages import HostInfo, StartOutcome, StartRun
+    from ..domain.upkeep.model import Machine, MachineOrder, OrderOutcome, WaveAsked
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,11 +70,25 @@
         """Closes idle connections."""
 
 
+class MachineOrders(Protocol):
+    """The service that moves and maintains machines."""
+
+    def machines(self) -> list[Machine] | None:
+        """Returns all machines, or none if the list can't be read now."""
+
+    def order(self, order: MachineOrder) -> OrderOutcome:
+        """Gives one order."""
+
+    def close(self) -> None:
+        """Closes idle connections."""
+
+
 class Platform(Protocol):
     """Translates what the platform keeps in the store."""
 
     configuration_key: str
     hosts_prefix: str
+    waves_prefix: str
 
     def decode_configuration(self, data: bytes, store_version: int) -> Catalog:
         """Returns a stored configuration.
@@ -85,5 +100,18 @@
     def decode_host(self, key: str, data: bytes) -> tuple[PoolName, HostInfo] | None:
         """Returns a host and its pool, or none for what names no host."""
 
+    def decode_wave(self, data: bytes) -> WaveAsked:
+        """Returns a wave as the operator wrote it.
+
+        Raises:
+            msgspec.MsgspecError: ``data`` is not one.
+        """
+
+    def encode_wave_status(self, number: int, *, is_over: bool) -> tuple[str, bytes]:
+        """Returns key and value that tell the operator how far a wave is."""
+
+    def machine_orders(self, term: Term) -> MachineOrders | None:
+        """Returns a client of the service for machines, if there is one."""
+
     def orders_to(self, info: HostInfo, term: Term) -> HostOrders:
         """Returns a client of a host."""
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -20,7 +20,7 @@
     from .event_log import EventLog
 
 RECORDS_PER_WRITE = 29
-"""A transaction takes 32 keys; the ledger's takes two, and one is spare."""
+"""A transaction takes 32 keys; the ledger takes two, the emptied hosts one."""
 
 
 class RecordWriter:
@@ -53,6 +53,7 @@
         self._version: int | None = None
         self._batch = 0
         self._tried = 0
+        self._vacant: frozenset[str] | None = None
 
     def write(self, batch: StoreJobs) -> bool:
         """Writes a batch; returns whether all of it is surely stored."""
@@ -83,10 +84,14 @@
 
     def _write_chunk(self, rows: list[tuple[JobId, bytes]], batch: StoreJobs) -> bool:
         puts = tuple(
-            Put(keys.job_key(self._pool, job, keys.RECORD), record)
-            for job, record in rows
+            Put(keys.record_key(self._pool, job), record) for job, record in rows
         )
-        return self._commit(puts, batch.pending)
+        if batch.vacant != self._vacant:
+            value = msgspec.json.encode(sorted(batch.vacant))
+            puts = (*puts, Put(keys.vacant_key(self._pool), value))
+        is_stored = self._commit(puts, batch.pending)
+        self._vacant = batch.vacant if is_stored else None
+        return is_stored
 
     def _commit(self, puts: tuple[Put, ...], pending: dict[str, int]) -> bool:
         if self._version is None:
--- a/src/amaranthtray/jobs/service.py
+++ b/src/amaranthtray/jobs/service.py
@@ -195,12 +195,20 @@
         admitted = self.admit(call)
         if not isinstance(admitted, Admitted):
             return admitted
+        pool, job = admitted.queue.pool, JobId(admitted.rest)
+        read = self._context.store.get(keys.record_key(pool, job))
+        if not isinstance(read, Success):
+            return NotTaken("the store is away")
+        record = read.unwrap()
+        if record is not None:
+            return StateIs(_state_of(record.value))
         parts = self._read(admitted)
         if isinstance(parts, NotTaken):
             return parts
         if keys.SPEC not in parts:
             return NoSuchJob()
-        return StateIs(_state(parts))
+        is_cancelled = keys.CANCEL in parts
+        return StateIs(JobState.CANCELLED if is_cancelled else JobState.QUEUED)
 
     def cancel(self, call: Call) -> Reply:
         """Cancels a job; a job that is over stays as it is."""
@@ -212,9 +220,9 @@
             return parts
         if keys.SPEC not in parts:
             return NoSuchJob()
-        if keys.CANCEL in parts or _state(parts).is_final:
-            return StateIs(_state(parts))
         job = JobId(admitted.rest)
+        if keys.CANCEL in parts:
+            return StateIs(JobState.CANCELLED)
         key = keys.job_key(admitted.queue.pool, job, keys.CANCEL)
         put = Put(key, str(wall_ms()).encode())
         written = self._context.store.commit(
@@ -283,13 +291,9 @@
         return reply
 
 
-def _state(parts: dict[str, bytes]) -> JobState:
-    state = JobState.QUEUED
-    if keys.RECORD in parts:
-        try:
-            state = decode_state(parts[keys.RECORD])
-        except msgspec.MsgspecError:
-            state = JobState.RUNNING
-    if keys.CANCEL in parts and not state.is_final:
-        return JobState.CANCELLED
-    return state
+def _state_of(record: bytes) -> JobState:
+    try:
+        return decode_state(record)
+    except msgspec.MsgspecError:
+        # The job exists; its conductor is the one to mend or replace the record.
+        return JobState.RUNNING
--- a/src/amaranthtray/platform/documents.py
+++ b/src/amaranthtray/platform/documents.py
@@ -8,9 +8,12 @@
 from ..domain.jobs.catalog import Catalog, JobPool, JobQueue, JobTeam, digest_of
 from ..domain.jobs.model import Resources
 from ..domain.scheduling.messages import HostInfo
+from ..domain.upkeep.model import MachineName, WaveAsked
 
 CONFIGURATION_KEY = "op/config"
 HOSTS_PREFIX = "servers/"
+WAVES_PREFIX = "op/wave/"
+WAVE_STATUS_PREFIX = "status/wave/"
 STATES = ("ready", "draining")
 
 
@@ -156,6 +159,36 @@
     return PoolName(beat.service), info
 
 
+class _Wave(msgspec.Struct, rename="camel"):
+    wave: int
+    machines: list[str]
+    # Seconds in which all machines are to have had their maintenance.
+    duration_s: float = 0.0
+    cap: int = 1
+
+
+def decode_wave(data: bytes) -> WaveAsked:
+    """Returns a wave as the operator wrote it.
+
+    Raises:
+        msgspec.MsgspecError: ``data`` is not one.
+    """
+    found = msgspec.json.decode(data, type=_Wave)
+    return WaveAsked(
+        number=found.wave,
+        machines=tuple(MachineName(name) for name in found.machines),
+        duration_ms=int(found.duration_s * 1_000),
+        cap=max(found.cap, 1),
+    )
+
+
+def encode_wave_status(number: int, *, is_over: bool) -> tuple[str, bytes]:
+    """Returns key and value that tell the operator how far a wave is."""
+    state = "completed" if is_over else "running"
+    value = msgspec.json.encode({"wave": number, "state": state})
+    return f"{WAVE_STATUS_PREFIX}{number}", value
+
+
 def _rack(labels: list[str]) -> RackId:
     """Returns the rack: the labels are the host's kind and its rack."""
     return RackId(labels[-1]) if len(labels) > 1 else RackId("")
--- /dev/null
+++ b/src/amaranthtray/platform/machine_client.py
@@ -0,0 +1,110 @@
+"""The service that lists, moves and maintains machines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import msgspec
+
+from ..domain.ids import HostId, PoolName
+from ..domain.upkeep.model import (
+    Machine,
+    MachineName,
+    MachineOrder,
+    MachineState,
+    MaintainMachine,
+    OrderOutcome,
+)
+from ._http import Answer, HttpPeer
+
+if TYPE_CHECKING:
+    from ..domain.ids import Term
+
+CALL_TIMEOUT_MS = 1_000
+CONNECTIONS = 2
+
+_STATES = {
+    "up": MachineState.UP,
+    "moving": MachineState.MOVING,
+    "upkeep": MachineState.MAINTAINED,
+    "down": MachineState.DOWN,
+}
+
+
+class _Machine(msgspec.Struct):
+    machine: str
+    pool: str
+    state: str
+    # The host that is the machine's present life.
+    id: str | None = None
+    labels: list[str] = []
+
+    def decoded(self) -> Machine:
+        return Machine(
+            name=MachineName(self.machine),
+            pool=PoolName(self.pool),
+            state=_STATES.get(self.state, MachineState.DOWN),
+            host=HostId(self.id or ""),
+            kind=self.labels[0] if self.labels else "",
+        )
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    machines: list[_Machine]
+    next_page_token: str | None = None
+
+
+class MachineClient:
+    """Calls the service under one term of the fleet's duty.
+
+    Args:
+        address: IP address and port.
+        holder: Entry that has the duty.
+        term: Its term.
+    """
+
+    def __init__(self, address: str, holder: str, term: Term) -> None:
+        self._peer = HttpPeer(address, connections=CONNECTIONS)
+        self._headers = {"Lease-Holder": holder, "Fencing-Token": str(term)}
+
+    def machines(self) -> list[Machine] | None:
+        """Returns all machines, or none if the list can't be read now."""
+        found: list[Machine] = []
+        token: str | None = ""
+        while token is not None:
+            path = "/v1/machines" + (f"?pageToken={quote(token)}" if token else "")
+            answer = self._peer.call("GET", path, timeout_ms=CALL_TIMEOUT_MS)
+            if not isinstance(answer, Answer) or not answer.is_done:
+                return None
+            page = msgspec.json.decode(answer.body, type=_Page)
+            found.extend(each.decoded() for each in page.machines)
+            token = page.next_page_token
+        return found
+
+    def order(self, order: MachineOrder) -> OrderOutcome:
+        """Gives one order."""
+        if isinstance(order, MaintainMachine):
+            path = "/v1/machine-upkeep"
+            payload: dict[str, object] = {"wave": order.wave}
+        else:
+            path, payload = "/v1/machine-move", {"pool": order.pool}
+        answer = self._peer.call(
+            "POST",
+            path,
+            timeout_ms=CALL_TIMEOUT_MS,
+            payload={"machine": order.machine, **payload},
+            headers=self._headers,
+        )
+        match answer:
+            case Answer(status=status) if 200 <= status < 300:
+                return OrderOutcome.DONE
+            case Answer(status=400):
+                return OrderOutcome.HOPELESS
+            case Answer():
+                return OrderOutcome.REFUSED
+        return OrderOutcome.UNKNOWN if answer.was_sent else OrderOutcome.REFUSED
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._peer.close()
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -16,12 +16,14 @@
 from . import documents
 from .host_client import HostClient
 from .ingress import Ingress, MetricsPage, ReadinessPage
+from .machine_client import MachineClient
 from .store_client import PlatformStore
 
 if TYPE_CHECKING:
     from ..domain.ids import HostId, PoolName, Term
     from ..domain.jobs.catalog import Catalog
     from ..domain.scheduling.messages import HostInfo
+    from ..domain.upkeep.model import WaveAsked
     from ..settings.job_entry import JobEntrySettings
 
 SETTINGS_VARIABLE = "AMARANTHTRAY_NODE_FILE"
@@ -33,10 +35,18 @@
 
 
 class PlatformAdapter:
-    """Translates what the platform keeps in its store."""
+    """Translates what the platform keeps in its store.
+
+    Args:
+        settings: Settings of the entry.
+    """
 
     configuration_key = documents.CONFIGURATION_KEY
     hosts_prefix = documents.HOSTS_PREFIX
+    waves_prefix = documents.WAVES_PREFIX
+
+    def __init__(self, settings: JobEntrySettings) -> None:
+        self._settings = settings
 
     def decode_configuration(self, data: bytes, store_version: int) -> Catalog:
         """Returns a stored configuration."""
@@ -46,6 +56,21 @@
         """Returns a host and its pool, or none for what names no host."""
         return documents.decode_host(key, data)
 
+    def decode_wave(self, data: bytes) -> WaveAsked:
+        """Returns a wave as the operator wrote it."""
+        return documents.decode_wave(data)
+
+    def encode_wave_status(self, number: int, *, is_over: bool) -> tuple[str, bytes]:
+        """Returns key and value that tell the operator how far a wave is."""
+        return documents.encode_wave_status(number, is_over=is_over)
+
+    def machine_orders(self, term: Term) -> MachineClient | None:
+        """Returns a client of the service for machines, if there is one."""
+        machines = self._settings.machines
+        if machines is None:
+            return None
+        return MachineClient(machines.address, self._settings.entry.name, term)
+
     def orders_to(self, info: HostInfo, term: Term) -> HostClient:
         """Returns a client of a host."""
         host: HostId = info.id
@@ -63,7 +88,9 @@
         sys.stderr.write(f"{loaded.failure()}\n")
         sys.exit(EXIT_FAULTY_INPUT)
     settings = loaded.unwrap()
-    entry = JobEntry(settings, PlatformStore(settings.store.address), PlatformAdapter())
+    entry = JobEntry(
+        settings, PlatformStore(settings.store.address), PlatformAdapter(settings)
+    )
     servers = _servers(settings, entry)
     entry.start()
     for server in servers:
