--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -10,6 +10,7 @@
 from ..jobs.job import Job
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
+from .caps import CapBook
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
 
@@ -30,6 +31,7 @@
         queues: All queues that the conductor has known.
         to_vacate: Hosts that are to be emptied.
         vacant: Those of them that are empty, as last stored.
+        caps: What is known of the teams' caps.
         dirty: Jobs whose record is behind.
         gated: Effects that may happen once the dirty records are stored.
         in_flight: Effects that wait for the batch that is being stored.
@@ -47,6 +49,7 @@
     queues: dict[QueueName, JobQueue] = field(default_factory=dict)
     to_vacate: frozenset[HostId] = frozenset()
     vacant: frozenset[str] = frozenset()
+    caps: CapBook = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     gated: list[Effect] = field(default_factory=list)
     in_flight: list[Effect] = field(default_factory=list)
@@ -56,8 +59,12 @@
     now_ms: int = 0
     wall_ms: int = 0
 
+    def __post_init__(self) -> None:
+        self.caps = CapBook(self.pool)
+
     def take_catalog(self, catalog: Catalog) -> None:
         """Takes a version of the configuration; removed queues are remembered."""
+        self.caps.take_catalog(self.catalog, catalog)
         self.catalog = catalog
         self.queues.update({queue.name: queue for queue in catalog.queues})
 
@@ -80,6 +87,7 @@
             self.active[job.spec.id] = job
         for name, step, task in job.touched():
             for run in task.runs:
+                self.caps.add(job.spec.team, step.need)
                 host = self.hosts.get(run.host)
                 if host is not None:
                     host.add(name, step, run)
@@ -99,6 +107,7 @@
         run = job.place(name, number, host.info.id, host.born or 0)
         run.started_ms = self.now_ms
         host.add(name, step, run)
+        self.caps.add(job.spec.team, step.need)
         self.touch(job)
         return run
 
@@ -171,3 +180,4 @@
         host = self.hosts.get(run.host)
         if host is not None:
             host.remove(name, run.number)
+        self.caps.remove(self.jobs[name.job].spec.team, self.step_of(name).need)
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -33,6 +33,13 @@
         for key, step, waiting in _waiting_steps(board, job):
             if not step.reserved.fits(room):
                 continue
+            count = board.caps.count_that_fits(
+                board.catalog, job.spec.team, step.need, len(waiting)
+            )
+            if count < len(waiting):
+                waiting = [] if step.is_gang else waiting[:count]
+            if not waiting:
+                continue
             place = place_gang if step.is_gang else place_each
             choices = place(step, key, waiting, hosts)
             _start(board, job, key, choices)
--- a/src/amaranthtray/domain/scheduling/lease.py
+++ b/src/amaranthtray/domain/scheduling/lease.py
@@ -39,8 +39,11 @@
     def answered(self, clock_ms: int, born: int, received_ms: int) -> None:
         """Takes the host's clock from an answer."""
         if self._clock_ms is None or born != self._born:
-            # Orders of an earlier term, or to an earlier life, may still arrive.
-            self._until_ms = clock_ms + self._max_lease_ms
+            # Earlier terms may have granted as much as this one does; an order to
+            # an earlier life names a time that is far ahead on the new clock.
+            is_reborn = self._clock_ms is not None
+            lease_ms = self._max_lease_ms if is_reborn else self._lease_ms
+            self._until_ms = clock_ms + lease_ms
             self._born = born
             self._clock_ms, self._read_ms = clock_ms, received_ms
             return
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -10,6 +10,7 @@
 from ..jobs.catalog import Catalog
 from ..jobs.model import NO_RACK, NO_RESOURCES, JobId, JobSpec, Resources, TaskName
 from ..jobs.task import HowEnded
+from .caps import ClaimPortion, PortionsRead
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -194,6 +195,7 @@
     JobFound
     | JobCancelled
     | VacateAsked
+    | PortionsRead
     | HostsListed
     | HostReport
     | HostSilent
@@ -286,6 +288,7 @@
 
 Effect: TypeAlias = (
     StoreJobs
+    | ClaimPortion
     | StartRun
     | StopRun
     | PaceRun
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -10,6 +10,7 @@
 from ._planner import plan_starts
 from ._reports import take_report
 from ._vacating import vacant_hosts, vacate_hosts
+from .caps import PortionsRead
 from .host import Host
 from .messages import (
     CatalogChanged,
@@ -56,9 +57,12 @@
     Args:
         pool: The pool.
         catalog: Configuration in force.
+        unknown_until_ms: Steady time at which leases that earlier terms granted have
+            surely run out.
     """
 
-    def __init__(self, pool: PoolName, catalog: Catalog) -> None:
+    def __init__(self, pool: PoolName, catalog: Catalog, unknown_until_ms: int) -> None:
+        self._unknown_until_ms: int | None = unknown_until_ms
         self.board = Board(pool, catalog)
         self.board.take_catalog(catalog)
         self._published: dict[str, int] = {}
@@ -72,6 +76,8 @@
                 return self._job_found(message)
             case JobCancelled(job):
                 return self._cancelled(job)
+            case PortionsRead(team, row):
+                self.board.caps.rows[team] = row
             case VacateAsked(hosts):
                 self.board.to_vacate = hosts
             case HostsListed():
@@ -102,11 +108,13 @@
         board.now_ms, board.wall_ms = now_ms, wall_ms
         if board.is_storing:
             return []
+        self._drop_unlisted()
         stops: list[Effect] = []
         for job in board.changed():
             stops += self._stop_needless(job)
         stops += vacate_hosts(board)
         plan_starts(board)
+        stops += board.caps.claims(board.catalog, now_ms)
         vacant, board.vacant = board.vacant, vacant_hosts(board)
         if board.dirty or board.vacant != vacant or self._is_pending_due():
             batch = board.next_batch()
@@ -115,6 +123,17 @@
         released, board.gated = board.gated, []
         return [*stops, *self._release(released)]
 
+    def _drop_unlisted(self) -> None:
+        """Drops, once, the runs of earlier terms on hosts that left the list."""
+        board = self.board
+        if self._unknown_until_ms is None or board.now_ms < self._unknown_until_ms:
+            return
+        self._unknown_until_ms = None
+        for job in list(board.active.values()):
+            for name, run in list(job.runs()):
+                if run.host not in board.hosts:
+                    board.drop(name, run)
+
     def _is_pending_due(self) -> bool:
         if self.board.now_ms - self._published_ms < PENDING_EVERY_MS:
             return False
--- /dev/null
+++ b/src/amaranthtray/jobs/cap_keeper.py
@@ -0,0 +1,114 @@
+"""The task that changes a pool's portions of teams' caps in the store."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Success
+
+from ..domain.ids import PoolName, TeamName
+from ..domain.jobs.model import Resources
+from ..domain.scheduling.caps import ClaimPortion, PortionsRead, claim
+from ..store.contract import Conflict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.scheduling.messages import Message
+    from ..store.contract import Versioned
+    from .context import Context
+
+CAPS_PREFIX = "caps/"
+TRIES = 5
+"""Pools that change one team's row at once come in turn."""
+
+
+class CapKeeper:
+    """Changes rows by compare-and-swap.
+
+    Args:
+        pool: Pool whose portions it changes.
+        context: What all tasks of the entry share.
+        post: Takes messages to the conductor.
+        may_order: Whether the conductor's term is surely held.
+    """
+
+    def __init__(
+        self,
+        pool: PoolName,
+        context: Context,
+        post: Callable[[Message], None],
+        may_order: Callable[[], bool],
+    ) -> None:
+        self._pool = pool
+        self._context = context
+        self._post = post
+        self._may_order = may_order
+        self._queue: queue.SimpleQueue[ClaimPortion | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends after the claim under way."""
+        self._queue.put(None)
+
+    def claim(self, asked: ClaimPortion) -> None:
+        """Queues a claim."""
+        self._queue.put(asked)
+
+    def load(self) -> bool:
+        """Posts the rows of all teams; returns whether they could be read."""
+        listed = self._context.store.list(CAPS_PREFIX)
+        if not isinstance(listed, Success):
+            return False
+        for item in listed.unwrap().items:
+            self._publish(TeamName(item.key.removeprefix(CAPS_PREFIX)), _row(item))
+        return True
+
+    def _run(self) -> None:
+        while True:
+            asked = self._queue.get()
+            if asked is None:
+                return
+            for _ in range(TRIES):
+                if not self._may_order() or self._claim(asked):
+                    break
+
+    def _claim(self, asked: ClaimPortion) -> bool:
+        """Tries once; returns whether it need not be tried again now."""
+        key = f"{CAPS_PREFIX}{asked.team}"
+        read = self._context.store.get(key)
+        if not isinstance(read, Success):
+            return True
+        found = read.unwrap()
+        old = _row(found) if found else {}
+        row = claim(old, self._pool, asked)
+        if row == old:
+            self._publish(asked.team, row)
+            return True
+        version = found.version if found else 0
+        value = msgspec.json.encode(row)
+        written = self._context.store.compare_and_swap(key, value, version=version)
+        if isinstance(written, Success):
+            self._publish(asked.team, row)
+            return True
+        self._context.log.event(
+            "portion-not-changed", team=asked.team, why=repr(written.failure())
+        )
+        # After a lost reply the row is read again: a claim that was carried out
+        # late finds the row changed, or is what is read.
+        return not isinstance(written.failure(), Conflict)
+
+    def _publish(self, team: TeamName, row: dict[PoolName, Resources]) -> None:
+        self._post(PortionsRead(team, row))
+
+
+def _row(item: Versioned) -> dict[PoolName, Resources]:
+    rows = msgspec.json.decode(item.value, type=dict[str, Resources])
+    return {PoolName(pool): portion for pool, portion in rows.items()}
--- a/src/amaranthtray/jobs/conducting.py
+++ b/src/amaranthtray/jobs/conducting.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..domain.scheduling.lease import HostLease
+from ..domain.scheduling.caps import ClaimPortion
+from ..domain.scheduling.lease import SLOWEST_RATE, HostLease
 from ..domain.scheduling.messages import (
     AcknowledgeEnds,
+    CatalogChanged,
     Effect,
     ForgetHost,
     Message,
@@ -24,6 +26,7 @@
 )
 from ..domain.scheduling.pool import PoolScheduler
 from . import clock
+from .cap_keeper import CapKeeper
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
@@ -110,12 +113,15 @@
         self.pool = pool
         self._term = TermWatch(term, held)
         self._context = context
-        self._began_ms = clock.steady_ms()
+        self._lease_ms = min(LEASE_MS, context.settings.hosts.max_lease_ms)
+        wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_RATE)
+        self._unknown_until_ms = clock.steady_ms() + wait_ms
         self._mailbox: queue.SimpleQueue[Message | _Stop] = queue.SimpleQueue()
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
+        self._caps = CapKeeper(pool, context, self.post, self._term.may_order)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._writer_thread = threading.Thread(target=self._write_loop, daemon=True)
 
@@ -135,8 +141,6 @@
 
     def take_catalog(self, catalog: Catalog) -> None:
         """Takes a version of the configuration."""
-        from ..domain.scheduling.messages import CatalogChanged
-
         self.post(CatalogChanged(catalog))
 
     def _run(self) -> None:
@@ -148,6 +152,8 @@
             log.event("conductor-fault", pool=self.pool, why=repr(exc))
             raise
         finally:
+            self._context.hosts.unsubscribe(self.pool, self.post)
+            self._caps.stop()
             for link in self._links.values():
                 link.close()
             log.event("conducting-ended", pool=self.pool, term=self._term.term)
@@ -157,6 +163,11 @@
             if self._writer.is_superseded or not self._goes_on():
                 return
             self._stopping.wait(STORE_RETRY_MS / 1_000)
+        while not self._caps.load():
+            if not self._goes_on():
+                return
+            self._stopping.wait(STORE_RETRY_MS / 1_000)
+        self._caps.start()
         feed = JobFeed(self.pool, self._context, self.post, self._goes_on)
         if not feed.load():
             return
@@ -165,7 +176,7 @@
         catalog = self._context.catalog()
         if catalog is None:
             return
-        scheduler = PoolScheduler(self.pool, catalog)
+        scheduler = PoolScheduler(self.pool, catalog, self._unknown_until_ms)
         self._context.hosts.subscribe(self.pool, self.post)
         while self._goes_on():
             self._round(scheduler)
@@ -197,6 +208,8 @@
             match effect:
                 case StoreJobs():
                     self._batches.put(effect)
+                case ClaimPortion():
+                    self._caps.claim(effect)
                 case StartRun() | StopRun() | PaceRun():
                     self._order(effect)
                 case AcknowledgeEnds(host, born, sequence):
@@ -223,12 +236,10 @@
 
     def _watch(self, host: HostId, effect: WatchHost) -> None:
         self._forget(host)
-        cfg = self._context.settings.hosts
-        wait_ms = RENEWAL_GRACE_MS + int(cfg.max_lease_ms / 0.98)
         lease = HostLease(
-            lease_ms=min(LEASE_MS, cfg.max_lease_ms),
-            max_lease_ms=cfg.max_lease_ms,
-            unknown_until_ms=self._began_ms + wait_ms,
+            lease_ms=self._lease_ms,
+            max_lease_ms=self._context.settings.hosts.max_lease_ms,
+            unknown_until_ms=self._unknown_until_ms,
         )
         link = HostLink(
             effect.info,
--- a/src/amaranthtray/jobs/config_follower.py
+++ b/src/amaranthtray/jobs/config_follower.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from ..store.contract import Compacted, Versioned
+from ..store.cursor import WatchCursor
 from .clock import steady_ms
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
         self._lock = threading.Lock()
         self._catalog: Catalog | None = None
         self._confirmed_ms: int | None = None
-        self._watched = 0
+        self._cursor: WatchCursor | None = None
         self._listeners: list[Callable[[Catalog], None]] = []
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -79,30 +80,35 @@
 
     def _run(self) -> None:
         while True:
-            if not (self._follow() if self._watched else self.refresh()):
-                threading.Event().wait(RETRY_PAUSE_MS / 1_000)
-            if not self._watched:
-                self._watched = self._catalog.store_version if self._catalog else 0
-            if not self._watched:
+            cursor = self._cursor
+            is_read = self._begin() if cursor is None else self._follow(cursor)
+            if not is_read:
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
-    def _follow(self) -> bool:
+    def _begin(self) -> bool:
+        """Reads the document, from whose version the watch goes on."""
+        if not self.refresh() or self._catalog is None:
+            return False
+        self._cursor = WatchCursor(self._catalog.store_version)
+        return True
+
+    def _follow(self, cursor: WatchCursor) -> bool:
         sent_ms = steady_ms()
         key = self._platform.configuration_key
         watched = self._store.watch(
-            key, after_version=self._watched, timeout_ms=WATCH_MS
+            key, after_version=cursor.version, timeout_ms=WATCH_MS
         )
         if not isinstance(watched, Success):
             if isinstance(watched.failure(), Compacted):
                 self._log.event("watch-compacted", prefix=key)
-                self._watched = 0
+                self._cursor = None
                 return True
             return False
         batch = watched.unwrap()
         for event in batch.events:
             if event.key == key and event.value is not None:
                 self._take(Versioned(key, event.value, event.version))
-        self._watched = max(self._watched, batch.at_version)
+        cursor.advance(batch, steady_ms())
         self._confirmed_ms = max(sent_ms, self._confirmed_ms or 0)
         return True
 
--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -10,6 +10,7 @@
 
 from ..domain.duties.holder import DutyHolder, DutySettings
 from ..store.contract import Compacted
+from ..store.cursor import WatchCursor
 from ..store.duties import PREFIX, DutyRunner
 from .clock import steady_ms
 
@@ -50,7 +51,7 @@
         self._context = context
         self._held: dict[str, int] = {}
         self._free_since_ms: dict[str, int] = {}
-        self._version: int | None = None
+        self._cursor: WatchCursor | None = None
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -59,14 +60,15 @@
 
     def free_for_ms(self, duty: DutyName) -> int | None:
         """Returns how long a duty has had no holder; none if it has one."""
-        if self._version is None or f"{PREFIX}{duty}/holder" in self._held:
+        if self._cursor is None or f"{PREFIX}{duty}/holder" in self._held:
             return None
         since_ms = self._free_since_ms.setdefault(duty, steady_ms())
         return steady_ms() - since_ms
 
     def _run(self) -> None:
         while True:
-            is_read = self._list() if self._version is None else self._follow()
+            cursor = self._cursor
+            is_read = self._list() if cursor is None else self._follow(cursor)
             if not is_read:
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
@@ -77,17 +79,16 @@
         listing = listed.unwrap()
         self._held = {item.key: item.version for item in listing.items}
         self._free_since_ms = {}
-        self._version = listing.at_version
+        self._cursor = WatchCursor(listing.at_version)
         return True
 
-    def _follow(self) -> bool:
-        version = self._version or 0
+    def _follow(self, cursor: WatchCursor) -> bool:
         watched = self._context.store.watch(
-            PREFIX, after_version=version, timeout_ms=WATCH_MS
+            PREFIX, after_version=cursor.version, timeout_ms=WATCH_MS
         )
         if not isinstance(watched, Success):
             if isinstance(watched.failure(), Compacted):
-                self._version = None
+                self._cursor = None
                 return True
             return False
         batch = watched.unwrap()
@@ -98,7 +99,7 @@
                 self._held[event.key] = event.version
             duty = event.key.removeprefix(PREFIX).removesuffix("/holder")
             self._free_since_ms.pop(duty, None)
-        self._version = max(version, batch.at_version)
+        cursor.advance(batch, steady_ms())
         return True
 
 
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -13,6 +13,7 @@
 from ..domain.upkeep.model import MachineName, OrderOutcome, Wave
 from ..domain.upkeep.waves import Fleet, plan_wave, take_order, take_reply, wave_of
 from ..store.contract import Put, Transaction
+from ..store.cursor import WatchCursor
 from . import keys
 from .clock import steady_ms
 
@@ -61,7 +62,7 @@
         self._waves: dict[str, Wave] = {}
         self._saved: dict[str, bytes] = {}
         self._vacate: dict[PoolName, frozenset[HostId]] = {}
-        self._version = 0
+        self._cursor = WatchCursor(0)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -103,7 +104,7 @@
         found = {item.key: item.value for item in progress.unwrap().items}
         for item in waves.unwrap().items:
             self._add(item.value, found)
-        self._version = waves.unwrap().at_version
+        self._cursor = WatchCursor(waves.unwrap().at_version)
         return True
 
     def _add(self, value: bytes, progress: dict[str, bytes]) -> None:
@@ -133,7 +134,7 @@
     def _await_wave(self) -> None:
         watched = self._context.store.watch(
             self._context.platform.waves_prefix,
-            after_version=self._version,
+            after_version=self._cursor.version,
             timeout_ms=IDLE_WATCH_MS,
         )
         if not isinstance(watched, Success):
@@ -143,7 +144,7 @@
         for event in watched.unwrap().events:
             if event.value is not None:
                 self._add(event.value, {})
-        self._version = max(self._version, watched.unwrap().at_version)
+        self._cursor.advance(watched.unwrap(), steady_ms())
 
     def _round(self, orders: MachineOrders) -> None:
         vacant = self._context.store.list(keys.VACANT_PREFIX)
--- a/src/amaranthtray/jobs/host_board.py
+++ b/src/amaranthtray/jobs/host_board.py
@@ -9,6 +9,8 @@
 
 from ..domain.scheduling.messages import HostsListed
 from ..store.contract import Compacted
+from ..store.cursor import WatchCursor
+from .clock import steady_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,7 +43,7 @@
         self._lock = threading.Lock()
         self._hosts: dict[str, tuple[PoolName, HostInfo]] = {}
         self._posts: dict[PoolName, Callable[[Message], None]] = {}
-        self._version: int | None = None
+        self._cursor: WatchCursor | None = None
         self._wanted = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -53,7 +55,7 @@
         """Posts the pool's hosts to a conductor, now and at each change."""
         with self._lock:
             self._posts[pool] = post
-            if self._version is not None:
+            if self._cursor is not None:
                 post(self._listed(pool))
         self._wanted.set()
 
@@ -64,7 +66,7 @@
                 del self._posts[pool]
             if not self._posts:
                 self._wanted.clear()
-                self._version = None
+                self._cursor = None
 
     def _listed(self, pool: PoolName) -> HostsListed:
         return HostsListed(
@@ -74,10 +76,8 @@
     def _run(self) -> None:
         while True:
             self._wanted.wait()
-            if self._version is None:
-                is_read = self._list()
-            else:
-                is_read = self._follow(self._version)
+            cursor = self._cursor
+            is_read = self._list() if cursor is None else self._follow(cursor)
             if not is_read:
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
@@ -91,13 +91,15 @@
             self._hosts = {}
             for item in listing.items:
                 self._set(item.key, item.value)
-            self._version = listing.at_version
+            self._cursor = WatchCursor(listing.at_version)
             self._publish(set(self._posts))
         return True
 
-    def _follow(self, version: int) -> bool:
+    def _follow(self, cursor: WatchCursor) -> bool:
         watched = self._store.watch(
-            self._platform.hosts_prefix, after_version=version, timeout_ms=WATCH_MS
+            self._platform.hosts_prefix,
+            after_version=cursor.version,
+            timeout_ms=WATCH_MS,
         )
         if not isinstance(watched, Success):
             if isinstance(watched.failure(), Compacted):
@@ -106,12 +108,12 @@
             return False
         batch = watched.unwrap()
         with self._lock:
-            if self._version is None:
+            if self._cursor is None:
                 return True
             pools: set[PoolName] = set()
             for event in batch.events:
                 pools |= self._set(event.key, event.value)
-            self._version = max(version, batch.at_version)
+            cursor.advance(batch, steady_ms())
             self._publish(pools)
         return True
 
--- a/src/amaranthtray/jobs/job_feed.py
+++ b/src/amaranthtray/jobs/job_feed.py
@@ -18,7 +18,9 @@
     VacateAsked,
 )
 from ..store.contract import Compacted
+from ..store.cursor import WatchCursor
 from . import keys
+from .clock import steady_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,7 +59,7 @@
         self._context = context
         self._post = post
         self._goes_on = goes_on
-        self._version = 0
+        self._cursor = WatchCursor(0)
         self._pause = threading.Event()
         self._thread = threading.Thread(target=self._follow, daemon=True)
 
@@ -102,7 +104,7 @@
             if keys.SPEC in found:
                 record, cancel = self._records.get(job), keys.CANCEL in found
                 self._found(found[keys.SPEC], record, is_cancelled=cancel)
-        self._version = listing.at_version
+        self._cursor = WatchCursor(listing.at_version)
         return True
 
     def _found(self, spec: bytes, record: bytes | None, *, is_cancelled: bool) -> None:
@@ -120,11 +122,11 @@
     def _follow(self) -> None:
         while self._goes_on():
             batch = self._context.store.watch(
-                self._prefix, after_version=self._version, timeout_ms=WATCH_MS
+                self._prefix, after_version=self._cursor.version, timeout_ms=WATCH_MS
             )
             if isinstance(batch, Success):
                 self._take(batch.unwrap().events)
-                self._version = max(self._version, batch.unwrap().at_version)
+                self._cursor.advance(batch.unwrap(), steady_ms())
             elif isinstance(batch.failure(), Compacted):
                 self._context.log.event("watch-compacted", prefix=self._prefix)
                 self._list()
