--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -10,6 +10,7 @@
 from ..jobs.job import Job
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
+from ..upkeep.moves import PoolLoad
 from .caps import CapBook
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
@@ -32,6 +33,7 @@
         to_vacate: Hosts that are to be emptied.
         vacant: Those of them that are empty, as last stored.
         caps: What is known of the teams' caps.
+        load: What the pool needs, as last stored.
         dirty: Jobs whose record is behind.
         gated: Effects that may happen once the dirty records are stored.
         in_flight: Effects that wait for the batch that is being stored.
@@ -49,6 +51,7 @@
     queues: dict[QueueName, JobQueue] = field(default_factory=dict)
     to_vacate: frozenset[HostId] = frozenset()
     vacant: frozenset[str] = frozenset()
+    load: PoolLoad = field(default_factory=PoolLoad)
     caps: CapBook = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     gated: list[Effect] = field(default_factory=list)
@@ -149,7 +152,7 @@
             for job_id in sorted(self.stored_jobs)
             if job_id in self.jobs
         )
-        return StoreJobs(self.batch, records, self.pending(), self.vacant)
+        return StoreJobs(self.batch, records, self.pending(), self.vacant, self.load)
 
     def batch_stored(self) -> list[Effect]:
         """Ends a batch that was written; returns what waited for it."""
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -103,6 +103,11 @@
         """Returns how many tasks of a step are here."""
         return self._by_step.get(key, 0)
 
+    @property
+    def has_lasting(self) -> bool:
+        """Returns whether it runs tasks that last."""
+        return any(each.step.is_lasting for each in self._placed.values())
+
     def serving(self) -> Iterator[Placed]:
         """Yields runs whose response times have a target."""
         return (each for each in self._placed.values() if each.step.target_ms)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -10,6 +10,7 @@
 from ..jobs.catalog import Catalog
 from ..jobs.model import NO_RACK, NO_RESOURCES, JobId, JobSpec, Resources, TaskName
 from ..jobs.task import HowEnded
+from ..upkeep.moves import PoolLoad
 from .caps import ClaimPortion, PortionsRead
 
 
@@ -217,12 +218,14 @@
         records: Progress records.
         pending: Jobs of each queue that have not begun.
         vacant: Hosts that were emptied.
+        load: What the pool needs.
     """
 
     batch: int
     records: tuple[tuple[JobId, bytes], ...]
     pending: dict[str, int]
     vacant: frozenset[str]
+    load: PoolLoad
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -84,10 +84,9 @@
         return host.free.minus(self._need.times(taken)) if taken else host.free
 
     def _cost(self, host: Host) -> tuple[float, ...]:
-        """Near data first; lasting tasks spread, others pack tightly."""
+        """Near data first, then packed tightly, so that hosts stay free to move."""
         is_far = bool(self._step.data_rack) and host.info.rack != self._step.data_rack
         left = self._left(host)
         if self._step.is_lasting:
-            own = self._here[host.info.id] + self._taken[host.info.id]
-            return (is_far, own, -left.cpu)
+            return (is_far, not host.has_lasting, left.cpu)
         return (is_far, left.cpu)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -7,6 +7,7 @@
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
 from ._board import Board
+from ._load import pool_load
 from ._planner import plan_starts
 from ._reports import take_report
 from ._vacating import vacant_hosts, vacate_hosts
@@ -47,8 +48,8 @@
 UNHEALTHY_PAUSE_MS = 1_000
 """A host that called itself unhealthy gets no runs for this long."""
 
-PENDING_EVERY_MS = 500
-"""Longest time that changed numbers of waiting jobs stay unpublished."""
+REPORT_EVERY_MS = 400
+"""Longest time that changed loads and numbers of waiting jobs stay unpublished."""
 
 
 class PoolScheduler:
@@ -116,9 +117,10 @@
         plan_starts(board)
         stops += board.caps.claims(board.catalog, now_ms)
         vacant, board.vacant = board.vacant, vacant_hosts(board)
-        if board.dirty or board.vacant != vacant or self._is_pending_due():
+        is_due = self._is_report_due()
+        if board.dirty or board.vacant != vacant or is_due:
             batch = board.next_batch()
-            self._published, self._published_ms = batch.pending, now_ms
+            self._published = batch.pending
             return [*stops, batch]
         released, board.gated = board.gated, []
         return [*stops, *self._release(released)]
@@ -134,10 +136,14 @@
                 if run.host not in board.hosts:
                     board.drop(name, run)
 
-    def _is_pending_due(self) -> bool:
-        if self.board.now_ms - self._published_ms < PENDING_EVERY_MS:
+    def _is_report_due(self) -> bool:
+        """Returns whether others are to be told of the pool; looks at its load."""
+        board = self.board
+        if board.now_ms - self._published_ms < REPORT_EVERY_MS:
             return False
-        return self.board.pending() != self._published
+        self._published_ms = board.now_ms
+        load, board.load = board.load, pool_load(board)
+        return board.load != load or board.pending() != self._published
 
     def _job_found(self, found: JobFound) -> list[Effect]:
         spec = found.spec
--- a/src/amaranthtray/domain/upkeep/model.py
+++ b/src/amaranthtray/domain/upkeep/model.py
@@ -104,6 +104,7 @@
         down: Machines that were ordered, with the life that they had.
         ordered_ms: Steady time of their orders.
         asked_hosts: Lives that are being emptied.
+        asked_machines: Machines that they are lives of.
         is_announced: Whether operators were told that it runs.
         is_over: Whether operators were told that it is completed.
     """
@@ -114,6 +115,7 @@
     down: dict[MachineName, HostId] = field(default_factory=dict)
     ordered_ms: dict[MachineName, int] = field(default_factory=dict)
     asked_hosts: set[HostId] = field(default_factory=set)
+    asked_machines: set[MachineName] = field(default_factory=set)
     is_announced: bool = False
     is_over: bool = False
 
--- /dev/null
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -0,0 +1,236 @@
+"""Which machines change their pool; pure.
+
+A pool gets machines as soon as its work does not fit, and gives back those that it
+does not need after a while. Machines that no pool needs stand by, where they cost
+nothing, if there is a pool for that.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..ids import HostId, PoolName
+from ..jobs.model import NO_RESOURCES, Resources
+from .model import Machine, MachineName, MachineState, MoveMachine
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from .waves import Fleet
+
+HEADROOM = 1.25
+"""Machines beyond the need: work does not pack perfectly, and more comes."""
+
+MIN_HOSTS = 2
+"""A pool keeps so many machines, so that the loss of one stops nothing."""
+
+SURPLUS_MS = 1_500
+"""A pool may spare a machine once it has had too many for this long."""
+
+MOVE_TIMEOUT_MS = 15_000
+"""A machine that has not come up elsewhere by then is looked at anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """What a pool's conductor says of it.
+
+    Attributes:
+        need: What runs, and what waits and can still be in time.
+        host: What one of its hosts has.
+        idle: Hosts that run nothing.
+    """
+
+    need: Resources = NO_RESOURCES
+    host: Resources = NO_RESOURCES
+    idle: tuple[HostId, ...] = ()
+
+
+@dataclass(slots=True)
+class Moves:
+    """Moves under way and what is remembered of pools.
+
+    Attributes:
+        leaving: Machines that are being emptied, and where they are to go.
+        moving: Machines that were ordered to move, with the time of the order.
+        surplus_since_ms: Since when a pool has had too many machines.
+    """
+
+    leaving: dict[MachineName, PoolName] = field(default_factory=dict)
+    moving: dict[MachineName, tuple[PoolName, int]] = field(default_factory=dict)
+    surplus_since_ms: dict[PoolName, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class MovePlan:
+    """What the moves need now.
+
+    Attributes:
+        vacate: Lives that are to be emptied, by pool.
+        orders: Machines that move now.
+    """
+
+    vacate: tuple[tuple[PoolName, HostId], ...]
+    orders: tuple[MoveMachine, ...]
+
+
+def hosts_needed(load: PoolLoad) -> int:
+    """Returns how many machines a pool's work takes."""
+    shares = [
+        amount / each for amount, each in zip(load.need, load.host, strict=True) if each
+    ]
+    return max(MIN_HOSTS, math.ceil(HEADROOM * max(shares, default=0.0)))
+
+
+def plan_moves(
+    moves: Moves,
+    fleet: Fleet,
+    loads: Mapping[PoolName, PoolLoad],
+    standby: frozenset[PoolName],
+    busy: frozenset[MachineName],
+    now_ms: int,
+) -> MovePlan:
+    """Chooses moves.
+
+    Args:
+        moves: What is under way; brought up to date.
+        fleet: All machines, and lives that were emptied.
+        loads: What the conductors say of their pools.
+        standby: Pools whose machines are off.
+        busy: Machines that a wave is about to maintain.
+        now_ms: Steady time.
+    """
+    _settle(moves, fleet, busy, now_ms)
+    up = [
+        machine
+        for machine in fleet.machines.values()
+        if machine.state is MachineState.UP
+        and machine.name not in busy
+        and machine.name not in moves.moving
+    ]
+    lacking = _lacking(moves, fleet, loads, now_ms)
+    orders = _from_standby(moves, up, lacking, standby, fleet)
+    _choose_leaving(moves, up, loads, lacking, standby, now_ms)
+    vacate = []
+    for name, target in list(moves.leaving.items()):
+        machine = fleet.machines[name]
+        vacate.append((machine.pool, machine.host))
+        if machine.host in fleet.vacant:
+            del moves.leaving[name]
+            orders.append(MoveMachine(name, target))
+    return MovePlan(tuple(vacate), tuple(orders))
+
+
+def take_order(moves: Moves, order: MoveMachine, now_ms: int) -> None:
+    """Notes that an order is about to be given."""
+    moves.moving[order.machine] = (order.pool, now_ms)
+
+
+def forget(moves: Moves, name: MachineName) -> None:
+    """Takes that an order was refused."""
+    moves.moving.pop(name, None)
+
+
+def _settle(
+    moves: Moves, fleet: Fleet, busy: frozenset[MachineName], now_ms: int
+) -> None:
+    """Ends moves that are over."""
+    for name, (target, ordered_ms) in list(moves.moving.items()):
+        machine = fleet.machines.get(name)
+        is_there = (
+            machine is not None
+            and machine.pool == target
+            and machine.state is MachineState.UP
+        )
+        if machine is None or is_there or now_ms - ordered_ms > MOVE_TIMEOUT_MS:
+            del moves.moving[name]
+    for name in list(moves.leaving):
+        machine = fleet.machines.get(name)
+        if machine is None or name in busy or machine.state is not MachineState.UP:
+            del moves.leaving[name]
+
+
+def _lacking(
+    moves: Moves, fleet: Fleet, loads: Mapping[PoolName, PoolLoad], now_ms: int
+) -> dict[PoolName, int]:
+    """Returns how many machines each pool lacks, negative if it has too many."""
+    have: dict[PoolName, int] = {}
+    for machine in fleet.machines.values():
+        pool = machine.pool
+        if machine.name in moves.moving:
+            pool = moves.moving[machine.name][0]
+        elif machine.name in moves.leaving:
+            pool = moves.leaving[machine.name]
+        elif machine.state is MachineState.DOWN:
+            continue
+        have[pool] = have.get(pool, 0) + 1
+    lacking = {}
+    for pool, load in loads.items():
+        lacking[pool] = hosts_needed(load) - have.get(pool, 0)
+        if lacking[pool] < 0:
+            moves.surplus_since_ms.setdefault(pool, now_ms)
+        else:
+            moves.surplus_since_ms.pop(pool, None)
+    return lacking
+
+
+def _from_standby(
+    moves: Moves,
+    up: Iterable[Machine],
+    lacking: dict[PoolName, int],
+    standby: frozenset[PoolName],
+    fleet: Fleet,
+) -> list[MoveMachine]:
+    """Orders machines that stand by to the pools that lack most."""
+    orders = []
+    ready = [m for m in up if m.pool in standby and m.name not in moves.leaving]
+    kinds = _kinds(fleet)
+    for machine in ready:
+        pools = [
+            pool
+            for pool, count in lacking.items()
+            if count > 0 and machine.kind in kinds.get(pool, {machine.kind})
+        ]
+        if not pools:
+            continue
+        pool = max(pools, key=lambda each: lacking[each])
+        lacking[pool] -= 1
+        orders.append(MoveMachine(machine.name, pool))
+    return orders
+
+
+def _kinds(fleet: Fleet) -> dict[PoolName, set[str]]:
+    kinds: dict[PoolName, set[str]] = {}
+    for machine in fleet.machines.values():
+        kinds.setdefault(machine.pool, set()).add(machine.kind)
+    return kinds
+
+
+def _choose_leaving(
+    moves: Moves,
+    up: Iterable[Machine],
+    loads: Mapping[PoolName, PoolLoad],
+    lacking: dict[PoolName, int],
+    standby: frozenset[PoolName],
+    now_ms: int,
+) -> None:
+    """Lets idle machines of pools with too many go where they are needed."""
+    for machine in up:
+        load = loads.get(machine.pool)
+        if load is None or machine.name in moves.leaving:
+            continue
+        since_ms = moves.surplus_since_ms.get(machine.pool, now_ms)
+        is_spare = lacking.get(machine.pool, 0) < 0 and machine.host in load.idle
+        if not is_spare or now_ms - since_ms < SURPLUS_MS:
+            continue
+        target = max(lacking, key=lambda each: lacking[each])
+        if lacking[target] <= 0:
+            if not standby:
+                continue
+            target = min(standby)
+        else:
+            lacking[target] -= 1
+        lacking[machine.pool] += 1
+        moves.leaving[machine.name] = target
--- a/src/amaranthtray/domain/upkeep/waves.py
+++ b/src/amaranthtray/domain/upkeep/waves.py
@@ -59,6 +59,7 @@
     _note_returns(wave, fleet, now_ms)
     chosen = _next_machines(wave, fleet, now_ms)
     wave.asked_hosts = {each.host for each in chosen if each.host}
+    wave.asked_machines = {each.name for each in chosen}
     vacate = tuple((each.pool, each.host) for each in chosen if each.host)
     room = wave.asked.cap - len(wave.down)
     ready = [each for each in chosen if not each.host or each.host in fleet.vacant]
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -10,26 +10,30 @@
 from returns.result import Success
 
 from ..domain.ids import HostId, PoolName, WaveName
+from ..domain.upkeep import moves
 from ..domain.upkeep.model import MachineName, OrderOutcome, Wave
+from ..domain.upkeep.moves import plan_moves
 from ..domain.upkeep.waves import Fleet, plan_wave, take_order, take_reply, wave_of
 from ..store.contract import Put, Transaction
 from ..store.cursor import WatchCursor
 from . import keys
 from .clock import steady_ms
+from .ledger import decode_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..domain.ids import Term
     from ..domain.upkeep.model import Machine, MachineOrder
+    from ..domain.upkeep.moves import PoolLoad
     from .context import Context
     from .ports import MachineOrders
 
 ROUND_MS = 300
-"""Time between looks while a wave is under way."""
+"""Time between looks at the machines and at what their pools need."""
 
-IDLE_WATCH_MS = 2_000
-"""Wait for a new wave while none is under way."""
+WAVE_WATCH_MS = 15_000
+"""Wait of the watch for new waves."""
 
 HANDOVER_SLACK_MS = 500
 """Added to the platform's shortest time between orders of two holders."""
@@ -62,6 +66,7 @@
         self._waves: dict[str, Wave] = {}
         self._saved: dict[str, bytes] = {}
         self._vacate: dict[PoolName, frozenset[HostId]] = {}
+        self._moves = moves.Moves()
         self._cursor = WatchCursor(0)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -86,10 +91,8 @@
         self._stopping.wait(wait_ms / 1_000)
         while self._goes_on() and not self._list():
             self._stopping.wait(ROUND_MS / 1_000)
+        threading.Thread(target=self._follow_waves, daemon=True).start()
         while self._goes_on():
-            if all(wave.is_over for wave in self._waves.values()):
-                self._await_wave()
-                continue
             self._round(orders)
             self._stopping.wait(ROUND_MS / 1_000)
         orders.close()
@@ -104,9 +107,23 @@
         found = {item.key: item.value for item in progress.unwrap().items}
         for item in waves.unwrap().items:
             self._add(item.value, found)
+        if not self._read_vacate():
+            return False
         self._cursor = WatchCursor(waves.unwrap().at_version)
         return True
 
+    def _read_vacate(self) -> bool:
+        """Learns what the last holder asked pools to empty, to take it back."""
+        catalog = self._context.catalog()
+        for pool in catalog.pools if catalog else ():
+            read = self._context.store.get(keys.vacate_key(pool))
+            if not isinstance(read, Success):
+                return False
+            found = read.unwrap()
+            hosts = msgspec.json.decode(found.value, type=list[str]) if found else []
+            self._vacate.setdefault(pool, frozenset(HostId(host) for host in hosts))
+        return True
+
     def _add(self, value: bytes, progress: dict[str, bytes]) -> None:
         try:
             asked = self._context.platform.decode_wave(value)
@@ -131,11 +148,15 @@
             "wave", number=asked.number, machines=len(asked.machines), cap=asked.cap
         )
 
+    def _follow_waves(self) -> None:
+        while self._goes_on():
+            self._await_wave()
+
     def _await_wave(self) -> None:
         watched = self._context.store.watch(
             self._context.platform.waves_prefix,
             after_version=self._cursor.version,
-            timeout_ms=IDLE_WATCH_MS,
+            timeout_ms=WAVE_WATCH_MS,
         )
         if not isinstance(watched, Success):
             self._stopping.wait(ROUND_MS / 1_000)
@@ -147,21 +168,23 @@
         self._cursor.advance(watched.unwrap(), steady_ms())
 
     def _round(self, orders: MachineOrders) -> None:
-        vacant = self._context.store.list(keys.VACANT_PREFIX)
+        listed = self._context.store.list(keys.REPORTS_PREFIX)
         machines = orders.machines()
-        if not isinstance(vacant, Success) or machines is None:
+        if not isinstance(listed, Success) or machines is None:
             return
-        hosts = {
-            HostId(host)
-            for item in vacant.unwrap().items
-            for host in msgspec.json.decode(item.value, type=list[str])
+        reports = {
+            keys.pool_of_report(item.key): decode_report(item.value)
+            for item in listed.unwrap().items
         }
+        hosts = {HostId(h) for report in reports.values() for h in report.vacant}
         fleet = Fleet({each.name: each for each in machines}, hosts)
         vacate: dict[PoolName, set[HostId]] = defaultdict(set)
-        for name, wave in self._waves.items():
+        busy: set[MachineName] = set()
+        for name, wave in list(self._waves.items()):
             if wave.is_over:
                 continue
             plan = plan_wave(wave, fleet, steady_ms())
+            busy |= {*wave.down, *wave.asked_machines}
             for pool, host in plan.vacate:
                 vacate[pool].add(host)
             for pool, host in self._down(wave, fleet):
@@ -171,8 +194,42 @@
                     self._maintain(
                         name, wave, fleet.machines[order.machine], order, orders
                     )
+        loads = {pool: report.load for pool, report in reports.items()}
+        self._move(fleet, loads, frozenset(busy), orders, vacate)
         self._ask_to_vacate(vacate)
 
+    def _move(
+        self,
+        fleet: Fleet,
+        loads: dict[PoolName, PoolLoad],
+        busy: frozenset[MachineName],
+        orders: MachineOrders,
+        vacate: dict[PoolName, set[HostId]],
+    ) -> None:
+        catalog = self._context.catalog()
+        pools = catalog.pools.values() if catalog else ()
+        standby = frozenset(pool.name for pool in pools if pool.is_standby)
+        now_ms = steady_ms()
+        plan = plan_moves(self._moves, fleet, loads, standby, busy, now_ms)
+        for pool, host in plan.vacate:
+            vacate[pool].add(host)
+        for order in plan.orders:
+            if not self._goes_on():
+                return
+            moves.take_order(self._moves, order, steady_ms())
+            outcome = orders.order(order)
+            self._context.log.event(
+                "move",
+                machine=order.machine,
+                pool=order.pool,
+                outcome=outcome,
+                term=self._term,
+            )
+            if outcome is OrderOutcome.UNKNOWN and self._goes_on():
+                outcome = orders.order(order)
+            if outcome in (OrderOutcome.REFUSED, OrderOutcome.HOPELESS):
+                moves.forget(self._moves, order.machine)
+
     def _down(self, wave: Wave, fleet: Fleet) -> list[tuple[PoolName, HostId]]:
         """Returns the lives that are to stay empty until they have ended."""
         return [
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -15,7 +15,7 @@
     from ..domain.ids import WaveName
 
 SPEC, CANCEL = "spec", "cancel"
-VACANT_PREFIX = "vacant/"
+REPORTS_PREFIX = "reports/"
 PROGRESS_PREFIX = "maintenance/"
 
 
@@ -60,14 +60,14 @@
     return f"ledgers/{pool}"
 
 
-def vacant_key(pool: PoolName) -> str:
-    """Returns the key of the hosts that a pool's conductor has emptied."""
-    return f"{VACANT_PREFIX}{pool}"
+def report_key(pool: PoolName) -> str:
+    """Returns the key of what a pool's conductor says of the pool."""
+    return f"{REPORTS_PREFIX}{pool}"
 
 
-def pool_of_vacant(key: str) -> PoolName:
-    """Returns the pool whose emptied hosts a key holds."""
-    return PoolName(key.removeprefix(VACANT_PREFIX))
+def pool_of_report(key: str) -> PoolName:
+    """Returns the pool that a report is about."""
+    return PoolName(key.removeprefix(REPORTS_PREFIX))
 
 
 def progress_key(wave: WaveName) -> str:
--- a/src/amaranthtray/jobs/ledger.py
+++ b/src/amaranthtray/jobs/ledger.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..domain.upkeep.moves import PoolLoad
+
 
 class Ledger(msgspec.Struct, kw_only=True):
     """Stored by each write of a conductor.
@@ -21,6 +23,27 @@
     written_ms: int = 0
 
 
+class Report(msgspec.Struct, kw_only=True):
+    """What a pool's conductor says of the pool.
+
+    Attributes:
+        vacant: Hosts that were to be emptied and are empty.
+        load: What the pool needs.
+    """
+
+    vacant: list[str] = []
+    load: PoolLoad = PoolLoad()
+
+
+def decode_report(data: bytes) -> Report:
+    """Returns the report stored as ``data``.
+
+    Raises:
+        msgspec.MsgspecError: It is not one.
+    """
+    return msgspec.json.decode(data, type=Report)
+
+
 def decode_ledger(data: bytes) -> Ledger:
     """Returns the ledger stored as ``data``.
 
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -10,7 +10,7 @@
 from ..store.contract import Conflicts, Put, Transaction
 from . import keys
 from .clock import wall_ms
-from .ledger import Ledger, decode_ledger
+from .ledger import Ledger, Report, decode_ledger
 
 if TYPE_CHECKING:
     from ..domain.ids import PoolName, Term
@@ -20,7 +20,7 @@
     from .event_log import EventLog
 
 RECORDS_PER_WRITE = 29
-"""A transaction takes 32 keys; the ledger takes two, the emptied hosts one."""
+"""A transaction takes 32 keys; the ledger takes two, the report one."""
 
 
 class RecordWriter:
@@ -53,7 +53,7 @@
         self._version: int | None = None
         self._batch = 0
         self._tried = 0
-        self._vacant: frozenset[str] | None = None
+        self._report: Report | None = None
 
     def write(self, batch: StoreJobs) -> bool:
         """Writes a batch; returns whether all of it is surely stored."""
@@ -86,11 +86,12 @@
         puts = tuple(
             Put(keys.record_key(self._pool, job), record) for job, record in rows
         )
-        if batch.vacant != self._vacant:
-            value = msgspec.json.encode(sorted(batch.vacant))
-            puts = (*puts, Put(keys.vacant_key(self._pool), value))
+        report = Report(vacant=sorted(batch.vacant), load=batch.load)
+        if report != self._report:
+            value = msgspec.json.encode(report)
+            puts = (*puts, Put(keys.report_key(self._pool), value))
         is_stored = self._commit(puts, batch.pending)
-        self._vacant = batch.vacant if is_stored else None
+        self._report = report if is_stored else None
         return is_stored
 
     def _commit(self, puts: tuple[Put, ...], pending: dict[str, int]) -> bool:
