--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -9,30 +9,28 @@
 from .ranking import rank
 
 if TYPE_CHECKING:
+    from ..jobs.job import Job
     from ._board import Board
 
-BACKLOG_HOSTS = 3
-"""Waiting work counts up to this many times what the pool has."""
+LATE_SHARE = 2
+"""Of work that can't be in time any more, one part in so many counts."""
 
 
 def pool_load(board: Board) -> PoolLoad:
-    """Returns the need of running tasks and of waiting ones that can be in time."""
+    """Returns the need of running and of waiting tasks, and the hosts without any."""
     hosts = [host for host in board.hosts.values() if host.is_listed]
-    need, have = NO_RESOURCES, NO_RESOURCES
+    need, late = NO_RESOURCES, NO_RESOURCES
     for host in hosts:
         need = need.plus(host.used)
-        have = have.plus(host.info.capacity)
-    most = have.times(BACKLOG_HOSTS)
     for job in board.active.values():
-        if job.state.is_final or not need.fits(most):
+        if job.state.is_final:
             continue
+        waiting = _waiting(board, job)
         if rank(job, board.queue_of(job), board.wall_ms).is_hopeless:
-            continue
-        for occurrence, number in job.open_steps(board.wall_ms):
-            step = job.spec.steps[number]
-            tasks = job.tasks(occurrence, number)
-            waiting = sum(task.is_waiting for task in tasks)
-            need = need.plus(step.reserved.times(waiting))
+            late = late.plus(waiting)
+        else:
+            need = need.plus(waiting)
+    need = need.plus(Resources(*(amount // LATE_SHARE for amount in late)))
     sizes = [host.info.capacity for host in hosts]
     size = max(sizes, default=NO_RESOURCES)
     idle = tuple(
@@ -41,3 +39,13 @@
         if host.is_open(board.now_ms) and not host.placed()
     )
     return PoolLoad(need, Resources(*size), idle)
+
+
+def _waiting(board: Board, job: Job) -> Resources:
+    """Returns the need of a job's tasks that may start now."""
+    need = NO_RESOURCES
+    for occurrence, number in job.open_steps(board.wall_ms):
+        tasks = job.tasks(occurrence, number)
+        waiting = sum(task.is_waiting for task in tasks)
+        need = need.plus(job.spec.steps[number].reserved.times(waiting))
+    return need
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -48,6 +48,9 @@
 UNHEALTHY_PAUSE_MS = 1_000
 """A host that called itself unhealthy gets no runs for this long."""
 
+LOOK_EVERY_MS = 100
+"""Shortest time between looks at the load."""
+
 REPORT_EVERY_MS = 400
 """Longest time that changed loads and numbers of waiting jobs stay unpublished."""
 
@@ -139,7 +142,11 @@
     def _is_report_due(self) -> bool:
         """Returns whether others are to be told of the pool; looks at its load."""
         board = self.board
-        if board.now_ms - self._published_ms < REPORT_EVERY_MS:
+        since_ms = board.now_ms - self._published_ms
+        if since_ms < LOOK_EVERY_MS:
+            return False
+        is_due = since_ms >= REPORT_EVERY_MS
+        if not is_due and not board.dirty:
             return False
         self._published_ms = board.now_ms
         load, board.load = board.load, pool_load(board)
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -29,7 +29,7 @@
     from .context import Context
     from .ports import MachineOrders
 
-ROUND_MS = 300
+ROUND_MS = 200
 """Time between looks at the machines and at what their pools need."""
 
 WAVE_WATCH_MS = 15_000
