--- a/src/amaranthtray/domain/duties/holder.py
+++ b/src/amaranthtray/domain/duties/holder.py
@@ -49,6 +49,8 @@
         renew_retry_ms: Time before a failed renewal is repeated.
         retry_ms: Longest time between attempts to take the duty; each is drawn
             from its upper half.
+        resume_ms: How long after the end of its time a holder that could not renew
+            goes on trying; a renewal proves that nobody else had the duty meanwhile.
     """
 
     ttl_ms: int = 9_000
@@ -56,6 +58,7 @@
     renew_every_ms: int = 3_000
     renew_retry_ms: int = 500
     retry_ms: int = 2_000
+    resume_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +158,8 @@
             case Acquiring():
                 return self._give_up() if is_stepped_back else ()
             case Held():
-                if is_stepped_back or now_ms >= stage.until_ms or not self.is_wanted:
+                is_over = now_ms >= stage.until_ms + self._settings.resume_ms
+                if is_stepped_back or is_over or not self.is_wanted:
                     return self._give_up()
                 return self._renew(stage)
 
@@ -259,7 +263,8 @@
         settings = self._settings
         if stage.sent_ms is None:
             return ()
-        if self._now_ms >= stage.until_ms or isinstance(reply, Lost):
+        is_over = self._now_ms >= stage.until_ms + settings.resume_ms
+        if is_over or isinstance(reply, Lost):
             return self._give_up()
         match reply:
             case Done():
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -6,7 +6,7 @@
 
 from ..jobs.model import NO_RESOURCES, Resources
 from ..upkeep.moves import PoolLoad
-from .ranking import rank
+from .ranking import Outlook, rank
 
 if TYPE_CHECKING:
     from ..jobs.job import Job
@@ -26,7 +26,8 @@
         if job.state.is_final:
             continue
         waiting = _waiting(board, job)
-        if rank(job, board.queue_of(job), board.wall_ms).is_hopeless:
+        outlook = rank(job, board.queue_of(job), board.wall_ms).outlook
+        if outlook is not Outlook.IN_TIME:
             late = late.plus(waiting)
         else:
             need = need.plus(waiting)
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -81,5 +81,5 @@
         case RunPhase.UNSURE:
             return True
         case RunPhase.RUNNING | RunPhase.STOPPING:
-            return run.settled_ms is not None and run.settled_ms <= report.sent_ms
+            return run.settled_ms is not None and run.settled_ms < report.sent_ms
     return False
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -10,17 +11,35 @@
     from ..jobs.model import JobSpec
 
 
+LATE_FACTOR = 3
+"""A job that ends within this multiple of its objective is late, but counts."""
+
+
+class Outlook(IntEnum):
+    """What a job can still reach.
+
+    Attributes:
+        IN_TIME: Its objective.
+        LATE: An end that still counts.
+        LOST: Only its end.
+    """
+
+    IN_TIME = 0
+    LATE = 1
+    LOST = 2
+
+
 class Rank(NamedTuple):
     """Sorts jobs; the lowest goes first.
 
     Attributes:
         priority: Of the queue.
-        is_hopeless: Whether the job can't end within its objective any more.
-        slack_ms: Time that it could still wait and end within its objective.
+        outlook: What the job can still reach.
+        slack_ms: Time that it could still wait and reach it.
     """
 
     priority: int
-    is_hopeless: bool
+    outlook: Outlook
     slack_ms: float
 
 
@@ -28,7 +47,7 @@
     """Returns the rank of a job with tasks that wait."""
     spec = job.spec
     if any(step.is_lasting for step in spec.steps):
-        return Rank(-1, False, spec.accepted_ms - wall_ms)
+        return Rank(-1, Outlook.IN_TIME, spec.accepted_ms - wall_ms)
     occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
     begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
     total_ms = longest_chain_ms(spec, frozenset())
@@ -37,8 +56,13 @@
     )
     objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
     left_ms = longest_chain_ms(spec, done)
-    slack_ms = begun_ms + objective_ms - wall_ms - left_ms
-    return Rank(queue.priority, slack_ms < 0, slack_ms)
+    passed_ms = wall_ms - begun_ms + left_ms
+    slack_ms = objective_ms - passed_ms
+    if slack_ms >= 0:
+        return Rank(queue.priority, Outlook.IN_TIME, slack_ms)
+    late_slack_ms = LATE_FACTOR * objective_ms - passed_ms
+    outlook = Outlook.LATE if late_slack_ms >= 0 else Outlook.LOST
+    return Rank(queue.priority, outlook, late_slack_ms)
 
 
 def longest_chain_ms(spec: JobSpec, done: frozenset[int]) -> int:
--- a/src/amaranthtray/jobs/conducting.py
+++ b/src/amaranthtray/jobs/conducting.py
@@ -30,6 +30,7 @@
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
+from .times import LEASE_MS, RENEWAL_GRACE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,12 +45,6 @@
 SETTLE_MS = 5
 """Messages that come this close together are decided on at once."""
 
-LEASE_MS = 6_000
-"""Lease of runs; outlives the change of a conductor."""
-
-RENEWAL_GRACE_MS = 6_000
-"""A conductor that lost its term keeps runs alive this long, for a store outage."""
-
 STORE_RETRY_MS = 100
 
 
--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -8,11 +8,12 @@
 
 from returns.result import Success
 
-from ..domain.duties.holder import DutyHolder, DutySettings
+from ..domain.duties.holder import DutyHolder, DutySettings, Idle
 from ..store.contract import Compacted
 from ..store.cursor import WatchCursor
 from ..store.duties import PREFIX, DutyRunner
 from .clock import steady_ms
+from .times import RESUME_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +28,7 @@
     renew_every_ms=700,
     renew_retry_ms=150,
     retry_ms=600,
+    resume_ms=RESUME_MS,
 )
 """A duty whose holder died is free after the lease; runs outlive that by far."""
 
@@ -164,8 +166,10 @@
         while not self._leaving.wait(TICK_MS / 1_000):
             holder.is_wanted = self._term is not None or self._is_our_turn()
             term = self._runner.run()
-            if term != self._term:
-                self._changed(term)
+            if term is not None and term != self._term:
+                self._begun(term)
+            elif isinstance(holder.stage, Idle) and self._term is not None:
+                self._lost()
         if self._end is not None:
             self._end()
         self._runner.release()
@@ -176,10 +180,18 @@
             return False
         return free_ms >= self._jitter_ms + LOAD_DELAY_MS * self._load()
 
-    def _changed(self, term: Term | None) -> None:
-        self._context.log.event("duty", duty=self._name, term=term, was=self._term)
+    def _begun(self, term: Term) -> None:
+        self._context.log.event("duty-taken", duty=self._name, term=term)
+        self._lost()
         self._term = term
-        if term is not None:
-            if self._end is not None:
-                self._end()
-            self._end = self._begin(term, self._runner.term)
+        self._end = self._begin(term, self._runner.term)
+
+    def _lost(self) -> None:
+        """Ends what the duty was held for, if it was."""
+        if self._term is None:
+            return
+        self._context.log.event("duty-lost", duty=self._name, term=self._term)
+        self._term = None
+        if self._end is not None:
+            self._end()
+            self._end = None
--- /dev/null
+++ b/src/amaranthtray/jobs/times.py
@@ -0,0 +1,16 @@
+"""Times that several tasks must agree on."""
+
+from __future__ import annotations
+
+LEASE_MS = 5_000
+"""Lease of runs on hosts; outlives the change of a conductor."""
+
+RENEWAL_GRACE_MS = 3_000
+"""A conductor that can't renew its duty keeps runs alive this long.
+
+With the lease this is what runs survive of a store that is away. A new conductor
+waits as long before it gives up on a host that it can't reach.
+"""
+
+RESUME_MS = RENEWAL_GRACE_MS - 500
+"""A duty is given up before its conductor ends, so that none is held for nothing."""
