--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -117,6 +117,18 @@
         tasks = self._tasks.get((occurrence, step))
         return tasks is not None and all(task.is_done for task in tasks)
 
+    def is_over(self, name: TaskName) -> bool:
+        """Returns whether a task needs no run any more."""
+        task = self.task(name)
+        return self.state.is_final or (task is not None and task.is_done)
+
+    def is_gang_broken(self, name: TaskName) -> bool:
+        """Returns whether a task's gang lacks a member, so that none can work."""
+        if not self.spec.steps[name.step].is_gang:
+            return False
+        tasks = self.tasks(name.occurrence, name.step)
+        return any(task.is_waiting for task in tasks)
+
     def place(self, name: TaskName, number: int, host: HostId, born: int) -> Run:
         """Records that a run is about to be ordered."""
         task = self.tasks(name.occurrence, name.step)[name.number]
--- a/src/amaranthtray/domain/jobs/model.py
+++ b/src/amaranthtray/domain/jobs/model.py
@@ -164,3 +164,11 @@
 
     def __str__(self) -> str:
         return f"{self.job}.{self.occurrence}.{self.step}.{self.number}"
+
+
+class StepKey(NamedTuple):
+    """One step of one occurrence of a job."""
+
+    job: JobId
+    occurrence: int
+    step: int
--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -52,6 +52,8 @@
         percent: Share of its work that it does.
         load: Tail of response times in ms for a serving task, else cpu in use.
         pace: Share of its speed that it was last ordered to work at, in percent.
+        paced_ms: Steady time of that order, if there was one.
+        progress_ms: Steady time at which its share of work last grew.
         started_ms: Steady time of its placement.
     """
 
@@ -64,6 +66,8 @@
     percent: int = 0
     load: int = 0
     pace: int = 100
+    paced_ms: int | None = None
+    progress_ms: int | None = None
     started_ms: int = 0
 
 
--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -11,6 +11,7 @@
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
+from .advice import AdviceBook, AskAdvice
 from .caps import CapBook
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
@@ -32,6 +33,8 @@
         queues: All queues that the conductor has known.
         to_vacate: Hosts that are to be emptied.
         vacant: Those of them that are empty, as last stored.
+        advice: What is known of policies.
+        questions: What is to be asked of them.
         caps: What is known of the teams' caps.
         load: What the pool needs, as last stored.
         dirty: Jobs whose record is behind.
@@ -52,6 +55,8 @@
     to_vacate: frozenset[HostId] = frozenset()
     vacant: frozenset[str] = frozenset()
     load: PoolLoad = field(default_factory=PoolLoad)
+    advice: AdviceBook = field(default_factory=AdviceBook)
+    questions: list[AskAdvice] = field(default_factory=list)
     caps: CapBook = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     gated: list[Effect] = field(default_factory=list)
@@ -100,6 +105,7 @@
         if job.state.is_final:
             if not job.ended_ms:
                 job.ended_ms = self.wall_ms
+            self.advice.forget(job.spec.id)
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
         self.dirty.add(job.spec.id)
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..jobs.model import Resources, TaskName
-from .host import StepKey
+from ..jobs.model import Resources, StepKey, TaskName
 from .messages import StartRun
 from .placement import place_each, place_gang
 from .ranking import rank
@@ -15,6 +14,7 @@
 
     from ..jobs.job import Job
     from ..jobs.model import StepSpec
+    from ..jobs.task import Task
     from ._board import Board
     from .host import Host
     from .placement import Choice
@@ -40,11 +40,33 @@
                 waiting = [] if step.is_gang else waiting[:count]
             if not waiting:
                 continue
+            allowed = _allowed(board, job, key, hosts)
             place = place_gang if step.is_gang else place_each
-            choices = place(step, key, waiting, hosts)
+            choices = place(step, key, waiting, allowed)
+            if len(choices) < len(waiting):
+                _ask(board, job, key, hosts)
             _start(board, job, key, choices)
 
 
+def _allowed(board: Board, job: Job, key: StepKey, hosts: list[Host]) -> list[Host]:
+    """Returns the hosts that a policy allows, or all where there is none."""
+    if not board.queue_of(job).needs_advice:
+        return hosts
+    return [
+        host
+        for host in hosts
+        if board.advice.ticket(key, host.info.id, board.now_ms) is not None
+    ]
+
+
+def _ask(board: Board, job: Job, key: StepKey, hosts: list[Host]) -> None:
+    """Asks for more hosts where a policy chooses them."""
+    if board.queue_of(job).needs_advice:
+        question = board.advice.question(key, hosts, board.now_ms)
+        if question is not None:
+            board.questions.append(question)
+
+
 def _by_rank(board: Board) -> list[Job]:
     ranked: list[tuple[Rank, str, Job]] = []
     for job in board.active.values():
@@ -73,13 +95,22 @@
         waiting = [
             index
             for index, task in enumerate(tasks)
-            if task.is_waiting and task.not_before_ms <= board.now_ms
+            if task.not_before_ms <= board.now_ms
+            and (task.is_waiting or (step.allows_copies and _wants_copy(board, task)))
         ]
         if not waiting or (step.is_gang and len(waiting) < len(tasks)):
             continue
         yield StepKey(job.spec.id, occurrence, number), step, waiting
 
 
+def _wants_copy(board: Board, task: Task) -> bool:
+    """Returns whether a task whose only run is on a silent host may run elsewhere."""
+    if task.is_done or len(task.runs) != 1:
+        return False
+    host = board.hosts.get(task.runs[0].host)
+    return host is None or host.is_silent
+
+
 def _start(board: Board, job: Job, key: StepKey, choices: list[Choice]) -> None:
     tasks = job.tasks(key.occurrence, key.step)
     is_gang = job.spec.steps[key.step].is_gang
@@ -89,6 +120,14 @@
         number = gang_run if is_gang else task.last_run + 1
         name = TaskName(*key, task_number)
         run = board.place(job, name, host, number)
+        ticket = board.advice.ticket(key, host.info.id, board.now_ms) or ""
         board.gated.append(
-            StartRun(host.info.id, name, run.number, job.spec.payload, task.checkpoint)
+            StartRun(
+                host.info.id,
+                name,
+                run.number,
+                job.spec.payload,
+                task.checkpoint,
+                ticket,
+            )
         )
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import HowEnded, RunPhase
+from ._progress import note_progress
 from .messages import Effect, HostReport, RunReport, StopRun
 
 if TYPE_CHECKING:
@@ -24,12 +25,13 @@
         host.acknowledged = 0
     host.born = report.born
     host.is_silent = False
+    host.seen_ms = board.now_ms
     _take_ends(board, host, report)
     running = {(run.name, run.number): run for run in report.running}
     for placed in host.placed():
         listed = running.pop((placed.name, placed.run.number), None)
         if listed is not None:
-            _running(placed, listed, report)
+            _running(board, placed, listed, report)
         elif _is_surely_gone(placed, report):
             board.drop(placed.name, placed.run)
     host.has_strays = bool(running)
@@ -66,9 +68,12 @@
         board.acknowledge(host, max(end.sequence for end in report.ends))
 
 
-def _running(placed: Placed, listed: RunReport, report: HostReport) -> None:
+def _running(
+    board: Board, placed: Placed, listed: RunReport, report: HostReport
+) -> None:
     run = placed.run
-    run.saved, run.percent, run.load = listed.saved, listed.percent, listed.load
+    run.saved, run.load = listed.saved, listed.load
+    note_progress(board, placed, listed.percent)
     if run.phase in (RunPhase.STARTING, RunPhase.UNSURE):
         run.phase = RunPhase.RUNNING
         run.settled_ms = report.received_ms
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ..jobs.model import StepKey
 from ..jobs.task import RunPhase
-from .host import StepKey
 from .messages import StopRun
 from .placement import place_each
 
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..jobs.model import NO_RESOURCES, JobId, Resources, StepSpec, TaskName
+from ..jobs.model import NO_RESOURCES, Resources, StepKey, StepSpec, TaskName
 from .messages import HostInfo
 
 if TYPE_CHECKING:
@@ -15,14 +15,6 @@
     from ..jobs.task import Run
 
 
-class StepKey(NamedTuple):
-    """One step of one occurrence of a job."""
-
-    job: JobId
-    occurrence: int
-    step: int
-
-
 class Placed(NamedTuple):
     """A run that may be on the host, and what it is a run of."""
 
@@ -44,6 +36,7 @@
         has_strays: Whether it runs what no record knows.
         acknowledged: Highest number of an end that it may forget.
         used: What its runs count for.
+        seen_ms: Steady time of its last lists.
         vacate_since_ms: Steady time since when it is to be emptied, if it is.
     """
 
@@ -56,6 +49,7 @@
     acknowledged: int = 0
     used: Resources = NO_RESOURCES
     vacate_since_ms: int | None = None
+    seen_ms: int = 0
     _placed: dict[tuple[TaskName, int], Placed] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -11,6 +11,7 @@
 from ..jobs.model import NO_RACK, NO_RESOURCES, JobId, JobSpec, Resources, TaskName
 from ..jobs.task import HowEnded
 from ..upkeep.moves import PoolLoad
+from .advice import AdviceGiven, AskAdvice
 from .caps import ClaimPortion, PortionsRead
 
 
@@ -197,6 +198,7 @@
     | JobCancelled
     | VacateAsked
     | PortionsRead
+    | AdviceGiven
     | HostsListed
     | HostReport
     | HostSilent
@@ -292,6 +294,7 @@
 Effect: TypeAlias = (
     StoreJobs
     | ClaimPortion
+    | AskAdvice
     | StartRun
     | StopRun
     | PaceRun
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from ..jobs.model import Resources, StepSpec
-    from .host import Host, StepKey
+    from ..jobs.model import Resources, StepKey, StepSpec
+    from .host import Host
 
 
 class Choice(NamedTuple):
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -4,13 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+from ..jobs.model import StepKey
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
 from ._board import Board
 from ._load import pool_load
+from ._pacing import pace_fillers
 from ._planner import plan_starts
+from ._progress import stop_stuck
 from ._reports import take_report
 from ._vacating import vacant_hosts, vacate_hosts
+from .advice import AdviceGiven
 from .caps import PortionsRead
 from .host import Host
 from .messages import (
@@ -82,6 +86,8 @@
                 return self._cancelled(job)
             case PortionsRead(team, row):
                 self.board.caps.rows[team] = row
+            case AdviceGiven():
+                self.board.advice.take(message)
             case VacateAsked(hosts):
                 self.board.to_vacate = hosts
             case HostsListed():
@@ -117,8 +123,12 @@
         for job in board.changed():
             stops += self._stop_needless(job)
         stops += vacate_hosts(board)
+        stops += stop_stuck(board)
+        stops += pace_fillers(board)
         plan_starts(board)
         stops += board.caps.claims(board.catalog, now_ms)
+        stops += board.questions
+        board.questions = []
         vacant, board.vacant = board.vacant, vacant_hosts(board)
         is_due = self._is_report_due()
         if board.dirty or board.vacant != vacant or is_due:
@@ -169,8 +179,7 @@
         """Stops runs whose task or job is over; those not ordered yet are dropped."""
         effects: list[Effect] = []
         for name, run in list(job.runs()):
-            task = job.task(name)
-            if not job.state.is_final and not (task and task.is_done):
+            if not job.is_over(name) and not job.is_gang_broken(name):
                 continue
             if run.phase is RunPhase.RESERVED:
                 self.board.drop(name, run)
@@ -250,6 +259,7 @@
             case StartOutcome.UNHEALTHY:
                 host.avoid_until_ms = now_ms + UNHEALTHY_PAUSE_MS
             case StartOutcome.REFUSED | StartOutcome.NO_TICKET:
+                self.board.advice.refuse(StepKey(*reply.name[:3]), reply.host)
                 task = self.board.jobs[reply.name.job].task(reply.name)
                 if task is not None:
                     task.not_before_ms = now_ms + FULL_PAUSE_MS
--- /dev/null
+++ b/src/amaranthtray/jobs/advice_keeper.py
@@ -0,0 +1,71 @@
+"""The task that asks which hosts a policy allows."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from typing import TYPE_CHECKING
+
+from ..domain.scheduling.advice import AdviceGiven, AskAdvice
+from .clock import steady_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.scheduling.messages import Message
+    from .event_log import EventLog
+    from .ports import Adviser
+
+RETRY_PAUSE_MS = 200
+"""The service was busy, or did not answer."""
+
+
+class AdviceKeeper:
+    """Asks one question at a time.
+
+    Args:
+        adviser: The service, if there is one.
+        post: Takes messages to the conductor.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self,
+        adviser: Adviser | None,
+        post: Callable[[Message], None],
+        log: EventLog,
+    ) -> None:
+        self._adviser = adviser
+        self._post = post
+        self._log = log
+        self._queue: queue.SimpleQueue[AskAdvice | None] = queue.SimpleQueue()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends after the question under way."""
+        self._stopping.set()
+        self._queue.put(None)
+
+    def ask(self, asked: AskAdvice) -> None:
+        """Queues a question."""
+        self._queue.put(asked)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            asked = self._queue.get()
+            if asked is None or self._adviser is None:
+                continue
+            sent_ms = steady_ms()
+            advice = self._adviser.ask(asked)
+            if advice is None:
+                self._log.event("no-advice", step=str(asked.step))
+                self._stopping.wait(RETRY_PAUSE_MS / 1_000)
+                continue
+            until_ms = sent_ms + advice.valid_ms
+            given = AdviceGiven(asked.step, asked.hosts, advice.tickets, until_ms)
+            self._post(given)
--- a/src/amaranthtray/jobs/conducting.py
+++ b/src/amaranthtray/jobs/conducting.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..domain.scheduling.advice import AskAdvice
 from ..domain.scheduling.caps import ClaimPortion
 from ..domain.scheduling.lease import SLOWEST_RATE, HostLease
 from ..domain.scheduling.messages import (
@@ -26,6 +27,7 @@
 )
 from ..domain.scheduling.pool import PoolScheduler
 from . import clock
+from .advice_keeper import AdviceKeeper
 from .cap_keeper import CapKeeper
 from .host_link import HostLink
 from .job_feed import JobFeed
@@ -117,6 +119,8 @@
         self._stopping = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
         self._caps = CapKeeper(pool, context, self.post, self._term.may_order)
+        adviser = context.platform.adviser()
+        self._advice = AdviceKeeper(adviser, self.post, context.log)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._writer_thread = threading.Thread(target=self._write_loop, daemon=True)
 
@@ -149,6 +153,7 @@
         finally:
             self._context.hosts.unsubscribe(self.pool, self.post)
             self._caps.stop()
+            self._advice.stop()
             for link in self._links.values():
                 link.close()
             log.event("conducting-ended", pool=self.pool, term=self._term.term)
@@ -163,6 +168,7 @@
                 return
             self._stopping.wait(STORE_RETRY_MS / 1_000)
         self._caps.start()
+        self._advice.start()
         feed = JobFeed(self.pool, self._context, self.post, self._goes_on)
         if not feed.load():
             return
@@ -203,6 +209,8 @@
             match effect:
                 case StoreJobs():
                     self._batches.put(effect)
+                case AskAdvice():
+                    self._advice.ask(effect)
                 case ClaimPortion():
                     self._caps.claim(effect)
                 case StartRun() | StopRun() | PaceRun():
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from ..domain.ids import HostId
 from ..domain.scheduling.messages import EndReport, RunReport
 
 if TYPE_CHECKING:
     from ..domain.ids import PoolName, Term
     from ..domain.jobs.catalog import Catalog
     from ..domain.jobs.model import TaskName
+    from ..domain.scheduling.advice import AskAdvice
     from ..domain.scheduling.messages import HostInfo, StartOutcome, StartRun
     from ..domain.upkeep.model import Machine, MachineOrder, OrderOutcome, WaveAsked
 
@@ -70,6 +72,26 @@
         """Closes idle connections."""
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Hosts that a policy allows, with their tickets.
+
+    Attributes:
+        tickets: Ticket by host.
+        valid_ms: How long the tickets are valid.
+    """
+
+    tickets: dict[HostId, str]
+    valid_ms: int
+
+
+class Adviser(Protocol):
+    """The service that knows which hosts a policy allows."""
+
+    def ask(self, asked: AskAdvice) -> Advice | None:
+        """Returns the allowed hosts, or none without an answer."""
+
+
 class MachineOrders(Protocol):
     """The service that moves and maintains machines."""
 
@@ -113,5 +135,8 @@
     def machine_orders(self, term: Term) -> MachineOrders | None:
         """Returns a client of the service for machines, if there is one."""
 
+    def adviser(self) -> Adviser | None:
+        """Returns a client of the adviser, if there is one."""
+
     def orders_to(self, info: HostInfo, term: Term) -> HostOrders:
         """Returns a client of a host."""
--- /dev/null
+++ b/src/amaranthtray/platform/advice_client.py
@@ -0,0 +1,50 @@
+"""The service that knows which hosts a policy allows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..domain.ids import HostId
+from ..jobs.ports import Advice
+from ._http import Answer, HttpPeer
+
+if TYPE_CHECKING:
+    from ..domain.scheduling.advice import AskAdvice
+
+ADVICE_TIMEOUT_MS = 3_000
+"""An answer about many hosts takes its time, and calls wait in turn."""
+
+
+class _Answer(msgspec.Struct, rename="camel"):
+    # Rows of host and ticket.
+    allowed: list[tuple[str, str]]
+    valid_ms: int
+
+
+class AdviceClient:
+    """Asks the service; one call at a time, as it answers in turn.
+
+    Args:
+        address: IP address and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._peer = HttpPeer(address, connections=1)
+
+    def ask(self, asked: AskAdvice) -> Advice | None:
+        """Returns the tickets of the allowed hosts, or none without an answer."""
+        key = asked.step
+        payload = {
+            "step": f"{key.job}.{key.occurrence}.{key.step}",
+            "workers": list(asked.hosts),
+        }
+        answer = self._peer.call(
+            "POST", "/v1/advise", timeout_ms=ADVICE_TIMEOUT_MS, payload=payload
+        )
+        if not isinstance(answer, Answer) or not answer.is_done:
+            return None
+        found = msgspec.json.decode(answer.body, type=_Answer)
+        tickets = {HostId(host): ticket for host, ticket in found.allowed}
+        return Advice(tickets, found.valid_ms)
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -14,6 +14,7 @@
 from ..settings.job_entry import load_job_entry
 from ..web import WebServer
 from . import documents
+from .advice_client import AdviceClient
 from .host_client import HostClient
 from .ingress import Ingress, MetricsPage, ReadinessPage
 from .machine_client import MachineClient
@@ -71,6 +72,11 @@
             return None
         return MachineClient(machines.address, self._settings.entry.name, term)
 
+    def adviser(self) -> AdviceClient | None:
+        """Returns a client of the adviser, if there is one."""
+        advice = self._settings.advice
+        return AdviceClient(advice.address) if advice else None
+
     def orders_to(self, info: HostInfo, term: Term) -> HostClient:
         """Returns a client of a host."""
         host: HostId = info.id
