--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -32,6 +32,9 @@
         listed = running.pop((placed.name, placed.run.number), None)
         if listed is not None:
             _running(board, placed, listed, report)
+            if _is_needless(board, placed):
+                placed.run.phase, placed.run.settled_ms = RunPhase.STOPPING, None
+                effects.append(StopRun(host.info.id, placed.name, placed.run.number))
         elif _is_surely_gone(placed, report):
             board.drop(placed.name, placed.run)
     host.has_strays = bool(running)
@@ -79,6 +82,12 @@
         run.settled_ms = report.received_ms
 
 
+def _is_needless(board: Board, placed: Placed) -> bool:
+    """Returns whether a run goes on though its task or its job is over."""
+    is_running = placed.run.phase is RunPhase.RUNNING
+    return is_running and board.jobs[placed.name.job].is_over(placed.name)
+
+
 def _is_surely_gone(placed: Placed, report: HostReport) -> bool:
     """Returns whether lists without the run prove that it is not there."""
     run = placed.run
--- a/src/amaranthtray/domain/upkeep/model.py
+++ b/src/amaranthtray/domain/upkeep/model.py
@@ -102,7 +102,10 @@
         begun_ms: Steady time at which this holder first saw it.
         done: Machines that are back, or gone for good.
         down: Machines that were ordered, with the life that they had.
+        confirmed: Those of them whose order was surely carried out.
+        unsure: Those whose order may have been carried out, or may still be.
         ordered_ms: Steady time of their orders.
+        missing_since_ms: Machines that the list lacks, and since when.
         asked_hosts: Lives that are being emptied.
         asked_machines: Machines that they are lives of.
         is_announced: Whether operators were told that it runs.
@@ -113,7 +116,10 @@
     begun_ms: int
     done: set[MachineName] = field(default_factory=set)
     down: dict[MachineName, HostId] = field(default_factory=dict)
+    confirmed: set[MachineName] = field(default_factory=set)
+    unsure: set[MachineName] = field(default_factory=set)
     ordered_ms: dict[MachineName, int] = field(default_factory=dict)
+    missing_since_ms: dict[MachineName, int] = field(default_factory=dict)
     asked_hosts: set[HostId] = field(default_factory=set)
     asked_machines: set[MachineName] = field(default_factory=set)
     is_announced: bool = False
--- a/src/amaranthtray/domain/upkeep/waves.py
+++ b/src/amaranthtray/domain/upkeep/waves.py
@@ -22,7 +22,10 @@
 """Time that one machine is expected to take: emptying, maintenance, return."""
 
 UNSEEN_MS = 5_000
-"""Maintenance of a machine that is off is over after this long."""
+"""A machine that is up so long after its order was carried out is back."""
+
+GONE_MS = 5_000
+"""A machine that the list lacks for so long is gone; a page may miss one once."""
 
 SPEED_UP = 1.6
 """Machines are taken so much faster than just in time, for delays on the way."""
@@ -61,10 +64,10 @@
     wave.asked_hosts = {each.host for each in chosen if each.host}
     wave.asked_machines = {each.name for each in chosen}
     vacate = tuple((each.pool, each.host) for each in chosen if each.host)
-    room = wave.asked.cap - len(wave.down)
+    room = wave.asked.cap - len(_away(wave, fleet))
     ready = [each for each in chosen if not each.host or each.host in fleet.vacant]
     orders = [MaintainMachine(each.name, wave.asked.number) for each in ready]
-    return WavePlan(vacate, tuple(orders[: max(room, 0)]))
+    return WavePlan(vacate, (*_repeats(wave, fleet), *orders[: max(room, 0)]))
 
 
 def take_order(wave: Wave, machine: Machine, now_ms: int) -> None:
@@ -74,15 +77,52 @@
 
 
 def take_reply(wave: Wave, name: MachineName, outcome: OrderOutcome) -> None:
-    """Takes the outcome of an order; an unknown one is given again."""
+    """Takes the outcome of an order.
+
+    One that may have been carried out, or may be later, is given again until it
+    surely was: a refusal may mean that it is being carried out.
+    """
     match outcome:
-        case OrderOutcome.REFUSED:
-            wave.down.pop(name, None)
+        case OrderOutcome.DONE:
+            wave.confirmed.add(name)
+        case OrderOutcome.UNKNOWN:
+            wave.unsure.add(name)
+        case OrderOutcome.REFUSED if name not in wave.unsure:
+            _forget(wave, name)
         case OrderOutcome.HOPELESS:
-            wave.down.pop(name, None)
+            _forget(wave, name)
             wave.done.add(name)
 
 
+def _forget(wave: Wave, name: MachineName) -> None:
+    wave.down.pop(name, None)
+    wave.confirmed.discard(name)
+    wave.unsure.discard(name)
+
+
+def _away(wave: Wave, fleet: Fleet) -> set[MachineName]:
+    """Returns the machines of the wave that are, or may be, down for it."""
+    maintained = {
+        name
+        for name in wave.asked.machines
+        if name in fleet.machines
+        and fleet.machines[name].state is MachineState.MAINTAINED
+    }
+    return maintained | set(wave.down)
+
+
+def _repeats(wave: Wave, fleet: Fleet) -> list[MaintainMachine]:
+    """Returns orders that were not surely carried out, for machines still empty."""
+    return [
+        MaintainMachine(name, wave.asked.number)
+        for name, former in wave.down.items()
+        if name not in wave.confirmed
+        and name in fleet.machines
+        and fleet.machines[name].state is MachineState.UP
+        and fleet.machines[name].host == former
+    ]
+
+
 def wave_of(asked: WaveAsked, now_ms: int) -> Wave:
     """Returns a wave that nothing was done of."""
     return Wave(asked, now_ms)
@@ -90,30 +130,34 @@
 
 def _note_returns(wave: Wave, fleet: Fleet, now_ms: int) -> None:
     """Ends the absence of machines that are back, or gone for good."""
+    _note_missing(wave, fleet, now_ms)
     for name, former in list(wave.down.items()):
         machine = fleet.machines.get(name)
         since_ms = now_ms - wave.ordered_ms.setdefault(name, now_ms)
-        if machine is None or _is_back(machine, former, since_ms):
-            del wave.down[name]
-            wave.done.add(name)
-    for name in wave.left:
-        if name not in fleet.machines:
+        if machine is None or machine.state is not MachineState.UP:
+            continue
+        is_other = machine.host != former
+        if name not in wave.confirmed and is_other:
+            # It crashed, or had its maintenance: the next order tells.
+            _forget(wave, name)
+        elif name in wave.confirmed and (is_other or since_ms > UNSEEN_MS):
+            _forget(wave, name)
             wave.done.add(name)
 
 
-def _is_back(machine: Machine, former: HostId, since_ms: int) -> bool:
-    """Returns whether a machine is up in another life than it was ordered in.
-
-    One that is off has no life to tell by, so only time does.
-    """
-    if machine.state is not MachineState.UP:
-        return False
-    return machine.host != former if former else since_ms > UNSEEN_MS
+def _note_missing(wave: Wave, fleet: Fleet, now_ms: int) -> None:
+    """Takes machines as gone for good that the list has lacked for a while."""
+    for name in {*wave.left, *wave.down}:
+        if name in fleet.machines:
+            wave.missing_since_ms.pop(name, None)
+        elif now_ms - wave.missing_since_ms.setdefault(name, now_ms) > GONE_MS:
+            _forget(wave, name)
+            wave.done.add(name)
 
 
 def _next_machines(wave: Wave, fleet: Fleet, now_ms: int) -> list[Machine]:
     """Returns machines to empty or maintain now, spread over the pools."""
-    left = [fleet.machines[name] for name in wave.left]
+    left = [fleet.machines[name] for name in wave.left if name in fleet.machines]
     up = [each for each in left if each.state is MachineState.UP]
     left_ms = max(wave.begun_ms + wave.asked.duration_ms - now_ms, 1)
     pace = math.ceil(len(left) * EXPECTED_MS * SPEED_UP / left_ms)
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -44,6 +44,7 @@
 
     done: list[str] = []
     down: dict[str, str] = {}
+    confirmed: list[str] = []
     is_over: bool = False
 
 
@@ -141,6 +142,8 @@
             wave.down = {
                 MachineName(each): HostId(host) for each, host in saved.down.items()
             }
+            wave.confirmed = {MachineName(each) for each in saved.confirmed}
+            wave.unsure = set(wave.down) - wave.confirmed
             wave.is_announced, wave.is_over = True, saved.is_over
             self._saved[name] = known
         self._waves[name] = wave
@@ -257,8 +260,6 @@
             outcome=outcome,
             term=self._term,
         )
-        if outcome is OrderOutcome.UNKNOWN:
-            outcome = orders.order(order) if self._goes_on() else outcome
         take_reply(wave, machine.name, outcome)
 
     def _save(self, name: str, wave: Wave) -> bool:
@@ -267,6 +268,7 @@
         progress = _Progress(
             done=sorted(wave.done),
             down=dict(sorted(wave.down.items())),
+            confirmed=sorted(wave.confirmed),
             is_over=is_over,
         )
         value = msgspec.json.encode(progress)
