--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -124,6 +124,7 @@
         board.gated.append(
             StartRun(
                 host.info.id,
+                run.host_born,
                 name,
                 run.number,
                 job.spec.payload,
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -19,10 +19,8 @@
 def take_report(board: Board, host: Host, report: HostReport) -> list[Effect]:
     """Brings the board up to a host's answer; returns orders to stop strays."""
     effects: list[Effect] = []
-    if host.born is not None and host.born != report.born:
-        effects += _reborn(board, host)
     if host.born != report.born:
-        host.acknowledged = 0
+        _reborn(host)
     host.born = report.born
     host.is_silent = False
     host.seen_ms = board.now_ms
@@ -42,18 +40,12 @@
     return effects
 
 
-def _reborn(board: Board, host: Host) -> list[Effect]:
-    """Ends what ran before; an unanswered order may still arrive at the new run."""
-    effects: list[Effect] = []
+def _reborn(host: Host) -> None:
+    """Doubts all runs: orders to the former life are fenced off from this one."""
+    host.acknowledged = 0
     for placed in host.placed():
-        if placed.run.phase in (RunPhase.STARTING, RunPhase.STOPPING):
-            placed.run.phase = RunPhase.STOPPING
-            placed.run.settled_ms = None
-            order = StopRun(host.info.id, placed.name, placed.run.number)
-            effects.append(order)
-        elif placed.run.phase is not RunPhase.RESERVED:
-            board.drop(placed.name, placed.run)
-    return effects
+        if placed.run.phase is not RunPhase.RESERVED:
+            placed.run.phase, placed.run.settled_ms = RunPhase.UNSURE, None
 
 
 def _take_ends(board: Board, host: Host, report: HostReport) -> None:
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from ..jobs.job import Job
+    from ..jobs.task import Run
     from ._board import Board
     from .host import Host, Placed
 
@@ -19,6 +20,10 @@
 
 WORKING_PERCENT = 100
 
+SEEN_MS = 3_000
+"""A task counts as at work if its host listed it so lately; a look takes two seconds
+while nothing ends."""
+
 
 def vacate_hosts(board: Board) -> list[StopRun]:
     """Stops what may be stopped on hosts that are to be emptied."""
@@ -64,21 +69,22 @@
     step, name = placed.step, placed.name
     if host.info.is_draining:
         return True
-    if step.may_miss and away(job, placed) >= step.may_miss:
+    if step.may_miss and _away(board, job, placed) >= step.may_miss:
         return False
     hosts = [each for each in board.hosts.values() if each.is_open(board.now_ms)]
     return bool(place_each(step, StepKey(*name[:3]), [name.number], hosts))
 
 
-def away(job: Job, placed: Placed) -> int:
-    """Returns how many other tasks of the step are not fully at work."""
+def _away(board: Board, job: Job, placed: Placed) -> int:
+    """Returns how many other tasks of the step are not surely at work."""
     name = placed.name
     tasks = job.tasks(name.occurrence, name.step)
     others = [task for number, task in enumerate(tasks) if number != name.number]
-    return sum(
-        not any(
-            run.phase is RunPhase.RUNNING and run.percent >= WORKING_PERCENT
-            for run in task.runs
-        )
-        for task in others
-    )
+    return sum(not any(_is_at_work(board, run) for run in task.runs) for task in others)
+
+
+def _is_at_work(board: Board, run: Run) -> bool:
+    host = board.hosts.get(run.host)
+    is_seen = host is not None and board.now_ms - host.seen_ms < SEEN_MS
+    is_working = run.phase is RunPhase.RUNNING and run.percent >= WORKING_PERCENT
+    return is_seen and is_working and host is not None and not host.is_silent
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -153,13 +153,23 @@
 
 @dataclass(frozen=True, slots=True)
 class StartReplied:
-    """The outcome of an order to start."""
+    """The outcome of an order to start.
+
+    Attributes:
+        host: The host.
+        name: The task.
+        number: The run.
+        outcome: The reply.
+        replied_ms: Steady time of the reply.
+        was_repeated: Whether an earlier try got no answer, and may have started it.
+    """
 
     host: HostId
     name: TaskName
     number: int
     outcome: StartOutcome
     replied_ms: int
+    was_repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,9 +242,20 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Order a host to start a run."""
+    """Order a host to start a run.
+
+    Attributes:
+        host: The host.
+        host_born: The life of the host that is meant; no other may get the order.
+        name: The task.
+        number: The run.
+        payload: What callers gave for the job's tasks.
+        checkpoint: Where it goes on from; empty for the beginning.
+        ticket: Proof that a policy allows the host; empty where none is needed.
+    """
 
     host: HostId
+    host_born: int
     name: TaskName
     number: int
     payload: str
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -247,7 +247,12 @@
             return [StopRun(reply.host, reply.name, reply.number)]
         if reply.outcome is StartOutcome.FENCED:
             return [Superseded(reply.host)]
-        self.board.drop(reply.name, run)
+        if reply.was_repeated:
+            # The first try may have started it, and it may have ended since: the
+            # host's lists tell.
+            run.phase, run.settled_ms = RunPhase.RUNNING, reply.replied_ms
+        else:
+            self.board.drop(reply.name, run)
         self._pause(host, reply)
         return []
 
--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -16,7 +17,7 @@
 from .model import Machine, MachineName, MachineState, MoveMachine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
     from .waves import Fleet
 
@@ -29,6 +30,13 @@
 SURPLUS_MS = 1_500
 """A pool may spare a machine once it has had too many for this long."""
 
+KEPT_SHARE = 0.4
+"""A pool keeps this part of the most that it lately needed: while the duty that
+moves machines has no holder, or can't reach the platform, it has to do with them."""
+
+PEAK_MEMORY_MS = 60_000
+"""Needs are remembered this long; demand comes in turns."""
+
 MOVE_TIMEOUT_MS = 15_000
 """A machine that has not come up elsewhere by then is looked at anew."""
 
@@ -56,11 +64,13 @@
         leaving: Machines that are being emptied, and where they are to go.
         moving: Machines that were ordered to move, with the time of the order.
         surplus_since_ms: Since when a pool has had too many machines.
+        peaks: The most that a pool needed, and when that was.
     """
 
     leaving: dict[MachineName, PoolName] = field(default_factory=dict)
     moving: dict[MachineName, tuple[PoolName, int]] = field(default_factory=dict)
     surplus_since_ms: dict[PoolName, int] = field(default_factory=dict)
+    peaks: dict[PoolName, tuple[int, int]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,10 +80,12 @@
     Attributes:
         vacate: Lives that are to be emptied, by pool.
         orders: Machines that move now.
+        lacking: Machines that each pool lacked, negative if it had too many.
     """
 
     vacate: tuple[tuple[PoolName, HostId], ...]
     orders: tuple[MoveMachine, ...]
+    lacking: Mapping[PoolName, int]
 
 
 def hosts_needed(load: PoolLoad) -> int:
@@ -111,6 +123,7 @@
         and machine.name not in moves.moving
     ]
     lacking = _lacking(moves, fleet, loads, now_ms)
+    lacked = dict(lacking)
     orders = _from_standby(moves, up, lacking, standby, fleet)
     _choose_leaving(moves, up, loads, lacking, standby, now_ms)
     vacate = []
@@ -120,7 +133,7 @@
         if machine.host in fleet.vacant:
             del moves.leaving[name]
             orders.append(MoveMachine(name, target))
-    return MovePlan(tuple(vacate), tuple(orders))
+    return MovePlan(tuple(vacate), tuple(orders), lacked)
 
 
 def take_order(moves: Moves, order: MoveMachine, now_ms: int) -> None:
@@ -168,7 +181,9 @@
         have[pool] = have.get(pool, 0) + 1
     lacking = {}
     for pool, load in loads.items():
-        lacking[pool] = hosts_needed(load) - have.get(pool, 0)
+        needed = hosts_needed(load)
+        kept = math.ceil(KEPT_SHARE * _peak(moves, pool, needed, now_ms))
+        lacking[pool] = max(needed, min(kept, have.get(pool, 0))) - have.get(pool, 0)
         if lacking[pool] < 0:
             moves.surplus_since_ms.setdefault(pool, now_ms)
         else:
@@ -176,6 +191,15 @@
     return lacking
 
 
+def _peak(moves: Moves, pool: PoolName, needed: int, now_ms: int) -> int:
+    """Returns the most that a pool has needed lately."""
+    most, seen_ms = moves.peaks.get(pool, (0, now_ms))
+    if needed >= most or now_ms - seen_ms > PEAK_MEMORY_MS:
+        most, seen_ms = needed, now_ms
+    moves.peaks[pool] = (most, seen_ms)
+    return most
+
+
 def _from_standby(
     moves: Moves,
     up: Iterable[Machine],
--- a/src/amaranthtray/domain/upkeep/waves.py
+++ b/src/amaranthtray/domain/upkeep/waves.py
@@ -27,7 +27,7 @@
 GONE_MS = 5_000
 """A machine that the list lacks for so long is gone; a page may miss one once."""
 
-SPEED_UP = 1.6
+SPEED_UP = 2.5
 """Machines are taken so much faster than just in time, for delays on the way."""
 
 
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -21,7 +21,7 @@
 from .ledger import decode_report
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from ..domain.ids import Term
     from ..domain.upkeep.model import Machine, MachineOrder
@@ -68,6 +68,7 @@
         self._saved: dict[str, bytes] = {}
         self._vacate: dict[PoolName, frozenset[HostId]] = {}
         self._moves = moves.Moves()
+        self._lacking: Mapping[PoolName, int] = {}
         self._cursor = WatchCursor(0)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -216,6 +217,10 @@
         plan = plan_moves(self._moves, fleet, loads, standby, busy, now_ms)
         for pool, host in plan.vacate:
             vacate[pool].add(host)
+        if plan.lacking != self._lacking:
+            self._lacking = plan.lacking
+            needs = {pool: load.need for pool, load in loads.items()}
+            self._context.log.event("pools", lacking=plan.lacking, needs=needs)
         for order in plan.orders:
             if not self._goes_on():
                 return
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -78,6 +78,7 @@
         self._changed = threading.Condition()
         self._acknowledged = (0, 0)
         self._is_silent = False
+        self._born: int | None = None
         self._queue: queue.SimpleQueue[StartRun | StopRun | PaceRun | None]
         self._queue = queue.SimpleQueue()
         self._order_thread: threading.Thread | None = None
@@ -112,7 +113,9 @@
         while not self._closing.is_set() and self._term.may_renew():
             with self._changed:
                 known_born, sequence = self._acknowledged
-            acknowledged = sequence if known_born == born else 0
+            # After a silence the next life may answer, whose ends are others.
+            is_same = known_born == born and not self._is_silent
+            acknowledged = sequence if is_same else 0
             wait_ms = HOLD_WAIT_MS if pending <= acknowledged else 0
             lists = self._hold(acknowledged, wait_ms)
             if isinstance(lists, Lists):
@@ -134,6 +137,8 @@
             case Lists():
                 self._lease.answered(found.clock_ms, found.born, received_ms)
                 self._is_silent = False
+                if self._is_reborn(found.born):
+                    return self._hold(0, 0)
                 self._post(
                     HostReport(
                         self.info.id,
@@ -153,6 +158,15 @@
                 self._silent(detail)
         return None
 
+    def _is_reborn(self, born: int) -> bool:
+        """Returns whether the host has a new life, which the next call fences."""
+        former, self._born = self._born, born
+        if former is None or former == born:
+            return False
+        self._orders.raise_token()
+        self._log.event("host-reborn", host=self.info.id, born=born, was=former)
+        return True
+
     def _silent(self, detail: str) -> None:
         if not self._is_silent:
             self._is_silent = True
@@ -184,21 +198,37 @@
 
     def _start(self, order: StartRun) -> None:
         outcome: StartOutcome | OtherHost = StartOutcome.NO_REPLY
-        for _ in range(START_TRIES):
+        tries = 0
+        while tries < START_TRIES:
             now_ms = steady_ms()
             until_ms = self._lease.next_until_ms(now_ms)
             if until_ms is None or self._closing.is_set():
                 break
+            if order.host_born != self._born:
+                # That life is over, and what was sent to it is fenced off.
+                outcome = StartOutcome.REFUSED
+                break
             if not self._term.may_order():
                 return
+            token = self._orders.token
             outcome = self._orders.start(order, until_ms)
+            if outcome is StartOutcome.FENCED and token != self._orders.token:
+                outcome = StartOutcome.REFUSED
+            tries += 1
             if outcome is not StartOutcome.NO_REPLY:
                 break
         if isinstance(outcome, OtherHost):
             self._post(HostLapsed(self.info.id))
             return
         self._post(
-            StartReplied(self.info.id, order.name, order.number, outcome, steady_ms())
+            StartReplied(
+                self.info.id,
+                order.name,
+                order.number,
+                outcome,
+                steady_ms(),
+                was_repeated=tries > 1,
+            )
         )
 
     def _stop(self, order: StopRun) -> None:
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -54,6 +54,13 @@
 class HostOrders(Protocol):
     """Orders to one host; each call may block up to its timeout."""
 
+    @property
+    def token(self) -> int:
+        """Returns the fencing token of the next order."""
+
+    def raise_token(self) -> None:
+        """Fences off all orders that were given so far."""
+
     def start(self, order: StartRun, until_ms: int) -> StartOutcome | OtherHost:
         """Orders a start; ``until_ms`` is the lease's end on the host's clock."""
 
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -18,6 +18,9 @@
 ORDER_TIMEOUT_MS = 700
 """An order is answered within milliseconds; a slow link takes some tens."""
 
+LIVES_PER_TERM = 1_000
+"""Tokens of one term: each new life of a host gets the next one."""
+
 CONNECTIONS = 2
 """One for orders and one for the call that waits for ends."""
 
@@ -52,13 +55,22 @@
     Args:
         host: Its id.
         address: IP address and port.
-        term: Fencing term of all orders.
+        term: Term of the conductor.
     """
 
     def __init__(self, host: HostId, address: str, term: Term) -> None:
         self._peer = HttpPeer(address, connections=CONNECTIONS)
         self._headers = {"Expected-Instance": str(host)}
-        self._term = term
+        self._token = term * LIVES_PER_TERM
+
+    @property
+    def token(self) -> int:
+        """Returns the fencing token of the next order."""
+        return self._token
+
+    def raise_token(self) -> None:
+        """Fences off all orders that were given so far."""
+        self._token += 1
 
     def start(self, order: StartRun, until_ms: int) -> StartOutcome | OtherHost:
         """Orders a start; ``until_ms`` is the lease's end on the host's clock."""
@@ -67,7 +79,7 @@
             "run": order.number,
             "spec": order.payload,
             "untilMs": until_ms,
-            "fencingToken": self._term,
+            "fencingToken": self._token,
         }
         if order.checkpoint:
             payload["checkpoint"] = order.checkpoint
@@ -89,7 +101,7 @@
 
     def stop(self, name: TaskName, number: int) -> bool:
         """Orders a stop; returns whether the host took it."""
-        payload = {"task": str(name), "run": number, "fencingToken": self._term}
+        payload = {"task": str(name), "run": number, "fencingToken": self._token}
         return _is_taken(self._order("/v1/run-stop", payload))
 
     def pace(self, name: TaskName, number: int, percent: int) -> bool:
@@ -98,7 +110,7 @@
             "task": str(name),
             "run": number,
             "percent": percent,
-            "fencingToken": self._term,
+            "fencingToken": self._token,
         }
         return _is_taken(self._order("/v1/pace", payload))
 
@@ -113,7 +125,7 @@
             wait_ms: Longest time to wait for an end.
         """
         payload = {
-            "fencingToken": self._term,
+            "fencingToken": self._token,
             "acknowledged": acknowledged,
             "waitMs": wait_ms,
         }
--- /dev/null
+++ b/tests/scheduling/world.py
@@ -0,0 +1,494 @@
+"""A pool on a virtual clock: hosts, orders that get lost or late, conductors."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from amaranthtray.domain.ids import (
+    HostId,
+    PoolName,
+    QueueName,
+    RackId,
+    TeamName,
+    ZoneId,
+)
+from amaranthtray.domain.invariants.jobs import JobPromises
+from amaranthtray.domain.jobs.catalog import Catalog, JobPool, JobQueue, JobTeam
+from amaranthtray.domain.jobs.job import JobState
+from amaranthtray.domain.jobs.model import JobId, JobSpec, Resources, StepSpec, TaskName
+from amaranthtray.domain.jobs.record import decode_state
+from amaranthtray.domain.jobs.task import HowEnded
+from amaranthtray.domain.scheduling.caps import ClaimPortion, PortionsRead, claim
+from amaranthtray.domain.scheduling.lease import HostLease
+from amaranthtray.domain.scheduling.messages import (
+    AcknowledgeEnds,
+    EndReport,
+    HostInfo,
+    HostLapsed,
+    HostReport,
+    HostSilent,
+    HostsListed,
+    JobCancelled,
+    JobFound,
+    NotStored,
+    RunReport,
+    StartOutcome,
+    StartReplied,
+    StartRun,
+    StopReplied,
+    StopRun,
+    Stored,
+    StoreJobs,
+)
+from amaranthtray.domain.scheduling.pool import PoolScheduler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+POOL = PoolName("pool")
+QUEUE = QueueName("queue")
+TEAM = TeamName("team")
+LEASE_MS, GRACE_MS, MAX_LEASE_MS = 5_000, 3_000, 10_000
+TERM_MS = 2_500
+CANCEL_MS = 3_000
+TRIP_MS = 2
+CAPACITY = Resources(4_000, 8_000, 0)
+CAP = Resources(9_000, 0, 0)
+
+
+@dataclass
+class SimHost:
+    """A host as its protocol describes it."""
+
+    world: World
+    id: HostId
+    born: int = 0
+    term: int = 0
+    until_ms: int = 0
+    is_up: bool = True
+    is_cut: bool = False
+    rate: float = 1.0
+    running: dict[TaskName, tuple[int, int]] = field(default_factory=dict)
+    ends: list[EndReport] = field(default_factory=list)
+    ended: dict[TaskName, int] = field(default_factory=dict)
+    sequence: int = 0
+
+    def clock(self) -> int:
+        return int((self.world.now_ms - self.born) * self.rate)
+
+    def used(self) -> int:
+        return sum(
+            self.world.specs[name.job].steps[name.step].need.cpu
+            for name in self.running
+        )
+
+    def start(self, term: int, order: StartRun, until_ms: int) -> StartOutcome:
+        if term < self.term:
+            return StartOutcome.FENCED
+        self.term = term
+        self._extend(until_ms)
+        if order.name in self.running and self.running[order.name][0] == order.number:
+            return StartOutcome.STARTED
+        if order.number <= self.ended.get(order.name, 0) or until_ms <= self.clock():
+            return StartOutcome.REFUSED
+        step = self.world.specs[order.name.job].steps[order.name.step]
+        if self.used() + step.need.cpu > CAPACITY.cpu:
+            return StartOutcome.NO_ROOM
+        length_ms = self.world.rng.randint(200, 2_500)
+        self.running[order.name] = (order.number, self.world.now_ms + length_ms)
+        self.world.promises.started(order.name, order.number, self.id)
+        born = self.born
+        self.world.at(length_ms, lambda: self._finish(order.name, order.number, born))
+        return StartOutcome.STARTED
+
+    def stop(self, term: int, name: TaskName, number: int) -> bool:
+        if term < self.term:
+            return True
+        self.term = term
+        if self.running.get(name, (0, 0))[0] == number:
+            self.end(name, HowEnded.STOPPED)
+        self.ended[name] = max(self.ended.get(name, 0), number)
+        return True
+
+    def hold(self, term: int, until_ms: int | None, acknowledged: int) -> bool:
+        if term < self.term:
+            return False
+        self.term = term
+        if until_ms is not None:
+            self._extend(until_ms)
+        for end in self.ends:
+            if end.sequence <= acknowledged:
+                self.world.promises.noted(end.name, end.how)
+        self.ends = [end for end in self.ends if end.sequence > acknowledged]
+        return True
+
+    def end(self, name: TaskName, how: HowEnded) -> None:
+        number, _ = self.running.pop(name)
+        self.sequence += 1
+        self.ended[name] = max(self.ended.get(name, 0), number)
+        self.ends.append(EndReport(self.sequence, name, number, how, ""))
+        self.world.promises.ended(name, number, self.id)
+        if how is HowEnded.DONE:
+            self.world.promises.done(name)
+
+    def check_lease(self) -> None:
+        if self.running and self.clock() > self.until_ms:
+            for name in list(self.running):
+                self.end(name, HowEnded.LAPSED)
+
+    def crash(self) -> None:
+        for name in list(self.running):
+            number, _ = self.running.pop(name)
+            self.world.promises.ended(name, number, self.id)
+        self.ends, self.ended, self.sequence, self.term = [], {}, 0, 0
+        self.until_ms = 0
+        self.is_up = False
+
+    def reborn(self) -> None:
+        self.born, self.is_up = self.world.now_ms, True
+
+    def _extend(self, until_ms: int) -> None:
+        longest_ms = self.clock() + MAX_LEASE_MS
+        self.until_ms = max(self.until_ms, min(until_ms, longest_ms))
+
+    def _finish(self, name: TaskName, number: int, born: int) -> None:
+        if born == self.born and self.running.get(name, (0, 0))[0] == number:
+            self.check_lease()
+        if born == self.born and self.running.get(name, (0, 0))[0] == number:
+            fails = self.world.rng.random() < self.world.fail_share
+            self.end(name, HowEnded.FAILED if fails else HowEnded.DONE)
+
+
+class Conductor:
+    """Plays the tasks around a scheduler: links, record writer, cap keeper."""
+
+    def __init__(self, world: World, term: int) -> None:
+        self.world = world
+        self.term = term
+        self.is_alive = True
+        self.held_until_ms = world.now_ms + TERM_MS
+        wait_ms = GRACE_MS + int(LEASE_MS / 0.98)
+        unknown_ms = world.now_ms + wait_ms
+        self.scheduler = PoolScheduler(POOL, world.catalog, unknown_ms)
+        self.leases = {
+            host: HostLease(
+                lease_ms=LEASE_MS,
+                max_lease_ms=MAX_LEASE_MS,
+                unknown_until_ms=unknown_ms,
+            )
+            for host in world.hosts
+        }
+        self.acknowledged: dict[HostId, tuple[int, int]] = {}
+        self.lives: dict[HostId, int] = {}
+        self.tokens = dict.fromkeys(world.hosts, term * 1_000)
+        self.silent: set[HostId] = set()
+        for spec in world.specs.values():
+            record = world.records.get(spec.id)
+            self.take(JobFound(spec, record, spec.id in world.cancelled))
+        self.take(PortionsRead(TEAM, dict(world.portions)))
+        infos = [
+            HostInfo(
+                id=host,
+                address="",
+                zone=ZoneId("z"),
+                rack=RackId("r"),
+                capacity=CAPACITY,
+            )
+            for host in world.hosts
+        ]
+        self.take(HostsListed(tuple(infos)))
+        for host in world.hosts:
+            self.hold_loop(host)
+        self.plan_loop()
+
+    @property
+    def may_order(self) -> bool:
+        return self.is_alive and self.world.now_ms < self.held_until_ms
+
+    @property
+    def may_renew(self) -> bool:
+        return self.is_alive and self.world.now_ms < self.held_until_ms + GRACE_MS
+
+    def take(self, message: object) -> None:
+        if self.is_alive:
+            now_ms = self.world.now_ms
+            effects = self.scheduler.handle(message, now_ms, now_ms)  # type: ignore[arg-type]
+            self.carry_out(effects)
+
+    def plan_loop(self) -> None:
+        if not self.may_renew:
+            return
+        if self.may_order:
+            now_ms = self.world.now_ms
+            self.carry_out(self.scheduler.plan(now_ms, now_ms))
+        self.world.at(50, self.plan_loop)
+
+    def carry_out(self, effects: list) -> None:  # type: ignore[type-arg]
+        for effect in effects:
+            match effect:
+                case StoreJobs():
+                    self.store(effect)
+                case StartRun():
+                    self.start(effect, 3)
+                case StopRun():
+                    self.stop(effect)
+                case AcknowledgeEnds(host, born, sequence):
+                    self.acknowledged[host] = (born, sequence)
+                case ClaimPortion():
+                    self.world.at(10, lambda asked=effect: self.claim(asked))
+
+    def claim(self, asked: ClaimPortion) -> None:
+        if self.may_order:
+            row = claim(self.world.portions, POOL, asked)
+            if self.world.rng.random() < 0.9:
+                self.world.portions = row
+                self.take(PortionsRead(asked.team, dict(row)))
+
+    def store(self, batch: StoreJobs) -> None:
+        def arrive() -> None:
+            world = self.world
+            luck = world.rng.random()
+            if world.highest_term != self.term or luck < world.trouble:
+                answer: object = NotStored(batch.batch)
+            else:
+                world.records.update(dict(batch.records))
+                world.look_at_states(batch.records)
+                is_lost = luck < 2 * world.trouble
+                answer = NotStored(batch.batch) if is_lost else Stored(batch.batch)
+            world.at(3, lambda: self.take(answer))
+
+        self.world.at(3, arrive)
+
+    def start(self, order: StartRun, tries: int) -> None:
+        until_ms = self.leases[order.host].next_until_ms(self.world.now_ms)
+        if not self.may_order or until_ms is None:
+            return
+        if order.host_born != self.lives.get(order.host):
+            refused = StartOutcome.REFUSED
+            now_ms = self.world.now_ms
+            reply = StartReplied(
+                order.host, order.name, order.number, refused, now_ms, tries < 3
+            )
+            self.world.at(0, lambda: self.take(reply))
+            return
+        host, token = self.world.hosts[order.host], self.tokens[order.host]
+
+        def replied(outcome: StartOutcome | None) -> None:
+            is_new = token != self.tokens[order.host]
+            if outcome is StartOutcome.FENCED and is_new:
+                outcome = StartOutcome.REFUSED
+            if outcome is None and tries > 1:
+                self.start(order, tries - 1)
+                return
+            found = outcome or StartOutcome.NO_REPLY
+            now_ms = self.world.now_ms
+            self.take(
+                StartReplied(
+                    order.host, order.name, order.number, found, now_ms, tries < 3
+                )
+            )
+
+        self.world.call(host, lambda: host.start(token, order, until_ms), replied)
+
+    def stop(self, order: StopRun) -> None:
+        if not self.may_order:
+            return
+        host, token = self.world.hosts[order.host], self.tokens[order.host]
+
+        def replied(outcome: bool | None) -> None:
+            if outcome is None:
+                self.world.at(150, lambda: self.stop(order))
+                return
+            now_ms = self.world.now_ms
+            self.take(StopReplied(order.host, order.name, order.number, now_ms))
+
+        self.world.call(
+            host, lambda: host.stop(token, order.name, order.number), replied
+        )
+
+    def hold_loop(self, host_id: HostId) -> None:
+        if not self.may_renew:
+            return
+        world, host, lease = self.world, self.world.hosts[host_id], self.leases[host_id]
+        sent_ms, token = world.now_ms, self.tokens[host_id]
+        until_ms = lease.next_until_ms(sent_ms)
+        known = self.acknowledged.get(host_id, (-1, 0))
+        is_same = known[0] == self.lives.get(host_id) and host_id not in self.silent
+        acknowledged = known[1] if is_same else 0
+
+        def ask() -> tuple[HostReport, int] | None:
+            host.check_lease()
+            if not host.hold(token, until_ms, acknowledged):
+                return None
+            running = tuple(
+                RunReport(name, number, "", 50, 0)
+                for name, (number, _) in host.running.items()
+            )
+            report = HostReport(
+                host_id, host.born, sent_ms, 0, running, tuple(host.ends)
+            )
+            return report, host.clock()
+
+        def replied(found: tuple[HostReport, int] | None) -> None:
+            now_ms = world.now_ms
+            if found is None:
+                self.silent.add(host_id)
+                self.take(HostSilent(host_id))
+                if lease.is_lapsed(now_ms):
+                    self.take(HostLapsed(host_id))
+            else:
+                report, clock_ms = found
+                lease.answered(clock_ms, report.born, now_ms)
+                self.silent.discard(host_id)
+                former = self.lives.get(host_id)
+                self.lives[host_id] = report.born
+                if former not in (None, report.born):
+                    self.tokens[host_id] += 1
+                    self.hold_loop(host_id)
+                    return
+                self.take(report)
+            world.at(world.rng.randint(30, 400), lambda: self.hold_loop(host_id))
+
+        world.call(host, ask, replied)
+
+
+class World:
+    """Everything of one seeded schedule."""
+
+    def __init__(self, seed: int, *, trouble: float = 0.05) -> None:
+        self.rng = random.Random(seed)
+        self.trouble = trouble
+        self.fail_share = 0.02
+        self.now_ms = 1_000_000
+        self.catalog = Catalog(
+            version=1,
+            store_version=1,
+            queues=(
+                JobQueue(
+                    name=QUEUE,
+                    host_header="h",
+                    path_prefix="/",
+                    pool=POOL,
+                    max_attempts=3,
+                    slowdown_factor=2.0,
+                ),
+            ),
+            pools={POOL: JobPool(name=POOL)},
+            teams={TEAM: JobTeam(name=TEAM, cap=CAP)},
+            team_by_digest={},
+        )
+        self.promises = JobPromises(caps={TEAM: Resources(CAP.cpu, 1 << 40, 1 << 40)})
+        self.specs: dict[JobId, JobSpec] = {}
+        self.records: dict[JobId, bytes] = {}
+        self.cancelled: set[JobId] = set()
+        self.portions: dict[PoolName, Resources] = {}
+        self.highest_term = 0
+        self._order = 0
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self.hosts = {HostId(f"h{n}"): SimHost(self, HostId(f"h{n}")) for n in range(4)}
+        for host in self.hosts.values():
+            host.born = self.now_ms - self.rng.randint(0, 50_000)
+            host.rate = self.rng.choice((1.0, 0.99, 0.98))
+        self.conductor: Conductor | None = None
+
+    def at(self, delay_ms: int, act: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._events, (self.now_ms + delay_ms, self._order, act))
+
+    def run_until(self, end_ms: int) -> None:
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, act = heapq.heappop(self._events)
+            for host in self.hosts.values():
+                host.check_lease()
+            act()
+        self.now_ms = end_ms
+
+    def call(
+        self,
+        host: SimHost,
+        act: Callable[[], object],
+        replied: Callable[[object], None],
+    ) -> None:
+        """Carries out a call, unless it or its reply is lost, or it comes late."""
+        born, luck = host.born, self.rng.random()
+        if host.is_cut or luck < self.trouble / 2:
+            self.at(700, lambda: replied(None))
+            return
+        if luck < self.trouble:
+            late_ms = self.rng.randint(1_000, 8_000)
+            self.at(late_ms, lambda: act() if host.is_up else None)
+            self.at(700, lambda: replied(None))
+            return
+
+        def arrive() -> None:
+            if not host.is_up or host.born != born or host.is_cut:
+                self.at(700, lambda: replied(None))
+                return
+            result = act()
+            if luck > 1 - self.trouble / 2:
+                self.at(700, lambda: replied(None))
+            else:
+                self.at(TRIP_MS, lambda: replied(result))
+
+        self.at(TRIP_MS, arrive)
+
+    def submit(self, spec: JobSpec) -> None:
+        self.specs[spec.id] = spec
+        self.promises.accepted(spec)
+        if self.conductor is not None:
+            self.conductor.take(JobFound(spec))
+
+    def cancel(self, job: JobId) -> None:
+        self.cancelled.add(job)
+        if self.conductor is not None:
+            self.conductor.take(JobCancelled(job))
+
+    def take_over(self) -> None:
+        """A new conductor begins; the old one may still act for a moment."""
+        self.highest_term += 1
+        self.conductor = Conductor(self, self.highest_term)
+        self._renew(self.conductor)
+
+    def _renew(self, conductor: Conductor) -> None:
+        """Keeps the term of the newest conductor."""
+        if conductor.term == self.highest_term and conductor.is_alive:
+            conductor.held_until_ms = self.now_ms + TERM_MS
+            self.at(500, lambda: self._renew(conductor))
+
+    def look_at_states(self, records: tuple[tuple[JobId, bytes], ...]) -> None:
+        for job, record in records:
+            if decode_state(record) is JobState.COMPLETED:
+                self.promises.shown_as_completed(job)
+
+    def state(self, job: JobId) -> JobState:
+        record = self.records.get(job)
+        return decode_state(record) if record else JobState.QUEUED
+
+
+def random_job(rng: random.Random, number: int) -> JobSpec:
+    """Returns a job of one to three steps."""
+    steps = []
+    for step in range(rng.randint(1, 3)):
+        after = (step - 1,) if step else ()
+        cpu = rng.choice((500, 1_000, 2_000))
+        steps.append(
+            StepSpec(
+                count=rng.randint(1, 4),
+                need=Resources(cpu, 500, 0),
+                estimated_ms=800,
+                after=after,
+                allows_copies=rng.random() < 0.2,
+            )
+        )
+    return JobSpec(
+        id=JobId(f"{number:016x}"),
+        queue=QUEUE,
+        team=TEAM,
+        payload="p",
+        steps=tuple(steps),
+        accepted_ms=1_000_000,
+        max_attempts=3,
+    )
