Keep two thirds of a pool's machines at all times

Cause: pools that had shrunk to two machines met their next peak in it while the duty that moves machines was changing hands or cut off.

--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -30,12 +30,9 @@
 SURPLUS_MS = 1_500
 """A pool may spare a machine once it has had too many for this long."""
 
-KEPT_SHARE = 0.4
-"""A pool keeps this part of the most that it lately needed: while the duty that
-moves machines has no holder, or can't reach the platform, it has to do with them."""
-
-PEAK_MEMORY_MS = 60_000
-"""Needs are remembered this long; demand comes in turns."""
+KEPT_SHARE = 0.67
+"""A pool keeps this part of the machines that operators gave it: it has to do with
+them while the duty that moves machines has no holder or can't reach the platform."""
 
 MOVE_TIMEOUT_MS = 15_000
 """A machine that has not come up elsewhere by then is looked at anew."""
@@ -64,13 +61,13 @@
         leaving: Machines that are being emptied, and where they are to go.
         moving: Machines that were ordered to move, with the time of the order.
         surplus_since_ms: Since when a pool has had too many machines.
-        peaks: The most that a pool needed, and when that was.
+        homes: Machines that each pool had at first, as operators gave them.
     """
 
     leaving: dict[MachineName, PoolName] = field(default_factory=dict)
     moving: dict[MachineName, tuple[PoolName, int]] = field(default_factory=dict)
     surplus_since_ms: dict[PoolName, int] = field(default_factory=dict)
-    peaks: dict[PoolName, tuple[int, int]] = field(default_factory=dict)
+    homes: dict[PoolName, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,9 +178,8 @@
         have[pool] = have.get(pool, 0) + 1
     lacking = {}
     for pool, load in loads.items():
-        needed = hosts_needed(load)
-        kept = math.ceil(KEPT_SHARE * _peak(moves, pool, needed, now_ms))
-        lacking[pool] = max(needed, min(kept, have.get(pool, 0))) - have.get(pool, 0)
+        kept = math.ceil(KEPT_SHARE * moves.homes.get(pool, 0))
+        lacking[pool] = max(hosts_needed(load), kept) - have.get(pool, 0)
         if lacking[pool] < 0:
             moves.surplus_since_ms.setdefault(pool, now_ms)
         else:
@@ -191,15 +187,6 @@
     return lacking
 
 
-def _peak(moves: Moves, pool: PoolName, needed: int, now_ms: int) -> int:
-    """Returns the most that a pool has needed lately."""
-    most, seen_ms = moves.peaks.get(pool, (0, now_ms))
-    if needed >= most or now_ms - seen_ms > PEAK_MEMORY_MS:
-        most, seen_ms = needed, now_ms
-    moves.peaks[pool] = (most, seen_ms)
-    return most
-
-
 def _from_standby(
     moves: Moves,
     up: Iterable[Machine],
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -210,6 +210,8 @@
         orders: MachineOrders,
         vacate: dict[PoolName, set[HostId]],
     ) -> None:
+        if not self._moves.homes and not self._learn_homes(fleet):
+            return
         catalog = self._context.catalog()
         pools = catalog.pools.values() if catalog else ()
         standby = frozenset(pool.name for pool in pools if pool.is_standby)
@@ -238,6 +240,20 @@
             if outcome in (OrderOutcome.REFUSED, OrderOutcome.HOPELESS):
                 moves.forget(self._moves, order.machine)
 
+    def _learn_homes(self, fleet: Fleet) -> bool:
+        """Reads how many machines operators gave each pool; the first holder counts."""
+        counts = Counter(machine.pool for machine in fleet.machines.values())
+        store = self._context.store
+        created = store.create(keys.HOMES_KEY, msgspec.json.encode(counts))
+        if not isinstance(created, Success):
+            read = store.get(keys.HOMES_KEY)
+            found = read.unwrap() if isinstance(read, Success) else None
+            if found is None:
+                return False
+            counts = Counter(msgspec.json.decode(found.value, type=dict[PoolName, int]))
+        self._moves.homes = dict(counts)
+        return True
+
     def _down(self, wave: Wave, fleet: Fleet) -> list[tuple[PoolName, HostId]]:
         """Returns the lives that are to stay empty until they have ended."""
         return [
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -17,6 +17,8 @@
 SPEC, CANCEL = "spec", "cancel"
 REPORTS_PREFIX = "reports/"
 PROGRESS_PREFIX = "maintenance/"
+HOMES_KEY = "fleet/homes"
+"""How many machines each pool had at first."""
 
 
 def inbox(pool: PoolName) -> str:
