--- a/src/amaranthtray/jobs/conducting.py
+++ b/src/amaranthtray/jobs/conducting.py
@@ -44,8 +44,8 @@
 TICK_MS = 100
 """Longest time between looks at what is due."""
 
-SETTLE_MS = 5
-"""Messages that come this close together are decided on at once."""
+PLAN_EVERY_MS = 30
+"""Shortest time between decisions; each may cost a write, and wakes hosts."""
 
 STORE_RETRY_MS = 100
 
@@ -115,6 +115,7 @@
         self._unknown_until_ms = clock.steady_ms() + wait_ms
         self._mailbox: queue.SimpleQueue[Message | _Stop] = queue.SimpleQueue()
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
+        self._planned_ms = 0
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
@@ -190,6 +191,10 @@
         for message in self._messages():
             now_ms, wall_ms = clock.steady_ms(), clock.wall_ms()
             self._carry_out(scheduler.handle(message, now_ms, wall_ms))
+        since_ms = clock.steady_ms() - self._planned_ms
+        if since_ms < PLAN_EVERY_MS:
+            self._stopping.wait((PLAN_EVERY_MS - since_ms) / 1_000)
+        self._planned_ms = clock.steady_ms()
         if self._term.may_order():
             plan = scheduler.plan(clock.steady_ms(), clock.wall_ms())
             self._carry_out(plan)
@@ -199,7 +204,6 @@
             messages = [self._mailbox.get(timeout=TICK_MS / 1_000)]
         except queue.Empty:
             return []
-        self._stopping.wait(SETTLE_MS / 1_000)
         while not self._mailbox.empty():
             messages.append(self._mailbox.get_nowait())
         return [each for each in messages if not isinstance(each, _Stop)]
--- a/src/amaranthtray/jobs/config_follower.py
+++ b/src/amaranthtray/jobs/config_follower.py
@@ -86,10 +86,18 @@
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
     def _begin(self) -> bool:
-        """Reads the document, from whose version the watch goes on."""
-        if not self.refresh() or self._catalog is None:
+        """Reads the document and the store's version, from which the watch goes on."""
+        sent_ms, key = steady_ms(), self._platform.configuration_key
+        listed = self._store.list(key)
+        if not isinstance(listed, Success):
+            self._log.event("configuration-not-read", why=repr(listed.failure()))
             return False
-        self._cursor = WatchCursor(self._catalog.store_version)
+        listing = listed.unwrap()
+        for item in listing.items:
+            if item.key == key:
+                self._take(item)
+                self._confirmed_ms = max(sent_ms, self._confirmed_ms or 0)
+        self._cursor = WatchCursor(listing.at_version)
         return True
 
     def _follow(self, cursor: WatchCursor) -> bool:
--- a/src/amaranthtray/jobs/context.py
+++ b/src/amaranthtray/jobs/context.py
@@ -10,6 +10,7 @@
 from ..store.contract import TransactionalStore
 from .event_log import EventLog
 from .host_board import HostBoard
+from .meters import Meters
 from .ports import Platform
 
 
@@ -22,6 +23,7 @@
         store: The platform's store.
         platform: Translates what the platform keeps there.
         log: Its log.
+        meters: Counts what it does.
         hosts: Follows the list of hosts while the entry conducts a pool.
         catalog: Returns the configuration in force, if one is known.
     """
@@ -30,5 +32,6 @@
     store: TransactionalStore
     platform: Platform
     log: EventLog
+    meters: Meters
     hosts: HostBoard
     catalog: Callable[[], Catalog | None]
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -26,6 +26,7 @@
     from ..domain.jobs.catalog import Catalog
     from ..settings.job_entry import JobEntrySettings
     from ..store.contract import TransactionalStore
+    from .meters import Meters
     from .ports import Platform
 
 READY_VIEW_MS = 2_500
@@ -41,6 +42,7 @@
         settings: Its settings.
         store: The platform's store.
         platform: Translates what the platform keeps there.
+        meters: Counts what the entry does.
     """
 
     def __init__(
@@ -48,7 +50,9 @@
         settings: JobEntrySettings,
         store: TransactionalStore,
         platform: Platform,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         cfg = settings.entry
         self.log = EventLog({"entry": cfg.name, "zone": cfg.zone})
         self._config = ConfigFollower(store, platform, self.log)
@@ -57,6 +61,7 @@
             store=store,
             platform=platform,
             log=self.log,
+            meters=meters,
             hosts=HostBoard(store, platform, self.log),
             catalog=self._config.catalog,
         )
@@ -86,7 +91,7 @@
 
     def leave(self, drain_s: float) -> None:
         """Becomes not ready, hands duties over and waits for the balancer."""
-        self.log.event("leaving")
+        self.log.event("leaving", calls=self._meters.totals("store_calls"))
         self._leaving.set()
         with self._lock:
             duties = list(self._duties.values())
@@ -99,12 +104,13 @@
     def render_metrics(self) -> str:
         """Returns all metrics as text."""
         age_ms = self._config.age_ms()
-        duties = sum(duty.is_held for duty in self._duties.values())
-        return (
-            f"configuration_age_ms {age_ms}\n"
-            f"duties_held {duties}\n"
-            f"log_lines_dropped {self.log.dropped}\n"
-        )
+        gauges = {
+            "configuration_age_ms": -1 if age_ms is None else age_ms,
+            "duties_held": self._load(),
+            "log_lines_dropped": self.log.dropped,
+            "ready": int(self.is_ready),
+        }
+        return self._meters.render(gauges)
 
     def _take_catalog(self, catalog: Catalog) -> None:
         with self._lock:
--- /dev/null
+++ b/src/amaranthtray/jobs/meters.py
@@ -0,0 +1,73 @@
+"""Counters and latencies of an entry, as text for a metrics page."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+BOUNDS_MS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500)
+"""Upper bounds of the latency buckets; the last bucket has none."""
+
+PREFIX = "amaranthtray_"
+
+
+class Meters:
+    """Counts events and times calls; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._buckets: dict[tuple[str, str], list[int]] = {}
+        self._sums_ms: Counter[tuple[str, str]] = Counter()
+
+    def count(self, name: str, kind: str = "", by: int = 1) -> None:
+        """Counts an event; ``kind`` is one of a closed set."""
+        with self._lock:
+            self._counts[name, kind] += by
+
+    def took(self, name: str, kind: str, millis: int) -> None:
+        """Takes how long a call took."""
+        with self._lock:
+            buckets = self._buckets.setdefault((name, kind), [0] * (len(BOUNDS_MS) + 1))
+            place = sum(millis > bound for bound in BOUNDS_MS)
+            buckets[place] += 1
+            self._sums_ms[name, kind] += millis
+
+    def totals(self, name: str) -> dict[str, int]:
+        """Returns the counts of all kinds of an event, and the numbers of calls."""
+        with self._lock:
+            counted = {k: n for (each, k), n in self._counts.items() if each == name}
+            timed = {
+                k: sum(b) for (each, k), b in self._buckets.items() if each == name
+            }
+        return counted | timed
+
+    def render(self, gauges: Mapping[str, float]) -> str:
+        """Returns all metrics, one a line, with the gauges of this moment."""
+        lines = [f"{PREFIX}{name} {value}" for name, value in sorted(gauges.items())]
+        with self._lock:
+            for (name, kind), number in sorted(self._counts.items()):
+                lines.append(f"{PREFIX}{name}_total{_label('kind', kind)} {number}")
+            for (name, kind), buckets in sorted(self._buckets.items()):
+                lines += _histogram(name, kind, buckets, self._sums_ms[name, kind])
+        return "\n".join(lines) + "\n"
+
+
+def _histogram(name: str, kind: str, buckets: list[int], sum_ms: int) -> list[str]:
+    lines, below = [], 0
+    bounds = [*map(str, BOUNDS_MS), "+Inf"]
+    for bound, number in zip(bounds, buckets, strict=True):
+        below += number
+        label = f'{{kind="{kind}",le="{bound}"}}'
+        lines.append(f"{PREFIX}{name}_ms_bucket{label} {below}")
+    lines.append(f"{PREFIX}{name}_ms_sum{_label('kind', kind)} {sum_ms}")
+    lines.append(f"{PREFIX}{name}_ms_count{_label('kind', kind)} {below}")
+    return lines
+
+
+def _label(name: str, value: str) -> str:
+    return f'{{{name}="{value}"}}' if value else ""
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -11,6 +11,7 @@
 from returns.result import Failure
 
 from ..jobs.entry import JobEntry
+from ..jobs.meters import Meters
 from ..settings.job_entry import load_job_entry
 from ..web import WebServer
 from . import documents
@@ -94,9 +95,9 @@
         sys.stderr.write(f"{loaded.failure()}\n")
         sys.exit(EXIT_FAULTY_INPUT)
     settings = loaded.unwrap()
-    entry = JobEntry(
-        settings, PlatformStore(settings.store.address), PlatformAdapter(settings)
-    )
+    meters = Meters()
+    store = PlatformStore(settings.store.address, meters)
+    entry = JobEntry(settings, store, PlatformAdapter(settings), meters)
     servers = _servers(settings, entry)
     entry.start()
     for server in servers:
--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..jobs.clock import steady_ms
 from ..store.contract import (
     CallsSpent,
     Compacted,
@@ -35,9 +36,13 @@
 """An answer to a watch may come this much after its wait is over."""
 
 CONNECTIONS = 16
+CALLS = "store_calls"
 RETRY_AFTER_MS = 100
 MAX_PAGES = 10_000
 
+if TYPE_CHECKING:
+    from ..jobs.meters import Meters
+
 T = TypeVar("T")
 
 
@@ -82,28 +87,31 @@
 
     Args:
         address: IP address and port.
+        meters: Counts and times the calls.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, meters: Meters) -> None:
         self._peer = HttpPeer(address, connections=CONNECTIONS)
         self._address = address
+        self._meters = meters
 
     def get(self, key: str) -> Result[Versioned | None, StoreFailure]:
         """Reads one key."""
         step = "read-key"
-        outcome = self._read(f"/v1/kv-key?key={quote(key, safe='')}")
+        outcome = self._read(step, f"/v1/kv-key?key={quote(key, safe='')}")
         if isinstance(outcome, Answer) and outcome.status == 404:
             return Success(None)
         return self._decoded(step, outcome, _Item).map(_Item.versioned)
 
     def list(self, prefix: str) -> Result[Listing, StoreFailure]:
         """Reads all keys under a prefix; a watch goes on from its version."""
+        step = "read-prefix"
         items: list[Versioned] = []
         first_version, after = 0, ""
         for _ in range(MAX_PAGES):
             path = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
             path += f"&after={quote(after, safe='')}" if after else ""
-            found = self._decoded("read-prefix", self._read(path), _Page)
+            found = self._decoded(step, self._read(step, path), _Page)
             if isinstance(found, Failure):
                 return found
             page = found.unwrap()
@@ -135,7 +143,7 @@
     def commit(self, transaction: Transaction) -> Result[int, TransactionFailure]:
         """Carries out a transaction and returns the version of its writes."""
         step = "write"
-        outcome = self._write("POST", "/v1/kv-txn", _transaction(transaction))
+        outcome = self._write(step, "POST", "/v1/kv-txn", _transaction(transaction))
         if isinstance(outcome, Answer):
             if outcome.status == 412:
                 refused = msgspec.json.decode(outcome.body, type=_Refused)
@@ -149,14 +157,15 @@
 
     def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
         """Grants a lease."""
-        outcome = self._write("POST", "/v1/kv-lease", {"ttlMs": ttl_ms})
-        granted = self._decoded("grant-lease", outcome, _Lease, is_write=True)
+        step = "grant-lease"
+        outcome = self._write(step, "POST", "/v1/kv-lease", {"ttlMs": ttl_ms})
+        granted = self._decoded(step, outcome, _Lease, is_write=True)
         return granted.map(lambda each: LeaseId(each.lease))
 
     def renew_lease(self, lease: LeaseId) -> Result[int, StoreFailure]:
         """Renews a lease and returns its time to live in milliseconds."""
         step = "renew-lease"
-        outcome = self._write("POST", f"/v1/kv-keep/{lease}", {})
+        outcome = self._write(step, "POST", f"/v1/kv-keep/{lease}", {})
         if isinstance(outcome, Answer) and outcome.status == 404:
             return Failure(LeaseGone(step, self._address))
         renewed = self._decoded(step, outcome, _Lease, is_write=True)
@@ -165,7 +174,7 @@
     def revoke_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
         """Ends a lease and deletes its keys."""
         step = "end-lease"
-        outcome = self._write("DELETE", f"/v1/kv-lease-end/{lease}", None)
+        outcome = self._write(step, "DELETE", f"/v1/kv-lease-end/{lease}", None)
         if isinstance(outcome, Answer) and (outcome.is_done or outcome.status == 404):
             return Success(None)
         return Failure(self._failure(step, outcome, is_write=True))
@@ -177,6 +186,7 @@
         step = "watch"
         path = f"/v1/kv-watch?prefix={quote(prefix, safe='')}"
         path += f"&after={after_version}&waitMs={timeout_ms}"
+        self._meters.count(CALLS, step)
         outcome = self._peer.call("GET", path, timeout_ms=timeout_ms + WATCH_SLACK_MS)
         if isinstance(outcome, Answer) and outcome.status == 410:
             return Failure(Compacted(step, self._address))
@@ -193,13 +203,16 @@
             return Failure(Conflict(failure.step, failure.peer, found))
         return Failure(failure)
 
-    def _read(self, path: str) -> CallOutcome:
-        return self._peer.call("GET", path, timeout_ms=CALL_TIMEOUT_MS)
+    def _read(self, step: str, path: str) -> CallOutcome:
+        return self._write(step, "GET", path, None)
 
-    def _write(self, method: str, path: str, payload: object) -> CallOutcome:
-        return self._peer.call(
+    def _write(self, step: str, method: str, path: str, payload: object) -> CallOutcome:
+        begun_ms = steady_ms()
+        outcome = self._peer.call(
             method, path, timeout_ms=CALL_TIMEOUT_MS, payload=payload
         )
+        self._meters.took(CALLS, step, steady_ms() - begun_ms)
+        return outcome
 
     def _decoded(
         self, step: str, outcome: CallOutcome, form: type[T], *, is_write: bool = False
