--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := src
 ONLY ?=
+JOBS ?= 4
 SEED ?= 1
 N ?= 2000
 
@@ -11,7 +12,7 @@
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
-	$(PY) -m pip install --quiet --requirement requirements.lock
+	$(PY) -m pip install --quiet --disable-pip-version-check --requirement requirements.lock 2>$(VENV)/pip.log || (cat $(VENV)/pip.log >&2; exit 1)
 	touch $(STAMP)
 
 demo: $(STAMP)
@@ -27,7 +28,7 @@
 	$(PY) -m mypy
 
 unit: $(STAMP)
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(JOBS) --dist worksteal
 
 format: $(STAMP)
 	$(PY) -m ruff format src tests
--- a/src/amaranthtray/jobs/acceptance.py
+++ b/src/amaranthtray/jobs/acceptance.py
@@ -17,7 +17,7 @@
 from . import keys
 
 if TYPE_CHECKING:
-    from ..store.contract import TransactionalStore, TransactionFailure
+    from ..store.contract import StoreFailure, TransactionalStore
     from .event_log import EventLog
 
 JOBS_PER_WRITE = 15
@@ -118,9 +118,10 @@
                 (group if fits and is_new else later).append(each)
             for each in later:
                 self._queue.put(each)
-            self._store_group(group)
+            self.store_group(group)
 
-    def _store_group(self, group: list[Submission]) -> None:
+    def store_group(self, group: list[Submission]) -> None:
+        """Stores jobs allowed by one version of the configuration; tells each."""
         for _ in range(TRIES):
             written = self._store.commit(self._transaction(group))
             if isinstance(written, Success):
@@ -135,7 +136,7 @@
             each.finish(Outcome.UNKNOWN if each.was_tried else Outcome.NOT_STORED)
 
     def _settle(
-        self, group: list[Submission], failure: TransactionFailure
+        self, group: list[Submission], failure: StoreFailure
     ) -> list[Submission]:
         """Finishes what a failed write decides; returns what is to be tried again."""
         match failure:
--- a/src/amaranthtray/jobs/config_follower.py
+++ b/src/amaranthtray/jobs/config_follower.py
@@ -56,6 +56,11 @@
         """Returns the configuration in force, if one is known."""
         return self._catalog
 
+    @property
+    def confirmed_ms(self) -> int | None:
+        """Returns the steady time at which the view was surely the newest."""
+        return self._confirmed_ms
+
     def age_ms(self) -> int | None:
         """Returns the time since the view was surely the newest; none if never."""
         confirmed_ms = self._confirmed_ms
@@ -80,11 +85,14 @@
 
     def _run(self) -> None:
         while True:
-            cursor = self._cursor
-            is_read = self._begin() if cursor is None else self._follow(cursor)
-            if not is_read:
+            if not self.step():
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
+    def step(self) -> bool:
+        """Reads or watches once; returns whether the store answered."""
+        cursor = self._cursor
+        return self._begin() if cursor is None else self._follow(cursor)
+
     def _begin(self) -> bool:
         """Reads the document and the store's version, from which the watch goes on."""
         sent_ms, key = steady_ms(), self._platform.configuration_key
--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -21,7 +21,6 @@
     Put,
     StoreFailure,
     Transaction,
-    TransactionFailure,
     Unavailable,
     Versioned,
     WatchBatch,
@@ -140,7 +139,7 @@
         transaction = Transaction(expect=((key, version),), removes=(key,))
         return self._commit_one(transaction).map(lambda _: None)
 
-    def commit(self, transaction: Transaction) -> Result[int, TransactionFailure]:
+    def commit(self, transaction: Transaction) -> Result[int, StoreFailure]:
         """Carries out a transaction and returns the version of its writes."""
         step = "write"
         outcome = self._write(step, "POST", "/v1/kv-txn", _transaction(transaction))
@@ -153,7 +152,7 @@
             if outcome.status == 404:
                 return Failure(LeaseGone(step, self._address))
         written = self._decoded(step, outcome, _Written, is_write=True)
-        return written.map(lambda each: each.revision)  # type: ignore[return-value]
+        return written.map(lambda each: each.revision)
 
     def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
         """Grants a lease."""
--- a/src/amaranthtray/store/contract.py
+++ b/src/amaranthtray/store/contract.py
@@ -151,12 +151,13 @@
 
 
 StoreFailure: TypeAlias = (
-    Conflict | Unavailable | EffectUnknown | CallsSpent | LeaseGone | Compacted
-)
-
-
-TransactionFailure: TypeAlias = (
-    Conflicts | Unavailable | EffectUnknown | CallsSpent | LeaseGone
+    Conflict
+    | Conflicts
+    | Unavailable
+    | EffectUnknown
+    | CallsSpent
+    | LeaseGone
+    | Compacted
 )
 
 
@@ -200,5 +201,5 @@
 class TransactionalStore(Store, Protocol):
     """A store that also writes several keys at once."""
 
-    def commit(self, transaction: Transaction) -> Result[int, TransactionFailure]:
+    def commit(self, transaction: Transaction) -> Result[int, StoreFailure]:
         """Carries out a transaction and returns the version of its writes."""
--- a/src/amaranthtray/store/memory.py
+++ b/src/amaranthtray/store/memory.py
@@ -9,7 +9,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import TYPE_CHECKING, NewType, TypeAlias, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -23,11 +22,14 @@
     LeaseId,
     Listing,
     StoreFailure,
+    Transaction,
     Unavailable,
     Versioned,
     WatchBatch,
     WatchEvent,
 )
+from .faults import Fault as Fault
+from .faults import PlannedFault as PlannedFault
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -41,32 +43,6 @@
 MAX_WATCH_EVENTS = 10_000
 
 
-class Fault(StrEnum):
-    """What can go wrong with one call."""
-
-    DELAY = "delay"
-    ERROR = "error"
-    LOST_REQUEST = "lost request"
-    LOST_REPLY = "lost reply"
-    LATE_EFFECT = "late effect"
-    """The reply is lost and a write takes effect at ``deliver_late``."""
-
-
-@dataclass(frozen=True, slots=True)
-class PlannedFault:
-    """A fault for the next call of a step.
-
-    Attributes:
-        fault: What goes wrong.
-        step: Name of the method it strikes; empty strikes any.
-        delay_ms: Time that a delayed call takes.
-    """
-
-    fault: Fault
-    step: str = ""
-    delay_ms: int = 0
-
-
 @dataclass(slots=True)
 class _Lease:
     ttl_ms: int
@@ -186,6 +162,21 @@
             self._drop(key)
             return Success(None)
 
+    def write_all(self, transaction: Transaction) -> int:
+        """Writes and deletes several keys at one version; call it with the lock."""
+        self._version += 1
+        version = self._version
+        for put in transaction.puts:
+            self._put(put.key, put.value, put.lease, version)
+        for key in transaction.removes:
+            if key in self._items:
+                self._drop(key, version)
+        return version
+
+    def has_leases(self, leases: list[LeaseId | None]) -> bool:
+        """Returns whether all leases that are named have not ended."""
+        return all(lease is None or lease in self._leases for lease in leases)
+
     def grant(self, ttl_ms: int) -> LeaseId:
         """Grants a lease."""
         with self.condition:
@@ -226,19 +217,22 @@
             found = tuple(event for event in newer if event.key.startswith(prefix))
             return Success(WatchBatch(found, self._version))
 
-    def _put(self, key: str, value: bytes, lease: LeaseId | None) -> None:
+    def _put(self, key: str, value: bytes, lease: LeaseId | None, at: int = 0) -> None:
         self._unbind(key)
-        self._version += 1
-        self._items[key] = Versioned(key, value, self._version, lease)
+        version = at or self._next_version()
+        self._items[key] = Versioned(key, value, version, lease)
         if lease is not None:
             self._leases[lease].keys.add(key)
-        self._announce(WatchEvent(key, value, self._version))
+        self._announce(WatchEvent(key, value, version))
 
-    def _drop(self, key: str) -> None:
+    def _drop(self, key: str, at: int = 0) -> None:
         self._unbind(key)
         del self._items[key]
+        self._announce(WatchEvent(key, None, at or self._next_version()))
+
+    def _next_version(self) -> int:
         self._version += 1
-        self._announce(WatchEvent(key, None, self._version))
+        return self._version
 
     def _unbind(self, key: str) -> None:
         found = self._items.get(key)
--- /dev/null
+++ b/src/amaranthtray/store/memory_transactions.py
@@ -0,0 +1,38 @@
+"""Transactions on the in-memory store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from .contract import Conflicts, LeaseGone
+from .memory import PEER, MemoryStore
+
+if TYPE_CHECKING:
+    from .contract import StoreFailure, Transaction
+    from .memory import MemoryPlatform
+
+STEP = "commit"
+
+
+class MemoryTransactions(MemoryStore):
+    """The store as one client sees it; implements ``TransactionalStore``."""
+
+    def commit(self, transaction: Transaction) -> Result[int, StoreFailure]:
+        """Carries out a transaction and returns the version of its writes."""
+        return self._write(STEP, lambda: _commit(self._platform, transaction))
+
+
+def _commit(
+    platform: MemoryPlatform, transaction: Transaction
+) -> Result[int, StoreFailure]:
+    with platform.condition:
+        expected = dict(transaction.expect)
+        found = [item for key in expected if (item := platform.read(key)) is not None]
+        versions = {item.key: item.version for item in found}
+        if any(versions.get(key, 0) != expected[key] for key in expected):
+            return Failure(Conflicts(STEP, PEER, tuple(found)))
+        if not platform.has_leases([put.lease for put in transaction.puts]):
+            return Failure(LeaseGone(STEP, PEER))
+        return Success(platform.write_all(transaction))
--- /dev/null
+++ b/tests/adapter/test_documents.py
@@ -0,0 +1,131 @@
+"""Documents of the platform, whole and broken."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+
+from amaranthtray.domain.jobs.model import Resources
+from amaranthtray.platform.documents import (
+    decode_configuration,
+    decode_host,
+    decode_wave,
+    encode_wave_status,
+)
+from amaranthtray.platform.job_wire import decode_job
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "requestedMemoryMb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "machine": "m-1",
+    "sequence": 4,
+    "unknownField": [],
+}
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "prefix": "/a/",
+    "service": "huvo11a",
+    "priority": 1,
+    "maxAttempts": 3,
+    "slowdownFactor": 1.6,
+    "targetLatencyMs": 600,
+    "advice": {"decideMs": 5, "perItemMs": 1, "validMs": 3000},
+}
+
+
+def encoded(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+def test_a_host_is_decoded() -> None:
+    found = decode_host("servers/i-7", encoded(BEAT))
+    assert found is not None
+    pool, info = found
+    assert pool == "huvo11a"
+    assert (info.id, info.rack, info.machine) == ("i-7", "r1-3", "m-1")
+    assert info.capacity == Resources(16000, 32768, 1)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        encoded({"service": "s"}),
+        encoded(BEAT | {"state": "sleeping"}),
+        encoded(BEAT | {"address": 7}),
+        encoded(BEAT | {"address": "nowhere"}),
+        encoded(BEAT | {"capacity": "large"}),
+        encoded({key: BEAT[key] for key in BEAT if key != "service"}),
+    ],
+)
+def test_a_foreign_entry_names_no_host(data: bytes) -> None:
+    assert decode_host("servers/x", data) is None
+
+
+def test_a_configuration_is_decoded() -> None:
+    document = {
+        "version": 7,
+        "routes": [ROUTE, ROUTE | {"name": "longer", "prefix": "/a/b/"}],
+        "services": [{"name": "huvo11a", "standby": True}],
+        "tenants": [{"name": "t", "apiKeys": ["secret"], "cap": {"cpu": 5}}],
+    }
+    catalog = decode_configuration(encoded(document), 42)
+    queue = catalog.route("h.example", "/a/b/0123")
+    assert queue is not None
+    assert (queue.name, queue.needs_advice, queue.max_attempts) == ("longer", True, 3)
+    assert catalog.team_of_key("secret") == "t"
+    assert catalog.team_of_key("other") is None
+    assert "secret" not in repr(catalog)
+
+
+def test_a_wave_is_decoded_and_its_state_encoded() -> None:
+    wave = decode_wave(
+        encoded({"wave": 3, "machines": ["m"], "durationS": 20, "cap": 1})
+    )
+    assert (wave.number, wave.duration_ms, wave.cap) == (3, 20_000, 1)
+    key, value = encode_wave_status(3, is_over=True)
+    assert key == "status/wave/3"
+    assert json.loads(value)["state"] == "completed"
+
+
+def test_a_job_is_decoded() -> None:
+    body = {
+        "spec": "x",
+        "steps": [
+            {"count": 4, "cpu": 500, "antiAffinity": 2, "mayMiss": 1},
+            {"count": 2, "after": [0], "longRunning": True, "gang": True},
+        ],
+        "repeatCount": 3,
+        "startAtMs": 1000,
+        "intervalMs": 50,
+    }
+    job = decode_job(encoded(body))
+    assert job.steps[0].max_per_host == 2
+    assert job.steps[1].after == (0,)
+    assert job.recurrence is not None
+    assert job.recurrence.count == 3
+
+
+@pytest.mark.parametrize(
+    ("body", "where"),
+    [
+        ({"steps": [{}]}, "spec"),
+        ({"spec": "x", "steps": []}, "steps"),
+        ({"spec": "x" * 4001, "steps": [{}]}, "spec"),
+        ({"spec": "x", "steps": [{"count": -1}]}, "steps"),
+        ({"spec": "x", "steps": [{"cpu": "much"}]}, "steps"),
+        ({"spec": "x", "steps": [{"after": [0]}]}, "after"),
+    ],
+)
+def test_a_faulty_job_is_refused_with_the_place(body: object, where: str) -> None:
+    with pytest.raises(msgspec.ValidationError, match=where):
+        decode_job(encoded(body))
--- /dev/null
+++ b/tests/jobs/test_record_writer.py
@@ -0,0 +1,66 @@
+"""Records are written under one term, and lost replies are settled."""
+
+from __future__ import annotations
+
+from amaranthtray.domain.ids import PoolName, Term
+from amaranthtray.domain.jobs.model import JobId
+from amaranthtray.domain.scheduling.messages import StoreJobs
+from amaranthtray.domain.upkeep.moves import PoolLoad
+from amaranthtray.jobs import keys
+from amaranthtray.jobs.record_writer import RecordWriter
+from amaranthtray.store.faults import Fault
+from jobs.store_site import StoreSite
+
+POOL = PoolName("p")
+
+
+def a_writer(site: StoreSite, term: int = 1) -> RecordWriter:
+    writer = RecordWriter(POOL, Term(term), store=site.store, log=site.log)
+    assert writer.take()
+    return writer
+
+
+def a_batch(*records: tuple[str, bytes]) -> StoreJobs:
+    rows = tuple((JobId(job), data) for job, data in records)
+    return StoreJobs(1, rows, {}, frozenset(), PoolLoad())
+
+
+def stored(site: StoreSite, job: str) -> bytes | None:
+    found = site.platform.read(keys.record_key(POOL, JobId(job)))
+    return found.value if found else None
+
+
+def test_a_batch_larger_than_a_transaction_is_written_whole() -> None:
+    site = StoreSite()
+    rows = [(f"j{number}", b"x") for number in range(70)]
+    assert a_writer(site).write(a_batch(*rows))
+    assert all(stored(site, job) == b"x" for job, _ in rows)
+
+
+def test_an_older_term_can_not_write() -> None:
+    site = StoreSite()
+    old = a_writer(site)
+    a_writer(site, term=2)
+    assert not old.write(a_batch(("j", b"old")))
+    assert old.is_superseded
+    assert stored(site, "j") is None
+
+
+def test_a_write_whose_reply_was_lost_is_written_again() -> None:
+    site = StoreSite()
+    writer = a_writer(site)
+    site.fail("commit", Fault.LOST_REPLY)
+    assert not writer.write(a_batch(("j", b"1")))
+    assert not writer.write(a_batch(("j", b"2")))
+    assert writer.write(a_batch(("j", b"3")))
+    assert stored(site, "j") == b"3"
+
+
+def test_a_write_that_is_carried_out_late_does_not_undo_a_later_one() -> None:
+    site = StoreSite()
+    writer = a_writer(site)
+    site.fail("commit", Fault.LATE_EFFECT)
+    assert not writer.write(a_batch(("j", b"1")))
+    assert writer.write(a_batch(("j", b"2")))
+    site.platform.deliver_late()
+    assert stored(site, "j") == b"2"
--- /dev/null
+++ b/tests/scheduling/parts.py
@@ -0,0 +1,151 @@
+"""Builders of schedulers, hosts and jobs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from amaranthtray.domain.ids import (
+    HostId,
+    PoolName,
+    QueueName,
+    RackId,
+    TeamName,
+    ZoneId,
+)
+from amaranthtray.domain.jobs.catalog import Catalog, JobPool, JobQueue, JobTeam
+from amaranthtray.domain.jobs.model import JobId, JobSpec, Resources, StepSpec, TaskName
+from amaranthtray.domain.scheduling.messages import (
+    Effect,
+    EndReport,
+    HostInfo,
+    HostReport,
+    HostsListed,
+    JobFound,
+    Message,
+    RunReport,
+    StartOutcome,
+    StartReplied,
+    StartRun,
+    Stored,
+    StoreJobs,
+)
+from amaranthtray.domain.scheduling.pool import PoolScheduler
+
+if TYPE_CHECKING:
+    from amaranthtray.domain.jobs.task import HowEnded
+
+POOL, QUEUE, TEAM = PoolName("pool"), QueueName("queue"), TeamName("team")
+BORN = 77
+UNKNOWN_UNTIL_MS = 8_000
+
+
+def a_catalog(**queue: Any) -> Catalog:
+    """Returns a configuration of one queue, pool and team."""
+    only = JobQueue(name=QUEUE, host_header="h", path_prefix="/q/", pool=POOL, **queue)
+    return Catalog(
+        version=1,
+        store_version=1,
+        queues=(only,),
+        pools={POOL: JobPool(name=POOL)},
+        teams={TEAM: JobTeam(name=TEAM)},
+        team_by_digest={},
+    )
+
+
+def a_step(count: int = 1, **fields: Any) -> StepSpec:
+    """Returns a step of small tasks."""
+    fields.setdefault("need", Resources(1_000, 1_000, 0))
+    return StepSpec(count=count, estimated_ms=500, **fields)
+
+
+def a_job(*steps: StepSpec, name: str = "a") -> JobSpec:
+    """Returns a job."""
+    return JobSpec(
+        id=JobId(name),
+        queue=QUEUE,
+        team=TEAM,
+        payload="p",
+        steps=steps or (a_step(),),
+        max_attempts=2,
+    )
+
+
+def a_host(name: str = "h", *, cores: int = 8, **fields: Any) -> HostInfo:
+    """Returns a host of the list."""
+    return HostInfo(
+        id=HostId(name),
+        address="",
+        zone=ZoneId("z"),
+        rack=RackId("r"),
+        capacity=Resources(1_000 * cores, 64_000, 0),
+        **fields,
+    )
+
+
+class Bench:
+    """A scheduler whose store answers at once, on a manual clock."""
+
+    def __init__(self, *hosts: HostInfo, catalog: Catalog | None = None) -> None:
+        self.now_ms = 0
+        self.scheduler = PoolScheduler(POOL, catalog or a_catalog(), UNKNOWN_UNTIL_MS)
+        self.records: dict[JobId, bytes] = {}
+        self.tell(HostsListed(hosts))
+        for host in hosts:
+            self.report(host.id)
+
+    def tell(self, message: Message) -> list[Effect]:
+        """Hands one message over; returns the effects."""
+        return self.scheduler.handle(message, self.now_ms, self.now_ms)
+
+    def plan(self) -> list[Effect]:
+        """Decides, stores, and returns what is to be done then."""
+        effects: list[Effect] = []
+        for effect in self.scheduler.plan(self.now_ms, self.now_ms):
+            if isinstance(effect, StoreJobs):
+                self.records.update(dict(effect.records))
+                effects += self.tell(Stored(effect.batch))
+            else:
+                effects.append(effect)
+        return effects
+
+    def starts(self) -> list[StartRun]:
+        """Decides; returns the orders to start."""
+        return [each for each in self.plan() if isinstance(each, StartRun)]
+
+    def replied(
+        self, order: StartRun, outcome: StartOutcome, *, repeated: bool = False
+    ) -> list[Effect]:
+        """Answers an order to start."""
+        return self.tell(
+            StartReplied(
+                order.host,
+                order.name,
+                order.number,
+                outcome,
+                self.now_ms,
+                was_repeated=repeated,
+            )
+        )
+
+    def report(
+        self,
+        host: str = "h",
+        *,
+        running: tuple[tuple[TaskName, int], ...] = (),
+        ends: tuple[EndReport, ...] = (),
+        born: int = BORN,
+        sent_ms: int | None = None,
+    ) -> list[Effect]:
+        """Reports a host's lists."""
+        rows = tuple(RunReport(name, run, "", 100, 0) for name, run in running)
+        sent = self.now_ms if sent_ms is None else sent_ms
+        return self.tell(HostReport(HostId(host), born, sent, self.now_ms, rows, ends))
+
+    def submit(self, spec: JobSpec, **fields: Any) -> None:
+        """Lets the scheduler find a job."""
+        self.tell(JobFound(spec, **fields))
+
+
+def an_end(order: StartRun, how: HowEnded, sequence: int = 1) -> EndReport:
+    """Returns the end of a run that was ordered."""
+    return EndReport(sequence, order.name, order.number, how, "")
--- /dev/null
+++ b/tests/scheduling/test_lease.py
@@ -0,0 +1,39 @@
+"""When the runs of a host have surely ended."""
+
+from __future__ import annotations
+
+from amaranthtray.domain.scheduling.lease import HostLease
+
+
+def a_lease() -> HostLease:
+    return HostLease(lease_ms=5_000, max_lease_ms=10_000, unknown_until_ms=8_000)
+
+
+def test_a_host_never_reached_lapses_with_earlier_terms() -> None:
+    lease = a_lease()
+    assert not lease.is_lapsed(7_999)
+    assert lease.is_lapsed(8_000)
+
+
+def test_a_slow_clock_is_waited_for() -> None:
+    lease = a_lease()
+    lease.answered(1_000, 1, 0)
+    assert lease.next_until_ms(0) == 6_000
+    assert not lease.is_lapsed(5_100)
+    assert lease.is_lapsed(5_110)
+
+
+def test_a_silent_host_lapses_after_the_last_call_not_the_last_answer() -> None:
+    lease = a_lease()
+    lease.answered(0, 1, 0)
+    lease.next_until_ms(3_000)
+    assert not lease.is_lapsed(8_000)
+    assert lease.is_lapsed(8_200)
+
+
+def test_an_order_to_a_former_life_may_reach_far_ahead() -> None:
+    lease = a_lease()
+    lease.answered(900_000, 1, 0)
+    lease.answered(100, 2, 1_000)
+    assert not lease.is_lapsed(11_000)
+    assert lease.is_lapsed(11_300)
--- /dev/null
+++ b/tests/scheduling/test_pool.py
@@ -0,0 +1,225 @@
+"""Decisions of a pool's scheduler, one failure of a played day each."""
+
+from __future__ import annotations
+
+from amaranthtray.domain.jobs.job import JobState
+from amaranthtray.domain.jobs.record import decode_state
+from amaranthtray.domain.jobs.task import HowEnded
+from amaranthtray.domain.scheduling.messages import (
+    AcknowledgeEnds,
+    HostLapsed,
+    HostSilent,
+    HostsListed,
+    JobCancelled,
+    JobFound,
+    NotStored,
+    StartOutcome,
+    StartRun,
+    StopRun,
+    StoreJobs,
+    VacateAsked,
+)
+from scheduling.parts import Bench, a_host, a_job, a_step, an_end
+
+
+def test_a_run_is_ordered_only_once_its_record_is_stored() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    batch = bench.scheduler.plan(0, 0)
+    assert [type(each) for each in batch] == [StoreJobs]
+    assert bench.tell(NotStored(batch[0].batch)) == []  # type: ignore[union-attr]
+    assert len(bench.starts()) == 1
+
+
+def test_an_end_is_acknowledged_only_once_it_is_stored() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    bench.replied(order, StartOutcome.STARTED)
+    assert bench.report(ends=(an_end(order, HowEnded.DONE),)) == []
+    effects = bench.plan()
+    assert any(isinstance(each, AcknowledgeEnds) for each in effects)
+    assert decode_state(bench.records[order.name.job]) is JobState.COMPLETED
+
+
+def test_steps_wait_for_those_before_them() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job(a_step(2), a_step(1, after=(0,))))
+    first, second = bench.starts()
+    bench.report(ends=(an_end(first, HowEnded.DONE, 1),))
+    assert bench.starts() == []
+    bench.now_ms += 10
+    bench.report(ends=(an_end(second, HowEnded.DONE, 2),))
+    assert [order.name.step for order in bench.starts()] == [1]
+
+
+def test_a_list_asked_for_when_the_start_was_answered_proves_nothing() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    bench.now_ms = 50
+    bench.replied(order, StartOutcome.STARTED)
+    bench.report(sent_ms=50)
+    assert bench.starts() == []
+    bench.now_ms = 60
+    bench.report(sent_ms=51)
+    assert [again.number for again in bench.starts()] == [2]
+
+
+def test_a_repeated_start_that_is_refused_may_have_run() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    bench.now_ms = 50
+    bench.replied(order, StartOutcome.REFUSED, repeated=True)
+    bench.now_ms = 2_000
+    bench.report(ends=(an_end(order, HowEnded.DONE),))
+    assert bench.starts() == []
+    assert decode_state(bench.records[order.name.job]) is JobState.COMPLETED
+
+
+def test_a_start_without_an_answer_is_stopped_before_another() -> None:
+    bench = Bench(a_host(), a_host("i"))
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    stops = bench.replied(order, StartOutcome.NO_REPLY)
+    assert stops == [StopRun(order.host, order.name, order.number)]
+    assert bench.starts() == []
+    bench.tell(HostLapsed(order.host))
+    assert [again.number for again in bench.starts()] == [2]
+
+
+def test_a_new_conductor_waits_for_hosts_that_left_the_list() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    bench.starts()
+    successor = Bench(a_host("other"))
+    spec = a_job()
+    successor.submit(spec, record=bench.records[spec.id])
+    assert successor.starts() == []
+    successor.now_ms = 8_000
+    successor.report("other")
+    assert [again.number for again in successor.starts()] == [2]
+
+
+def test_a_new_conductor_stops_runs_of_cancelled_jobs() -> None:
+    bench = Bench(a_host())
+    spec = a_job(a_step(is_lasting=True))
+    bench.submit(spec)
+    order = bench.starts()[0]
+    bench.report(running=((order.name, 1),))
+    bench.tell(JobCancelled(spec.id))
+    bench.plan()
+    successor = Bench()
+    successor.tell(JobFound(spec, bench.records[spec.id], is_cancelled=True))
+    successor.tell(HostsListed((a_host(),)))
+    effects = successor.report(running=((order.name, 1),))
+    assert StopRun(order.host, order.name, 1) in effects
+
+
+def test_a_new_life_of_a_host_has_none_of_the_runs() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    bench.replied(order, StartOutcome.STARTED)
+    bench.now_ms = 500
+    bench.report(born=99, sent_ms=400)
+    assert [again.number for again in bench.starts()] == [2]
+
+
+def test_a_job_fails_after_its_attempts() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    for attempt in range(2):
+        bench.now_ms += 1_000
+        order = bench.starts()[0]
+        bench.report(ends=(an_end(order, HowEnded.FAILED, attempt + 1),))
+    bench.now_ms += 1_000
+    assert bench.starts() == []
+    assert decode_state(bench.records[order.name.job]) is JobState.FAILED
+
+
+def test_a_lasting_task_is_not_moved_while_another_is_on_a_silent_host() -> None:
+    hosts = (a_host("a"), a_host("b"), a_host("c"))
+    bench = Bench(*hosts)
+    bench.submit(a_job(a_step(2, is_lasting=True, may_miss=1, max_per_host=1)))
+    first, second = bench.starts()
+    bench.report(first.host, running=((first.name, 1),))
+    bench.report(second.host, running=((second.name, 1),))
+    bench.tell(HostSilent(second.host))
+    bench.tell(VacateAsked(frozenset({first.host})))
+    assert not [each for each in bench.plan() if isinstance(each, StopRun)]
+    bench.report(second.host, running=((second.name, 1),))
+    stops = [each for each in bench.plan() if isinstance(each, StopRun)]
+    assert [stop.name for stop in stops] == [first.name]
+
+
+def test_a_draining_host_gets_no_runs() -> None:
+    bench = Bench(a_host(is_draining=True))
+    bench.submit(a_job())
+    assert bench.starts() == []
+
+
+def test_a_gang_is_placed_whole_or_not_at_all() -> None:
+    bench = Bench(a_host(cores=3))
+    bench.submit(a_job(a_step(4, is_gang=True)))
+    assert bench.starts() == []
+    bench.tell(HostsListed((a_host(cores=3), a_host("i", cores=3))))
+    bench.report("i")
+    orders = bench.starts()
+    assert {order.number for order in orders} == {1}
+    assert len(orders) == 4
+
+
+def test_a_gang_that_lacks_a_member_is_stopped() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job(a_step(2, is_gang=True)))
+    first, second = bench.starts()
+    bench.replied(first, StartOutcome.STARTED)
+    bench.replied(second, StartOutcome.NO_ROOM)
+    stops = [each for each in bench.plan() if isinstance(each, StopRun)]
+    assert [stop.name for stop in stops] == [first.name]
+
+
+def test_a_copy_runs_while_the_first_host_is_silent() -> None:
+    bench = Bench(a_host("a"), a_host("b"))
+    bench.submit(a_job(a_step(allows_copies=True)))
+    order = bench.starts()[0]
+    bench.replied(order, StartOutcome.STARTED)
+    bench.tell(HostSilent(order.host))
+    copies = bench.starts()
+    assert [copy.number for copy in copies] == [2]
+    assert copies[0].host != order.host
+
+
+def test_a_run_that_stands_still_goes_elsewhere() -> None:
+    bench = Bench(a_host("a"), a_host("b"))
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    bench.replied(order, StartOutcome.STARTED)
+    for bench.now_ms in (100, 2_000, 4_000):
+        bench.report(order.host, running=((order.name, 1),))
+    stops = [each for each in bench.plan() if isinstance(each, StopRun)]
+    assert [stop.name for stop in stops] == [order.name]
+
+
+def test_what_fills_is_stopped_while_what_serves_misses_its_target() -> None:
+    from amaranthtray.domain.scheduling.messages import HostReport, PaceRun, RunReport
+
+    bench = Bench(a_host())
+    bench.submit(a_job(a_step(is_lasting=True, target_ms=100), name="serves"))
+    bench.submit(a_job(a_step(is_lasting=True, fills=True), name="fills"))
+    orders: list[StartRun] = bench.starts()
+
+    def look(load: int) -> list[int]:
+        bench.now_ms += 500
+        rows = tuple(
+            RunReport(order.name, order.number, "", 100, load) for order in orders
+        )
+        bench.tell(HostReport(orders[0].host, 77, bench.now_ms, bench.now_ms, rows, ()))
+        return [each.percent for each in bench.plan() if isinstance(each, PaceRun)]
+
+    assert look(20) == [30]
+    assert look(150) == [0]
+    look(20)
+    assert look(20) == [10]
