--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -89,6 +89,12 @@
         for task in (self._config, self._context.hosts, self._acceptance, self._view):
             task.start()
 
+    def take_settings(self, settings: JobEntrySettings) -> None:
+        """Takes changed settings; addresses stay as they were until a restart."""
+        is_moved = settings.entry != self._context.settings.entry
+        self._context.settings = settings
+        self.log.event("settings-taken", needs_restart=is_moved)
+
     def leave(self, drain_s: float) -> None:
         """Becomes not ready, hands duties over and waits for the balancer."""
         self.log.event("leaving", calls=self._meters.totals("store_calls"))
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -32,6 +32,9 @@
 EXIT_FAULTY_INPUT = 2
 CALLER_THREADS = 32
 PAGE_THREADS = 2
+SIGNAL_CHECK_S = 0.25
+"""Time between looks whether the settings are to be read again."""
+
 BALANCER_DRAIN_S = 2.5
 """The balancer asks each second and takes an entry out after two misses."""
 
@@ -89,7 +92,8 @@
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    reload = threading.Event()
+    signal.signal(signal.SIGHUP, lambda *_: reload.set())
     loaded = load_job_entry(os.environ[SETTINGS_VARIABLE])
     if isinstance(loaded, Failure):
         sys.stderr.write(f"{loaded.failure()}\n")
@@ -102,7 +106,10 @@
     entry.start()
     for server in servers:
         server.start()
-    stop.wait()
+    while not stop.wait(SIGNAL_CHECK_S):
+        if reload.is_set():
+            reload.clear()
+            _reload(entry)
     entry.leave(BALANCER_DRAIN_S)
     for server in servers:
         server.stop()
@@ -111,6 +118,19 @@
     os._exit(0)
 
 
+def _reload(entry: JobEntry) -> None:
+    """Reads the settings again; faulty ones leave the old ones in force."""
+    try:
+        loaded = load_job_entry(os.environ[SETTINGS_VARIABLE])
+    except OSError as exc:
+        entry.log.event("settings-not-read", why=str(exc))
+        return
+    if isinstance(loaded, Failure):
+        entry.log.event("settings-faulty", why=str(loaded.failure()))
+        return
+    entry.take_settings(loaded.unwrap())
+
+
 def _servers(settings: JobEntrySettings, entry: JobEntry) -> list[WebServer]:
     cfg = settings.entry
     pages = (
--- a/src/amaranthtray/web/server.py
+++ b/src/amaranthtray/web/server.py
@@ -11,6 +11,7 @@
 import msgspec
 from cheroot import server as cheroot_server
 from cheroot import wsgi
+from cherrypy import _cprequest
 
 from .senders import SENDERS_KEY, SOCKET_KEY, SlowSenders
 
@@ -18,6 +19,8 @@
 SHUTDOWN_TIMEOUT_S = 1
 QUEUE_WAIT_S = 0.01
 KEPT_CONNECTIONS = 1_024
+SERVER_NAME = "amaranthtray"
+LENGTH_FIELD = b"Content-Length"
 
 F = TypeVar("F", bound=Callable[..., Any])
 
@@ -25,6 +28,7 @@
 _GATEWAY: Any = wsgi.Gateway_10
 _REQUEST: Any = cheroot_server.HTTPRequest
 _CONNECTION: Any = cheroot_server.HTTPConnection
+_CHERRYPY_REQUEST: Any = _cprequest.Request
 
 
 class WebServer:
@@ -111,9 +115,30 @@
         self._thread.join(timeout=5)
 
 
+class _HeadFields(dict[bytes, bytes]):
+    """Header fields of one request; the length must be declared one way only."""
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name == LENGTH_FIELD and self.get(name, value) != value:
+            raise ValueError("Content-Length is given twice with different values.")
+        super().__setitem__(name, value)
+
+
+class _StrictReader(cheroot_server.HeaderReader):
+    """Refuses a request whose end two readers could see in different places."""
+
+    def __call__(self, rfile: Any, hdict: dict[bytes, bytes] | None = None) -> Any:
+        """Reads the fields of a head."""
+        fields: dict[bytes, bytes] = {} if hdict is None else hdict
+        fields.update(super().__call__(rfile, _HeadFields()))
+        return fields
+
+
 class _TimedRequest(_REQUEST):  # type: ignore[misc]
     """A request whose head must arrive in time."""
 
+    header_reader = _StrictReader()
+
     def parse_request(self) -> None:
         """Reads the head."""
         with self.server.senders.bounded_head(self.conn.socket):
@@ -154,8 +179,17 @@
     cherrypy.response.headers["Connection"] = "close"
 
 
+class _Request(_CHERRYPY_REQUEST):  # type: ignore[misc]
+    """A request whose faults are shown as JSON even before its path is known."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.error_page = {"default": _error_page}
+
+
 def _application(root: object) -> Any:
     app = cherrypy.Application(root, "", {"/": _app_config()})
+    app.request_class = _Request
     app.log.screen = False
     app.log.error_log.propagate = False
     app.log.access = _skip_access_log
@@ -174,7 +208,7 @@
         "error_page.default": _error_page,
         "tools.encode.on": False,
         "tools.trailing_slash.on": False,
-        "response.headers.server": "amaranthtray",
+        "response.headers.server": SERVER_NAME,
     }
 
 
@@ -183,6 +217,7 @@
     del traceback, version
     code, _, reason = status.partition(" ")
     cherrypy.response.headers["Content-Type"] = JSON_TYPE
+    cherrypy.response.headers["Server"] = SERVER_NAME
     problem = {
         "type": "problem",
         "step": "http",
--- a/tests/entry/test_caller_input.py
+++ b/tests/entry/test_caller_input.py
@@ -20,6 +20,7 @@
     (post(b"Content-Length: -5", body=b"x"), 411),
     (post(b"Content-Length: 9999999", body=b"x"), 413),
     (post(b"Padding: " + b"x" * 20_000), 413),
+    (post(b"Content-Length: 1", b"Content-Length: 2", body=b"xx"), 400),
     (post(CHUNKED, body=b"zz\r\nhello\r\n0\r\n\r\n"), 400),
     (post(b"Deadline-Ms: -1"), 400),
     (post(b"Deadline-Ms: 0"), 400),
@@ -51,6 +52,15 @@
 ]
 
 
+def test_a_request_without_a_host_gets_our_error(running: Running) -> None:
+    reply = running.exchange(b"GET /health HTTP/1.1\r\nConnection: close\r\n\r\n")
+    head, _, body = reply.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 400 ")
+    assert b"Server: amaranthtray" not in body
+    assert json.loads(body)["type"] == "problem"
+    assert b"CherryPy" not in reply
+
+
 @pytest.mark.parametrize(("data", "status"), MALFORMED)
 def test_malformed_input_is_refused_and_not_run(
     running: Running, data: bytes, status: int
