--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..domain.jobs.model import TaskName
     from ..domain.scheduling.lease import HostLease
     from ..domain.scheduling.messages import HostInfo
     from .conducting import TermWatch
@@ -79,9 +80,9 @@
         self._acknowledged = (0, 0)
         self._is_silent = False
         self._born: int | None = None
-        self._queue: queue.SimpleQueue[StartRun | StopRun | PaceRun | None]
-        self._queue = queue.SimpleQueue()
-        self._order_thread: threading.Thread | None = None
+        self._unwanted: set[tuple[TaskName, int]] = set()
+        self._starts = _OrderThread(self._give_start)
+        self._stops = _OrderThread(self._give_stop)
         self._hold_thread = threading.Thread(target=self._hold_loop, daemon=True)
 
     def start(self) -> None:
@@ -91,16 +92,18 @@
     def close(self) -> None:
         """Ends both tasks after the calls under way."""
         self._closing.set()
-        self._queue.put(None)
+        self._starts.close()
+        self._stops.close()
         with self._changed:
             self._changed.notify_all()
 
     def order(self, order: StartRun | StopRun | PaceRun) -> None:
-        """Queues an order."""
-        if self._order_thread is None:
-            self._order_thread = threading.Thread(target=self._order_loop, daemon=True)
-            self._order_thread.start()
-        self._queue.put(order)
+        """Queues an order; stops don't wait behind starts that get no answer."""
+        if isinstance(order, StopRun):
+            self._unwanted.add((order.name, order.number))
+            self._stops.put(order)
+        else:
+            self._starts.put(order)
 
     def acknowledge(self, born: int, sequence: int) -> None:
         """Lets the host forget ends from the next call on."""
@@ -137,7 +140,7 @@
             case Lists():
                 self._lease.answered(found.clock_ms, found.born, received_ms)
                 self._is_silent = False
-                if self._is_reborn(found.born):
+                if self.learn_life(found.born):
                     return self._hold(0, 0)
                 self._post(
                     HostReport(
@@ -158,7 +161,7 @@
                 self._silent(detail)
         return None
 
-    def _is_reborn(self, born: int) -> bool:
+    def learn_life(self, born: int) -> bool:
         """Returns whether the host has a new life, which the next call fences."""
         former, self._born = self._born, born
         if former is None or former == born:
@@ -185,21 +188,18 @@
                     return
                 self._changed.wait(left_ms / 1_000)
 
-    def _order_loop(self) -> None:
-        while not self._closing.is_set():
-            order = self._queue.get()
-            match order:
-                case StartRun():
-                    self._start(order)
-                case StopRun():
-                    self._stop(order)
-                case PaceRun() if self._term.may_order():
-                    self._orders.pace(order.name, order.number, order.percent)
-
-    def _start(self, order: StartRun) -> None:
+    def _give_start(self, order: StartRun | StopRun | PaceRun) -> None:
+        match order:
+            case StartRun():
+                self.start_run(order)
+            case PaceRun() if self._term.may_order():
+                self._orders.pace(order.name, order.number, order.percent)
+
+    def start_run(self, order: StartRun) -> None:
+        """Orders a start, again if no answer comes, while the run is wanted."""
         outcome: StartOutcome | OtherHost = StartOutcome.NO_REPLY
-        tries = 0
-        while tries < START_TRIES:
+        unanswered = 0
+        while unanswered < START_TRIES:
             now_ms = steady_ms()
             until_ms = self._lease.next_until_ms(now_ms)
             if until_ms is None or self._closing.is_set():
@@ -208,15 +208,16 @@
                 # That life is over, and what was sent to it is fenced off.
                 outcome = StartOutcome.REFUSED
                 break
-            if not self._term.may_order():
+            is_wanted = (order.name, order.number) not in self._unwanted
+            if not is_wanted or not self._term.may_order():
                 return
             token = self._orders.token
             outcome = self._orders.start(order, until_ms)
             if outcome is StartOutcome.FENCED and token != self._orders.token:
                 outcome = StartOutcome.REFUSED
-            tries += 1
             if outcome is not StartOutcome.NO_REPLY:
                 break
+            unanswered += 1
         if isinstance(outcome, OtherHost):
             self._post(HostLapsed(self.info.id))
             return
@@ -227,14 +228,45 @@
                 order.number,
                 outcome,
                 steady_ms(),
-                was_repeated=tries > 1,
+                was_repeated=unanswered > 0,
             )
         )
 
-    def _stop(self, order: StopRun) -> None:
+    def _give_stop(self, order: StartRun | StopRun | PaceRun) -> None:
         while not self._closing.is_set() and self._term.may_order():
             if self._orders.stop(order.name, order.number):
                 reply = StopReplied(self.info.id, order.name, order.number, steady_ms())
                 self._post(reply)
                 return
             self._closing.wait(STOP_PAUSE_MS / 1_000)
+
+
+class _OrderThread:
+    """Carries out orders one after the other; its thread starts with the first.
+
+    Args:
+        carry_out: Gives one order.
+    """
+
+    def __init__(
+        self, carry_out: Callable[[StartRun | StopRun | PaceRun], None]
+    ) -> None:
+        self._carry_out = carry_out
+        self._queue: queue.SimpleQueue[StartRun | StopRun | PaceRun | None]
+        self._queue = queue.SimpleQueue()
+        self._thread: threading.Thread | None = None
+
+    def put(self, order: StartRun | StopRun | PaceRun) -> None:
+        """Queues an order."""
+        if self._thread is None:
+            self._thread = threading.Thread(target=self._run, daemon=True)
+            self._thread.start()
+        self._queue.put(order)
+
+    def close(self) -> None:
+        """Ends after the orders before."""
+        self._queue.put(None)
+
+    def _run(self) -> None:
+        while (order := self._queue.get()) is not None:
+            self._carry_out(order)
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -21,8 +21,8 @@
 LIVES_PER_TERM = 1_000
 """Tokens of one term: each new life of a host gets the next one."""
 
-CONNECTIONS = 2
-"""One for orders and one for the call that waits for ends."""
+CONNECTIONS = 3
+"""For starts, for stops, and for the call that waits for ends."""
 
 MISDIRECTED = 421
 
--- /dev/null
+++ b/tests/jobs/test_host_link.py
@@ -0,0 +1,95 @@
+"""Orders to one host: repeated while they are wanted, never to another life."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthtray.domain.ids import HostId, Term
+from amaranthtray.domain.jobs.model import JobId, TaskName
+from amaranthtray.domain.scheduling.lease import HostLease
+from amaranthtray.domain.scheduling.messages import (
+    Message,
+    StartOutcome,
+    StartReplied,
+    StartRun,
+    StopRun,
+)
+from amaranthtray.jobs.conducting import TermWatch
+from amaranthtray.jobs.event_log import EventLog
+from amaranthtray.jobs.host_link import START_TRIES, HostLink
+from scheduling.parts import a_host
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+NAME = TaskName(JobId("a"), 0, 0, 0)
+BORN = 7
+
+
+class Orders:
+    """A host that answers as the test says."""
+
+    def __init__(self, answer: Callable[[], StartOutcome]) -> None:
+        self.token = 1_000
+        self.starts = 0
+        self._answer = answer
+
+    def start(self, order: StartRun, until_ms: int) -> StartOutcome:
+        self.starts += 1
+        return self._answer()
+
+    def stop(self, name: TaskName, number: int) -> bool:
+        return True
+
+    def close(self) -> None:
+        """Closes nothing."""
+
+
+def a_link(orders: Orders, *, born: int = BORN) -> tuple[HostLink, list[Message]]:
+    lease = HostLease(lease_ms=5_000, max_lease_ms=9_000, unknown_until_ms=0)
+    lease.answered(0, born, 0)
+    posted: list[Message] = []
+    link = HostLink(
+        a_host(),
+        orders=orders,  # type: ignore[arg-type]
+        lease=lease,
+        term=TermWatch(Term(1), lambda: Term(1)),
+        post=posted.append,
+        log=EventLog({}, write=lambda data: None),
+    )
+    link.learn_life(born)
+    return link, posted
+
+
+def an_order(born: int = BORN) -> StartRun:
+    return StartRun(HostId("h"), born, NAME, 1, "p", "")
+
+
+def test_a_start_without_an_answer_is_repeated() -> None:
+    orders = Orders(lambda: StartOutcome.NO_REPLY)
+    link, posted = a_link(orders)
+    link.start_run(an_order())
+    assert orders.starts == START_TRIES
+    assert [type(each) for each in posted] == [StartReplied]
+
+
+def test_a_start_is_not_repeated_once_its_run_is_to_stop() -> None:
+    def answer() -> StartOutcome:
+        link.order(StopRun(HostId("h"), NAME, 1))
+        return StartOutcome.NO_REPLY
+
+    orders = Orders(answer)
+    link, _ = a_link(orders)
+    link.start_run(an_order())
+    assert orders.starts == 1
+
+
+def test_an_order_to_a_former_life_is_not_given() -> None:
+    orders = Orders(lambda: StartOutcome.STARTED)
+    link, posted = a_link(orders)
+    link.start_run(an_order(born=BORN - 1))
+    assert orders.starts == 0
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.REFUSED
+    assert not reply.was_repeated
