--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -23,11 +23,15 @@
 
 def plan_starts(board: Board) -> None:
     """Places waiting tasks while there is room for any."""
-    hosts = [host for host in board.hosts.values() if host.is_open(board.now_ms)]
+    hosts = [
+        host
+        for host in board.hosts.values()
+        if host.is_open(board.now_ms) and host.info.id not in board.to_vacate
+    ]
     if not hosts:
         return
+    room = _largest_room(hosts)
     for job in _by_rank(board):
-        room = _largest_room(hosts)
         if room.memory_mb <= 0:
             return
         for key, step, waiting in _waiting_steps(board, job):
@@ -46,6 +50,8 @@
             if len(choices) < len(waiting):
                 _ask(board, job, key, hosts)
             _start(board, job, key, choices)
+            if choices:
+                room = _largest_room(hosts)
 
 
 def _allowed(board: Board, job: Job, key: StepKey, hosts: list[Host]) -> list[Host]:
@@ -78,11 +84,8 @@
 
 
 def _largest_room(hosts: list[Host]) -> Resources:
-    return Resources(
-        max(host.free.cpu for host in hosts),
-        max(host.free.memory_mb for host in hosts),
-        max(host.free.gpu for host in hosts),
-    )
+    rooms = [host.free for host in hosts]
+    return Resources(*(max(amounts) for amounts in zip(*rooms, strict=True)))
 
 
 def _waiting_steps(
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -52,6 +52,7 @@
     seen_ms: int = 0
     _placed: dict[tuple[TaskName, int], Placed] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
+    _lasting: int = 0
 
     @property
     def free(self) -> Resources:
@@ -73,6 +74,7 @@
         """Takes a run that may be here."""
         self._placed[name, run.number] = Placed(name, step, run)
         self._by_step[StepKey(*name[:3])] += 1
+        self._lasting += step.is_lasting
         self.used = self.used.plus(step.reserved)
 
     def remove(self, name: TaskName, number: int) -> None:
@@ -80,6 +82,7 @@
         placed = self._placed.pop((name, number), None)
         if placed is not None:
             self.used = self.used.minus(placed.step.reserved)
+            self._lasting -= placed.step.is_lasting
             key = StepKey(*name[:3])
             self._by_step[key] -= 1
             if not self._by_step[key]:
@@ -100,7 +103,7 @@
     @property
     def has_lasting(self) -> bool:
         """Returns whether it runs tasks that last."""
-        return any(each.step.is_lasting for each in self._placed.values())
+        return self._lasting > 0
 
     def serving(self) -> Iterator[Placed]:
         """Yields runs whose response times have a target."""
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from ..jobs.model import Resources, StepKey, StepSpec
+    from ..jobs.model import StepKey, StepSpec
     from .host import Host
 
 
@@ -22,14 +21,14 @@
 def place_each(
     step: StepSpec, key: StepKey, waiting: Sequence[int], hosts: Iterable[Host]
 ) -> list[Choice]:
-    """Places as many of the waiting tasks as fit, one by one."""
-    room = _Room(step, key, hosts)
-    choices = []
-    for index in waiting:
-        host = room.take()
-        if host is None:
+    """Places as many of the waiting tasks as fit, host by host in order of cost."""
+    choices: list[Choice] = []
+    for host in sorted(_suitable(step, hosts), key=lambda each: _cost(step, each)):
+        if len(choices) == len(waiting):
             break
-        choices.append(Choice(index, host))
+        count = min(_fitting(step, key, host), len(waiting) - len(choices))
+        numbers = waiting[len(choices) : len(choices) + count]
+        choices += [Choice(number, host) for number in numbers]
     return choices
 
 
@@ -50,43 +49,27 @@
     return []
 
 
-class _Room:
-    """Hosts that take the step, and what is left of them as tasks are placed."""
-
-    def __init__(self, step: StepSpec, key: StepKey, hosts: Iterable[Host]) -> None:
-        self._step = step
-        self._need = step.reserved
-        self._taken: Counter[str] = Counter()
-        label = step.required_label
-        self._hosts = [h for h in hosts if not label or label in h.info.labels]
-        self._here = {h.info.id: h.count_of(key) for h in self._hosts}
-
-    def take(self) -> Host | None:
-        """Returns the best host for one more task, which then counts there."""
-        best = min(
-            (host for host in self._hosts if self._fits(host)),
-            key=self._cost,
-            default=None,
-        )
-        if best is not None:
-            self._taken[best.info.id] += 1
-        return best
-
-    def _fits(self, host: Host) -> bool:
-        taken = self._taken[host.info.id]
-        limit = self._step.max_per_host
-        if limit and self._here[host.info.id] + taken >= limit:
-            return False
-        return self._need.fits(self._left(host))
-
-    def _left(self, host: Host) -> Resources:
-        taken = self._taken[host.info.id]
-        return host.free.minus(self._need.times(taken)) if taken else host.free
-
-    def _cost(self, host: Host) -> tuple[float, ...]:
-        """Near data first, then packed tightly, so that hosts stay free to move."""
-        is_far = bool(self._step.data_rack) and host.info.rack != self._step.data_rack
-        left = self._left(host)
-        if self._step.is_lasting:
-            return (is_far, not host.has_lasting, left.cpu)
-        return (is_far, left.cpu)
+def _suitable(step: StepSpec, hosts: Iterable[Host]) -> list[Host]:
+    """Returns the hosts that take one task of the step at least."""
+    label, need = step.required_label, step.reserved
+    return [
+        host
+        for host in hosts
+        if need.fits(host.free) and (not label or label in host.info.labels)
+    ]
+
+
+def _fitting(step: StepSpec, key: StepKey, host: Host) -> int:
+    """Returns how many tasks of the step a host takes."""
+    need, free = step.reserved, host.free
+    shares = [room // each for each, room in zip(need, free, strict=True) if each]
+    count = min(shares, default=step.count)
+    if step.max_per_host:
+        count = min(count, step.max_per_host - host.count_of(key))
+    return max(count, 0)
+
+
+def _cost(step: StepSpec, host: Host) -> tuple[bool, bool, int]:
+    """Near data first, then packed tightly, so that hosts stay free to move."""
+    is_far = bool(step.data_rack) and host.info.rack != step.data_rack
+    return is_far, step.is_lasting and not host.has_lasting, host.free.cpu
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -52,6 +52,9 @@
 UNHEALTHY_PAUSE_MS = 1_000
 """A host that called itself unhealthy gets no runs for this long."""
 
+SWEEP_EVERY_MS = 50
+"""Shortest time between looks at all hosts; hosts report less often."""
+
 LOOK_EVERY_MS = 100
 """Shortest time between looks at the load."""
 
@@ -75,6 +78,8 @@
         self.board.take_catalog(catalog)
         self._published: dict[str, int] = {}
         self._published_ms = 0
+        self._swept_ms = -SWEEP_EVERY_MS
+        self._swept_for: frozenset[HostId] = frozenset()
 
     def handle(self, message: Message, now_ms: int, wall_ms: int) -> list[Effect]:
         """Takes one message; returns what is to be done at once."""
@@ -122,9 +127,7 @@
         stops: list[Effect] = []
         for job in board.changed():
             stops += self._stop_needless(job)
-        stops += vacate_hosts(board)
-        stops += stop_stuck(board)
-        stops += pace_fillers(board)
+        stops += self._sweep()
         plan_starts(board)
         stops += board.caps.claims(board.catalog, now_ms)
         stops += board.questions
@@ -138,6 +141,15 @@
         released, board.gated = board.gated, []
         return [*stops, *self._release(released)]
 
+    def _sweep(self) -> list[Effect]:
+        """Looks at all hosts, now and then: what is to be emptied, stuck or paced."""
+        board = self.board
+        is_asked = board.to_vacate != self._swept_for
+        if board.now_ms - self._swept_ms < SWEEP_EVERY_MS and not is_asked:
+            return []
+        self._swept_ms, self._swept_for = board.now_ms, board.to_vacate
+        return [*vacate_hosts(board), *stop_stuck(board), *pace_fillers(board)]
+
     def _drop_unlisted(self) -> None:
         """Drops, once, the runs of earlier terms on hosts that left the list."""
         board = self.board
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -149,11 +149,19 @@
     bench.tell(HostSilent(second.host))
     bench.tell(VacateAsked(frozenset({first.host})))
     assert not [each for each in bench.plan() if isinstance(each, StopRun)]
+    bench.now_ms += 100
     bench.report(second.host, running=((second.name, 1),))
     stops = [each for each in bench.plan() if isinstance(each, StopRun)]
     assert [stop.name for stop in stops] == [first.name]
 
 
+def test_a_host_that_is_to_be_emptied_gets_no_run_from_a_new_conductor() -> None:
+    bench = Bench(a_host())
+    bench.tell(VacateAsked(frozenset({a_host().id})))
+    bench.submit(a_job())
+    assert bench.starts() == []
+
+
 def test_a_draining_host_gets_no_runs() -> None:
     bench = Bench(a_host(is_draining=True))
     bench.submit(a_job())
