--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,10 @@
     from ..jobs.task import HowEnded, Run
 
 
+MAX_REMOVED = 9
+"""Jobs removed in one batch: three keys each, in one transaction."""
+
+
 @dataclass(slots=True)
 class Board:
     """What the scheduler knows; its methods keep the parts in step.
@@ -40,6 +45,7 @@
         dirty: Jobs whose record is behind.
         gated: Effects that may happen once the dirty records are stored.
         in_flight: Effects that wait for the batch that is being stored.
+        expired: Ended jobs that the next batch removes.
         batch: Number of the last batch.
         is_storing: Whether a batch is being stored.
         now_ms: Steady time of the message that is handled.
@@ -62,6 +68,7 @@
     gated: list[Effect] = field(default_factory=list)
     in_flight: list[Effect] = field(default_factory=list)
     stored_jobs: set[JobId] = field(default_factory=set)
+    expired: tuple[JobId, ...] = ()
     batch: int = 0
     is_storing: bool = False
     now_ms: int = 0
@@ -138,6 +145,18 @@
         """Returns the step of a task of a known job."""
         return self.jobs[name.job].spec.steps[name.step]
 
+    def find_expired(self, kept_ms: int) -> None:
+        """Chooses jobs that ended so long ago that nobody asks for them."""
+        over = (
+            job_id
+            for job_id, job in self.jobs.items()
+            if job.ended_ms
+            and job_id not in self.active
+            and job_id not in self.dirty
+            and self.wall_ms - job.ended_ms > kept_ms
+        )
+        self.expired = tuple(itertools.islice(over, MAX_REMOVED))
+
     def pending(self) -> dict[str, int]:
         """Returns how many jobs of each queue have not begun."""
         counts: dict[str, int] = {}
@@ -158,11 +177,16 @@
             for job_id in sorted(self.stored_jobs)
             if job_id in self.jobs
         )
-        return StoreJobs(self.batch, records, self.pending(), self.vacant, self.load)
+        return StoreJobs(
+            self.batch, records, self.pending(), self.vacant, self.load, self.expired
+        )
 
     def batch_stored(self) -> list[Effect]:
         """Ends a batch that was written; returns what waited for it."""
         self.is_storing = False
+        for job_id in self.expired:
+            self.jobs.pop(job_id, None)
+        self.expired = ()
         released, self.in_flight = self.in_flight, []
         return released
 
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -231,6 +231,7 @@
         pending: Jobs of each queue that have not begun.
         vacant: Hosts that were emptied.
         load: What the pool needs.
+        removed: Jobs that nobody may ask for any more.
     """
 
     batch: int
@@ -238,6 +239,7 @@
     pending: dict[str, int]
     vacant: frozenset[str]
     load: PoolLoad
+    removed: tuple[JobId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -55,6 +55,12 @@
 SWEEP_EVERY_MS = 50
 """Shortest time between looks at all hosts; hosts report less often."""
 
+DEFAULT_KEPT_MS = 180_000
+"""An ended job is kept this long unless settings say otherwise."""
+
+EXPIRY_EVERY_MS = 1_000
+"""Time between looks for jobs that ended long ago."""
+
 LOOK_EVERY_MS = 100
 """Shortest time between looks at the load."""
 
@@ -70,9 +76,18 @@
         catalog: Configuration in force.
         unknown_until_ms: Steady time at which leases that earlier terms granted have
             surely run out.
+        kept_ms: How long a job is kept after its end.
     """
 
-    def __init__(self, pool: PoolName, catalog: Catalog, unknown_until_ms: int) -> None:
+    def __init__(
+        self,
+        pool: PoolName,
+        catalog: Catalog,
+        unknown_until_ms: int,
+        kept_ms: int = DEFAULT_KEPT_MS,
+    ) -> None:
+        self._kept_ms = kept_ms
+        self._expiry_ms = 0
         self._unknown_until_ms: int | None = unknown_until_ms
         self.board = Board(pool, catalog)
         self.board.take_catalog(catalog)
@@ -134,7 +149,8 @@
         board.questions = []
         vacant, board.vacant = board.vacant, vacant_hosts(board)
         is_due = self._is_report_due()
-        if board.dirty or board.vacant != vacant or is_due:
+        self._find_expired()
+        if board.dirty or board.vacant != vacant or is_due or board.expired:
             batch = board.next_batch()
             self._published = batch.pending
             return [*stops, batch]
@@ -150,6 +166,11 @@
         self._swept_ms, self._swept_for = board.now_ms, board.to_vacate
         return [*vacate_hosts(board), *stop_stuck(board), *pace_fillers(board)]
 
+    def _find_expired(self) -> None:
+        if self.board.now_ms - self._expiry_ms >= EXPIRY_EVERY_MS:
+            self._expiry_ms = self.board.now_ms
+            self.board.find_expired(self._kept_ms)
+
     def _drop_unlisted(self) -> None:
         """Drops, once, the runs of earlier terms on hosts that left the list."""
         board = self.board
--- a/src/amaranthtray/jobs/conducting.py
+++ b/src/amaranthtray/jobs/conducting.py
@@ -44,6 +44,9 @@
 TICK_MS = 100
 """Longest time between looks at what is due."""
 
+KEPT_MARGIN_MS = 60_000
+"""Ended jobs are kept this much longer than promised: the time of day may jump."""
+
 PLAN_EVERY_MS = 8
 """Shortest time between decisions; each may cost a write, and wakes hosts."""
 
@@ -79,9 +82,8 @@
             return True
         return clock.steady_ms() - self._last_held_ms < RENEWAL_GRACE_MS
 
-    def supersede(self, by: object) -> None:
+    def supersede(self) -> None:
         """Takes that a higher term is in force."""
-        del by
         self._superseded.set()
 
 
@@ -178,7 +180,13 @@
         catalog = self._context.catalog()
         if catalog is None:
             return
-        scheduler = PoolScheduler(self.pool, catalog, self._unknown_until_ms)
+        kept_s = self._context.settings.jobs.kept_after_end_s
+        scheduler = PoolScheduler(
+            self.pool,
+            catalog,
+            self._unknown_until_ms,
+            int(kept_s * 1_000) + KEPT_MARGIN_MS,
+        )
         self._context.hosts.subscribe(self.pool, self.post)
         while self._goes_on():
             self._round(scheduler)
@@ -226,8 +234,8 @@
                     self._watch(info.id, effect)
                 case ForgetHost(host):
                     self._forget(host)
-                case Superseded(host):
-                    self._term.supersede(host)
+                case Superseded():
+                    self._term.supersede()
 
     def _order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
@@ -271,7 +279,7 @@
                 return
             is_stored = self._term.may_order() and self._writer.write(batch)
             if self._writer.is_superseded:
-                self._term.supersede(self.pool)
+                self._term.supersede()
             if is_stored:
                 self.post(Stored(batch.batch))
             else:
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -156,7 +156,7 @@
             case OtherHost():
                 self._post(HostLapsed(self.info.id))
             case Refused():
-                self._term.supersede(self.info.id)
+                self._term.supersede()
             case OrderLost(detail):
                 self._silent(detail)
         return None
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -64,7 +64,8 @@
             rows[start : start + RECORDS_PER_WRITE]
             for start in range(0, len(rows), RECORDS_PER_WRITE)
         ]
-        return all(self._write_chunk(chunk, batch) for chunk in chunks or [[]])
+        is_stored = all(self._write_chunk(chunk, batch) for chunk in chunks or [[]])
+        return is_stored and self._remove(batch)
 
     def take(self) -> bool:
         """Writes the term into the ledger; from then on older terms can't write."""
@@ -94,7 +95,27 @@
         self._report = report if is_stored else None
         return is_stored
 
-    def _commit(self, puts: tuple[Put, ...], pending: dict[str, int]) -> bool:
+    def _remove(self, batch: StoreJobs) -> bool:
+        """Deletes all that is known of jobs that ended long ago."""
+        if not batch.removed:
+            return True
+        parts = (keys.SPEC, keys.CANCEL)
+        removes = tuple(
+            key
+            for job in batch.removed
+            for key in (
+                keys.record_key(self._pool, job),
+                *(keys.job_key(self._pool, job, part) for part in parts),
+            )
+        )
+        return self._commit((), batch.pending, removes)
+
+    def _commit(
+        self,
+        puts: tuple[Put, ...],
+        pending: dict[str, int],
+        removes: tuple[str, ...] = (),
+    ) -> bool:
         if self._version is None:
             return False
         self._tried += 1
@@ -104,6 +125,7 @@
         transaction = Transaction(
             expect=((self._key, self._version),),
             puts=(Put(self._key, msgspec.json.encode(ledger)), *puts),
+            removes=removes,
         )
         written = self._store.commit(transaction)
         if isinstance(written, Success):
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -30,7 +30,6 @@
         callers_address: Where callers reach it.
         readiness_address: Where the balancer asks whether it is ready.
         metrics_address: Where its metrics are read.
-        shutdown_grace_s: Time between SIGTERM and the end of the process.
     """
 
     name: str
@@ -38,7 +37,6 @@
     callers_address: Address
     readiness_address: Address
     metrics_address: Address
-    shutdown_grace_s: Positive
 
 
 class StoreSection(Struct, frozen=True, kw_only=True):
@@ -46,15 +44,9 @@
 
     Attributes:
         address: Where it is.
-        writes_per_s: Writes that all entries together may make in a second.
-        reads_per_s: Reads that all entries together may make in a second.
-        min_lease_ms: Shortest time to live of a lease.
     """
 
     address: Address
-    writes_per_s: Positive
-    reads_per_s: Positive
-    min_lease_ms: Millis
 
 
 class HostsSection(Struct, frozen=True, kw_only=True):
@@ -62,13 +54,9 @@
 
     Attributes:
         max_lease_ms: Longest lease that a host grants.
-        stop_ms: Longest time that a stop takes.
-        leaves_after_ms: Shortest time that a draining host goes on serving.
     """
 
     max_lease_ms: Millis
-    stop_ms: Millis
-    leaves_after_ms: Millis
 
 
 class MachinesSection(Struct, frozen=True, kw_only=True):
@@ -76,19 +64,11 @@
 
     Attributes:
         address: Where it is.
-        reads_per_s: Readings of the list that all entries together may make.
-        orders_per_s: Orders that all entries together may give.
         holder_change_ms: Shortest time between orders of different holders.
-        move_s: Time that a move takes.
-        maintenance_s: Time that maintenance takes.
     """
 
     address: Address
-    reads_per_s: Positive
-    orders_per_s: Positive
     holder_change_ms: Millis
-    move_s: Positive
-    maintenance_s: Positive
 
 
 class JobsSection(Struct, frozen=True, kw_only=True):
--- a/tests/jobs/test_record_writer.py
+++ b/tests/jobs/test_record_writer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from amaranthtray.domain.ids import PoolName, Term
 from amaranthtray.domain.jobs.model import JobId
 from amaranthtray.domain.scheduling.messages import StoreJobs
@@ -64,3 +66,14 @@
     assert writer.write(a_batch(("j", b"2")))
     site.platform.deliver_late()
     assert stored(site, "j") == b"2"
+
+
+def test_what_ended_long_ago_is_removed() -> None:
+    site = StoreSite()
+    writer = a_writer(site)
+    spec_key = keys.job_key(POOL, JobId("j"), keys.SPEC)
+    site.store.create(spec_key, b"spec")
+    writer.write(a_batch(("j", b"1")))
+    assert writer.write(replace(a_batch(), removed=(JobId("j"),)))
+    assert stored(site, "j") is None
+    assert site.platform.read(spec_key) is None
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -231,3 +231,16 @@
     assert look(150) == [0]
     look(20)
     assert look(20) == [10]
+
+
+def test_an_ended_job_is_removed_after_its_time() -> None:
+    bench = Bench(a_host())
+    bench.submit(a_job())
+    order = bench.starts()[0]
+    bench.now_ms = 1_000
+    bench.report(ends=(an_end(order, HowEnded.DONE),))
+    bench.plan()
+    assert order.name.job in bench.scheduler.board.jobs
+    bench.now_ms = 182_000
+    bench.plan()
+    assert order.name.job not in bench.scheduler.board.jobs
