--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,65 @@
+"""The settings template and the model of settings belong together."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from returns.result import Failure, Success
+
+from amaranthtray.settings.job_entry import load_job_entry
+
+ROOT = Path(__file__).parents[2]
+TEMPLATE = ROOT / "deploy" / "settings.toml.template"
+
+VALUES = {
+    "nodeName": '"frontend-1"',
+    "zone": '"z"',
+    "bindAddresses.frontend": '"10.1.0.1:8340"',
+    "bindAddresses.readiness": '"10.1.0.1:8343"',
+    "platform.address": '"10.2.0.1:80"',
+    "bounds.maxHoldMs": "6000",
+    "cloud.address": '"10.2.0.2:80"',
+    "bounds.leaseMs": "3000",
+    "bounds.status_s": "120",
+    "bounds.revokeMs": "5000",
+    ".": '"10.2.0.3:80"',
+}
+
+
+def filled() -> str:
+    """Returns the template as the platform fills it in."""
+    text = re.sub(r"\{\{[#/][\w.]+\}\}\n?", "", TEMPLATE.read_text())
+    text = text.replace("{{ip}}:{{internalPorts.0}}", "10.1.0.1:7000")
+    return re.sub(r"\{\{([\w.]+)\|json\}\}", lambda found: VALUES[found[1]], text)
+
+
+def test_the_filled_template_is_read(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(filled())
+    settings = load_job_entry(str(path)).unwrap()
+    assert settings.entry.metrics_address == "10.1.0.1:7000"
+    assert settings.machines is not None
+    assert settings.advice is not None
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ('zone = "z"', "", "zone"),
+        ("max_lease_ms = 6000", 'max_lease_ms = "long"', "max_lease_ms"),
+        ("[store]", "[stor]", "stor"),
+        ("[entry]", "[entry", "line"),
+    ],
+)
+def test_faulty_settings_are_refused_with_name_and_place(
+    tmp_path: Path, old: str, new: str, says: str
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(filled().replace(old, new))
+    loaded = load_job_entry(str(path))
+    assert not isinstance(loaded, Success)
+    assert isinstance(loaded, Failure)
+    assert says in str(loaded.failure())
+    assert str(path) in str(loaded.failure())
