--- a/src/amaranthtray/domain/invariants/jobs.py
+++ b/src/amaranthtray/domain/invariants/jobs.py
@@ -85,14 +85,16 @@
     def shown_as_completed(self, job: JobId) -> None:
         """A caller was told that a job is completed."""
         spec = self._specs[job]
-        for step in range(len(spec.steps)):
-            for number in range(spec.steps[step].count):
-                for occurrence in range(
-                    spec.recurrence.count if spec.recurrence else 1
-                ):
-                    name = type(next(iter(self._done)))(job, occurrence, step, number)
-                    if name not in self._done:
-                        self._break(f"{name}: its job is completed without it")
+        occurrences = spec.recurrence.count if spec.recurrence else 1
+        names = (
+            TaskName(job, occurrence, number, task)
+            for occurrence in range(occurrences)
+            for number, step in enumerate(spec.steps)
+            for task in range(step.count)
+        )
+        for name in names:
+            if name not in self._done:
+                self._break(f"{name}: its job is completed without it")
 
     def _is_step_done(self, spec: JobSpec, name: TaskName, step: int) -> bool:
         return all(
--- a/src/amaranthtray/jobs/conducting.py
+++ b/src/amaranthtray/jobs/conducting.py
@@ -120,6 +120,7 @@
         self._planned_ms = 0
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
+        self._ended = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
         self._caps = CapKeeper(pool, context, self.post, self._term.may_order)
         adviser = context.platform.adviser()
@@ -137,6 +138,11 @@
         self._batches.put(None)
         self._mailbox.put(_Stop())
 
+    @property
+    def is_over(self) -> bool:
+        """Returns whether it has ended by itself."""
+        return self._ended.is_set()
+
     def post(self, message: Message) -> None:
         """Queues a message; safe from any thread."""
         self._mailbox.put(message)
@@ -152,8 +158,8 @@
             self._conduct()
         except Exception as exc:
             log.event("conductor-fault", pool=self.pool, why=repr(exc))
-            raise
         finally:
+            self._ended.set()
             self._context.hosts.unsubscribe(self.pool, self.post)
             self._caps.stop()
             self._advice.stop()
--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -4,7 +4,7 @@
 
 import random
 import threading
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 from returns.result import Success
 
@@ -42,8 +42,19 @@
 JITTER_MS = 150
 
 
-Begin: TypeAlias = "Callable[[Term, Callable[[], Term | None]], Callable[[], None]]"
-"""Begins what a duty is for, with its term and a check of it; returns its end."""
+class Work(Protocol):
+    """What a duty is held for."""
+
+    @property
+    def is_over(self) -> bool:
+        """Returns whether it has ended by itself, for a fault or a higher term."""
+
+    def stop(self) -> None:
+        """Ends it soon."""
+
+
+Begin: TypeAlias = "Callable[[Term, Callable[[], Term | None]], Work]"
+"""Begins what a duty is for, with its term and a check of it."""
 
 
 class DutyView:
@@ -115,8 +126,7 @@
         context: What all tasks of the entry share.
         view: Tells whether the duty is free.
         load: Returns how many duties the entry has.
-        begin: Called when the duty is held, with term and a check of it; returns
-            what ends the work.
+        begin: Called when the duty is held.
     """
 
     def __init__(
@@ -140,7 +150,7 @@
         holder = DutyHolder(entry, incarnation, rng=rng, settings=DUTY_TIMES)
         self._runner = DutyRunner(name, holder, store=context.store, clock=steady_ms)
         self._term: Term | None = None
-        self._end: Callable[[], None] | None = None
+        self._work: Work | None = None
         self._leaving = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -164,16 +174,25 @@
     def _run(self) -> None:
         holder = self._runner.holder
         while not self._leaving.wait(TICK_MS / 1_000):
-            holder.is_wanted = self._term is not None or self._is_our_turn()
-            term = self._runner.run()
-            if term is not None and term != self._term:
-                self._begun(term)
-            elif isinstance(holder.stage, Idle) and self._term is not None:
-                self._lost()
-        if self._end is not None:
-            self._end()
+            try:
+                self._step(holder)
+            except Exception as exc:
+                self._context.log.event("duty-fault", duty=self._name, why=repr(exc))
+        if self._work is not None:
+            self._work.stop()
         self._runner.release()
 
+    def _step(self, holder: DutyHolder) -> None:
+        # A duty whose work has ended is given up, and may be taken anew.
+        is_idle = self._work is not None and self._work.is_over
+        is_held = self._term is not None and not is_idle
+        holder.is_wanted = is_held or self._is_our_turn()
+        term = self._runner.run()
+        if term is not None and term != self._term:
+            self._begun(term)
+        elif isinstance(holder.stage, Idle) and self._term is not None:
+            self._lost()
+
     def _is_our_turn(self) -> bool:
         free_ms = self._view.free_for_ms(self._name)
         if free_ms is None or self._context.catalog() is None:
@@ -184,7 +203,7 @@
         self._context.log.event("duty-taken", duty=self._name, term=term)
         self._lost()
         self._term = term
-        self._end = self._begin(term, self._runner.term)
+        self._work = self._begin(term, self._runner.term)
 
     def _lost(self) -> None:
         """Ends what the duty was held for, if it was."""
@@ -192,6 +211,6 @@
             return
         self._context.log.event("duty-lost", duty=self._name, term=self._term)
         self._term = None
-        if self._end is not None:
-            self._end()
-            self._end = None
+        if self._work is not None:
+            self._work.stop()
+            self._work = None
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -13,7 +13,7 @@
 from .conducting import PoolConductor
 from .config_follower import ConfigFollower
 from .context import Context
-from .duty_task import Begin, DutyTask, DutyView
+from .duty_task import Begin, DutyTask, DutyView, Work
 from .event_log import EventLog
 from .fleet_duty import FleetDuty
 from .host_board import HostBoard
@@ -134,20 +134,20 @@
                     self._duties[duty].start()
 
     def _fleet_candidate(self) -> DutyTask:
-        def begin(term: Term, held: Callable[[], Term | None]) -> Callable[[], None]:
+        def begin(term: Term, held: Callable[[], Term | None]) -> Work:
             duty = FleetDuty(term, held, self._context)
             duty.start()
-            return duty.stop
+            return duty
 
         return self._duty(FLEET_DUTY, begin)
 
     def _candidate(self, pool: PoolName) -> DutyTask:
-        def begin(term: Term, held: Callable[[], Term | None]) -> Callable[[], None]:
+        def begin(term: Term, held: Callable[[], Term | None]) -> Work:
             conductor = PoolConductor(pool, term, held, self._context)
             with self._lock:
                 self._conductors[pool] = conductor
             conductor.start()
-            return conductor.stop
+            return conductor
 
         return self._duty(conductor_of(pool), begin)
 
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -80,6 +80,11 @@
         """Ends after the order under way."""
         self._stopping.set()
 
+    @property
+    def is_over(self) -> bool:
+        """Returns whether it has ended by itself; a fault ends one round only."""
+        return False
+
     def _goes_on(self) -> bool:
         return not self._stopping.is_set() and self._held() == self._term
 
@@ -95,7 +100,10 @@
             self._stopping.wait(ROUND_MS / 1_000)
         threading.Thread(target=self._follow_waves, daemon=True).start()
         while self._goes_on():
-            self._round(orders)
+            try:
+                self._round(orders)
+            except Exception as exc:
+                self._context.log.event("fleet-fault", why=repr(exc), term=self._term)
             self._stopping.wait(ROUND_MS / 1_000)
         orders.close()
 
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -81,8 +81,8 @@
         self._is_silent = False
         self._born: int | None = None
         self._unwanted: set[tuple[TaskName, int]] = set()
-        self._starts = _OrderThread(self._give_start)
-        self._stops = _OrderThread(self._give_stop)
+        self._starts = _OrderThread(self._give_start, log)
+        self._stops = _OrderThread(self._give_stop, log)
         self._hold_thread = threading.Thread(target=self._hold_loop, daemon=True)
 
     def start(self) -> None:
@@ -246,12 +246,16 @@
 
     Args:
         carry_out: Gives one order.
+        log: Log of the entry.
     """
 
     def __init__(
-        self, carry_out: Callable[[StartRun | StopRun | PaceRun], None]
+        self,
+        carry_out: Callable[[StartRun | StopRun | PaceRun], None],
+        log: EventLog,
     ) -> None:
         self._carry_out = carry_out
+        self._log = log
         self._queue: queue.SimpleQueue[StartRun | StopRun | PaceRun | None]
         self._queue = queue.SimpleQueue()
         self._thread: threading.Thread | None = None
@@ -269,4 +273,8 @@
 
     def _run(self) -> None:
         while (order := self._queue.get()) is not None:
-            self._carry_out(order)
+            try:
+                self._carry_out(order)
+            except Exception as exc:
+                # The run stays as it is known; the host's lists tell more.
+                self._log.event("order-fault", host=order.host, why=repr(exc))
