--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -172,18 +172,21 @@
         self._thread.join(timeout_s)
 
     def _run(self) -> None:
-        holder = self._runner.holder
         while not self._leaving.wait(TICK_MS / 1_000):
             try:
-                self._step(holder)
+                self.step()
             except Exception as exc:
                 self._context.log.event("duty-fault", duty=self._name, why=repr(exc))
         if self._work is not None:
             self._work.stop()
         self._runner.release()
 
-    def _step(self, holder: DutyHolder) -> None:
-        # A duty whose work has ended is given up, and may be taken anew.
+    def step(self) -> None:
+        """Makes the calls that are due, and begins or ends what the duty is for.
+
+        A duty whose work has ended by itself is given up, and may be taken anew.
+        """
+        holder = self._runner.holder
         is_idle = self._work is not None and self._work.is_over
         is_held = self._term is not None and not is_idle
         holder.is_wanted = is_held or self._is_our_turn()
