--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -13,7 +13,7 @@
 from ..store.cursor import WatchCursor
 from ..store.duties import PREFIX, DutyRunner
 from .clock import steady_ms
-from .times import RESUME_MS
+from .times import RESUME_MS, WATCH_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +33,6 @@
 """A duty whose holder died is free after the lease; runs outlive that by far."""
 
 TICK_MS = 50
-WATCH_MS = 15_000
 RETRY_PAUSE_MS = 150
 
 LOAD_DELAY_MS = 150
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -19,6 +19,7 @@
 from . import keys
 from .clock import steady_ms
 from .ledger import decode_report
+from .times import WATCH_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -32,9 +33,6 @@
 ROUND_MS = 200
 """Time between looks at the machines and at what their pools need."""
 
-WAVE_WATCH_MS = 15_000
-"""Wait of the watch for new waves."""
-
 HANDOVER_SLACK_MS = 500
 """Added to the platform's shortest time between orders of two holders."""
 
@@ -168,7 +166,7 @@
         watched = self._context.store.watch(
             self._context.platform.waves_prefix,
             after_version=self._cursor.version,
-            timeout_ms=WAVE_WATCH_MS,
+            timeout_ms=WATCH_MS,
         )
         if not isinstance(watched, Success):
             self._stopping.wait(ROUND_MS / 1_000)
--- a/src/amaranthtray/jobs/host_board.py
+++ b/src/amaranthtray/jobs/host_board.py
@@ -11,6 +11,7 @@
 from ..store.contract import Compacted
 from ..store.cursor import WatchCursor
 from .clock import steady_ms
+from .times import WATCH_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +22,6 @@
     from .event_log import EventLog
     from .ports import Platform
 
-WATCH_MS = 15_000
 RETRY_PAUSE_MS = 200
 
 
--- a/src/amaranthtray/jobs/job_feed.py
+++ b/src/amaranthtray/jobs/job_feed.py
@@ -21,6 +21,7 @@
 from ..store.cursor import WatchCursor
 from . import keys
 from .clock import steady_ms
+from .times import WATCH_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,9 +30,6 @@
     from ..store.contract import WatchEvent
     from .context import Context
 
-WATCH_MS = 15_000
-"""Wait of a watch; shorter ones cost calls, longer ones hide a dead connection."""
-
 RETRY_PAUSE_MS = 100
 
 
--- a/src/amaranthtray/jobs/times.py
+++ b/src/amaranthtray/jobs/times.py
@@ -14,3 +14,7 @@
 
 RESUME_MS = RENEWAL_GRACE_MS - 500
 """A duty is given up before its conductor ends, so that none is held for nothing."""
+
+WATCH_MS = 2_000
+"""Wait of a watch. A connection may go silent without a reset, and only the end of the
+wait shows it; until then its reader sees nothing of what changes."""
