--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -39,14 +39,12 @@
         state: Its state.
         past: Occurrences that are wholly done.
         ended_ms: Wall time at which it reached a final state.
-        is_stored: Whether its record was ever written.
     """
 
     spec: JobSpec
     state: JobState = JobState.QUEUED
     past: set[int] = field(default_factory=set)
     ended_ms: int = 0
-    is_stored: bool = False
     _tasks: dict[tuple[int, int], list[Task]] = field(default_factory=dict)
 
     @property
@@ -105,11 +103,6 @@
                 if all(self.is_step_done(occurrence, before) for before in spec.after):
                     yield occurrence, step
 
-    def next_due_ms(self, wall_ms: int) -> int | None:
-        """Returns the wall time at which the next occurrence is due, if any is."""
-        later = (self.due_ms(number) for number in range(self.occurrences))
-        return min((due for due in later if due > wall_ms), default=None)
-
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Returns whether all tasks of a step have ended as done."""
         if occurrence in self.past:
--- a/src/amaranthtray/domain/jobs/record.py
+++ b/src/amaranthtray/domain/jobs/record.py
@@ -87,7 +87,7 @@
         return job
     record = msgspec.json.decode(data, type=JobRecord)
     job.state, job.ended_ms = record.state, record.ended_ms
-    job.past, job.is_stored = set(record.past), True
+    job.past = set(record.past)
     for found in record.tasks:
         task = job.task(TaskName(spec.id, found.occurrence, found.step, found.number))
         if task is not None:
