--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -54,6 +54,7 @@
 LEASE_MS, GRACE_MS, MAX_LEASE_MS = 5_000, 3_000, 10_000
 TERM_MS = 2_500
 CANCEL_MS = 3_000
+LATEST_MS = 8_000
 TRIP_MS = 2
 CAPACITY = Resources(4_000, 8_000, 0)
 CAP = Resources(9_000, 0, 0)
@@ -418,7 +419,7 @@
             self.at(700, lambda: replied(None))
             return
         if luck < self.trouble:
-            late_ms = self.rng.randint(1_000, 8_000)
+            late_ms = self.rng.randint(1_000, LATEST_MS)
             self.at(late_ms, lambda: act() if self._is_reached(host, born) else None)
             self.at(700, lambda: replied(None))
             return
@@ -452,6 +453,9 @@
 
     def cancel(self, job: JobId) -> None:
         self.cancelled.add(job)
+        # An order may be carried out late, which no conductor can help.
+        latest_ms = CANCEL_MS + LATEST_MS
+        self.at(latest_ms, lambda: self.promises.stopped_for_good(job))
         if self.conductor is not None:
             self.conductor.take(JobCancelled(job))
 
