Give a slot to one with time left while others of its team wait

Cause: at eight times a team's limit the head of the line has waited longest and has the least time left; it was started with 0.6 of the mean slot time left and more often than not ended as unknown. While others wait behind it, 1.2 of the mean must be left now.

--- a/src/amaranthtray/domain/requests/_dispatch.py
+++ b/src/amaranthtray/domain/requests/_dispatch.py
@@ -74,7 +74,8 @@
             if team is None:
                 return
             item = line.head(team)
-            if self._is_too_late(queue, item, now_ms):
+            is_crowded = line.waiting(team) > 1
+            if self._is_too_late(queue, item, now_ms, is_crowded=is_crowded):
                 line.pop(team)
                 self.expire(item, now_ms)
             elif (
@@ -82,13 +83,17 @@
             ) or not self._try_start(queue, line, item, now_ms):
                 skipped.add(team)
 
-    def _is_too_late(self, queue: PoolQueue, item: Tracked, now_ms: Millis) -> bool:
+    def _is_too_late(
+        self, queue: PoolQueue, item: Tracked, now_ms: Millis, *, is_crowded: bool
+    ) -> bool:
         """Returns whether a request that had to wait is unlikely to end in time."""
         left_ms = item.request.deadline_ms - now_ms
         if item.queued_ms >= now_ms or left_ms <= 0:
             return left_ms <= 0
         mean_ms = queue.times(item.request.work_class).mean_ms
-        return left_ms < mean_ms * self._state.cfg.least_time_share
+        cfg = self._state.cfg
+        share = cfg.crowded_time_share if is_crowded else cfg.least_time_share
+        return left_ms < mean_ms * share
 
     def _at_limit(self, queue: PoolQueue, line: Line, now_ms: Millis) -> set[TeamName]:
         if not queue.recheck_ms:
--- a/src/amaranthtray/domain/requests/settings.py
+++ b/src/amaranthtray/domain/requests/settings.py
@@ -40,6 +40,8 @@
         limit_recheck_ms: Pause before a team that reached its limit is tried again.
         least_time_share: Part of the mean slot time that must be left to start a
             request that waited; the median of lognormal times is below the mean.
+        crowded_time_share: The same while others of its team wait behind it: they
+            have more time left, and the slot is better used by one of them.
         retry_after_floor_ms: Shortest advice to come back.
         no_host_retry_ms: Advice to come back when a pool has no usable host.
     """
@@ -69,6 +71,7 @@
     max_checkpoints: int = 16
     limit_recheck_ms: int = 50
     least_time_share: float = 0.6
+    crowded_time_share: float = 1.2
     retry_after_floor_ms: int = 100
     no_host_retry_ms: int = 1_000
 
--- a/tests/requests/test_queueing.py
+++ b/tests/requests/test_queueing.py
@@ -217,3 +217,22 @@
         for number in range(10, 40)
     ]
     assert give(made, *waiting, now=2) == []
+
+
+def test_a_slot_goes_to_one_with_time_left_while_others_of_the_team_wait() -> None:
+    made = desk(hosts=(host(1, slots=1),), cfg=ROOMY)
+    mean_ms = ROOMY.first_urgent_service_ms
+    far_ms = 20 * mean_ms
+    (first,) = starts(
+        give(
+            made,
+            request(1, deadline_ms=far_ms),
+            request(2, deadline_ms=400 + mean_ms),
+            request(3, deadline_ms=far_ms),
+        )
+    )
+    effects = made.handle(SlotsFreed(first.host, (first.attempt_id,)), Millis(400))
+    (late,) = [item for item in effects if isinstance(item, Finish)]
+    assert isinstance(late.outcome, NotRun)
+    assert late.outcome.reason is NotRunReason.DEADLINE_TOO_CLOSE
+    assert len(starts(effects)) == 1
