Stay during a store outage until an entry can leave without harm

Cause: without the store no other entry can take the steward's duty, and a steward past its lease needs most of its zone. An entry that shut down in an outage took the limited work of a zone of two with it. It now stays, as steward or follower, until the store answers or the grace of the shutdown ends.

--- a/src/amaranthtray/entry/control/control.py
+++ b/src/amaranthtray/entry/control/control.py
@@ -170,6 +170,15 @@
         self._carry_out(commands)
         self.zones.put(self.peers.reach(Revision(0), now_ms))
 
+    def may_leave(self) -> bool:
+        """Returns whether the zone's steward can do without this entry.
+
+        Without the store no other entry can take the duty over, and a steward past
+        its lease goes on only while most of its zone follows it. Safe to call from
+        any thread.
+        """
+        return not self._mates() or isinstance(self._registry.members(), Success)
+
     def leave(self) -> None:
         """Gives the duty and the registration back."""
         self.is_leaving = True
@@ -307,15 +316,17 @@
 
     def _may_take_duty(self) -> bool:
         """Lets links to a steward that is already there come up first."""
-        members = self.peers.members
-        if self.is_leaving or members.at_version < 0:
+        if self.is_leaving or self.peers.members.at_version < 0:
             return False
-        mates = [
+        return not self._mates() or self._parts.clock() >= self._started_ms + JOIN_MS
+
+    def _mates(self) -> list[Member]:
+        """Returns the other entries of the zone, as last listed."""
+        return [
             one
-            for one in members.members.values()
+            for one in self.peers.members.members.values()
             if one.zone == self._own.zone and one.entry != self._own.entry
         ]
-        return not mates or self._parts.clock() >= self._started_ms + JOIN_MS
 
     def _follow_steward(self, now_ms: int) -> None:
         members = self.peers.members
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -4,6 +4,7 @@
 
 import random
 import secrets
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,9 @@
 INCARNATION_BYTES = 4
 IDLE_TIMEOUT_S = 3_600.0
 GIVE_BACK_S = 1.0
+STAY_LOOK_S = 1.0
+"""Time between looks whether the store is back; each is one read."""
+
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,11 +152,13 @@
 
     def stop(self, *, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
         """Finishes what is in flight, gives back what is held, and ends."""
+        until_s = time.monotonic() + idle_timeout_s
         self.drain()
         self.readiness.wait_until_idle(idle_timeout_s)
         self.readiness.advance(Phase.STOPPED)
         self._callers.stop()
         self._give_back()
+        self._stay_in_outage(until_s)
         self._admin.stop()
         for task in self._tasks:
             task.stop()
@@ -172,6 +178,15 @@
         self._requests.task.post(LeaveBegun())
         self._control.pause(int(GIVE_BACK_S * 500))
 
+    def _stay_in_outage(self, until_s: float) -> None:
+        """Goes on as steward or follower while the store is away."""
+        is_staying = False
+        while time.monotonic() < until_s and not self._control.control.may_leave():
+            if not is_staying:
+                self.observer.changed("entry-stays", incarnation=self.incarnation)
+                is_staying = True
+            time.sleep(STAY_LOOK_S)
+
     def _make_context(self) -> EntryContext:
         return EntryContext(
             settings=self.settings,
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -112,6 +112,10 @@
         entry.handle(ConfigurationInForce(cfg.revision, teams))
         self._show_hosts(cfg)
 
+    def may_leave(self) -> bool:
+        """Returns whether nobody in the zone needs this entry any more."""
+        return self._part.may_leave()
+
     def stop(self) -> None:
         """Gives duty and registration back."""
         self._part.leave()
--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -86,6 +87,7 @@
 SEND_MS = 1
 LEAVE_GRACE_MS = 30_000
 LEAVE_LOOK_MS = 50
+STAY_LOOK_MS = 1_000
 
 KEY_REASONS = {
     KeyRefusal.NO_QUEUE: NotRunReason.QUEUE_UNKNOWN,
@@ -164,6 +166,14 @@
             return
         self.handle(LeaveBegun())
         self.handle(Tick())
+        self._stay_in_outage()
+
+    def _stay_in_outage(self) -> None:
+        """Goes on as steward or follower while the store is away."""
+        if self.world.now_ms < self._leave_by_ms and not self.control.may_leave():
+            stay = partial(self.run, self._stay_in_outage)
+            self.world.clock.after(STAY_LOOK_MS, stay)
+            return
         for key in self._work:
             cut = RequestCut(self.world.now_ms, self.name, key.request_id)
             self.world.history.observe(cut)
