Wait only for machines that the last holder of the fleet has just ordered

Cause: a new holder of the fleet's duty waited 3.5 s before its first order, since the platform asks for a pause between the orders of two holders for one machine.

Each order is now noted in fleet/ledger before it is given, and each write of the holder goes through the ledger's version, as a conductor's does. A new holder fences older terms by its first write and waits for the noted machines only. Before, a paused holder could also write an older progress of a wave over a newer one.

--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -46,7 +46,6 @@
 """Time between looks whether the store is back; each is one read."""
 
 
-
 @dataclass(frozen=True, slots=True)
 class Ports:
     """TCP ports that an entry listens on."""
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -13,16 +13,18 @@
 from ..domain.upkeep import moves
 from ..domain.upkeep.model import MachineName, OrderOutcome, Wave
 from ..domain.upkeep.moves import plan_moves
+from ..domain.upkeep.recent import RecentOrders
 from ..domain.upkeep.waves import Fleet, plan_wave, take_order, take_reply, wave_of
-from ..store.contract import Put, Transaction
+from ..store.contract import Put
 from ..store.cursor import WatchCursor
 from . import keys
 from .clock import steady_ms
 from .ledger import decode_report
+from .term_ledger import LedgerHeader, TermLedger
 from .times import WATCH_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from ..domain.ids import Term
     from ..domain.upkeep.model import Machine, MachineOrder
@@ -33,10 +35,23 @@
 ROUND_MS = 200
 """Time between looks at the machines and at what their pools need."""
 
+RETRY_MS = 50
+"""Pause before what a new holder has to read is read again."""
+
 HANDOVER_SLACK_MS = 500
 """Added to the platform's shortest time between orders of two holders."""
 
 
+class _FleetLedger(LedgerHeader, kw_only=True):
+    """Stored by each write of the holder.
+
+    Attributes:
+        ordered: Machines that the holder, or one before, may just have ordered.
+    """
+
+    ordered: list[str] = msgspec.field(default_factory=list)
+
+
 class _Progress(msgspec.Struct):
     """What was done of a wave; kept in the store for the next holder."""
 
@@ -68,6 +83,12 @@
         self._moves = moves.Moves()
         self._lacking: Mapping[PoolName, int] = {}
         self._cursor = WatchCursor(0)
+        machines = context.settings.machines
+        change_ms = machines.holder_change_ms if machines else 0
+        self._recent = RecentOrders(change_ms + HANDOVER_SLACK_MS)
+        self._ledger = TermLedger(
+            keys.FLEET_LEDGER_KEY, term, store=context.store, log=context.log
+        )
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -84,18 +105,15 @@
         return False
 
     def _goes_on(self) -> bool:
-        return not self._stopping.is_set() and self._held() == self._term
+        is_held = self._held() == self._term and not self._ledger.is_superseded
+        return is_held and not self._stopping.is_set()
 
     def _run(self) -> None:
         orders = self._context.platform.machine_orders(self._term)
-        machines = self._context.settings.machines
-        if orders is None or machines is None:
+        if orders is None:
             return
-        # An order of the last holder may just have been given.
-        wait_ms = machines.holder_change_ms + HANDOVER_SLACK_MS
-        self._stopping.wait(wait_ms / 1_000)
-        while self._goes_on() and not self._list():
-            self._stopping.wait(ROUND_MS / 1_000)
+        while self._goes_on() and not (self._take() and self._list()):
+            self._stopping.wait(RETRY_MS / 1_000)
         threading.Thread(target=self._follow_waves, daemon=True).start()
         while self._goes_on():
             try:
@@ -105,6 +123,20 @@
             self._stopping.wait(ROUND_MS / 1_000)
         orders.close()
 
+    def _take(self) -> bool:
+        """Ends the writes of older terms; learns what they may just have ordered."""
+        if not self._ledger.is_taken:
+            last = self._ledger.take(_FleetLedger())
+            if last is None:
+                return False
+            self._recent.inherit(last.ordered, steady_ms())
+        return self._commit(())
+
+    def _commit(self, puts: Iterable[Put]) -> bool:
+        """Writes under the term, with what the next holder has to wait for."""
+        ledger = _FleetLedger(ordered=self._recent.names(steady_ms()))
+        return self._ledger.commit(ledger, puts)
+
     def _list(self) -> bool:
         """Reads all waves, and what earlier holders did of them."""
         store = self._context.store
@@ -189,7 +221,7 @@
         hosts = {HostId(h) for report in reports.values() for h in report.vacant}
         fleet = Fleet({each.name: each for each in machines}, hosts)
         vacate: dict[PoolName, set[HostId]] = defaultdict(set)
-        busy: set[MachineName] = set()
+        busy = set(self._recent.untouchable(steady_ms()))
         for name, wave in list(self._waves.items()):
             if wave.is_over:
                 continue
@@ -201,9 +233,9 @@
                 vacate[pool].add(host)
             if self._save(name, wave):
                 for order in plan.orders:
-                    self._maintain(
-                        name, wave, fleet.machines[order.machine], order, orders
-                    )
+                    if order.machine not in self._recent.untouchable(steady_ms()):
+                        machine = fleet.machines[order.machine]
+                        self._maintain(name, wave, machine, order, orders)
         loads = {pool: report.load for pool, report in reports.items()}
         self._move(fleet, loads, frozenset(busy), orders, vacate)
         self._ask_to_vacate(vacate)
@@ -229,6 +261,11 @@
             self._lacking = plan.lacking
             needs = {pool: load.need for pool, load in loads.items()}
             self._context.log.event("pools", lacking=plan.lacking, needs=needs)
+        if not plan.orders:
+            return
+        self._recent.note((order.machine for order in plan.orders), steady_ms())
+        if not self._commit(()):
+            return
         for order in plan.orders:
             if not self._goes_on():
                 return
@@ -277,6 +314,7 @@
         orders: MachineOrders,
     ) -> None:
         take_order(wave, machine, steady_ms())
+        self._recent.note((machine.name,), steady_ms())
         if not self._save(name, wave) or not self._goes_on():
             return
         outcome = orders.order(order)
@@ -307,10 +345,7 @@
                 wave.asked.number, is_over=is_over
             )
             puts.append(Put(*status))
-        written = self._context.store.commit(Transaction(puts=tuple(puts)))
-        if not isinstance(written, Success):
-            why = repr(written.failure())
-            self._context.log.event("wave-not-stored", wave=name, why=why)
+        if not self._commit(puts):
             return False
         self._saved[name] = value
         wave.is_announced, wave.is_over = True, is_over
@@ -322,7 +357,6 @@
             if hosts == self._vacate.get(pool):
                 continue
             put = Put(keys.vacate_key(pool), msgspec.json.encode(sorted(hosts)))
-            written = self._context.store.commit(Transaction(puts=(put,)))
             self._context.log.event("vacate", pool=pool, hosts=sorted(hosts))
-            if isinstance(written, Success):
+            if self._commit((put,)):
                 self._vacate[pool] = hosts
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -17,6 +17,9 @@
 SPEC, CANCEL = "spec", "cancel"
 REPORTS_PREFIX = "reports/"
 PROGRESS_PREFIX = "maintenance/"
+FLEET_LEDGER_KEY = "fleet/ledger"
+"""Key that each write of the fleet's holder goes through."""
+
 HOMES_KEY = "fleet/homes"
 """How many machines each pool had at first."""
 
--- a/src/amaranthtray/jobs/ledger.py
+++ b/src/amaranthtray/jobs/ledger.py
@@ -1,25 +1,22 @@
-"""A pool's ledger: the value through which its conductor's writes are fenced."""
+"""What a pool's conductor writes with its records, and what it says of the pool."""
 
 from __future__ import annotations
 
 import msgspec
 
 from ..domain.upkeep.moves import PoolLoad
+from .term_ledger import LedgerHeader
 
 
-class Ledger(msgspec.Struct, kw_only=True):
+class Ledger(LedgerHeader, kw_only=True):
     """Stored by each write of a conductor.
 
     Attributes:
-        term: Term of the writer.
-        batch: Numbers the writes of a term; with it a lost reply is settled.
         pending: Jobs of each queue that have not begun.
         written_ms: Wall time of the write.
     """
 
-    term: int = 0
-    batch: int = 0
-    pending: dict[str, int] = {}
+    pending: dict[str, int] = msgspec.field(default_factory=dict)
     written_ms: int = 0
 
 
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from returns.result import Success
 
-from ..store.contract import Conflicts, Put, Transaction
+from ..store.contract import Put
 from . import keys
 from .clock import wall_ms
-from .ledger import Ledger, Report, decode_ledger
+from .ledger import Ledger, Report
+from .term_ledger import TermLedger
 
 if TYPE_CHECKING:
     from ..domain.ids import PoolName, Term
@@ -26,9 +26,6 @@
 class RecordWriter:
     """Owns the ledger of one pool under one term; use it from one thread.
 
-    Each write names the ledger's version that the last one left. A write that is
-    carried out late, or under an older term, therefore fails.
-
     Args:
         pool: The pool.
         term: Term of the conductor.
@@ -44,20 +41,19 @@
         store: TransactionalStore,
         log: EventLog,
     ) -> None:
-        self.is_superseded = False
         self._pool = pool
+        self._ledger = TermLedger(keys.ledger_key(pool), term, store=store, log=log)
         self._term = term
-        self._store = store
-        self._log = log
-        self._key = keys.ledger_key(pool)
-        self._version: int | None = None
-        self._batch = 0
-        self._tried = 0
         self._report: Report | None = None
 
+    @property
+    def is_superseded(self) -> bool:
+        """Returns whether a later term writes."""
+        return self._ledger.is_superseded
+
     def write(self, batch: StoreJobs) -> bool:
         """Writes a batch; returns whether all of it is surely stored."""
-        if self._version is None and not self.take():
+        if not self._ledger.is_taken and not self.take():
             return False
         rows = list(batch.records)
         chunks = [
@@ -69,19 +65,10 @@
 
     def take(self) -> bool:
         """Writes the term into the ledger; from then on older terms can't write."""
-        read = self._store.get(self._key)
-        if not isinstance(read, Success):
-            return False
-        found = read.unwrap()
-        last = decode_ledger(found.value) if found else Ledger()
-        if last.term > self._term:
-            self.is_superseded = True
+        last = self._ledger.take(Ledger())
+        if last is None:
             return False
-        self._version = found.version if found else 0
-        if last.term == self._term:
-            self._batch = self._tried = last.batch
-            return True
-        return self._commit((), last.pending)
+        return last.term == self._term or self._commit((), last.pending)
 
     def _write_chunk(self, rows: list[tuple[JobId, bytes]], batch: StoreJobs) -> bool:
         puts = tuple(
@@ -116,40 +103,5 @@
         pending: dict[str, int],
         removes: tuple[str, ...] = (),
     ) -> bool:
-        if self._version is None:
-            return False
-        self._tried += 1
-        ledger = Ledger(
-            term=self._term, batch=self._tried, pending=pending, written_ms=wall_ms()
-        )
-        transaction = Transaction(
-            expect=((self._key, self._version),),
-            puts=(Put(self._key, msgspec.json.encode(ledger)), *puts),
-            removes=removes,
-        )
-        written = self._store.commit(transaction)
-        if isinstance(written, Success):
-            self._version, self._batch = written.unwrap(), self._tried
-            return True
-        failure = written.failure()
-        self._log.event(
-            "records-not-stored", pool=self._pool, term=self._term, why=repr(failure)
-        )
-        if isinstance(failure, Conflicts):
-            return self._settle(failure)
-        return False
-
-    def _settle(self, conflicts: Conflicts) -> bool:
-        """Learns the ledger's version; an earlier try may have been carried out."""
-        found = next((i for i in conflicts.found if i.key == self._key), None)
-        if found is None:
-            self._version = 0
-            return False
-        last = decode_ledger(found.value)
-        if last.term != self._term:
-            self.is_superseded = True
-            return False
-        self._version, self._batch = found.version, last.batch
-        # The try that was carried out late held an older state of the same jobs;
-        # the caller writes them again.
-        return False
+        ledger = Ledger(pending=pending, written_ms=wall_ms())
+        return self._ledger.commit(ledger, puts, removes)
--- /dev/null
+++ b/src/amaranthtray/jobs/term_ledger.py
@@ -0,0 +1,128 @@
+"""A key through which all writes of a duty's holder are fenced."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+from returns.result import Success
+
+from ..store.contract import Conflicts, Put, Transaction
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..domain.ids import Term
+    from ..store.contract import TransactionalStore, Versioned
+    from .event_log import EventLog
+
+
+class LedgerHeader(msgspec.Struct, kw_only=True):
+    """What every ledger holds.
+
+    Attributes:
+        term: Term of the writer.
+        batch: Numbers the writes of a term.
+    """
+
+    term: int = 0
+    batch: int = 0
+
+
+L = TypeVar("L", bound=LedgerHeader)
+
+
+class TermLedger:
+    """Owns a ledger under one term; use it from one thread.
+
+    Each write names the version that the last one left. A write that is carried out
+    late, or under an older term, therefore fails.
+
+    Args:
+        key: Key of the ledger.
+        term: Term of the holder.
+        store: The platform's store.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self, key: str, term: Term, *, store: TransactionalStore, log: EventLog
+    ) -> None:
+        self.is_superseded = False
+        self._key = key
+        self._term = term
+        self._store = store
+        self._log = log
+        self._version: int | None = None
+        self._tried = 0
+
+    @property
+    def is_taken(self) -> bool:
+        """Returns whether the version of the ledger is known."""
+        return self._version is not None
+
+    def take(self, empty: L) -> L | None:
+        """Reads the ledger; none if that fails or a later term has it.
+
+        Older terms can still write until the first write under this one.
+
+        Args:
+            empty: Stands for a ledger that does not exist yet.
+        """
+        read = self._store.get(self._key)
+        if not isinstance(read, Success):
+            return None
+        found = read.unwrap()
+        last = msgspec.json.decode(found.value, type=type(empty)) if found else empty
+        if last.term > self._term:
+            self.is_superseded = True
+            return None
+        self._version = found.version if found else 0
+        if last.term == self._term:
+            self._tried = last.batch
+        return last
+
+    def commit(
+        self, ledger: LedgerHeader, puts: Iterable[Put], removes: tuple[str, ...] = ()
+    ) -> bool:
+        """Writes the ledger and what goes with it; returns whether that is sure.
+
+        Args:
+            ledger: New state of the ledger; term and number are filled in.
+            puts: Other keys to write.
+            removes: Keys to delete.
+        """
+        if self._version is None:
+            return False
+        self._tried += 1
+        ledger.term, ledger.batch = self._term, self._tried
+        transaction = Transaction(
+            expect=((self._key, self._version),),
+            puts=(Put(self._key, msgspec.json.encode(ledger)), *puts),
+            removes=removes,
+        )
+        written = self._store.commit(transaction)
+        if isinstance(written, Success):
+            self._version = written.unwrap()
+            return True
+        failure = written.failure()
+        self._log.event(
+            "records-not-stored", ledger=self._key, term=self._term, why=repr(failure)
+        )
+        if isinstance(failure, Conflicts):
+            found = next((i for i in failure.found if i.key == self._key), None)
+            self._settle(found)
+        return False
+
+    def _settle(self, found: Versioned | None) -> None:
+        """Learns the version; an earlier try may have been carried out.
+
+        That try held an older state; the caller writes the newer one.
+        """
+        if found is None:
+            self._version = 0
+            return
+        term = msgspec.json.decode(found.value, type=LedgerHeader).term
+        self.is_superseded = term > self._term
+        # An older term has written since the ledger was read: it is read anew.
+        self._version = found.version if term == self._term else None
--- /dev/null
+++ b/tests/jobs/test_term_ledger.py
@@ -0,0 +1,70 @@
+"""Writes of a duty's holder are fenced by the ledger that they go through."""
+
+from __future__ import annotations
+
+from amaranthtray.domain.ids import Term
+from amaranthtray.jobs.term_ledger import LedgerHeader, TermLedger
+from amaranthtray.store.contract import Put
+from amaranthtray.store.faults import Fault
+from jobs.store_site import StoreSite
+
+KEY, OTHER = "ledger", "other"
+
+
+def a_ledger(site: StoreSite, term: int) -> TermLedger:
+    ledger = TermLedger(KEY, Term(term), store=site.store, log=site.log)
+    assert ledger.take(LedgerHeader()) is not None
+    return ledger
+
+
+def write(ledger: TermLedger, value: bytes) -> bool:
+    return ledger.commit(LedgerHeader(), (Put(OTHER, value),))
+
+
+def stored(site: StoreSite) -> bytes | None:
+    found = site.platform.read(OTHER)
+    return found.value if found else None
+
+
+def test_an_older_term_is_fenced_by_the_first_write() -> None:
+    site = StoreSite()
+    old = a_ledger(site, 1)
+    assert write(old, b"old")
+    assert write(a_ledger(site, 2), b"new")
+    assert not write(old, b"late")
+    assert old.is_superseded
+    assert stored(site) == b"new"
+
+
+def test_a_write_of_an_older_term_after_the_reading_is_read_too() -> None:
+    site = StoreSite()
+    old = a_ledger(site, 1)
+    new = a_ledger(site, 2)
+    assert write(old, b"old")
+    assert not write(new, b"new")
+    assert not new.is_superseded
+    assert not new.is_taken
+    last = new.take(LedgerHeader())
+    assert last is not None
+    assert last.term == 1
+    assert write(new, b"new")
+
+
+def test_a_late_effect_does_not_undo_a_later_write() -> None:
+    site = StoreSite()
+    ledger = a_ledger(site, 1)
+    site.fail("commit", Fault.LATE_EFFECT)
+    assert not write(ledger, b"1")
+    assert write(ledger, b"2")
+    site.platform.deliver_late()
+    assert stored(site) == b"2"
+
+
+def test_a_lost_reply_is_settled_by_the_next_write() -> None:
+    site = StoreSite()
+    ledger = a_ledger(site, 1)
+    site.fail("commit", Fault.LOST_REPLY)
+    assert not write(ledger, b"1")
+    assert not write(ledger, b"2")
+    assert write(ledger, b"3")
+    assert stored(site) == b"3"
