--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -30,7 +31,7 @@
 SURPLUS_MS = 1_500
 """A pool may spare a machine once it has had too many for this long."""
 
-KEPT_SHARE = 0.67
+KEPT_SHARE = 0.5
 """A pool keeps this part of the machines that operators gave it: it has to do with
 them while the duty that moves machines has no holder or can't reach the platform."""
 
@@ -60,7 +61,7 @@
     Attributes:
         leaving: Machines that are being emptied, and where they are to go.
         moving: Machines that were ordered to move, with the time of the order.
-        surplus_since_ms: Since when a pool has had too many machines.
+        surplus_since_ms: Since when a pool has had more machines than its work takes.
         homes: Machines that each pool had at first, as operators gave them.
     """
 
@@ -119,10 +120,11 @@
         and machine.name not in busy
         and machine.name not in moves.moving
     ]
-    lacking = _lacking(moves, fleet, loads, now_ms)
-    lacked = dict(lacking)
-    orders = _from_standby(moves, up, lacking, standby, fleet)
-    _choose_leaving(moves, up, loads, lacking, standby, now_ms)
+    balances = _balances(moves, fleet, loads, now_ms)
+    lacked = {pool: balance.lacking for pool, balance in balances.items()}
+    kinds = _kinds(fleet)
+    orders = _from_standby(moves, up, balances, standby, kinds)
+    _choose_leaving(moves, up, loads, balances, standby, kinds, now_ms)
     vacate = []
     for name, target in list(moves.leaving.items()):
         machine = fleet.machines[name]
@@ -162,11 +164,27 @@
             del moves.leaving[name]
 
 
-def _lacking(
+@dataclass(slots=True)
+class _Balance:
+    """Machines of one pool: what it has, needs now, and keeps for what may come."""
+
+    have: int
+    needed: int
+    kept: int
+
+    @property
+    def short(self) -> int:
+        return self.needed - self.have
+
+    @property
+    def lacking(self) -> int:
+        return max(self.needed, self.kept) - self.have
+
+
+def _balances(
     moves: Moves, fleet: Fleet, loads: Mapping[PoolName, PoolLoad], now_ms: int
-) -> dict[PoolName, int]:
-    """Returns how many machines each pool lacks, negative if it has too many."""
-    have: dict[PoolName, int] = {}
+) -> dict[PoolName, _Balance]:
+    have: Counter[PoolName] = Counter()
     for machine in fleet.machines.values():
         pool = machine.pool
         if machine.name in moves.moving:
@@ -175,40 +193,52 @@
             pool = moves.leaving[machine.name]
         elif machine.state is MachineState.DOWN:
             continue
-        have[pool] = have.get(pool, 0) + 1
-    lacking = {}
+        have[pool] += 1
+    balances = {}
     for pool, load in loads.items():
         kept = math.ceil(KEPT_SHARE * moves.homes.get(pool, 0))
-        lacking[pool] = max(hosts_needed(load), kept) - have.get(pool, 0)
-        if lacking[pool] < 0:
+        balance = _Balance(have[pool], hosts_needed(load), kept)
+        balances[pool] = balance
+        if balance.short < 0:
             moves.surplus_since_ms.setdefault(pool, now_ms)
         else:
             moves.surplus_since_ms.pop(pool, None)
-    return lacking
+    return balances
+
+
+def _neediest(
+    balances: Mapping[PoolName, _Balance],
+    machine: Machine,
+    kinds: Mapping[PoolName, set[str]],
+) -> PoolName | None:
+    """Returns the pool that a machine helps most: work goes before readiness."""
+    pools = [
+        pool
+        for pool, balance in balances.items()
+        if balance.lacking > 0 and machine.kind in kinds.get(pool, {machine.kind})
+    ]
+    return max(
+        pools,
+        key=lambda pool: (max(balances[pool].short, 0), balances[pool].lacking),
+        default=None,
+    )
 
 
 def _from_standby(
     moves: Moves,
     up: Iterable[Machine],
-    lacking: dict[PoolName, int],
+    balances: Mapping[PoolName, _Balance],
     standby: frozenset[PoolName],
-    fleet: Fleet,
+    kinds: Mapping[PoolName, set[str]],
 ) -> list[MoveMachine]:
     """Orders machines that stand by to the pools that lack most."""
     orders = []
     ready = [m for m in up if m.pool in standby and m.name not in moves.leaving]
-    kinds = _kinds(fleet)
     for machine in ready:
-        pools = [
-            pool
-            for pool, count in lacking.items()
-            if count > 0 and machine.kind in kinds.get(pool, {machine.kind})
-        ]
-        if not pools:
-            continue
-        pool = max(pools, key=lambda each: lacking[each])
-        lacking[pool] -= 1
-        orders.append(MoveMachine(machine.name, pool))
+        pool = _neediest(balances, machine, kinds)
+        if pool is not None:
+            balances[pool].have += 1
+            orders.append(MoveMachine(machine.name, pool))
     return orders
 
 
@@ -223,25 +253,31 @@
     moves: Moves,
     up: Iterable[Machine],
     loads: Mapping[PoolName, PoolLoad],
-    lacking: dict[PoolName, int],
+    balances: Mapping[PoolName, _Balance],
     standby: frozenset[PoolName],
+    kinds: Mapping[PoolName, set[str]],
     now_ms: int,
 ) -> None:
-    """Lets idle machines of pools with too many go where they are needed."""
+    """Lets idle machines of pools with too many go where they are needed.
+
+    Machines that are only kept for what may come go to pools that are short now.
+    """
     for machine in up:
-        load = loads.get(machine.pool)
-        if load is None or machine.name in moves.leaving:
+        load, balance = loads.get(machine.pool), balances.get(machine.pool)
+        if load is None or balance is None or machine.name in moves.leaving:
             continue
         since_ms = moves.surplus_since_ms.get(machine.pool, now_ms)
-        is_spare = lacking.get(machine.pool, 0) < 0 and machine.host in load.idle
-        if not is_spare or now_ms - since_ms < SURPLUS_MS:
+        if machine.host not in load.idle or now_ms - since_ms < SURPLUS_MS:
+            continue
+        target = _neediest(balances, machine, kinds)
+        is_lent = target is not None and balances[target].short > 0
+        if balance.short >= 0 or (balance.lacking >= 0 and not is_lent):
             continue
-        target = max(lacking, key=lambda each: lacking[each])
-        if lacking[target] <= 0:
-            if not standby:
-                continue
+        if target is not None:
+            balances[target].have += 1
+        elif standby:
             target = min(standby)
         else:
-            lacking[target] -= 1
-        lacking[machine.pool] += 1
+            continue
+        balance.have -= 1
         moves.leaving[machine.name] = target
