Let the lease of a silent host run out

Cause: each call to a host that does not answer asked for a longer lease, and might have arrived; so its runs counted as alive for as long as calls were made, for ever on a host that is lost. Calls to a silent host now extend nothing, and no start is sent there.

--- a/src/amaranthtray/domain/scheduling/lease.py
+++ b/src/amaranthtray/domain/scheduling/lease.py
@@ -26,9 +26,20 @@
         self._read_ms = 0
         self._until_ms = 0
         self._born = 0
+        self._is_silent = False
+
+    def unanswered(self) -> None:
+        """Takes that a call got no answer; the lease is left to run out.
+
+        Calls that may or may not arrive would put off the time at which all there
+        has surely ended, for as long as they are made.
+        """
+        self._is_silent = True
 
     def next_until_ms(self, now_ms: int) -> int | None:
-        """Returns the end to ask for in a call made now; none before contact."""
+        """Returns the end to ask for in a call made now; none without contact."""
+        if self._is_silent:
+            return None
         earliest_ms = self.earliest_clock_ms(now_ms)
         if earliest_ms is None:
             return None
@@ -38,6 +49,7 @@
 
     def answered(self, clock_ms: int, born: int, received_ms: int) -> None:
         """Takes the host's clock from an answer."""
+        self._is_silent = False
         if self._clock_ms is None or born != self._born:
             # Earlier terms may have granted as much as this one does; an order to
             # an earlier life names a time that is far ahead on the new clock.
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -171,6 +171,7 @@
         return True
 
     def _silent(self, detail: str) -> None:
+        self._lease.unanswered()
         if not self._is_silent:
             self._is_silent = True
             self._log.event("host-silent", host=self.info.id, detail=detail)
@@ -202,6 +203,8 @@
         while unanswered < START_TRIES:
             now_ms = steady_ms()
             until_ms = self._lease.next_until_ms(now_ms)
+            if until_ms is None and not unanswered:
+                outcome = StartOutcome.UNHEALTHY
             if until_ms is None or self._closing.is_set():
                 break
             if order.host_born != self._born:
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -45,9 +45,13 @@
         """Closes nothing."""
 
 
-def a_link(orders: Orders, *, born: int = BORN) -> tuple[HostLink, list[Message]]:
+def a_link(
+    orders: Orders, *, born: int = BORN, is_silent: bool = False
+) -> tuple[HostLink, list[Message]]:
     lease = HostLease(lease_ms=5_000, max_lease_ms=9_000, unknown_until_ms=0)
     lease.answered(0, born, 0)
+    if is_silent:
+        lease.unanswered()
     posted: list[Message] = []
     link = HostLink(
         a_host(),
@@ -93,3 +97,14 @@
     assert isinstance(reply, StartReplied)
     assert reply.outcome is StartOutcome.REFUSED
     assert not reply.was_repeated
+
+
+def test_a_start_for_a_silent_host_goes_elsewhere_at_once() -> None:
+    orders = Orders(lambda: StartOutcome.STARTED)
+    link, posted = a_link(orders, is_silent=True)
+    link.start_run(an_order())
+    assert orders.starts == 0
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.UNHEALTHY
+    assert not reply.was_repeated
--- a/tests/scheduling/test_lease.py
+++ b/tests/scheduling/test_lease.py
@@ -37,3 +37,21 @@
     lease.answered(100, 2, 1_000)
     assert not lease.is_lapsed(11_000)
     assert lease.is_lapsed(11_300)
+
+
+def test_calls_to_a_silent_host_do_not_put_off_the_end_of_its_lease() -> None:
+    lease = a_lease()
+    lease.answered(0, 1, 0)
+    lease.next_until_ms(0)
+    lease.unanswered()
+    for now_ms in range(500, 5_000, 500):
+        assert lease.next_until_ms(now_ms) is None
+    assert lease.is_lapsed(5_200)
+
+
+def test_a_host_that_answers_again_gets_its_lease_extended() -> None:
+    lease = a_lease()
+    lease.answered(0, 1, 0)
+    lease.unanswered()
+    lease.answered(4_000, 1, 4_000)
+    assert lease.next_until_ms(4_000) == 9_000
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -265,7 +265,14 @@
 
     def start(self, order: StartRun, tries: int) -> None:
         until_ms = self.leases[order.host].next_until_ms(self.world.now_ms)
-        if not self.may_order or until_ms is None:
+        if not self.may_order:
+            return
+        if until_ms is None:
+            outcome = StartOutcome.UNHEALTHY if tries == 3 else StartOutcome.NO_REPLY
+            reply = StartReplied(
+                order.host, order.name, order.number, outcome, self.world.now_ms
+            )
+            self.world.at(0, lambda: self.take(reply))
             return
         if order.host_born != self.lives.get(order.host):
             refused = StartOutcome.REFUSED
@@ -336,6 +343,7 @@
         def replied(found: tuple[HostReport, int] | None) -> None:
             now_ms = world.now_ms
             if found is None:
+                lease.unanswered()
                 self.silent.add(host_id)
                 self.take(HostSilent(host_id))
                 if lease.is_lapsed(now_ms):
