Free a dead holder's duty after 1.6 s

Cause: a zone cut or a kill left a pool without a conductor for 2.5 s and more, in which nothing starts.

--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -23,10 +23,10 @@
     from .context import Context
 
 DUTY_TIMES = DutySettings(
-    ttl_ms=2_500,
-    margin_ms=500,
-    renew_every_ms=700,
-    renew_retry_ms=150,
+    ttl_ms=1_600,
+    margin_ms=400,
+    renew_every_ms=500,
+    renew_retry_ms=120,
     retry_ms=600,
     resume_ms=RESUME_MS,
 )
