Gather changes of the host list for 120 ms

Cause: each host writes its entry about every 1.5 s, and each write woke a watch of each conductor: most of the calls to the store.

--- a/src/amaranthtray/jobs/host_board.py
+++ b/src/amaranthtray/jobs/host_board.py
@@ -24,6 +24,10 @@
 
 RETRY_PAUSE_MS = 200
 
+GATHER_MS = 120
+"""Pause between watches: each host writes about once in two seconds, and a call for
+each of these writes would be most of what an entry asks of the store."""
+
 
 class HostBoard:
     """Tells conductors the hosts of their pools.
@@ -115,6 +119,8 @@
                 pools |= self._set(event.key, event.value)
             cursor.advance(batch, steady_ms())
             self._publish(pools)
+        if batch.events:
+            threading.Event().wait(GATHER_MS / 1_000)
         return True
 
     def _set(self, key: str, value: bytes | None) -> set[PoolName]:
