Go on with a wave's time after a change of holder

Cause: a new holder took the whole time of a wave as still to come and slowed down. The wall time at which the first holder saw the wave is stored with its progress; a jump of the clock moves it within the wave's time only.

The test fails without the change.

--- a/src/amaranthtray/domain/upkeep/model.py
+++ b/src/amaranthtray/domain/upkeep/model.py
@@ -99,7 +99,8 @@
 
     Attributes:
         asked: What was asked for.
-        begun_ms: Steady time at which this holder first saw it.
+        begun_ms: Steady time at which it was first seen, by this holder or one before.
+        begun_wall_ms: Wall time of that, by which the next holder learns it.
         done: Machines that are back, or gone for good.
         down: Machines that were ordered, with the life that they had.
         confirmed: Those of them whose order was surely carried out.
@@ -114,6 +115,7 @@
 
     asked: WaveAsked
     begun_ms: int
+    begun_wall_ms: int
     done: set[MachineName] = field(default_factory=set)
     down: dict[MachineName, HostId] = field(default_factory=dict)
     confirmed: set[MachineName] = field(default_factory=set)
--- a/src/amaranthtray/domain/upkeep/waves.py
+++ b/src/amaranthtray/domain/upkeep/waves.py
@@ -123,9 +123,19 @@
     ]
 
 
-def wave_of(asked: WaveAsked, now_ms: int) -> Wave:
+def wave_of(asked: WaveAsked, now_ms: int, wall_ms: int) -> Wave:
     """Returns a wave that nothing was done of."""
-    return Wave(asked, now_ms)
+    return Wave(asked, now_ms, wall_ms)
+
+
+def resume(wave: Wave, begun_wall_ms: int, now_ms: int, wall_ms: int) -> None:
+    """Takes over when an earlier holder saw the wave, so that no time is given twice.
+
+    Wall clocks may jump: the wave counts as begun neither in the future nor longer
+    ago than it may take.
+    """
+    passed_ms = min(max(wall_ms - begun_wall_ms, 0), wave.asked.duration_ms)
+    wave.begun_ms, wave.begun_wall_ms = now_ms - passed_ms, begun_wall_ms
 
 
 def _note_returns(wave: Wave, fleet: Fleet, now_ms: int) -> None:
--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -14,11 +14,18 @@
 from ..domain.upkeep.model import MachineName, OrderOutcome, Wave
 from ..domain.upkeep.moves import plan_moves
 from ..domain.upkeep.recent import RecentOrders
-from ..domain.upkeep.waves import Fleet, plan_wave, take_order, take_reply, wave_of
+from ..domain.upkeep.waves import (
+    Fleet,
+    plan_wave,
+    resume,
+    take_order,
+    take_reply,
+    wave_of,
+)
 from ..store.contract import Put
 from ..store.cursor import WatchCursor
 from . import keys
-from .clock import steady_ms
+from .clock import steady_ms, wall_ms
 from .ledger import decode_report
 from .term_ledger import LedgerHeader, TermLedger
 from .times import WATCH_MS
@@ -58,6 +65,7 @@
     done: list[str] = []
     down: dict[str, str] = {}
     confirmed: list[str] = []
+    begun_wall_ms: int = 0
     is_over: bool = False
 
 
@@ -173,7 +181,7 @@
         name = str(asked.number)
         if name in self._waves:
             return
-        wave = wave_of(asked, steady_ms())
+        wave = wave_of(asked, steady_ms(), wall_ms())
         known = progress.get(keys.progress_key(WaveName(name)))
         if known is not None:
             saved = msgspec.json.decode(known, type=_Progress)
@@ -183,6 +191,7 @@
             }
             wave.confirmed = {MachineName(each) for each in saved.confirmed}
             wave.unsure = set(wave.down) - wave.confirmed
+            resume(wave, saved.begun_wall_ms, steady_ms(), wall_ms())
             wave.is_announced, wave.is_over = True, saved.is_over
             self._saved[name] = known
         self._waves[name] = wave
@@ -334,6 +343,7 @@
             done=sorted(wave.done),
             down=dict(sorted(wave.down.items())),
             confirmed=sorted(wave.confirmed),
+            begun_wall_ms=wave.begun_wall_ms,
             is_over=is_over,
         )
         value = msgspec.json.encode(progress)
--- a/tests/upkeep/test_waves.py
+++ b/tests/upkeep/test_waves.py
@@ -14,6 +14,7 @@
 from amaranthtray.domain.upkeep.waves import (
     Fleet,
     plan_wave,
+    resume,
     take_order,
     take_reply,
     wave_of,
@@ -24,7 +25,7 @@
 
 def a_wave(cap: int = 2) -> Wave:
     asked = WaveAsked(number=1, machines=NAMES, duration_ms=10_000, cap=cap)
-    return wave_of(asked, 0)
+    return wave_of(asked, 0, 0)
 
 
 def a_machine(name: str, host: str = "", state: MachineState = MachineState.UP):  # noqa: ANN201
@@ -108,3 +109,20 @@
     assert not wave.done
     plan_wave(wave, fleet, 6_000)
     assert wave.done == {NAMES[0]}
+
+
+def test_a_new_holder_does_not_begin_the_time_of_a_wave_anew() -> None:
+    """A wave of 60 s, 54 of which have passed, empties more machines at once."""
+    asked = WaveAsked(number=1, machines=NAMES, duration_ms=60_000, cap=4)
+    wave = wave_of(asked, 50_000, 54_000)
+    assert len(plan_wave(wave, a_fleet(vacant=False), 50_000).vacate) == 2
+    resume(wave, 0, 50_000, 54_000)
+    assert len(plan_wave(wave, a_fleet(vacant=False), 50_000).vacate) == 4
+
+
+def test_a_jump_of_the_wall_clock_moves_a_wave_within_its_time_only() -> None:
+    wave = a_wave()
+    resume(wave, 90_000, 50_000, 8_000)
+    assert wave.begun_ms == 50_000
+    resume(wave, 0, 50_000, 900_000)
+    assert wave.begun_ms == 40_000
