Start nothing beside unknown runs on hosts that refuse nothing

Cause: whether a pool's hosts refuse what does not fit was read and not used. A run that no record knows (of a removed job, or carried out late) takes room that the conductor does not count; a guarded host refuses the start, an unguarded one would be over its capacity. Such hosts get nothing until their strays are gone.

The test fails without the change.

--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -83,6 +83,12 @@
         self.catalog = catalog
         self.queues.update({queue.name: queue for queue in catalog.queues})
 
+    @property
+    def is_guarded(self) -> bool:
+        """Returns whether hosts refuse what does not fit beside all that they run."""
+        pool = self.catalog.pools.get(self.pool)
+        return pool is None or pool.is_guarded
+
     def queue_of(self, job: Job) -> JobQueue:
         """Returns the queue of a job, or what stands for one long removed."""
         name = job.spec.queue
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -26,7 +26,9 @@
     hosts = [
         host
         for host in board.hosts.values()
-        if host.is_open(board.now_ms) and host.info.id not in board.to_vacate
+        if host.is_open(board.now_ms)
+        and host.info.id not in board.to_vacate
+        and (board.is_guarded or not host.has_strays)
     ]
     if not hosts:
         return
--- a/tests/scheduling/parts.py
+++ b/tests/scheduling/parts.py
@@ -39,15 +39,21 @@
 UNKNOWN_UNTIL_MS = 8_000
 
 
-def a_catalog(**queue: Any) -> Catalog:
-    """Returns a configuration of one queue, pool and team."""
+def a_catalog(
+    *, is_guarded: bool = True, weights: dict[str, int] | None = None, **queue: Any
+) -> Catalog:
+    """Returns a configuration of one queue and pool, and of some teams."""
+    teams = [
+        JobTeam(name=TeamName(name), weight=weight)
+        for name, weight in (weights or {TEAM: 1}).items()
+    ]
     only = JobQueue(name=QUEUE, host_header="h", path_prefix="/q/", pool=POOL, **queue)
     return Catalog(
         version=1,
         store_version=1,
         queues=(only,),
-        pools={POOL: JobPool(name=POOL)},
-        teams={TEAM: JobTeam(name=TEAM)},
+        pools={POOL: JobPool(name=POOL, is_guarded=is_guarded)},
+        teams={team.name: team for team in teams},
         team_by_digest={},
     )
 
@@ -58,12 +64,12 @@
     return StepSpec(count=count, estimated_ms=500, **fields)
 
 
-def a_job(*steps: StepSpec, name: str = "a") -> JobSpec:
+def a_job(*steps: StepSpec, name: str = "a", team: str = TEAM) -> JobSpec:
     """Returns a job."""
     return JobSpec(
         id=JobId(name),
         queue=QUEUE,
-        team=TEAM,
+        team=TeamName(team),
         payload="p",
         steps=steps or (a_step(),),
         max_attempts=2,
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from amaranthtray.domain.jobs.job import JobState
+from amaranthtray.domain.jobs.model import JobId, TaskName
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import HowEnded
 from amaranthtray.domain.scheduling.messages import (
@@ -19,7 +20,7 @@
     StoreJobs,
     VacateAsked,
 )
-from scheduling.parts import Bench, a_host, a_job, a_step, an_end
+from scheduling.parts import Bench, a_catalog, a_host, a_job, a_step, an_end
 
 
 def test_a_run_is_ordered_only_once_its_record_is_stored() -> None:
@@ -42,6 +43,16 @@
     assert decode_state(bench.records[order.name.job]) is JobState.COMPLETED
 
 
+def test_unknown_runs_keep_a_host_that_refuses_nothing_from_new_ones() -> None:
+    bench = Bench(a_host(), catalog=a_catalog(is_guarded=False))
+    unknown = (TaskName(JobId("gone"), 0, 0, 0), 1)
+    bench.report(running=(unknown,))
+    bench.submit(a_job())
+    assert bench.starts() == []
+    bench.report()
+    assert len(bench.starts()) == 1
+
+
 def test_steps_wait_for_those_before_them() -> None:
     bench = Bench(a_host())
     bench.submit(a_job(a_step(2), a_step(1, after=(0,))))
