Let jobs beyond a team's share go last

Shares by weight were not built. A team's weight is the number of jobs a second that it is owed; what comes beyond it, metered over 5 s a pool, goes after the others of its priority. Tried and dropped: the part of the pool's amounts that a team runs against its weight. It put back large teams' jobs at the start of each peak.

The test fails without the change.

--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -16,6 +16,7 @@
 from .caps import CapBook
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
+from .shares import ShareMeter
 
 if TYPE_CHECKING:
     from ..jobs.task import HowEnded, Run
@@ -40,6 +41,7 @@
         vacant: Those of them that are empty, as last stored.
         advice: What is known of policies.
         questions: What is to be asked of them.
+        shares: What teams submitted beyond their shares.
         caps: What is known of the teams' caps.
         load: What the pool needs, as last stored.
         dirty: Jobs whose record is behind.
@@ -63,6 +65,7 @@
     load: PoolLoad = field(default_factory=PoolLoad)
     advice: AdviceBook = field(default_factory=AdviceBook)
     questions: list[AskAdvice] = field(default_factory=list)
+    shares: ShareMeter = field(default_factory=ShareMeter)
     caps: CapBook = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     gated: list[Effect] = field(default_factory=list)
@@ -119,6 +122,7 @@
             if not job.ended_ms:
                 job.ended_ms = self.wall_ms
             self.advice.forget(job.spec.id)
+            self.shares.forget(job.spec.id)
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
         self.dirty.add(job.spec.id)
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -18,7 +18,6 @@
     from ._board import Board
     from .host import Host
     from .placement import Choice
-    from .ranking import Rank
 
 
 def plan_starts(board: Board) -> None:
@@ -76,13 +75,15 @@
 
 
 def _by_rank(board: Board) -> list[Job]:
-    ranked: list[tuple[Rank, str, Job]] = []
-    for job in board.active.values():
-        queue = board.queue_of(job)
-        if not job.state.is_final:
-            ranked.append((rank(job, queue, board.wall_ms), job.spec.id, job))
-    ranked.sort(key=lambda each: each[:2])
-    return [job for _, _, job in ranked]
+    """Returns the jobs, those beyond their team's share last within a priority."""
+
+    def place(job: Job) -> tuple[int, bool, int, float, str]:
+        found = rank(job, board.queue_of(job), board.wall_ms)
+        is_excess = job.spec.id in board.shares.excess
+        return found.priority, is_excess, found.outlook, found.slack_ms, job.spec.id
+
+    jobs = (job for job in board.active.values() if not job.state.is_final)
+    return sorted(jobs, key=place)
 
 
 def _largest_room(hosts: list[Host]) -> Resources:
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -199,6 +199,8 @@
         spec = found.spec
         if spec.id not in self.board.jobs:
             self.board.add_job(restore(spec, found.record))
+            if found.record is None:
+                self.board.shares.note(spec, self.board.catalog, self.board.now_ms)
         return self._cancelled(spec.id) if found.is_cancelled else []
 
     def _cancelled(self, job_id: JobId) -> list[Effect]:
--- /dev/null
+++ b/tests/scheduling/test_shares.py
@@ -0,0 +1,45 @@
+"""In a full pool each team gets what its weight gives it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from amaranthtray.domain.ids import TeamName
+from amaranthtray.domain.jobs.task import HowEnded
+from amaranthtray.domain.scheduling.messages import StartOutcome, StartRun
+from amaranthtray.domain.scheduling.shares import ShareMeter
+from scheduling.parts import Bench, a_catalog, a_host, a_job, an_end
+
+RED, BLUE = TeamName("red"), TeamName("blue")
+
+
+def test_what_comes_beyond_the_weight_is_excess() -> None:
+    catalog, meter = a_catalog(weights={RED: 2}), ShareMeter()
+    for number in range(12):
+        meter.note(a_job(name=f"j{number}", team=RED), catalog, 0)
+    assert meter.excess == {"j10", "j11"}
+    meter.note(a_job(name="later", team=RED), catalog, 500)
+    assert "later" not in meter.excess
+
+
+def test_one_team_s_flood_leaves_the_other_its_part() -> None:
+    """Red hands in ten times as much, and before blue."""
+    bench = Bench(a_host(cores=8), catalog=a_catalog(weights={RED: 1, BLUE: 4}))
+    for number in range(200):
+        bench.submit(a_job(name=f"a{number:03}", team=RED))
+    for number in range(20):
+        bench.submit(a_job(name=f"b{number:03}", team=BLUE))
+    begun: Counter[str] = Counter()
+    running: list[StartRun] = []
+    for sequence in range(1, 60):
+        orders = bench.starts()
+        for order in orders:
+            bench.replied(order, StartOutcome.STARTED)
+            begun[str(order.name.job)[0]] += 1
+        running += orders
+        bench.now_ms += 10
+        ended = running.pop(0)
+        listed = tuple((each.name, each.number) for each in running)
+        ends = (an_end(ended, HowEnded.DONE, sequence),)
+        bench.report(running=listed, ends=ends)
+    assert begun["b"] == 20
