--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -34,7 +34,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from ..domain.ids import Term
-    from ..domain.upkeep.model import Machine, MachineOrder
+    from ..domain.upkeep.model import Machine, MachineOrder, MoveMachine
     from ..domain.upkeep.moves import PoolLoad
     from .context import Context
     from .ports import MachineOrders
@@ -270,12 +270,18 @@
             self._lacking = plan.lacking
             needs = {pool: load.need for pool, load in loads.items()}
             self._context.log.event("pools", lacking=plan.lacking, needs=needs)
-        if not plan.orders:
+        self._give_moves(plan.orders, orders)
+
+    def _give_moves(
+        self, planned: tuple[MoveMachine, ...], orders: MachineOrders
+    ) -> None:
+        """Notes the moves for the next holder, then orders them."""
+        if not planned:
             return
-        self._recent.note((order.machine for order in plan.orders), steady_ms())
+        self._recent.note((order.machine for order in planned), steady_ms())
         if not self._commit(()):
             return
-        for order in plan.orders:
+        for order in planned:
             if not self._goes_on():
                 return
             moves.take_order(self._moves, order, steady_ms())
--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -6,9 +6,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-import msgspec
-from returns.result import Failure, Success
-
 from ..domain.ids import EntryId, Incarnation, Millis, ZoneId
 from ..domain.invariants import KeyAccepted, RequestAccepted, RequestCut
 from ..domain.keys import Accepted, KeyRefusal, KeyRefused, authenticate
@@ -19,13 +16,7 @@
     CancelAsked,
     CancelWork,
     Claim,
-    ClaimAbsent,
     ClaimEnded,
-    ClaimHeld,
-    ClaimResult,
-    ClaimUnavailable,
-    ClaimUnsure,
-    ClaimWon,
     Forward,
     ForwardEnded,
     Reject,
@@ -67,7 +58,7 @@
     ServingParts,
 )
 from ..entry.rules import selects
-from ..store.contract import Conflict, EffectUnknown, Versioned
+from .claims import create_claim, read_claim
 from .conducting import Conducting
 from .control import VirtualControl
 from .links import VirtualLinks
@@ -83,7 +74,6 @@
     from .work import Tell, Work
     from .world import World
 
-CLAIM_PREFIX = "claims/"
 SEND_MS = 1
 LEAVE_GRACE_MS = 30_000
 LEAVE_LOOK_MS = 50
@@ -274,8 +264,8 @@
             case WantClaim(key=key, claim=claim):
                 self._claim(key, claim)
             case WantClaimRead(key=key, op_id=op_id):
-                found = self.control.store.get(_claim_key(key))
-                self._settle(ClaimEnded(key, op_id, _read_result(found)))
+                result = read_claim(self.control.store, key)
+                self._settle(ClaimEnded(key, op_id, result))
             case Forward(key=key, home=home):
                 self.world.forward(self, self._work[key], key, home)
             case Reply(callers=callers, outcome=outcome):
@@ -290,16 +280,7 @@
             self._waiters.pop(ref)(outcome)
 
     def _claim(self, key: RequestKey, claim: Claim) -> None:
-        value = msgspec.json.encode(claim)
-        created = self.control.store.create(_claim_key(key), value)
-        result: ClaimResult = ClaimUnavailable()
-        match created:
-            case Success():
-                result = ClaimWon()
-            case Failure(Conflict(found=Versioned(value=held))):
-                result = ClaimHeld(msgspec.json.decode(held, type=Claim))
-            case Failure(EffectUnknown()):
-                result = ClaimUnsure()
+        result = create_claim(self.control.store, key, claim)
         self._settle(ClaimEnded(key, claim.op_id, result))
 
     def _settle(self, ended: ClaimEnded) -> None:
@@ -387,17 +368,3 @@
 
     def _order(self, effect: StopTask | CheckpointTask | RenewLeases) -> None:
         self.world.order(self, effect)
-
-
-def _claim_key(key: RequestKey) -> str:
-    return f"{CLAIM_PREFIX}{key.team}/{key.request_id}"
-
-
-def _read_result(found: object) -> ClaimResult:
-    match found:
-        case Success(Versioned(value=value)):
-            return ClaimHeld(msgspec.json.decode(value, type=Claim))
-        case Success(_):
-            return ClaimAbsent()
-        case _:
-            return ClaimUnavailable()
