Test the fleet's change of hands against the store's stand-in

What is noted before an order, what a new holder waits for, and that a succeeded holder, or one without a sure note, orders nothing. take_over and step are the two calls that the thread makes.

--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -120,18 +120,22 @@
         orders = self._context.platform.machine_orders(self._term)
         if orders is None:
             return
-        while self._goes_on() and not (self._take() and self._list()):
+        while self._goes_on() and not self.take_over():
             self._stopping.wait(RETRY_MS / 1_000)
         threading.Thread(target=self._follow_waves, daemon=True).start()
         while self._goes_on():
             try:
-                self._round(orders)
+                self.step(orders)
             except Exception as exc:
                 self._context.log.event("fleet-fault", why=repr(exc), term=self._term)
             self._stopping.wait(ROUND_MS / 1_000)
         orders.close()
 
-    def _take(self) -> bool:
+    def take_over(self) -> bool:
+        """Ends the writes of older terms and reads what they left; may be repeated."""
+        return self._fence() and self._list()
+
+    def _fence(self) -> bool:
         """Ends the writes of older terms; learns what they may just have ordered."""
         if not self._ledger.is_taken:
             last = self._ledger.take(_FleetLedger())
@@ -218,7 +222,8 @@
                 self._add(event.value, {})
         self._cursor.advance(watched.unwrap(), steady_ms())
 
-    def _round(self, orders: MachineOrders) -> None:
+    def step(self, orders: MachineOrders) -> None:
+        """Looks at machines and pools once, and gives the orders that are due."""
         listed = self._context.store.list(keys.REPORTS_PREFIX)
         machines = orders.machines()
         if not isinstance(listed, Success) or machines is None:
--- /dev/null
+++ b/tests/jobs/test_fleet_duty.py
@@ -0,0 +1,173 @@
+"""The fleet's duty changes hands: what is noted, what is waited for, what is fenced."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from amaranthtray.domain.ids import HostId, PoolName, Term
+from amaranthtray.domain.jobs.catalog import JobPool
+from amaranthtray.domain.jobs.model import Resources
+from amaranthtray.domain.upkeep.model import (
+    Machine,
+    MachineName,
+    MachineOrder,
+    MachineState,
+    MaintainMachine,
+    OrderOutcome,
+    WaveAsked,
+)
+from amaranthtray.domain.upkeep.moves import PoolLoad
+from amaranthtray.jobs import keys
+from amaranthtray.jobs.fleet_duty import FleetDuty
+from amaranthtray.jobs.ledger import Report
+from amaranthtray.store.contract import Put, Transaction
+from amaranthtray.store.faults import Fault
+from jobs.store_site import StoreSite
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WEB, SPARE = PoolName("web"), PoolName("spare")
+HOLDER_CHANGE_MS = 60_000
+
+
+class Fleet:
+    """Machines that take orders; each is carried out at once."""
+
+    def __init__(self) -> None:
+        self.orders: list[MachineOrder] = []
+        self.outcome = OrderOutcome.DONE
+        self.on_order: Callable[[], None] = lambda: None
+        self.listed = [
+            Machine(
+                name=MachineName(f"{pool}{number}"),
+                pool=pool,
+                state=MachineState.UP,
+                host=HostId(f"h-{pool}{number}"),
+                kind="a",
+            )
+            for pool in (WEB, SPARE)
+            for number in range(2)
+        ]
+
+    def machines(self) -> list[Machine]:
+        return self.listed
+
+    def order(self, order: MachineOrder) -> OrderOutcome:
+        self.on_order()
+        self.orders.append(order)
+        return self.outcome
+
+
+class Site(StoreSite):
+    """A store, a fleet, and a pool that says how many cores it needs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+        self.held = Term(1)
+
+    def write(self, key: str, value: bytes) -> None:
+        assert self.store.commit(Transaction(puts=(Put(key, value),)))
+
+    def needs(self, cores: int) -> None:
+        load = PoolLoad(Resources(1_000 * cores), Resources(10_000), ())
+        value = msgspec.json.encode(Report(load=load))
+        self.write(keys.report_key(WEB), value)
+
+    def duty(self, term: int) -> FleetDuty:
+        pools = {WEB: JobPool(name=WEB), SPARE: JobPool(name=SPARE, is_standby=True)}
+        context: Any = SimpleNamespace(
+            store=self.store,
+            log=self.log,
+            catalog=lambda: SimpleNamespace(pools=pools),
+            settings=SimpleNamespace(
+                machines=SimpleNamespace(holder_change_ms=HOLDER_CHANGE_MS)
+            ),
+            platform=SimpleNamespace(
+                waves_prefix="waves/",
+                decode_wave=lambda data: msgspec.json.decode(data, type=WaveAsked),
+                encode_wave_status=lambda number, is_over: (
+                    f"status/{number}",
+                    str(is_over).encode(),
+                ),
+            ),
+        )
+        duty = FleetDuty(Term(term), lambda: self.held, context)
+        assert duty.take_over()
+        return duty
+
+    def step(self, duty: FleetDuty) -> None:
+        orders: Any = self.fleet
+        duty.step(orders)
+
+    def noted(self) -> list[str]:
+        found = self.platform.read(keys.FLEET_LEDGER_KEY)
+        assert found is not None
+        ordered: list[str] = msgspec.json.decode(found.value)["ordered"]
+        return ordered
+
+
+def test_a_machine_is_noted_before_it_is_ordered() -> None:
+    site = Site()
+    site.needs(24)
+    seen: list[list[str]] = []
+    site.fleet.on_order = lambda: seen.append(site.noted())
+    site.step(site.duty(1))
+    assert seen == [["spare0"]]
+
+
+def test_a_new_holder_orders_at_once_what_the_last_one_had_not() -> None:
+    site = Site()
+    site.needs(24)
+    site.step(site.duty(1))
+    site.held = Term(2)
+    site.needs(40)
+    site.fleet.orders.clear()
+    site.step(site.duty(2))
+    assert [order.machine for order in site.fleet.orders] == ["spare1"]
+    assert site.noted() == ["spare0", "spare1"]
+
+
+def test_a_holder_that_was_succeeded_orders_nothing() -> None:
+    site = Site()
+    site.needs(24)
+    old = site.duty(1)
+    site.duty(2)
+    site.step(old)
+    assert not site.fleet.orders
+
+
+def test_nothing_is_ordered_without_a_sure_note() -> None:
+    site = Site()
+    site.needs(24)
+    duty = site.duty(1)
+    site.fail("commit", Fault.LOST_REPLY)
+    site.step(duty)
+    assert not site.fleet.orders
+
+
+def test_a_machine_that_was_just_ordered_is_not_maintained_by_a_new_holder() -> None:
+    site = Site()
+    site.needs(24)
+    site.step(site.duty(1))
+    moved = site.fleet.orders[0].machine
+    names = tuple(machine.name for machine in site.fleet.listed)
+    wave = WaveAsked(number=1, machines=names, duration_ms=1_000, cap=4)
+    site.write("waves/1", msgspec.json.encode(wave))
+    hosts = [machine.host for machine in site.fleet.listed]
+    report = Report(vacant=[str(host) for host in hosts])
+    site.write(keys.report_key(WEB), msgspec.json.encode(report))
+    site.held = Term(2)
+    site.fleet.orders.clear()
+    site.step(site.duty(2))
+    maintained = {
+        order.machine
+        for order in site.fleet.orders
+        if isinstance(order, MaintainMachine)
+    }
+    assert maintained
+    assert moved not in maintained
