Claim the whole of a gang from a team's cap, and all that waits

Wants of several steps also overwrote each other.

A gang now claims all of its tasks, and wants add up. Pools hold a quarter of a cap in vain at most, all together (an eighth each before: with four pools half of the cap), and give all back that they do not use at all.

--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -39,10 +39,13 @@
             if not step.reserved.fits(room):
                 continue
             count = board.caps.count_that_fits(
-                board.catalog, job.spec.team, step.need, len(waiting)
+                board.catalog,
+                job.spec.team,
+                step.need,
+                len(waiting),
+                is_gang=step.is_gang,
             )
-            if count < len(waiting):
-                waiting = [] if step.is_gang else waiting[:count]
+            waiting = waiting[:count]
             if not waiting:
                 continue
             allowed = _allowed(board, job, key, hosts)
--- a/src/amaranthtray/domain/scheduling/caps.py
+++ b/src/amaranthtray/domain/scheduling/caps.py
@@ -19,13 +19,14 @@
 
 UNLIMITED = 1 << 60
 
-SLAB_SHARE = 8
-"""A pool claims this part of the cap beyond its need, so that it claims seldom."""
+SLAB_SHARE = 4
+"""All pools together claim this part of a cap beyond their need, so that they claim
+seldom. What they hold in vain is missing where a gang or a large task waits."""
 
 SHRINK_EVERY_MS = 2_000
 """Time between looks whether a portion is larger than its pool needs."""
 
-RECLAIM_MS = 200
+RECLAIM_MS = 100
 """Time between claims for a team whose cap is spent."""
 
 PortionRow: TypeAlias = "dict[PoolName, Resources]"
@@ -92,7 +93,7 @@
         used: What each team has running here.
         rows: Rows as last read.
         asked_ms: When a claim was last made, by team.
-        wanted: Needs that found no room, by team.
+        wanted: Needs that found no room since the last claims, by team.
     """
 
     pool: PoolName
@@ -110,7 +111,13 @@
         self.used[team] = self.used.get(team, NO_RESOURCES).minus(need)
 
     def count_that_fits(
-        self, catalog: Catalog, team: TeamName, need: Resources, count: int
+        self,
+        catalog: Catalog,
+        team: TeamName,
+        need: Resources,
+        count: int,
+        *,
+        is_gang: bool = False,
     ) -> int:
         """Returns how many more tasks the team may start here now.
 
@@ -119,6 +126,7 @@
             team: The team.
             need: What each task counts for.
             count: Number of tasks that wait.
+            is_gang: Whether they start all together or not at all.
         """
         cap = self._cap(catalog, team)
         if cap is None:
@@ -129,7 +137,10 @@
         left = portion.minus(self.used.get(team, NO_RESOURCES))
         fitting = 0 if is_over else _times(need, left, count)
         if fitting < count:
-            self.wanted[team] = need.times(count - fitting)
+            if is_gang:
+                fitting = 0
+            lacking = need.times(count - fitting)
+            self.wanted[team] = self.wanted.get(team, NO_RESOURCES).plus(lacking)
         return fitting
 
     def claims(self, catalog: Catalog, now_ms: int) -> list[ClaimPortion]:
@@ -140,12 +151,13 @@
             if cap is None:
                 continue
             since_ms = now_ms - self.asked_ms.get(team, now_ms - SHRINK_EVERY_MS)
-            want = self._want(team, cap)
+            slab = _slab(catalog, cap)
+            want = self._want(team, cap, slab)
             due_ms = SHRINK_EVERY_MS if want is None else RECLAIM_MS
             if since_ms < due_ms:
                 continue
             used = self.used.get(team, NO_RESOURCES)
-            asked = want or self._shrunk(team, cap)
+            asked = self._shrunk(team, slab) if want is None else want
             if asked is not None:
                 self.asked_ms[team] = now_ms
                 self._lower(team, asked)
@@ -169,19 +181,23 @@
         least = Resources(*map(min, portion, asked))
         self.rows[team] = {**row, self.pool: least}
 
-    def _want(self, team: TeamName, cap: Resources) -> Resources | None:
+    def _want(
+        self, team: TeamName, cap: Resources, slab: Resources
+    ) -> Resources | None:
         """Returns a larger portion, or a smaller one where the sum is too large."""
         used, row = self.used.get(team, NO_RESOURCES), self.rows.get(team, {})
         if team in self.wanted:
-            return used.plus(self.wanted[team]).plus(_slab(cap))
+            return used.plus(self.wanted[team]).plus(slab)
         portion = row.get(self.pool, NO_RESOURCES)
         is_over = not total(row).fits(limits_of(cap))
         return used if is_over and portion != used else None
 
-    def _shrunk(self, team: TeamName, cap: Resources) -> Resources | None:
+    def _shrunk(self, team: TeamName, slab: Resources) -> Resources | None:
         """Returns a portion without what the pool has not needed lately."""
-        used, slab = self.used.get(team, NO_RESOURCES), _slab(cap)
+        used = self.used.get(team, NO_RESOURCES)
         portion = self.rows.get(team, {}).get(self.pool, NO_RESOURCES)
+        if not any(used):
+            return NO_RESOURCES if any(portion) else None
         enough = used.plus(slab)
         return None if portion.fits(enough.plus(slab)) else enough
 
@@ -190,8 +206,9 @@
         return known.cap if known is not None and any(known.cap) else None
 
 
-def _slab(cap: Resources) -> Resources:
-    return Resources(*(amount // SLAB_SHARE for amount in cap))
+def _slab(catalog: Catalog, cap: Resources) -> Resources:
+    pools = sum(not pool.is_standby for pool in catalog.pools.values())
+    return Resources(*(amount // (SLAB_SHARE * max(pools, 1)) for amount in cap))
 
 
 def _times(need: Resources, left: Resources, count: int) -> int:
