Get hosts for tasks that find no place, and keep some free for a gang

Cause: a pool asks for machines by sums of amounts. A gang whose tasks fit in pieces only, tasks that must be apart, or a big one between lasting ones could wait for ever, though there is room enough in all.

While a gang waits so, what ranks below it starts nothing on the hosts on which it gets in first, so small tasks can't keep it out.

--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -12,6 +12,7 @@
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
+from ._unplaced import Unplaced
 from .advice import AdviceBook, AskAdvice
 from .caps import CapBook
 from .host import Host
@@ -42,6 +43,7 @@
         advice: What is known of policies.
         questions: What is to be asked of them.
         shares: What teams submitted beyond their shares.
+        unplaced: Steps that found no place.
         caps: What is known of the teams' caps.
         load: What the pool needs, as last stored.
         dirty: Jobs whose record is behind.
@@ -66,6 +68,7 @@
     advice: AdviceBook = field(default_factory=AdviceBook)
     questions: list[AskAdvice] = field(default_factory=list)
     shares: ShareMeter = field(default_factory=ShareMeter)
+    unplaced: Unplaced = field(default_factory=Unplaced)
     caps: CapBook = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     gated: list[Effect] = field(default_factory=list)
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..jobs.model import NO_RESOURCES, Resources
+from ..jobs.model import NO_RESOURCES, Resources, StepKey
 from ..upkeep.moves import PoolLoad
 from .ranking import Outlook, rank
 
@@ -19,27 +19,38 @@
 def pool_load(board: Board) -> PoolLoad:
     """Returns the need of running and of waiting tasks, and the hosts without any."""
     hosts = [host for host in board.hosts.values() if host.is_listed]
-    need, late = NO_RESOURCES, NO_RESOURCES
+    size = max((host.info.capacity for host in hosts), default=NO_RESOURCES)
+    need, late, unplaced = NO_RESOURCES, NO_RESOURCES, 0
     for host in hosts:
         need = need.plus(host.used)
     for job in board.active.values():
         if job.state.is_final:
             continue
         waiting = _waiting(board, job)
+        unplaced = max(unplaced, _hosts_lacking(board, job, size))
         outlook = rank(job, board.queue_of(job), board.wall_ms).outlook
         if outlook is not Outlook.IN_TIME:
             late = late.plus(waiting)
         else:
             need = need.plus(waiting)
     need = need.plus(Resources(*(amount // LATE_SHARE for amount in late)))
-    sizes = [host.info.capacity for host in hosts]
-    size = max(sizes, default=NO_RESOURCES)
     idle = tuple(
         host.info.id
         for host in hosts
         if host.is_open(board.now_ms) and not host.placed()
     )
-    return PoolLoad(need, Resources(*size), idle)
+    wanted = len(hosts) + unplaced if unplaced else 0
+    return PoolLoad(need, size, idle, wanted)
+
+
+def _hosts_lacking(board: Board, job: Job, size: Resources) -> int:
+    """Returns the hosts for a step of the job that has waited in vain for too long."""
+    lacking = 0
+    for occurrence, number in job.open_steps(board.wall_ms):
+        key, step = StepKey(job.spec.id, occurrence, number), job.spec.steps[number]
+        if board.unplaced.is_due(key, step, board.now_ms):
+            lacking = max(lacking, board.unplaced.hosts(key, step, size))
+    return lacking
 
 
 def _waiting(board: Board, job: Job) -> Resources:
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.model import Resources, StepKey, TaskName
+from ._unplaced import hosts_to_reserve
 from .messages import StartRun
 from .placement import place_each, place_gang
 from .ranking import rank
@@ -19,6 +20,9 @@
     from .host import Host
     from .placement import Choice
 
+NO_ROOM = Resources(-1, -1, -1)
+"""Not even a task that asks for nothing fits where there is no host."""
+
 
 def plan_starts(board: Board) -> None:
     """Places waiting tasks while there is room for any."""
@@ -32,30 +36,48 @@
     if not hosts:
         return
     room = _largest_room(hosts)
+    waiting_keys: set[StepKey] = set()
     for job in _by_rank(board):
-        if room.memory_mb <= 0:
-            return
         for key, step, waiting in _waiting_steps(board, job):
-            if not step.reserved.fits(room):
-                continue
-            count = board.caps.count_that_fits(
-                board.catalog,
-                job.spec.team,
-                step.need,
-                len(waiting),
-                is_gang=step.is_gang,
-            )
-            waiting = waiting[:count]
-            if not waiting:
-                continue
-            allowed = _allowed(board, job, key, hosts)
-            place = place_gang if step.is_gang else place_each
-            choices = place(step, key, waiting, allowed)
-            if len(choices) < len(waiting):
-                _ask(board, job, key, hosts)
-            _start(board, job, key, choices)
-            if choices:
+            waiting_keys.add(key)
+            placed = 0
+            if step.reserved.fits(room):
+                waiting = _within_cap(board, job, step, waiting)
+                placed = _place(board, job, key, waiting, hosts)
+            board.unplaced.note(key, len(waiting) - placed, board.now_ms)
+            kept: set[str] = set()
+            if step.is_gang and board.unplaced.is_due(key, step, board.now_ms):
+                kept = hosts_to_reserve(step, hosts)
+                hosts = [host for host in hosts if host.info.id not in kept]
+            if placed or kept:
                 room = _largest_room(hosts)
+    board.unplaced.retain(waiting_keys)
+
+
+def _within_cap(
+    board: Board, job: Job, step: StepSpec, waiting: list[int]
+) -> list[int]:
+    """Returns the tasks that the team's cap lets start; of a gang all or none."""
+    count = board.caps.count_that_fits(
+        board.catalog, job.spec.team, step.need, len(waiting), is_gang=step.is_gang
+    )
+    return waiting[:count]
+
+
+def _place(
+    board: Board, job: Job, key: StepKey, waiting: list[int], hosts: list[Host]
+) -> int:
+    """Places tasks of a step; returns how many found a place."""
+    if not waiting:
+        return 0
+    step = job.spec.steps[key.step]
+    allowed = _allowed(board, job, key, hosts)
+    place = place_gang if step.is_gang else place_each
+    choices = place(step, key, waiting, allowed)
+    if len(choices) < len(waiting):
+        _ask(board, job, key, hosts)
+    _start(board, job, key, choices)
+    return len(choices)
 
 
 def _allowed(board: Board, job: Job, key: StepKey, hosts: list[Host]) -> list[Host]:
@@ -90,6 +112,8 @@
 
 
 def _largest_room(hosts: list[Host]) -> Resources:
+    if not hosts:
+        return NO_ROOM
     rooms = [host.free for host in hosts]
     return Resources(*(max(amounts) for amounts in zip(*rooms, strict=True)))
 
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -36,6 +36,7 @@
         has_strays: Whether it runs what no record knows.
         acknowledged: Highest number of an end that it may forget.
         used: What its runs count for.
+        lasting: What those of them count for that do not end by themselves.
         seen_ms: Steady time of its last lists.
         vacate_since_ms: Steady time since when it is to be emptied, if it is.
     """
@@ -48,11 +49,11 @@
     has_strays: bool = False
     acknowledged: int = 0
     used: Resources = NO_RESOURCES
+    lasting: Resources = NO_RESOURCES
     vacate_since_ms: int | None = None
     seen_ms: int = 0
     _placed: dict[tuple[TaskName, int], Placed] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
-    _lasting: int = 0
 
     @property
     def free(self) -> Resources:
@@ -74,15 +75,17 @@
         """Takes a run that may be here."""
         self._placed[name, run.number] = Placed(name, step, run)
         self._by_step[StepKey(*name[:3])] += 1
-        self._lasting += step.is_lasting
         self.used = self.used.plus(step.reserved)
+        if step.is_lasting:
+            self.lasting = self.lasting.plus(step.reserved)
 
     def remove(self, name: TaskName, number: int) -> None:
         """Forgets a run that is surely not here."""
         placed = self._placed.pop((name, number), None)
         if placed is not None:
             self.used = self.used.minus(placed.step.reserved)
-            self._lasting -= placed.step.is_lasting
+            if placed.step.is_lasting:
+                self.lasting = self.lasting.minus(placed.step.reserved)
             key = StepKey(*name[:3])
             self._by_step[key] -= 1
             if not self._by_step[key]:
@@ -103,7 +106,7 @@
     @property
     def has_lasting(self) -> bool:
         """Returns whether it runs tasks that last."""
-        return self._lasting > 0
+        return any(self.lasting)
 
     def serving(self) -> Iterator[Placed]:
         """Yields runs whose response times have a target."""
--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -47,11 +47,13 @@
         need: What runs, and what waits and can still be in time.
         host: What one of its hosts has.
         idle: Hosts that run nothing.
+        wanted: Hosts that it takes so that each task finds a place; 0 if each does.
     """
 
     need: Resources = NO_RESOURCES
     host: Resources = NO_RESOURCES
     idle: tuple[HostId, ...] = ()
+    wanted: int = 0
 
 
 @dataclass(slots=True)
@@ -91,7 +93,8 @@
     shares = [
         amount / each for amount, each in zip(load.need, load.host, strict=True) if each
     ]
-    return max(MIN_HOSTS, math.ceil(HEADROOM * max(shares, default=0.0)))
+    by_amounts = math.ceil(HEADROOM * max(shares, default=0.0))
+    return max(MIN_HOSTS, by_amounts, load.wanted)
 
 
 def plan_moves(
