Don't give up emptying a machine because another one was sooner empty

Cause: with fewer machines left a wave wants fewer at once, and the one that was being emptied was dropped from the choice and asked again seconds later. What is being emptied now stays chosen; the cap still bounds the orders. The test fails without the change.

--- a/src/amaranthtray/domain/upkeep/waves.py
+++ b/src/amaranthtray/domain/upkeep/waves.py
@@ -175,13 +175,14 @@
     taken: Counter[PoolName] = Counter(
         fleet.machines[name].pool for name in wave.down if name in fleet.machines
     )
-    chosen: list[Machine] = []
-    up.sort(key=lambda each: each.name)
-
-    def cost(each: Machine) -> tuple[bool, bool, int]:
-        """Those that are or get empty already go first, so that none is in vain."""
-        is_full = each.host not in fleet.vacant
-        return is_full, each.host not in wave.asked_hosts, taken[each.pool]
+    # What is being emptied goes on: the work of moving its tasks is done in part.
+    chosen = [each for each in up if each.host and each.host in wave.asked_hosts]
+    taken.update(each.pool for each in chosen)
+    up = sorted((each for each in up if each not in chosen), key=lambda each: each.name)
+
+    def cost(each: Machine) -> tuple[bool, int]:
+        """Those that are empty already go first."""
+        return each.host not in fleet.vacant, taken[each.pool]
 
     while up and len(chosen) < wanted:
         best = min(up, key=cost)
--- a/tests/upkeep/test_waves.py
+++ b/tests/upkeep/test_waves.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from amaranthtray.domain.ids import HostId, PoolName
 from amaranthtray.domain.upkeep.model import (
     Machine,
@@ -126,3 +128,16 @@
     assert wave.begun_ms == 50_000
     resume(wave, 0, 50_000, 900_000)
     assert wave.begun_ms == 40_000
+
+
+def test_a_machine_that_is_being_emptied_stays_chosen() -> None:
+    """One of two is empty first and goes; the other is not given up for that."""
+    wave = a_wave()
+    first = plan_wave(wave, a_fleet(vacant=False), 0).vacate
+    one, other = (host for _, host in first)
+    fleet = a_fleet(vacant=False)
+    machine = next(each for each in fleet.machines.values() if each.host == one)
+    take_order(wave, machine, 100)
+    take_reply(wave, machine.name, OrderOutcome.DONE)
+    wave.asked = replace(wave.asked, duration_ms=1_000_000)
+    assert other in [host for _, host in plan_wave(wave, fleet, 200).vacate]
