--- a/src/amaranthtray/domain/scheduling/_unplaced.py
+++ b/src/amaranthtray/domain/scheduling/_unplaced.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.model import StepKey
+from .placement import tasks_that_fit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -60,14 +61,6 @@
         return math.ceil(self._left.get(key, 0) / most) if most else 0
 
 
-def tasks_that_fit(step: StepSpec, room: Resources) -> int:
-    """Returns how many tasks of a step go into a room on one host."""
-    need = step.reserved
-    shares = [have // each for each, have in zip(need, room, strict=True) if each]
-    count = min(shares, default=step.count)
-    return max(0, min(count, step.max_per_host or count))
-
-
 def hosts_to_reserve(step: StepSpec, hosts: Iterable[Host]) -> set[str]:
     """Returns the hosts on which a gang gets in once what runs there has ended.
 
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from ..jobs.model import StepKey, StepSpec
+    from ..jobs.model import Resources, StepKey, StepSpec
     from .host import Host
 
 
@@ -49,6 +49,14 @@
     return []
 
 
+def tasks_that_fit(step: StepSpec, room: Resources) -> int:
+    """Returns how many tasks of a step go into a room on one host."""
+    need = step.reserved
+    shares = [have // each for each, have in zip(need, room, strict=True) if each]
+    count = min(shares, default=step.count)
+    return max(0, min(count, step.max_per_host or count))
+
+
 def _suitable(step: StepSpec, hosts: Iterable[Host]) -> list[Host]:
     """Returns the hosts that take one task of the step at least."""
     label, need = step.required_label, step.reserved
@@ -60,10 +68,8 @@
 
 
 def _fitting(step: StepSpec, key: StepKey, host: Host) -> int:
-    """Returns how many tasks of the step a host takes."""
-    need, free = step.reserved, host.free
-    shares = [room // each for each, room in zip(need, free, strict=True) if each]
-    count = min(shares, default=step.count)
+    """Returns how many more tasks of a step a host takes."""
+    count = tasks_that_fit(step, host.free)
     if step.max_per_host:
         count = min(count, step.max_per_host - host.count_of(key))
     return max(count, 0)
