--- a/src/amaranthtray/scenarios/entry.py
+++ b/src/amaranthtray/scenarios/entry.py
@@ -57,8 +57,8 @@
     Serving,
     ServingParts,
 )
+from ..entry.claims import ClaimStore
 from ..entry.rules import selects
-from .claims import create_claim, read_claim
 from .conducting import Conducting
 from .control import VirtualControl
 from .links import VirtualLinks
@@ -74,6 +74,7 @@
     from .work import Tell, Work
     from .world import World
 
+CLAIM_RETENTION_MS = 86_400_000
 SEND_MS = 1
 LEAVE_GRACE_MS = 30_000
 LEAVE_LOOK_MS = 50
@@ -114,6 +115,11 @@
         self.links = VirtualLinks(world, self)
         self.control = VirtualControl(world, self)
         self.conducting = Conducting(world, self)
+        self._claims = ClaimStore(
+            self.control.store,
+            retention_ms=CLAIM_RETENTION_MS,
+            clock=lambda: world.now_ms,
+        )
 
     # -- life -------------------------------------------------------------------
 
@@ -264,7 +270,7 @@
             case WantClaim(key=key, claim=claim):
                 self._claim(key, claim)
             case WantClaimRead(key=key, op_id=op_id):
-                result = read_claim(self.control.store, key)
+                result = self._claims.read(key)
                 self._settle(ClaimEnded(key, op_id, result))
             case Forward(key=key, home=home):
                 self.world.forward(self, self._work[key], key, home)
@@ -280,7 +286,7 @@
             self._waiters.pop(ref)(outcome)
 
     def _claim(self, key: RequestKey, claim: Claim) -> None:
-        result = create_claim(self.control.store, key, claim)
+        result = self._claims.create(key, claim)
         self._settle(ClaimEnded(key, claim.op_id, result))
 
     def _settle(self, ended: ClaimEnded) -> None:
