Note repeated machine orders, and each move at its own time

Cause, found on reading: an order of a wave that is given again changes nothing in the wave's progress, so nothing was written, and its note could be older than the pause that a new holder keeps. And a move that waited behind slow ones counted from when the first was planned; the next write could drop its note too early. Two holders could then have ordered one machine within the platform's pause.

Both tests fail without the change.

--- a/src/amaranthtray/jobs/fleet_duty.py
+++ b/src/amaranthtray/jobs/fleet_duty.py
@@ -290,6 +290,8 @@
             if not self._goes_on():
                 return
             moves.take_order(self._moves, order, steady_ms())
+            # Those before may have taken seconds: it counts from now.
+            self._recent.note((order.machine,), steady_ms())
             outcome = orders.order(order)
             self._context.log.event(
                 "move",
@@ -333,9 +335,12 @@
         order: MachineOrder,
         orders: MachineOrders,
     ) -> None:
+        is_repeated = machine.name in wave.down
         take_order(wave, machine, steady_ms())
         self._recent.note((machine.name,), steady_ms())
-        if not self._save(name, wave) or not self._goes_on():
+        # A repeated order changes nothing in the progress, but is to be noted.
+        is_noted = self._save(name, wave) and (not is_repeated or self._commit(()))
+        if not is_noted or not self._goes_on():
             return
         outcome = orders.order(order)
         self._context.log.event(
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -20,7 +20,7 @@
     WaveAsked,
 )
 from amaranthtray.domain.upkeep.moves import PoolLoad
-from amaranthtray.jobs import keys
+from amaranthtray.jobs import fleet_duty, keys
 from amaranthtray.jobs.fleet_duty import FleetDuty
 from amaranthtray.jobs.ledger import Report
 from amaranthtray.store.contract import Put, Transaction
@@ -30,6 +30,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import pytest
+
 WEB, SPARE = PoolName("web"), PoolName("spare")
 HOLDER_CHANGE_MS = 60_000
 
@@ -150,6 +152,47 @@
     assert not site.fleet.orders
 
 
+def test_a_repeated_order_is_noted_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its first note is too old by then to hold a new holder back."""
+    site = Site()
+    now = [1_000_000]
+    monkeypatch.setattr(fleet_duty, "steady_ms", lambda: now[0])
+    names = (site.fleet.listed[0].name,)
+    wave = WaveAsked(number=1, machines=names, duration_ms=1_000, cap=4)
+    site.write("waves/1", msgspec.json.encode(wave))
+    report = Report(vacant=[str(site.fleet.listed[0].host)])
+    site.write(keys.report_key(WEB), msgspec.json.encode(report))
+    site.fleet.outcome = OrderOutcome.UNKNOWN
+    seen: list[list[str]] = []
+    site.fleet.on_order = lambda: seen.append(site.noted())
+    duty = site.duty(1)
+    site.step(duty)
+    now[0] += 2 * HOLDER_CHANGE_MS
+    duty._commit(())
+    assert site.noted() == []
+    site.step(duty)
+    assert [each for each in seen if "web0" in each] == seen
+    assert len(seen) == 2
+
+
+def test_each_move_counts_from_its_own_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = Site()
+    now = [1_000_000]
+    monkeypatch.setattr(fleet_duty, "steady_ms", lambda: now[0])
+    site.needs(40)
+
+    def slow() -> None:
+        now[0] += 2 * HOLDER_CHANGE_MS
+
+    site.fleet.on_order = slow
+    duty = site.duty(1)
+    site.step(duty)
+    assert len(site.fleet.orders) == 2
+    now[0] -= HOLDER_CHANGE_MS
+    duty._commit(())
+    assert site.noted() == ["spare1"]
+
+
 def test_a_machine_that_was_just_ordered_is_not_maintained_by_a_new_holder() -> None:
     site = Site()
     site.needs(24)
