Move no lasting task for a while after a conductor's takeover

Cause: a stop takes up to a second, in which its host lists the run as at work. A new conductor now waits 2.5 s before it moves lasting tasks. The test fails without the change.

--- a/src/amaranthtray/domain/scheduling/_board.py
+++ b/src/amaranthtray/domain/scheduling/_board.py
@@ -52,6 +52,7 @@
         expired: Ended jobs that the next batch removes.
         batch: Number of the last batch.
         is_storing: Whether a batch is being stored.
+        began_ms: Steady time at which this conductor first decided, once it has.
         now_ms: Steady time of the message that is handled.
         wall_ms: Wall time of it.
     """
@@ -77,6 +78,7 @@
     expired: tuple[JobId, ...] = ()
     batch: int = 0
     is_storing: bool = False
+    began_ms: int | None = None
     now_ms: int = 0
     wall_ms: int = 0
 
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -18,6 +18,10 @@
 PATIENCE_MS = 4_000
 """Runs that can't be resumed may end by themselves for so long."""
 
+TAKEOVER_PAUSE_MS = 2_500
+"""A new conductor moves no lasting task for so long: hosts list a run as at work until
+a stop that the last conductor ordered is over, which takes a second."""
+
 WORKING_PERCENT = 100
 
 SEEN_MS = 3_000
@@ -69,6 +73,8 @@
     step, name = placed.step, placed.name
     if host.info.is_draining:
         return True
+    if board.began_ms is None or board.now_ms < board.began_ms + TAKEOVER_PAUSE_MS:
+        return False
     if step.may_miss and _away(board, job, placed) >= step.may_miss:
         return False
     hosts = [each for each in board.hosts.values() if each.is_open(board.now_ms)]
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -136,6 +136,8 @@
         """Chooses what to start, and begins a batch if one is due."""
         board = self.board
         board.now_ms, board.wall_ms = now_ms, wall_ms
+        if board.began_ms is None:
+            board.began_ms = now_ms
         if board.is_storing:
             return []
         self._drop_unlisted()
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -6,6 +6,7 @@
 from amaranthtray.domain.jobs.model import JobId, TaskName
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import HowEnded
+from amaranthtray.domain.scheduling._vacating import TAKEOVER_PAUSE_MS
 from amaranthtray.domain.scheduling.messages import (
     AcknowledgeEnds,
     HostLapsed,
@@ -155,6 +156,7 @@
     bench = Bench(*hosts)
     bench.submit(a_job(a_step(2, is_lasting=True, may_miss=1, max_per_host=1)))
     first, second = bench.starts()
+    bench.now_ms = 10_000
     bench.report(first.host, running=((first.name, 1),))
     bench.report(second.host, running=((second.name, 1),))
     bench.tell(HostSilent(second.host))
@@ -166,6 +168,21 @@
     assert [stop.name for stop in stops] == [first.name]
 
 
+def test_a_new_conductor_waits_for_stops_that_the_last_one_ordered() -> None:
+    """Until such a stop is over, its host lists the run as at work."""
+    hosts = (a_host("a"), a_host("b"), a_host("c"))
+    bench = Bench(*hosts)
+    bench.submit(a_job(a_step(2, is_lasting=True, may_miss=1, max_per_host=1)))
+    first, second = bench.starts()
+    bench.report(first.host, running=((first.name, 1),))
+    bench.report(second.host, running=((second.name, 1),))
+    bench.tell(VacateAsked(frozenset({first.host})))
+    bench.now_ms = TAKEOVER_PAUSE_MS - 100
+    assert not [each for each in bench.plan() if isinstance(each, StopRun)]
+    bench.now_ms = TAKEOVER_PAUSE_MS
+    assert [each for each in bench.plan() if isinstance(each, StopRun)]
+
+
 def test_a_host_that_is_to_be_emptied_gets_no_run_from_a_new_conductor() -> None:
     bench = Bench(a_host())
     bench.tell(VacateAsked(frozenset({a_host().id})))
