Log each conductor's starts, batches and free hosts once a second

The log could not tell a conductor that is too slow from a pool without machines: an entry wrote at most 200 lines a second, so most StartRun lines of a peak were missing, and none said how long an order or a batch takes.

A line 'pool' a second now sums them up, and one event gets at most 150 lines a second.

--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -14,6 +14,7 @@
 from ._reports import apply_report
 from ._state import SchedulerState
 from ._vacating import vacant_hosts, vacate_hosts
+from .activity import PoolActivity, pool_activity
 from .advice import AdviceReceived
 from .caps import PortionsRead
 from .host import Host
@@ -164,6 +165,10 @@
         released, state.held_effects = state.held_effects, []
         return [*stops, *self._release_effects(released)]
 
+    def activity(self) -> PoolActivity:
+        """Returns sums over the pool's hosts, runs and waiting tasks."""
+        return pool_activity(self.state)
+
     def _inspect_hosts(self) -> list[Effect]:
         """Inspects all hosts at intervals: empties, stops stalled runs, paces."""
         state = self.state
--- a/src/amaranthtray/jobs/event_log.py
+++ b/src/amaranthtray/jobs/event_log.py
@@ -6,6 +6,7 @@
 import queue
 import sys
 import threading
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,6 +22,9 @@
 LINES_PER_S = 200
 """Most lines a second; further ones are dropped and counted."""
 
+LINES_PER_EVENT_S = 150
+"""Most lines a second of one event, so that a frequent one leaves room for others."""
+
 
 class EventLog:
     """Writes one JSON line for each event from a thread of its own.
@@ -38,7 +42,7 @@
         self._write = write or _to_stdout
         self._queue: queue.Queue[bytes] = queue.Queue(QUEUE_LINES)
         self._second = 0
-        self._lines = 0
+        self._lines: Counter[str] = Counter()
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
 
     def start(self) -> None:
@@ -54,11 +58,14 @@
         """
         second = steady_ms() // 1_000
         if second != self._second:
-            self._second, self._lines = second, 0
-        self._lines += 1
-        if self._lines > LINES_PER_S:
+            self._second, self._lines = second, Counter()
+        if (
+            self._lines.total() >= LINES_PER_S
+            or self._lines[event] >= LINES_PER_EVENT_S
+        ):
             self.dropped += 1
             return
+        self._lines[event] += 1
         line = {"t": wall_ms(), "event": event, **self._context, **fields}
         try:
             self._queue.put_nowait(msgspec.json.encode(line, enc_hook=str) + b"\n")
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -4,7 +4,7 @@
 
 import queue
 import threading
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
 from ..domain.scheduling.advice import RequestAdvice
@@ -18,6 +18,7 @@
     Effect,
     Message,
     PaceRun,
+    StartReplied,
     StartRun,
     StopRun,
     StoreJobs,
@@ -29,6 +30,7 @@
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
+from .conductor_stats import ConductorStats
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
@@ -118,6 +120,7 @@
         self._mailbox: queue.SimpleQueue[Message | _Stop] = queue.SimpleQueue()
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
+        self._stats = ConductorStats()
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._ended = threading.Event()
@@ -204,8 +207,11 @@
 
     def _run_round(self, scheduler: PoolScheduler) -> None:
         """Handles the queued messages, then plans."""
-        for message in self._receive():
+        messages = self._receive()
+        for message in messages:
             now_ms, wall_ms = clock.steady_ms(), clock.wall_ms()
+            if isinstance(message, StartReplied):
+                self._stats.record_reply(message)
             self._apply_effects(scheduler.handle(message, now_ms, wall_ms))
         since_ms = clock.steady_ms() - self._last_plan_ms
         if since_ms < MIN_PLAN_INTERVAL_MS:
@@ -214,6 +220,15 @@
         if self._guard.may_order():
             plan = scheduler.plan(clock.steady_ms(), clock.wall_ms())
             self._apply_effects(plan)
+        self._stats.record_round(len(messages))
+        self._log_activity(scheduler)
+
+    def _log_activity(self, scheduler: PoolScheduler) -> None:
+        """Logs, once a second, what the pool does and how long it takes."""
+        summary = self._stats.take_summary(clock.steady_ms())
+        if summary is not None:
+            sums = asdict(scheduler.activity())
+            self._context.log.event("pool", pool=self.pool, **sums, **summary)
 
     def _receive(self) -> list[Message]:
         try:
@@ -248,6 +263,8 @@
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
         if link is not None:
+            if isinstance(order, StartRun):
+                self._stats.record_order(order, clock.steady_ms())
             self._context.log.event(
                 type(order).__name__,
                 host=order.host,
@@ -285,7 +302,9 @@
             batch = self._batches.get()
             if batch is None:
                 return
+            begun_ms = clock.steady_ms()
             is_stored = self._guard.may_order() and self._writer.write(batch)
+            self._stats.record_batch(batch, clock.steady_ms() - begun_ms)
             if self._writer.is_superseded:
                 self._guard.mark_superseded()
             if is_stored:
