Leave free duties to entries whose machines can carry them

Cause: a duty is taken by the entry that is first, and a third of the time or more that is one with half a core and 5 Mbit/s. The orders and polls of a peak do not fit into that link: the pool gets 500 starts a second, an order waits up to 3 s, a batch of 36 KB takes 0.7 s, and the pool holds machines that it can't fill while the next peak waits for them.

Evidence (lines 'pool', no processor time charged): at 5 Mbit/s 450 to 530 starts a second with 300 to 1,600 cores free and 2,000 tasks waiting; the same pool's size at 100 Mbit/s: 1,800 a second, 7 ms an order.

Each entry now knows its machine's cores and link, and a smaller one waits up to 0.6 s longer for a free duty than a full-sized one; a full-sized entry waits 0.15 s for each duty that it holds, as before. A full-sized machine is 1 core and 50 Mbit/s: 100 starts a second took about 1 Mbit/s, and the busiest pool wants 2,300. Entries of one size behave as before.

The test failed before: 20 free duties, some won by the small entry.

--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from ..domain.duties.holder import DutyHolder, DutySettings, Idle
+from ..domain.duties.placement import acquire_delay_ms
 from ..store.contract import Compacted
 from ..store.cursor import WatchCursor
 from ..store.duties import PREFIX, DutyRunner
@@ -35,9 +36,6 @@
 STEP_INTERVAL_MS = 50
 RETRY_PAUSE_MS = 150
 
-DELAY_PER_DUTY_MS = 150
-"""Delay, for each duty that an entry holds, before it acquires another."""
-
 JITTER_MS = 150
 
 
@@ -199,7 +197,8 @@
         free_ms = self._view.free_for_ms(self._name)
         if free_ms is None or self._context.catalog() is None:
             return False
-        return free_ms >= self._jitter_ms + DELAY_PER_DUTY_MS * self._count_held()
+        size = self._context.settings.machine.size
+        return free_ms >= self._jitter_ms + acquire_delay_ms(size, self._count_held())
 
     def _begin_work(self, term: Term) -> None:
         self._context.log.event("duty-taken", duty=self._name, term=term)
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -86,7 +86,13 @@
     def start(self) -> None:
         """Starts all tasks."""
         self.log.start()
-        self.log.event("started", incarnation=self._incarnation)
+        size = self._context.settings.machine.size
+        self.log.event(
+            "started",
+            incarnation=self._incarnation,
+            cores=size.cores,
+            link_mbps=size.link_mbps,
+        )
         self._config.subscribe(self._apply_catalog)
         for task in (self._config, self._context.hosts, self._submissions, self._view):
             task.start()
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -7,6 +7,7 @@
 
 from msgspec import Meta, Struct
 
+from ..domain.duties.placement import FULL_CORES, FULL_LINK_MBPS, MachineSize
 from .toml_document import TomlDocument
 
 if TYPE_CHECKING:
@@ -39,6 +40,25 @@
     metrics_address: Address
 
 
+class MachineSection(Struct, frozen=True, kw_only=True):
+    """Section ``[machine]``: what the entry may use of its machine.
+
+    Attributes:
+        cpu_share: Part of the processor's time.
+        cores: Speed of the processor, in cores.
+        link_mbps: Bandwidth of the network link.
+    """
+
+    cpu_share: PositiveNumber = 1.0
+    cores: PositiveNumber = FULL_CORES
+    link_mbps: PositiveNumber = FULL_LINK_MBPS
+
+    @property
+    def size(self) -> MachineSize:
+        """Returns the size by which duties are placed."""
+        return MachineSize(self.cpu_share * self.cores, self.link_mbps)
+
+
 class StoreSection(Struct, frozen=True, kw_only=True):
     """Section ``[store]``: the platform's key-value store.
 
@@ -96,6 +116,7 @@
     store: StoreSection
     hosts: HostsSection
     jobs: JobsSection
+    machine: MachineSection = MachineSection()
     machines: MachinesSection | None = None
     advice: AdviceSection | None = None
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -8,6 +8,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from amaranthtray.domain.duties.placement import MachineSize
 from amaranthtray.settings.job_entry import load_job_entry
 
 ROOT = Path(__file__).parents[2]
@@ -18,6 +19,9 @@
     "zone": '"z"',
     "bindAddresses.frontend": '"10.1.0.1:8340"',
     "bindAddresses.readiness": '"10.1.0.1:8343"',
+    "limits.cpuShare": "0.5",
+    "limits.cores": "3",
+    "limits.linkMbps": "5.0",
     "platform.address": '"10.2.0.1:80"',
     "bounds.maxHoldMs": "6000",
     "cloud.address": '"10.2.0.2:80"',
@@ -40,6 +44,7 @@
     path.write_text(filled())
     settings = load_job_entry(str(path)).unwrap()
     assert settings.entry.metrics_address == "10.1.0.1:7000"
+    assert settings.machine.size == MachineSize(cores=1.5, link_mbps=5.0)
     assert settings.machines is not None
     assert settings.advice is not None
 
@@ -50,6 +55,7 @@
         ('zone = "z"', "", "zone"),
         ("max_lease_ms = 6000", 'max_lease_ms = "long"', "max_lease_ms"),
         ("[store]", "[stor]", "stor"),
+        ("link_mbps = 5.0", "link_mbps = 0", "link_mbps"),
         ("[entry]", "[entry", "line"),
     ],
 )
--- a/tests/jobs/test_duty_placement.py
+++ b/tests/jobs/test_duty_placement.py
@@ -9,12 +9,13 @@
 from amaranthtray.domain.duties.names import DutyName
 from amaranthtray.domain.ids import EntryId, Incarnation
 from amaranthtray.jobs.duty_task import DutyTask
+from amaranthtray.settings.job_entry import MachineSection
 from jobs.store_site import StoreSite
 from jobs.test_duty_task import DutyWork
 
 DUTY = DutyName("conductor/p")
-SMALL = SimpleNamespace(cpu_share=0.5, cores=1, link_mbps=5.0)
-LARGE = SimpleNamespace(cpu_share=0.7, cores=3, link_mbps=100.0)
+SMALL = MachineSection(cpu_share=0.5, cores=1, link_mbps=5.0)
+LARGE = MachineSection(cpu_share=0.7, cores=3, link_mbps=100.0)
 
 
 @dataclass
@@ -30,7 +31,7 @@
 
 
 def new_task(
-    site: StoreSite, duty: FreeDuty, name: str, machine: SimpleNamespace
+    site: StoreSite, duty: FreeDuty, name: str, machine: MachineSection
 ) -> DutyTask:
     context: Any = SimpleNamespace(
         store=site.store,
--- a/tests/jobs/test_duty_task.py
+++ b/tests/jobs/test_duty_task.py
@@ -9,6 +9,7 @@
 from amaranthtray.domain.duties.names import DutyName
 from amaranthtray.domain.ids import EntryId, Incarnation
 from amaranthtray.jobs.duty_task import DutyTask
+from amaranthtray.settings.job_entry import MachineSection
 from jobs.store_site import StoreSite
 
 DUTY = DutyName("conductor/p")
@@ -38,6 +39,7 @@
             store=self.site.store,
             log=self.site.log,
             catalog=lambda: object(),
+            settings=SimpleNamespace(machine=MachineSection()),
         )
         view: Any = SimpleNamespace(free_for_ms=lambda name: 10_000 * self.is_free)
         self.task = DutyTask(
