Revoke the lease of a lost duty again once the store answers

Cause: a holder gives its duty up 3.6 s into an outage and revokes its lease once; the store does not answer, and the lease, which pauses in an outage, keeps the holder's key until it expires after the store's return.

The test failed before: nobody held the duty until the lease had expired.

--- a/src/amaranthtray/domain/duties/holder.py
+++ b/src/amaranthtray/domain/duties/holder.py
@@ -64,9 +64,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Idle:
-    """The duty is not held; the next attempt is due at ``retry_at_ms``."""
+    """The duty is not held.
+
+    Attributes:
+        retry_at_ms: When the next attempt is due.
+        unrevoked: Lease of the last attempt or term until its revocation is confirmed;
+            it may keep the duty from other entries.
+        revoke_at_ms: When that revocation is due again.
+    """
 
     retry_at_ms: int
+    unrevoked: LeaseNumber | None = None
+    revoke_at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +163,8 @@
         has_clock_stepped_back = now_ms < self._now_ms
         self._now_ms = now_ms
         match state:
+            case Idle(unrevoked=lease) if lease is not None:
+                return self._revoke_again(state, lease)
             case Idle():
                 return self._start_attempt(
                     state, has_clock_stepped_back=has_clock_stepped_back
@@ -172,7 +183,8 @@
             return self.tick(now_ms)
         self._now_ms = now_ms
         match self.state:
-            case Idle():
+            case Idle() as state:
+                self._handle_revocation_reply(state, reply)
                 return ()
             case Acquiring() as state:
                 return self._handle_acquire_reply(state, reply)
@@ -298,9 +310,21 @@
 
     def _give_up(self) -> tuple[DutyCall, ...]:
         lease = None if isinstance(self.state, Idle) else self.state.lease
-        self.state = Idle(self._retry_at_ms())
+        revoke_at_ms = self._now_ms + self._settings.renew_retry_ms
+        self.state = Idle(self._retry_at_ms(), lease, revoke_at_ms)
         return () if lease is None else (RevokeLease(lease),)
 
+    def _revoke_again(self, state: Idle, lease: LeaseNumber) -> tuple[DutyCall, ...]:
+        if self._now_ms < state.revoke_at_ms:
+            return ()
+        revoke_at_ms = self._now_ms + self._settings.renew_retry_ms
+        self.state = replace(state, revoke_at_ms=revoke_at_ms)
+        return (RevokeLease(lease),)
+
+    def _handle_revocation_reply(self, state: Idle, reply: DutyReply) -> None:
+        if isinstance(reply, CallSucceeded | CallRejected):
+            self.state = replace(state, unrevoked=None)
+
     def _retry_at_ms(self) -> int:
         retry_ms = self._settings.retry_ms
         return self._now_ms + self._rng.randint(retry_ms // 2, retry_ms)
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -54,6 +54,21 @@
     assert site.holders() == ([] if is_down else ["e1"])
 
 
+def test_a_duty_lost_in_an_outage_is_free_once_the_store_is_back() -> None:
+    site = site_with_first_holder()
+    site.platform.is_down = True
+    site.now_ms = SETTINGS.ttl_ms - SETTINGS.margin_ms
+    site.run_until_idle(site.candidates["e0"])
+    assert site.holders() == []
+
+    site.platform.is_down = False
+    site.now_ms += SETTINGS.renew_retry_ms
+    assert site.now_ms < SETTINGS.ttl_ms
+    site.run_until_idle(site.candidates["e0"])
+    site.run_until_idle(site.candidates["e1"])
+    assert site.holders() == ["e1"]
+
+
 def test_a_released_duty_is_acquired_at_once_with_a_higher_term() -> None:
     site = site_with_first_holder()
     site.candidates["e0"].runner.release()
