Give idle machines to a pool with a shortage at once

Cause: a pool must have had its surplus for 1.5 s before any machine leaves, also counted anew by a new holder of the fleet's duty. That delay keeps machines from going to standby and back; it has no use when another pool needs them now, and only idle hosts of a pool with a surplus leave.

The first new test failed before; the second holds the delay where nobody is short.

--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -29,7 +29,8 @@
 """Minimum size of a pool, so that the loss of one host stops no work."""
 
 SURPLUS_DELAY_MS = 1_500
-"""Time for which a pool must have a surplus before machines leave it."""
+"""Time for which a pool must have a surplus before machines leave it for a pool that
+does not need them now."""
 
 RETAINED_SHARE = 0.5
 """Part of the machines that operators gave a pool which it always retains: they must
@@ -272,11 +273,13 @@
         load, balance = loads.get(machine.pool), balances.get(machine.pool)
         if load is None or balance is None or machine.name in moves.leaving:
             continue
-        since_ms = moves.surplus_since_ms.get(machine.pool, now_ms)
-        if machine.host not in load.idle or now_ms - since_ms < SURPLUS_DELAY_MS:
+        if machine.host not in load.idle:
             continue
         target = _neediest(balances, machine, kinds)
         is_needed_now = target is not None and balances[target].shortage > 0
+        since_ms = moves.surplus_since_ms.get(machine.pool, now_ms)
+        if not is_needed_now and now_ms - since_ms < SURPLUS_DELAY_MS:
+            continue
         if balance.shortage >= 0 or (balance.lacking >= 0 and not is_needed_now):
             continue
         if target is not None:
--- a/tests/upkeep/test_moves.py
+++ b/tests/upkeep/test_moves.py
@@ -77,6 +77,16 @@
     assert [pool for pool, _ in planned.vacate] == [IDLE] * 3
 
 
+def test_a_shortage_does_not_wait_while_another_pool_has_idle_machines() -> None:
+    planned = plan(some_moves(), a_fleet(), {BUSY: 100, IDLE: 0})
+    assert [pool for pool, _ in planned.vacate] == [IDLE] * 4
+
+
+def test_a_short_surplus_sends_no_machine_to_standby() -> None:
+    planned = plan(some_moves(), a_fleet(), {BUSY: 48, IDLE: 0}, 1_000)
+    assert not planned.vacate
+
+
 def test_a_moving_machine_counts_for_its_target_pool() -> None:
     moves, fleet = some_moves(), a_fleet()
     for order in plan(moves, fleet, {BUSY: 60, IDLE: 30}).orders:
