Keep a late report that a dropped run was done

Cause: at 7,690 ms the lease of the host's runs had certainly expired, and the conductor dropped them. The report of 7,936 ms named the end, but ends of runs that are not on a host's list were ignored, and acknowledged all the same; run 2 was placed at 8,306 ms.

Such an end is now applied: a task that is done gets no further run, and one that was placed meanwhile is stopped. A failure counts if it is of a later run than the last one that counted, as ends are reported until they are acknowledged. The platform's rule allows the second run, as the lease expired in between; to callers it is work done twice.

--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -150,6 +150,28 @@
         if not self.state.is_final:
             self._close_occurrence(name.occurrence)
 
+    def apply_late_end(self, name: TaskName, number: int, outcome: RunOutcome) -> bool:
+        """Applies the end of a run that was dropped; returns whether it matters.
+
+        An end may be reported repeatedly: a failure counts only if it is of a later run
+        than the last one that was counted.
+        """
+        task = self.task(name)
+        if task is None or task.is_done or self.state.is_final:
+            return False
+        step = self.spec.steps[name.step]
+        if step.is_lasting:
+            return False
+        if outcome is RunOutcome.DONE:
+            self._mark_done(name, step)
+        elif outcome is RunOutcome.FAILED and task.failed_run < number:
+            self._count_failure(name, number)
+        else:
+            return False
+        if not self.state.is_final:
+            self._close_occurrence(name.occurrence)
+        return True
+
     def drop_run(self, name: TaskName, run: Run) -> None:
         """Removes a run that is not on its host and whose outcome is unknown."""
         task = self.task(name)
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -55,6 +55,7 @@
     for end in report.ends:
         placed = host.find(end.name, end.number)
         if placed is None:
+            state.apply_late_end(end.name, end.number, end.outcome)
             continue
         if placed.run.phase is RunPhase.RESERVED:
             continue
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -101,6 +101,42 @@
     assert [again.number for again in harness.starts()] == [2]
 
 
+def test_a_task_is_not_repeated_if_its_run_was_done_before_the_host_fell_silent() -> (
+    None
+):
+    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.reply_to_start(order, StartOutcome.STARTED)
+    harness.send(HostSilent(order.host))
+    harness.send(HostRunsEnded(order.host))
+    harness.report(order.host, ends=(an_end(order, RunOutcome.DONE),))
+    assert harness.starts() == []
+    assert decode_state(harness.records[order.name.job]) is JobState.COMPLETED
+
+
+def test_a_late_end_stops_the_run_that_replaced_it() -> None:
+    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.send(HostRunsEnded(order.host))
+    again = harness.starts()[0]
+    harness.reply_to_start(again, StartOutcome.STARTED)
+    harness.report(order.host, ends=(an_end(order, RunOutcome.DONE),))
+    assert StopRun(again.host, again.name, again.number) in harness.plan()
+
+
+def test_a_late_failure_counts_once() -> None:
+    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.send(HostRunsEnded(order.host))
+    for _ in range(3):
+        harness.report(order.host, ends=(an_end(order, RunOutcome.FAILED),))
+    assert [again.number for again in harness.starts()] == [2]
+    assert decode_state(harness.records[order.name.job]) is JobState.RUNNING
+
+
 def test_a_new_conductor_waits_for_leases_of_unlisted_hosts() -> None:
     harness = SchedulerHarness(a_host())
     harness.submit(a_job())
--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -8,7 +8,7 @@
 
 from scheduling.world import World, random_job
 
-SCHEDULES = int(os.environ.get("SCHEDULES", "60"))
+SCHEDULES = int(os.environ.get("SCHEDULES", "100"))
 FAULTY_MS = 20_000
 FAULT_FREE_MS = 40_000
 
