Resolve orders that meet a moment without a certain term

Cause: when a renewal of the duty is late, the term is uncertain for a moment and comes back. A stop order that met this moment was given up for good, and a start order returned without a reply: the run stayed STOPPING or STARTING for ever, as no report can prove the absence of such a run, and its task never started again.

A stop is now repeated until the host replies or the link is closed. A start that was not sent is reported as refused, one without a reply as such, so that a stop follows.

--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -214,9 +214,11 @@
                 # That incarnation has ended, and orders sent to it are fenced off.
                 outcome = StartOutcome.REFUSED
                 break
-            is_wanted = (order.name, order.number) not in self._stopped_runs
-            if not is_wanted or not self._guard.may_order():
+            if (order.name, order.number) in self._stopped_runs:
                 return
+            if not self._guard.may_order():
+                outcome = StartOutcome.NO_REPLY if unanswered else StartOutcome.REFUSED
+                break
             token = self._api.fencing_token
             outcome = self._api.start(order, until_ms)
             if outcome is StartOutcome.FENCED and token != self._api.fencing_token:
@@ -239,8 +241,13 @@
         )
 
     def _send_stop(self, order: StartRun | StopRun | PaceRun) -> None:
-        while not self._closing.is_set() and self._guard.may_order():
-            if self._api.stop(order.name, order.number):
+        if isinstance(order, StopRun):
+            self.stop_run(order)
+
+    def stop_run(self, order: StopRun) -> None:
+        """Orders a stop; repeats it until the host replies or the link is closed."""
+        while not self._closing.is_set():
+            if self._guard.may_order() and self._api.stop(order.name, order.number):
                 reply = StopReplied(self.info.id, order.name, order.number, steady_ms())
                 self._post(reply)
                 return
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -12,6 +12,7 @@
     StartOutcome,
     StartReplied,
     StartRun,
+    StopReplied,
     StopRun,
 )
 from amaranthtray.jobs.event_log import EventLog
@@ -46,7 +47,11 @@
 
 
 def a_link(
-    api: FakeHost, *, born: int = INCARNATION, is_silent: bool = False
+    api: FakeHost,
+    *,
+    born: int = INCARNATION,
+    is_silent: bool = False,
+    held_term: Callable[[], Term | None] = lambda: Term(1),
 ) -> tuple[HostLink, list[Message]]:
     lease = HostLease(lease_ms=5_000, max_lease_ms=9_000, earlier_leases_until_ms=0)
     lease.record_answer(0, born, 0)
@@ -57,7 +62,7 @@
         a_host(),
         api=api,  # type: ignore[arg-type]
         lease=lease,
-        guard=TermGuard(Term(1), lambda: Term(1)),
+        guard=TermGuard(Term(1), held_term),
         post=posted.append,
         log=EventLog({}, write=lambda data: None),
     )
@@ -88,6 +93,39 @@
     assert api.starts == 1
 
 
+def test_a_start_that_is_not_sent_without_a_certain_term_does_not_stay_pending() -> (
+    None
+):
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    link, posted = a_link(api, held_term=lambda: None)
+    link.start_run(an_order())
+    assert api.starts == 0
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.REFUSED
+    assert not reply.was_repeated
+
+
+def test_a_start_without_a_reply_is_resolved_although_the_term_became_uncertain() -> (
+    None
+):
+    terms = iter((Term(1), None))
+    api = FakeHost(lambda: StartOutcome.NO_REPLY)
+    link, posted = a_link(api, held_term=lambda: next(terms))
+    link.start_run(an_order())
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.NO_REPLY
+
+
+def test_a_stop_is_sent_once_the_term_is_certain_again() -> None:
+    terms = iter((None, None, Term(1)))
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    link, posted = a_link(api, held_term=lambda: next(terms))
+    link.stop_run(StopRun(HostId("h"), NAME, 1))
+    assert [type(each) for each in posted] == [StopReplied]
+
+
 def test_an_order_to_a_former_incarnation_is_not_sent() -> None:
     api = FakeHost(lambda: StartOutcome.STARTED)
     link, posted = a_link(api)
