Let only the mailbox's handler read the dispatcher's timers

Cause: the timer thread asked the serving part for its next due time while another thread handled a message. That question removes stale timers from the heap: both threads find the same stale timer first, one removes it, the other the live deadline behind it, which then never fires. A request that waits for its deadline alone, as one whose host was killed, waits for ever.

The handler now leaves the next due time in an attribute that the timer reads.

--- a/src/amaranthtray/entry/request_runner.py
+++ b/src/amaranthtray/entry/request_runner.py
@@ -124,6 +124,7 @@
         self._stopping = threading.Event()
         self._wake_earlier = threading.Event()
         self._wake_at_ms = 0
+        self._due_ms = 0
         self._timer = threading.Thread(target=self._run_timer, name="request-timer")
         self._timer.daemon = True
 
@@ -200,7 +201,9 @@
                 effects = self._serving.handle(message, now)
         for effect in effects:
             self._apply_effect(effect)
-        if self._serving.next_wake_ms() < self._wake_at_ms:
+        # A copy for the timer: only the mailbox's handler may use the serving part.
+        self._due_ms = self._serving.next_wake_ms()
+        if self._due_ms < self._wake_at_ms:
             self._wake_earlier.set()
 
     def _apply_effect(self, effect: ServingEffect) -> None:
@@ -228,7 +231,7 @@
     def _run_timer(self) -> None:
         while not self._stopping.is_set():
             now = now_ms()
-            sleep_ms = min(MAX_SLEEP_MS, self._serving.next_wake_ms() - now)
+            sleep_ms = min(MAX_SLEEP_MS, self._due_ms - now)
             if sleep_ms <= 0:
                 self._mailbox.post(Tick())
                 continue
