--- a/src/amaranthtray/jobs/conductor_stats.py
+++ b/src/amaranthtray/jobs/conductor_stats.py
@@ -11,6 +11,9 @@
 
 SUMMARY_INTERVAL_MS = 1_000
 
+REPLY_WAIT_MS = 30_000
+"""Orders without a reply for this long are forgotten: their runs were stopped."""
+
 
 @dataclass(slots=True)
 class _Sums:
@@ -81,4 +84,9 @@
         with self._lock:
             self._summed_ms = now_ms
             sums, self._sums = self._sums, _Sums()
+            self._ordered_ms = {
+                order: ordered_ms
+                for order, ordered_ms in self._ordered_ms.items()
+                if now_ms - ordered_ms < REPLY_WAIT_MS
+            }
         return asdict(sums) if sums.orders or sums.records else None
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -228,7 +228,9 @@
         summary = self._stats.take_summary(clock.steady_ms())
         if summary is not None:
             sums = asdict(scheduler.activity())
-            self._context.log.event("pool", pool=self.pool, **sums, **summary)
+            self._context.log.event(
+                "pool", pool=self.pool, term=self._guard.term, **sums, **summary
+            )
 
     def _receive(self) -> list[Message]:
         try:
--- a/tests/jobs/test_conductor_stats.py
+++ b/tests/jobs/test_conductor_stats.py
@@ -11,7 +11,11 @@
     StoreJobs,
 )
 from amaranthtray.domain.upkeep.moves import PoolLoad
-from amaranthtray.jobs.conductor_stats import SUMMARY_INTERVAL_MS, ConductorStats
+from amaranthtray.jobs.conductor_stats import (
+    REPLY_WAIT_MS,
+    SUMMARY_INTERVAL_MS,
+    ConductorStats,
+)
 
 HOST = HostId("h")
 NAME = TaskName(JobId("j"), 0, 0, 0)
@@ -51,6 +55,17 @@
     assert stats.take_summary(SECOND) is None
 
 
+def test_an_order_whose_run_was_stopped_is_forgotten() -> None:
+    stats = ConductorStats()
+    stats.record_order(start(1), now_ms=0)
+    stats.take_summary(REPLY_WAIT_MS)
+    stats.record_reply(reply(1, replied_ms=REPLY_WAIT_MS))
+    stats.record_order(start(2), now_ms=REPLY_WAIT_MS)
+    summary = stats.take_summary(REPLY_WAIT_MS + SECOND)
+    assert summary is not None
+    assert summary["starts"] == 0
+
+
 def test_summaries_are_a_second_apart() -> None:
     stats = ConductorStats()
     stats.record_order(start(1), now_ms=SECOND)
