Pause the request timer while its tick waits to be handled

While another thread handled messages, the timer posted tick after tick without a pause; since it reads a copy of the due time that loop is tighter still, and takes processor time from the handler. It now waits a millisecond.

--- a/src/amaranthtray/entry/request_runner.py
+++ b/src/amaranthtray/entry/request_runner.py
@@ -43,6 +43,7 @@
     from .recording import ServingHandler
     from .task_control import TaskControlClient
 
+MIN_SLEEP_MS = 1
 MAX_SLEEP_MS = 200
 MS_PER_S = 1_000
 
@@ -231,10 +232,10 @@
     def _run_timer(self) -> None:
         while not self._stopping.is_set():
             now = now_ms()
-            sleep_ms = min(MAX_SLEEP_MS, self._due_ms - now)
-            if sleep_ms <= 0:
+            if self._due_ms <= now:
                 self._mailbox.post(Tick())
-                continue
+            # While another thread still has to handle the tick, the due time is past.
+            sleep_ms = min(max(self._due_ms - now, MIN_SLEEP_MS), MAX_SLEEP_MS)
             self._wake_at_ms = now + sleep_ms
             self._wake_earlier.wait(sleep_ms / MS_PER_S)
             self._wake_earlier.clear()
