--- a/tests/jobs/store_site.py
+++ b/tests/jobs/store_site.py
@@ -1,7 +1,9 @@
-"""An in-memory store for the tasks of an entry, and a log that writes nothing."""
+"""An in-memory store for the tasks of an entry, a silent log, and work of a duty."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from amaranthtray.jobs.event_log import EventLog
 from amaranthtray.store.faults import Fault, PlannedFault
 from amaranthtray.store.memory import ClientName, MemoryPlatform
@@ -23,3 +25,14 @@
         """Plans faults for the next calls of one kind, such as ``commit``."""
         plans = [PlannedFault(fault, step=step) for fault in faults]
         self.platform.plan(CLIENT, *plans)
+
+
+@dataclass
+class DutyWork:
+    """Work that counts how often it is stopped."""
+
+    is_over: bool = False
+    stops: int = 0
+
+    def stop(self) -> None:
+        self.stops += 1
--- a/tests/jobs/test_duty_placement.py
+++ b/tests/jobs/test_duty_placement.py
@@ -10,8 +10,7 @@
 from amaranthtray.domain.ids import EntryId, Incarnation
 from amaranthtray.jobs.duty_task import DutyTask
 from amaranthtray.settings.job_entry import MachineSection
-from jobs.store_site import StoreSite
-from jobs.test_duty_task import DutyWork
+from jobs.store_site import DutyWork, StoreSite
 
 DUTY = DutyName("conductor/p")
 SMALL = MachineSection(cpu_share=0.5, cores=1, link_mbps=5.0)
--- a/tests/jobs/test_duty_task.py
+++ b/tests/jobs/test_duty_task.py
@@ -10,22 +10,11 @@
 from amaranthtray.domain.ids import EntryId, Incarnation
 from amaranthtray.jobs.duty_task import DutyTask
 from amaranthtray.settings.job_entry import MachineSection
-from jobs.store_site import StoreSite
+from jobs.store_site import DutyWork, StoreSite
 
 DUTY = DutyName("conductor/p")
 
 
-@dataclass
-class DutyWork:
-    """Work that counts how often it is stopped."""
-
-    is_over: bool = False
-    stops: int = 0
-
-    def stop(self) -> None:
-        self.stops += 1
-
-
 @dataclass
 class DutyTaskHarness:
     """A duty task whose duty seems free until ``is_free`` is cleared."""
