Let jobs that have begun go first, and others begin with a margin

Jobs beyond their team's share also waited behind jobs too late to count.

Change: within a priority, jobs that have begun go first while they can end in time, others need a tenth of their objective as slack, and the order among them adds a part of their size, at most that of a mean job. Jobs too late to count go last.

--- /dev/null
+++ b/src/amaranthtray/domain/jobs/estimate.py
@@ -0,0 +1,39 @@
+"""Estimated duration and work of a job, from what its caller declared."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from collections.abc import Set as AbstractSet
+
+    from .model import StepSpec
+
+
+class Estimate(NamedTuple):
+    """Estimate of a whole job.
+
+    Attributes:
+        critical_path_ms: Length of its critical path.
+        core_ms: Work of all tasks, in core-milliseconds.
+    """
+
+    critical_path_ms: int
+    core_ms: float
+
+
+def estimate_job(steps: Sequence[StepSpec]) -> Estimate:
+    """Returns the estimate of a job with the given steps."""
+    core_ms = sum(step.count * step.need.cpu * step.estimated_ms for step in steps)
+    return Estimate(critical_path_ms(steps, frozenset()), core_ms / 1_000)
+
+
+def critical_path_ms(steps: Sequence[StepSpec], done: AbstractSet[int]) -> int:
+    """Returns the estimated length of the critical path of steps not in ``done``."""
+    ends_ms: list[int] = []
+    for number, step in enumerate(steps):
+        before_ms = max((ends_ms[each] for each in step.after), default=0)
+        own_ms = 0 if number in done else step.estimated_ms
+        ends_ms.append(before_ms + own_ms)
+    return max(ends_ms, default=0)
--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from .estimate import Estimate, estimate_job
 from .model import JobSpec, StepSpec, TaskName
 from .task import Run, RunOutcome, RunPhase, Task
 
@@ -39,14 +40,19 @@
         state: State that callers see.
         past: Completed occurrences.
         ended_ms: Wall-clock time at which a final state was reached; 0 before.
+        estimate: Estimated duration and work of one occurrence.
     """
 
     spec: JobSpec
     state: JobState = JobState.QUEUED
     past: set[int] = field(default_factory=set)
     ended_ms: int = 0
+    estimate: Estimate = field(init=False)
     _tasks: dict[tuple[int, int], list[Task]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.estimate = estimate_job(self.spec.steps)
+
     @property
     def occurrences(self) -> int:
         """Returns how many times the steps run."""
@@ -110,6 +116,15 @@
         tasks = self._tasks.get((occurrence, step))
         return tasks is not None and all(task.is_done for task in tasks)
 
+    def has_begun(self, occurrence: int) -> bool:
+        """Returns whether a task of an occurrence has been started."""
+        return any(
+            task.last_run
+            for (each, _), tasks in self._tasks.items()
+            if each == occurrence
+            for task in tasks
+        )
+
     def is_over(self, name: TaskName) -> bool:
         """Returns whether a task needs no further run."""
         task = self.task(name)
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -8,7 +8,7 @@
 from ._unplaced import hosts_to_reserve
 from .messages import StartRun
 from .placement import place_each, place_gang
-from .ranking import rank
+from .ranking import Rank, Timeliness, rank
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -104,20 +104,21 @@
 
 
 def _jobs_by_rank(state: SchedulerState) -> list[Job]:
-    """Returns unfinished jobs by rank, excess ones last within their priority."""
-
-    def sort_key(job: Job) -> tuple[int, bool, int, float, str]:
-        job_rank = rank(job, state.queue_of(job), state.wall_ms)
-        is_excess = job.spec.id in state.shares.excess
-        return (
-            job_rank.priority,
-            is_excess,
-            job_rank.timeliness,
-            job_rank.slack_ms,
-            job.spec.id,
+    """Returns unfinished jobs by rank, within their priority by entitlement first.
+
+    Jobs beyond their team's share, and jobs that can't count any more, go last.
+    """
+    jobs = [job for job in state.active.values() if not job.state.is_final]
+    mean_core_ms = sum(job.estimate.core_ms for job in jobs) / max(len(jobs), 1)
+
+    def sort_key(job: Job) -> tuple[int, bool, Rank, str]:
+        job_rank = rank(job, state.queue_of(job), state.wall_ms, mean_core_ms)
+        goes_last = (
+            job.spec.id in state.shares.excess
+            or job_rank.timeliness is Timeliness.TOO_LATE
         )
+        return job_rank.priority, goes_last, job_rank, job.spec.id
 
-    jobs = (job for job in state.active.values() if not job.state.is_final)
     return sorted(jobs, key=sort_key)
 
 
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -1,19 +1,35 @@
-"""The order in which waiting jobs get resources."""
+"""The order in which waiting jobs get resources.
+
+The order answers bursts that are larger than the pool. There, earliest deadline first
+starts each job at the last moment, so that jobs which have begun, or were estimated too
+short, become late after they have used resources. Therefore jobs that have begun go
+first, a job must have a margin to begin in time, and small jobs precede large ones that
+are equally urgent.
+"""
 
 from __future__ import annotations
 
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..jobs.estimate import critical_path_ms
+
 if TYPE_CHECKING:
     from ..jobs.catalog import JobQueue
     from ..jobs.job import Job
-    from ..jobs.model import JobSpec
 
 
 LATE_FACTOR = 3
 """A job that ends within this multiple of its objective still counts, as late."""
 
+START_MARGIN = 0.1
+"""Part of its objective that a job must have as slack to begin in time, as orders take
+time and estimates are imprecise."""
+
+SIZE_WEIGHT = 0.25
+"""Weight of a job's work, relative to the mean, against its slack, relative to its
+objective. Jobs above the mean are not put back further: they must get their share."""
+
 
 class Timeliness(IntEnum):
     """How timely a job can still end.
@@ -35,41 +51,44 @@
     Attributes:
         priority: Priority of the queue, or -1 for a job with lasting tasks.
         timeliness: How timely the job can still end.
-        slack_ms: Time that the job can still wait without becoming less timely.
+        has_not_begun: Whether it can end in time and no task has been started.
+        urgency: While it can end in time, its slack relative to its objective and a
+            part of its size; else the time until it becomes less timely.
     """
 
     priority: int
     timeliness: Timeliness
-    slack_ms: float
+    has_not_begun: bool
+    urgency: float
+
 
+def rank(job: Job, queue: JobQueue, wall_ms: int, mean_core_ms: float = 0.0) -> Rank:
+    """Returns the rank of a job with waiting tasks.
 
-def rank(job: Job, queue: JobQueue, wall_ms: int) -> Rank:
-    """Returns the rank of a job with waiting tasks."""
+    Args:
+        job: The job.
+        queue: Queue to which it was submitted.
+        wall_ms: Wall-clock time.
+        mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
+    """
     spec = job.spec
     if any(step.is_lasting for step in spec.steps):
-        return Rank(-1, Timeliness.IN_TIME, spec.accepted_ms - wall_ms)
+        return Rank(-1, Timeliness.IN_TIME, False, spec.accepted_ms - wall_ms)
     occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
     begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
-    total_ms = critical_path_ms(spec, frozenset())
-    done = frozenset(
-        step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
-    )
+    total_ms, core_ms = job.estimate
     objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
-    left_ms = critical_path_ms(spec, done)
-    passed_ms = wall_ms - begun_ms + left_ms
-    slack_ms = objective_ms - passed_ms
-    if slack_ms >= 0:
-        return Rank(queue.priority, Timeliness.IN_TIME, slack_ms)
-    late_slack_ms = LATE_FACTOR * objective_ms - passed_ms
+    done = {
+        step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
+    }
+    left_ms = critical_path_ms(spec.steps, done) if done else total_ms
+    slack_ms = objective_ms - (wall_ms - begun_ms + left_ms)
+    slack = slack_ms / max(objective_ms, 1.0)
+    has_not_begun = not job.has_begun(occurrence)
+    if slack >= (START_MARGIN if has_not_begun else 0.0):
+        size = min(core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
+        urgency = slack + SIZE_WEIGHT * size
+        return Rank(queue.priority, Timeliness.IN_TIME, has_not_begun, urgency)
+    late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
     timeliness = Timeliness.LATE if late_slack_ms >= 0 else Timeliness.TOO_LATE
-    return Rank(queue.priority, timeliness, late_slack_ms)
-
-
-def critical_path_ms(spec: JobSpec, done: frozenset[int]) -> int:
-    """Returns the estimated length of the critical path of steps not in ``done``."""
-    ends_ms: list[int] = []
-    for number, step in enumerate(spec.steps):
-        before_ms = max((ends_ms[each] for each in step.after), default=0)
-        own_ms = 0 if number in done else step.estimated_ms
-        ends_ms.append(before_ms + own_ms)
-    return max(ends_ms, default=0)
+    return Rank(queue.priority, timeliness, False, late_slack_ms)
