Count late work apart from the need of a pool

Cause: half of the waiting work that could not end in time counted as need, and all of it while it ran.

Change: a pool reports late work separately; machines go to shortages of timely work first, and late work asks for a fifth of what it could use.

--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -12,35 +12,29 @@
     from ..jobs.job import Job
     from ._state import SchedulerState
 
-LATE_DIVISOR = 2
-"""The need of late work is divided by this before it is added to the load."""
-
 
 def pool_load(state: SchedulerState) -> PoolLoad:
     """Returns the need of running and waiting tasks, and the idle hosts."""
     hosts = [host for host in state.hosts.values() if host.is_listed]
     size = max((host.info.capacity for host in hosts), default=NO_RESOURCES)
     need, late, unplaced = NO_RESOURCES, NO_RESOURCES, 0
-    for host in hosts:
-        need = need.plus(host.used)
     for job in state.active.values():
-        if job.state.is_final:
-            continue
-        waiting = _waiting_need(state, job)
-        unplaced = max(unplaced, _hosts_for_unplaced(state, job, size))
+        wanted = _running_need(job)
+        if not job.state.is_final:
+            wanted = wanted.plus(_waiting_need(state, job))
+            unplaced = max(unplaced, _hosts_for_unplaced(state, job, size))
         timeliness = rank(job, state.queue_of(job), state.wall_ms).timeliness
-        if timeliness is not Timeliness.IN_TIME:
-            late = late.plus(waiting)
+        if timeliness is Timeliness.IN_TIME:
+            need = need.plus(wanted)
         else:
-            need = need.plus(waiting)
-    need = need.plus(Resources(*(amount // LATE_DIVISOR for amount in late)))
+            late = late.plus(wanted)
     idle = tuple(
         host.info.id
         for host in hosts
         if host.accepts_runs(state.now_ms) and not host.placed_runs()
     )
-    wanted = len(hosts) + unplaced if unplaced else 0
-    return PoolLoad(need, size, idle, wanted)
+    wanted_hosts = len(hosts) + unplaced if unplaced else 0
+    return PoolLoad(need, size, idle, wanted_hosts, late)
 
 
 def _hosts_for_unplaced(state: SchedulerState, job: Job, size: Resources) -> int:
@@ -53,6 +47,14 @@
     return lacking
 
 
+def _running_need(job: Job) -> Resources:
+    """Returns the total need of a job's runs that may be on a host."""
+    need = NO_RESOURCES
+    for name, _ in job.runs():
+        need = need.plus(job.spec.steps[name.step].reserved)
+    return need
+
+
 def _waiting_need(state: SchedulerState, job: Job) -> Resources:
     """Returns the total need of a job's tasks that may start now."""
     need = NO_RESOURCES
--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -3,6 +3,9 @@
 A pool gets machines as soon as its work does not fit, and releases machines that it
 has not needed for a while. Machines that no pool needs move to a standby pool, where
 they cost nothing, if there is one.
+
+When the fleet is too small, late jobs draw few machines: those go to pools whose work
+can still end in time.
 """
 
 from __future__ import annotations
@@ -25,6 +28,9 @@
 HEADROOM_FACTOR = 1.25
 """Multiple of the need that a pool gets, as tasks pack imperfectly and more arrive."""
 
+LATE_SHARE = 0.2
+"""Part of the machines for late work that a pool asks for."""
+
 MIN_HOSTS = 2
 """Minimum size of a pool, so that the loss of one host stops no work."""
 
@@ -45,18 +51,19 @@
     """Load of a pool as its conductor reports it.
 
     Attributes:
-        need: Resources of running tasks, of waiting tasks that can still end in time,
-            and of a part of the other waiting tasks.
+        need: Resources of the running and waiting tasks of jobs that can end in time.
         host: Resources of one host of the pool.
         idle: Hosts without runs.
         wanted: Number of hosts at which every task could be placed; 0 if every task
             is.
+        late: Resources of the running and waiting tasks of the other jobs.
     """
 
     need: Resources = NO_RESOURCES
     host: Resources = NO_RESOURCES
     idle: tuple[HostId, ...] = ()
     wanted: int = 0
+    late: Resources = NO_RESOURCES
 
 
 @dataclass(slots=True)
@@ -93,14 +100,16 @@
 
 
 def hosts_needed(load: PoolLoad) -> int:
-    """Returns how many machines a pool needs for its load."""
-    shares = [
-        amount / each for amount, each in zip(load.need, load.host, strict=True) if each
-    ]
-    by_amounts = math.ceil(HEADROOM_FACTOR * max(shares, default=0.0))
+    """Returns how many machines a pool needs for its work that can end in time."""
+    by_amounts = math.ceil(HEADROOM_FACTOR * _hosts_for(load.need, load.host))
     return max(MIN_HOSTS, by_amounts, load.wanted)
 
 
+def _hosts_for(need: Resources, host: Resources) -> float:
+    shares = [amount / each for amount, each in zip(need, host, strict=True) if each]
+    return max(shares, default=0.0)
+
+
 def plan_moves(
     moves: Moves,
     fleet: Fleet,
@@ -173,19 +182,29 @@
 
 @dataclass(slots=True)
 class _Balance:
-    """Machines that a pool has, needs for its load, and retains for future load."""
+    """Machines of a pool, and how many it can use.
+
+    Attributes:
+        have: Machines that it has.
+        needed: Machines for work that can end in time.
+        late: Machines for other work.
+        retained: Machines that it keeps for future load.
+    """
 
     have: int
     needed: int
+    late: int
     retained: int
 
     @property
     def shortage(self) -> int:
+        """Returns how many machines its timely work lacks."""
         return self.needed - self.have
 
     @property
     def lacking(self) -> int:
-        return max(self.needed, self.retained) - self.have
+        """Returns how many machines it lacks for all of its work and its reserve."""
+        return max(self.needed + self.late, self.retained) - self.have
 
 
 def _balances(
@@ -204,9 +223,10 @@
     balances = {}
     for pool, load in loads.items():
         retained = math.ceil(RETAINED_SHARE * moves.assigned_counts.get(pool, 0))
-        balance = _Balance(have[pool], hosts_needed(load), retained)
-        balances[pool] = balance
-        if balance.shortage < 0:
+        needed = hosts_needed(load)
+        late = math.ceil(LATE_SHARE * _hosts_for(load.late, load.host))
+        balance = balances[pool] = _Balance(have[pool], needed, late, retained)
+        if balance.needed + balance.late < balance.have:
             moves.surplus_since_ms.setdefault(pool, now_ms)
         else:
             moves.surplus_since_ms.pop(pool, None)
@@ -267,7 +287,8 @@
 ) -> None:
     """Selects idle machines of pools with a surplus to leave for another pool.
 
-    Machines that a pool only retains for future load go to pools with a shortage.
+    Machines that a pool only retains for future load, or for late work, go to pools
+    with a shortage.
     """
     for machine in available:
         load, balance = loads.get(machine.pool), balances.get(machine.pool)
--- a/tests/upkeep/test_moves.py
+++ b/tests/upkeep/test_moves.py
@@ -111,6 +111,19 @@
     assert [order.pool for order in orders] == [BUSY]
 
 
+def test_machines_go_to_work_in_time_before_late_work() -> None:
+    """The other pool is in arrears with several times as much."""
+    fleet = a_fleet()
+    loads = {
+        BUSY: PoolLoad(need=Resources(60_000), host=SIZE),
+        IDLE: PoolLoad(late=Resources(400_000), host=SIZE),
+    }
+    orders = plan_moves(
+        some_moves(), fleet, loads, frozenset({SPARE}), frozenset(), 0
+    ).orders
+    assert [order.pool for order in orders] == [BUSY, BUSY, IDLE]
+
+
 def test_no_machine_moves_to_a_pool_of_another_kind() -> None:
     moves = some_moves()
     every = machines(BUSY, 6) + [
