Ask for the machines that a growing pool needs when they arrive

Cause: a pool asked for what ran and waited now, and a machine arrives 2 s later.

With peaks met sooner a pool retains 0.35 instead of half of its machines.

--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -4,6 +4,7 @@
 has not needed for a while. Machines that no pool needs move to a standby pool, where
 they cost nothing, if there is one.
 
+In a burst a move takes as long as a caller can wait, so a growing need is extrapolated.
 When the fleet is too small, late jobs draw few machines: those go to pools whose work
 can still end in time.
 """
@@ -19,6 +20,7 @@
 from ..ids import HostId, PoolName
 from ..jobs.model import NO_RESOURCES, Resources
 from .model import Machine, MachineName, MachineState, MoveMachine
+from .trend import NeedTrend
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,6 +30,9 @@
 HEADROOM_FACTOR = 1.25
 """Multiple of the need that a pool gets, as tasks pack imperfectly and more arrive."""
 
+ARRIVAL_MS = 1_500
+"""Time ahead for which a growing need is extrapolated: about that of a move."""
+
 LATE_SHARE = 0.2
 """Part of the machines for late work that a pool asks for."""
 
@@ -38,7 +43,7 @@
 """Time for which a pool must have a surplus before machines leave it for a pool that
 does not need them now."""
 
-RETAINED_SHARE = 0.5
+RETAINED_SHARE = 0.35
 """Part of the machines that operators gave a pool which it always retains: they must
 suffice while the duty that moves machines has no holder or can't reach the platform."""
 
@@ -76,12 +81,14 @@
         surplus_since_ms: Steady-clock time since which a pool has had more machines
             than its work needs.
         assigned_counts: Number of machines that operators first gave each pool.
+        trends: Recent needs of each pool.
     """
 
     leaving: dict[MachineName, PoolName] = field(default_factory=dict)
     moving: dict[MachineName, tuple[PoolName, int]] = field(default_factory=dict)
     surplus_since_ms: dict[PoolName, int] = field(default_factory=dict)
     assigned_counts: dict[PoolName, int] = field(default_factory=dict)
+    trends: dict[PoolName, NeedTrend] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,7 +230,12 @@
     balances = {}
     for pool, load in loads.items():
         retained = math.ceil(RETAINED_SHARE * moves.assigned_counts.get(pool, 0))
+        trend = moves.trends.setdefault(pool, NeedTrend())
+        trend.record(load.need, now_ms)
         needed = hosts_needed(load)
+        if needed > have[pool]:
+            forecast = trend.forecast(ARRIVAL_MS)
+            needed = max(needed, math.ceil(_hosts_for(forecast, load.host)))
         late = math.ceil(LATE_SHARE * _hosts_for(load.late, load.host))
         balance = balances[pool] = _Balance(have[pool], needed, late, retained)
         if balance.needed + balance.late < balance.have:
