Count a duty from before its first call, so that one entry does not take all

Cause: an entry waits 150 ms longer for a free duty for each one that it holds, but a duty counted only once it was acquired, some calls later.

Change: an entry's claims on duties are counted under one lock, from before the first call.

--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -22,6 +22,7 @@
     from ..domain.duties.names import DutyName
     from ..domain.ids import EntryId, Incarnation, Term
     from .context import JobEntryContext
+    from .duty_claims import DutyClaims
 
 DUTY_SETTINGS = DutySettings(
     ttl_ms=1_600,
@@ -122,7 +123,7 @@
         incarnation: Incarnation of the entry.
         context: Objects that all tasks of the entry share.
         view: Tells whether the duty is free.
-        count_held: Returns how many duties the entry holds.
+        claims: Claims of the entry on this and other duties.
         start_work: Starts the work when the duty is acquired.
     """
 
@@ -134,13 +135,13 @@
         *,
         context: JobEntryContext,
         view: DutyView,
-        count_held: Callable[[], int],
+        claims: DutyClaims,
         start_work: WorkFactory,
     ) -> None:
         self._name = name
         self._context = context
         self._view = view
-        self._count_held = count_held
+        self._claims = claims
         self._start_work = start_work
         rng = random.Random(f"{incarnation}/{name}")
         self._jitter_ms = rng.randint(0, JITTER_MS)
@@ -186,19 +187,21 @@
         holder = self._runner.holder
         is_idle = self._work is not None and self._work.is_over
         is_held = self._term is not None and not is_idle
-        holder.is_wanted = is_held or self._may_acquire()
+        holder.is_wanted = is_held or self._claims.claim(self._name, self._may_acquire)
+        if not holder.is_wanted:
+            self._claims.release(self._name)
         term = self._runner.run()
         if term is not None and term != self._term:
             self._begin_work(term)
         elif isinstance(holder.state, Idle) and self._term is not None:
             self._end_work()
 
-    def _may_acquire(self) -> bool:
+    def _may_acquire(self, other_duties: int) -> bool:
         free_ms = self._view.free_for_ms(self._name)
         if free_ms is None or self._context.catalog() is None:
             return False
         size = self._context.settings.machine.size
-        return free_ms >= self._jitter_ms + acquire_delay_ms(size, self._count_held())
+        return free_ms >= self._jitter_ms + acquire_delay_ms(size, other_duties)
 
     def _begin_work(self, term: Term) -> None:
         self._context.log.event("duty-taken", duty=self._name, term=term)
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -11,6 +11,7 @@
 from ..domain.ids import EntryId, Incarnation
 from .config_follower import ConfigFollower
 from .context import JobEntryContext
+from .duty_claims import DutyClaims
 from .duty_task import DutyTask, DutyView, DutyWork, WorkFactory
 from .event_log import EventLog
 from .fleet_manager import FleetManager
@@ -72,6 +73,7 @@
         self._view = DutyView(self._context)
         self._incarnation = Incarnation(secrets.token_hex(8))
         self._duties: dict[DutyName, DutyTask] = {}
+        self._claims = DutyClaims()
         self._conductors: dict[PoolName, PoolConductor] = {}
         self._lock = threading.Lock()
         self._shutting_down = threading.Event()
@@ -166,7 +168,7 @@
             self._incarnation,
             context=self._context,
             view=self._view,
-            count_held=self._count_held,
+            claims=self._claims,
             start_work=start_work,
         )
 
--- a/tests/jobs/test_duty_placement.py
+++ b/tests/jobs/test_duty_placement.py
@@ -4,14 +4,21 @@
 
 from dataclasses import dataclass, field
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from amaranthtray.domain.duties.names import DutyName
 from amaranthtray.domain.ids import EntryId, Incarnation
-from amaranthtray.jobs.duty_task import DutyTask
+from amaranthtray.jobs.duty_claims import DutyClaims
+from amaranthtray.jobs.duty_task import JITTER_MS, DutyTask
 from amaranthtray.settings.job_entry import MachineSection
 from jobs.store_site import DutyWork, StoreSite
 
+if TYPE_CHECKING:
+    import pytest
+    from returns.result import Result
+
+    from amaranthtray.store.contract import LeaseId, StoreFailure
+
 DUTY = DutyName("conductor/p")
 SMALL = MachineSection(cpu_share=0.5, cores=1, link_mbps=5.0)
 LARGE = MachineSection(cpu_share=0.7, cores=3, link_mbps=100.0)
@@ -30,7 +37,13 @@
 
 
 def new_task(
-    site: StoreSite, duty: FreeDuty, name: str, machine: MachineSection
+    site: StoreSite,
+    duty: FreeDuty,
+    name: str,
+    machine: MachineSection,
+    *,
+    duty_name: DutyName = DUTY,
+    claims: DutyClaims | None = None,
 ) -> DutyTask:
     context: Any = SimpleNamespace(
         store=site.store,
@@ -40,12 +53,12 @@
     )
     view: Any = duty
     task = DutyTask(
-        DUTY,
+        duty_name,
         EntryId(name),
         Incarnation(name),
         context=context,
         view=view,
-        count_held=lambda: 0,
+        claims=claims or DutyClaims(),
         start_work=lambda term, held_term: DutyWork(),
     )
     duty.tasks.append(task)
@@ -62,3 +75,33 @@
             small.step()
             large.step()
         assert large.is_held
+
+
+def test_an_entry_does_not_take_all_duties_that_are_free_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of its tasks looks while another one's calls are under way."""
+    names = [DutyName(f"conductor/p{number}") for number in range(4)]
+    site, claims = StoreSite(), DutyClaims()
+    duties = [FreeDuty(free_ms=JITTER_MS) for _ in names]
+    tasks = [
+        new_task(site, duty, "e", LARGE, duty_name=name, claims=claims)
+        for name, duty in zip(names, duties, strict=True)
+    ]
+    grant_lease = site.store.grant_lease
+
+    def grant_while_others_look(ttl_ms: int) -> Result[LeaseId, StoreFailure]:
+        for task in tasks[1:]:
+            task.step()
+        return grant_lease(ttl_ms)
+
+    monkeypatch.setattr(site.store, "grant_lease", grant_while_others_look)
+    tasks[0].step()
+    assert [task.is_held for task in tasks] == [True, False, False, False]
+
+
+def test_a_duty_that_another_entry_took_does_not_count() -> None:
+    claims = DutyClaims()
+    assert claims.claim(DUTY, lambda others: others == 0)
+    claims.release(DUTY)
+    assert claims.claim(DutyName("fleet"), lambda others: others == 0)
--- a/tests/jobs/test_duty_task.py
+++ b/tests/jobs/test_duty_task.py
@@ -8,6 +8,7 @@
 
 from amaranthtray.domain.duties.names import DutyName
 from amaranthtray.domain.ids import EntryId, Incarnation
+from amaranthtray.jobs.duty_claims import DutyClaims
 from amaranthtray.jobs.duty_task import DutyTask
 from amaranthtray.settings.job_entry import MachineSection
 from jobs.store_site import DutyWork, StoreSite
@@ -37,7 +38,7 @@
             Incarnation("i"),
             context=context,
             view=view,
-            count_held=lambda: 0,
+            claims=DutyClaims(),
             start_work=lambda term, held_term: self.start_work(),
         )
 
