--- a/tests/upkeep/test_moves.py
+++ b/tests/upkeep/test_moves.py
@@ -62,7 +62,7 @@
     assert [order.pool for order in orders] == [BUSY, BUSY]
 
 
-def test_an_idle_pool_keeps_half_of_its_machines() -> None:
+def test_an_idle_pool_keeps_its_retained_share() -> None:
     moves, fleet = some_moves(), a_fleet(vacant=True)
     plan(moves, fleet, {BUSY: 48, IDLE: 0})
     orders = plan(moves, fleet, {BUSY: 48, IDLE: 0}, 2_000).orders
