Retain half of a pool's machines again, and let late work ask for half of its need

Its first peak comes at 0 s in full, and the pool met it with 14 instead of 20 machines; late work then waited for machines until it no longer counted.

--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -33,7 +33,7 @@
 ARRIVAL_MS = 1_500
 """Time ahead for which a growing need is extrapolated: about that of a move."""
 
-LATE_SHARE = 0.2
+LATE_SHARE = 0.5
 """Part of the machines for late work that a pool asks for."""
 
 MIN_HOSTS = 2
@@ -43,7 +43,7 @@
 """Time for which a pool must have a surplus before machines leave it for a pool that
 does not need them now."""
 
-RETAINED_SHARE = 0.35
+RETAINED_SHARE = 0.5
 """Part of the machines that operators gave a pool which it always retains: they must
 suffice while the duty that moves machines has no holder or can't reach the platform."""
 
