--- a/src/amaranthtray/cli/apply.py
+++ b/src/amaranthtray/cli/apply.py
@@ -6,7 +6,8 @@
 
 import click
 
-from .difference import difference, merge_changes
+from .difference import difference, emptied_kinds, merge_changes
+from .errors import input_error
 from .fleet_file import load_fleet
 from .options import CommandWithOutput, yes_option
 from .output import OutputFormat, print_json, print_table
@@ -24,9 +25,21 @@
 @click.option(
     "--prune", is_flag=True, help="Remove objects that the file does not name."
 )
+@click.option(
+    "--remove-all",
+    is_flag=True,
+    help="With --prune: also remove all pools, all teams or all queues.",
+)
 @yes_option
 @pass_session
-def apply(session: Session, file: str, dry_run: bool, prune: bool, yes: bool) -> None:
+def apply(
+    session: Session,
+    file: str,
+    dry_run: bool,
+    prune: bool,
+    remove_all: bool,
+    yes: bool,
+) -> None:
     """Makes pools, teams, queues and host labels match FILE.
 
     Keys, operators and waves are never changed. A second run changes nothing.
@@ -37,6 +50,8 @@
     if dry_run or not steps:
         _print_steps(steps, cfg.revision, session.output)
         return
+    if prune and not remove_all:
+        _refuse_removal_of_all(emptied_kinds(cfg, fleet), file)
     if not yes:
         _print_table(steps, is_error=True)
     committed = session.commit(
@@ -45,6 +60,20 @@
     session.print_committed(committed, changed=len(steps))
 
 
+def _refuse_removal_of_all(emptied: dict[str, list[str]], file: str) -> None:
+    """Ends the command if it would leave a kind of object without any."""
+    if emptied:
+        removed = "; ".join(
+            f"all {kind} ({', '.join(names)})" for kind, names in emptied.items()
+        )
+        raise input_error(
+            f"--prune would remove {removed}",
+            where=file,
+            fix="name what is to stay in the file, or add --remove-all",
+            step="apply",
+        )
+
+
 def _print_steps(steps: list[Step], revision: int, output: OutputFormat) -> None:
     if output is OutputFormat.JSON:
         rows = [
--- a/src/amaranthtray/cli/difference.py
+++ b/src/amaranthtray/cli/difference.py
@@ -79,6 +79,28 @@
     ]
 
 
+def emptied_kinds(cfg: Configuration, fleet: Fleet) -> dict[str, list[str]]:
+    """Returns the kinds of which pruning would remove every object, with their names.
+
+    Args:
+        cfg: The configuration in force.
+        fleet: The declared configuration.
+    """
+    kinds: dict[str, tuple[set[str], set[str]]] = {
+        "pools": (
+            {str(name) for name in cfg.pools if name != SPARE_POOL},
+            set(fleet.pools),
+        ),
+        "teams": (set(cfg.teams), set(fleet.teams)),
+        "queues": (set(cfg.queues), set(fleet.queues)),
+    }
+    return {
+        kind: sorted(present)
+        for kind, (present, wanted) in kinds.items()
+        if present and present.isdisjoint(wanted)
+    }
+
+
 def merge_changes(steps: list[Step]) -> list[Change]:
     """Returns the changes of all steps, with the labels of all hosts in one change."""
     labels: dict[HostId, dict[str, str]] = {}
--- a/src/amaranthtray/cli/fleet_file.py
+++ b/src/amaranthtray/cli/fleet_file.py
@@ -82,6 +82,11 @@
     queues: dict[QueueName, Queue]
     host_labels: dict[HostId, dict[str, str]]
 
+    @property
+    def is_empty(self) -> bool:
+        """Returns whether the file declares nothing."""
+        return not (self.pools or self.teams or self.queues or self.host_labels)
+
 
 def load_fleet(path: str) -> Fleet:
     """Reads a fleet file.
--- a/src/amaranthtray/cli/run.py
+++ b/src/amaranthtray/cli/run.py
@@ -51,8 +51,13 @@
     kind = _file_kind(file)
     if kind == "settings":
         _load_settings(file)
-    else:
-        load_fleet(file)
+    elif load_fleet(file).is_empty:
+        raise input_error(
+            "the file declares nothing",
+            where=file,
+            fix="add [[pools]], [[teams]], [[queues]] or [host_labels]",
+            step="check",
+        )
     if session.output is OutputFormat.JSON:
         print_json({"file": file, "kind": kind, "ok": True})
     else:
--- a/tests/cli/test_apply.py
+++ b/tests/cli/test_apply.py
@@ -86,13 +86,50 @@
     file.write_text('[[teams]]\nname = "blue"\n')
     run(f"apply {file} --yes")
     assert "red" in fleet.cfg.teams
-    run(f"apply {file} --yes --prune")
+    run(f"apply {file} --yes --prune --remove-all")
     assert list(fleet.cfg.teams) == ["blue"]
     assert fleet.cfg.pools == {}
     kinds = [change["type"] for change in fleet.changes]
     assert kinds == ["PutTeam", "RemoveQueue", "RemoveTeam", "RemovePool"]
 
 
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("", ["all pools (web)", "all teams (red)", "all queues (bookings)"]),
+        ('[[teams]]\nname = "blue"\n', ["all teams (red)"]),
+        ('[[teams]]\nname = "red"\n', ["all pools (web)", "all queues (bookings)"]),
+    ],
+)
+def test_pruning_does_not_remove_all_pools_teams_or_queues_by_mistake(
+    run: Callable[[str], Result],
+    fleet: fake_admin.FakeFleet,
+    tmp_path: Path,
+    text: str,
+    words: list[str],
+) -> None:
+    file = tmp_path / "fleet.toml"
+    file.write_text(text)
+    refused = run(f"apply {file} --yes --prune")
+    assert refused.exit_code == 2
+    assert all(word in refused.output for word in words)
+    assert "--remove-all" in refused.output
+    assert fleet.changes == []
+    assert run(f"apply {file} --prune --dry-run").exit_code == 0
+
+
+def test_check_of_a_file_that_declares_nothing_fails(
+    run: Callable[[str], Result], tmp_path: Path
+) -> None:
+    file = tmp_path / "fleet.toml"
+    file.write_text("")
+    checked = run(f"check {file}")
+    assert checked.exit_code == 2
+    assert "declares nothing" in checked.output
+    file.write_text(FLEET)
+    assert run(f"check {file}").exit_code == 0
+
+
 def test_pruning_never_touches_the_spare_pool() -> None:
     wanted = parse_fleet("[host_labels]\n").unwrap()
     spare = parse_fleet('[[pools]]\nname = "spare"\nselector = ""\n').unwrap()
