Log how starts are refused and why runs are given up

The log had no line for a start order that got no success, and none for a run that was dropped because its host is gone: a task that crashes its hosts could not be told from one whose host was cut off. No logic changes.

--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -5,8 +5,16 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunOutcome, RunPhase
+from ._losses import drop_lost_runs
 from ._progress import record_progress
-from .messages import Effect, HostReport, RunReport, StopRun
+from .messages import (
+    Effect,
+    HostReport,
+    LossCause,
+    RunReport,
+    RunsLost,
+    StopRun,
+)
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
@@ -19,6 +27,7 @@
 def apply_report(state: SchedulerState, host: Host, report: HostReport) -> list[Effect]:
     """Updates the state from a report; returns stops for obsolete and unknown runs."""
     effects: list[Effect] = []
+    absent: list[PlacedRun] = []
     if host.born != report.born:
         _mark_restarted(host)
     host.born = report.born
@@ -34,12 +43,26 @@
                 placed.run.phase, placed.run.confirmed_ms = RunPhase.STOPPING, None
                 effects.append(StopRun(host.info.id, placed.name, placed.run.number))
         elif _is_absence_proven(placed, report):
-            state.drop_run(placed.name, placed.run)
+            absent.append(placed)
+    effects += _drop_absent(state, host, absent)
     host.has_unknown_runs = bool(running)
     effects += [StopRun(host.info.id, name, number) for name, number in running]
     return effects
 
 
+def _drop_absent(
+    state: SchedulerState, host: Host, absent: list[PlacedRun]
+) -> list[RunsLost]:
+    """Drops runs that the host does not report, by the incarnation that had them."""
+    runs = [(placed.name, placed.run) for placed in absent]
+    restarted = [each for each in runs if each[1].host_born != host.born]
+    others = [each for each in runs if each[1].host_born == host.born]
+    return [
+        *drop_lost_runs(state, restarted, LossCause.HOST_RESTARTED),
+        *drop_lost_runs(state, others, LossCause.NOT_REPORTED),
+    ]
+
+
 def _mark_restarted(host: Host) -> None:
     """Marks all ordered runs as unconfirmed after a host restart.
 
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -8,6 +8,7 @@
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
 from ._load import pool_load
+from ._losses import drop_lost_runs, drop_runs_of_unlisted_hosts
 from ._pacing import pace_fillers
 from ._planner import plan_starts
 from ._progress import stop_stalled_runs
@@ -29,7 +30,9 @@
     HostsListed,
     JobCancelled,
     JobFound,
+    LossCause,
     Message,
+    RunsLost,
     StartOutcome,
     StartReplied,
     StartRun,
@@ -118,8 +121,8 @@
                 return apply_report(self.state, host, message) if host else []
             case HostSilent(host_id):
                 return self._handle_silent_host(host_id)
-            case HostRunsEnded(host_id):
-                return self._handle_runs_ended(host_id)
+            case HostRunsEnded(host_id, cause):
+                return self._handle_runs_ended(host_id, cause)
             case StartReplied():
                 return self._handle_start_reply(message)
             case StopReplied():
@@ -146,8 +149,7 @@
             state.first_planned_ms = now_ms
         if state.is_storing:
             return []
-        self._drop_runs_of_unlisted()
-        stops: list[Effect] = []
+        stops: list[Effect] = [*self._drop_runs_of_unlisted()]
         for job in state.dirty_jobs():
             stops += self._stop_obsolete_runs(job)
         stops += self._inspect_hosts()
@@ -186,19 +188,15 @@
             self._expiry_checked_ms = self.state.now_ms
             self.state.select_expired(self._retention_ms)
 
-    def _drop_runs_of_unlisted(self) -> None:
+    def _drop_runs_of_unlisted(self) -> list[RunsLost]:
         """Drops runs on unlisted hosts, once, when leases of earlier terms expired."""
-        state = self.state
         if (
             self._earlier_leases_until_ms is None
-            or state.now_ms < self._earlier_leases_until_ms
+            or self.state.now_ms < self._earlier_leases_until_ms
         ):
-            return
+            return []
         self._earlier_leases_until_ms = None
-        for job in list(state.active.values()):
-            for name, run in list(job.runs()):
-                if run.host not in state.hosts:
-                    state.drop_run(name, run)
+        return drop_runs_of_unlisted_hosts(self.state)
 
     def _is_report_due(self) -> bool:
         """Returns whether the pool's report changed and is due; updates the load."""
@@ -276,17 +274,17 @@
             host.is_silent = True
         return []
 
-    def _handle_runs_ended(self, host_id: HostId) -> list[Effect]:
+    def _handle_runs_ended(self, host_id: HostId, cause: LossCause) -> list[Effect]:
         host = self.state.hosts.get(host_id)
         if host is None:
             return []
-        for placed in host.placed_runs():
-            self.state.drop_run(placed.name, placed.run)
+        runs = [(placed.name, placed.run) for placed in host.placed_runs()]
+        lost = drop_lost_runs(self.state, runs, cause)
         host.born = None
         if host.is_listed:
-            return []
+            return [*lost]
         del self.state.hosts[host_id]
-        return [UnwatchHost(host_id)]
+        return [*lost, UnwatchHost(host_id)]
 
     def _handle_start_reply(self, reply: StartReplied) -> list[Effect]:
         host = self.state.hosts.get(reply.host)
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -10,6 +10,7 @@
     HostReport,
     HostRunsEnded,
     HostSilent,
+    LossCause,
     Message,
     PaceRun,
     StartOutcome,
@@ -154,7 +155,7 @@
                 )
                 return outcome
             case AddressReused():
-                self._post(HostRunsEnded(self.info.id))
+                self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
             case OrderFenced():
                 self._guard.mark_superseded()
             case NoUsableReply(detail):
@@ -180,7 +181,7 @@
             self._log.event("host-silent", host=self.info.id, detail=detail)
             self._post(HostSilent(self.info.id))
         if self._lease.is_expired(steady_ms()):
-            self._post(HostRunsEnded(self.info.id))
+            self._post(HostRunsEnded(self.info.id, LossCause.LEASE_EXPIRED))
 
     def _await_stored(self, born: int, pending: int) -> None:
         """Waits until reported ends may be acknowledged, or for a time limit."""
@@ -227,7 +228,7 @@
                 break
             unanswered += 1
         if isinstance(outcome, AddressReused):
-            self._post(HostRunsEnded(self.info.id))
+            self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
             return
         self._post(
             StartReplied(
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -18,6 +18,8 @@
     Effect,
     Message,
     PaceRun,
+    RunsLost,
+    StartOutcome,
     StartReplied,
     StartRun,
     StopRun,
@@ -54,6 +56,9 @@
 
 STORE_RETRY_MS = 100
 
+MAX_LOGGED_RUNS = 40
+"""Most lost runs that one log line names."""
+
 
 class TermGuard:
     """Tells whether a conductor may still act under its term; thread-safe.
@@ -211,7 +216,7 @@
         for message in messages:
             now_ms, wall_ms = clock.steady_ms(), clock.wall_ms()
             if isinstance(message, StartReplied):
-                self._stats.record_reply(message)
+                self._record_start_reply(message)
             self._apply_effects(scheduler.handle(message, now_ms, wall_ms))
         since_ms = clock.steady_ms() - self._last_plan_ms
         if since_ms < MIN_PLAN_INTERVAL_MS:
@@ -223,6 +228,19 @@
         self._stats.record_round(len(messages))
         self._log_activity(scheduler)
 
+    def _record_start_reply(self, reply: StartReplied) -> None:
+        self._stats.record_reply(reply)
+        if reply.outcome is not StartOutcome.STARTED:
+            self._context.log.event(
+                "start-not-confirmed",
+                host=reply.host,
+                task=str(reply.name),
+                run=reply.number,
+                outcome=reply.outcome,
+                was_repeated=reply.was_repeated,
+                term=self._guard.term,
+            )
+
     def _log_activity(self, scheduler: PoolScheduler) -> None:
         """Logs, once a second, what the pool does and how long it takes."""
         summary = self._stats.take_summary(clock.steady_ms())
@@ -261,6 +279,8 @@
                     self._unwatch_host(host)
                 case Superseded():
                     self._guard.mark_superseded()
+                case RunsLost():
+                    self._record_lost_runs(effect)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
@@ -276,6 +296,20 @@
             )
             link.order(order)
 
+    def _record_lost_runs(self, lost: RunsLost) -> None:
+        self._context.metrics.count("runs_lost", lost.cause, len(lost.runs))
+        rows = [(str(run.name), *run[1:]) for run in lost.runs[:MAX_LOGGED_RUNS]]
+        self._context.log.event(
+            "runs-lost",
+            pool=self.pool,
+            host=lost.host,
+            born=lost.born,
+            cause=lost.cause,
+            count=len(lost.runs),
+            runs=rows,
+            term=self._guard.term,
+        )
+
     def _watch_host(self, host: HostId, effect: WatchHost) -> None:
         self._unwatch_host(host)
         lease = HostLease(
