Give up tasks that crash their hosts, and keep their suspects apart

Cause: only reported ends counted as attempts. A crashed host reports none; its runs were dropped and their tasks started again, without end and without memory.

Each loss of a host now counts for the tasks that may have been running on it, as (host, incarnation, machine) in the job's stored record, so that conductors, entries and restarts don't change the count. Departures after a notice, emptied hosts, orders that were never sent and hosts that turn out to have been cut off don't count. All tasks of a crashed host are suspects. After one crash they avoid each other; after two a task runs only where no other job does, on a machine that did not crash under it. A task is given up when three machines have crashed under it, the last while it was alone there, or after five crashes: its job fails, or, if it is to last, the other tasks go on.

--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -8,7 +8,7 @@
 
 from .estimate import Estimate, estimate_job
 from .model import JobSpec, StepSpec, TaskName
-from .task import Run, RunOutcome, RunPhase, Task
+from .task import HostCrash, Run, RunOutcome, RunPhase, Task
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -16,6 +16,14 @@
     from ..ids import HostId
 
 
+CRASHED_MACHINES_LIMIT = 3
+"""Distinct machines that crash under a task before it is given up, if the last one ran
+nothing else; one unreliable machine must not fail the tasks that it gets."""
+
+CRASH_LIMIT = 5
+"""Crashes before a task is given up that has never run alone."""
+
+
 class JobState(StrEnum):
     """State of a job as callers see it."""
 
@@ -142,6 +150,7 @@
         task = self.tasks(name.occurrence, name.step)[name.number]
         task.last_run = number
         run = Run(number, host, born, RunPhase.RESERVED)
+        run.prior_crashes = self.crash_count(name)
         task.runs.append(run)
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
@@ -187,6 +196,54 @@
             self._close_occurrence(name.occurrence)
         return True
 
+    def crash_count(self, name: TaskName) -> int:
+        """Returns how many hosts crashed under a task, or under a member of its gang.
+
+        Members that shared a host can't be told apart, so the highest number counts.
+        """
+        tasks = self.tasks(name.occurrence, name.step)
+        if self.spec.steps[name.step].is_gang:
+            return max(len(task.crashes) for task in tasks)
+        return len(tasks[name.number].crashes)
+
+    def record_crash(
+        self, name: TaskName, crash: HostCrash, *, was_alone: bool
+    ) -> bool:
+        """Records a crash of a task's host; returns whether the task is given up now.
+
+        A finite job fails with its task. Of a lasting job the other tasks go on.
+
+        Args:
+            name: The task.
+            crash: The host that crashed.
+            was_alone: Whether the host had certainly no run of another job.
+        """
+        task = self.task(name)
+        if task is None or task.is_given_up or crash in task.crashes:
+            return False
+        task.crashes.append(crash)
+        machines = len(task.crashed_machines)
+        is_certain = was_alone and machines >= CRASHED_MACHINES_LIMIT
+        if not is_certain and len(task.crashes) < CRASH_LIMIT:
+            return False
+        task.is_given_up = True
+        if not self.spec.steps[name.step].is_lasting and not self.state.is_final:
+            self.state = JobState.FAILED
+        return True
+
+    def withdraw_crash(self, name: TaskName, host: HostId, born: int) -> bool:
+        """Removes a crash that the task did not cause; returns whether it had it.
+
+        A task that was given up stays so.
+        """
+        task = self.task(name)
+        if task is None or task.is_given_up:
+            return False
+        kept = [each for each in task.crashes if each[:2] != (host, born)]
+        is_changed = len(kept) < len(task.crashes)
+        task.crashes, task.isolation_wanted_ms = kept, None
+        return is_changed
+
     def drop_run(self, name: TaskName, run: Run) -> None:
         """Removes a run that is not on its host and whose outcome is unknown."""
         task = self.task(name)
--- a/src/amaranthtray/domain/jobs/record.py
+++ b/src/amaranthtray/domain/jobs/record.py
@@ -7,7 +7,7 @@
 from ..ids import HostId
 from .job import Job, JobState
 from .model import JobSpec, TaskName
-from .task import Run, RunPhase, Task
+from .task import HostCrash, Run, RunPhase, Task
 
 
 class RunRecord(msgspec.Struct, array_like=True):
@@ -18,6 +18,14 @@
     host_born: int
 
 
+class CrashRecord(msgspec.Struct, array_like=True):
+    """Stored form of a host that crashed under a task."""
+
+    host: str
+    born: int
+    machine: str = ""
+
+
 class TaskRecord(msgspec.Struct, array_like=True):
     """Stored form of a task that has been started at least once."""
 
@@ -30,6 +38,8 @@
     is_done: bool
     checkpoint: str
     runs: list[RunRecord]
+    crashes: list[CrashRecord] = []
+    is_given_up: bool = False
 
 
 class JobRecord(msgspec.Struct):
@@ -109,6 +119,8 @@
         task.is_done,
         task.checkpoint,
         runs,
+        [CrashRecord(*crash) for crash in task.crashes],
+        task.is_given_up,
     )
 
 
@@ -116,7 +128,18 @@
     task.last_run, task.failures = stored.last_run, stored.failures
     task.failed_run, task.is_done = stored.failed_run, stored.is_done
     task.checkpoint = stored.checkpoint
+    task.is_given_up = stored.is_given_up
+    task.crashes = [
+        HostCrash(HostId(crash.host), crash.born, crash.machine)
+        for crash in stored.crashes
+    ]
     task.runs = [
-        Run(run.number, HostId(run.host), run.host_born, RunPhase.UNCONFIRMED)
+        Run(
+            run.number,
+            HostId(run.host),
+            run.host_born,
+            RunPhase.UNCONFIRMED,
+            prior_crashes=len(task.crashes),
+        )
         for run in stored.runs
     ]
--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
+from typing import NamedTuple
 
 from ..ids import HostId
 
@@ -38,6 +39,20 @@
     UNCONFIRMED = 5
 
 
+class HostCrash(NamedTuple):
+    """A host that crashed, as far as is known, while it had a run of a task.
+
+    Attributes:
+        host: The host.
+        born: Wall-clock time at which the crashed incarnation started.
+        machine: Machine of the host; empty if it is unknown.
+    """
+
+    host: HostId
+    born: int
+    machine: str = ""
+
+
 @dataclass(slots=True)
 class Run:
     """One run of a task that may be on a host.
@@ -56,6 +71,8 @@
         paced_ms: Steady-clock time of that order; None if there was none.
         progress_ms: Steady-clock time at which ``percent`` last changed.
         started_ms: Steady-clock time of the placement.
+        prior_crashes: Crashes of the task's hosts that were known at the placement.
+        has_survived: Whether it has worked for so long that it does not crash its host.
     """
 
     number: int
@@ -70,6 +87,8 @@
     paced_ms: int | None = None
     progress_ms: int | None = None
     started_ms: int = 0
+    prior_crashes: int = 0
+    has_survived: bool = False
 
 
 @dataclass(slots=True)
@@ -84,6 +103,10 @@
         checkpoint: Checkpoint from which the next run resumes; empty for a fresh start.
         runs: Runs that may be on a host.
         not_before_ms: Steady-clock time before which it is not started again.
+        crashes: Hosts that crashed under its runs.
+        is_given_up: Whether it is not started again because it crashes its hosts.
+        isolation_wanted_ms: Steady-clock time since which it waits for a host of its
+            own; None if it does not.
     """
 
     last_run: int = 0
@@ -93,11 +116,19 @@
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
     not_before_ms: int = 0
+    crashes: list[HostCrash] = field(default_factory=list)
+    is_given_up: bool = False
+    isolation_wanted_ms: int | None = None
 
     @property
     def is_waiting(self) -> bool:
-        """Returns whether the task is not done and has no run."""
-        return not self.is_done and not self.runs
+        """Returns whether the task has no run and needs one."""
+        return not self.is_done and not self.runs and not self.is_given_up
+
+    @property
+    def crashed_machines(self) -> set[str]:
+        """Returns the machines that crashed, or their hosts if these are unknown."""
+        return {crash.machine or crash.host for crash in self.crashes}
 
     def run_on(self, host: HostId, number: int) -> Run | None:
         """Returns the run with the given number on a host, if it may be there."""
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -2,56 +2,95 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..jobs.model import Resources, StepKey, TaskName
+from ._quarantine import (
+    crashed_machines,
+    has_suspects,
+    overdue_for_isolation,
+    place_isolated,
+    place_overdue,
+    place_suspects,
+    select_reserved_hosts,
+    split_suspects,
+)
 from ._unplaced import hosts_to_reserve
+from .host import Host
 from .messages import StartRun
 from .placement import place_each, place_gang
 from .ranking import Rank, Timeliness, rank
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Collection, Iterator
 
     from ..jobs.job import Job
     from ..jobs.model import StepSpec
     from ..jobs.task import Task
     from ._state import SchedulerState
-    from .host import Host
     from .placement import Placement
 
 FITS_NOTHING = Resources(-1, -1, -1)
 """Free resources without any host: not even a task that needs nothing fits."""
 
 
+@dataclass(slots=True)
+class _PlanHosts:
+    """Hosts of one plan.
+
+    Attributes:
+        every: Hosts that accept runs.
+        shared: Those that may run tasks of several jobs.
+        unisolated: Number of tasks that found no host of their own so far.
+        crashed_machines: Machines that crashed under these tasks.
+    """
+
+    every: list[Host]
+    shared: list[Host]
+    unisolated: int = 0
+    crashed_machines: set[str] = field(default_factory=set)
+
+    def exclude(self, excluded: Collection[str]) -> None:
+        """Excludes hosts, and those with a quarantined run, from further sharing."""
+        self.shared = [
+            host
+            for host in self.shared
+            if host.info.id not in excluded and not host.quarantined_runs
+        ]
+
+
 def plan_starts(state: SchedulerState) -> None:
     """Places waiting tasks in order of rank while hosts have free resources."""
-    hosts = [
+    every = [
         host
         for host in state.hosts.values()
         if host.accepts_runs(state.now_ms)
         and host.info.id not in state.to_vacate
         and (state.enforces_capacity or not host.has_unknown_runs)
     ]
-    if not hosts:
+    if not every:
         return
-    room = _largest_free(hosts)
+    hosts = _PlanHosts(every, every)
+    hosts.exclude(state.crashes.reserved_hosts)
+    room = _largest_free(hosts.shared)
     waiting_keys: set[StepKey] = set()
     for job in _jobs_by_rank(state):
         for key, step, waiting in _waiting_steps(state, job):
             waiting_keys.add(key)
             placed = 0
-            if step.reserved.fits(room):
+            if step.reserved.fits(room) or has_suspects(job, key, waiting):
                 waiting = _within_cap(state, job, step, waiting)
                 placed = _place_tasks(state, job, key, waiting, hosts)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
             if step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
-                reserved_hosts = hosts_to_reserve(step, hosts)
-                hosts = [host for host in hosts if host.info.id not in reserved_hosts]
+                reserved_hosts = hosts_to_reserve(step, hosts.shared)
+                hosts.exclude(reserved_hosts)
             if placed or reserved_hosts:
-                room = _largest_free(hosts)
+                room = _largest_free(hosts.shared)
     state.unplaced.retain(waiting_keys)
+    select_reserved_hosts(state, every, hosts.unisolated, hosts.crashed_machines)
 
 
 def _within_cap(
@@ -65,19 +104,56 @@
 
 
 def _place_tasks(
-    state: SchedulerState, job: Job, key: StepKey, waiting: list[int], hosts: list[Host]
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    waiting: list[int],
+    hosts: _PlanHosts,
 ) -> int:
     """Places tasks of a step; returns how many were placed."""
     if not waiting:
         return 0
     step = job.spec.steps[key.step]
-    allowed = _allowed_hosts(state, job, key, hosts)
-    place = place_gang if step.is_gang else place_each
-    placements = place(step, key, waiting, allowed)
-    if len(placements) < len(waiting):
-        _request_advice(state, job, key, hosts)
-    _reserve_runs(state, job, key, placements)
-    return len(placements)
+    unsuspected, suspects, isolated = split_suspects(job, key, waiting)
+    placed = 0
+    if unsuspected:
+        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        place = place_gang if step.is_gang else place_each
+        placements = place(step, key, unsuspected, allowed)
+        placed += _reserve_runs(state, job, key, placements)
+    if suspects:
+        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        placements = place_suspects(job, key, suspects, allowed)
+        placed += _reserve_runs(state, job, key, placements)
+    if isolated:
+        placed += _place_isolated(state, job, key, isolated, hosts)
+    if placed < len(waiting):
+        _request_advice(state, job, key, hosts.every)
+    return placed
+
+
+def _place_isolated(
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    waiting: list[int],
+    hosts: _PlanHosts,
+) -> int:
+    """Places tasks that need a host of their own; overdue ones share a host."""
+    allowed = _allowed_hosts(state, job, key, hosts.every)
+    placements = place_isolated(job, key, waiting, allowed)
+    placed = _reserve_runs(state, job, key, placements)
+    overdue = overdue_for_isolation(job, key, waiting, state.now_ms)
+    if overdue:
+        allowed = _allowed_hosts(state, job, key, hosts.every)
+        placements = place_overdue(job, key, overdue, allowed)
+        placed += _reserve_runs(state, job, key, placements)
+    hosts.exclude(())
+    if placed < len(waiting):
+        hosts.unisolated += len(waiting) - placed
+        for machines in crashed_machines(job, key, waiting).values():
+            hosts.crashed_machines |= machines
+    return placed
 
 
 def _allowed_hosts(
@@ -149,8 +225,11 @@
 
 
 def _wants_copy(state: SchedulerState, task: Task) -> bool:
-    """Returns whether a task needs a copy, as its only run is on a silent host."""
-    if task.is_done or len(task.runs) != 1:
+    """Returns whether a task needs a copy, as its only run is on a silent host.
+
+    A task that may have silenced its host gets no copy, which could crash another one.
+    """
+    if task.is_done or task.is_given_up or task.crashes or len(task.runs) != 1:
         return False
     host = state.hosts.get(task.runs[0].host)
     return host is None or host.is_silent
@@ -158,8 +237,11 @@
 
 def _reserve_runs(
     state: SchedulerState, job: Job, key: StepKey, placements: list[Placement]
-) -> None:
-    """Reserves the runs and holds their start orders until that is stored."""
+) -> int:
+    """Reserves the runs and holds their start orders until that is stored.
+
+    Returns the number of runs.
+    """
     tasks = job.tasks(key.occurrence, key.step)
     is_gang = job.spec.steps[key.step].is_gang
     gang_run = max((task.last_run for task in tasks), default=0) + 1
@@ -178,5 +260,7 @@
                 job.spec.payload,
                 task.checkpoint,
                 ticket,
+                run.prior_crashes,
             )
         )
+    return len(placements)
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunOutcome, RunPhase
-from ._losses import drop_lost_runs
-from ._progress import record_progress
-from .messages import (
-    Effect,
-    HostReport,
-    LossCause,
-    RunReport,
-    RunsLost,
-    StopRun,
+from ._lost_runs import (
+    LossReport,
+    drop_lost_runs,
+    record_survival,
+    withdraw_crash,
 )
+from ._progress import record_progress
+from .crash_register import HostIncarnation
+from .losses import LossCause
+from .messages import Effect, HostReport, RunReport, StopRun
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
@@ -29,6 +29,8 @@
     effects: list[Effect] = []
     absent: list[PlacedRun] = []
     if host.born != report.born:
+        incarnation = HostIncarnation(report.host, report.born)
+        effects += withdraw_crash(state, incarnation)
         _mark_restarted(host)
     host.born = report.born
     host.is_silent = False
@@ -52,7 +54,7 @@
 
 def _drop_absent(
     state: SchedulerState, host: Host, absent: list[PlacedRun]
-) -> list[RunsLost]:
+) -> list[LossReport]:
     """Drops runs that the host does not report, by the incarnation that had them."""
     runs = [(placed.name, placed.run) for placed in absent]
     restarted = [each for each in runs if each[1].host_born != host.born]
@@ -101,6 +103,7 @@
     if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
         run.phase = RunPhase.RUNNING
         run.confirmed_ms = report.received_ms
+    record_survival(state, placed)
 
 
 def _is_obsolete(state: SchedulerState, placed: PlacedRun) -> bool:
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -15,6 +15,7 @@
 from ._unplaced import UnplacedSteps
 from .advice import AdviceCache, RequestAdvice
 from .caps import CapTracker
+from .crash_register import CrashRegister
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
 from .shares import ShareMeter
@@ -44,6 +45,7 @@
         advice_requests: Advice requests to return with the next plan.
         shares: Meter of submissions beyond the teams' shares.
         unplaced: Steps with tasks that fit on no host.
+        crashes: Tasks under which hosts crashed.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -71,6 +73,7 @@
     advice_requests: list[RequestAdvice] = field(default_factory=list)
     shares: ShareMeter = field(default_factory=ShareMeter)
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
+    crashes: CrashRegister = field(default_factory=CrashRegister)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -116,6 +119,7 @@
         if not job.state.is_final or any(job.runs()):
             self.active[job.spec.id] = job
         for name, step, task in job.created_tasks():
+            self.crashes.add_task(name, task)
             for run in task.runs:
                 self.caps.add(job.spec.team, step.need)
                 host = self.hosts.get(run.host)
@@ -129,6 +133,7 @@
                 job.ended_ms = self.wall_ms
             self.advice.remove_job(job.spec.id)
             self.shares.remove_job(job.spec.id)
+            self.crashes.remove_job(job.spec.id)
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
         self.dirty.add(job.spec.id)
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -12,9 +12,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ..jobs.model import JobId
     from ..jobs.task import Run
 
 
+QUARANTINE_CRASHES = 2
+"""Crashes after which a task runs only on a host without runs of other jobs."""
+
+
 class PlacedRun(NamedTuple):
     """A run that may be on a host, with its task and step."""
 
@@ -41,6 +46,8 @@
         vacate_since_ms: Steady-clock time since which the host is to be emptied; None
             if it is not.
         seen_ms: Steady-clock time of its last report.
+        suspect_runs: Number of its runs whose task's hosts have crashed before.
+        quarantined_runs: Number of its runs that must not share it with other jobs.
     """
 
     info: HostInfo
@@ -54,6 +61,8 @@
     used_by_lasting: Resources = NO_RESOURCES
     vacate_since_ms: int | None = None
     seen_ms: int = 0
+    suspect_runs: int = 0
+    quarantined_runs: int = 0
     _runs: dict[tuple[TaskName, int], PlacedRun] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
@@ -62,6 +71,11 @@
         """Returns the resources that are available to new runs."""
         return self.info.capacity.minus(self.used)
 
+    @property
+    def machine(self) -> str:
+        """Returns its machine, or its own id if the machine is unknown."""
+        return self.info.machine or self.info.id
+
     def accepts_runs(self, now_ms: int) -> bool:
         """Returns whether new runs may be placed on the host."""
         return (
@@ -78,6 +92,7 @@
         self._runs[name, run.number] = PlacedRun(name, step, run)
         self._by_step[StepKey(*name[:3])] += 1
         self.used = self.used.plus(step.reserved)
+        self._count_suspect(run, 1)
         if step.is_lasting:
             self.used_by_lasting = self.used_by_lasting.plus(step.reserved)
 
@@ -86,6 +101,7 @@
         placed = self._runs.pop((name, number), None)
         if placed is not None:
             self.used = self.used.minus(placed.step.reserved)
+            self._count_suspect(placed.run, -1)
             if placed.step.is_lasting:
                 self.used_by_lasting = self.used_by_lasting.minus(placed.step.reserved)
             key = StepKey(*name[:3])
@@ -93,6 +109,17 @@
             if not self._by_step[key]:
                 del self._by_step[key]
 
+    def clear_suspicion(self, run: Run) -> None:
+        """Forgets that hosts crashed under the task of one of its runs."""
+        self._count_suspect(run, -1)
+        run.prior_crashes = 0
+
+    def has_only(self, job: JobId) -> bool:
+        """Returns whether the host certainly has no run of another job."""
+        return not self.has_unknown_runs and all(
+            name.job == job for name, _ in self._runs
+        )
+
     def find(self, name: TaskName, number: int) -> PlacedRun | None:
         """Returns the run of that task and number, if it may be on the host."""
         return self._runs.get((name, number))
@@ -110,6 +137,12 @@
         """Returns whether the host has runs that do not end by themselves."""
         return any(self.used_by_lasting)
 
+    def _count_suspect(self, run: Run, by: int) -> None:
+        if run.prior_crashes:
+            self.suspect_runs += by
+        if run.prior_crashes >= QUARANTINE_CRASHES:
+            self.quarantined_runs += by
+
     def serving_runs(self) -> Iterator[PlacedRun]:
         """Yields the runs that have a target for their response time."""
         return (each for each in self._runs.values() if each.step.target_ms)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import NamedTuple, TypeAlias
+from typing import TypeAlias
 
 from ..ids import HostId, RackId, ZoneId
 from ..jobs.catalog import Catalog
@@ -13,6 +13,7 @@
 from ..upkeep.moves import PoolLoad
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimPortion, PortionsRead
+from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,24 +131,6 @@
     host: HostId
 
 
-class LossCause(StrEnum):
-    """How a conductor learned that runs ended without a reported outcome.
-
-    Attributes:
-        ADDRESS_REUSED: Another host answers at the host's address.
-        LEASE_EXPIRED: The host did not answer until its lease had certainly expired.
-        HOST_RESTARTED: The host reports a later incarnation.
-        HOST_UNLISTED: The host left the list before this conductor's term.
-        NOT_REPORTED: The host, in the same incarnation, does not report the run.
-    """
-
-    ADDRESS_REUSED = "address_reused"
-    LEASE_EXPIRED = "lease_expired"
-    HOST_RESTARTED = "host_restarted"
-    HOST_UNLISTED = "host_unlisted"
-    NOT_REPORTED = "not_reported"
-
-
 @dataclass(frozen=True, slots=True)
 class HostRunsEnded:
     """All runs on a host have certainly ended."""
@@ -284,6 +267,7 @@
         checkpoint: Checkpoint to resume from; empty to start from the beginning.
         ticket: Proof that a placement policy allows the host; empty where no policy
             applies.
+        prior_crashes: Hosts that crashed under earlier runs of the task, for the log.
     """
 
     host: HostId
@@ -293,6 +277,7 @@
     payload: str
     checkpoint: str
     ticket: str = ""
+    prior_crashes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -347,39 +332,6 @@
     host: HostId
 
 
-class LostRun(NamedTuple):
-    """A run that ended without a reported outcome.
-
-    Attributes:
-        name: Task of the run.
-        number: Run number.
-        phase: Last known phase, in lower case.
-        failures: Failed runs of the task that count towards its attempts.
-    """
-
-    name: TaskName
-    number: int
-    phase: str
-    failures: int
-
-
-@dataclass(frozen=True, slots=True)
-class RunsLost:
-    """Reports runs that ended without a reported outcome; for log and metrics only.
-
-    Attributes:
-        host: Host of the runs.
-        born: Wall-clock time at which the host's incarnation with them started.
-        cause: How the conductor learned of it.
-        runs: The runs.
-    """
-
-    host: HostId
-    born: int
-    cause: LossCause
-    runs: tuple[LostRun, ...]
-
-
 Effect: TypeAlias = (
     StoreJobs
     | ClaimPortion
@@ -392,4 +344,6 @@
     | UnwatchHost
     | Superseded
     | RunsLost
+    | TaskGivenUp
+    | CrashWithdrawn
 )
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence, Set
 
+    from ..ids import HostId
     from ..jobs.model import Resources, StepKey, StepSpec
     from .host import Host
 
@@ -34,6 +36,44 @@
     return placements
 
 
+def place_apart(
+    step: StepSpec,
+    key: StepKey,
+    crashed_machines: Mapping[int, Set[str]],
+    hosts: Iterable[Host],
+    *,
+    needs_other_machine: bool = False,
+) -> list[Placement]:
+    """Places tasks that may crash their hosts, where that harms least and shows most.
+
+    Each goes to a host of its own if there are enough: one without another such task,
+    of a machine that did not crash under it, with as few other runs as possible.
+
+    Args:
+        step: The step.
+        key: Key of the step.
+        crashed_machines: Machines that crashed under each of the waiting tasks.
+        hosts: Hosts that may be used.
+        needs_other_machine: Whether a task must not get a machine that crashed under
+            it.
+    """
+    placements: list[Placement] = []
+    counts: Counter[HostId] = Counter()
+    eligible = _eligible_hosts(step, hosts)
+    for number, avoided in crashed_machines.items():
+        candidates = [
+            (_suspect_cost(step, host, counts[host.info.id], avoided), index, host)
+            for index, host in enumerate(eligible)
+            if counts[host.info.id] < _acceptable_count(step, key, host)
+            and not (needs_other_machine and host.machine in avoided)
+        ]
+        if candidates:
+            host = min(candidates)[2]
+            counts[host.info.id] += 1
+            placements.append(Placement(number, host))
+    return placements
+
+
 def place_gang(
     step: StepSpec, key: StepKey, waiting: Sequence[int], hosts: Iterable[Host]
 ) -> list[Placement]:
@@ -69,6 +109,11 @@
     ]
 
 
+def _is_far(step: StepSpec, host: Host) -> bool:
+    """Returns whether a host is in another rack than the step's data."""
+    return bool(step.data_rack) and host.info.rack != step.data_rack
+
+
 def _acceptable_count(step: StepSpec, key: StepKey, host: Host) -> int:
     """Returns how many more tasks of a step a host can accept."""
     count = tasks_that_fit(step, host.free)
@@ -77,11 +122,24 @@
     return max(count, 0)
 
 
-def _cost(step: StepSpec, host: Host) -> tuple[bool, bool, int]:
+def _suspect_cost(
+    step: StepSpec, host: Host, placed: int, avoided_machines: Set[str]
+) -> tuple[bool, bool, bool, bool, int]:
+    """Returns the sort key of a host for a task that may crash it."""
+    return (
+        host.suspect_runs + placed > 0,
+        host.machine in avoided_machines,
+        _is_far(step, host),
+        step.is_lasting and not host.has_lasting,
+        -host.free.cpu,
+    )
+
+
+def _cost(step: StepSpec, host: Host) -> tuple[bool, bool, bool, int]:
     """Returns the sort key of a host for a task.
 
-    Hosts near the data go first, then the fullest, so that others stay empty and can
-    move to another pool.
+    Hosts near the data go first, then those without a task that may crash them, then
+    the fullest, so that others stay empty and can move to another pool.
     """
-    is_far = bool(step.data_rack) and host.info.rack != step.data_rack
-    return is_far, step.is_lasting and not host.has_lasting, host.free.cpu
+    is_unpacked = step.is_lasting and not host.has_lasting
+    return _is_far(step, host), host.suspect_runs > 0, is_unpacked, host.free.cpu
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -8,7 +8,7 @@
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
 from ._load import pool_load
-from ._losses import drop_lost_runs, drop_runs_of_unlisted_hosts
+from ._lost_runs import LossReport, drop_lost_runs, drop_runs_of_unlisted_hosts
 from ._pacing import pace_fillers
 from ._planner import plan_starts
 from ._progress import stop_stalled_runs
@@ -30,9 +30,7 @@
     HostsListed,
     JobCancelled,
     JobFound,
-    LossCause,
     Message,
-    RunsLost,
     StartOutcome,
     StartReplied,
     StartRun,
@@ -49,6 +47,7 @@
     from ..jobs.catalog import Catalog
     from ..jobs.job import Job
     from ..jobs.model import JobId
+    from .losses import LossCause
 
 FULL_BACKOFF_MS = 500
 """Time without new runs for a host that refused a run for lack of resources."""
@@ -188,7 +187,7 @@
             self._expiry_checked_ms = self.state.now_ms
             self.state.select_expired(self._retention_ms)
 
-    def _drop_runs_of_unlisted(self) -> list[RunsLost]:
+    def _drop_runs_of_unlisted(self) -> list[LossReport]:
         """Drops runs on unlisted hosts, once, when leases of earlier terms expired."""
         if (
             self._earlier_leases_until_ms is None
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -6,11 +6,11 @@
 import threading
 from typing import TYPE_CHECKING
 
+from ..domain.scheduling.losses import LossCause
 from ..domain.scheduling.messages import (
     HostReport,
     HostRunsEnded,
     HostSilent,
-    LossCause,
     Message,
     PaceRun,
     StartOutcome,
@@ -227,19 +227,19 @@
             if outcome is not StartOutcome.NO_REPLY:
                 break
             unanswered += 1
-        if isinstance(outcome, AddressReused):
-            self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
-            return
+        is_reused = isinstance(outcome, AddressReused)
         self._post(
             StartReplied(
                 self.info.id,
                 order.name,
                 order.number,
-                outcome,
+                StartOutcome.REFUSED if isinstance(outcome, AddressReused) else outcome,
                 steady_ms(),
                 was_repeated=unanswered > 0,
             )
         )
+        if is_reused:
+            self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
 
     def _send_stop(self, order: StartRun | StopRun | PaceRun) -> None:
         if isinstance(order, StopRun):
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -10,6 +10,7 @@
 from ..domain.scheduling.advice import RequestAdvice
 from ..domain.scheduling.caps import ClaimPortion
 from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
+from ..domain.scheduling.losses import CrashWithdrawn, RunsLost, TaskGivenUp
 from ..domain.scheduling.messages import (
     AcknowledgeEnds,
     BatchNotStored,
@@ -18,7 +19,6 @@
     Effect,
     Message,
     PaceRun,
-    RunsLost,
     StartOutcome,
     StartReplied,
     StartRun,
@@ -281,23 +281,33 @@
                     self._guard.mark_superseded()
                 case RunsLost():
                     self._record_lost_runs(effect)
+                case TaskGivenUp():
+                    self._record_given_up_task(effect)
+                case CrashWithdrawn():
+                    self._record_withdrawn_crash(effect)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
         if link is not None:
+            details: dict[str, object] = {}
             if isinstance(order, StartRun):
                 self._stats.record_order(order, clock.steady_ms())
+                if order.prior_crashes:
+                    details["prior_crashes"] = order.prior_crashes
             self._context.log.event(
                 type(order).__name__,
                 host=order.host,
                 task=str(order.name),
                 run=order.number,
                 term=self._guard.term,
+                **details,
             )
             link.order(order)
 
     def _record_lost_runs(self, lost: RunsLost) -> None:
         self._context.metrics.count("runs_lost", lost.cause, len(lost.runs))
+        if lost.is_crash:
+            self._context.metrics.count("hosts_crashed", lost.cause)
         rows = [(str(run.name), *run[1:]) for run in lost.runs[:MAX_LOGGED_RUNS]]
         self._context.log.event(
             "runs-lost",
@@ -305,11 +315,33 @@
             host=lost.host,
             born=lost.born,
             cause=lost.cause,
+            is_crash=lost.is_crash,
             count=len(lost.runs),
             runs=rows,
             term=self._guard.term,
         )
 
+    def _record_given_up_task(self, given_up: TaskGivenUp) -> None:
+        self._context.metrics.count("tasks_given_up")
+        self._context.log.event(
+            "task-given-up",
+            pool=self.pool,
+            task=str(given_up.name),
+            crashes=given_up.crashes,
+            was_alone=given_up.was_alone,
+            term=self._guard.term,
+        )
+
+    def _record_withdrawn_crash(self, withdrawn: CrashWithdrawn) -> None:
+        self._context.log.event(
+            "crash-withdrawn",
+            pool=self.pool,
+            host=withdrawn.host,
+            born=withdrawn.born,
+            tasks=[str(task) for task in withdrawn.tasks[:MAX_LOGGED_RUNS]],
+            term=self._guard.term,
+        )
+
     def _watch_host(self, host: HostId, effect: WatchHost) -> None:
         self._unwatch_host(host)
         lease = HostLease(
--- a/tests/scheduling/crashing_pool.py
+++ b/tests/scheduling/crashing_pool.py
@@ -10,6 +10,7 @@
 from amaranthtray.domain.jobs.model import TaskName
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import RunOutcome
+from amaranthtray.domain.scheduling.losses import LossCause
 from amaranthtray.domain.scheduling.messages import (
     AcknowledgeEnds,
     BatchStored,
@@ -21,7 +22,6 @@
     HostSilent,
     HostsListed,
     JobFound,
-    LossCause,
     RunReport,
     StartOutcome,
     StartReplied,
@@ -138,6 +138,10 @@
         """Returns the hosts that are up."""
         return [host for host in self.hosts.values() if host.is_up]
 
+    def running(self) -> set[TaskName]:
+        """Returns the tasks that run on a host that is up."""
+        return {name for host in self.up_hosts() for name, _ in host.running}
+
     def _boot(self, info: HostInfo) -> None:
         self.hosts[info.id] = CrashableHost(info, self.now_ms)
 
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -8,8 +8,19 @@
 
 from amaranthtray.domain.jobs.job import JobState
 from amaranthtray.domain.jobs.model import JobId, Resources, TaskName
+from amaranthtray.domain.jobs.record import restore
+from amaranthtray.domain.scheduling.losses import (
+    CrashWithdrawn,
+    LossCause,
+)
+from amaranthtray.domain.scheduling.messages import (
+    HostRunsEnded,
+    HostSilent,
+    HostsListed,
+    StartOutcome,
+)
 from scheduling.crashing_pool import CrashingPool
-from scheduling.parts import a_job, a_step
+from scheduling.parts import BORN, SchedulerHarness, a_host, a_job, a_step
 
 MAX_STARTS = 5
 """Two more starts are allowed after three hosts have crashed."""
@@ -69,3 +80,112 @@
             pool.crash(rng.choice(hosts))
     pool.run(30_000)
     assert {pool.state(job) for job in pool.specs} == {JobState.COMPLETED}
+
+
+def test_a_task_whose_copies_crash_their_hosts_too_is_given_up_in_time() -> None:
+    pool = CrashingPool()
+    pool.submit(a_job(a_step(4, allows_copies=True)), deadly_task("a"))
+    pool.run(60_000)
+    assert len(pool.starts[deadly_task("a")]) <= MAX_STARTS
+    assert pool.state(JobId("a")) is JobState.FAILED
+
+
+def test_a_gang_with_a_deadly_member_is_given_up() -> None:
+    pool = CrashingPool()
+    step = a_step(6, is_gang=True, need=Resources(3_000, 500, 0))
+    pool.submit(a_job(step), deadly_task("a", number=2))
+    pool.submit(a_job(a_step(4), name="b"))
+    pool.run(60_000)
+    assert len(pool.starts[deadly_task("a", number=2)]) <= MAX_STARTS
+    assert pool.state(JobId("a")) is JobState.FAILED
+    assert pool.state(JobId("b")) is JobState.COMPLETED
+
+
+def test_a_deadly_lasting_task_is_given_up_and_the_others_of_its_job_go_on() -> None:
+    pool = CrashingPool()
+    pool.submit(a_job(a_step(3, is_lasting=True)), deadly_task("a", number=1))
+    pool.run(60_000)
+    assert len(pool.starts[deadly_task("a", number=1)]) <= MAX_STARTS
+    assert pool.state(JobId("a")) is JobState.RUNNING
+    assert pool.running() == {deadly_task("a"), deadly_task("a", number=2)}
+
+
+def test_a_lasting_task_outlives_any_number_of_hosts_that_crash_by_themselves() -> None:
+    pool = CrashingPool(keeps_id=True)
+    pool.submit(a_job(a_step(2, is_lasting=True)))
+    for _ in range(12):
+        pool.run(7_000)
+        for host in pool.up_hosts():
+            if host.running:
+                pool.crash(host)
+    pool.run(7_000)
+    assert pool.running() == {deadly_task("a"), deadly_task("a", number=1)}
+
+
+def test_a_deadly_task_is_given_up_where_every_host_has_lasting_tasks() -> None:
+    pool = CrashingPool(hosts=3)
+    spread = a_step(3, is_lasting=True, max_per_host=1)
+    pool.submit(a_job(spread, name="lasting"))
+    pool.run(1_000)
+    pool.submit(a_job(), deadly_task("a"))
+    pool.run(60_000)
+    assert len(pool.starts[deadly_task("a")]) <= MAX_STARTS
+    assert pool.state(JobId("a")) is JobState.FAILED
+    assert len(pool.running()) == 3
+
+
+def test_a_deadly_task_takes_the_runs_of_two_hosts_with_it_at_most() -> None:
+    pool = CrashingPool(hosts=4, cores=8)
+    pool.submit(a_job(), deadly_task("a"))
+    load(pool, seconds=15, per_s=4, deadly_every=0)
+    pool.run(20_000)
+    beside = [count for name, count in pool.lost.items() if name not in pool.deadly]
+    assert sum(beside) <= 2 * 8
+    assert {pool.state(job) for job in pool.specs if job != "a"} == {JobState.COMPLETED}
+
+
+def test_a_host_that_was_only_cut_off_is_no_crash() -> None:
+    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.reply_to_start(order, StartOutcome.STARTED)
+    harness.send(HostSilent(order.host))
+    harness.send(HostRunsEnded(order.host, LossCause.LEASE_EXPIRED))
+    assert [again.prior_crashes for again in harness.starts()] == [1]
+    withdrawn = harness.report(order.host)
+    assert CrashWithdrawn(order.host, BORN, (order.name,)) in withdrawn
+    harness.plan()
+    assert not restore(a_job(), harness.records[order.name.job]).crash_count(order.name)
+
+
+def test_a_host_that_leaves_after_its_notice_is_no_crash() -> None:
+    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.reply_to_start(order, StartOutcome.STARTED)
+    infos = [a_host(name, is_draining=name == order.host) for name in ("h", "i")]
+    harness.send(HostsListed(tuple(infos)))
+    harness.send(HostRunsEnded(order.host, LossCause.ADDRESS_REUSED))
+    assert [again.prior_crashes for again in harness.starts()] == [0]
+
+
+def test_an_order_that_was_never_sent_is_no_crash() -> None:
+    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.reply_to_start(order, StartOutcome.UNHEALTHY)
+    harness.send(HostRunsEnded(order.host, LossCause.ADDRESS_REUSED))
+    assert [again.prior_crashes for again in harness.starts()] == [0]
+
+
+def test_a_crash_of_one_host_is_counted_once_by_conductors_in_turn() -> None:
+    first = SchedulerHarness(a_host())
+    first.submit(a_job())
+    order = first.starts()[0]
+    first.reply_to_start(order, StartOutcome.STARTED)
+    for _ in range(2):
+        again = SchedulerHarness()
+        again.submit(a_job(), record=first.records[order.name.job])
+        again.send(HostsListed((a_host(),)))
+        again.report(born=BORN + 1)
+        assert [start.prior_crashes for start in again.starts()] == [1]
