Don't order a waiting start to a host that shrank or began to leave meanwhile

A start waits until the record of its run is stored. Only the run's phase was checked then: on a host that shrank in between four starts of four cores' worth were ordered into one core (LIMIT where the host doesn't guard its capacity, a refused start where it does), and a host that began to leave got a start. While the store is slow or its answers are lost that takes seconds.

The host is checked once more at the release; a run that doesn't fit any more is dropped unsent and placed again. The other rules of a changing capacity held before: no start until the runs fit again, stops count, growth is used.

--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -87,6 +87,18 @@
             and now_ms >= self.avoid_until_ms
         )
 
+    def may_keep_reservations(self) -> bool:
+        """Returns whether runs placed earlier may still start.
+
+        The host may have shrunk or begun to leave while their records were stored.
+        """
+        return (
+            self.is_listed
+            and not self.info.is_draining
+            and self.vacate_since_ms is None
+            and min(self.free) >= 0
+        )
+
     def add(self, name: TaskName, step: StepSpec, run: Run) -> None:
         """Adds a run that may be on the host and reserves its resources."""
         self._runs[name, run.number] = PlacedRun(name, step, run)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -343,6 +343,10 @@
                 run = self.state.find_run(effect)
                 if run is None or run.phase is not RunPhase.RESERVED:
                     continue
+                host = self.state.hosts.get(run.host)
+                if host is None or not host.may_keep_reservations():
+                    self.state.drop_run(effect.name, run)
+                    continue
                 run.phase = RunPhase.STARTING
             released.append(effect)
         return released
