Leave a job with an unreadable record alone instead of ending its conductor

A progress record that can't be decoded raised in the scheduler, the conductor ended, and the next entry that took the duty read the same record: no job of the pool would ever be scheduled again.

The job is logged and left alone; the pool goes on. The test failed before with msgspec.DecodeError.

--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -332,6 +332,14 @@
     host: HostId
 
 
+@dataclass(frozen=True, slots=True)
+class RecordUnreadable:
+    """Reports a job that can't be scheduled, as its progress record is unreadable."""
+
+    job: JobId
+    why: str
+
+
 Effect: TypeAlias = (
     StoreJobs
     | ClaimPortion
@@ -346,4 +354,5 @@
     | RunsLost
     | TaskGivenUp
     | CrashWithdrawn
+    | RecordUnreadable
 )
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec import MsgspecError
+
 from ..jobs.model import StepKey
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
@@ -31,6 +33,7 @@
     JobCancelled,
     JobFound,
     Message,
+    RecordUnreadable,
     StartOutcome,
     StartReplied,
     StartRun,
@@ -213,7 +216,11 @@
     def _handle_job_found(self, message: JobFound) -> list[Effect]:
         spec = message.spec
         if spec.id not in self.state.jobs:
-            self.state.add_job(restore(spec, message.record))
+            try:
+                job = restore(spec, message.record)
+            except MsgspecError as exc:
+                return [RecordUnreadable(spec.id, str(exc))]
+            self.state.add_job(job)
             if message.record is None:
                 self.state.shares.record_submission(
                     spec, self.state.catalog, self.state.now_ms
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -19,6 +19,7 @@
     Effect,
     Message,
     PaceRun,
+    RecordUnreadable,
     StartOutcome,
     StartReplied,
     StartRun,
@@ -283,6 +284,8 @@
                     self._record_lost_runs(effect)
                 case TaskGivenUp():
                     self._record_given_up_task(effect)
+                case RecordUnreadable(job, why):
+                    self._context.log.event("job-unreadable", job=job, why=why)
                 case CrashWithdrawn():
                     self._record_withdrawn_crash(effect)
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -15,6 +15,7 @@
     HostsListed,
     JobCancelled,
     JobFound,
+    RecordUnreadable,
     StartOutcome,
     StartRun,
     StopRun,
@@ -310,3 +311,11 @@
     harness.now_ms = 182_000
     harness.plan()
     assert order.name.job not in harness.scheduler.state.jobs
+
+
+def test_a_job_with_an_unreadable_record_does_not_stop_every_conductor() -> None:
+    harness = SchedulerHarness(a_host())
+    (report,) = harness.send(JobFound(a_job(name="bad"), b"{"))
+    assert isinstance(report, RecordUnreadable)
+    harness.submit(a_job(name="good"))
+    assert [order.name.job for order in harness.starts()] == ["good"]
