Record all moves of a group before any of their replies is read

An exception of the machine service's client in one of four concurrent orders left the rest of the group unrecorded as moves in progress, and ended the round; the next round could have ordered them again. The moves are recorded first, and such a reply is an unknown outcome, logged with its reason.

The new test failed before with the client's RuntimeError.

--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -115,8 +115,9 @@
                 (order, self._senders.submit(self._order, order, service))
                 for order in group
             ]
-            for order, reply in replies:
+            for order, _ in replies:
                 moves.record_order(self._moves, order, steady_ms())
+            for order, reply in replies:
                 self._handle_reply(order, reply)
 
     def _order(self, order: MoveMachine, service: MachineService) -> OrderOutcome:
@@ -133,13 +134,16 @@
         return outcome
 
     def _handle_reply(self, order: MoveMachine, reply: Future[OrderOutcome]) -> None:
-        outcome = reply.result()
+        exc = reply.exception()
+        outcome = OrderOutcome.UNKNOWN if exc else reply.result()
+        details = {"why": repr(exc)} if exc else {}
         self._context.log.event(
             "move",
             machine=order.machine,
             pool=order.pool,
             outcome=outcome,
             term=self._term,
+            **details,
         )
         if outcome in (OrderOutcome.REFUSED, OrderOutcome.HOPELESS):
             moves.remove_order(self._moves, order.machine)
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -208,6 +208,23 @@
     assert len(site.machine_service.orders) == 2
 
 
+def test_a_fault_of_one_order_leaves_no_order_of_its_group_unrecorded() -> None:
+    site = FleetSite()
+    manager = site.new_manager(1)
+    site.report_need(100)
+    faults = iter((True, False))
+
+    def fail_first() -> None:
+        if next(faults, False):
+            raise RuntimeError("unexpected reply")
+
+    site.machine_service.on_order = fail_first
+    for _ in range(3):
+        site.step(manager)
+    assert len(site.machine_service.orders) == 1
+    assert len(site.recorded_orders()) == 2
+
+
 def test_a_new_holder_does_not_maintain_a_machine_with_a_recent_order() -> None:
     site = FleetSite()
     site.report_need(24)
