Don't let a crash that only a successor saw decide against a task

A run that an earlier conductor placed no longer counts as alone: such a crash is counted, but five are needed then. Where every machine of a pool has crashed under a task it gets one of them at once; it waited in vain for another one.

--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -70,7 +70,8 @@
         pace: Last ordered speed, in percent of full speed.
         paced_ms: Steady-clock time of that order; None if there was none.
         progress_ms: Steady-clock time at which ``percent`` last changed.
-        started_ms: Steady-clock time of the placement.
+        started_ms: Steady-clock time of the placement; None if an earlier conductor
+            placed it.
         prior_crashes: Crashes of the task's hosts that were known at the placement.
         has_survived: Whether it has worked for so long that it does not crash its host.
     """
@@ -86,7 +87,7 @@
     pace: int = 100
     paced_ms: int | None = None
     progress_ms: int | None = None
-    started_ms: int = 0
+    started_ms: int | None = None
     prior_crashes: int = 0
     has_survived: bool = False
 
--- a/src/amaranthtray/domain/scheduling/_lost_runs.py
+++ b/src/amaranthtray/domain/scheduling/_lost_runs.py
@@ -113,12 +113,13 @@
 ) -> list[LossReport]:
     """Counts a crash for each task that may have been running on the host."""
     begun = [each for each in runs if each[1].phase is not RunPhase.RESERVED]
-    is_one_job = len({name.job for name, _ in begun}) == 1
     was_alone = (
-        is_one_job
+        host is not None
         and cause in CERTAIN_CRASHES
-        and host is not None
+        and len({name.job for name, _ in begun}) == 1
         and not host.has_unknown_runs
+        # The host of an earlier conductor's run may have crashed after the run's end.
+        and all(run.started_ms is not None for _, run in begun)
     )
     machine = host.info.machine if host is not None else ""
     given_up: list[LossReport] = []
--- a/src/amaranthtray/domain/scheduling/_quarantine.py
+++ b/src/amaranthtray/domain/scheduling/_quarantine.py
@@ -74,19 +74,25 @@
 
 
 def place_isolated(
-    job: Job, key: StepKey, waiting: list[int], hosts: Iterable[Host]
+    job: Job, key: StepKey, waiting: list[int], hosts: list[Host]
 ) -> list[Placement]:
     """Places tasks on hosts that run nothing of other jobs and didn't crash under them.
 
     A task that crashes another machine is the cause; on the same machine, either is.
+    Where all machines have crashed under a task, it gets one of them.
     """
-    step, machines = job.spec.steps[key.step], crashed_machines(job, key, waiting)
+    step = job.spec.steps[key.step]
     alone = [host for host in hosts if host.has_only(job.spec.id)]
+    present = {host.machine for host in hosts}
+    avoided = {
+        number: machines if present - machines else set()
+        for number, machines in crashed_machines(job, key, waiting).items()
+    }
     if step.is_gang:
-        crashed = set().union(*machines.values())
+        crashed = set().union(*avoided.values())
         others = [host for host in alone if host.machine not in crashed]
         return place_gang(step, key, waiting, others)
-    return place_apart(step, key, machines, alone, needs_other_machine=True)
+    return place_apart(step, key, avoided, alone, needs_other_machine=True)
 
 
 def place_overdue(
--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -6,20 +6,32 @@
 
 import pytest
 
+from amaranthtray.domain.jobs.job import JobState
+from amaranthtray.domain.jobs.model import TaskName
+from amaranthtray.domain.jobs.record import restore
 from scheduling.world import World, random_job
 
 SCHEDULES = int(os.environ.get("SCHEDULES", "100"))
 FAULTY_MS = 20_000
 FAULT_FREE_MS = 40_000
+MAX_STARTS = 5
+"""Two more starts are allowed after three hosts have crashed."""
 
 
-def run_schedule(seed: int) -> World:
-    """Simulates a period with faults, then one without in which all jobs must end."""
+def run_schedule(seed: int, *, deadly_share: float = 0.0) -> World:
+    """Simulates a period with faults, then one without in which all jobs must end.
+
+    Args:
+        seed: Seed of the schedule.
+        deadly_share: Share of the jobs whose first task crashes its hosts.
+    """
     world = World(seed, fault_rate=0.06)
     rng = world.rng
     world.take_over()
     for number in range(8):
         job = random_job(rng, number)
+        if deadly_share and rng.random() < deadly_share:
+            world.deadly.add(TaskName(job.id, 0, 0, 0))
         world.schedule(rng.randint(0, FAULTY_MS), lambda job=job: world.submit(job))
         if rng.random() < 0.2:
             world.schedule(
@@ -69,3 +81,20 @@
     assert not world.promises.broken
     unfinished = [job for job in world.specs if not world.state(job).is_final]
     assert not unfinished
+
+
+@pytest.mark.parametrize("seed", range(SCHEDULES // 2))
+def test_deadly_tasks_are_given_up_and_no_others_on_a_seeded_schedule(
+    seed: int,
+) -> None:
+    world = run_schedule(seed, deadly_share=0.25)
+    assert not world.promises.broken
+    assert all(world.starts[name] <= MAX_STARTS for name in world.deadly)
+    deadly_jobs = {name.job for name in world.deadly}
+    for job, spec in world.specs.items():
+        restored = restore(spec, world.records.get(job))
+        is_given_up = any(task.is_given_up for *_, task in restored.created_tasks())
+        assert world.state(job).is_final
+        assert job in deadly_jobs or not is_given_up
+        if job in deadly_jobs:
+            assert world.state(job) in (JobState.FAILED, JobState.CANCELLED)
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -4,6 +4,7 @@
 
 import heapq
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -56,6 +57,8 @@
 CANCEL_MS = 3_000
 MAX_DELAY_MS = 8_000
 LATENCY_MS = 2
+CRASH_DELAY_MS = 10
+"""Time from the start of a deadly task to the crash of its host."""
 CAPACITY = Resources(4_000, 8_000, 0)
 CAP = Resources(9_000, 0, 0)
 
@@ -98,6 +101,7 @@
         step = self.world.specs[order.name.job].steps[order.name.step]
         if self.used() + step.need.cpu > CAPACITY.cpu:
             return StartOutcome.NO_ROOM
+        self.world.count_start(order.name)
         length_ms = self.world.rng.randint(200, 2_500)
         self.running[order.name] = (order.number, self.world.now_ms + length_ms)
         self.world.promises.record_start(order.name, order.number, self.id)
@@ -105,6 +109,8 @@
         self.world.schedule(
             length_ms, lambda: self._finish(order.name, order.number, born)
         )
+        if order.name in self.world.deadly:
+            self.world.schedule(CRASH_DELAY_MS, lambda: self._crash_for_a_while(born))
         return StartOutcome.STARTED
 
     def stop(self, term: int, name: TaskName, number: int) -> bool:
@@ -150,6 +156,12 @@
         self.until_ms = 0
         self.is_up = False
 
+    def _crash_for_a_while(self, born: int) -> None:
+        if self.is_up and self.born == born:
+            self.crash()
+            down_ms = self.world.rng.randint(2_000, 4_000)
+            self.world.schedule(down_ms, lambda: self.is_up or self.restart())
+
     def restart(self) -> None:
         self.born, self.is_up = self.world.now_ms, True
 
@@ -403,6 +415,9 @@
         self.promises = JobPromiseChecker(
             caps={TEAM: Resources(CAP.cpu, 1 << 40, 1 << 40)}
         )
+        self.deadly: set[TaskName] = set()
+        self.starts: Counter[TaskName] = Counter()
+        self._is_late = False
         self.specs: dict[JobId, JobSpec] = {}
         self.records: dict[JobId, bytes] = {}
         self.cancelled: set[JobId] = set()
@@ -441,9 +456,7 @@
             return
         if draw < self.fault_rate:
             late_ms = self.rng.randint(1_000, MAX_DELAY_MS)
-            self.schedule(
-                late_ms, lambda: act() if self._is_reached(host, born) else None
-            )
+            self.schedule(late_ms, lambda: self._act_late(host, born, act))
             self.schedule(700, lambda: replied(None))
             return
 
@@ -459,6 +472,16 @@
 
         self.schedule(LATENCY_MS, arrive)
 
+    def _act_late(self, host: SimHost, born: int, act: Callable[[], object]) -> None:
+        if self._is_reached(host, born):
+            self._is_late = True
+            act()
+            self._is_late = False
+
+    def count_start(self, name: TaskName) -> None:
+        """Counts a start, but not one by an order that arrived late."""
+        self.starts[name] += not self._is_late
+
     def _is_reached(self, host: SimHost, born: int) -> bool:
         """Returns whether a late order reaches a host.
 
