--- a/tests/scheduling/crashing_pool.py
+++ b/tests/scheduling/crashing_pool.py
@@ -81,11 +81,10 @@
     ) -> None:
         self.now_ms = 100_000
         self.confirms, self.keeps_id = confirms, keeps_id
-        self.deadly: set[TaskName] = set()
+        self.crashing: set[TaskName] = set()
         self.specs: dict[JobId, JobSpec] = {}
         self.records: dict[JobId, bytes] = {}
         self.starts: dict[TaskName, list[tuple[int, HostId]]] = defaultdict(list)
-        self.crashes: dict[TaskName, int] = defaultdict(int)
         self.lost: dict[TaskName, int] = defaultdict(int)
         self._lives = 0
         self._down: list[tuple[int, CrashableHost]] = []
@@ -102,9 +101,9 @@
             self._send(JobFound(spec, self.records.get(spec.id)))
         self._list_hosts()
 
-    def submit(self, spec: JobSpec, *deadly: TaskName) -> None:
+    def submit(self, spec: JobSpec, *crashing: TaskName) -> None:
         """Submits a job, and names its tasks that crash their hosts."""
-        self.deadly |= set(deadly)
+        self.crashing |= set(crashing)
         self.specs[spec.id] = spec
         self._send(JobFound(spec))
 
@@ -216,10 +215,9 @@
             return
         self.starts[order.name].append((self.now_ms, order.host))
         host.running[order.name, order.number] = self.now_ms
-        if order.name not in self.deadly:
+        if order.name not in self.crashing:
             self._reply(order, StartOutcome.STARTED)
             return
-        self.crashes[order.name] += 1
         outcome = StartOutcome.STARTED if self.confirms else StartOutcome.NO_REPLY
         self._reply(order, outcome)
         self.crash(host)
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -6,9 +6,13 @@
 
 import pytest
 
-from amaranthtray.domain.jobs.job import JobState
-from amaranthtray.domain.jobs.model import JobId, Resources, TaskName
+from amaranthtray.domain.ids import HostId
+from amaranthtray.domain.jobs.job import Job, JobState
+from amaranthtray.domain.jobs.model import JobId, Resources, StepKey, TaskName
 from amaranthtray.domain.jobs.record import restore
+from amaranthtray.domain.jobs.task import HostCrash, Run, RunPhase
+from amaranthtray.domain.scheduling._quarantine import place_overdue
+from amaranthtray.domain.scheduling.host import Host
 from amaranthtray.domain.scheduling.losses import (
     CrashWithdrawn,
     LossCause,
@@ -26,20 +30,20 @@
 """Two more starts are allowed after three hosts have crashed."""
 
 
-def deadly_task(job: str, step: int = 0, number: int = 0) -> TaskName:
+def task_name(job: str, step: int = 0, number: int = 0) -> TaskName:
     """Returns the name of a task of a job's only occurrence."""
     return TaskName(JobId(job), 0, step, number)
 
 
-def load(pool: CrashingPool, *, seconds: int, per_s: int, deadly_every: int) -> None:
-    """Submits jobs at a steady rate; one in ``deadly_every`` has a deadly task."""
+def load(pool: CrashingPool, *, seconds: int, per_s: int, crashing_every: int) -> None:
+    """Submits jobs at a steady rate; one in ``crashing_every`` crashes its hosts."""
     count = 0
     for _ in range(seconds):
         for _ in range(per_s):
             count += 1
             spec = a_job(a_step(6, need=Resources(1_000, 500, 0)), name=f"j{count}")
-            is_deadly = bool(deadly_every) and count % deadly_every == 0
-            pool.submit(spec, *[deadly_task(spec.id)] * is_deadly)
+            is_crashing = crashing_every and count % crashing_every == 0
+            pool.submit(spec, *([task_name(spec.id)] if is_crashing else []))
             pool.run(1_000 // per_s)
 
 
@@ -49,22 +53,22 @@
     *, confirms: bool, keeps_id: bool
 ) -> None:
     pool = CrashingPool(confirms=confirms, keeps_id=keeps_id)
-    load(pool, seconds=10, per_s=2, deadly_every=10)
+    load(pool, seconds=10, per_s=2, crashing_every=10)
     pool.run(40_000)
-    deadly = {name.job for name in pool.deadly}
-    assert all(len(pool.starts[name]) <= MAX_STARTS for name in pool.deadly)
+    crashing = {name.job for name in pool.crashing}
+    assert all(len(pool.starts[name]) <= MAX_STARTS for name in pool.crashing)
     for job in pool.specs:
-        expected = JobState.FAILED if job in deadly else JobState.COMPLETED
+        expected = JobState.FAILED if job in crashing else JobState.COMPLETED
         assert pool.state(job) is expected
 
 
 def test_crashes_are_counted_across_conductors() -> None:
     pool = CrashingPool()
-    pool.submit(a_job(), deadly_task("a"))
+    pool.submit(a_job(), task_name("a"))
     for _ in range(60):
         pool.run(1_000)
         pool.take_over()
-    assert len(pool.starts[deadly_task("a")]) <= MAX_STARTS
+    assert len(pool.starts[task_name("a")]) <= MAX_STARTS
     assert pool.state(JobId("a")) is JobState.FAILED
 
 
@@ -84,30 +88,30 @@
 
 def test_a_task_whose_copies_crash_their_hosts_too_is_given_up_in_time() -> None:
     pool = CrashingPool()
-    pool.submit(a_job(a_step(4, allows_copies=True)), deadly_task("a"))
+    pool.submit(a_job(a_step(4, allows_copies=True)), task_name("a"))
     pool.run(60_000)
-    assert len(pool.starts[deadly_task("a")]) <= MAX_STARTS
+    assert len(pool.starts[task_name("a")]) <= MAX_STARTS
     assert pool.state(JobId("a")) is JobState.FAILED
 
 
-def test_a_gang_with_a_deadly_member_is_given_up() -> None:
+def test_a_gang_with_a_crashing_member_is_given_up() -> None:
     pool = CrashingPool()
     step = a_step(6, is_gang=True, need=Resources(3_000, 500, 0))
-    pool.submit(a_job(step), deadly_task("a", number=2))
+    pool.submit(a_job(step), task_name("a", number=2))
     pool.submit(a_job(a_step(4), name="b"))
     pool.run(60_000)
-    assert len(pool.starts[deadly_task("a", number=2)]) <= MAX_STARTS
+    assert len(pool.starts[task_name("a", number=2)]) <= MAX_STARTS
     assert pool.state(JobId("a")) is JobState.FAILED
     assert pool.state(JobId("b")) is JobState.COMPLETED
 
 
-def test_a_deadly_lasting_task_is_given_up_and_the_others_of_its_job_go_on() -> None:
+def test_a_crashing_lasting_task_is_given_up_and_the_others_of_its_job_go_on() -> None:
     pool = CrashingPool()
-    pool.submit(a_job(a_step(3, is_lasting=True)), deadly_task("a", number=1))
+    pool.submit(a_job(a_step(3, is_lasting=True)), task_name("a", number=1))
     pool.run(60_000)
-    assert len(pool.starts[deadly_task("a", number=1)]) <= MAX_STARTS
+    assert len(pool.starts[task_name("a", number=1)]) <= MAX_STARTS
     assert pool.state(JobId("a")) is JobState.RUNNING
-    assert pool.running() == {deadly_task("a"), deadly_task("a", number=2)}
+    assert pool.running() == {task_name("a"), task_name("a", number=2)}
 
 
 def test_a_lasting_task_outlives_any_number_of_hosts_that_crash_by_themselves() -> None:
@@ -119,27 +123,27 @@
             if host.running:
                 pool.crash(host)
     pool.run(7_000)
-    assert pool.running() == {deadly_task("a"), deadly_task("a", number=1)}
+    assert pool.running() == {task_name("a"), task_name("a", number=1)}
 
 
-def test_a_deadly_task_is_given_up_where_every_host_has_lasting_tasks() -> None:
+def test_a_crashing_task_is_given_up_where_every_host_has_lasting_tasks() -> None:
     pool = CrashingPool(hosts=3)
     spread = a_step(3, is_lasting=True, max_per_host=1)
     pool.submit(a_job(spread, name="lasting"))
     pool.run(1_000)
-    pool.submit(a_job(), deadly_task("a"))
+    pool.submit(a_job(), task_name("a"))
     pool.run(60_000)
-    assert len(pool.starts[deadly_task("a")]) <= MAX_STARTS
+    assert len(pool.starts[task_name("a")]) <= MAX_STARTS
     assert pool.state(JobId("a")) is JobState.FAILED
     assert len(pool.running()) == 3
 
 
-def test_a_deadly_task_takes_the_runs_of_two_hosts_with_it_at_most() -> None:
+def test_a_crashing_task_takes_the_runs_of_two_hosts_with_it_at_most() -> None:
     pool = CrashingPool(hosts=4, cores=8)
-    pool.submit(a_job(), deadly_task("a"))
-    load(pool, seconds=15, per_s=4, deadly_every=0)
+    pool.submit(a_job(), task_name("a"))
+    load(pool, seconds=15, per_s=4, crashing_every=0)
     pool.run(20_000)
-    beside = [count for name, count in pool.lost.items() if name not in pool.deadly]
+    beside = [count for name, count in pool.lost.items() if name not in pool.crashing]
     assert sum(beside) <= 2 * 8
     assert {pool.state(job) for job in pool.specs if job != "a"} == {JobState.COMPLETED}
 
@@ -189,3 +193,14 @@
         again.send(HostsListed((a_host(),)))
         again.report(born=BORN + 1)
         assert [start.prior_crashes for start in again.starts()] == [1]
+
+
+def test_a_suspect_shares_a_host_if_the_empty_ones_lack_its_label() -> None:
+    job = Job(a_job(a_step(required_label="fast")))
+    crashes = [HostCrash(HostId(name), BORN, name) for name in ("x", "y")]
+    job.task(task_name("a")).crashes = crashes  # type: ignore[union-attr]
+    busy = Host(a_host("busy", labels=frozenset({"fast"})))
+    busy.add(task_name("b"), a_step(), Run(1, busy.info.id, BORN, RunPhase.RUNNING))
+    key = StepKey(JobId("a"), 0, 0)
+    placements = place_overdue(job, key, [0], [Host(a_host("empty")), busy])
+    assert [placement.host for placement in placements] == [busy]
--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -18,20 +18,20 @@
 """Two more starts are allowed after three hosts have crashed."""
 
 
-def run_schedule(seed: int, *, deadly_share: float = 0.0) -> World:
+def run_schedule(seed: int, *, crashing_share: float = 0.0) -> World:
     """Simulates a period with faults, then one without in which all jobs must end.
 
     Args:
         seed: Seed of the schedule.
-        deadly_share: Share of the jobs whose first task crashes its hosts.
+        crashing_share: Share of the jobs whose first task crashes its hosts.
     """
     world = World(seed, fault_rate=0.06)
     rng = world.rng
     world.take_over()
     for number in range(8):
         job = random_job(rng, number)
-        if deadly_share and rng.random() < deadly_share:
-            world.deadly.add(TaskName(job.id, 0, 0, 0))
+        if crashing_share and rng.random() < crashing_share:
+            world.crashing.add(TaskName(job.id, 0, 0, 0))
         world.schedule(rng.randint(0, FAULTY_MS), lambda job=job: world.submit(job))
         if rng.random() < 0.2:
             world.schedule(
@@ -84,17 +84,17 @@
 
 
 @pytest.mark.parametrize("seed", range(SCHEDULES // 2))
-def test_deadly_tasks_are_given_up_and_no_others_on_a_seeded_schedule(
+def test_crashing_tasks_are_given_up_and_no_others_on_a_seeded_schedule(
     seed: int,
 ) -> None:
-    world = run_schedule(seed, deadly_share=0.25)
+    world = run_schedule(seed, crashing_share=0.25)
     assert not world.promises.broken
-    assert all(world.starts[name] <= MAX_STARTS for name in world.deadly)
-    deadly_jobs = {name.job for name in world.deadly}
+    assert all(world.starts[name] <= MAX_STARTS for name in world.crashing)
+    crashing_jobs = {name.job for name in world.crashing}
     for job, spec in world.specs.items():
         restored = restore(spec, world.records.get(job))
         is_given_up = any(task.is_given_up for *_, task in restored.created_tasks())
         assert world.state(job).is_final
-        assert job in deadly_jobs or not is_given_up
-        if job in deadly_jobs:
+        assert job in crashing_jobs or not is_given_up
+        if job in crashing_jobs:
             assert world.state(job) in (JobState.FAILED, JobState.CANCELLED)
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -58,7 +58,7 @@
 MAX_DELAY_MS = 8_000
 LATENCY_MS = 2
 CRASH_DELAY_MS = 10
-"""Time from the start of a deadly task to the crash of its host."""
+"""Time from the start of a crashing task to the crash of its host."""
 CAPACITY = Resources(4_000, 8_000, 0)
 CAP = Resources(9_000, 0, 0)
 
@@ -109,7 +109,7 @@
         self.world.schedule(
             length_ms, lambda: self._finish(order.name, order.number, born)
         )
-        if order.name in self.world.deadly:
+        if order.name in self.world.crashing:
             self.world.schedule(CRASH_DELAY_MS, lambda: self._crash_for_a_while(born))
         return StartOutcome.STARTED
 
@@ -415,7 +415,7 @@
         self.promises = JobPromiseChecker(
             caps={TEAM: Resources(CAP.cpu, 1 << 40, 1 << 40)}
         )
-        self.deadly: set[TaskName] = set()
+        self.crashing: set[TaskName] = set()
         self.starts: Counter[TaskName] = Counter()
         self._is_late = False
         self.specs: dict[JobId, JobSpec] = {}
