Start nothing in the zones that operators ask to evacuate

An operator could not keep a zone free of new work while its hosts were up. Entries with a section [evacuation] follow the keys op/evacuate/ZONE while they hold a role. Conductors start nothing there, also what was planned, held or queued before; they move checkpointing, lasting and gang runs as far as others have room, and load the hosts in steps after the end. The fleet's holder neither moves nor counts machines of the zone.

--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -6,6 +6,7 @@
 
 from ..jobs.model import NO_RESOURCES, Resources, StepKey
 from ..upkeep.moves import PoolLoad
+from ._evacuation import stays_in_zone
 from .ranking import Timeliness, rank
 
 if TYPE_CHECKING:
@@ -14,12 +15,16 @@
 
 
 def pool_load(state: SchedulerState) -> PoolLoad:
-    """Returns the need of running and waiting tasks, and the idle hosts."""
-    hosts = [host for host in state.hosts.values() if host.is_listed]
-    size = max((host.info.capacity for host in hosts), default=NO_RESOURCES)
+    """Returns the need of running and waiting tasks, and the idle hosts.
+
+    Evacuated hosts count only for the size of a host, where the pool has no other.
+    """
+    listed = [host for host in state.hosts.values() if host.is_listed]
+    hosts = [host for host in listed if not host.is_evacuated]
+    size = max((host.info.capacity for host in hosts or listed), default=NO_RESOURCES)
     need, late, unplaced = NO_RESOURCES, NO_RESOURCES, 0
     for job in state.active.values():
-        wanted = _running_need(job)
+        wanted = _running_need(state, job)
         if not job.state.is_final:
             wanted = wanted.plus(_waiting_need(state, job))
             unplaced = max(unplaced, _hosts_for_unplaced(state, job, size))
@@ -47,11 +52,12 @@
     return lacking
 
 
-def _running_need(job: Job) -> Resources:
+def _running_need(state: SchedulerState, job: Job) -> Resources:
     """Returns the total need of a job's runs that may be on a host."""
     need = NO_RESOURCES
     for name, _ in job.runs():
-        need = need.plus(job.spec.steps[name.step].reserved)
+        if not stays_in_zone(state, job, name):
+            need = need.plus(job.spec.steps[name.step].reserved)
     return need
 
 
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -16,6 +16,7 @@
 from .advice import AdviceCache, RequestAdvice
 from .caps import CapTracker
 from .crash_register import CrashRegister
+from .evacuation import EvacuationState
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
 from .policy import SchedulingPolicy
@@ -50,6 +51,7 @@
         unplaced: Steps with tasks that fit on no host.
         crashes: Tasks under which hosts crashed.
         run_times: Expected run times of tasks.
+        evacuation: Evacuated zones and the runs that leave them.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -80,6 +82,7 @@
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     crashes: CrashRegister = field(default_factory=CrashRegister)
     run_times: RunTimes = field(default_factory=RunTimes)
+    evacuation: EvacuationState = field(default_factory=EvacuationState)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -81,13 +81,13 @@
         or state.now_ms < state.first_planned_ms + TAKEOVER_PAUSE_MS
     ):
         return False
-    if step.may_miss and _unavailable_count(state, job, placed) >= step.may_miss:
+    if step.may_miss and unavailable_count(state, job, placed) >= step.may_miss:
         return False
     hosts = [each for each in state.hosts.values() if each.accepts_runs(state.now_ms)]
     return bool(place_each(step, StepKey(*name[:3]), [name.number], hosts))
 
 
-def _unavailable_count(state: SchedulerState, job: Job, placed: PlacedRun) -> int:
+def unavailable_count(state: SchedulerState, job: Job, placed: PlacedRun) -> int:
     """Returns how many other tasks of the step are not known to be working."""
     name = placed.name
     tasks = job.tasks(name.occurrence, name.step)
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
@@ -48,6 +49,8 @@
         seen_ms: Steady-clock time of its last report.
         suspect_runs: Number of its runs whose task's hosts have crashed before.
         quarantined_runs: Number of its runs that must not share it with other jobs.
+        is_evacuated: Whether its zone is evacuated, so that nothing starts on it.
+        withheld: Resources that new runs may not use yet, after an evacuation.
     """
 
     info: HostInfo
@@ -63,13 +66,15 @@
     seen_ms: int = 0
     suspect_runs: int = 0
     quarantined_runs: int = 0
+    is_evacuated: bool = False
+    withheld: Resources = NO_RESOURCES
     _runs: dict[tuple[TaskName, int], PlacedRun] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
     @property
     def free(self) -> Resources:
         """Returns the resources that are available to new runs."""
-        return self.info.capacity.minus(self.used)
+        return self.info.capacity.minus(self.used).minus(self.withheld)
 
     @property
     def machine(self) -> str:
@@ -83,6 +88,7 @@
             and self.born is not None
             and not self.is_silent
             and not self.info.is_draining
+            and not self.is_evacuated
             and self.vacate_since_ms is None
             and now_ms >= self.avoid_until_ms
         )
@@ -95,6 +101,7 @@
         return (
             self.is_listed
             and not self.info.is_draining
+            and not self.is_evacuated
             and self.vacate_since_ms is None
             and min(self.free) >= 0
         )
@@ -126,6 +133,12 @@
         self._count_suspect(run, -1)
         run.prior_crashes = 0
 
+    def copy(self) -> Host:
+        """Returns a copy on which runs can be placed without placing them here."""
+        copied = copy.copy(self)
+        copied._runs, copied._by_step = dict(self._runs), Counter(self._by_step)
+        return copied
+
     def has_only(self, job: JobId) -> bool:
         """Returns whether the host certainly has no run of another job."""
         return not self.has_unknown_runs and all(
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -13,6 +13,13 @@
 from ..upkeep.moves import PoolLoad
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimPortion, PortionsRead
+from .evacuation import (
+    EvacuationHosts,
+    EvacuationProgress,
+    RunsMoved,
+    StartWithheld,
+    ZonesEvacuated,
+)
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
 
 
@@ -150,6 +157,7 @@
         UNHEALTHY: The host is unhealthy; the run does not execute.
         FENCED: The host has received an order of a higher term.
         NO_REPLY: None of several attempts got a response.
+        WITHHELD: The order was not sent, as the host's zone is evacuated.
     """
 
     STARTED = "started"
@@ -159,6 +167,7 @@
     UNHEALTHY = "unhealthy"
     FENCED = "fenced"
     NO_REPLY = "no_reply"
+    WITHHELD = "withheld"
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +227,7 @@
     JobFound
     | JobCancelled
     | VacateRequested
+    | ZonesEvacuated
     | PortionsRead
     | AdviceReceived
     | HostsListed
@@ -355,4 +365,8 @@
     | TaskGivenUp
     | CrashWithdrawn
     | RecordUnreadable
+    | StartWithheld
+    | RunsMoved
+    | EvacuationProgress
+    | EvacuationHosts
 )
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -9,6 +9,13 @@
 from ..jobs.model import StepKey
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
+from ._evacuation import (
+    apply_zones,
+    evacuate,
+    limit_loads,
+    mark_hosts,
+    withhold_starts,
+)
 from ._load import pool_load
 from ._lost_runs import LossReport, drop_lost_runs, drop_runs_of_unlisted_hosts
 from ._pacing import pace_fillers
@@ -20,6 +27,7 @@
 from .activity import PoolActivity, pool_activity
 from .advice import AdviceReceived
 from .caps import PortionsRead
+from .evacuation import ZonesEvacuated
 from .host import Host
 from .messages import (
     BatchNotStored,
@@ -121,6 +129,8 @@
                 self.state.advice.handle_advice(message)
             case VacateRequested(hosts):
                 self.state.to_vacate = hosts
+            case ZonesEvacuated(zones):
+                apply_zones(self.state, zones)
             case HostsListed():
                 return self._update_hosts(message)
             case HostReport():
@@ -160,7 +170,9 @@
         for job in state.dirty_jobs():
             stops += self._stop_obsolete_runs(job)
         stops += self._inspect_hosts()
+        limit_loads(state)
         plan_starts(state)
+        stops += evacuate(state)
         stops += state.caps.claims(state.catalog, now_ms)
         stops += state.advice_requests
         state.advice_requests = []
@@ -270,6 +282,7 @@
         for host in hosts.values():
             if host.info.id not in listed:
                 host.is_listed = False
+        mark_hosts(self.state)
         return effects
 
     def _attach_runs(self, host: Host) -> None:
@@ -349,7 +362,8 @@
 
     def _release_effects(self, effects: list[Effect]) -> list[Effect]:
         """Returns held effects, without starts of runs that are no longer wanted."""
-        released: list[Effect] = []
+        effects, withheld = withhold_starts(self.state, effects)
+        released: list[Effect] = [*withheld]
         for effect in effects:
             if isinstance(effect, StartRun):
                 run = self.state.find_run(effect)
--- a/src/amaranthtray/domain/upkeep/model.py
+++ b/src/amaranthtray/domain/upkeep/model.py
@@ -6,11 +6,12 @@
 from enum import StrEnum
 from typing import NewType, TypeAlias
 
-from ..ids import HostId, PoolName
+from ..ids import HostId, PoolName, ZoneId
 
 MachineName = NewType("MachineName", str)
 
 NO_HOST = HostId("")
+NO_ZONE = ZoneId("")
 
 
 class MachineState(StrEnum):
@@ -32,6 +33,7 @@
         state: Present state.
         host: Host that is the machine's current incarnation; empty if there is none.
         kind: Hardware kind; machines of one kind are interchangeable.
+        zone: Availability zone; empty if it is unknown.
     """
 
     name: MachineName
@@ -39,6 +41,7 @@
     state: MachineState
     host: HostId = NO_HOST
     kind: str = ""
+    zone: ZoneId = NO_ZONE
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -14,10 +14,10 @@
 import math
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from ..ids import HostId, PoolName
+from ..ids import HostId, PoolName, ZoneId
 from ..jobs.model import NO_RESOURCES, Resources
 from .model import Machine, MachineName, MachineState, MoveMachine
 from .trend import NeedTrend
@@ -124,6 +124,7 @@
     standby: frozenset[PoolName],
     busy: frozenset[MachineName],
     now_ms: int,
+    evacuated: frozenset[ZoneId] = frozenset(),
 ) -> MovePlan:
     """Selects machines to move, and updates ``moves``.
 
@@ -134,18 +135,14 @@
         standby: Pools whose machines are off.
         busy: Machines that a wave is about to maintain.
         now_ms: Steady-clock time.
+        evacuated: Zones whose machines neither move nor count.
     """
     _finish_moves(moves, fleet, busy, now_ms)
-    available = [
-        machine
-        for machine in fleet.machines.values()
-        if machine.state is MachineState.UP
-        and machine.name not in busy
-        and machine.name not in moves.moving
-    ]
+    kinds = _kinds_by_pool(fleet)
+    fleet = _outside(evacuated, fleet, moves)
+    available = _available(moves, fleet, busy)
     balances = _balances(moves, fleet, loads, now_ms)
     lacked = {pool: balance.lacking for pool, balance in balances.items()}
-    kinds = _kinds_by_pool(fleet)
     orders = _move_standby(moves, available, balances, standby, kinds)
     _select_leaving(moves, available, loads, balances, standby, kinds, now_ms)
     vacate = []
@@ -187,6 +184,33 @@
             del moves.leaving[name]
 
 
+def _available(
+    moves: Moves, fleet: Fleet, busy: frozenset[MachineName]
+) -> list[Machine]:
+    """Returns the machines that are up and neither moving nor busy."""
+    return [
+        machine
+        for machine in fleet.machines.values()
+        if machine.state is MachineState.UP
+        and machine.name not in busy
+        and machine.name not in moves.moving
+    ]
+
+
+def _outside(evacuated: frozenset[ZoneId], fleet: Fleet, moves: Moves) -> Fleet:
+    """Returns the machines outside evacuated zones; those inside stop leaving."""
+    if not evacuated:
+        return fleet
+    machines = {
+        name: machine
+        for name, machine in fleet.machines.items()
+        if machine.zone not in evacuated
+    }
+    for name in [name for name in moves.leaving if name not in machines]:
+        del moves.leaving[name]
+    return replace(fleet, machines=machines)
+
+
 @dataclass(slots=True)
 class _Balance:
     """Machines of a pool, and how many it can use.
--- a/src/amaranthtray/jobs/context.py
+++ b/src/amaranthtray/jobs/context.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..domain.jobs.catalog import Catalog
 from ..settings.job_entry import JobEntrySettings
 from ..store.contract import TransactionalStore
+from .evacuation_follower import EvacuationFollower, NoEvacuations
 from .event_log import EventLog
 from .host_list_follower import HostListFollower
 from .metrics_registry import MetricsRegistry
@@ -26,6 +27,7 @@
         metrics: Counters and latencies of the entry.
         hosts: Follows the list of hosts while the entry conducts a pool.
         catalog: Returns the configuration in force; None if none is known.
+        evacuations: Follows the evacuated zones while the entry holds a role.
     """
 
     settings: JobEntrySettings
@@ -35,3 +37,6 @@
     metrics: MetricsRegistry
     hosts: HostListFollower
     catalog: Callable[[], Catalog | None]
+    evacuations: EvacuationFollower | NoEvacuations = field(
+        default_factory=NoEvacuations
+    )
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -13,6 +13,7 @@
 from .context import JobEntryContext
 from .duty_claims import DutyClaims
 from .duty_task import DutyTask, DutyView, DutyWork, WorkFactory
+from .evacuation_follower import EvacuationFollower, NoEvacuations
 from .event_log import EventLog
 from .fleet_manager import FleetManager
 from .host_list_follower import HostListFollower
@@ -57,14 +58,18 @@
         cfg = settings.entry
         self.log = EventLog({"entry": cfg.name, "zone": cfg.zone})
         self._config = ConfigFollower(store, platform, self.log)
+        hosts = HostListFollower(store, platform, self.log)
         self._context = JobEntryContext(
             settings=settings,
             store=store,
             platform=platform,
             log=self.log,
             metrics=metrics,
-            hosts=HostListFollower(store, platform, self.log),
+            hosts=hosts,
             catalog=self._config.catalog,
+            evacuations=_evacuation_follower(
+                settings, store, platform, self.log, hosts
+            ),
         )
         self._submissions = SubmissionWriter(
             store, platform.configuration_key, self.log
@@ -98,10 +103,15 @@
         self._config.subscribe(self._apply_catalog)
         for task in (self._config, self._context.hosts, self._submissions, self._view):
             task.start()
+        self._context.evacuations.start()
 
     def apply_settings(self, settings: JobEntrySettings) -> None:
         """Applies changed settings; addresses keep their values until a restart."""
-        is_entry_changed = settings.entry != self._context.settings.entry
+        old = self._context.settings
+        is_entry_changed = (settings.entry, settings.evacuation) != (
+            old.entry,
+            old.evacuation,
+        )
         self._context.settings = settings
         self.log.event("settings-taken", needs_restart=is_entry_changed)
 
@@ -126,6 +136,10 @@
             "log_lines_dropped": self.log.dropped,
             "ready": int(self.is_ready),
         }
+        if self._context.settings.evacuation is not None:
+            conductors = list(self._conductors.values())
+            gauges["zones_evacuated"] = len(self._context.evacuations.zones)
+            gauges["pools_without_hosts"] = sum(c.lacks_hosts for c in conductors)
         return self._metrics.render(gauges)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
@@ -174,3 +188,22 @@
 
     def _count_held(self) -> int:
         return sum(duty.is_held for duty in list(self._duties.values()))
+
+
+def _evacuation_follower(
+    settings: JobEntrySettings,
+    store: TransactionalStore,
+    platform: Platform,
+    log: EventLog,
+    hosts: HostListFollower,
+) -> EvacuationFollower | NoEvacuations:
+    """Returns what follows the evacuated zones, if the settings enable it."""
+    if settings.evacuation is None:
+        return NoEvacuations()
+    return EvacuationFollower(
+        store,
+        platform,
+        log,
+        start_limit_ms=settings.evacuation.start_limit_ms,
+        known_zones=hosts.zones,
+    )
--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Success
 
+from ..domain.duties.names import FLEET_DUTY
 from ..domain.ids import HostId, PoolName, WaveName
 from ..domain.upkeep.model import MachineName, Wave
 from ..domain.upkeep.recent import RecentOrders
@@ -33,6 +34,7 @@
     from collections.abc import Callable, Iterable
 
     from ..domain.ids import Term
+    from ..domain.scheduling.messages import Message
     from ..domain.upkeep.model import Machine, MachineOrder
     from .context import JobEntryContext
     from .ports import MachineService
@@ -135,10 +137,16 @@
             self._stopping.wait(ROUND_INTERVAL_MS / 1_000)
         self._mover.close()
         service.close()
+        self._context.evacuations.unsubscribe(FLEET_DUTY, self._ignore)
 
     def take_over(self) -> bool:
         """Fences off older terms and reads the state that they stored; repeatable."""
-        return self._fence_older_terms() and self._list()
+        evacuations = self._context.evacuations
+        is_loaded = self._fence_older_terms() and self._list()
+        return is_loaded and evacuations.subscribe(FLEET_DUTY, self._ignore)
+
+    def _ignore(self, message: Message) -> None:
+        """Ignores changes of the evacuated zones, which each round reads."""
 
     def _fence_older_terms(self) -> bool:
         """Fences off writes of older terms and reads their recent orders."""
@@ -261,7 +269,10 @@
                         machine = fleet.machines[order.machine]
                         self._order_maintenance(name, wave, machine, order, service)
         loads = {pool: report.load for pool, report in reports.items()}
-        for pool, host in self._mover.step(fleet, loads, frozenset(busy), service):
+        evacuated = self._context.evacuations.zones
+        for pool, host in self._mover.step(
+            fleet, loads, frozenset(busy), service, evacuated
+        ):
             vacate[pool].add(host)
         self._request_vacating(vacate)
 
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -58,6 +58,7 @@
         guard: Tells whether leases may be renewed and orders sent.
         post: Queues a message for the conductor.
         log: Log of the entry.
+        is_evacuated: Returns whether the host's zone is evacuated now.
     """
 
     def __init__(
@@ -69,8 +70,10 @@
         guard: TermGuard,
         post: Callable[[Message], None],
         log: EventLog,
+        is_evacuated: Callable[[], bool] = lambda: False,
     ) -> None:
         self.info = info
+        self._is_evacuated = is_evacuated
         self._api = api
         self._lease = lease
         self._guard = guard
@@ -217,8 +220,8 @@
                 break
             if (order.name, order.number) in self._stopped_runs:
                 return
-            if not self._guard.may_order():
-                outcome = StartOutcome.NO_REPLY if unanswered else StartOutcome.REFUSED
+            if (unsent := self._reason_not_to_send()) is not None:
+                outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
             token = self._api.fencing_token
             outcome = self._api.start(order, until_ms)
@@ -241,6 +244,12 @@
         if is_reused:
             self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
 
+    def _reason_not_to_send(self) -> StartOutcome | None:
+        """Returns the outcome of a start that must not be sent now, else None."""
+        if self._is_evacuated():
+            return StartOutcome.WITHHELD
+        return None if self._guard.may_order() else StartOutcome.REFUSED
+
     def _send_stop(self, order: StartRun | StopRun | PaceRun) -> None:
         if isinstance(order, StopRun):
             self.stop_run(order)
--- a/src/amaranthtray/jobs/host_list_follower.py
+++ b/src/amaranthtray/jobs/host_list_follower.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..domain.ids import PoolName
+    from ..domain.ids import PoolName, ZoneId
     from ..domain.scheduling.messages import HostInfo, Message
     from ..store.contract import TransactionalStore
     from .event_log import EventLog
@@ -72,6 +72,13 @@
                 self._has_subscribers.clear()
                 self._cursor = None
 
+    def zones(self) -> frozenset[ZoneId] | None:
+        """Returns the zones that have hosts; None if the list has not been read."""
+        with self._lock:
+            if self._cursor is None:
+                return None
+            return frozenset(info.zone for _, info in self._hosts.values())
+
     def _hosts_of(self, pool: PoolName) -> HostsListed:
         return HostsListed(
             tuple(info for owner, info in self._hosts.values() if owner == pool)
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable, Mapping
     from concurrent.futures import Future
 
-    from ..domain.ids import Term
+    from ..domain.ids import Term, ZoneId
     from ..domain.upkeep.model import MachineName, MoveMachine
     from ..domain.upkeep.moves import PoolLoad
     from ..domain.upkeep.recent import RecentOrders
@@ -69,6 +69,7 @@
         loads: Mapping[PoolName, PoolLoad],
         busy: frozenset[MachineName],
         service: MachineService,
+        evacuated: frozenset[ZoneId] = frozenset(),
     ) -> tuple[tuple[PoolName, HostId], ...]:
         """Orders the moves that are due; returns the hosts to empty, with their pool.
 
@@ -77,13 +78,16 @@
             loads: Reported load of each pool.
             busy: Machines that must not move now.
             service: Client of the machine service.
+            evacuated: Zones whose machines neither move nor count.
         """
         if not self._moves.assigned_counts and not self._load_assigned_counts(fleet):
             return ()
         catalog = self._context.catalog()
         pools = catalog.pools.values() if catalog else ()
         standby = frozenset(pool.name for pool in pools if pool.is_standby)
-        plan = moves.plan_moves(self._moves, fleet, loads, standby, busy, steady_ms())
+        plan = moves.plan_moves(
+            self._moves, fleet, loads, standby, busy, steady_ms(), evacuated
+        )
         if plan.lacking != self._lacking:
             self._lacking = plan.lacking
             needs = {pool: load.need for pool, load in loads.items()}
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -9,6 +9,12 @@
 
 from ..domain.scheduling.advice import RequestAdvice
 from ..domain.scheduling.caps import ClaimPortion
+from ..domain.scheduling.evacuation import (
+    EvacuationHosts,
+    EvacuationProgress,
+    RunsMoved,
+    StartWithheld,
+)
 from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
 from ..domain.scheduling.losses import CrashWithdrawn, RunsLost, TaskGivenUp
 from ..domain.scheduling.messages import (
@@ -35,6 +41,7 @@
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
 from .conductor_stats import ConductorStats
+from .evacuation_reporter import EvacuationReporter
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
@@ -104,6 +111,7 @@
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
         self._stats = ConductorStats()
+        self._evacuation = EvacuationReporter(pool, term, context.log, context.metrics)
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._ended = threading.Event()
@@ -131,6 +139,11 @@
         """Returns whether the conductor has ended, by ``stop`` or by itself."""
         return self._ended.is_set()
 
+    @property
+    def lacks_hosts(self) -> bool:
+        """Returns whether all hosts of the pool are in evacuated zones."""
+        return self._evacuation.lacks_hosts and not self.is_over
+
     def post(self, message: Message) -> None:
         """Queues a message; thread-safe."""
         self._mailbox.put(message)
@@ -153,6 +166,7 @@
             self._advice.stop()
             for link in self._links.values():
                 link.close()
+            self._context.evacuations.unsubscribe(self.pool, self.post)
             log.event("conducting-ended", pool=self.pool, term=self._guard.term)
 
     def _conduct(self) -> None:
@@ -164,6 +178,10 @@
             if not self._may_continue():
                 return
             self._stopping.wait(STORE_RETRY_MS / 1_000)
+        while not self._context.evacuations.subscribe(self.pool, self.post):
+            if not self._may_continue():
+                return
+            self._stopping.wait(STORE_RETRY_MS / 1_000)
         self._cap_portions.start()
         self._advice.start()
         feed = JobFeed(self.pool, self._context, self.post, self._may_continue)
@@ -209,6 +227,8 @@
 
     def _record_start_reply(self, reply: StartReplied) -> None:
         self._stats.record_reply(reply)
+        if reply.outcome is StartOutcome.WITHHELD:
+            self._evacuation.count_unsent_start()
         if reply.outcome is not StartOutcome.STARTED:
             self._context.log.event(
                 "start-not-confirmed",
@@ -262,6 +282,13 @@
                     self._record_lost_runs(effect)
                 case TaskGivenUp():
                     self._record_given_up_task(effect)
+                case (
+                    EvacuationHosts()
+                    | EvacuationProgress()
+                    | RunsMoved()
+                    | StartWithheld()
+                ):
+                    self._evacuation.record(effect)
                 case RecordUnreadable(job, why):
                     self._context.log.event("job-unreadable", job=job, why=why)
                 case CrashWithdrawn():
@@ -337,6 +364,7 @@
             guard=self._guard,
             post=self.post,
             log=self._context.log,
+            is_evacuated=lambda: effect.info.zone in self._context.evacuations.zones,
         )
         self._links[host] = link
         link.start()
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -9,7 +9,7 @@
 from ..domain.scheduling.messages import EndReport, RunReport
 
 if TYPE_CHECKING:
-    from ..domain.ids import PoolName, Term
+    from ..domain.ids import PoolName, Term, ZoneId
     from ..domain.jobs.catalog import Catalog
     from ..domain.jobs.model import TaskName
     from ..domain.scheduling.advice import RequestAdvice
@@ -122,6 +122,7 @@
     configuration_key: str
     hosts_prefix: str
     waves_prefix: str
+    evacuations_prefix: str
 
     def decode_configuration(self, data: bytes, store_version: int) -> Catalog:
         """Returns a stored configuration.
@@ -140,6 +141,13 @@
             msgspec.MsgspecError: ``data`` is not a wave.
         """
 
+    def decode_evacuation(self, key: str, data: bytes) -> ZoneId:
+        """Returns the zone that the operator requested to evacuate.
+
+        Raises:
+            ValueError: The key or ``data`` is not a request; the text says why.
+        """
+
     def encode_wave_status(self, number: int, *, is_over: bool) -> tuple[str, bytes]:
         """Returns the key and value that show a wave's state to the operator."""
 
--- a/src/amaranthtray/platform/documents.py
+++ b/src/amaranthtray/platform/documents.py
@@ -14,6 +14,7 @@
 HOSTS_PREFIX = "servers/"
 WAVES_PREFIX = "op/wave/"
 WAVE_STATUS_PREFIX = "status/wave/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 USABLE_STATES = ("ready", "draining")
 
 
@@ -182,6 +183,28 @@
     )
 
 
+class _Evacuation(msgspec.Struct):
+    """A request to evacuate the zone that its key names; it has no fields."""
+
+
+def decode_evacuation(key: str, data: bytes) -> ZoneId:
+    """Returns the zone that the operator requested to evacuate.
+
+    Raises:
+        ValueError: The key or ``data`` is not a request; the text says why.
+    """
+    zone = key.removeprefix(EVACUATIONS_PREFIX)
+    if not zone:
+        raise ValueError("the key names no zone")
+    if "/" in zone:
+        raise ValueError("the key has parts after the zone")
+    try:
+        msgspec.json.decode(data, type=_Evacuation)
+    except msgspec.MsgspecError as exc:
+        raise ValueError(str(exc)) from exc
+    return ZoneId(zone)
+
+
 def encode_wave_status(number: int, *, is_over: bool) -> tuple[str, bytes]:
     """Returns the key and value that show a wave's state to the operator."""
     state = "completed" if is_over else "running"
--- a/src/amaranthtray/platform/machine_client.py
+++ b/src/amaranthtray/platform/machine_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..domain.ids import HostId, PoolName
+from ..domain.ids import HostId, PoolName, ZoneId
 from ..domain.upkeep.model import (
     Machine,
     MachineName,
@@ -39,6 +39,7 @@
     # Host that is the machine's present incarnation.
     id: str | None = None
     labels: list[str] = []
+    zone: str = ""
 
     def decoded(self) -> Machine:
         return Machine(
@@ -47,6 +48,7 @@
             state=_STATES.get(self.state, MachineState.DOWN),
             host=HostId(self.id or ""),
             kind=self.labels[0] if self.labels else "",
+            zone=ZoneId(self.zone),
         )
 
 
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -22,7 +22,7 @@
 from .store_client import PlatformStore
 
 if TYPE_CHECKING:
-    from ..domain.ids import HostId, PoolName, Term
+    from ..domain.ids import HostId, PoolName, Term, ZoneId
     from ..domain.jobs.catalog import Catalog
     from ..domain.scheduling.messages import HostInfo
     from ..domain.upkeep.model import WaveRequest
@@ -49,6 +49,7 @@
     configuration_key = documents.CONFIGURATION_KEY
     hosts_prefix = documents.HOSTS_PREFIX
     waves_prefix = documents.WAVES_PREFIX
+    evacuations_prefix = documents.EVACUATIONS_PREFIX
 
     def __init__(self, settings: JobEntrySettings) -> None:
         self._settings = settings
@@ -65,6 +66,10 @@
         """Returns the wave that the operator requested."""
         return documents.decode_wave(data)
 
+    def decode_evacuation(self, key: str, data: bytes) -> ZoneId:
+        """Returns the zone that the operator requested to evacuate."""
+        return documents.decode_evacuation(key, data)
+
     def encode_wave_status(self, number: int, *, is_over: bool) -> tuple[str, bytes]:
         """Returns the key and value that show a wave's state to the operator."""
         return documents.encode_wave_status(number, is_over=is_over)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -28,6 +28,7 @@
     "bounds.leaseMs": "3000",
     "bounds.status_s": "120",
     "bounds.revokeMs": "5000",
+    "bounds.evacuationMs": "5000",
     ".": '"10.2.0.3:80"',
 }
 
@@ -47,6 +48,7 @@
     assert settings.machine.size == MachineSize(cores=1.5, link_mbps=5.0)
     assert settings.machines is not None
     assert settings.advice is not None
+    assert settings.evacuation is not None
 
 
 @pytest.mark.parametrize(
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -22,6 +22,7 @@
 )
 from amaranthtray.domain.upkeep.moves import PoolLoad
 from amaranthtray.jobs import fleet_manager, keys, machine_mover
+from amaranthtray.jobs.evacuation_follower import NoEvacuations
 from amaranthtray.jobs.fleet_manager import FleetManager
 from amaranthtray.jobs.ledger import PoolReport
 from amaranthtray.store.contract import Put, Transaction
@@ -90,6 +91,7 @@
             settings=SimpleNamespace(
                 machines=SimpleNamespace(holder_change_ms=HOLDER_CHANGE_MS)
             ),
+            evacuations=NoEvacuations(),
             platform=SimpleNamespace(
                 waves_prefix="waves/",
                 decode_wave=lambda data: msgspec.json.decode(data, type=WaveRequest),
--- a/tests/jobs/test_watches.py
+++ b/tests/jobs/test_watches.py
@@ -6,6 +6,7 @@
 
 from amaranthtray.jobs import (
     duty_task,
+    evacuation_follower,
     fleet_manager,
     host_list_follower,
     job_feed,
@@ -18,7 +19,8 @@
 
 
 @pytest.mark.parametrize(
-    "module", [duty_task, fleet_manager, host_list_follower, job_feed]
+    "module",
+    [duty_task, evacuation_follower, fleet_manager, host_list_follower, job_feed],
 )
 def test_a_dead_watch_times_out_before_a_machine_must_act_again(
     module: object,
--- a/tests/scheduling/load.py
+++ b/tests/scheduling/load.py
@@ -237,7 +237,11 @@
     def _list_hosts(self) -> None:
         infos = [
             HostInfo(
-                id=host, address="", zone=ZoneId("z"), rack=RackId("r"), capacity=HOST
+                id=host,
+                address="",
+                zone=ZoneId(host[0]),
+                rack=RackId("r"),
+                capacity=HOST,
             )
             for host in self.hosts
         ]
--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -18,12 +18,15 @@
 """Two more starts are allowed after three hosts have crashed."""
 
 
-def run_schedule(seed: int, *, crashing_share: float = 0.0) -> World:
+def run_schedule(
+    seed: int, *, crashing_share: float = 0.0, evacuations: int = 0
+) -> World:
     """Simulates a period with faults, then one without in which all jobs must end.
 
     Args:
         seed: Seed of the schedule.
         crashing_share: Share of the jobs whose first task crashes its hosts.
+        evacuations: Number of times at which other zones are evacuated.
     """
     world = World(seed, fault_rate=0.06)
     rng = world.rng
@@ -40,6 +43,10 @@
             )
     for _ in range(rng.randint(1, 5)):
         inject_fault(world)
+    for _ in range(evacuations):
+        zones = rng.sample([host[-1] for host in world.hosts], rng.randint(0, 2))
+        world.schedule(rng.randint(0, FAULTY_MS), lambda z=zones: world.evacuate(*z))
+    world.schedule(FAULTY_MS, world.evacuate)
     world.run_until(world.now_ms + FAULTY_MS)
     world.fault_rate = 0.0
     for host in world.hosts.values():
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -23,6 +23,7 @@
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import RunOutcome
 from amaranthtray.domain.scheduling.caps import ClaimPortion, PortionsRead, claim
+from amaranthtray.domain.scheduling.evacuation import ZonesEvacuated
 from amaranthtray.domain.scheduling.lease import HostLease
 from amaranthtray.domain.scheduling.messages import (
     AcknowledgeEnds,
@@ -204,11 +205,12 @@
             record = world.records.get(spec.id)
             self.deliver(JobFound(spec, record, spec.id in world.cancelled))
         self.deliver(PortionsRead(TEAM, dict(world.portions)))
+        self.deliver(ZonesEvacuated(world.evacuated))
         infos = [
             HostInfo(
                 id=host,
                 address="",
-                zone=ZoneId("z"),
+                zone=ZoneId(host[-1]),
                 rack=RackId("r"),
                 capacity=CAPACITY,
             )
@@ -283,6 +285,8 @@
         until_ms = self.leases[order.host].next_expiry_ms(self.world.now_ms)
         if not self.may_order:
             return
+        if tries == 3 and order.host[-1] in self.world.evacuated:
+            self.world.starts_in_evacuated_zones.append(order)
         if until_ms is None:
             outcome = StartOutcome.UNHEALTHY if tries == 3 else StartOutcome.NO_REPLY
             reply = StartReplied(
@@ -430,6 +434,8 @@
             host.born = self.now_ms - self.rng.randint(0, 50_000)
             host.rate = self.rng.choice((1.0, 0.99, 0.98))
         self.conductor: Conductor | None = None
+        self.evacuated: frozenset[ZoneId] = frozenset()
+        self.starts_in_evacuated_zones: list[StartRun] = []
 
     def schedule(self, delay_ms: int, act: Callable[[], None]) -> None:
         self._order += 1
@@ -505,6 +511,11 @@
         if self.conductor is not None:
             self.conductor.deliver(JobCancelled(job))
 
+    def evacuate(self, *zones: str) -> None:
+        self.evacuated = frozenset(map(ZoneId, zones))
+        if self.conductor is not None:
+            self.conductor.deliver(ZonesEvacuated(self.evacuated))
+
     def take_over(self) -> None:
         """Starts a new conductor; the old one may still act for a moment."""
         self.highest_term += 1
