--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -4,11 +4,16 @@
 
 import re
 from pathlib import Path
+from typing import Any
 
 import pytest
 from returns.result import Failure, Success
 
 from amaranthtray.domain.duties.placement import MachineSize
+from amaranthtray.jobs.entry import JobEntry
+from amaranthtray.jobs.evacuation_follower import NoEvacuations
+from amaranthtray.jobs.metrics_registry import MetricsRegistry
+from amaranthtray.platform.run import PlatformAdapter
 from amaranthtray.settings.job_entry import load_job_entry
 
 ROOT = Path(__file__).parents[2]
@@ -51,6 +56,18 @@
     assert settings.evacuation is not None
 
 
+def test_without_its_section_no_evacuation_is_followed(tmp_path: Path) -> None:
+    """A deployment without the limit makes no call of the store for it."""
+    path = tmp_path / "settings.toml"
+    path.write_text(filled().partition("[evacuation]")[0])
+    settings = load_job_entry(str(path)).unwrap()
+    assert settings.evacuation is None
+    store: Any = object()
+    entry = JobEntry(settings, store, PlatformAdapter(settings), MetricsRegistry())
+    assert isinstance(entry._context.evacuations, NoEvacuations)
+    assert "evacuated" not in entry.render_metrics()
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import threading
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from amaranthtray.domain.ids import HostId, PoolName, Term
+from amaranthtray.domain.ids import HostId, PoolName, Term, ZoneId
 from amaranthtray.domain.jobs.catalog import JobPool
 from amaranthtray.domain.jobs.model import Resources
 from amaranthtray.domain.upkeep.model import (
@@ -73,6 +74,7 @@
         super().__init__()
         self.machine_service = FakeMachineService()
         self.held_term = Term(1)
+        self.evacuations: Any = NoEvacuations()
 
     def put(self, key: str, value: bytes) -> None:
         assert self.store.commit(Transaction(puts=(Put(key, value),)))
@@ -91,7 +93,7 @@
             settings=SimpleNamespace(
                 machines=SimpleNamespace(holder_change_ms=HOLDER_CHANGE_MS)
             ),
-            evacuations=NoEvacuations(),
+            evacuations=self.evacuations,
             platform=SimpleNamespace(
                 waves_prefix="waves/",
                 decode_wave=lambda data: msgspec.json.decode(data, type=WaveRequest),
@@ -248,3 +250,30 @@
     }
     assert maintained
     assert moved not in maintained
+
+
+def test_a_wave_goes_on_in_an_evacuated_zone_and_moves_do_not() -> None:
+    site = FleetSite()
+    site.machine_service.listed = [
+        replace(machine, zone=ZoneId("a")) for machine in site.machine_service.listed
+    ]
+    site.evacuations = NoEvacuations()
+    site.evacuations.zones = frozenset({ZoneId("a")})
+    names = (site.machine_service.listed[0].name,)
+    wave = WaveRequest(number=1, machines=names, duration_ms=1_000, cap=4)
+    site.put("waves/1", msgspec.json.encode(wave))
+    load = PoolLoad(Resources(100_000), Resources(10_000), ())
+    vacant = [str(site.machine_service.listed[0].host)]
+    report = PoolReport(vacant=vacant, load=load)
+    site.put(keys.report_key(WEB), msgspec.json.encode(report))
+    site.step(site.new_manager(1))
+    assert [type(each) for each in site.machine_service.orders] == [MaintainMachine]
+
+
+def test_a_holder_that_cannot_read_the_evacuations_does_not_begin() -> None:
+    site = FleetSite()
+    manager = site.new_manager(1)
+    manager._context.evacuations = SimpleNamespace(  # type: ignore[assignment]
+        subscribe=lambda role, post: False
+    )
+    assert not manager.take_over()
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -52,6 +52,7 @@
     born: int = INCARNATION,
     is_silent: bool = False,
     held_term: Callable[[], Term | None] = lambda: Term(1),
+    is_evacuated: Callable[[], bool] = lambda: False,
 ) -> tuple[HostLink, list[Message]]:
     lease = HostLease(lease_ms=5_000, max_lease_ms=9_000, earlier_leases_until_ms=0)
     lease.record_answer(0, born, 0)
@@ -65,6 +66,7 @@
         guard=TermGuard(Term(1), held_term),
         post=posted.append,
         log=EventLog({}, write=lambda data: None),
+        is_evacuated=is_evacuated,
     )
     link.record_incarnation(born)
     return link, posted
@@ -146,3 +148,26 @@
     assert isinstance(reply, StartReplied)
     assert reply.outcome is StartOutcome.UNHEALTHY
     assert not reply.was_repeated
+
+
+def test_a_start_that_was_queued_before_an_evacuation_is_not_sent() -> None:
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    link, posted = a_link(api, is_evacuated=lambda: True)
+    link.start_run(an_order())
+    assert api.starts == 0
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.WITHHELD
+
+
+def test_a_start_without_a_reply_is_stopped_and_not_resent_in_an_evacuated_zone() -> (
+    None
+):
+    api = FakeHost(lambda: StartOutcome.NO_REPLY)
+    link, posted = a_link(api, is_evacuated=lambda: api.starts > 0)
+    link.start_run(an_order())
+    assert api.starts == 1
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.NO_REPLY
+    assert reply.was_repeated
--- a/tests/upkeep/test_moves.py
+++ b/tests/upkeep/test_moves.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from amaranthtray.domain.ids import HostId, PoolName
+from amaranthtray.domain.ids import HostId, PoolName, ZoneId
 from amaranthtray.domain.jobs.model import Resources
 from amaranthtray.domain.upkeep.model import Machine, MachineName, MachineState
 from amaranthtray.domain.upkeep.moves import (
@@ -135,3 +135,28 @@
     plan(moves, fleet, cores)
     orders = plan(moves, fleet, cores, 2_000).orders
     assert all(order.pool == SPARE for order in orders)
+
+
+def test_machines_of_an_evacuated_zone_neither_move_nor_count() -> None:
+    """Of both pools' and the standby machines, the odd ones are in the zone."""
+    zones = (ZoneId("kept"), ZoneId("evacuated"))
+    every = [
+        replace(machine, zone=zones[number % 2])
+        for pool, count in ((BUSY, 6), (IDLE, 6), (SPARE, 4))
+        for number, machine in enumerate(machines(pool, count))
+    ]
+    moves = some_moves()
+    fleet = Fleet({machine.name: machine for machine in every}, {m.host for m in every})
+    loads = {
+        BUSY: PoolLoad(need=Resources(60_000), host=SIZE),
+        IDLE: PoolLoad(host=SIZE, idle=tuple(machine.host for machine in every)),
+    }
+    moves.leaving[MachineName("idle-1")] = BUSY
+    planned = plan_moves(
+        moves, fleet, loads, frozenset({SPARE}), frozenset(), 0, frozenset({zones[1]})
+    )
+    moved = {order.machine for order in planned.orders}
+    assert planned.lacking[BUSY] == 5
+    assert planned.lacking[IDLE] == 0
+    assert moved == {"spare-0", "spare-2", "idle-0"}
+    assert not moves.leaving
