Send no start between the close of a link and the end of its conductor

A link that passed its check for a closed link just before its conductor unsubscribed could find the zones of the entry forgotten, and send a queued start.

--- a/src/amaranthtray/domain/scheduling/evacuation.py
+++ b/src/amaranthtray/domain/scheduling/evacuation.py
@@ -54,7 +54,7 @@
     """Runs of one step are being stopped to start again outside their zone.
 
     Attributes:
-        zone: The evacuated zone.
+        zone: The evacuated zone; of several, the one of the step's first run.
         kind: Kind of the runs.
         tasks: Tasks of the runs.
         waited_ms: Time since this conductor learned of the request.
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -248,6 +248,9 @@
         """Returns the outcome of a start that must not be sent now, else None."""
         if self._is_evacuated():
             return StartOutcome.WITHHELD
+        if self._closing.is_set():
+            # The entry may have forgotten the zones once its links were closed.
+            return StartOutcome.NO_REPLY
         return None if self._guard.may_order() else StartOutcome.REFUSED
 
     def _send_stop(self, order: StartRun | StopRun | PaceRun) -> None:
