--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -18,6 +18,8 @@
 from .crash_register import CrashRegister
 from .host import Host
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
+from .policy import SchedulingPolicy
+from .run_times import RunTimes
 from .shares import ShareMeter
 
 if TYPE_CHECKING:
@@ -35,6 +37,7 @@
     Attributes:
         pool: Name of the pool.
         catalog: Configuration in force.
+        policy: Optional decisions.
         jobs: All jobs that are stored.
         active: Jobs that are not in a final state or still have runs.
         hosts: Hosts by id; a host that left the pool stays while it may have runs.
@@ -46,6 +49,7 @@
         shares: Meter of submissions beyond the teams' shares.
         unplaced: Steps with tasks that fit on no host.
         crashes: Tasks under which hosts crashed.
+        run_times: Expected run times of tasks.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -62,6 +66,7 @@
 
     pool: PoolName
     catalog: Catalog
+    policy: SchedulingPolicy = field(default_factory=SchedulingPolicy)
     jobs: dict[JobId, Job] = field(default_factory=dict)
     active: dict[JobId, Job] = field(default_factory=dict)
     hosts: dict[HostId, Host] = field(default_factory=dict)
@@ -74,6 +79,7 @@
     shares: ShareMeter = field(default_factory=ShareMeter)
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     crashes: CrashRegister = field(default_factory=CrashRegister)
+    run_times: RunTimes = field(default_factory=RunTimes)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -44,6 +44,7 @@
     VacateRequested,
     WatchHost,
 )
+from .policy import SchedulingPolicy
 
 if TYPE_CHECKING:
     from ..ids import HostId, PoolName
@@ -67,6 +68,8 @@
 EXPIRY_CHECK_EVERY_MS = 1_000
 """Time between checks for ended jobs whose retention time is over."""
 
+DECLARED_ONLY = SchedulingPolicy()
+
 LOAD_CHECK_EVERY_MS = 100
 """Shortest time between computations of the load."""
 
@@ -83,6 +86,7 @@
         earlier_leases_until_ms: Steady-clock time at which leases granted by earlier
             terms have expired.
         retention_ms: Time for which an ended job is kept.
+        policy: Optional decisions.
     """
 
     def __init__(
@@ -91,11 +95,12 @@
         catalog: Catalog,
         earlier_leases_until_ms: int,
         retention_ms: int = DEFAULT_RETENTION_MS,
+        policy: SchedulingPolicy = DECLARED_ONLY,
     ) -> None:
         self._retention_ms = retention_ms
         self._expiry_checked_ms = 0
         self._earlier_leases_until_ms: int | None = earlier_leases_until_ms
-        self.state = SchedulerState(pool, catalog)
+        self.state = SchedulerState(pool, catalog, policy)
         self.state.apply_catalog(catalog)
         self._published: dict[str, int] = {}
         self._published_ms = 0
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -29,8 +29,8 @@
     from ..domain.scheduling.lease import HostLease
     from ..domain.scheduling.messages import HostInfo
     from .event_log import EventLog
-    from .pool_conductor import TermGuard
     from .ports import HostApi
+    from .term_guard import TermGuard
 
 POLL_WAIT_MS = 2_000
 """Longest wait that a host accepts; it saves calls while no run ends."""
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -29,6 +29,7 @@
     UnwatchHost,
     WatchHost,
 )
+from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
 from . import clock
 from .advice_requester import AdviceRequester
@@ -37,6 +38,7 @@
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
+from .term_guard import TermGuard
 from .times import LEASE_MS, RENEWAL_GRACE_MS
 
 if TYPE_CHECKING:
@@ -44,6 +46,7 @@
 
     from ..domain.ids import HostId, PoolName, Term
     from ..domain.jobs.catalog import Catalog
+    from ..settings.job_entry import SchedulingSection
     from .context import JobEntryContext
 
 MAX_ROUND_INTERVAL_MS = 100
@@ -61,38 +64,12 @@
 """Most lost runs that one log line names."""
 
 
-class TermGuard:
-    """Tells whether a conductor may still act under its term; thread-safe.
-
-    Args:
-        term: Term of the conductor.
-        held_term: Returns the term that is certainly held now; None if there is none.
-    """
-
-    def __init__(self, term: Term, held_term: Callable[[], Term | None]) -> None:
-        self.term = term
-        self._held_term = held_term
-        self._last_held_ms = clock.steady_ms()
-        self._superseded = threading.Event()
-
-    def may_order(self) -> bool:
-        """Returns whether orders may be sent now: the term is certainly held."""
-        if self._superseded.is_set() or self._held_term() != self.term:
-            return False
-        self._last_held_ms = clock.steady_ms()
-        return True
-
-    def may_renew(self) -> bool:
-        """Returns whether leases may be renewed, until a grace time after the term."""
-        if self._superseded.is_set():
-            return False
-        if self.may_order():
-            return True
-        return clock.steady_ms() - self._last_held_ms < RENEWAL_GRACE_MS
-
-    def mark_superseded(self) -> None:
-        """Records that a higher term is in force."""
-        self._superseded.set()
+def _policy(section: SchedulingSection) -> SchedulingPolicy:
+    return SchedulingPolicy(
+        learn_run_times=section.learn_run_times,
+        refuse_late_jobs=section.refuse_late_jobs,
+        look_ahead=section.look_ahead,
+    )
 
 
 @dataclass(slots=True)
@@ -203,6 +180,7 @@
             catalog,
             self._earlier_leases_until_ms,
             int(retention_s * 1_000) + RETENTION_MARGIN_MS,
+            _policy(self._context.settings.scheduling),
         )
         self._context.hosts.subscribe(self.pool, self.post)
         while self._may_continue():
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -109,6 +109,30 @@
     address: Address
 
 
+class EvacuationSection(Struct, frozen=True, kw_only=True):
+    """Section ``[evacuation]``: operators may ask to evacuate an availability zone.
+
+    Attributes:
+        start_limit_ms: Time after a request within which starts in the zone must end.
+    """
+
+    start_limit_ms: Millis
+
+
+class SchedulingSection(Struct, frozen=True, kw_only=True):
+    """Section ``[scheduling]``: optional decisions of the pools' conductors.
+
+    Attributes:
+        learn_run_times: Whether run times are learned from the runs that ended.
+        refuse_late_jobs: Whether jobs that can't end early enough are refused.
+        look_ahead: Whether placement reserves hosts for tasks that wait for room.
+    """
+
+    learn_run_times: bool = False
+    refuse_late_jobs: bool = False
+    look_ahead: bool = False
+
+
 class JobEntrySettings(Struct, frozen=True, kw_only=True):
     """All settings of a job entry."""
 
@@ -119,6 +143,8 @@
     machine: MachineSection = MachineSection()
     machines: MachinesSection | None = None
     advice: AdviceSection | None = None
+    evacuation: EvacuationSection | None = None
+    scheduling: SchedulingSection = SchedulingSection()
 
 
 def load_job_entry(path: str) -> Result[JobEntrySettings, Problem]:
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -17,7 +17,7 @@
 )
 from amaranthtray.jobs.event_log import EventLog
 from amaranthtray.jobs.host_link import MAX_START_TRIES, HostLink
-from amaranthtray.jobs.pool_conductor import TermGuard
+from amaranthtray.jobs.term_guard import TermGuard
 from scheduling.parts import a_host
 
 if TYPE_CHECKING:
