Learn run times per image or queue and use them in rank and need

Cause: declared run times are off by a factor of e in the mean, while those of one queue differ by 0.5. Rank therefore puts work in the wrong order.

Change: behind learn_run_times, a regression of the logarithm of actual on declared run time by image or queue, with forgetting, refined by a step's ended tasks and the progress of its runs. Rank, slack, need and the expected rest of a run use it once 20 runs have ended and declarations are clearly worse. Evidence is stored with the records at most every 5 s and read by the next conductor.

--- a/src/amaranthtray/domain/jobs/estimate.py
+++ b/src/amaranthtray/domain/jobs/estimate.py
@@ -1,4 +1,4 @@
-"""Estimated duration and work of a job, from what its caller declared."""
+"""Estimated duration and work of a job, from its steps and their run times."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
         core_ms: Work of all tasks, in core-milliseconds.
     """
 
-    critical_path_ms: int
+    critical_path_ms: float
     core_ms: float
 
 
@@ -29,11 +29,23 @@
     return Estimate(critical_path_ms(steps, frozenset()), core_ms / 1_000)
 
 
-def critical_path_ms(steps: Sequence[StepSpec], done: AbstractSet[int]) -> int:
-    """Returns the estimated length of the critical path of steps not in ``done``."""
-    ends_ms: list[int] = []
+def critical_path_ms(
+    steps: Sequence[StepSpec],
+    done: AbstractSet[int],
+    lengths_ms: Sequence[float] | None = None,
+) -> float:
+    """Returns the estimated length of the critical path of steps not in ``done``.
+
+    Args:
+        steps: Steps of the job.
+        done: Steps that take no more time.
+        lengths_ms: Expected run times of the steps' tasks; those that the caller
+            declared if None.
+    """
+    ends_ms: list[float] = []
     for number, step in enumerate(steps):
         before_ms = max((ends_ms[each] for each in step.after), default=0)
-        own_ms = 0 if number in done else step.estimated_ms
+        length_ms = lengths_ms[number] if lengths_ms else step.estimated_ms
+        own_ms = 0 if number in done else length_ms
         ends_ms.append(before_ms + own_ms)
     return max(ends_ms, default=0)
--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -70,6 +70,9 @@
         pace: Last ordered speed, in percent of full speed.
         paced_ms: Steady-clock time of that order; None if there was none.
         progress_ms: Steady-clock time at which ``percent`` last changed.
+        first_report_ms: Steady-clock time of the first report of the run; None before.
+        first_percent: Completed part of its work in that report.
+        is_resumed: Whether it resumed from a checkpoint.
         started_ms: Steady-clock time of the placement; None if an earlier conductor
             placed it.
         prior_crashes: Crashes of the task's hosts that were known at the placement.
@@ -87,6 +90,9 @@
     pace: int = 100
     paced_ms: int | None = None
     progress_ms: int | None = None
+    first_report_ms: int | None = None
+    first_percent: int = 0
+    is_resumed: bool = False
     started_ms: int | None = None
     prior_crashes: int = 0
     has_survived: bool = False
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -23,7 +23,9 @@
         if not job.state.is_final:
             wanted = wanted.plus(_waiting_need(state, job))
             unplaced = max(unplaced, _hosts_for_unplaced(state, job, size))
-        timeliness = rank(job, state.queue_of(job), state.wall_ms).timeliness
+        timeliness = rank(
+            job, state.queue_of(job), state.wall_ms, run_times=state.run_times
+        ).timeliness
         if timeliness is Timeliness.IN_TIME:
             need = need.plus(wanted)
         else:
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -20,7 +20,7 @@
 from .host import Host
 from .messages import StartRun
 from .placement import place_each, place_gang
-from .ranking import Rank, Timeliness, rank
+from .ranking import Rank, Timeliness, expected_core_ms, rank
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
@@ -185,10 +185,12 @@
     Jobs beyond their team's share, and jobs that can't count any more, go last.
     """
     jobs = [job for job in state.active.values() if not job.state.is_final]
-    mean_core_ms = sum(job.estimate.core_ms for job in jobs) / max(len(jobs), 1)
+    total_core_ms = sum(expected_core_ms(job, state.run_times) for job in jobs)
+    mean_core_ms = total_core_ms / max(len(jobs), 1)
 
     def sort_key(job: Job) -> tuple[int, bool, Rank, str]:
-        job_rank = rank(job, state.queue_of(job), state.wall_ms, mean_core_ms)
+        queue, run_times = state.queue_of(job), state.run_times
+        job_rank = rank(job, queue, state.wall_ms, mean_core_ms, run_times)
         goes_last = (
             job.spec.id in state.shares.excess
             or job_rank.timeliness is Timeliness.TOO_LATE
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunOutcome, RunPhase
+from ._learning import note_progress, record_end
 from ._lost_runs import (
     LossReport,
     drop_lost_runs,
@@ -41,6 +42,7 @@
         reported = running.pop((placed.name, placed.run.number), None)
         if reported is not None:
             _apply_running(state, placed, reported, report)
+            note_progress(state, host, placed)
             if _is_obsolete(state, placed):
                 placed.run.phase, placed.run.confirmed_ms = RunPhase.STOPPING, None
                 effects.append(StopRun(host.info.id, placed.name, placed.run.number))
@@ -84,6 +86,7 @@
             continue
         if placed.run.phase is RunPhase.RESERVED:
             continue
+        record_end(state, host, placed, end, report)
         task = state.jobs[end.name.job].task(end.name)
         if task is not None and end.outcome is RunOutcome.FAILED:
             task.not_before_ms = state.now_ms + FAILURE_BACKOFF_MS
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -50,6 +50,7 @@
         unplaced: Steps with tasks that fit on no host.
         crashes: Tasks under which hosts crashed.
         run_times: Expected run times of tasks.
+        run_times_record: What was learned, for the next batch; empty if it is not due.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -80,6 +81,7 @@
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     crashes: CrashRegister = field(default_factory=CrashRegister)
     run_times: RunTimes = field(default_factory=RunTimes)
+    run_times_record: bytes = b""
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -94,6 +96,7 @@
 
     def __post_init__(self) -> None:
         self.caps = CapTracker(self.pool)
+        self.run_times.is_learning = self.policy.learn_run_times
 
     def apply_catalog(self, catalog: Catalog) -> None:
         """Applies a version of the configuration; removed queues stay known."""
@@ -140,6 +143,7 @@
             self.advice.remove_job(job.spec.id)
             self.shares.remove_job(job.spec.id)
             self.crashes.remove_job(job.spec.id)
+            self.run_times.remove_job(job.spec)
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
         self.dirty.add(job.spec.id)
@@ -149,6 +153,8 @@
         step = job.spec.steps[name.step]
         run = job.reserve_run(name, number, host.info.id, host.born or 0)
         run.started_ms = self.now_ms
+        task = job.task(name)
+        run.is_resumed = task is not None and bool(task.checkpoint)
         host.add(name, step, run)
         self.caps.add(job.spec.team, step.need)
         self.mark_dirty(job)
@@ -212,8 +218,15 @@
             for job_id in sorted(self.batch_jobs)
             if job_id in self.jobs
         )
+        learned, self.run_times_record = self.run_times_record, b""
         return StoreJobs(
-            self.batch, records, self.pending(), self.vacant, self.load, self.expired
+            self.batch,
+            records,
+            self.pending(),
+            self.vacant,
+            self.load,
+            self.expired,
+            learned,
         )
 
     def handle_batch_stored(self) -> list[Effect]:
@@ -231,6 +244,7 @@
         self.dirty |= self.batch_jobs
         self.held_effects = self.batch_effects + self.held_effects
         self.batch_effects = []
+        self.run_times.stored = -1
 
     def find_run(self, order: StartRun) -> Run | None:
         """Returns the run that a held order would start, if it still exists."""
@@ -248,4 +262,6 @@
         host = self.hosts.get(run.host)
         if host is not None:
             host.remove(name, run.number)
-        self.caps.remove(self.jobs[name.job].spec.team, self.step_of(name).need)
+        spec = self.jobs[name.job].spec
+        self.run_times.remove_run(spec, name, run)
+        self.caps.remove(spec.team, spec.steps[name.step].need)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -14,6 +14,7 @@
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimPortion, PortionsRead
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
+from .run_time_events import RunTimeReport, RunTimesRead
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -229,6 +230,7 @@
     | CatalogChanged
     | BatchStored
     | BatchNotStored
+    | RunTimesRead
 )
 
 
@@ -243,6 +245,7 @@
         vacant: Hosts that have been emptied on request.
         load: Resources and hosts that the pool needs.
         removed: Ended jobs that are not kept any longer; callers can't query them.
+        run_times: Learned run times in their stored form; empty to leave them.
     """
 
     batch: int
@@ -251,6 +254,7 @@
     vacant: frozenset[str]
     load: PoolLoad
     removed: tuple[JobId, ...] = ()
+    run_times: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -355,4 +359,5 @@
     | TaskGivenUp
     | CrashWithdrawn
     | RecordUnreadable
+    | RunTimeReport
 )
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -9,6 +9,7 @@
 from ..jobs.model import StepKey
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
+from ._learning import restore_run_times, review_run_times
 from ._load import pool_load
 from ._lost_runs import LossReport, drop_lost_runs, drop_runs_of_unlisted_hosts
 from ._pacing import pace_fillers
@@ -45,6 +46,7 @@
     WatchHost,
 )
 from .policy import SchedulingPolicy
+from .run_time_events import RunTimesRead
 
 if TYPE_CHECKING:
     from ..ids import HostId, PoolName
@@ -132,6 +134,8 @@
                 return self._handle_runs_ended(host_id, cause)
             case StartReplied():
                 return self._handle_start_reply(message)
+            case RunTimesRead():
+                return [*restore_run_times(self.state, message)]
             case StopReplied():
                 return self._handle_stop_reply(message)
             case CatalogChanged(catalog):
@@ -160,6 +164,7 @@
         for job in state.dirty_jobs():
             stops += self._stop_obsolete_runs(job)
         stops += self._inspect_hosts()
+        stops += review_run_times(state)
         plan_starts(state)
         stops += state.caps.claims(state.catalog, now_ms)
         stops += state.advice_requests
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -12,11 +12,12 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..jobs.estimate import critical_path_ms
+from ..jobs.estimate import Estimate, critical_path_ms
 
 if TYPE_CHECKING:
     from ..jobs.catalog import JobQueue
     from ..jobs.job import Job
+    from .run_times import RunTimes
 
 
 LATE_FACTOR = 3
@@ -62,26 +63,55 @@
     urgency: float
 
 
-def rank(job: Job, queue: JobQueue, wall_ms: int, mean_core_ms: float = 0.0) -> Rank:
+def expected_core_ms(job: Job, run_times: RunTimes) -> float:
+    """Returns the expected work of all tasks of a job, in core-milliseconds."""
+    return _expected(job, run_times)[0].core_ms
+
+
+def _expected(
+    job: Job, run_times: RunTimes | None
+) -> tuple[Estimate, list[float] | None]:
+    """Returns the estimate of a job and, if they are learned, its steps' run times."""
+    if run_times is None or not run_times.is_learning:
+        return job.estimate, None
+    steps = job.spec.steps
+    lengths_ms = run_times.of_steps(job.spec)
+    pairs = zip(steps, lengths_ms, strict=True)
+    core_ms = sum(step.count * step.need.cpu * ms for step, ms in pairs) / 1_000
+    path_ms = critical_path_ms(steps, frozenset(), lengths_ms)
+    return Estimate(path_ms, core_ms), lengths_ms
+
+
+def rank(
+    job: Job,
+    queue: JobQueue,
+    wall_ms: int,
+    mean_core_ms: float = 0.0,
+    run_times: RunTimes | None = None,
+) -> Rank:
     """Returns the rank of a job with waiting tasks.
 
+    The objective that a caller is owed follows from the job's actual critical path,
+    which is only known at its end. Until then the expected run times estimate it.
+
     Args:
         job: The job.
         queue: Queue to which it was submitted.
         wall_ms: Wall-clock time.
         mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
+        run_times: Expected run times; None to use only what the caller declared.
     """
     spec = job.spec
     if any(step.is_lasting for step in spec.steps):
         return Rank(-1, Timeliness.IN_TIME, False, spec.accepted_ms - wall_ms)
     occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
     begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
-    total_ms, core_ms = job.estimate
+    (total_ms, core_ms), lengths_ms = _expected(job, run_times)
     objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
     done = {
         step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
     }
-    left_ms = critical_path_ms(spec.steps, done) if done else total_ms
+    left_ms = critical_path_ms(spec.steps, done, lengths_ms) if done else total_ms
     slack_ms = objective_ms - (wall_ms - begun_ms + left_ms)
     slack = slack_ms / max(objective_ms, 1.0)
     has_not_begun = not job.has_begun(occurrence)
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -70,6 +70,11 @@
     return f"{REPORTS_PREFIX}{pool}"
 
 
+def run_times_key(pool: PoolName) -> str:
+    """Returns the key of the run times that a pool's conductor has learned."""
+    return f"run-times/{pool}"
+
+
 def pool_of_report(key: str) -> PoolName:
     """Returns the pool whose report is stored under ``key``."""
     return PoolName(key.removeprefix(REPORTS_PREFIX))
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -31,6 +31,7 @@
 )
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
+from ..domain.scheduling.run_time_events import RunTimeReport
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
@@ -38,6 +39,8 @@
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
+from .run_time_log import RunTimeLog
+from .run_time_reader import load_run_times
 from .term_guard import TermGuard
 from .times import LEASE_MS, RENEWAL_GRACE_MS
 
@@ -104,6 +107,7 @@
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
         self._stats = ConductorStats()
+        self._run_time_log = RunTimeLog(pool, term, context)
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._ended = threading.Event()
@@ -164,6 +168,10 @@
             if not self._may_continue():
                 return
             self._stopping.wait(STORE_RETRY_MS / 1_000)
+        if not load_run_times(
+            self.pool, self._context, self.post, self._may_continue, self._stopping
+        ):
+            return
         self._cap_portions.start()
         self._advice.start()
         feed = JobFeed(self.pool, self._context, self.post, self._may_continue)
@@ -266,6 +274,8 @@
                     self._context.log.event("job-unreadable", job=job, why=why)
                 case CrashWithdrawn():
                     self._record_withdrawn_crash(effect)
+                case RunTimeReport():
+                    self._run_time_log.record(effect, clock.steady_ms())
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -20,7 +20,10 @@
     from .event_log import EventLog
 
 RECORDS_PER_WRITE = 29
-"""A transaction allows 32 keys; the ledger uses two, the report one."""
+"""A transaction allows 32 keys; the ledger uses two, the report one.
+
+The first transaction of a batch with run times has one record less.
+"""
 
 
 class RecordWriter:
@@ -56,11 +59,17 @@
         if not self._ledger.is_loaded and not self.fence_older_terms():
             return False
         rows = list(batch.records)
+        learned: tuple[Put, ...] = ()
+        if batch.run_times:
+            learned = (Put(keys.run_times_key(self._pool), batch.run_times),)
+        first = RECORDS_PER_WRITE - len(learned)
         chunks = [
             rows[start : start + RECORDS_PER_WRITE]
-            for start in range(0, len(rows), RECORDS_PER_WRITE)
+            for start in range(first, len(rows), RECORDS_PER_WRITE)
         ]
-        is_stored = all(self._write_chunk(chunk, batch) for chunk in chunks or [[]])
+        is_stored = self._write_chunk(rows[:first], batch, learned) and all(
+            self._write_chunk(chunk, batch) for chunk in chunks
+        )
         return is_stored and self._remove(batch)
 
     def fence_older_terms(self) -> bool:
@@ -73,10 +82,16 @@
             return False
         return last.term == self._term or self._commit((), last.pending)
 
-    def _write_chunk(self, rows: list[tuple[JobId, bytes]], batch: StoreJobs) -> bool:
-        puts = tuple(
+    def _write_chunk(
+        self,
+        rows: list[tuple[JobId, bytes]],
+        batch: StoreJobs,
+        more: tuple[Put, ...] = (),
+    ) -> bool:
+        records = tuple(
             Put(keys.record_key(self._pool, job), record) for job, record in rows
         )
+        puts = (*records, *more)
         report = PoolReport(vacant=sorted(batch.vacant), load=batch.load)
         if report != self._report:
             value = msgspec.json.encode(report)
--- a/tests/scheduling/load.py
+++ b/tests/scheduling/load.py
@@ -28,6 +28,7 @@
     StoreJobs,
     VacateRequested,
 )
+from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.pool import PoolScheduler
 from amaranthtray.domain.upkeep.model import Machine, MachineName, MachineState
 from amaranthtray.domain.upkeep.moves import (
@@ -178,12 +179,14 @@
         time: Clock and events; pools of one fleet share them.
         seed: Seed of arrivals and durations.
         estimate_error: Estimates are off by up to this share.
+        policy: Optional decisions of the scheduler.
         load: Load that the scheduler last published.
     """
 
     time: Timeline
     seed: int
     estimate_error: float = 0.5
+    policy: SchedulingPolicy = field(default_factory=SchedulingPolicy)
     jobs: dict[JobId, Submitted] = field(default_factory=dict)
     load: PoolLoad = field(default_factory=PoolLoad)
     hosts: dict[HostId, dict[TaskName, int]] = field(default_factory=dict)
@@ -193,7 +196,7 @@
         catalog = a_catalog(
             weights={TEAM: 1_000}, slowdown_factor=SLOWDOWN, target_ms=TARGET_MS
         )
-        self.scheduler = PoolScheduler(POOL, catalog, 0)
+        self.scheduler = PoolScheduler(POOL, catalog, 0, policy=self.policy)
         self._sequences: Counter[HostId] = Counter()
 
     def add_hosts(self, *hosts: HostId) -> None:
--- a/tests/scheduling/parts.py
+++ b/tests/scheduling/parts.py
@@ -29,6 +29,7 @@
     StartRun,
     StoreJobs,
 )
+from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.pool import PoolScheduler
 
 if TYPE_CHECKING:
@@ -94,11 +95,17 @@
 class SchedulerHarness:
     """A scheduler with a store that answers at once, on a manual clock."""
 
-    def __init__(self, *hosts: HostInfo, catalog: Catalog | None = None) -> None:
+    def __init__(
+        self, *hosts: HostInfo, catalog: Catalog | None = None, learn: bool = False
+    ) -> None:
         self.now_ms = 0
         self.scheduler = PoolScheduler(
-            POOL, catalog or a_catalog(), EARLIER_LEASES_UNTIL_MS
+            POOL,
+            catalog or a_catalog(),
+            EARLIER_LEASES_UNTIL_MS,
+            policy=SchedulingPolicy(learn_run_times=learn),
         )
+        self.learned = b""
         self.records: dict[JobId, bytes] = {}
         self.send(HostsListed(hosts))
         for host in hosts:
@@ -114,6 +121,7 @@
         for effect in self.scheduler.plan(self.now_ms, self.now_ms):
             if isinstance(effect, StoreJobs):
                 self.records.update(dict(effect.records))
+                self.learned = effect.run_times or self.learned
                 effects += self.send(BatchStored(effect.batch))
             else:
                 effects.append(effect)
