Avoid slow hosts, and move or copy runs that end late there

Cause: hosts can become nine times slower and still answer; work is packed onto them and runs stay there until they end.

A slow host gets work only where it ends sooner there than elsewhere, and is tried again with two runs.

--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -75,6 +75,7 @@
         is_resumed: Whether it resumed from a checkpoint.
         started_ms: Steady-clock time of the placement; None if an earlier conductor
             placed it.
+        is_moved: Whether it is stopped to resume elsewhere, or gets a copy there.
         prior_crashes: Crashes of the task's hosts that were known at the placement.
         has_survived: Whether it has worked for so long that it does not crash its host.
     """
@@ -94,6 +95,7 @@
     first_percent: int = 0
     is_resumed: bool = False
     started_ms: int | None = None
+    is_moved: bool = False
     prior_crashes: int = 0
     has_survived: bool = False
 
--- a/src/amaranthtray/domain/scheduling/_learning.py
+++ b/src/amaranthtray/domain/scheduling/_learning.py
@@ -9,10 +9,11 @@
 
 from ..jobs.model import StepKey
 from ..jobs.task import RunOutcome, RunPhase
+from ._late_runs import move_late_runs
 from .host_speed import SpeedSample
+from .placement import is_far
 from .run_time_events import (
     RunTimeErrors,
-    RunTimeReport,
     RunTimesLearned,
     RunTimesUnreadable,
 )
@@ -23,7 +24,7 @@
     from ..jobs.model import StepSpec
     from ._state import SchedulerState
     from .host import Host, PlacedRun
-    from .messages import EndReport, HostReport
+    from .messages import Effect, EndReport, HostReport
     from .run_time_events import RunTimesRead
 
 STORE_EVERY_MS = 5_000
@@ -56,7 +57,7 @@
         return
     spec, run_times = state.jobs[name.job].spec, state.run_times
     actual_ms = max(report.received_ms - run.confirmed_ms, 1)
-    is_near = not _is_far(step, host)
+    is_near = not is_far(step, host)
     estimate = run_times.estimate_elsewhere(spec, name.step, run.host)
     if is_near and estimate is not None:
         residual = math.log(actual_ms) - estimate.mean
@@ -77,7 +78,7 @@
         run.progress_ms == state.now_ms
         and _is_finite(step)
         and whole_ms(run) is not None
-        and not _is_far(step, host)
+        and not is_far(step, host)
         and run.host not in state.run_times.speeds.slow
     ):
         state.run_times.record_progress(state.jobs[name.job].spec, name, run)
@@ -97,12 +98,12 @@
     return []
 
 
-def review_run_times(state: SchedulerState) -> list[RunTimeReport]:
-    """Updates the coefficients and speeds; returns what is to be reported."""
+def review_run_times(state: SchedulerState) -> list[Effect]:
+    """Updates coefficients and speeds, moves late runs; returns orders and reports."""
     run_times, now_ms = state.run_times, state.now_ms
     if not state.policy.learn_run_times:
         return []
-    reports: list[RunTimeReport] = []
+    reports: list[Effect] = []
     run_times.refit(now_ms)
     if now_ms - run_times.reviewed_ms >= REVIEW_EVERY_MS:
         run_times.reviewed_ms = now_ms
@@ -112,6 +113,7 @@
             if host.is_listed
         }
         reports += run_times.speeds.review(running, len(running), now_ms)
+        reports += move_late_runs(state)
     if run_times.errors:
         reports.append(RunTimeErrors(tuple(run_times.errors)))
         run_times.errors.clear()
@@ -136,7 +138,7 @@
         name, step, run = placed
         if run.phase is not RunPhase.RUNNING or run.confirmed_ms is None:
             continue
-        if not _is_finite(step) or run.pace < 100 or _is_far(step, host):
+        if not _is_finite(step) or run.pace < 100 or is_far(step, host):
             continue
         spec = state.jobs[name.job].spec
         estimate = state.run_times.estimate_elsewhere(spec, name.step, run.host)
@@ -175,7 +177,3 @@
 
 def _is_finite(step: StepSpec) -> bool:
     return not step.is_lasting and not step.fills
-
-
-def _is_far(step: StepSpec, host: Host) -> bool:
-    return bool(step.data_rack) and host.info.rack != step.data_rack
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.model import Resources, StepKey, TaskName
+from ..jobs.task import RunPhase
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -16,6 +17,7 @@
     select_reserved_hosts,
     split_suspects,
 )
+from ._slow_hosts import SlowHosts
 from ._unplaced import hosts_to_reserve
 from .host import Host
 from .messages import StartRun
@@ -71,7 +73,8 @@
     ]
     if not every:
         return
-    hosts = _PlanHosts(every, every)
+    slow = SlowHosts.split(state, every)
+    hosts = _PlanHosts(every, slow.usual)
     hosts.exclude(state.crashes.reserved_hosts)
     room = _largest_free(hosts.shared)
     waiting_keys: set[StepKey] = set()
@@ -82,6 +85,8 @@
             if step.reserved.fits(room) or has_suspects(job, key, waiting):
                 waiting = _within_cap(state, job, step, waiting)
                 placed = _place_tasks(state, job, key, waiting, hosts)
+            if slow.hosts and placed < len(waiting):
+                placed += _place_on_slow(state, job, key, slow)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
             if step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
@@ -132,6 +137,22 @@
     return placed
 
 
+def _place_on_slow(
+    state: SchedulerState, job: Job, key: StepKey, slow: SlowHosts
+) -> int:
+    """Places tasks on slow hosts that end sooner there; returns how many."""
+    tasks = job.tasks(key.occurrence, key.step)
+    waiting = [
+        number
+        for number, task in enumerate(tasks)
+        if task.is_waiting and not task.crashes and task.not_before_ms <= state.now_ms
+    ]
+    waiting = _within_cap(state, job, job.spec.steps[key.step], waiting)
+    allowed = _allowed_hosts(state, job, key, slow.hosts)
+    placements = slow.place(state, job, key, waiting, allowed)
+    return _reserve_runs(state, job, key, placements)
+
+
 def _place_isolated(
     state: SchedulerState,
     job: Job,
@@ -227,14 +248,16 @@
 
 
 def _wants_copy(state: SchedulerState, task: Task) -> bool:
-    """Returns whether a task needs a copy, as its only run is on a silent host.
+    """Returns whether a task needs a copy, as its only run is silent or ends late.
 
     A task that may have silenced its host gets no copy, which could crash another one.
     """
     if task.is_done or task.is_given_up or task.crashes or len(task.runs) != 1:
         return False
-    host = state.hosts.get(task.runs[0].host)
-    return host is None or host.is_silent
+    run = task.runs[0]
+    host = state.hosts.get(run.host)
+    is_late = run.is_moved and run.phase is RunPhase.RUNNING
+    return host is None or host.is_silent or is_late
 
 
 def _reserve_runs(
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/_slow_hosts.py
@@ -0,0 +1,140 @@
+"""Placement on slow hosts: only where the work ends sooner there than elsewhere.
+
+Load: some hosts take up to nine times the usual time. Tasks that are placed there by
+their free resources end late, and their jobs with them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..jobs.task import RunPhase
+from .host import Host
+from .host_speed import TRIAL_RUNS
+from .placement import place_each, place_gang
+
+if TYPE_CHECKING:
+    from ..jobs.job import Job
+    from ..jobs.model import StepKey, StepSpec
+    from ._state import SchedulerState
+    from .placement import Placement
+
+ENDING_PHASES = (RunPhase.RESERVED, RunPhase.STARTING, RunPhase.RUNNING)
+
+
+@dataclass(slots=True)
+class SlowHosts:
+    """Hosts of one plan that are slow or were until recently.
+
+    Attributes:
+        usual: Hosts of the plan that are not slow.
+        hosts: The others.
+    """
+
+    usual: list[Host]
+    hosts: list[Host]
+    _waiting_cpu: int = 0
+    _freed: list[tuple[float, int]] | None = field(default=None)
+
+    @classmethod
+    def split(cls, state: SchedulerState, hosts: list[Host]) -> SlowHosts:
+        """Splits the hosts of a plan."""
+        known = state.run_times.speeds.slow
+        if not known:
+            return cls(hosts, [])
+        return cls(
+            [host for host in hosts if host.info.id not in known],
+            [host for host in hosts if host.info.id in known],
+        )
+
+    def place(
+        self,
+        state: SchedulerState,
+        job: Job,
+        key: StepKey,
+        waiting: list[int],
+        allowed: list[Host],
+    ) -> list[Placement]:
+        """Places tasks of a step for which the other hosts have no room.
+
+        Args:
+            state: State of the scheduler.
+            job: Job of the step.
+            key: Key of the step.
+            waiting: Indices of the tasks, all without a run.
+            allowed: Slow hosts that the placement policy allows.
+        """
+        step = job.spec.steps[key.step]
+        reserved = state.crashes.reserved_hosts
+        hosts = [
+            host
+            for host in allowed
+            if host.info.id not in reserved and not host.quarantined_runs
+        ]
+        if step.is_gang:
+            if not state.unplaced.is_overdue(key, step, state.now_ms):
+                return []
+            return place_gang(step, key, waiting, [*self.usual, *hosts])
+        speeds = state.run_times.speeds
+        hosts.sort(key=lambda host: speeds.slowness(host.info.id))
+        placements: list[Placement] = []
+        left = list(waiting)
+        for host in hosts:
+            fitting = place_each(step, key, left, [host])
+            count = self._count(state, job, key, step, host, len(fitting))
+            placements += fitting[:count]
+            left = left[count:]
+        self._waiting_cpu += len(left) * step.reserved.cpu
+        return placements
+
+    def _count(
+        self,
+        state: SchedulerState,
+        job: Job,
+        key: StepKey,
+        step: StepSpec,
+        host: Host,
+        fitting: int,
+    ) -> int:
+        """Returns how many of the fitting tasks a slow host should get."""
+        run_times, now_ms = state.run_times, state.now_ms
+        # A lasting task never ends: any host is better than none.
+        if step.is_lasting or not fitting:
+            return fitting
+        run_count = len(host.placed_runs())
+        if not run_times.speeds.is_avoided(host.info.id, run_count, now_ms):
+            return min(fitting, TRIAL_RUNS - run_count)
+        expected_ms = run_times.of_step(job.spec, key.step).expected_ms
+        longer_ms = expected_ms * (run_times.speeds.slowness(host.info.id) - 1)
+        cpu = step.reserved.cpu
+        waits = (
+            self._wait_ms(state, self._waiting_cpu + number * cpu)
+            for number in range(1, fitting + 1)
+        )
+        return sum(wait_ms > longer_ms for wait_ms in waits)
+
+    def _wait_ms(self, state: SchedulerState, cpu: int) -> float:
+        """Returns when the other hosts will have freed that much CPU."""
+        if self._freed is None:
+            self._freed = _ends(state, self.usual)
+        freed = 0
+        for rest_ms, each in self._freed:
+            freed += each
+            if freed >= cpu:
+                return rest_ms
+        return self._freed[-1][0] * cpu / freed if freed else 0.0
+
+
+def _ends(state: SchedulerState, hosts: list[Host]) -> list[tuple[float, int]]:
+    """Returns the expected rest of all runs that end, with the CPU that each frees."""
+    run_times, now_ms = state.run_times, state.now_ms
+    ends: list[tuple[float, int]] = []
+    for host in hosts:
+        for name, step, run in host.placed_runs():
+            if step.is_lasting or run.phase not in ENDING_PHASES:
+                continue
+            spec = state.jobs[name.job].spec
+            rest = run_times.remaining(spec, name.step, run, now_ms)
+            ends.append((rest.expected_ms, step.reserved.cpu))
+    return sorted(ends)
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -109,7 +109,7 @@
     ]
 
 
-def _is_far(step: StepSpec, host: Host) -> bool:
+def is_far(step: StepSpec, host: Host) -> bool:
     """Returns whether a host is in another rack than the step's data."""
     return bool(step.data_rack) and host.info.rack != step.data_rack
 
@@ -129,7 +129,7 @@
     return (
         host.suspect_runs + placed > 0,
         host.machine in avoided_machines,
-        _is_far(step, host),
+        is_far(step, host),
         step.is_lasting and not host.has_lasting,
         -host.free.cpu,
     )
@@ -142,4 +142,4 @@
     the fullest, so that others stay empty and can move to another pool.
     """
     is_unpacked = step.is_lasting and not host.has_lasting
-    return _is_far(step, host), host.suspect_runs > 0, is_unpacked, host.free.cpu
+    return is_far(step, host), host.suspect_runs > 0, is_unpacked, host.free.cpu
--- a/src/amaranthtray/domain/scheduling/run_times.py
+++ b/src/amaranthtray/domain/scheduling/run_times.py
@@ -168,6 +168,11 @@
             return self.estimate(spec, step)
         return self._estimate(spec, step, host)
 
+    def evidence_elsewhere(self, spec: JobSpec, step: int, host: HostId) -> int:
+        """Returns the number of a step's runs on other hosts that show its time."""
+        evidence = self._steps.get((spec.id, step))
+        return evidence.count_elsewhere(host) if evidence else 0
+
     def record(
         self,
         spec: JobSpec,
@@ -256,9 +261,14 @@
 
     def _cached(self, spec: JobSpec, step: int) -> _Cached:
         """Computes and caches the estimate of a step."""
-        estimate = self._estimate(spec, step)
-        if estimate is None:
-            run_time = RunTime(float(spec.steps[step].estimated_ms))
+        estimate, model = self._estimate(spec, step), self._models.get(_key(spec, step))
+        declared = RunTime(float(spec.steps[step].estimated_ms))
+        if estimate is None or model is None:
+            run_time = declared
+        elif model.uses_declared:
+            # Callers who declare well get exactly what they declare: a trial that
+            # refined it by the step's first ends, its shortest ones, served them worse.
+            run_time = declared._replace(spread=_of_logarithm(estimate).spread)
         else:
             run_time = _of_logarithm(estimate)
         found = self._cache[spec.id, step] = _Cached(estimate, run_time)
--- a/src/amaranthtray/domain/scheduling/step_evidence.py
+++ b/src/amaranthtray/domain/scheduling/step_evidence.py
@@ -92,6 +92,11 @@
             return None
         return difference * difference * (self.ended - 1) / self.ended
 
+    def count_elsewhere(self, host: HostId) -> int:
+        """Returns the number of runs on other hosts."""
+        rates = sum(run.host != host for run in self.runs.values())
+        return self.ended - self.by_host.get(host, (0, 0.0))[0] + rates
+
     def estimate(
         self, prior: Estimated, within: float, except_host: HostId | None = None
     ) -> Estimated:
--- a/tests/scheduling/misdeclared.py
+++ b/tests/scheduling/misdeclared.py
@@ -92,9 +92,7 @@
         super().__post_init__()
         self.effects: list[Effect] = []
         self.thrown_away_ms = 0.0
-        self.run_s_by_host: dict[HostId, float] = {}
         self._work: dict[tuple[TaskName, int], _Work] = {}
-        self._done: dict[TaskName, float] = {}
 
     def submit_for(self, until_ms: int, per_s: float) -> None:
         """Schedules arrivals from now on."""
@@ -112,6 +110,19 @@
             self._report(host, ())
         self.time.after(REPORT_EVERY_MS, self.report_hosts)
 
+    def set_slowness(self, slowness: dict[HostId, float]) -> None:
+        """Changes the speed of hosts; running tasks go on at the new speed."""
+        for host, runs in self.hosts.items():
+            for name, number in runs.items():
+                work = self._work[name, number]
+                work.done = self._progress(name, number, host)
+                work.since_ms = self.time.now_ms
+        self.slowness = slowness
+        for host, runs in self.hosts.items():
+            for name, number in runs.items():
+                work = self._work[name, number]
+                self._schedule_end(work.order, work)
+
     def _apply(self, effects: list[Effect]) -> None:
         super()._apply(effects)
         self.effects += effects
@@ -124,7 +135,7 @@
         rng = random.Random(f"{self.seed} {order.name}")
         whole_ms = length_ms * rng.lognormvariate(0, TASK_DEVIATION)
         begun = float(order.checkpoint or 0)
-        work = _Work(whole_ms, begun, self.time.now_ms, order.host)
+        work = _Work(order, whole_ms, begun, begun, self.time.now_ms)
         self._work[order.name, order.number] = work
         self.hosts[order.host][order.name] = order.number
         self._schedule_end(order, work)
@@ -153,7 +164,7 @@
             work = self._work[order.name, order.number]
             step = self.jobs[order.name.job].spec.steps[order.name.step]
             kept = f"{done:.3f}" if step.is_checkpointing else ""
-            lost = 0.0 if step.is_checkpointing else done - work.done
+            lost = 0.0 if step.is_checkpointing else done - work.begun
             self.thrown_away_ms += lost * work.whole_ms
             del self.hosts[order.host][order.name]
             self._sequences[order.host] += 1
@@ -181,10 +192,11 @@
 
 @dataclass
 class _Work:
-    """Work of a run: its length, and the part that was done at a time."""
+    """Work of a run: its length, and the parts done at its start and at a time."""
 
+    order: StartRun
     whole_ms: float
+    begun: float
     done: float
     since_ms: int
-    host: HostId
     version: int = 0
