--- a/src/amaranthtray/domain/jobs/estimate.py
+++ b/src/amaranthtray/domain/jobs/estimate.py
@@ -23,10 +23,20 @@
     core_ms: float
 
 
-def estimate_job(steps: Sequence[StepSpec]) -> Estimate:
-    """Returns the estimate of a job with the given steps."""
-    core_ms = sum(step.count * step.need.cpu * step.estimated_ms for step in steps)
-    return Estimate(critical_path_ms(steps, frozenset()), core_ms / 1_000)
+def estimate_job(
+    steps: Sequence[StepSpec], lengths_ms: Sequence[float] | None = None
+) -> Estimate:
+    """Returns the estimate of a job with the given steps.
+
+    Args:
+        steps: Steps of the job.
+        lengths_ms: Expected run times of the steps' tasks; those that the caller
+            declared if None.
+    """
+    times_ms = lengths_ms or [step.estimated_ms for step in steps]
+    pairs = zip(steps, times_ms, strict=True)
+    core_ms = sum(step.count * step.need.cpu * time_ms for step, time_ms in pairs)
+    return Estimate(critical_path_ms(steps, frozenset(), lengths_ms), core_ms / 1_000)
 
 
 def critical_path_ms(
--- a/src/amaranthtray/domain/scheduling/_slow_hosts.py
+++ b/src/amaranthtray/domain/scheduling/_slow_hosts.py
@@ -82,35 +82,36 @@
         left = list(waiting)
         for host in hosts:
             fitting = place_each(step, key, left, [host])
-            count = self._count(state, job, key, step, host, len(fitting))
+            useful = self._useful_count(state, job, key, step, host, len(left))
+            count = min(useful, len(fitting))
             placements += fitting[:count]
             left = left[count:]
         self._waiting_cpu += len(left) * step.reserved.cpu
         return placements
 
-    def _count(
+    def _useful_count(
         self,
         state: SchedulerState,
         job: Job,
         key: StepKey,
         step: StepSpec,
         host: Host,
-        fitting: int,
+        waiting: int,
     ) -> int:
-        """Returns how many of the fitting tasks a slow host should get."""
+        """Returns how many of the waiting tasks would end sooner on a slow host."""
         run_times, now_ms = state.run_times, state.now_ms
         # A lasting task never ends: any host is better than none.
-        if step.is_lasting or not fitting:
-            return fitting
+        if step.is_lasting:
+            return waiting
         run_count = len(host.placed_runs())
         if not run_times.speeds.is_avoided(host.info.id, run_count, now_ms):
-            return min(fitting, TRIAL_RUNS - run_count)
+            return TRIAL_RUNS - run_count
         expected_ms = run_times.of_step(job.spec, key.step).expected_ms
         longer_ms = expected_ms * (run_times.speeds.slowness(host.info.id) - 1)
         cpu = step.reserved.cpu
         waits = (
             self._wait_ms(state, self._waiting_cpu + number * cpu)
-            for number in range(1, fitting + 1)
+            for number in range(1, waiting + 1)
         )
         return sum(wait_ms > longer_ms for wait_ms in waits)
 
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -12,10 +12,11 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..jobs.estimate import Estimate, critical_path_ms
+from ..jobs.estimate import critical_path_ms
 
 if TYPE_CHECKING:
     from ..jobs.catalog import JobQueue
+    from ..jobs.estimate import Estimate
     from ..jobs.job import Job
     from .run_times import RunTimes
 
@@ -74,12 +75,7 @@
     """Returns the estimate of a job and, if they are learned, its steps' run times."""
     if run_times is None or not run_times.is_learning:
         return job.estimate, None
-    steps = job.spec.steps
-    lengths_ms = run_times.of_steps(job.spec)
-    pairs = zip(steps, lengths_ms, strict=True)
-    core_ms = sum(step.count * step.need.cpu * ms for step, ms in pairs) / 1_000
-    path_ms = critical_path_ms(steps, frozenset(), lengths_ms)
-    return Estimate(path_ms, core_ms), lengths_ms
+    return run_times.of_job(job.spec)
 
 
 def rank(
--- a/src/amaranthtray/domain/scheduling/run_times.py
+++ b/src/amaranthtray/domain/scheduling/run_times.py
@@ -12,6 +12,7 @@
 from statistics import NormalDist
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..jobs.estimate import Estimate, estimate_job
 from ..jobs.model import JobId
 from .host_speed import HostSpeeds
 from .run_time_events import KeySummary, RunTimeError
@@ -87,6 +88,13 @@
     uses_declared: bool
 
 
+class ExpectedJob(NamedTuple):
+    """Estimate of a job, and the expected run time of a task of each step in ms."""
+
+    estimate: Estimate
+    lengths_ms: list[float]
+
+
 class _Cached(NamedTuple):
     """Estimate of a step, if there is one, and its run time."""
 
@@ -119,6 +127,7 @@
     _models: dict[str, Model] = field(default_factory=dict)
     _steps: dict[tuple[JobId, int], StepEvidence] = field(default_factory=dict)
     _cache: dict[tuple[JobId, int], _Cached] = field(default_factory=dict)
+    _jobs: dict[JobId, ExpectedJob] = field(default_factory=dict)
     _fitted_ms: int = 0
 
     def of_step(self, spec: JobSpec, step: int) -> RunTime:
@@ -128,10 +137,15 @@
         found = self._cache.get((spec.id, step))
         return (found or self._cached(spec, step)).run_time
 
-    def of_steps(self, spec: JobSpec) -> list[float]:
-        """Returns the expected run time of a task of each step, in ms."""
-        steps = range(len(spec.steps))
-        return [self.of_step(spec, step).expected_ms for step in steps]
+    def of_job(self, spec: JobSpec) -> ExpectedJob:
+        """Returns the expected run times of a job and its steps."""
+        found = self._jobs.get(spec.id)
+        if found is None:
+            steps = range(len(spec.steps))
+            lengths_ms = [self.of_step(spec, step).expected_ms for step in steps]
+            estimate = estimate_job(spec.steps, lengths_ms)
+            found = self._jobs[spec.id] = ExpectedJob(estimate, lengths_ms)
+        return found
 
     def remaining(self, spec: JobSpec, step: int, run: Run, now_ms: int) -> RunTime:
         """Returns the expected time until a run of a step ends.
@@ -204,20 +218,20 @@
     def record_progress(self, spec: JobSpec, name: TaskName, run: Run) -> None:
         """Adds the progress of a run to the evidence on its step."""
         self._evidence(spec, name.step).runs[name.number, run.number] = run
-        self._cache.pop((spec.id, name.step), None)
+        self._invalidate(spec, name.step)
 
     def remove_run(self, spec: JobSpec, name: TaskName, run: Run) -> None:
         """Removes the progress of a run that ended."""
         evidence = self._steps.get((spec.id, name.step))
         if evidence is not None:
             evidence.runs.pop((name.number, run.number), None)
-            self._cache.pop((spec.id, name.step), None)
+            self._invalidate(spec, name.step)
 
     def remove_job(self, spec: JobSpec) -> None:
         """Removes the evidence on the steps of a job that has ended."""
         for step in range(len(spec.steps)):
             self._steps.pop((spec.id, step), None)
-            self._cache.pop((spec.id, step), None)
+            self._invalidate(spec, step)
 
     def refit(self, now_ms: int) -> None:
         """Computes the coefficients if that is due, and forgets old evidence."""
@@ -225,6 +239,7 @@
             return
         self._fitted_ms = now_ms
         self._cache.clear()
+        self._jobs.clear()
         for key, regression in list(self._regressions.items()):
             if now_ms - regression.updated_ms > MAX_AGE_MS:
                 del self._regressions[key]
@@ -259,6 +274,10 @@
             if regression.weight
         )
 
+    def _invalidate(self, spec: JobSpec, step: int) -> None:
+        self._cache.pop((spec.id, step), None)
+        self._jobs.pop(spec.id, None)
+
     def _cached(self, spec: JobSpec, step: int) -> _Cached:
         """Computes and caches the estimate of a step."""
         estimate, model = self._estimate(spec, step), self._models.get(_key(spec, step))
@@ -296,7 +315,7 @@
         actual = _logarithm(actual_ms)
         evidence = self._evidence(spec, step)
         difference = evidence.add(actual, host)
-        self._cache.pop((spec.id, step), None)
+        self._invalidate(spec, step)
         regression = self._regression(_key(spec, step))
         declared = _logarithm(spec.steps[step].estimated_ms)
         regression.add(declared, actual, 1 / evidence.ended, now_ms)
--- a/tests/scheduling/misdeclared.py
+++ b/tests/scheduling/misdeclared.py
@@ -118,7 +118,7 @@
                 work.done = self._progress(name, number, host)
                 work.since_ms = self.time.now_ms
         self.slowness = slowness
-        for host, runs in self.hosts.items():
+        for runs in self.hosts.values():
             for name, number in runs.items():
                 work = self._work[name, number]
                 self._schedule_end(work.order, work)
