--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.model import Resources, StepKey, TaskName
+from ..jobs.task import RunPhase
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -16,11 +17,12 @@
     select_reserved_hosts,
     split_suspects,
 )
+from ._slow_hosts import SlowHosts
 from ._unplaced import hosts_to_reserve
 from .host import Host
 from .messages import StartRun
 from .placement import place_each, place_gang
-from .ranking import Rank, Timeliness, rank
+from .ranking import Rank, Timeliness, expected_core_ms, rank
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
@@ -71,7 +73,8 @@
     ]
     if not every:
         return
-    hosts = _PlanHosts(every, every)
+    slow = SlowHosts.split(state, every)
+    hosts = _PlanHosts(every, slow.usual)
     hosts.exclude(state.crashes.reserved_hosts)
     room = _largest_free(hosts.shared)
     waiting_keys: set[StepKey] = set()
@@ -82,6 +85,8 @@
             if step.reserved.fits(room) or has_suspects(job, key, waiting):
                 waiting = _within_cap(state, job, step, waiting)
                 placed = _place_tasks(state, job, key, waiting, hosts)
+            if slow.hosts and placed < len(waiting):
+                placed += _place_on_slow(state, job, key, slow)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
             if step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
@@ -132,6 +137,22 @@
     return placed
 
 
+def _place_on_slow(
+    state: SchedulerState, job: Job, key: StepKey, slow: SlowHosts
+) -> int:
+    """Places tasks on slow hosts that end sooner there; returns how many."""
+    tasks = job.tasks(key.occurrence, key.step)
+    waiting = [
+        number
+        for number, task in enumerate(tasks)
+        if task.is_waiting and not task.crashes and task.not_before_ms <= state.now_ms
+    ]
+    waiting = _within_cap(state, job, job.spec.steps[key.step], waiting)
+    allowed = _allowed_hosts(state, job, key, slow.hosts)
+    placements = slow.place(state, job, key, waiting, allowed)
+    return _reserve_runs(state, job, key, placements)
+
+
 def _place_isolated(
     state: SchedulerState,
     job: Job,
@@ -185,10 +206,12 @@
     Jobs beyond their team's share, and jobs that can't count any more, go last.
     """
     jobs = [job for job in state.active.values() if not job.state.is_final]
-    mean_core_ms = sum(job.estimate.core_ms for job in jobs) / max(len(jobs), 1)
+    total_core_ms = sum(expected_core_ms(job, state.run_times) for job in jobs)
+    mean_core_ms = total_core_ms / max(len(jobs), 1)
 
     def sort_key(job: Job) -> tuple[int, bool, Rank, str]:
-        job_rank = rank(job, state.queue_of(job), state.wall_ms, mean_core_ms)
+        queue, run_times = state.queue_of(job), state.run_times
+        job_rank = rank(job, queue, state.wall_ms, mean_core_ms, run_times)
         goes_last = (
             job.spec.id in state.shares.excess
             or job_rank.timeliness is Timeliness.TOO_LATE
@@ -229,14 +252,16 @@
 
 
 def _wants_copy(state: SchedulerState, task: Task) -> bool:
-    """Returns whether a task needs a copy, as its only run is on a silent host.
+    """Returns whether a task needs a copy, as its only run is silent or ends late.
 
     A task that may have silenced its host gets no copy, which could crash another one.
     """
     if task.is_done or task.is_given_up or task.crashes or len(task.runs) != 1:
         return False
-    host = state.hosts.get(task.runs[0].host)
-    return host is None or host.is_silent
+    run = task.runs[0]
+    host = state.hosts.get(run.host)
+    is_late = run.is_moved and run.phase is RunPhase.RUNNING
+    return host is None or host.is_silent or is_late
 
 
 def _reserve_runs(
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -21,6 +21,7 @@
     ZonesEvacuated,
 )
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
+from .run_time_events import RunTimeReport, RunTimesRead
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -239,6 +240,7 @@
     | CatalogChanged
     | BatchStored
     | BatchNotStored
+    | RunTimesRead
 )
 
 
@@ -253,6 +255,7 @@
         vacant: Hosts that have been emptied on request.
         load: Resources and hosts that the pool needs.
         removed: Ended jobs that are not kept any longer; callers can't query them.
+        run_times: Learned run times in their stored form; empty to leave them.
     """
 
     batch: int
@@ -261,6 +264,7 @@
     vacant: frozenset[str]
     load: PoolLoad
     removed: tuple[JobId, ...] = ()
+    run_times: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -369,4 +373,5 @@
     | RunsMoved
     | EvacuationProgress
     | EvacuationHosts
+    | RunTimeReport
 )
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -37,6 +37,7 @@
 )
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
+from ..domain.scheduling.run_time_events import RunTimeReport
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
@@ -44,7 +45,10 @@
 from .evacuation_reporter import EvacuationReporter
 from .host_link import HostLink
 from .job_feed import JobFeed
+from .loss_log import LossLog
 from .record_writer import RecordWriter
+from .run_time_log import RunTimeLog
+from .run_time_reader import load_run_times
 from .term_guard import TermGuard
 from .times import LEASE_MS, RENEWAL_GRACE_MS
 
@@ -67,9 +71,6 @@
 
 STORE_RETRY_MS = 100
 
-MAX_LOGGED_RUNS = 40
-"""Most lost runs that one log line names."""
-
 
 def _policy(section: SchedulingSection) -> SchedulingPolicy:
     return SchedulingPolicy(
@@ -111,7 +112,9 @@
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
         self._stats = ConductorStats()
+        self._losses = LossLog(pool, term, context.log, context.metrics)
         self._evacuation = EvacuationReporter(pool, term, context.log, context.metrics)
+        self._run_time_log = RunTimeLog(pool, term, context)
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._ended = threading.Event()
@@ -182,6 +185,10 @@
             if not self._may_continue():
                 return
             self._stopping.wait(STORE_RETRY_MS / 1_000)
+        if not load_run_times(
+            self.pool, self._context, self.post, self._may_continue, self._stopping
+        ):
+            return
         self._cap_portions.start()
         self._advice.start()
         feed = JobFeed(self.pool, self._context, self.post, self._may_continue)
@@ -278,10 +285,8 @@
                     self._unwatch_host(host)
                 case Superseded():
                     self._guard.mark_superseded()
-                case RunsLost():
-                    self._record_lost_runs(effect)
-                case TaskGivenUp():
-                    self._record_given_up_task(effect)
+                case RunsLost() | TaskGivenUp() | CrashWithdrawn():
+                    self._losses.record(effect)
                 case (
                     EvacuationHosts()
                     | EvacuationProgress()
@@ -291,8 +296,8 @@
                     self._evacuation.record(effect)
                 case RecordUnreadable(job, why):
                     self._context.log.event("job-unreadable", job=job, why=why)
-                case CrashWithdrawn():
-                    self._record_withdrawn_crash(effect)
+                case RunTimeReport():
+                    self._run_time_log.record(effect, clock.steady_ms())
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
@@ -312,44 +317,6 @@
             )
             link.order(order)
 
-    def _record_lost_runs(self, lost: RunsLost) -> None:
-        self._context.metrics.count("runs_lost", lost.cause, len(lost.runs))
-        if lost.is_crash:
-            self._context.metrics.count("hosts_crashed", lost.cause)
-        rows = [(str(run.name), *run[1:]) for run in lost.runs[:MAX_LOGGED_RUNS]]
-        self._context.log.event(
-            "runs-lost",
-            pool=self.pool,
-            host=lost.host,
-            born=lost.born,
-            cause=lost.cause,
-            is_crash=lost.is_crash,
-            count=len(lost.runs),
-            runs=rows,
-            term=self._guard.term,
-        )
-
-    def _record_given_up_task(self, given_up: TaskGivenUp) -> None:
-        self._context.metrics.count("tasks_given_up")
-        self._context.log.event(
-            "task-given-up",
-            pool=self.pool,
-            task=str(given_up.name),
-            crashes=given_up.crashes,
-            was_alone=given_up.was_alone,
-            term=self._guard.term,
-        )
-
-    def _record_withdrawn_crash(self, withdrawn: CrashWithdrawn) -> None:
-        self._context.log.event(
-            "crash-withdrawn",
-            pool=self.pool,
-            host=withdrawn.host,
-            born=withdrawn.born,
-            tasks=[str(task) for task in withdrawn.tasks[:MAX_LOGGED_RUNS]],
-            term=self._guard.term,
-        )
-
     def _watch_host(self, host: HostId, effect: WatchHost) -> None:
         self._unwatch_host(host)
         lease = HostLease(
