Add configuration changes that evacuate an availability zone

An operator of an installation without the platform had no way to keep work from a zone. EvacuateZone and EndEvacuation are records of the configuration log, so they survive restarts and are in force wherever the revision is. They are checked against the zones of the listed hosts; the last zone that serves is refused unless the change says so.

--- a/src/amaranthtray/domain/configuration/_checks.py
+++ b/src/amaranthtray/domain/configuration/_checks.py
@@ -10,6 +10,8 @@
     AddKey,
     AddOperator,
     Change,
+    EndEvacuation,
+    EvacuateZone,
     PlaceHosts,
     PutPool,
     PutQueue,
@@ -29,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
-    from ..ids import KeyId, PoolName, Revision, WaveName
+    from ..ids import KeyId, PoolName, Revision, WaveName, ZoneId
     from .model import Pool, Queue, Team, TeamKey, Wave
 
 MAX_PRIORITY = 1_000_000
@@ -69,6 +71,18 @@
         """Returns an error that names the pools; ``None`` if there is no ambiguity."""
 
 
+class KnownZones(Protocol):
+    """Looks up the availability zones that have hosts."""
+
+    def __call__(self) -> frozenset[ZoneId]:
+        """Returns the zones of the hosts that the platform lists."""
+
+
+def no_zones() -> frozenset[ZoneId]:
+    """Returns no zone: without a host list, no zone can be evacuated."""
+    return frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """Checks that other packages of the domain implement.
@@ -76,10 +90,12 @@
     Attributes:
         selector: Refuses selectors with invalid syntax.
         pools: Refuses pool selectors that are ambiguous.
+        zones: Looks up the availability zones that have hosts.
     """
 
     selector: SelectorCheck
     pools: PoolCheck
+    zones: KnownZones = no_zones
 
 
 class ChangeChecker:
@@ -122,6 +138,8 @@
                 return _check_hosts(cfg, change)
             case AddKey() | WithdrawKey() | AddOperator() | WithdrawOperator():
                 return self._check_key_change(cfg, change)
+            case EvacuateZone() | EndEvacuation():
+                return _check_evacuation(cfg, change, self._rules.zones())
 
     def _check_pool(self, pool: Pool) -> InvalidChange | None:
         where = f"pool/{pool.name}"
@@ -284,6 +302,37 @@
     return None
 
 
+def _check_evacuation(
+    cfg: Configuration, change: EvacuateZone | EndEvacuation, known: frozenset[ZoneId]
+) -> InvalidChange | None:
+    where = f"zone/{change.zone}"
+    known_text = ", ".join(sorted(known)) or "none, as no host is listed yet"
+    fix = f"name one of the known zones: {known_text}"
+    if not change.zone:
+        return InvalidChange("empty name of a zone", where, fix)
+    since = cfg.evacuations.get(change.zone)
+    match change:
+        case EndEvacuation(zone):
+            if since is not None:
+                return None
+            evacuated = ", ".join(sorted(cfg.evacuations)) or "none"
+            what = f"zone {zone!r} is not evacuated"
+            fix = f"evacuated zones: {evacuated}; known zones: {known_text}"
+            return InvalidChange(what, where, fix)
+        case EvacuateZone(zone, all_zones):
+            if since is not None:
+                what = f"zone {zone!r} is evacuated since revision {since}"
+                fix = f"leave it, or end the evacuation; known zones: {known_text}"
+                return InvalidChange(what, where, fix)
+            if zone not in known:
+                return InvalidChange(f"unknown zone {zone!r}", where, fix)
+            if not all_zones and not known - cfg.evacuations.keys() - {zone}:
+                what = "no zone would be left to serve requests"
+                fix = "end another evacuation first, or add --all-zones"
+                return InvalidChange(what, where, fix)
+            return None
+
+
 def _check_name(where: str, name: str) -> InvalidChange | None:
     if _NAME.fullmatch(name):
         return None
--- a/src/amaranthtray/domain/configuration/_draft.py
+++ b/src/amaranthtray/domain/configuration/_draft.py
@@ -10,6 +10,8 @@
     AddKey,
     AddOperator,
     Change,
+    EndEvacuation,
+    EvacuateZone,
     PlaceHosts,
     PutPool,
     PutQueue,
@@ -67,6 +69,10 @@
             case SetWaveState(name, state):
                 waves = self._writable_map("waves")
                 waves[name] = replace(waves[name], state=state)
+            case EvacuateZone(zone):
+                self._writable_map("evacuations")[zone] = self._revision
+            case EndEvacuation(zone):
+                del self._writable_map("evacuations")[zone]
         self._mark_touched(objects_of(change))
 
     def finish(self, record: Record) -> Configuration:
@@ -205,6 +211,8 @@
             return (f"wave/{wave.name}",)
         case SetWaveState(wave_name):
             return (f"wave/{wave_name}",)
+        case EvacuateZone(zone) | EndEvacuation(zone):
+            return (f"zone/{zone}",)
 
 
 def operator_of(cfg: Configuration, revision: Revision) -> str:
--- a/src/amaranthtray/domain/configuration/changes.py
+++ b/src/amaranthtray/domain/configuration/changes.py
@@ -18,6 +18,7 @@
     Revision,
     TeamName,
     WaveName,
+    ZoneId,
 )
 from ..tagged import TaggedUnion
 from .model import Operator, Pool, Queue, Team, TeamKey, Wave, WaveState
@@ -122,6 +123,26 @@
     state: WaveState
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuateZone:
+    """Keeps new requests from the hosts of an availability zone.
+
+    Attributes:
+        zone: The zone.
+        all_zones: Whether the change is valid although no other zone would be left.
+    """
+
+    zone: ZoneId
+    all_zones: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EndEvacuation:
+    """Ends the evacuation of an availability zone."""
+
+    zone: ZoneId
+
+
 Change: TypeAlias = (
     PutPool
     | RemovePool
@@ -137,6 +158,8 @@
     | WithdrawOperator
     | PutWave
     | SetWaveState
+    | EvacuateZone
+    | EndEvacuation
 )
 
 CHANGES = TaggedUnion(
@@ -155,6 +178,8 @@
     WithdrawOperator,
     PutWave,
     SetWaveState,
+    EvacuateZone,
+    EndEvacuation,
 )
 
 
--- a/src/amaranthtray/domain/configuration/model.py
+++ b/src/amaranthtray/domain/configuration/model.py
@@ -14,6 +14,7 @@
     Revision,
     TeamName,
     WaveName,
+    ZoneId,
 )
 
 EMPTY_REVISION = Revision(0)
@@ -185,6 +186,8 @@
         recent_operators: Who requested each of the recent operations.
         withdrawn: Withdrawn key ids and the revision that withdrew each. An id is
             removed once it is too old to be added again.
+        evacuations: Evacuated availability zones and the revision since which each
+            is evacuated.
     """
 
     revision: Revision = EMPTY_REVISION
@@ -200,6 +203,7 @@
     recent_ops: tuple[tuple[OperationId, Revision], ...] = ()
     recent_operators: dict[OperationId, str] = field(default_factory=dict)
     withdrawn: dict[KeyId, Revision] = field(default_factory=dict)
+    evacuations: dict[ZoneId, Revision] = field(default_factory=dict)
 
     def pool_of(self, host: HostId) -> PoolName:
         """Returns the pool that ``host`` is in."""
--- a/src/amaranthtray/domain/keys/operators.py
+++ b/src/amaranthtray/domain/keys/operators.py
@@ -8,6 +8,8 @@
     AddKey,
     AddOperator,
     Change,
+    EndEvacuation,
+    EvacuateZone,
     PlaceHosts,
     PutPool,
     PutQueue,
@@ -49,6 +51,8 @@
             return Role.OPERATOR
         case AddKey() | WithdrawKey():
             return Role.OPERATOR
+        case EvacuateZone() | EndEvacuation():
+            return Role.OPERATOR
         case PutTeam() | RemoveTeam():
             return Role.ADMIN
         case AddOperator() | WithdrawOperator():
--- a/src/amaranthtray/entry/rules.py
+++ b/src/amaranthtray/entry/rules.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from ..domain.configuration import Configuration
+    from ..domain.ids import ZoneId
     from ..domain.inventory import Host
 
 
@@ -42,7 +43,10 @@
             case _:
                 return None
 
-    return Rules(selector=_selector_error, pools=check_pools)
+    def known_zones() -> frozenset[ZoneId]:
+        return frozenset(host.zone for host in hosts() if host.zone)
+
+    return Rules(selector=_selector_error, pools=check_pools, zones=known_zones)
 
 
 def _selector_error(selector: str, /) -> str | None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -222,10 +222,14 @@
 
 
 def rules(*, pools: PoolCheck | None = None) -> Rules:
-    """Returns rules that reject the selector ``"!"`` and what ``pools`` rejects."""
+    """Returns rules that reject the selector ``"!"`` and what ``pools`` rejects.
+
+    The known zones are ``z1`` and ``z2``.
+    """
     return Rules(
         selector=lambda selector: "unparsable selector" if selector == "!" else None,
         pools=pools or (lambda before, after: None),
+        zones=lambda: frozenset({ZoneId("z1"), ZoneId("z2")}),
     )
 
 
--- a/tests/configuration/test_codec.py
+++ b/tests/configuration/test_codec.py
@@ -10,6 +10,8 @@
     AddKey,
     AddOperator,
     Configuration,
+    EndEvacuation,
+    EvacuateZone,
     PlaceHosts,
     PutPool,
     PutTeam,
@@ -29,7 +31,7 @@
 )
 from amaranthtray.domain.configuration.log import apply
 from amaranthtray.domain.errors import ProblemError
-from amaranthtray.domain.ids import HostId, PoolName, WaveName
+from amaranthtray.domain.ids import HostId, PoolName, WaveName, ZoneId
 
 RECORD = builders.record(
     1,
@@ -40,6 +42,9 @@
     SetHostLabels({HostId("h1"): {"rack": "r1"}}),
     PlaceHosts({HostId("h1"): PoolName("web")}),
     PutWave(Wave(WaveName("w1"), "rack=r1")),
+    EvacuateZone(ZoneId("z1"), all_zones=True),
+    EndEvacuation(ZoneId("z1")),
+    EvacuateZone(ZoneId("z2")),
 )
 
 
@@ -58,6 +63,13 @@
     assert snapshot_from_json(snapshot_to_json(cfg), step="t", peer="p") == cfg
 
 
+def test_a_snapshot_written_before_evacuations_existed_has_none() -> None:
+    fields = snapshot_to_dict(apply(Configuration(), RECORD))
+    del fields["evacuations"]
+
+    assert snapshot_from_dict(fields, step="t", peer="p").evacuations == {}
+
+
 @pytest.mark.parametrize(
     "data",
     [
