Send no new request to the hosts of an evacuated zone

With a zone in evacuation, the serving part excludes its hosts as soon as the revision is in force, leaves running requests to end and starts queued ones in other zones. An attempt that was decided before, but not sent, is withheld and starts elsewhere. After the end a host is loaded in four steps over 3 s, each entry with an equal part of the step, as its caches may be cold.

--- a/src/amaranthtray/domain/serving/messages.py
+++ b/src/amaranthtray/domain/serving/messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from ..ids import HostId, Incarnation, PoolName, Revision, TeamName, Term
+from ..ids import HostId, Incarnation, PoolName, Revision, TeamName, Term, ZoneId
 from ..inventory import Host
 from ..limits.messages import UnitsGrant, UnitsReport
 from ..requests.messages import DispatcherEffect, DispatcherMessage
@@ -24,10 +24,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationInForce:
-    """A revision of the configuration came into force at this entry."""
+    """A revision of the configuration came into force at this entry.
+
+    Attributes:
+        evacuated_zones: Availability zones whose hosts get no new request.
+    """
 
     revision: Revision
     teams: Mapping[TeamName, TeamQuota]
+    evacuated_zones: tuple[ZoneId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/serving/serving.py
+++ b/src/amaranthtray/domain/serving/serving.py
@@ -112,7 +112,7 @@
     def _apply(self, message: ServingMessage, now_ms: Millis) -> list[DispatcherEffect]:
         match message:
             case ConfigurationInForce():
-                self._apply_configuration(message, now_ms)
+                return self._apply_configuration(message, now_ms)
             case HostsListed(by_pool=by_pool):
                 effects = self.dispatcher.update_hosts(by_pool, now_ms)
                 for pool in by_pool:
@@ -142,11 +142,17 @@
 
     def _apply_configuration(
         self, message: ConfigurationInForce, now_ms: Millis
-    ) -> None:
+    ) -> list[DispatcherEffect]:
         limits = {team: quota.limit for team, quota in message.teams.items()}
         self.units.set_limits(message.revision, limits, now_ms)
         weights = {team: quota.share for team, quota in message.teams.items()}
         self.shares.set_weights(weights)
+        zones = frozenset(message.evacuated_zones)
+        if not self.workers.set_evacuated_zones(zones, now_ms):
+            return []
+        for pool in self.workers.pools:
+            self.shares.set_pool_slots(pool, self.workers.total_slots(pool))
+        return self.dispatcher.redispatch(now_ms)
 
     def _periodic(self, now_ms: Millis) -> list[ServingEffect]:
         effects: list[ServingEffect] = []
--- a/src/amaranthtray/domain/workers/registry.py
+++ b/src/amaranthtray/domain/workers/registry.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..requests.model import WorkClass
+from .evacuation import ZoneEvacuations
 from .health import HealthState
 from .pool import PoolWorkers
 from .selection import HomeThenShared
@@ -49,8 +50,14 @@
         self._total_slots: dict[PoolName, int] = {}
         self._fair_slots: dict[PoolName, float] = {}
         self._timers: list[tuple[int, HostId]] = []
+        self._evacuations = ZoneEvacuations(self._cfg)
         self.ejections = 0
 
+    @property
+    def pools(self) -> tuple[PoolName, ...]:
+        """Returns all pools that hosts were listed in."""
+        return tuple(self._pools)
+
     def update(
         self, hosts_by_pool: Mapping[PoolName, Sequence[Host]], now_ms: int
     ) -> None:
@@ -78,6 +85,27 @@
         for pool in self._pools:
             self._recount_slots(pool)
 
+    def set_evacuated_zones(self, zones: frozenset[ZoneId], now_ms: int) -> bool:
+        """Sends no further work to hosts of these zones; returns whether they changed.
+
+        Work that runs there is left to end. Hosts of zones that are no longer among
+        them are loaded in steps.
+        """
+        if zones == self._evacuations.zones:
+            return False
+        workers = list(self._workers.values())
+        for worker in self._evacuations.replace_zones(zones, workers):
+            self._schedule_load_step(worker, now_ms)
+        for worker in workers:
+            self._refresh(worker, now_ms)
+        for pool in self._pools:
+            self._recount_slots(pool)
+        return True
+
+    def used_slots_by_host(self) -> dict[HostId, int]:
+        """Returns the slots that attempts of this entry hold or may hold, by host."""
+        return {host: worker.used_slots for host, worker in list(self._workers.items())}
+
     def fair_slots(self, pool: PoolName) -> float:
         """Returns this entry's part of the pool's slots if all entries get the same."""
         return self._fair_slots.get(pool, 0.0)
@@ -251,6 +279,7 @@
             if worker is None:
                 continue
             self._advance_health(worker, now_ms)
+            self._advance_load(worker, now_ms)
             self._refresh(worker, now_ms)
             if worker.pool is not None:
                 pools.add(worker.pool)
@@ -271,6 +300,17 @@
             case HealthState.PROBING if not worker.is_probe_running:
                 health.start_ramp()
 
+    def _advance_load(self, worker: Worker, now_ms: int) -> None:
+        if worker.load_steps is None or now_ms < worker.next_load_step_ms:
+            return
+        self._evacuations.next_step(worker)
+        if worker.load_steps is not None:
+            self._schedule_load_step(worker, now_ms)
+
+    def _schedule_load_step(self, worker: Worker, now_ms: int) -> None:
+        worker.next_load_step_ms = now_ms + self._cfg.return_step_ms
+        self._schedule_wake(worker.next_load_step_ms, worker)
+
     def _block(self, worker: Worker, until_ms: int, now_ms: int) -> None:
         worker.blocked_until_ms = max(worker.blocked_until_ms, until_ms)
         self._schedule_wake(until_ms, worker)
@@ -299,6 +339,7 @@
     def _assign_slots(self, worker: Worker) -> None:
         worker.slots = self._policy.slots(worker.host)
         worker.home_slots = self._policy.home_slots(worker.host)
+        worker.equal_slots = max(1, worker.host.slots // self._policy.stripe.count)
 
     def _recount_slots(self, pool: PoolName | None) -> None:
         if pool is None:
@@ -310,7 +351,8 @@
     def _may_eject(self, worker: Worker) -> bool:
         if worker.health.state is HealthState.EJECTED or worker.pool is None:
             return False
-        workers = self._pools[worker.pool].workers.values()
+        listed = self._pools[worker.pool].workers.values()
+        workers = [w for w in listed if not w.is_evacuated]
         unhealthy = sum(
             w.health.state is not HealthState.GOOD for w in workers if w is not worker
         )
@@ -327,6 +369,7 @@
             worker.is_reported_leaving = False
         worker.host = host
         worker.pool = pool
+        worker.is_evacuated = host.zone in self._evacuations.zones
         self._assign_slots(worker)
         if pool not in self._pools:
             self._pools[pool] = PoolWorkers(self._zone)
--- a/src/amaranthtray/domain/workers/settings.py
+++ b/src/amaranthtray/domain/workers/settings.py
@@ -26,6 +26,9 @@
         decay_cap_ms: Upper bound of the doubled ``decay_ms``.
         patient_trust_ms: Time for which patient work is sent to no slot that other
             entries were seen to hold, so that it does not race their urgent work.
+        return_steps: Number of equal steps in which the hosts of a zone are loaded
+            after its evacuation.
+        return_step_ms: Duration of each of these steps except the last.
     """
 
     eject_after: int = 5
@@ -39,6 +42,8 @@
     decay_ms: int = 250
     decay_cap_ms: int = 4_000
     patient_trust_ms: int = 5_000
+    return_steps: int = 4
+    return_step_ms: int = 1_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/workers/worker.py
+++ b/src/amaranthtray/domain/workers/worker.py
@@ -35,6 +35,11 @@
         is_probe_running: Whether the attempt that ends or extends its ejection runs.
         index: Position in the pool's list of available workers; -1 if in none.
         available_slots: Slots that its pool currently counts as available.
+        is_evacuated: Whether its availability zone is evacuated.
+        equal_slots: Slots of each entry if those of the zone share them equally.
+        load_steps: Steps of the load that it gets after an evacuation, as the
+            current one and their number; None if its load is not limited.
+        next_load_step_ms: When the next of these steps begins.
     """
 
     host: Host
@@ -52,6 +57,10 @@
     is_probe_running: bool = False
     index: int = -1
     available_slots: int = 0
+    is_evacuated: bool = False
+    equal_slots: int = 1
+    load_steps: tuple[int, int] | None = None
+    next_load_step_ms: int = 0
 
     @classmethod
     def of(cls, host: Host, pool: PoolName, cfg: WorkerSettings) -> Worker:
@@ -65,9 +74,11 @@
 
     @property
     def is_usable(self) -> bool:
-        """Returns whether it is listed as live, not leaving and not ejected."""
+        """Returns whether it is live, not leaving, not ejected and not evacuated."""
         is_ejected = self.health.state is HealthState.EJECTED
-        return self.is_listed_live and not self.is_reported_leaving and not is_ejected
+        if self.is_evacuated or self.is_reported_leaving:
+            return False
+        return self.is_listed_live and not is_ejected
 
     @property
     def is_probing(self) -> bool:
@@ -100,7 +111,8 @@
 
     def free_slots(self, now_ms: int) -> int:
         """Returns how many further attempts this entry may send to it now."""
-        if not self.is_listed_live or self.blocked_until_ms > now_ms:
+        is_excluded = self.is_evacuated or self.blocked_until_ms > now_ms
+        if is_excluded or not self.is_listed_live:
             return 0
         match self.health.state:
             case HealthState.GOOD:
@@ -113,9 +125,18 @@
                 )
             case _:
                 return 0
-        left = self.host.slots - self.estimate_held_by_others(now_ms)
+        allowed = min(allowed, self._limit_of_step(self.equal_slots, allowed))
+        loadable = self._limit_of_step(self.host.slots, self.host.slots)
+        left = loadable - self.estimate_held_by_others(now_ms)
         return max(0, min(allowed, left) - self.used_slots)
 
+    def _limit_of_step(self, slots: int, unlimited: int) -> int:
+        """Returns the part of ``slots`` that the current step allows, rounded up."""
+        if self.load_steps is None:
+            return unlimited
+        step, steps = self.load_steps
+        return -(-slots * step // steps)
+
     def fits(self, needs: Needs) -> bool:
         """Returns whether the host is large enough for a task with these needs."""
         host = self.host
--- a/src/amaranthtray/entry/metrics_task.py
+++ b/src/amaranthtray/entry/metrics_task.py
@@ -48,6 +48,7 @@
         metrics.gauge(Metric.REQUESTS_WAITING, dispatcher.in_flight)
         metrics.gauge(Metric.SLOTS_IN_USE, dispatcher.open_attempts)
         metrics.gauge(Metric.CONFIGURATION_REVISION, int(self._view.revision))
+        metrics.gauge(Metric.ZONES_EVACUATED, len(self._view.current.evacuations))
         control = self._control.control
         metrics.gauge(Metric.PEERS_CONNECTED, len(control.peers.members.links))
         metrics.gauge(Metric.DUTIES_HELD, int(control.stewardship.holds_duty))
--- a/src/amaranthtray/entry/observer.py
+++ b/src/amaranthtray/entry/observer.py
@@ -54,6 +54,10 @@
         metric = _START_WAIT[request.work_class]
         self.metrics.timing(metric, now_ms() - request.accepted_ms)
 
+    def record_withheld_attempt(self) -> None:
+        """Counts an attempt that was not sent because its zone is evacuated."""
+        self.metrics.count(Metric.ATTEMPTS_WITHHELD)
+
     def record_outcome(self, request: Request, outcome: Outcome) -> None:
         """Counts the final outcome of a request."""
         ended_ms = now_ms()
--- a/src/amaranthtray/entry/request_runner.py
+++ b/src/amaranthtray/entry/request_runner.py
@@ -24,6 +24,7 @@
 )
 from ..domain.requests.model import Answered, Outcome, Request
 from ..domain.serving import (
+    ConfigurationInForce,
     HostsListed,
     SendHostNews,
     SendReport,
@@ -37,7 +38,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..domain.ids import HostId, RequestId, TeamName
+    from ..domain.ids import HostId, RequestId, TeamName, ZoneId
     from ..domain.inventory import Host
     from .observer import Observer
     from .recording import ServingHandler
@@ -122,6 +123,7 @@
         )
         self._waiters: dict[tuple[TeamName, RequestId], _Waiter] = {}
         self._hosts: dict[HostId, Host] = {}
+        self._evacuated_zones: frozenset[ZoneId] = frozenset()
         self._stopping = threading.Event()
         self._wake_earlier = threading.Event()
         self._wake_at_ms = 0
@@ -167,9 +169,11 @@
         now = now_ms()
         timeout_ms = start.give_up_ms - now
         if host is None or timeout_ms <= 0 or now > start.send_by_ms:
-            self._client.unregister(start.attempt_id)
-            not_sent = NothingSent("too late to send", is_host_fault=False)
-            self._mailbox.post(AttemptEnded(start.attempt_id, not_sent))
+            self._withhold(start, "too late to send")
+            return
+        if host.zone in self._evacuated_zones:
+            self._observer.record_withheld_attempt()
+            self._withhold(start, "the host's zone is evacuated")
             return
         report = self._client.run(
             Attempt(
@@ -188,6 +192,12 @@
         ended = AttemptEnded(start.attempt_id, report.result, report.free_slots)
         self._mailbox.post(ended)
 
+    def _withhold(self, start: StartAttempt, reason: str) -> None:
+        """Ends an attempt of which nothing was sent, so that it starts elsewhere."""
+        self._client.unregister(start.attempt_id)
+        not_sent = NothingSent(reason, is_host_fault=False)
+        self._mailbox.post(AttemptEnded(start.attempt_id, not_sent))
+
     def _handle(self, message: _Message) -> None:
         now = now_ms()
         match message:
@@ -198,6 +208,9 @@
                 listed = [host for hosts in by_pool.values() for host in hosts]
                 self._hosts = {host.host_id: host for host in listed}
                 effects = self._serving.handle(message, now)
+            case ConfigurationInForce(evacuated_zones=zones):
+                self._evacuated_zones = frozenset(zones)
+                effects = self._serving.handle(message, now)
             case _:
                 effects = self._serving.handle(message, now)
         for effect in effects:
--- a/src/amaranthtray/entry/wiring.py
+++ b/src/amaranthtray/entry/wiring.py
@@ -251,7 +251,8 @@
     teams = {
         name: TeamQuota(team.share, team.limit) for name, team in cfg.teams.items()
     }
-    request_runner.post(ConfigurationInForce(cfg.revision, teams))
+    zones = tuple(sorted(cfg.evacuations))
+    request_runner.post(ConfigurationInForce(cfg.revision, teams, zones))
     apply_hosts(cfg, hosts, request_runner)
 
 
--- a/src/amaranthtray/metrics.py
+++ b/src/amaranthtray/metrics.py
@@ -103,6 +103,15 @@
     ATTEMPTS_LATE = MetricSpec(
         "attempts.late_answers", _COUNTER, "answers", "Answers of abandoned attempts."
     )
+    ATTEMPTS_WITHHELD = MetricSpec(
+        "attempts.withheld",
+        _COUNTER,
+        "attempts",
+        "Attempts not sent, as their zone is evacuated.",
+    )
+    ZONES_EVACUATED = MetricSpec(
+        "zones.evacuated", _GAUGE, "zones", "Availability zones evacuated."
+    )
     SLOTS_IN_USE = MetricSpec(
         "slots.in_use", _GAUGE, "slots", "Slots taken by this entry."
     )
--- a/src/amaranthtray/scenarios/control.py
+++ b/src/amaranthtray/scenarios/control.py
@@ -109,7 +109,8 @@
         teams = {
             name: TeamQuota(team.share, team.limit) for name, team in cfg.teams.items()
         }
-        entry.handle(ConfigurationInForce(cfg.revision, teams))
+        zones = tuple(sorted(cfg.evacuations))
+        entry.handle(ConfigurationInForce(cfg.revision, teams, zones))
         self._update_hosts(cfg)
 
     def may_leave(self) -> bool:
--- a/tests/serving/test_serving.py
+++ b/tests/serving/test_serving.py
@@ -19,11 +19,13 @@
 )
 from amaranthtray.domain.limits.messages import UnitsGrant
 from amaranthtray.domain.requests.messages import (
+    AttemptEnded,
     RenewLeases,
     StartAttempt,
     StopTask,
     Submit,
     Tick,
+    WholeAnswer,
 )
 from amaranthtray.domain.requests.model import OPEN_TEAM
 from amaranthtray.domain.serving import (
@@ -42,6 +44,7 @@
 from amaranthtray.domain.serving.messages import TeamQuota
 
 RED = TeamName("red")
+Z1 = ZoneId("z1")
 INCARNATION = Incarnation("i1")
 TERM = Term(1)
 
@@ -156,3 +159,29 @@
     assert cfg.leases.ttl_ms == 9_000
     assert cfg.escrow.task_lease_ms >= cfg.leases.ttl_ms + cfg.leases.margin_ms
     assert cfg.escrow.call_ms >= cfg.leases.call_ms
+
+
+def test_queued_requests_start_outside_an_evacuated_zone(driver: Driver) -> None:
+    other = builders.host(1, zone="z2", slots=1)
+    driver.handle(HostsListed({PoolName("web"): (builders.host(1, slots=1), other)}))
+    driver.grant(10)
+    started = [
+        effect
+        for number in range(4)
+        for effect in driver.submit(number)
+        if isinstance(effect, StartAttempt)
+    ]
+    assert sorted(start.host for start in started) == ["z1-h1", "z2-h1"]
+    evacuated = ConfigurationInForce(Revision(2), {RED: TeamQuota(1, 100)}, (Z1,))
+    assert not count_starts(driver.handle(evacuated))
+    starts_by_host = {
+        start.host: [
+            effect.host
+            for effect in driver.handle(AttemptEnded(start.attempt_id, WholeAnswer()))
+            if isinstance(effect, StartAttempt)
+        ]
+        for start in sorted(started, key=lambda start: start.host)
+    }
+    assert starts_by_host == {"z1-h1": [], "z2-h1": ["z2-h1"]}
+    ended = ConfigurationInForce(Revision(3), {RED: TeamQuota(1, 100)})
+    assert count_starts(driver.handle(ended)) == 1
