Count the hosts of an evacuated zone as unavailable in disruption budgets

A conductor that knew nothing of an evacuation would go on taking out hosts of the zones that carry the load of the evacuated one. Evacuated members now use up the total of the budget, each once; they follow from the configuration, so a new holder of the duty counts them too and the ledger does not grow. Drains in other zones that exceed the total are cancelled, drains in the zone go on. No host of the zone moves to another pool, also not by a record that was planned before the evacuation.

--- a/src/amaranthtray/domain/budgets/rules.py
+++ b/src/amaranthtray/domain/budgets/rules.py
@@ -18,6 +18,9 @@
     from ..ids import Revision
 
 
+NO_HOSTS: frozenset[HostId] = frozenset()
+
+
 class RefusedReason(StrEnum):
     """Why a host may not be taken out."""
 
@@ -60,6 +63,21 @@
     return min(budget.max_out, max(size - 1, 1))
 
 
+def count_unavailable(ledger: OutageLedger, evacuated: frozenset[HostId]) -> int:
+    """Returns how many hosts of a pool are out or evacuated, each counted once.
+
+    It addresses maintenance during an evacuation: the remaining zones carry the load
+    of the evacuated one, so its hosts use up the budget although nothing is wrong
+    with them. They are derived from the configuration and not stored in the ledger.
+
+    Args:
+        ledger: The pool's ledger.
+        evacuated: Hosts of the pool in evacuated zones.
+    """
+    counted = {out.location.host for out in ledger.counted_hosts()}
+    return len(counted | evacuated)
+
+
 @dataclass(frozen=True, slots=True)
 class OutageOrder:
     """Cause and origin of an outage, which its ledger entry records."""
@@ -79,6 +97,7 @@
     budget: Budget,
     size: int,
     now_ms: int,
+    evacuated: frozenset[HostId] = NO_HOSTS,
 ) -> Result[OutageLedger, BudgetRefused]:
     """Adds a host that this package is about to drain, if the budget allows it.
 
@@ -92,8 +111,9 @@
         budget: The pool's budget.
         size: Number of hosts in the pool.
         now_ms: Wall-clock time.
+        evacuated: Hosts of the pool in evacuated zones, which are unavailable too.
     """
-    refused = _refusal(ledger, location, order, budget, size)
+    refused = _refusal(ledger, location, order, budget, size, evacuated)
     if refused is not None:
         return Failure(refused)
     entry = OutHost(
@@ -115,6 +135,7 @@
     order: OutageOrder,
     budget: Budget,
     size: int,
+    evacuated: frozenset[HostId],
 ) -> BudgetRefused | None:
     def refused(reason: RefusedReason, out: int, bound: int) -> BudgetRefused:
         return BudgetRefused(reason, ledger.pool, location.host, out, bound)
@@ -124,7 +145,9 @@
     if location.host in ledger.out:
         return refused(RefusedReason.ALREADY_OUT, 1, 0)
     counted = ledger.counted_hosts()
-    total, allowed = len(counted), allowed_out(budget, size)
+    # A host that is evacuated itself is unavailable already: its drain adds nothing.
+    total = count_unavailable(ledger, evacuated - {location.host})
+    allowed = allowed_out(budget, size)
     if total >= allowed:
         return refused(RefusedReason.POOL_FULL, total, allowed)
     voluntary = [out.location for out in counted if out.cause.is_voluntary]
@@ -161,40 +184,54 @@
 
 
 def drains_to_cancel(
-    ledger: OutageLedger, budget: Budget, size: int
+    ledger: OutageLedger,
+    budget: Budget,
+    size: int,
+    *,
+    evacuated: frozenset[HostId] = NO_HOSTS,
 ) -> tuple[HostId, ...]:
     """Returns the drains to cancel so that the budget holds again, newest first.
 
-    Failures during a wave, a smaller budget or a smaller pool can exceed the budget.
-    Hosts that are returning are no reason to cancel more.
+    Failures, an evacuation, a smaller budget or a smaller pool can exceed the budget.
+    Returning hosts are no reason to cancel more. The drain of an evacuated host
+    continues if only the total is exceeded: the host is unavailable anyway.
+
+    Args:
+        ledger: The ledger as it was read.
+        budget: The pool's budget.
+        size: Number of hosts in the pool.
+        evacuated: Hosts of the pool in evacuated zones.
     """
-    drains = [out for out in ledger.out.values() if out.is_revocable]
-    if not drains:
-        return ()
-    drains.sort(key=lambda out: (-out.since_ms, out.location.host))
-    not_returning = [
-        out for out in ledger.counted_hosts() if out.stage is not OutageStage.RETURNING
-    ]
-    total = len(not_returning)
+    allowed = allowed_out(budget, size)
+    counted = ledger.counted_hosts()
+    not_returning = [out for out in counted if out.stage is not OutageStage.RETURNING]
+    total = len({out.location.host for out in not_returning} | evacuated)
     voluntary = [out.location for out in not_returning if out.cause.is_voluntary]
     zones = Counter(location.zone for location in voluntary)
     racks = Counter(location.rack for location in voluntary)
     cancelled: list[HostId] = []
-    for out in drains:
-        location = out.location
+    for out in _revocable_drains(ledger):
+        location, is_evacuated = out.location, out.location.host in evacuated
         if (
-            total <= allowed_out(budget, size)
+            (is_evacuated or total <= allowed)
             and zones[location.zone] <= budget.max_out_per_zone
             and racks[location.rack] <= budget.max_out_per_rack
         ):
             continue
-        total -= 1
+        total -= not is_evacuated
         zones[location.zone] -= 1
         racks[location.rack] -= 1
         cancelled.append(location.host)
     return tuple(cancelled)
 
 
+def _revocable_drains(ledger: OutageLedger) -> list[OutHost]:
+    """Returns the entries whose drain can still be cancelled, newest first."""
+    drains = [out for out in ledger.out.values() if out.is_revocable]
+    drains.sort(key=lambda out: (-out.since_ms, out.location.host))
+    return drains
+
+
 def with_stage(ledger: OutageLedger, host: HostId, stage: OutageStage) -> OutageLedger:
     """Returns the ledger with a host that is out at another stage."""
     return ledger.with_host(replace(ledger.out[host], stage=stage))
--- a/src/amaranthtray/domain/placement/view.py
+++ b/src/amaranthtray/domain/placement/view.py
@@ -69,6 +69,7 @@
     Attributes:
         placement: The pool in which the configuration places each host of the fleet.
         listed: All hosts that the platform lists.
+        evacuated: Members in evacuated availability zones.
     """
 
     pool: PoolName
@@ -78,6 +79,7 @@
     placement: Mapping[HostId, PoolName]
     waves: dict[WaveName, WaveTask] = field(default_factory=dict)
     listed: frozenset[HostId] = frozenset()
+    evacuated: frozenset[HostId] = frozenset()
 
     def pool_of(self, host: HostId) -> PoolName:
         """Returns the pool that the configuration places a host in."""
@@ -144,6 +146,9 @@
         placement=cfg.placement,
         waves=waves,
         listed=frozenset(listed),
+        evacuated=frozenset(
+            host.host_id for host in present if host.zone in cfg.evacuations
+        ),
     )
 
 
--- a/src/amaranthtray/domain/waves/_candidates.py
+++ b/src/amaranthtray/domain/waves/_candidates.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from ..budgets.rules import allowed_out, try_take_out
+from ..budgets.rules import allowed_out, count_unavailable, try_take_out
 from ..configuration.model import WaveState
 from ..invariants.observations import OutCause
 from ._planning_context import waiting_hosts
@@ -20,7 +20,11 @@
 
 
 def start_moves(ledger: OutageLedger, ctx: PlanningContext) -> OutageLedger:
-    """Starts to drain hosts whose labels assign them to another pool."""
+    """Starts to drain hosts whose labels assign them to another pool.
+
+    A host of an evacuated zone stays where it is: it can replace no host, as it would
+    get no work in the other pool either.
+    """
     if not _has_budget_left(ledger, ctx):
         return ledger
     waiting = [
@@ -28,6 +32,7 @@
         for host, member in ctx.view.members.items()
         if member.desired != ledger.pool
         and not member.is_missing
+        and host not in ctx.view.evacuated
         and host not in ledger.out
     ]
     orders_by_host = {
@@ -72,6 +77,7 @@
             budget=ctx.view.budget,
             size=ctx.pool_size,
             now_ms=ctx.wall_ms,
+            evacuated=ctx.view.evacuated,
         ).value_or(ledger)
         starts += updated is not ledger
         ledger = updated
@@ -79,7 +85,13 @@
 
 
 def _has_budget_left(ledger: OutageLedger, ctx: PlanningContext) -> bool:
-    return ledger.count < allowed_out(ctx.view.budget, ctx.pool_size)
+    """Returns whether another host may be taken out.
+
+    A member that is evacuated and not out yet does not need further budget.
+    """
+    unavailable = count_unavailable(ledger, ctx.view.evacuated)
+    unavailable -= not ctx.view.evacuated <= ledger.out.keys()
+    return unavailable < allowed_out(ctx.view.budget, ctx.pool_size)
 
 
 def _by_remaining_work(
--- a/src/amaranthtray/domain/waves/_plan.py
+++ b/src/amaranthtray/domain/waves/_plan.py
@@ -135,7 +135,8 @@
         is_wanted = task is not None and may_continue(task) and host in task.ranks
         return ledger if is_wanted else with_stage(ledger, host, OutageStage.RETURNING)
     member = ctx.view.members.get(host)
-    if member is None or member.desired == ledger.pool:
+    is_evacuated = host in ctx.view.evacuated
+    if member is None or member.desired == ledger.pool or is_evacuated:
         return with_stage(ledger, host, OutageStage.RETURNING)
     if member.desired == out.target:
         return ledger
@@ -143,7 +144,10 @@
 
 
 def _cancel_over_budget(ledger: OutageLedger, ctx: PlanningContext) -> OutageLedger:
-    for host in drains_to_cancel(ledger, ctx.view.budget, ctx.pool_size):
+    cancelled = drains_to_cancel(
+        ledger, ctx.view.budget, ctx.pool_size, evacuated=ctx.view.evacuated
+    )
+    for host in cancelled:
         ledger = with_stage(ledger, host, OutageStage.RETURNING)
     return ledger
 
--- a/src/amaranthtray/domain/waves/progress.py
+++ b/src/amaranthtray/domain/waves/progress.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from ..budgets.rules import allowed_out
+from ..budgets.rules import allowed_out, count_unavailable
 from ..configuration.model import WaveState
 from ..ids import HostId, PoolName, WaveName
 from ._planning_context import waiting_hosts
@@ -31,6 +31,7 @@
     PAUSED = "paused"
     ABORTED = "aborted"
     NO_ROOM = "no_room"
+    EVACUATION = "evacuation"
     HOSTS_OUT = "hosts_out"
 
 
@@ -120,6 +121,9 @@
         return EndUnknown.PAUSED if is_paused else EndUnknown.ABORTED
     if unreachable or overdue:
         return EndUnknown.HOSTS_OUT
+    unavailable = count_unavailable(ledger, view.evacuated)
+    if view.evacuated and unavailable > allowed_out(view.budget, len(view.members)):
+        return EndUnknown.EVACUATION
     record = ledger.wave_record(task.name)
     if len(record.done) < MIN_COMPLETED_HOSTS:
         return EndUnknown.NOT_MEASURED
@@ -141,7 +145,7 @@
     wall_ms: int,
 ) -> list[int]:
     """Returns a heap of the delays until each budget slot open to the wave is free."""
-    others = ledger.count - len(wave_hosts)
+    others = count_unavailable(ledger, view.evacuated) - len(wave_hosts)
     size = len(view.members)
     usable = max(allowed_out(view.budget, size) - others, len(wave_hosts))
     left = [max(mean_ms - (wall_ms - out.since_ms), 0) for out in wave_hosts]
--- a/src/amaranthtray/entry/conducting/conductor_runner.py
+++ b/src/amaranthtray/entry/conducting/conductor_runner.py
@@ -175,7 +175,11 @@
     def _commit_moves(self, effect: CommitMoves) -> ConductorMessage | None:
         context = self._context
         result = commit_moves(
-            context.log, context.view.current, effect, peer=context.entry
+            context.log,
+            context.view.current,
+            effect,
+            hosts=context.list_hosts(),
+            peer=context.entry,
         )
         if isinstance(result, Success):
             committed = result.unwrap()
--- a/src/amaranthtray/scenarios/conducting.py
+++ b/src/amaranthtray/scenarios/conducting.py
@@ -159,7 +159,13 @@
     def _commit_moves(self, pool: PoolName, effect: CommitMoves) -> None:
         control = self.entry.control
 
-        done = commit_moves(control.log, control.cfg, effect, peer=self.entry.name)
+        done = commit_moves(
+            control.log,
+            control.cfg,
+            effect,
+            hosts=control.listed,
+            peer=self.entry.name,
+        )
         self.world.observer.observe_commits()
         if isinstance(done, Success):
             control.view.offer_snapshot(done.unwrap().cfg)
--- a/tests/entry/test_withheld_attempts.py
+++ b/tests/entry/test_withheld_attempts.py
@@ -83,7 +83,9 @@
         runner.post(ConfigurationInForce(Revision(2), {}, (ZoneId("z1"),)))
 
     caller = threading.Thread(
-        target=runner.submit, args=(serving.request, Payload("text/plain", b"")), daemon=True
+        target=runner.submit,
+        args=(serving.request, Payload("text/plain", b"")),
+        daemon=True,
     )
     caller.start()
     caller.join(WAIT_S)
