Add the command evacuate, its status and its log lines

Operators evacuate a zone, end that, and see the evacuated zones with their hosts, the requests that each entry still runs there and the zones that have the revision in force. Entries that lag behind or gave no answer are named, so that a zone isn't taken for empty too early. Entries log the beginning and the end with the age of their configuration.

examples/one_entry.py failed with a TypeError since an argument of MemoryPlatform.client was renamed; it starts again.

--- a/examples/one_entry.py
+++ b/examples/one_entry.py
@@ -47,7 +47,7 @@
     """Starts the stand-ins and the entry, prints the URLs and waits."""
     operator = mint_key(Revision(0))
     memory = MemoryPlatform(now_ms)
-    platform = PlatformStandIn(memory.client("e1", waits=True))
+    platform = PlatformStandIn(memory.client("e1", blocking_watch=True))
     platform.start()
     backend = BackendStandIn("h1")
     backend.start()
--- a/src/amaranthtray/cli/main.py
+++ b/src/amaranthtray/cli/main.py
@@ -26,6 +26,7 @@
     "completion": CommandLocation("run", "completion"),
     "demo": CommandLocation("demo", "demo"),
     "entry": CommandLocation("run", "entry"),
+    "evacuate": CommandLocation("evacuation", "evacuate"),
     "host": CommandLocation("hosts", "host"),
     "key": CommandLocation("keys", "key"),
     "label": CommandLocation("labels", "label"),
--- a/src/amaranthtray/domain/workers/registry.py
+++ b/src/amaranthtray/domain/workers/registry.py
@@ -102,9 +102,17 @@
             self._recount_slots(pool)
         return True
 
-    def used_slots_by_host(self) -> dict[HostId, int]:
-        """Returns the slots that attempts of this entry hold or may hold, by host."""
-        return {host: worker.used_slots for host, worker in list(self._workers.items())}
+    def used_slots_by_host(self, zone: ZoneId | None = None) -> dict[HostId, int]:
+        """Returns the slots that attempts of this entry hold or may hold, by host.
+
+        Args:
+            zone: Only hosts of this availability zone, if given.
+        """
+        return {
+            host: worker.used_slots
+            for host, worker in list(self._workers.items())
+            if zone in (None, worker.host.zone)
+        }
 
     def fair_slots(self, pool: PoolName) -> float:
         """Returns this entry's part of the pool's slots if all entries get the same."""
--- a/src/amaranthtray/entry/admin_view.py
+++ b/src/amaranthtray/entry/admin_view.py
@@ -21,6 +21,7 @@
     from ..domain.ids import Revision, ZoneId
     from .context import EntryContext
     from .control import ControlPlane
+    from .evacuation_view import EvacuationView
     from .observer import Observer
     from .wave_view import WaveView
 
@@ -35,6 +36,7 @@
         control: The control plane.
         observer: Holds the service-level counts.
         waves: Progress of waves.
+        evacuations: State of the evacuated zones.
     """
 
     def __init__(
@@ -43,8 +45,10 @@
         control: ControlPlane,
         observer: Observer,
         waves: WaveView,
+        evacuations: EvacuationView,
     ) -> None:
         self._waves = waves
+        self._evacuations = evacuations
         self._context = context
         self._control = control
         self._observer = observer
@@ -64,6 +68,8 @@
                 return {"hosts": self._hosts()}
             case ["burn"]:
                 return self._burn()
+            case ["evacuations"]:
+                return self._evacuations.all(self._control.zone_revisions.revisions())
             case ["waves"]:
                 return self._waves.all()
             case ["waves", name]:
@@ -129,11 +135,18 @@
             "pools": len(cfg.pools),
             "teams": len(cfg.teams),
             "hosts": len(context.hosts.hosts()),
+            "evacuations": {
+                zone: int(since) for zone, since in cfg.evacuations.items()
+            },
         }
 
     def _hosts(self) -> list[dict[str, Any]]:
         cfg = self._context.view.current
         return [
-            {**asdict(host), "pool": cfg.pool_of(host.host_id)}
+            {
+                **asdict(host),
+                "pool": cfg.pool_of(host.host_id),
+                "is_evacuated": host.zone in cfg.evacuations,
+            }
             for host in self._context.hosts.hosts()
         ]
--- a/src/amaranthtray/entry/entry.py
+++ b/src/amaranthtray/entry/entry.py
@@ -23,6 +23,7 @@
 from .config_view import ConfigView
 from .context import EntryContext
 from .control_task import ControlTask
+from .evacuation_view import EvacuationView, log_evacuations
 from .host_list import HostList
 from .host_task import HostTask
 from .links import HubLinks
@@ -75,6 +76,7 @@
         self._rng = random.Random(secrets.randbits(64))
         self._stores = wiring.open_stores(settings)
         self._view = ConfigView(self._apply_config)
+        self._logged_cfg = self._view.current
         self._hosts = HostList(
             self._stores.platform, settings.platform.hosts.prefix, self._apply_hosts
         )
@@ -266,7 +268,12 @@
     def _make_admin_server(self) -> web.WebServer:
         cfg = self.settings.entry
         waves = WaveView(self._context, self._stores.read_back)
-        view = AdminView(self._context, self._control.control, self.observer, waves)
+        evacuations = EvacuationView(
+            self._context, self._requests.serving.workers.used_slots_by_host
+        )
+        view = AdminView(
+            self._context, self._control.control, self.observer, waves, evacuations
+        )
         service = AdminService(self._context, self._log, view)
         return web.WebServer(
             AdminApi(service),
@@ -280,6 +287,8 @@
             cfg, self._hosts.hosts(), self._requests.request_runner
         )
         self.observer.changed("configuration-in-force", revision=int(cfg.revision))
+        log_evacuations(self.observer, self._logged_cfg, cfg, self._view.age_ms)
+        self._logged_cfg = cfg
 
     def _apply_hosts(self) -> None:
         cfg = self._view.current
--- a/tests/cli/fake_admin.py
+++ b/tests/cli/fake_admin.py
@@ -15,6 +15,8 @@
     AddOperator,
     Change,
     Configuration,
+    EndEvacuation,
+    EvacuateZone,
     PutPool,
     PutQueue,
     PutTeam,
@@ -156,6 +158,10 @@
             del cfg.keys[key_id]
         case AddOperator(item):
             cfg.operators[item.key_id] = item
+        case EvacuateZone(name):
+            cfg.evacuations[name] = cfg.revision
+        case EndEvacuation(name):
+            del cfg.evacuations[name]
 
 
 def _handler(admin: FakeAdmin) -> type[BaseHTTPRequestHandler]:
