Add the commands config check and config diff

A file that parses could still do nothing: pools without hosts, queues that another queue hides, limits of 0, caps below one task.

--- a/src/amaranthtray/cli/main.py
+++ b/src/amaranthtray/cli/main.py
@@ -24,6 +24,7 @@
     "apply": CommandLocation("apply", "apply"),
     "check": CommandLocation("run", "check"),
     "completion": CommandLocation("run", "completion"),
+    "config": CommandLocation("config", "config"),
     "demo": CommandLocation("demo", "demo"),
     "entry": CommandLocation("run", "entry"),
     "evacuate": CommandLocation("evacuation", "evacuate"),
