--- a/tests/cli/test_config.py
+++ b/tests/cli/test_config.py
@@ -122,6 +122,7 @@
         ("{", "1"),
         (DOCUMENT.replace('"weight": 0', '"weight": "x"'), "11"),
         (DOCUMENT.replace('"s9",', '"s9"'), "7"),
+        (DOCUMENT.replace("500}}", '500}},\n    {"name": 2}'), "12"),
         ("[[pools]]\nname = 3\n", "2 pools.0.name"),
     ],
 )
