Forecast pools, and refuse submitted jobs that their pool can't serve

In a burst all jobs are accepted and the excess waits until it is worthless. Behind the switch refuse_late_jobs, a conductor now publishes in its report until when work that precedes a new job takes the pool, for each priority, within and beyond the teams' shares. Entries read the reports once a second with stale reads while jobs are submitted, and refuse a job that can neither be in time nor count, after a read of its key has shown that it is not stored. Retry-After spreads the callers over the time in which the queue drains.

--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/_outlook.py
@@ -0,0 +1,305 @@
+"""Computes the forecast of a pool from the work that waits and runs in it.
+
+Load: teams submit five times their usual load for some seconds. The planner serves
+jobs by priority, then jobs within their team's share, then the others; among equals the
+more urgent go first and those that can't count any more go last. What precedes
+a new job is therefore
+
+- runs, lasting tasks, and work of higher priorities, even if it can't count any more;
+- before a job beyond its team's share, the jobs within theirs, while they can count.
+
+Equals don't precede it: the planner drops those that can't be in time, so that a new
+job is first among them at the end of its slack. They only take the room in which it
+could end late. Work beyond the share of other teams doesn't precede a job within its
+team's share, whatever its priority.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..jobs.model import NO_RESOURCES, Resources, StepKey
+from ._arrivals import WINDOW_MS
+from .forecast import (
+    Claim,
+    ClassOutlook,
+    Forecast,
+    PriorityOutlook,
+    busy_with_arrivals,
+    taken_until,
+)
+from .ranking import LATE_FACTOR, Rank, Timeliness, rank
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from ..ids import TeamName
+    from ..jobs.job import Job
+    from ..jobs.model import StepSpec
+    from ._arrivals import ArrivalRates
+    from ._state import SchedulerState
+    from .host import Host
+
+MAX_PRIORITIES = 4
+"""Priorities in a forecast, the highest first; more would exceed its size."""
+
+MAX_TEAMS = 16
+"""Teams in a forecast, those with the most excess first; the others count as within
+their share."""
+
+
+@dataclass(slots=True)
+class _Work:
+    """Work of one job: expected amounts of resources times ms."""
+
+    amounts: tuple[float, float, float]
+    is_excess: bool
+    timeliness: Timeliness
+    limit_ms: float
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Amounts by which a pool is measured.
+
+    Attributes:
+        rates: Resources of the hosts without those of lasting tasks.
+        running: Work left of the runs that end, in amounts times ms.
+        spread: Largest spread of the run times behind the work.
+        by_priority: Work that has not begun.
+        waits: Whether a task waits that may start.
+    """
+
+    rates: Resources
+    running: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    spread: float = 1.0
+    by_priority: dict[int, list[_Work]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    waits: bool = False
+
+
+def make_forecast(
+    state: SchedulerState, entitled: dict[TeamName, float]
+) -> Forecast | None:
+    """Returns the forecast of a pool; None if no job waits or no host is there.
+
+    Args:
+        state: State of the pool's scheduler.
+        entitled: Teams beyond their share, with the part of their submissions to
+            which the share entitles them.
+    """
+    pool = _measure(state)
+    amounts = [pool.running, *(w.amounts for w in _all_work(pool))]
+    busy = [
+        sum(each[index] for each in amounts) / rate if rate > 0 else 0.0
+        for index, rate in enumerate(pool.rates)
+    ]
+    scarce = max(range(len(busy)), key=busy.__getitem__)
+    rate = pool.rates[scarce]
+    if not pool.waits or rate <= 0:
+        return None
+    accepting = [h for h in state.hosts.values() if h.accepts_runs(state.now_ms)]
+    return Forecast(
+        made_ms=state.wall_ms,
+        scarce=scarce,
+        rate=rate,
+        room=_largest_room(accepting),
+        outlooks=tuple(_outlooks(pool, scarce, state.forecaster.arrivals)),
+        entitled=dict(sorted(entitled.items(), key=lambda row: row[1])[:MAX_TEAMS]),
+    )
+
+
+def _all_work(pool: _Pool) -> Iterable[_Work]:
+    for works in pool.by_priority.values():
+        yield from works
+
+
+def _largest_room(hosts: list[Host]) -> Resources:
+    if not hosts:
+        return NO_RESOURCES
+    return Resources(*map(max, zip(*(host.free for host in hosts), strict=True)))
+
+
+def _measure(state: SchedulerState) -> _Pool:
+    """Adds up the pool's hosts and the work of its jobs.
+
+    Hosts that are listed and have not reported yet count as if they were there.
+    """
+    pool = _Pool(NO_RESOURCES)
+    for host in state.hosts.values():
+        if host.is_listed and not host.info.is_draining:
+            rate = host.info.capacity.minus(host.used_by_lasting)
+            pool.rates = pool.rates.plus(rate)
+    for job in state.active.values():
+        pool.running = _sum([pool.running, *_running_work(state, job)])
+        if not job.state.is_final:
+            _measure_waiting(state, pool, job)
+    return pool
+
+
+def _running_work(
+    state: SchedulerState, job: Job
+) -> Iterable[tuple[float, float, float]]:
+    for name, run in job.runs():
+        step = job.spec.steps[name.step]
+        if not step.is_lasting:
+            left = state.run_times.remaining(job.spec, name.step, run, state.now_ms)
+            yield _times(step, left.expected_ms / left.spread)
+
+
+def _measure_waiting(state: SchedulerState, pool: _Pool, job: Job) -> None:
+    """Adds a job's waiting tasks; lasting ones reduce what others can get."""
+    rows: list[tuple[float, float, float]] = []
+    for key, waiting in _waiting_counts(state, job):
+        step = job.spec.steps[key.step]
+        if step.is_lasting:
+            pool.rates = pool.rates.minus(step.reserved.times(waiting))
+        else:
+            run_time = state.run_times.of_step(job.spec, key.step)
+            pool.spread = max(pool.spread, run_time.spread)
+            rows.append(_times(step, waiting * run_time.expected_ms))
+    if rows:
+        queue = state.queue_of(job)
+        job_rank = rank(job, queue, state.wall_ms)
+        limit_ms = _late_limit_ms(state, job, job_rank)
+        is_excess = job.spec.id in state.shares.excess
+        pool.waits = pool.waits or _has_waiting_task(state, job)
+        work = _Work(_sum(rows), is_excess, job_rank.timeliness, limit_ms)
+        pool.by_priority[queue.priority].append(work)
+
+
+def _waiting_counts(state: SchedulerState, job: Job) -> Iterator[tuple[StepKey, int]]:
+    """Yields the steps of due occurrences with the tasks that have not begun.
+
+    A step that has found no host for long doesn't keep other tasks from one.
+    """
+    open_steps = set(job.open_steps(state.wall_ms))
+    for occurrence in range(job.occurrences):
+        if occurrence in job.past or job.due_ms(occurrence) > state.wall_ms:
+            continue
+        for number, step in enumerate(job.spec.steps):
+            key = StepKey(job.spec.id, occurrence, number)
+            if job.is_step_done(occurrence, number) or _is_stuck(state, key, step):
+                continue
+            count = step.count
+            if (occurrence, number) in open_steps:
+                tasks = job.tasks(occurrence, number)
+                count = sum(task.is_waiting for task in tasks)
+            if count:
+                yield key, count
+
+
+def _is_stuck(state: SchedulerState, key: StepKey, step: StepSpec) -> bool:
+    """Returns whether a step has waited for long although a host has enough CPU."""
+    return state.unplaced.is_overdue(key, step, state.now_ms) and any(
+        host.accepts_runs(state.now_ms) and step.reserved.cpu <= host.free.cpu
+        for host in state.hosts.values()
+    )
+
+
+def _has_waiting_task(state: SchedulerState, job: Job) -> bool:
+    return any(
+        task.is_waiting
+        for occurrence, number in job.open_steps(state.wall_ms)
+        for task in job.tasks(occurrence, number)
+    )
+
+
+def _late_limit_ms(state: SchedulerState, job: Job, job_rank: Rank) -> float:
+    """Returns the time until which a job must go on to end early enough to count."""
+    if job_rank.timeliness is not Timeliness.IN_TIME:
+        return job_rank.urgency
+    queue, length_ms = state.queue_of(job), job.estimate.critical_path_ms
+    objective_ms = queue.slowdown_factor * length_ms + queue.target_ms
+    return (job_rank.urgency + LATE_FACTOR - 1) * objective_ms
+
+
+def _outlooks(
+    pool: _Pool, scarce: int, arrivals: ArrivalRates
+) -> Iterable[PriorityOutlook]:
+    """Yields what new jobs of each priority meet.
+
+    Work counts with the time that it takes at least: nine of ten runs take longer than
+    the expected time divided by the spread.
+    """
+    rate = pool.rates[scarce]
+    shared: list[float] = []
+    excess: list[float] = []
+    for priority in sorted(pool.by_priority)[:MAX_PRIORITIES]:
+        works = pool.by_priority[priority]
+        live = [each for each in works if each.timeliness is not Timeliness.TOO_LATE]
+        within = [each for each in live if not each.is_excess]
+        beyond = [each for each in live if each.is_excess]
+        arrived = [
+            arrivals.work_before(scarce, priority, is_excess=each)
+            for each in (False, True)
+        ]
+        loads = [_least(pool, each) / WINDOW_MS / rate for each in arrived]
+        yield PriorityOutlook(
+            priority,
+            _class_outlook(pool, scarce, (shared, [], within), loads[0]),
+            _class_outlook(pool, scarce, (shared + excess, within, beyond), loads[1]),
+        )
+        shared += [each.amounts[scarce] for each in works if not each.is_excess]
+        excess += [each.amounts[scarce] for each in works if each.is_excess]
+
+
+def _class_outlook(
+    pool: _Pool,
+    scarce: int,
+    works: tuple[list[float], list[_Work], list[_Work]],
+    load: float,
+) -> ClassOutlook:
+    """Returns what new jobs of one class meet.
+
+    Args:
+        pool: Amounts of the pool.
+        scarce: Index of the resource that limits it.
+        works: Work of higher priorities, of jobs that precede the class while they can
+            count, and of the class itself.
+        load: Work that arrives and precedes the class, as a multiple of the rate.
+    """
+    higher, before, equal = works
+    rate = pool.rates[scarce]
+    amounts = [each.amounts[scarce] for each in (*before, *equal)]
+    scale = 1 / rate / _joint_spread(pool, amounts)
+    running_ms = pool.running[scarce] / rate
+    higher_ms = _least(pool, higher) / rate
+    certain_ms = running_ms / pool.spread + higher_ms
+    before_ms = taken_until(certain_ms, _claims(before, scarce, scale))
+    in_time_ms = busy_with_arrivals(before_ms, load)
+    late_ms = taken_until(before_ms, _claims(equal, scarce, scale))
+    drain_ms = running_ms + (sum(higher) + sum(amounts)) / rate
+    return ClassOutlook(int(in_time_ms), int(late_ms), int(drain_ms))
+
+
+def _least(pool: _Pool, amounts: list[float]) -> float:
+    """Returns the least sum of amounts that are expected."""
+    return sum(amounts) / _joint_spread(pool, amounts)
+
+
+def _claims(works: list[_Work], scarce: int, scale: float) -> list[Claim]:
+    return [Claim(work.limit_ms, work.amounts[scarce] * scale) for work in works]
+
+
+def _joint_spread(pool: _Pool, amounts: list[float]) -> float:
+    """Returns the spread of a sum of work, whose errors cancel out in part."""
+    total = sum(amounts)
+    if not total:
+        return pool.spread
+    share = math.sqrt(sum(amount * amount for amount in amounts)) / total
+    return 1 + (pool.spread - 1) * share
+
+
+def _times(step: StepSpec, ms: float) -> tuple[float, float, float]:
+    cpu, memory_mb, gpu = step.reserved
+    return cpu * ms, memory_mb * ms, gpu * ms
+
+
+def _sum(rows: list[tuple[float, float, float]]) -> tuple[float, float, float]:
+    cpu, memory_mb, gpu = map(sum, zip(*rows, strict=True))
+    return cpu, memory_mb, gpu
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -12,6 +12,7 @@
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
+from ._forecaster import Forecaster
 from ._unplaced import UnplacedSteps
 from .advice import AdviceCache, RequestAdvice
 from .caps import CapTracker
@@ -50,6 +51,7 @@
         unplaced: Steps with tasks that fit on no host.
         crashes: Tasks under which hosts crashed.
         run_times: Expected run times of tasks.
+        forecaster: Forecast for the entries that accept jobs.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -80,6 +82,7 @@
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     crashes: CrashRegister = field(default_factory=CrashRegister)
     run_times: RunTimes = field(default_factory=RunTimes)
+    forecaster: Forecaster = field(default_factory=Forecaster)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -213,7 +216,13 @@
             if job_id in self.jobs
         )
         return StoreJobs(
-            self.batch, records, self.pending(), self.vacant, self.load, self.expired
+            self.batch,
+            records,
+            self.pending(),
+            self.vacant,
+            self.load,
+            self.expired,
+            self.forecaster.forecast,
         )
 
     def handle_batch_stored(self) -> list[Effect]:
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/forecast.py
@@ -0,0 +1,106 @@
+"""Forecast of a pool: until when other work takes what a new job needs.
+
+Load: a pool gets several times what it can run, mostly from teams beyond their share.
+The excess waits until it is worthless, and its callers learn it late. The forecast
+lets the entries that accept jobs see this at once.
+
+The times of a forecast are compared with a job's *start limit*: the time until which it
+must begin its critical path to end early enough.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from ..ids import TeamName
+from ..jobs.model import NO_RESOURCES, Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_AGE_MS = 2_000
+"""Age from which a forecast no longer counts."""
+
+
+class ClassOutlook(NamedTuple):
+    """What a new job of one class meets, in ms after the forecast.
+
+    Attributes:
+        in_time_ms: Time for which work that precedes the job takes the pool, if such
+            work arrives as lately for as long as the forecast counts.
+        late_ms: Time for which that work and the equals that can still count take the
+            pool. A job that must begin earlier to count takes the place of another.
+        drain_ms: Time at which all work before the job, equals included, is done.
+    """
+
+    in_time_ms: int = 0
+    late_ms: int = 0
+    drain_ms: int = 0
+
+
+class PriorityOutlook(NamedTuple):
+    """What new jobs of one priority meet, within and beyond their team's share."""
+
+    priority: int
+    within: ClassOutlook
+    beyond: ClassOutlook
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Forecast:
+    """Forecast of one pool, small enough for the pool's report.
+
+    Attributes:
+        made_ms: Wall-clock time of the forecast.
+        scarce: Index of the resource that limits the pool.
+        rate: Amount of that resource that the pool gives to tasks that end.
+        room: Largest free amount of each resource on any host.
+        outlooks: Priorities for which jobs wait, the highest first.
+        entitled: Teams beyond their share, with the part of their submissions, at the
+            rate last seen, to which the share entitles them.
+    """
+
+    made_ms: int
+    scarce: int = 0
+    rate: int = 0
+    room: Resources = NO_RESOURCES
+    outlooks: tuple[PriorityOutlook, ...] = ()
+    entitled: dict[TeamName, float] = field(default_factory=dict)
+
+
+class Claim(NamedTuple):
+    """Work of a job that precedes a new one while it can still count.
+
+    Attributes:
+        limit_ms: Time until which it must begin; what has not begun by then goes last.
+        busy_ms: Time for which it takes the whole pool.
+    """
+
+    limit_ms: float
+    busy_ms: float
+
+
+def taken_until(busy_ms: float, claims: Iterable[Claim]) -> float:
+    """Returns until when claims take a pool that is busy until ``busy_ms``.
+
+    A claim takes nothing after its limit, as what is too late goes last. Jobs that
+    arrive while the forecast counts replace what is dropped meanwhile.
+    """
+    for limit_ms, claim_ms in sorted(claims):
+        until_ms = min(busy_ms + claim_ms, limit_ms + MAX_AGE_MS)
+        busy_ms = max(busy_ms, until_ms)
+    return busy_ms
+
+
+def busy_with_arrivals(backlog_ms: float, load: float) -> float:
+    """Returns for how long a backlog and arrivals take a pool.
+
+    Args:
+        backlog_ms: Time for which the backlog alone takes the pool.
+        load: Arriving work as a multiple of what the pool can run; it lasts for
+            ``MAX_AGE_MS``.
+    """
+    if load < 1 and backlog_ms <= (1 - load) * MAX_AGE_MS:
+        return backlog_ms / (1 - load)
+    return backlog_ms + load * MAX_AGE_MS
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -13,6 +13,7 @@
 from ..upkeep.moves import PoolLoad
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimPortion, PortionsRead
+from .forecast import Forecast
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
 
 
@@ -243,6 +244,7 @@
         vacant: Hosts that have been emptied on request.
         load: Resources and hosts that the pool needs.
         removed: Ended jobs that are not kept any longer; callers can't query them.
+        forecast: Forecast for the entries that accept jobs, if there is one.
     """
 
     batch: int
@@ -251,6 +253,7 @@
     vacant: frozenset[str]
     load: PoolLoad
     removed: tuple[JobId, ...] = ()
+    forecast: Forecast | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -178,6 +178,11 @@
         """Returns sums over the pool's hosts, runs and waiting tasks."""
         return pool_activity(self.state)
 
+    def take_forecast_errors(self) -> list[int]:
+        """Returns the time in ms from the forecast to the actual end of ended jobs."""
+        errors_ms, self.state.forecaster.errors_ms = self.state.forecaster.errors_ms, []
+        return errors_ms
+
     def _inspect_hosts(self) -> list[Effect]:
         """Inspects all hosts at intervals: empties, stops stalled runs, paces."""
         state = self.state
@@ -216,7 +221,8 @@
             return False
         self._published_ms = state.now_ms
         load, state.load = state.load, pool_load(state)
-        return state.load != load or state.pending() != self._published
+        is_forecast = state.policy.refuse_late_jobs and state.forecaster.update(state)
+        return state.load != load or state.pending() != self._published or is_forecast
 
     def _handle_job_found(self, message: JobFound) -> list[Effect]:
         spec = message.spec
@@ -230,6 +236,11 @@
                 self.state.shares.record_submission(
                     spec, self.state.catalog, self.state.now_ms
                 )
+                if self.state.policy.refuse_late_jobs:
+                    priority = self.state.queue_of(job).priority
+                    is_excess = spec.id in self.state.shares.excess
+                    forecaster = self.state.forecaster
+                    forecaster.record_job(job, priority, is_excess=is_excess)
         return self._cancel_job(spec.id) if message.is_cancelled else []
 
     def _cancel_job(self, job_id: JobId) -> list[Effect]:
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -9,12 +9,14 @@
 
 from ..domain.duties.names import FLEET_DUTY, DutyName, conductor_duty
 from ..domain.ids import EntryId, Incarnation
+from .admission_desk import AdmissionDesk
 from .config_follower import ConfigFollower
 from .context import JobEntryContext
 from .duty_claims import DutyClaims
 from .duty_task import DutyTask, DutyView, DutyWork, WorkFactory
 from .event_log import EventLog
 from .fleet_manager import FleetManager
+from .forecast_follower import ForecastFollower
 from .host_list_follower import HostListFollower
 from .pool_conductor import PoolConductor
 from .service import JobService
@@ -69,7 +71,11 @@
         self._submissions = SubmissionWriter(
             store, platform.configuration_key, self.log
         )
-        self.service = JobService(self._context, self._config, self._submissions)
+        self._forecasts = ForecastFollower(store, self.log)
+        desk = AdmissionDesk(
+            self._context, self._forecasts, self._submissions.unsettled
+        )
+        self.service = JobService(self._context, self._config, self._submissions, desk)
         self._view = DutyView(self._context)
         self._incarnation = Incarnation(secrets.token_hex(8))
         self._duties: dict[DutyName, DutyTask] = {}
@@ -98,6 +104,7 @@
         self._config.subscribe(self._apply_catalog)
         for task in (self._config, self._context.hosts, self._submissions, self._view):
             task.start()
+        self._forecasts.start()
 
     def apply_settings(self, settings: JobEntrySettings) -> None:
         """Applies changed settings; addresses keep their values until a restart."""
--- a/src/amaranthtray/jobs/ledger.py
+++ b/src/amaranthtray/jobs/ledger.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..domain.scheduling.forecast import Forecast
 from ..domain.upkeep.moves import PoolLoad
 from .fenced_ledger import LedgerHeader
 
@@ -21,15 +22,18 @@
 
 
 class PoolReport(msgspec.Struct, kw_only=True):
-    """Report of a pool's conductor to the fleet manager.
+    """Report of a pool's conductor to the fleet manager and to all entries.
 
     Attributes:
         vacant: Hosts that were requested to be emptied and are empty.
         load: Resources that the pool needs.
+        forecast: Until when the pool is taken; unset, and not stored, if no job waits
+            or if no jobs are refused.
     """
 
     vacant: list[str] = []
     load: PoolLoad = PoolLoad()
+    forecast: Forecast | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_report(data: bytes) -> PoolReport:
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -222,6 +222,10 @@
 
     def _log_activity(self, scheduler: PoolScheduler) -> None:
         """Logs, once a second, what the pool does and how long it takes."""
+        for error_ms in scheduler.take_forecast_errors():
+            kind = "late" if error_ms > 0 else "early"
+            metrics = self._context.metrics
+            metrics.record_latency("forecast_error", kind, abs(error_ms))
         summary = self._stats.take_summary(clock.steady_ms())
         if summary is not None:
             sums = asdict(scheduler.activity())
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -77,7 +77,11 @@
         puts = tuple(
             Put(keys.record_key(self._pool, job), record) for job, record in rows
         )
-        report = PoolReport(vacant=sorted(batch.vacant), load=batch.load)
+        report = PoolReport(
+            vacant=sorted(batch.vacant),
+            load=batch.load,
+            forecast=batch.forecast or msgspec.UNSET,
+        )
         if report != self._report:
             value = msgspec.json.encode(report)
             puts = (*puts, Put(keys.report_key(self._pool), value))
--- a/src/amaranthtray/jobs/service.py
+++ b/src/amaranthtray/jobs/service.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from ..domain.jobs.model import Recurrence, StepSpec
+    from .admission_desk import AdmissionDesk
     from .config_follower import ConfigFollower
     from .context import JobEntryContext
     from .submission_writer import SubmissionWriter
@@ -140,6 +141,7 @@
         context: Objects that all tasks of the entry share.
         config: Holds the configuration in force.
         submissions: Stores submitted jobs.
+        desk: Refuses jobs that their pool can't serve.
     """
 
     def __init__(
@@ -147,10 +149,12 @@
         context: JobEntryContext,
         config: ConfigFollower,
         submissions: SubmissionWriter,
+        desk: AdmissionDesk,
     ) -> None:
         self._context = context
         self._config = config
         self._submissions = submissions
+        self._desk = desk
 
     def admit(self, request: CallerRequest) -> AdmittedRequest | Reply:
         """Finds the queue of a request and checks its key."""
@@ -190,6 +194,9 @@
                 accepted_ms=wall_ms(),
                 max_attempts=admitted.queue.max_attempts,
             )
+            refused = self._refusal(admitted, spec)
+            if refused is not None:
+                return refused
             outcome = self._store(admitted, spec, request)
             if outcome is not SubmissionOutcome.OUTDATED:
                 return self._submission_reply(spec, outcome)
@@ -255,6 +262,17 @@
         ledger = decode_ledger(stored.value)
         return PendingReply(ledger.pending.get(admitted.queue.name, 0))
 
+    def _refusal(self, admitted: AdmittedRequest, spec: JobSpec) -> RetryLater | None:
+        """Returns the refusal of a job; None if it is to be stored.
+
+        Nothing is refused under a configuration that may be outdated.
+        """
+        refused = self._desk.refusal(spec, admitted.queue)
+        if refused is None or self._is_view_stale():
+            return None
+        why = f"not stored: the pool is too full for the job ({refused.why})"
+        return RetryLater(why, refused.return_s)
+
     def _store(
         self, admitted: AdmittedRequest, spec: JobSpec, request: CallerRequest
     ) -> SubmissionOutcome:
--- a/src/amaranthtray/jobs/submission_writer.py
+++ b/src/amaranthtray/jobs/submission_writer.py
@@ -15,6 +15,8 @@
 from ..domain.jobs.record import encode_spec
 from ..store.contract import Conflicts, EffectUnknown, Put, Transaction
 from . import keys
+from .clock import steady_ms
+from .unsettled_submissions import UnsettledSubmissions
 
 if TYPE_CHECKING:
     from ..store.contract import StoreFailure, TransactionalStore
@@ -56,6 +58,8 @@
         config_version: Store version of the configuration that allowed it.
         outcome: Final once ``done`` is set.
         may_be_stored: Whether an earlier try may have written the job.
+        unsettled: Records the submission until its outcome is final; None if nothing
+            does.
     """
 
     pool: PoolName
@@ -64,6 +68,7 @@
     outcome: SubmissionOutcome = SubmissionOutcome.UNKNOWN
     done: threading.Event = field(default_factory=threading.Event)
     may_be_stored: bool = False
+    unsettled: UnsettledSubmissions | None = None
 
     @property
     def key(self) -> str:
@@ -73,6 +78,9 @@
     def finish(self, outcome: SubmissionOutcome) -> None:
         """Sets the outcome and wakes the waiting thread."""
         self.outcome = outcome
+        if self.unsettled is not None:
+            is_unknown = outcome is SubmissionOutcome.UNKNOWN
+            self.unsettled.end(self.key, steady_ms(), is_unknown=is_unknown)
         self.done.set()
 
 
@@ -86,6 +94,9 @@
         store: The platform's store.
         configuration_key: Key of the configuration.
         log: Log of the entry.
+
+    Attributes:
+        unsettled: Jobs that are being written or whose outcome is unknown.
     """
 
     def __init__(
@@ -94,6 +105,7 @@
         self._store = store
         self._configuration_key = configuration_key
         self._log = log
+        self.unsettled = UnsettledSubmissions()
         self._queue: queue.SimpleQueue[Submission] = queue.SimpleQueue()
 
     def start(self) -> None:
@@ -103,6 +115,8 @@
 
     def submit(self, submission: Submission, timeout_s: float) -> SubmissionOutcome:
         """Stores a job; returns UNKNOWN if that takes longer than ``timeout_s``."""
+        submission.unsettled = self.unsettled
+        self.unsettled.begin(submission.key)
         self._queue.put(submission)
         submission.done.wait(timeout_s)
         return submission.outcome
--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -104,11 +104,19 @@
 
     def list(self, prefix: str) -> Result[Listing, StoreFailure]:
         """Reads all keys under a prefix; a watch continues from the listed version."""
-        step = "read-prefix"
+        return self._list("read-prefix", prefix)
+
+    def list_stale(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys under a prefix from any replica of the store."""
+        return self._list("read-prefix-stale", prefix, "&staleOk=true")
+
+    def _list(
+        self, step: str, prefix: str, option: str = ""
+    ) -> Result[Listing, StoreFailure]:
         items: list[Versioned] = []
         first_version, after = 0, ""
         for _ in range(MAX_PAGES):
-            path = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
+            path = f"/v1/kv-range?prefix={quote(prefix, safe='')}{option}"
             path += f"&after={quote(after, safe='')}" if after else ""
             read = self._decode(step, self._get(step, path), _Page)
             if isinstance(read, Failure):
--- a/src/amaranthtray/store/contract.py
+++ b/src/amaranthtray/store/contract.py
@@ -199,7 +199,14 @@
 
 
 class TransactionalStore(Store, Protocol):
-    """A store that can also write several keys atomically."""
+    """A store that also writes several keys atomically and serves stale reads."""
+
+    def list_stale(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys under a prefix, perhaps as they were some time ago.
+
+        Such a read is cheaper for the store. Its keys may be of different versions, so
+        no watch continues from it.
+        """
 
     def commit(self, transaction: Transaction) -> Result[int, StoreFailure]:
         """Executes a transaction and returns the version of its writes."""
--- a/src/amaranthtray/store/memory_transactions.py
+++ b/src/amaranthtray/store/memory_transactions.py
@@ -6,11 +6,11 @@
 
 from returns.result import Failure, Result, Success
 
-from .contract import Conflicts, LeaseGone
+from .contract import Conflicts, LeaseGone, Listing
 from .memory import PEER, MemoryStore
 
 if TYPE_CHECKING:
-    from .contract import StoreFailure, Transaction
+    from .contract import StoreFailure, Transaction, Versioned
     from .memory import MemoryPlatform
 
 STEP = "commit"
@@ -19,6 +19,22 @@
 class MemoryTransactions(MemoryStore):
     """A client of the in-memory store; implements ``TransactionalStore``."""
 
+    _stale: tuple[Versioned, ...] | None = None
+
+    def go_stale(self) -> None:
+        """Lets stale reads return the present items from now on."""
+        self._stale = self._platform.read_all("").items
+
+    def list_stale(self, prefix: str) -> Result[Listing, StoreFailure]:
+        """Reads all keys under a prefix, as they were at ``go_stale`` if it was called.
+
+        The version of such a listing is 0.
+        """
+        if self._stale is None:
+            return self._read("list_stale", lambda: self._platform.read_all(prefix))
+        items = tuple(each for each in self._stale if each.key.startswith(prefix))
+        return self._read("list_stale", lambda: Listing(items, 0))
+
     def commit(self, transaction: Transaction) -> Result[int, StoreFailure]:
         """Executes a transaction and returns the version of its writes."""
         return self._write(STEP, lambda: _commit(self._platform, transaction))
