--- a/src/amaranthtray/domain/jobs/admission.py
+++ b/src/amaranthtray/domain/jobs/admission.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
-from ..scheduling.forecast import MAX_AGE_MS
+from ..scheduling.forecast import MAX_AGE_MS, draw
+from ..scheduling.ranking import LATE_FACTOR
 from .estimate import estimate_job
 
 if TYPE_CHECKING:
@@ -21,14 +21,8 @@
     from .catalog import JobQueue
     from .model import JobSpec, StepSpec
 
-LATE_FACTOR = 3
-"""A job that ends within this multiple of its objective still counts, as late."""
-
 MIN_RETURN_S, MAX_RETURN_S = 1, 30
 
-SALT_MS = 1_000
-"""Time for which a job keeps its draw among its team's submissions."""
-
 
 class Accept(NamedTuple):
     """The job is accepted.
@@ -126,7 +120,7 @@
         drained_ms: Time until all work before it is done.
     """
     first_ms = max(drained_ms - slack_ms, 0.0)
-    spread_ms = _draw(spec, "return") * max(drained_ms, 0.0)
+    spread_ms = draw(spec.id, "return") * max(drained_ms, 0.0)
     seconds = math.ceil((first_ms + spread_ms) / 1_000)
     return min(max(seconds, MIN_RETURN_S), MAX_RETURN_S)
 
@@ -142,19 +136,11 @@
     rows = [each for each in forecast.outlooks if each.priority <= queue.priority]
     if not rows:
         return None, ""
-    part = forecast.entitled.get(spec.team)
-    moment = str(spec.accepted_ms // SALT_MS)
-    is_beyond = part is not None and _draw(spec, moment) >= part
+    is_beyond = forecast.is_beyond_share(spec)
     if is_beyond and rows[-1].priority == queue.priority:
         return rows[-1].beyond, "beyond-share"
     return rows[-1].within, "pool-taken"
 
 
-def _draw(spec: JobSpec, purpose: str) -> float:
-    """Returns a number in [0, 1) that depends only on the job and the purpose."""
-    digest = hashlib.blake2b(f"{spec.id}/{purpose}".encode(), digest_size=4).digest()
-    return int.from_bytes(digest, "big") / (1 << 32)
-
-
 def _amount_ms(steps: Sequence[StepSpec], resource: int) -> float:
     return sum(s.count * s.reserved[resource] * s.estimated_ms for s in steps)
--- a/src/amaranthtray/domain/scheduling/_forecaster.py
+++ b/src/amaranthtray/domain/scheduling/_forecaster.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.job import JobState
-from ..jobs.model import JobId
+from ..jobs.model import JobId, JobSpec
 from ._arrivals import ArrivalRates
 from ._outlook import make_forecast
 from .forecast import Forecast
@@ -53,6 +53,18 @@
     _waits_since_ms: int | None = None
     _sizes: deque[tuple[int, int]] = field(default_factory=deque)
 
+    def marks_excess(self, state: SchedulerState, spec: JobSpec) -> bool:
+        """Marks a new job as beyond its team's share if entries count it so.
+
+        Returns:
+            Whether it is marked; it takes nothing of the share then, which the others
+            of its team use up.
+        """
+        if self.forecast is None or not self.forecast.is_beyond_share(spec):
+            return False
+        state.shares.excess.add(spec.id)
+        return True
+
     def record_job(self, job: Job, priority: int, *, is_excess: bool) -> None:
         """Records a new job, and its expected end if there is a forecast."""
         spec = job.spec
--- a/src/amaranthtray/domain/scheduling/_outlook.py
+++ b/src/amaranthtray/domain/scheduling/_outlook.py
@@ -9,9 +9,9 @@
 - before a job beyond its team's share, the jobs within theirs, while they can count.
 
 Equals don't precede it: the planner drops those that can't be in time, so that a new
-job is first among them at the end of its slack. They only take the room in which it
-could end late. Work beyond the share of other teams doesn't precede a job within its
-team's share, whatever its priority.
+job is first among them at the end of its slack. They only take the room in which a job
+beyond its share could end late. Work beyond the share of other teams doesn't precede a
+job within its team's share, whatever its priority.
 """
 
 from __future__ import annotations
@@ -241,7 +241,9 @@
         loads = [_least(pool, each) / WINDOW_MS / rate for each in arrived]
         yield PriorityOutlook(
             priority,
-            _class_outlook(pool, scarce, (shared, [], within), loads[0]),
+            _class_outlook(pool, scarce, (shared, [], within), loads[0])._replace(
+                late_ms=_certain_ms(pool, scarce, shared)
+            ),
             _class_outlook(pool, scarce, (shared + excess, within, beyond), loads[1]),
         )
         shared += [each.amounts[scarce] for each in works if not each.is_excess]
@@ -268,8 +270,7 @@
     amounts = [each.amounts[scarce] for each in (*before, *equal)]
     scale = 1 / rate / _joint_spread(pool, amounts)
     running_ms = pool.running[scarce] / rate
-    higher_ms = _least(pool, higher) / rate
-    certain_ms = running_ms / pool.spread + higher_ms
+    certain_ms = _certain_ms(pool, scarce, higher)
     before_ms = taken_until(certain_ms, _claims(before, scarce, scale))
     in_time_ms = busy_with_arrivals(before_ms, load)
     late_ms = taken_until(before_ms, _claims(equal, scarce, scale))
@@ -277,6 +278,12 @@
     return ClassOutlook(int(in_time_ms), int(late_ms), int(drain_ms))
 
 
+def _certain_ms(pool: _Pool, scarce: int, higher: list[float]) -> int:
+    """Returns the least time for which runs and work of higher priorities last."""
+    running = pool.running[scarce] / pool.spread
+    return int((running + _least(pool, higher)) / pool.rates[scarce])
+
+
 def _least(pool: _Pool, amounts: list[float]) -> float:
     """Returns the least sum of amounts that are expected."""
     return sum(amounts) / _joint_spread(pool, amounts)
--- a/src/amaranthtray/domain/scheduling/forecast.py
+++ b/src/amaranthtray/domain/scheduling/forecast.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,10 +20,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..jobs.model import JobId, JobSpec
+
 MAX_AGE_MS = 2_000
 """Age from which a forecast no longer counts."""
 
 
+DRAW_MS = 1_000
+"""Time for which a job keeps its draw; a caller that returns gets another one."""
+
+
 class ClassOutlook(NamedTuple):
     """What a new job of one class meets, in ms after the forecast.
 
@@ -68,6 +75,22 @@
     outlooks: tuple[PriorityOutlook, ...] = ()
     entitled: dict[TeamName, float] = field(default_factory=dict)
 
+    def is_beyond_share(self, spec: JobSpec) -> bool:
+        """Returns whether a new job counts as beyond its team's share.
+
+        Entries and the pool's conductor decide alike, as they draw by the job's id and
+        time, so that a job that is refused would not have been within the share.
+        """
+        part = self.entitled.get(spec.team)
+        moment = str(spec.accepted_ms // DRAW_MS)
+        return part is not None and draw(spec.id, moment) >= part
+
+
+def draw(job: JobId, purpose: str) -> float:
+    """Returns a number in [0, 1) that depends only on the job and the purpose."""
+    digest = hashlib.blake2b(f"{job}/{purpose}".encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") / (1 << 32)
+
 
 class Claim(NamedTuple):
     """Work of a job that precedes a new one while it can still count.
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -233,9 +233,10 @@
                 return [RecordUnreadable(spec.id, str(exc))]
             self.state.add_job(job)
             if message.record is None:
-                self.state.shares.record_submission(
-                    spec, self.state.catalog, self.state.now_ms
-                )
+                if not self.state.forecaster.marks_excess(self.state, spec):
+                    self.state.shares.record_submission(
+                        spec, self.state.catalog, self.state.now_ms
+                    )
                 if self.state.policy.refuse_late_jobs:
                     priority = self.state.queue_of(job).priority
                     is_excess = spec.id in self.state.shares.excess
--- a/src/amaranthtray/jobs/service.py
+++ b/src/amaranthtray/jobs/service.py
@@ -267,8 +267,10 @@
 
         Nothing is refused under a configuration that may be outdated.
         """
+        if self._is_view_stale():
+            return None
         refused = self._desk.refusal(spec, admitted.queue)
-        if refused is None or self._is_view_stale():
+        if refused is None:
             return None
         why = f"not stored: the pool is too full for the job ({refused.why})"
         return RetryLater(why, refused.return_s)
