Check that no write of a job began while its absence was read; cheaper forecast

A submission stored by another thread of the entry between the read and the second check was refused although it was stored. Checks now see each write that begins meanwhile. The forecast compares overdue steps with one largest free amount, not with every host.

--- a/src/amaranthtray/domain/scheduling/_outlook.py
+++ b/src/amaranthtray/domain/scheduling/_outlook.py
@@ -66,6 +66,7 @@
     """Amounts by which a pool is measured.
 
     Attributes:
+        room: Largest free amount of each resource on any host.
         rates: Resources of the hosts without those of lasting tasks.
         running: Work left of the runs that end, in amounts times ms.
         spread: Largest spread of the run times behind the work.
@@ -73,7 +74,8 @@
         waits: Whether a task waits that may start.
     """
 
-    rates: Resources
+    room: Resources
+    rates: Resources = NO_RESOURCES
     running: tuple[float, float, float] = (0.0, 0.0, 0.0)
     spread: float = 1.0
     by_priority: dict[int, list[_Work]] = field(
@@ -102,12 +104,11 @@
     rate = pool.rates[scarce]
     if not pool.waits or rate <= 0:
         return None
-    accepting = [h for h in state.hosts.values() if h.accepts_runs(state.now_ms)]
     return Forecast(
         made_ms=state.wall_ms,
         scarce=scarce,
         rate=rate,
-        room=_largest_room(accepting),
+        room=pool.room,
         outlooks=tuple(_outlooks(pool, scarce, state.forecaster.arrivals)),
         entitled=dict(sorted(entitled.items(), key=lambda row: row[1])[:MAX_TEAMS]),
     )
@@ -129,15 +130,18 @@
 
     Hosts that are listed and have not reported yet count as if they were there.
     """
-    pool = _Pool(NO_RESOURCES)
+    accepting = [h for h in state.hosts.values() if h.accepts_runs(state.now_ms)]
+    pool = _Pool(_largest_room(accepting))
     for host in state.hosts.values():
         if host.is_listed and not host.info.is_draining:
             rate = host.info.capacity.minus(host.used_by_lasting)
             pool.rates = pool.rates.plus(rate)
+    running = [pool.running]
     for job in state.active.values():
-        pool.running = _sum([pool.running, *_running_work(state, job)])
+        running += _running_work(state, job)
         if not job.state.is_final:
             _measure_waiting(state, pool, job)
+    pool.running = _sum(running)
     return pool
 
 
@@ -154,7 +158,7 @@
 def _measure_waiting(state: SchedulerState, pool: _Pool, job: Job) -> None:
     """Adds a job's waiting tasks; lasting ones reduce what others can get."""
     rows: list[tuple[float, float, float]] = []
-    for key, waiting in _waiting_counts(state, job):
+    for key, waiting in _waiting_counts(state, job, pool.room):
         step = job.spec.steps[key.step]
         if step.is_lasting:
             pool.rates = pool.rates.minus(step.reserved.times(waiting))
@@ -172,7 +176,9 @@
         pool.by_priority[queue.priority].append(work)
 
 
-def _waiting_counts(state: SchedulerState, job: Job) -> Iterator[tuple[StepKey, int]]:
+def _waiting_counts(
+    state: SchedulerState, job: Job, room: Resources
+) -> Iterator[tuple[StepKey, int]]:
     """Yields the steps of due occurrences with the tasks that have not begun.
 
     A step that has found no host for long doesn't keep other tasks from one.
@@ -183,7 +189,9 @@
             continue
         for number, step in enumerate(job.spec.steps):
             key = StepKey(job.spec.id, occurrence, number)
-            if job.is_step_done(occurrence, number) or _is_stuck(state, key, step):
+            if job.is_step_done(occurrence, number) or _is_stuck(
+                state, key, step, room
+            ):
                 continue
             count = step.count
             if (occurrence, number) in open_steps:
@@ -193,12 +201,12 @@
                 yield key, count
 
 
-def _is_stuck(state: SchedulerState, key: StepKey, step: StepSpec) -> bool:
+def _is_stuck(
+    state: SchedulerState, key: StepKey, step: StepSpec, room: Resources
+) -> bool:
     """Returns whether a step has waited for long although a host has enough CPU."""
-    return state.unplaced.is_overdue(key, step, state.now_ms) and any(
-        host.accepts_runs(state.now_ms) and step.reserved.cpu <= host.free.cpu
-        for host in state.hosts.values()
-    )
+    has_cpu = step.reserved.cpu <= room.cpu
+    return has_cpu and state.unplaced.is_overdue(key, step, state.now_ms)
 
 
 def _has_waiting_task(state: SchedulerState, job: Job) -> bool:
--- a/src/amaranthtray/jobs/admission_desk.py
+++ b/src/amaranthtray/jobs/admission_desk.py
@@ -48,8 +48,8 @@
     def refusal(self, spec: JobSpec, queue: JobQueue) -> Refuse | None:
         """Returns why a job is refused; None if it is to be stored.
 
-        A job is refused only if the store shows that it is not stored, and neither
-        before nor after that read a write of it was in flight here.
+        A job is refused only if the store shows that it is not stored, and no write
+        of it was in flight here from before that read until after it.
         """
         if not self._context.settings.scheduling.refuse_late_jobs:
             return None
@@ -73,11 +73,15 @@
     def _is_absent(self, spec: JobSpec, pool: PoolName) -> bool:
         """Returns whether a job is certainly neither stored nor in flight here."""
         key = keys.job_key(pool, spec.id, keys.SPEC)
-        if self._unsettled.may_be_written(key, steady_ms()):
-            return False
-        read = self._context.store.get(key)
-        is_absent = isinstance(read, Success) and read.unwrap() is None
-        return is_absent and not self._unsettled.may_be_written(key, steady_ms())
+        check = self._unsettled.begin_check(key, steady_ms())
+        is_absent = False
+        try:
+            if not check.may_be_written:
+                read = self._context.store.get(key)
+                is_absent = isinstance(read, Success) and read.unwrap() is None
+        finally:
+            may_be_written = self._unsettled.end_check(check, steady_ms())
+        return is_absent and not may_be_written
 
     def _log(self, spec: JobSpec, refused: Refuse) -> None:
         self._context.log.event(
