--- a/tests/jobs/test_refusals.py
+++ b/tests/jobs/test_refusals.py
@@ -29,6 +29,7 @@
     SubmissionOutcome,
     SubmissionWriter,
 )
+from amaranthtray.jobs.unsettled_submissions import UnsettledSubmissions
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
 from scheduling.parts import POOL, a_catalog, a_job
@@ -39,7 +40,7 @@
 import msgspec
 
 CONFIG, REPORT = "config", keys.report_key(POOL)
-TAKEN = ClassOutlook(60_000, 60_000, 60_000)
+TAKEN = ClassOutlook(60_000, 60_000, 4_000)
 
 
 class RefusalSite(StoreSite):
@@ -150,6 +151,21 @@
     assert site.refusal("b") is None
 
 
+def test_a_job_in_flight_or_of_unknown_outcome_stays_unsettled() -> None:
+    """Guards against a refusal of a job whose write may take effect much later."""
+    unsettled = UnsettledSubmissions()
+
+    def may_be_written(key: str, now_ms: int) -> bool:
+        check = unsettled.begin_check(key, now_ms)
+        return unsettled.end_check(check, now_ms)
+
+    unsettled.begin("a")
+    assert [may_be_written(key, 0) for key in "ab"] == [True, False]
+    unsettled.end("a", 0, is_unknown=True)
+    assert [may_be_written(key, 6_000) for key in "ab"] == [True, False]
+    assert not may_be_written("a", 600_000)
+
+
 def test_nothing_is_refused_if_the_store_does_not_show_the_job_absent() -> None:
     site = RefusalSite()
     site.plan_faults("get", Fault.ERROR)
@@ -178,8 +194,11 @@
 def test_later_callers_are_told_to_return_after_those_told_before() -> None:
     """Guards against callers that all return to a queue of returned callers."""
     site = RefusalSite()
-    for number in range(5):
+    first = site.refusal("x")
+    for number in range(20):
         site.refusal(f"w{number}")
-    returning = site.desk._returning[POOL]
-    assert returning.work_ms(0) == 5 * 500
-    assert returning.work_ms(1 << 60) == 0
+    later = site.refusal("x")
+    assert first is not None
+    assert later is not None
+    assert later.return_s >= first.return_s + 20 * 500 // 1_000
+    assert site.desk._returning[POOL].work_ms(1 << 60) == 0
