--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -12,6 +12,7 @@
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
+from ._forecaster import Forecaster
 from ._unplaced import UnplacedSteps
 from .advice import AdviceCache, RequestAdvice
 from .caps import CapTracker
@@ -53,6 +54,7 @@
         run_times: Expected run times of tasks.
         evacuation: Evacuated zones and the runs that leave them.
         run_times_record: What was learned, for the next batch; empty if it is not due.
+        forecaster: Forecast for the entries that accept jobs.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -85,6 +87,7 @@
     run_times: RunTimes = field(default_factory=RunTimes)
     evacuation: EvacuationState = field(default_factory=EvacuationState)
     run_times_record: bytes = b""
+    forecaster: Forecaster = field(default_factory=Forecaster)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -230,6 +233,7 @@
             self.load,
             self.expired,
             learned,
+            self.forecaster.forecast,
         )
 
     def handle_batch_stored(self) -> list[Effect]:
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -20,6 +20,7 @@
     StartWithheld,
     ZonesEvacuated,
 )
+from .forecast import Forecast
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
 from .run_time_events import RunTimeReport, RunTimesRead
 
@@ -256,6 +257,7 @@
         load: Resources and hosts that the pool needs.
         removed: Ended jobs that are not kept any longer; callers can't query them.
         run_times: Learned run times in their stored form; empty to leave them.
+        forecast: Forecast for the entries that accept jobs, if there is one.
     """
 
     batch: int
@@ -265,6 +267,7 @@
     load: PoolLoad
     removed: tuple[JobId, ...] = ()
     run_times: bytes = b""
+    forecast: Forecast | None = None
 
 
 @dataclass(frozen=True, slots=True)
