--- a/src/amaranthtray/domain/scheduling/run_times.py
+++ b/src/amaranthtray/domain/scheduling/run_times.py
@@ -24,7 +24,7 @@
     MIN_SPREAD,
     Regression,
 )
-from .step_evidence import Estimated, StepEvidence, remaining_at_rate
+from .step_evidence import Estimated, StepEvidence, remaining_at_rate, whole_ms
 
 if TYPE_CHECKING:
     from ..ids import HostId
@@ -217,14 +217,17 @@
 
     def record_progress(self, spec: JobSpec, name: TaskName, run: Run) -> None:
         """Adds the progress of a run to the evidence on its step."""
-        self._evidence(spec, name.step).runs[name.number, run.number] = run
-        self._invalidate(spec, name.step)
+        time_ms = whole_ms(run)
+        if time_ms is None:
+            return
+        evidence, key = self._evidence(spec, name.step), (name.number, run.number)
+        if evidence.set_rate(key, run.host, math.log(time_ms)):
+            self._invalidate(spec, name.step)
 
     def remove_run(self, spec: JobSpec, name: TaskName, run: Run) -> None:
         """Removes the progress of a run that ended."""
         evidence = self._steps.get((spec.id, name.step))
-        if evidence is not None:
-            evidence.runs.pop((name.number, run.number), None)
+        if evidence is not None and evidence.remove_rate((name.number, run.number)):
             self._invalidate(spec, name.step)
 
     def remove_job(self, spec: JobSpec) -> None:
--- a/src/amaranthtray/domain/scheduling/step_evidence.py
+++ b/src/amaranthtray/domain/scheduling/step_evidence.py
@@ -4,10 +4,12 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..ids import HostId
-from ..jobs.task import Run
+
+if TYPE_CHECKING:
+    from ..jobs.task import Run
 
 MIN_PROGRESS_MS = 150
 """Shortest time between two reports from which a rate is derived."""
@@ -16,6 +18,11 @@
 """Least progress from which a rate is derived: percentages are whole numbers."""
 
 
+MIN_RATE_CHANGE = 0.05
+"""Least change of a rate's logarithm that changes the evidence, as each change makes
+the estimate of the whole job be computed again."""
+
+
 class Estimated(NamedTuple):
     """Estimate of a run time.
 
@@ -59,19 +66,23 @@
 
 @dataclass(slots=True)
 class StepEvidence:
-    """Ended tasks of a step, and the progress of its running ones.
+    """Ended tasks of a step, and the rates of its running ones.
 
     Attributes:
         ended: Number of ended runs.
         mean: Mean of the logarithms of their run times in ms.
-        by_host: Number of ended runs and the sum of these logarithms by host.
-        runs: Runs whose rate is known, by task number and run number.
+        count: Number of ended runs and of runs whose rate is known.
+        total: Sum of the logarithms of their run times in ms.
+        by_host: Count and total by host.
+        rates: Host, and logarithm of the time at the rate, by task and run number.
     """
 
     ended: int = 0
     mean: float = 0.0
+    count: int = 0
+    total: float = 0.0
     by_host: dict[HostId, tuple[int, float]] = field(default_factory=dict)
-    runs: dict[tuple[int, int], Run] = field(default_factory=dict)
+    rates: dict[tuple[int, int], tuple[HostId, float]] = field(default_factory=dict)
 
     def add(self, actual: float, host: HostId) -> float | None:
         """Adds an ended run.
@@ -86,16 +97,37 @@
         difference = actual - self.mean
         self.ended += 1
         self.mean += difference / self.ended
-        count, total = self.by_host.get(host, (0, 0.0))
-        self.by_host[host] = (count + 1, total + actual)
+        self._change(host, 1, actual)
         if self.ended == 1:
             return None
         return difference * difference * (self.ended - 1) / self.ended
 
+    def set_rate(self, key: tuple[int, int], host: HostId, rate: float) -> bool:
+        """Sets the rate of a run; returns whether it changed enough to matter.
+
+        Args:
+            key: Number of the task and of the run.
+            host: Host of the run.
+            rate: Logarithm of the time for the whole work at the rate.
+        """
+        known = self.rates.get(key)
+        if known is not None and abs(known[1] - rate) < MIN_RATE_CHANGE:
+            return False
+        self.remove_rate(key)
+        self.rates[key] = (host, rate)
+        self._change(host, 1, rate)
+        return True
+
+    def remove_rate(self, key: tuple[int, int]) -> bool:
+        """Removes the rate of a run; returns whether it was known."""
+        known = self.rates.pop(key, None)
+        if known is not None:
+            self._change(known[0], -1, -known[1])
+        return known is not None
+
     def count_elsewhere(self, host: HostId) -> int:
         """Returns the number of runs on other hosts."""
-        rates = sum(run.host != host for run in self.runs.values())
-        return self.ended - self.by_host.get(host, (0, 0.0))[0] + rates
+        return self.count - self.by_host.get(host, (0, 0.0))[0]
 
     def estimate(
         self, prior: Estimated, within: float, except_host: HostId | None = None
@@ -107,20 +139,19 @@
             within: Standard deviation between the tasks of one step.
             except_host: Host whose runs are left out.
         """
-        rates = [
-            rate
-            for run in self.runs.values()
-            if run.host != except_host and (rate := whole_ms(run))
-        ]
-        ended, total = self.ended, self.ended * self.mean
+        count, total = self.count, self.total
         if except_host is not None:
             left_out, left_out_total = self.by_host.get(except_host, (0, 0.0))
-            ended, total = ended - left_out, total - left_out_total
-        count = ended + len(rates)
+            count, total = count - left_out, total - left_out_total
         if not count:
             return prior
-        mean = (total + sum(map(math.log, rates))) / count
         between = max(prior.deviation**2 - within**2, within**2)
         precision = 1 / between + count / within**2
-        joint = (prior.mean / between + mean * count / within**2) / precision
+        joint = (prior.mean / between + total / within**2) / precision
         return Estimated(joint, math.sqrt(within**2 + 1 / precision))
+
+    def _change(self, host: HostId, count: int, total: float) -> None:
+        self.count += count
+        self.total += total
+        before, total_before = self.by_host.get(host, (0, 0.0))
+        self.by_host[host] = (before + count, total_before + total)
