Judge hosts by the residual beyond the pool's; test the stored evidence

Cause: the test for chance used the residual before the pool's median was taken off. In a trial with 215 hosts, none of them slow, two became slow in the first seconds, while the model still knew only the shortest runs.

Change: both use the difference. The wait elsewhere is found by bisection.

--- a/src/amaranthtray/domain/scheduling/_slow_hosts.py
+++ b/src/amaranthtray/domain/scheduling/_slow_hosts.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
+import operator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -35,7 +38,7 @@
     usual: list[Host]
     hosts: list[Host]
     _waiting_cpu: int = 0
-    _freed: list[tuple[float, int]] | None = field(default=None)
+    _ends: list[tuple[float, int]] | None = field(default=None)
 
     @classmethod
     def split(cls, state: SchedulerState, hosts: list[Host]) -> SlowHosts:
@@ -117,18 +120,19 @@
 
     def _wait_ms(self, state: SchedulerState, cpu: int) -> float:
         """Returns when the other hosts will have freed that much CPU."""
-        if self._freed is None:
-            self._freed = _ends(state, self.usual)
-        freed = 0
-        for rest_ms, each in self._freed:
-            freed += each
-            if freed >= cpu:
-                return rest_ms
-        return self._freed[-1][0] * cpu / freed if freed else 0.0
-
-
-def _ends(state: SchedulerState, hosts: list[Host]) -> list[tuple[float, int]]:
-    """Returns the expected rest of all runs that end, with the CPU that each frees."""
+        if self._ends is None:
+            self._ends = _freed_cpu(state, self.usual)
+        if not self._ends:
+            return 0.0
+        last_ms, most = self._ends[-1]
+        if cpu > most:
+            return last_ms * cpu / max(most, 1)
+        found = bisect.bisect_left(self._ends, cpu, key=operator.itemgetter(1))
+        return self._ends[found][0]
+
+
+def _freed_cpu(state: SchedulerState, hosts: list[Host]) -> list[tuple[float, int]]:
+    """Returns when runs end, with the CPU that is freed until then."""
     run_times, now_ms = state.run_times, state.now_ms
     ends: list[tuple[float, int]] = []
     for host in hosts:
@@ -138,4 +142,6 @@
             spec = state.jobs[name.job].spec
             rest = run_times.remaining(spec, name.step, run, now_ms)
             ends.append((rest.expected_ms, step.reserved.cpu))
-    return sorted(ends)
+    ends.sort()
+    sums = itertools.accumulate(cpu for _, cpu in ends)
+    return [(rest_ms, cpu) for (rest_ms, _), cpu in zip(ends, sums, strict=True)]
--- a/src/amaranthtray/domain/scheduling/host_speed.py
+++ b/src/amaranthtray/domain/scheduling/host_speed.py
@@ -72,12 +72,12 @@
 
     Attributes:
         residual: Lower median of the residuals of steps.
-        deviations: The same in standard deviations of a mean.
+        deviation: Standard deviation of a mean of so many residuals.
         steps: Number of steps.
     """
 
     residual: float
-    deviations: float
+    deviation: float
     steps: int
 
 
@@ -179,9 +179,8 @@
             return None
         residuals = [median(each.residual for each in group) for group in latest]
         deviation = sum(group[0].deviation for group in latest) / len(latest)
-        typical = median_low(residuals)
         return _Verdict(
-            typical, typical * math.sqrt(len(latest)) / deviation, len(latest)
+            median_low(residuals), deviation / math.sqrt(len(latest)), len(latest)
         )
 
     def _update(
@@ -189,8 +188,8 @@
     ) -> HostSlow | None:
         """Applies a verdict; returns a report if it changes what is known."""
         residual = verdict.residual - usual
-        is_slow = (
-            residual > math.log(MIN_SLOWNESS) and verdict.deviations > MIN_DEVIATIONS
+        is_slow = residual > max(
+            math.log(MIN_SLOWNESS), MIN_DEVIATIONS * verdict.deviation
         )
         found = self.slow.get(host)
         slowness = min(math.exp(residual), MAX_SLOWNESS)
