Judge submitted jobs by the run times that their queue has shown

Entries refused by the declared run times, which are off by a factor of e in the mean: a job declared too short was refused although its objective, and so its limit, is longer. The pool's report now has the learned run times of up to six queues whose callers declare them far off, and the limit takes the longest likely length; without evidence twice the declared one.

--- a/src/amaranthtray/domain/jobs/admission.py
+++ b/src/amaranthtray/domain/jobs/admission.py
@@ -12,7 +12,7 @@
 
 from ..scheduling.forecast import MAX_AGE_MS, draw
 from ..scheduling.ranking import LATE_FACTOR
-from .estimate import estimate_job
+from .estimate import critical_path_ms
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -75,7 +75,11 @@
         return Accept(why_accepted)
     age_ms = spec.accepted_ms - forecast.made_ms
     outlook, why = _outlook(spec, queue, forecast)
-    length_ms = estimate_job(spec.steps).critical_path_ms
+    lengths_ms = [
+        forecast.safe_length_ms(spec.queue, step.estimated_ms) for step in spec.steps
+    ]
+    # A longer job may begin later and still count, so its longest likely length counts.
+    length_ms = critical_path_ms(spec.steps, frozenset(), lengths_ms)
     objective_ms = queue.slowdown_factor * length_ms + queue.target_ms
     limit_ms, slack_ms = LATE_FACTOR * objective_ms, objective_ms - length_ms
     if outlook is None or limit_ms - length_ms + age_ms >= outlook.late_ms:
--- a/src/amaranthtray/domain/scheduling/_outlook.py
+++ b/src/amaranthtray/domain/scheduling/_outlook.py
@@ -110,6 +110,7 @@
         rate=rate,
         room=pool.room,
         outlooks=tuple(_outlooks(pool, scarce, state.forecaster.arrivals)),
+        lengths=state.run_times.length_models(),
         entitled=dict(sorted(entitled.items(), key=lambda row: row[1])[:MAX_TEAMS]),
     )
 
--- a/src/amaranthtray/domain/scheduling/forecast.py
+++ b/src/amaranthtray/domain/scheduling/forecast.py
@@ -11,10 +11,11 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..ids import TeamName
+from ..ids import QueueName, TeamName
 from ..jobs.model import NO_RESOURCES, Resources
 
 if TYPE_CHECKING:
@@ -22,6 +23,12 @@
 
     from ..jobs.model import JobId, JobSpec
 
+DECLARED_SPREAD = 2.0
+"""Multiple of its declared run time within which a task ends, as far as is known."""
+
+NINE_OF_TEN = 1.2816
+"""Quantile of the standard normal distribution for nine of ten."""
+
 MAX_AGE_MS = 2_000
 """Age from which a forecast no longer counts."""
 
@@ -54,6 +61,27 @@
     beyond: ClassOutlook
 
 
+class LengthModel(NamedTuple):
+    """Run times of a queue's tasks, by logarithms of times in ms.
+
+    Attributes:
+        intercept: Logarithm of the run time at a declaration with logarithm 0.
+        slope: Change of the logarithm per unit of the declared logarithm.
+        deviation: Standard deviation of the residuals.
+    """
+
+    intercept: float
+    slope: float
+    deviation: float
+
+    def safe_ms(self, declared_ms: int) -> float:
+        """Returns the time within which nine of ten runs end."""
+        declared = math.log(max(declared_ms, 1))
+        return math.exp(
+            self.intercept + self.slope * declared + NINE_OF_TEN * self.deviation
+        )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forecast:
     """Forecast of one pool, small enough for the pool's report.
@@ -66,6 +94,7 @@
         outlooks: Priorities for which jobs wait, the highest first.
         entitled: Teams beyond their share, with the part of their submissions, at the
             rate last seen, to which the share entitles them.
+        lengths: Learned run times of the queues whose callers declare them far off.
     """
 
     made_ms: int
@@ -74,6 +103,14 @@
     room: Resources = NO_RESOURCES
     outlooks: tuple[PriorityOutlook, ...] = ()
     entitled: dict[TeamName, float] = field(default_factory=dict)
+    lengths: dict[QueueName, LengthModel] = field(default_factory=dict)
+
+    def safe_length_ms(self, queue: QueueName, declared_ms: int) -> float:
+        """Returns the time within which nine of ten runs of a task end."""
+        model = self.lengths.get(queue)
+        if model is None:
+            return DECLARED_SPREAD * declared_ms
+        return model.safe_ms(declared_ms)
 
     def is_beyond_share(self, spec: JobSpec) -> bool:
         """Returns whether a new job counts as beyond its team's share.
--- a/src/amaranthtray/domain/scheduling/run_time_regression.py
+++ b/src/amaranthtray/domain/scheduling/run_time_regression.py
@@ -161,3 +161,26 @@
 
 def _bounded(deviation: float) -> float:
     return min(max(deviation, MIN_SPREAD), MAX_SPREAD)
+
+
+class Model(NamedTuple):
+    """What a key's ended runs say about the next one.
+
+    Attributes:
+        fit: Coefficients.
+        declared_error: Standard deviation of declarations from actual run times.
+        uses_declared: Whether declarations are about as good as the regression.
+    """
+
+    fit: Fit
+    declared_error: float
+    uses_declared: bool
+
+
+def model_of(regression: Regression) -> Model | None:
+    """Returns what the evidence of a key says; None while there is too little."""
+    if regression.runs < MIN_RUNS:
+        return None
+    fit, error = regression.fit(), regression.declared_error
+    uses_declared = error <= CLEARLY_LARGER * fit.deviation
+    return Model(fit, min(max(error, MIN_SPREAD), MAX_SPREAD), uses_declared)
--- a/src/amaranthtray/domain/scheduling/run_times.py
+++ b/src/amaranthtray/domain/scheduling/run_times.py
@@ -12,28 +12,28 @@
 from statistics import NormalDist
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..ids import QueueName
 from ..jobs.estimate import Estimate, estimate_job
 from ..jobs.model import JobId
+from .forecast import DECLARED_SPREAD, NINE_OF_TEN, LengthModel
 from .host_speed import HostSpeeds
 from .run_time_events import KeySummary, RunTimeError
-from .run_time_regression import (
-    CLEARLY_LARGER,
-    MAX_AGE_MS,
-    MAX_SPREAD,
-    MIN_RUNS,
-    MIN_SPREAD,
-    Regression,
-)
+from .run_time_regression import MAX_AGE_MS, Model, Regression, model_of
 from .step_evidence import Estimated, StepEvidence, remaining_at_rate, whole_ms
 
 if TYPE_CHECKING:
     from ..ids import HostId
     from ..jobs.model import JobSpec, TaskName
     from ..jobs.task import Run
-    from .run_time_regression import Fit
 
-DECLARED_SPREAD = 2.0
-"""Spread of declared run times, which are rough estimates."""
+
+QUEUE_KEY = "queue:"
+MAX_LENGTHS = 6
+"""Queues whose run times are published, those with the newest runs; a pool's report
+has to stay small."""
+
+LENGTH_DIGITS = 3
+"""Digits of published coefficients, to keep reports small."""
 
 MAX_KEYS = 64
 """Most images and queues of a pool for which run times are learned."""
@@ -48,8 +48,6 @@
 RATE_SPREAD = 1.3
 """Spread of the rest of a run of which two reports give the rate."""
 
-NINE_OF_TEN = 1.2816
-"""Quantile of the standard normal distribution for nine of ten."""
 
 RARE = 1e-6
 """Share of runs above a time at which the distribution says nothing about the rest."""
@@ -74,20 +72,6 @@
         return self.expected_ms * self.spread
 
 
-class Model(NamedTuple):
-    """What a key's ended runs say about the next one.
-
-    Attributes:
-        fit: Coefficients.
-        declared_error: Standard deviation of declarations from actual run times.
-        uses_declared: Whether declarations are about as good as the regression.
-    """
-
-    fit: Fit
-    declared_error: float
-    uses_declared: bool
-
-
 class ExpectedJob(NamedTuple):
     """Estimate of a job, and the expected run time of a task of each step in ms."""
 
@@ -249,7 +233,7 @@
         self._models = {
             key: model
             for key, regression in self._regressions.items()
-            if (model := _model(regression)) is not None
+            if (model := model_of(regression)) is not None
         }
 
     def regressions(self) -> dict[str, Regression]:
@@ -277,6 +261,20 @@
             if regression.weight
         )
 
+    def length_models(self) -> dict[QueueName, LengthModel]:
+        """Returns what was learned of queues whose callers declare times far off."""
+        learned = [
+            (QueueName(key.removeprefix(QUEUE_KEY)), self._models[key].fit)
+            for key in self.regressions()
+            if key.startswith(QUEUE_KEY)
+            and key in self._models
+            and not self._models[key].uses_declared
+        ]
+        return {
+            queue: LengthModel(*(round(each, LENGTH_DIGITS) for each in fit[:3]))
+            for queue, fit in learned[-MAX_LENGTHS:]
+        }
+
     def _invalidate(self, spec: JobSpec, step: int) -> None:
         self._cache.pop((spec.id, step), None)
         self._jobs.pop(spec.id, None)
@@ -346,22 +344,13 @@
 
 def _key(spec: JobSpec, step: int) -> str:
     image = spec.steps[step].image
-    return f"image:{image}" if image else f"queue:{spec.queue}"
+    return f"image:{image}" if image else f"{QUEUE_KEY}{spec.queue}"
 
 
 def _logarithm(time_ms: int) -> float:
     return math.log(max(time_ms, SHORTEST_MS))
 
 
-def _model(regression: Regression) -> Model | None:
-    """Returns what the evidence of a key says; None while there is too little."""
-    if regression.runs < MIN_RUNS:
-        return None
-    fit, error = regression.fit(), regression.declared_error
-    uses_declared = error <= CLEARLY_LARGER * fit.deviation
-    return Model(fit, min(max(error, MIN_SPREAD), MAX_SPREAD), uses_declared)
-
-
 def _of_logarithm(estimate: Estimated) -> RunTime:
     """Returns the mean and the spread of a log-normal distribution."""
     half = estimate.deviation**2 / 2
