--- a/tests/scheduling/test_forecast.py
+++ b/tests/scheduling/test_forecast.py
@@ -98,7 +98,7 @@
     """Guards against refusals of jobs whose objective is longer than they declare."""
     outlook = ClassOutlook(6_000, 6_000, 6_000)
     forecast = replace(FULL, outlooks=(PriorityOutlook(0, outlook, outlook),))
-    job = replace(JOB, steps=(a_step(estimated_ms=100),))
+    job = replace(JOB, steps=(replace(a_step(), estimated_ms=100),))
     assert isinstance(decide(job, QUEUE, forecast), Refuse)
     takes_1_400_ms = LengthModel(math.log(1_400), 0.0, 0.0)
     learned = replace(forecast, lengths={QUEUE.name: takes_1_400_ms})
