Reserve hosts for large tasks and gangs that wait, behind look_ahead

Cause: small tasks take each gap at once, so that large tasks wait until they are late. Change: profiles of expected ends, bounded reservations with backfill by time and by room, and a choice of hosts that spares room for waiting large shapes. A plan also skips jobs without a task to start, and shapes that found no host in the same plan.

--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, TypeAlias
 
-from ..jobs.model import Resources, StepKey, TaskName
+from ..jobs.model import NO_RESOURCES, Resources, StepKey, StepSpec, TaskName
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -16,8 +18,10 @@
     select_reserved_hosts,
     split_suspects,
 )
+from ._unfit import Demand, UnfitDemands
 from ._unplaced import hosts_to_reserve
 from .host import Host
+from .look_ahead import LookAhead, look_ahead
 from .messages import StartRun
 from .placement import place_each, place_gang
 from .ranking import Rank, Timeliness, rank
@@ -26,10 +30,16 @@
     from collections.abc import Collection, Iterator
 
     from ..jobs.job import Job
-    from ..jobs.model import StepSpec
     from ..jobs.task import Task
     from ._state import SchedulerState
     from .placement import Placement
+    from .reservations import RankClass
+
+WaitingStep: TypeAlias = tuple[StepKey, StepSpec, list[int]]
+"""A step with the indices of its tasks that wait."""
+
+FIRST_CLASS: RankClass = (-1, False, 0)
+"""Class of the rank of all jobs while none of them is bound by a reservation."""
 
 FITS_NOTHING = Resources(-1, -1, -1)
 """Free resources without any host: not even a task that needs nothing fits."""
@@ -44,12 +54,24 @@
         shared: Those that may run tasks of several jobs.
         unisolated: Number of tasks that found no host of their own so far.
         crashed_machines: Machines that crashed under these tasks.
+        ahead: Reservations for tasks that wait; None if the policy has none.
+        unfit: Demands that no host meets.
+        open: Shared hosts that fit at least the smallest waiting task.
+        least: Smallest amount of each resource that a waiting task needs.
     """
 
     every: list[Host]
     shared: list[Host]
     unisolated: int = 0
     crashed_machines: set[str] = field(default_factory=set)
+    ahead: LookAhead | None = None
+    unfit: UnfitDemands = field(default_factory=UnfitDemands)
+    open: list[Host] = field(default_factory=list)
+    least: Resources = NO_RESOURCES
+
+    def narrow(self) -> None:
+        """Leaves out the hosts that fit no waiting task any more."""
+        self.open = [host for host in self.open if self.least.fits(host.free)]
 
     def exclude(self, excluded: Collection[str]) -> None:
         """Excludes hosts, and those with a quarantined run, from further sharing."""
@@ -58,6 +80,8 @@
             for host in self.shared
             if host.info.id not in excluded and not host.quarantined_runs
         ]
+        self.open = self.shared
+        self.narrow()
 
 
 def plan_starts(state: SchedulerState) -> None:
@@ -73,24 +97,88 @@
         return
     hosts = _PlanHosts(every, every)
     hosts.exclude(state.crashes.reserved_hosts)
+    hosts.ahead = look_ahead(state, hosts.shared)
+    waiting_keys = _place_by_rank(state, hosts)
+    state.unplaced.retain(waiting_keys)
+    if hosts.ahead is not None:
+        hosts.ahead.finish(waiting_keys)
+    select_reserved_hosts(state, every, hosts.unisolated, hosts.crashed_machines)
+
+
+def _place_by_rank(state: SchedulerState, hosts: _PlanHosts) -> set[StepKey]:
+    """Places waiting tasks; returns the keys of the steps that had any."""
     room = _largest_free(hosts.shared)
     waiting_keys: set[StepKey] = set()
-    for job in _jobs_by_rank(state):
-        for key, step, waiting in _waiting_steps(state, job):
+    ranked = _jobs_by_rank(state)
+    needs = [step.reserved for _, _, steps in ranked for _, step, _ in steps]
+    hosts.least = (
+        Resources(*map(min, zip(*needs, strict=True))) if needs else hosts.least
+    )
+    hosts.narrow()
+    for rank_class, job, steps in ranked:
+        for key, step, waiting in steps:
             waiting_keys.add(key)
             placed = 0
-            if step.reserved.fits(room) or has_suspects(job, key, waiting):
+            is_tried = step.reserved.fits(room) or has_suspects(job, key, waiting)
+            if is_tried:
                 waiting = _within_cap(state, job, step, waiting)
-                placed = _place_tasks(state, job, key, waiting, hosts)
+                placed = _place_if_fit(state, job, key, rank_class, waiting, hosts)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
-            if step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
+            if hosts.ahead is not None:
+                if not is_tried and hosts.ahead.may_reserve(key, step):
+                    waiting = _within_cap(state, job, step, waiting)
+                may_wait = not has_suspects(job, key, waiting)
+                unplaced = len(waiting) - placed if may_wait else 0
+                find_allowed = partial(_allowed_hosts, state, job, key, hosts.shared)
+                hosts.ahead.end_step(job, key, rank_class, unplaced, find_allowed)
+            elif step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
                 reserved_hosts = hosts_to_reserve(step, hosts.shared)
                 hosts.exclude(reserved_hosts)
             if placed or reserved_hosts:
+                hosts.narrow()
                 room = _largest_free(hosts.shared)
-    state.unplaced.retain(waiting_keys)
-    select_reserved_hosts(state, every, hosts.unisolated, hosts.crashed_machines)
+    return waiting_keys
+
+
+def _place_if_fit(
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    rank_class: RankClass,
+    waiting: list[int],
+    hosts: _PlanHosts,
+) -> int:
+    """Places tasks of a step unless a smaller one found no host in this plan."""
+    demand = _demand(state, job, key, rank_class, hosts.ahead)
+    is_usual = not (state.queue_of(job).needs_advice or has_suspects(job, key, waiting))
+    if hosts.ahead is not None and hosts.ahead.take_released():
+        hosts.unfit.clear()
+    has_own = hosts.ahead is not None and hosts.ahead.has_reservation(key)
+    if is_usual and not has_own and hosts.unfit.covers(demand):
+        return 0
+    if hosts.ahead is not None:
+        hosts.ahead.begin_step(key, rank_class, demand.safe_ms)
+    placed = _place_tasks(state, job, key, waiting, hosts)
+    if is_usual and placed < len(waiting):
+        hosts.unfit.record(job.spec.steps[key.step], demand)
+    return placed
+
+
+def _demand(
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    rank_class: RankClass,
+    ahead: LookAhead | None,
+) -> Demand:
+    """Returns what a step asks of a host; run times matter only beside reservations."""
+    need = job.spec.steps[key.step].reserved
+    if ahead is None or not state.reservations.by_host:
+        return Demand(need, FIRST_CLASS, 0.0)
+    run_time = state.run_times.of_step(job.spec, key.step)
+    safe_ms = run_time.safe_ms if run_time.expected_ms > 0 else math.inf
+    return Demand(need, rank_class, safe_ms)
 
 
 def _within_cap(
@@ -117,9 +205,10 @@
     unsuspected, suspects, isolated = split_suspects(job, key, waiting)
     placed = 0
     if unsuspected:
-        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        allowed = _allowed_hosts(state, job, key, hosts.open)
         place = place_gang if step.is_gang else place_each
-        placements = place(step, key, unsuspected, allowed)
+        shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
+        placements = place(step, key, unsuspected, allowed, shapes)
         placed += _reserve_runs(state, job, key, placements)
     if suspects:
         allowed = _allowed_hosts(state, job, key, hosts.shared)
@@ -179,8 +268,10 @@
             state.advice_requests.append(request)
 
 
-def _jobs_by_rank(state: SchedulerState) -> list[Job]:
-    """Returns unfinished jobs by rank, within their priority by entitlement first.
+def _jobs_by_rank(
+    state: SchedulerState,
+) -> list[tuple[RankClass, Job, list[WaitingStep]]]:
+    """Returns jobs with waiting tasks by rank, in each priority entitled ones first.
 
     Jobs beyond their team's share, and jobs that can't count any more, go last.
     """
@@ -195,7 +286,19 @@
         )
         return job_rank.priority, goes_last, job_rank, job.spec.id
 
-    return sorted(jobs, key=sort_key)
+    ranked: list[tuple[tuple[int, bool, Rank, str], Job, list[WaitingStep]]] = []
+    for job in jobs:
+        if job.spec.id in state.settled:
+            continue
+        steps = list(_waiting_steps(state, job))
+        if steps:
+            ranked.append((sort_key(job), job, steps))
+        elif _is_settled(state, job):
+            state.settled.add(job.spec.id)
+    ranked.sort()
+    return [
+        ((key[0], key[1], key[2].timeliness), job, steps) for key, job, steps in ranked
+    ]
 
 
 def _largest_free(hosts: list[Host]) -> Resources:
@@ -203,12 +306,10 @@
     if not hosts:
         return FITS_NOTHING
     rooms = [host.free for host in hosts]
-    return Resources(*(max(amounts) for amounts in zip(*rooms, strict=True)))
+    return Resources(*map(max, zip(*rooms, strict=True)))
 
 
-def _waiting_steps(
-    state: SchedulerState, job: Job
-) -> Iterator[tuple[StepKey, StepSpec, list[int]]]:
+def _waiting_steps(state: SchedulerState, job: Job) -> Iterator[WaitingStep]:
     """Yields open steps with the indices of their tasks that may start now."""
     for occurrence, number in job.open_steps(state.wall_ms):
         step = job.spec.steps[number]
@@ -224,6 +325,17 @@
         yield StepKey(job.spec.id, occurrence, number), step, waiting
 
 
+def _is_settled(state: SchedulerState, job: Job) -> bool:
+    """Returns whether a job has no task to start until one of its runs ends."""
+    if job.spec.recurrence or any(step.allows_copies for step in job.spec.steps):
+        return False
+    return not any(
+        task.is_waiting
+        for occurrence, number in job.open_steps(state.wall_ms)
+        for task in job.tasks(occurrence, number)
+    )
+
+
 def _wants_copy(state: SchedulerState, task: Task) -> bool:
     """Returns whether a task needs a copy, as its only run is on a silent host.
 
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -17,8 +17,10 @@
 from .caps import CapTracker
 from .crash_register import CrashRegister
 from .host import Host
+from .host_choice import RecentShapes
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
 from .policy import SchedulingPolicy
+from .reservations import Reservations
 from .run_times import RunTimes
 from .shares import ShareMeter
 
@@ -50,6 +52,9 @@
         unplaced: Steps with tasks that fit on no host.
         crashes: Tasks under which hosts crashed.
         run_times: Expected run times of tasks.
+        reservations: Hosts reserved for large tasks that wait.
+        shapes: Needs of the tasks that arrived last.
+        settled: Jobs without a task to start until an event changes them.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -80,6 +85,9 @@
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     crashes: CrashRegister = field(default_factory=CrashRegister)
     run_times: RunTimes = field(default_factory=RunTimes)
+    reservations: Reservations = field(default_factory=Reservations)
+    shapes: RecentShapes = field(default_factory=RecentShapes)
+    settled: set[JobId] = field(default_factory=set)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -122,6 +130,8 @@
     def add_job(self, job: Job) -> None:
         """Adds a job and the runs that its record lists."""
         self.jobs[job.spec.id] = job
+        if self.policy.look_ahead:
+            self.shapes.record(job.spec)
         if not job.state.is_final or any(job.runs()):
             self.active[job.spec.id] = job
         for name, step, task in job.created_tasks():
@@ -142,6 +152,7 @@
             self.crashes.remove_job(job.spec.id)
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
+        self.settled.discard(job.spec.id)
         self.dirty.add(job.spec.id)
 
     def reserve_run(self, job: Job, name: TaskName, host: Host, number: int) -> Run:
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -48,6 +48,7 @@
         seen_ms: Steady-clock time of its last report.
         suspect_runs: Number of its runs whose task's hosts have crashed before.
         quarantined_runs: Number of its runs that must not share it with other jobs.
+        held: Free resources that the step being placed must leave to a reservation.
     """
 
     info: HostInfo
@@ -63,13 +64,25 @@
     seen_ms: int = 0
     suspect_runs: int = 0
     quarantined_runs: int = 0
+    held: Resources = NO_RESOURCES
+    _known_free: tuple[HostInfo, Resources] | None = None
     _runs: dict[tuple[TaskName, int], PlacedRun] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
     @property
     def free(self) -> Resources:
         """Returns the resources that are available to new runs."""
-        return self.info.capacity.minus(self.used)
+        known = self._known_free
+        if known is None or known[0] is not self.info:
+            known = self._known_free = (self.info, self.info.capacity.minus(self.used))
+        return known[1]
+
+    @property
+    def room(self) -> Resources:
+        """Returns the resources that are available to the step being placed."""
+        if self.held is NO_RESOURCES:
+            return self.free
+        return self.free.minus(self.held)
 
     @property
     def machine(self) -> str:
@@ -104,6 +117,7 @@
         self._runs[name, run.number] = PlacedRun(name, step, run)
         self._by_step[StepKey(*name[:3])] += 1
         self.used = self.used.plus(step.reserved)
+        self._known_free = None
         self._count_suspect(run, 1)
         if step.is_lasting:
             self.used_by_lasting = self.used_by_lasting.plus(step.reserved)
@@ -113,6 +127,7 @@
         placed = self._runs.pop((name, number), None)
         if placed is not None:
             self.used = self.used.minus(placed.step.reserved)
+            self._known_free = None
             self._count_suspect(placed.run, -1)
             if placed.step.is_lasting:
                 self.used_by_lasting = self.used_by_lasting.minus(placed.step.reserved)
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -0,0 +1,78 @@
+"""Shapes of tasks, and the choice of hosts that leaves room for large ones."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..jobs.model import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..jobs.model import JobSpec
+    from .host import Host
+
+RECENT_STEPS = 200
+"""Steps whose shapes count as recent: enough for a median, few enough to follow load
+that changes within seconds."""
+
+LARGE_FACTOR = 2.0
+"""A task is large from this multiple of the median task on: the end of one task then
+hardly ever frees enough for it."""
+
+CHOICE_WIDTH = 16
+"""Hosts that are compared; only the fullest, so that others can stay empty."""
+
+MAX_SHAPES = 4
+"""Large shapes for which hosts are compared."""
+
+
+@dataclass(slots=True)
+class RecentShapes:
+    """Needs of the tasks of the jobs that arrived last."""
+
+    _needs: deque[Resources] = field(default_factory=lambda: deque(maxlen=RECENT_STEPS))
+
+    def record(self, spec: JobSpec) -> None:
+        """Records the steps of a job that arrived."""
+        self._needs.extend(step.reserved for step in spec.steps)
+
+    def large_from(self, size: Resources) -> Resources:
+        """Returns the amounts of each resource from which a task is large.
+
+        Args:
+            size: Resources of the largest host.
+        """
+        shares = sorted(share_of_host(need, size) for need in self._needs)
+        share = LARGE_FACTOR * shares[len(shares) // 2] if shares else 0.0
+        return Resources(*(int(share * have) for have in size))
+
+
+def share_of_host(need: Resources, size: Resources) -> float:
+    """Returns the share of a host that a task takes, of its scarcest resource."""
+    return max(
+        each / have if have else 0.0 for each, have in zip(need, size, strict=True)
+    )
+
+
+def keep_room(
+    need: Resources, hosts: list[Host], shapes: Sequence[Resources]
+) -> list[Host]:
+    """Returns the hosts with those last where a task would displace a large one.
+
+    Args:
+        need: Resources of the task to place.
+        hosts: Hosts that fit it, the preferred first.
+        shapes: Needs of large tasks that wait.
+    """
+    first, rest = hosts[:CHOICE_WIDTH], hosts[CHOICE_WIDTH:]
+    first.sort(key=lambda host: _displaced(need, host.free, shapes))
+    return first + rest
+
+
+def _displaced(need: Resources, room: Resources, shapes: Sequence[Resources]) -> int:
+    """Returns how many of the shapes fit now, but not beside the task."""
+    left = room.minus(need)
+    return sum(shape.fits(room) and not shape.fits(left) for shape in shapes)
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
+from .host_choice import keep_room
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence, Set
 
@@ -21,13 +23,26 @@
 
 
 def place_each(
-    step: StepSpec, key: StepKey, waiting: Sequence[int], hosts: Iterable[Host]
+    step: StepSpec,
+    key: StepKey,
+    waiting: Sequence[int],
+    hosts: Iterable[Host],
+    shapes: Sequence[Resources] = (),
 ) -> list[Placement]:
-    """Places as many of the waiting tasks as fit, on the cheapest hosts first."""
+    """Places as many of the waiting tasks as fit, on the cheapest hosts first.
+
+    Args:
+        step: The step.
+        key: Key of the step.
+        waiting: Tasks to place.
+        hosts: Hosts that may be used.
+        shapes: Needs of large tasks that wait, for which hosts should keep room.
+    """
     placements: list[Placement] = []
-    for host in sorted(
-        _eligible_hosts(step, hosts), key=lambda each: _cost(step, each)
-    ):
+    ordered = sorted(_eligible_hosts(step, hosts), key=lambda each: _cost(step, each))
+    if shapes:
+        ordered = keep_room(step.reserved, ordered, shapes)
+    for host in ordered:
         if len(placements) == len(waiting):
             break
         count = min(_acceptable_count(step, key, host), len(waiting) - len(placements))
@@ -75,7 +90,11 @@
 
 
 def place_gang(
-    step: StepSpec, key: StepKey, waiting: Sequence[int], hosts: Iterable[Host]
+    step: StepSpec,
+    key: StepKey,
+    waiting: Sequence[int],
+    hosts: Iterable[Host],
+    shapes: Sequence[Resources] = (),
 ) -> list[Placement]:
     """Places all waiting tasks or none; within one rack if the step prefers that."""
     open_hosts = list(hosts)
@@ -85,7 +104,7 @@
         by_rack = [[h for h in open_hosts if h.info.rack == rack] for rack in racks]
         groups = [*by_rack, open_hosts]
     for group in groups:
-        placements = place_each(step, key, waiting, group)
+        placements = place_each(step, key, waiting, group, shapes)
         if len(placements) == len(waiting):
             return placements
     return []
@@ -102,10 +121,14 @@
 def _eligible_hosts(step: StepSpec, hosts: Iterable[Host]) -> list[Host]:
     """Returns the hosts that match the step's label and fit at least one task."""
     label, need = step.required_label, step.reserved
+    cpu, memory_mb, _ = need
     return [
         host
         for host in hosts
-        if need.fits(host.free) and (not label or label in host.info.labels)
+        if host.free[0] >= cpu
+        and host.free[1] >= memory_mb
+        and need.fits(host.room)
+        and (not label or label in host.info.labels)
     ]
 
 
@@ -116,7 +139,7 @@
 
 def _acceptable_count(step: StepSpec, key: StepKey, host: Host) -> int:
     """Returns how many more tasks of a step a host can accept."""
-    count = tasks_that_fit(step, host.free)
+    count = tasks_that_fit(step, host.room)
     if step.max_per_host:
         count = min(count, step.max_per_host - host.task_count(key))
     return max(count, 0)
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/profile.py
@@ -0,0 +1,107 @@
+"""When resources of a host are expected to be free.
+
+The load that this addresses: small tasks leave gaps that no large task can use. The
+expected ends of a host's runs show when its gaps become large enough.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from .placement import tasks_that_fit
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..ids import HostId
+    from ..jobs.model import Resources, StepKey, StepSpec
+    from ._state import SchedulerState
+    from .host import Host
+
+UNKNOWN_RUN_MS = 2_500.0
+"""Expected remaining time of a run without an estimate."""
+
+OVERRUN_SHARE = 0.25
+"""A run that has outlasted its estimate is expected to take this share of the time that
+it has taken so far: estimates are often short by a multiple."""
+
+
+class Freed(NamedTuple):
+    """Resources that are free from a time on, until more are freed.
+
+    Attributes:
+        at_ms: Steady-clock time.
+        room: Free resources.
+    """
+
+    at_ms: float
+    room: Resources
+
+
+class RoomFor(NamedTuple):
+    """Number of tasks that a host can hold from a time on."""
+
+    at_ms: float
+    host: HostId
+    tasks: int
+
+
+def profile_of(state: SchedulerState, host: Host) -> list[Freed]:
+    """Returns the free resources of a host, now and after each expected end.
+
+    Lasting runs don't end. Expected ends that have passed are moved into the future.
+    """
+    ends: list[tuple[float, Resources]] = []
+    for placed in host.placed_runs():
+        if not placed.step.is_lasting:
+            spec = state.jobs[placed.name.job].spec
+            step, run = placed.name.step, placed.run
+            left_ms = state.run_times.remaining(
+                spec, step, run, state.now_ms
+            ).expected_ms
+            if left_ms <= 0:
+                left_ms = _overrun_ms(state, run.started_ms)
+            ends.append((state.now_ms + left_ms, placed.step.reserved))
+    ends.sort()
+    room = host.free
+    profile = [Freed(state.now_ms, room)]
+    for at_ms, freed in ends:
+        room = room.plus(freed)
+        profile.append(Freed(at_ms, room))
+    return profile
+
+
+def room_at(profile: Sequence[Freed], at_ms: float) -> Resources:
+    """Returns the resources that are expected to be free at a time."""
+    room = profile[0].room
+    for freed in profile:
+        if freed.at_ms > at_ms:
+            break
+        room = freed.room
+    return room
+
+
+def rooms_for(
+    step: StepSpec, key: StepKey, host: Host, profile: Sequence[Freed]
+) -> list[RoomFor]:
+    """Returns from when on a host can hold how many more tasks of a step."""
+    rooms: list[RoomFor] = []
+    count = 0
+    most = step.count
+    if step.max_per_host:
+        most = max(step.max_per_host - host.task_count(key), 0)
+    for freed in profile:
+        fitting = min(tasks_that_fit(step, freed.room), most)
+        if fitting > count:
+            count = fitting
+            rooms.append(RoomFor(freed.at_ms, host.info.id, count))
+            if count >= step.count:
+                break
+    return rooms
+
+
+def _overrun_ms(state: SchedulerState, started_ms: int | None) -> float:
+    """Returns the expected remaining time of a run that has outlasted its estimate."""
+    if started_ms is None or started_ms >= state.now_ms:
+        return UNKNOWN_RUN_MS
+    return min(OVERRUN_SHARE * (state.now_ms - started_ms), UNKNOWN_RUN_MS)
--- a/tests/scheduling/load.py
+++ b/tests/scheduling/load.py
@@ -5,9 +5,9 @@
 import heapq
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import pairwise
-from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import HostId, PoolName, RackId, ZoneId
 from amaranthtray.domain.jobs.model import JobId, JobSpec, Resources, StepSpec, TaskName
@@ -28,7 +28,8 @@
     StoreJobs,
     VacateRequested,
 )
-from amaranthtray.domain.scheduling.pool import PoolScheduler
+from amaranthtray.domain.scheduling.policy import SchedulingPolicy
+from amaranthtray.domain.scheduling.pool import DECLARED_ONLY, PoolScheduler
 from amaranthtray.domain.upkeep.model import Machine, MachineName, MachineState
 from amaranthtray.domain.upkeep.moves import (
     Moves,
@@ -39,10 +40,6 @@
 from amaranthtray.domain.upkeep.waves import Fleet
 from scheduling.parts import POOL, QUEUE, TEAM, a_catalog
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
 TICK_MS = 20
 STORE_MS = 7
 ORDER_MS = 3
@@ -178,12 +175,18 @@
         time: Clock and events; pools of one fleet share them.
         seed: Seed of arrivals and durations.
         estimate_error: Estimates are off by up to this share.
+        policy: Optional decisions of the scheduler.
+        capacity: Resources of each host.
+        make_job: Returns a job that is submitted at a time.
         load: Load that the scheduler last published.
     """
 
     time: Timeline
     seed: int
     estimate_error: float = 0.5
+    policy: SchedulingPolicy = DECLARED_ONLY
+    capacity: Resources = HOST
+    make_job: Callable[[random.Random, int, float], Submitted] = a_job
     jobs: dict[JobId, Submitted] = field(default_factory=dict)
     load: PoolLoad = field(default_factory=PoolLoad)
     hosts: dict[HostId, dict[TaskName, int]] = field(default_factory=dict)
@@ -193,7 +196,7 @@
         catalog = a_catalog(
             weights={TEAM: 1_000}, slowdown_factor=SLOWDOWN, target_ms=TARGET_MS
         )
-        self.scheduler = PoolScheduler(POOL, catalog, 0)
+        self.scheduler = PoolScheduler(POOL, catalog, 0, policy=self.policy)
         self._sequences: Counter[HostId] = Counter()
 
     def add_hosts(self, *hosts: HostId) -> None:
@@ -218,7 +221,7 @@
                 at_ms += self._rng.expovariate(burst.per_s / 1_000)
                 if at_ms >= burst.until_ms:
                     break
-                job = a_job(self._rng, int(at_ms), self.estimate_error)
+                job = self.make_job(self._rng, int(at_ms), self.estimate_error)
                 delay_ms = int(at_ms) - self.time.now_ms
                 self.time.after(delay_ms, lambda job=job: self._submit(job))
 
@@ -237,7 +240,11 @@
     def _list_hosts(self) -> None:
         infos = [
             HostInfo(
-                id=host, address="", zone=ZoneId("z"), rack=RackId("r"), capacity=HOST
+                id=host,
+                address="",
+                zone=ZoneId("z"),
+                rack=RackId("r"),
+                capacity=self.capacity,
             )
             for host in self.hosts
         ]
