--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -131,7 +131,9 @@
                 may_wait = not has_suspects(job, key, waiting)
                 unplaced = len(waiting) - placed if may_wait else 0
                 find_allowed = partial(_allowed_hosts, state, job, key, hosts.shared)
-                hosts.ahead.end_step(job, key, rank_class, unplaced, find_allowed)
+                hosts.ahead.end_step(
+                    job, key, rank_class, unplaced, placed, find_allowed
+                )
             elif step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
                 reserved_hosts = hosts_to_reserve(step, hosts.shared)
                 hosts.exclude(reserved_hosts)
--- a/src/amaranthtray/domain/scheduling/look_ahead.py
+++ b/src/amaranthtray/domain/scheduling/look_ahead.py
@@ -129,6 +129,7 @@
         key: StepKey,
         rank_class: RankClass,
         unplaced: int,
+        placed: int,
         find_allowed: Callable[[], list[Host]],
     ) -> None:
         """Keeps, ends or makes the reservations of a step after its placement.
@@ -138,6 +139,7 @@
             key: The step.
             rank_class: Class of the job's rank.
             unplaced: Number of its tasks that may start, but have found no host.
+            placed: Number of its tasks that were placed.
             find_allowed: Returns the hosts that the step may use.
         """
         self._account_for_runs(key)
@@ -152,10 +154,11 @@
         wanted = min(wanted, most)
         own.sort(key=lambda each: each.start_ms)
         for surplus in own[wanted:]:
-            reason = "gone" if unplaced else "elsewhere"
+            reason = "elsewhere" if placed else "gone"
             self.reservations.drop(surplus, self.state.now_ms, reason)
         if not wanted:
             return
+        self.reservations.waits_since_ms.setdefault(key, self.state.now_ms)
         for kept in own[:wanted]:
             self._keep(kept, step, rank_class, find_allowed)
         if len(own) < wanted:
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -14,6 +14,7 @@
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimPortion, PortionsRead
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
+from .reservations import ReservationDropped, Reserved
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -355,4 +356,6 @@
     | TaskGivenUp
     | CrashWithdrawn
     | RecordUnreadable
+    | Reserved
+    | ReservationDropped
 )
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -164,6 +164,7 @@
         stops += state.caps.claims(state.catalog, now_ms)
         stops += state.advice_requests
         state.advice_requests = []
+        stops += state.reservations.take_reports()
         vacant, state.vacant = state.vacant, vacant_hosts(state)
         is_due = self._is_report_due()
         self._select_expired()
--- a/src/amaranthtray/domain/scheduling/reservations.py
+++ b/src/amaranthtray/domain/scheduling/reservations.py
@@ -37,6 +37,10 @@
 SLIP_MS = 500
 """Added to its time, as orders and reports take time."""
 
+FIRST_MS = HORIZON_MS + MAX_SLIP_MS + SLIP_MS
+"""Time for which others get no reservation while a step waits for many hosts; those
+that hold hosts have ended by then, except for other gangs."""
+
 HOSTS_PER_RESERVED = 4
 """Hosts of a pool for each that may be reserved, so that small tasks keep theirs."""
 
@@ -72,6 +76,7 @@
         step: The step.
         hosts: The hosts.
         held_ms: Time for which they were reserved.
+        waited_ms: Time for which tasks of the step have waited for room.
         reason: ``started`` where the tasks were placed, ``elsewhere`` where they were
             placed on other hosts, ``gone`` where they wait no longer or may not start,
             ``slipped``, ``host-lost``, ``outranked`` or ``moved``.
@@ -80,6 +85,7 @@
     step: StepKey
     hosts: tuple[HostId, ...]
     held_ms: int
+    waited_ms: int
     reason: str
 
 
@@ -121,6 +127,7 @@
             that other tasks get the whole pool at least half of the time.
         first: Step that gets the next reservation, as it needs many hosts; None if
             there is none.
+        waits_since_ms: Steady-clock time since which large steps wait for room.
     """
 
     by_host: dict[HostId, Reservation] = field(default_factory=dict)
@@ -128,7 +135,9 @@
     searched_ms: int = 0
     next_wide_ms: int = 0
     first: StepKey | None = None
+    waits_since_ms: dict[StepKey, int] = field(default_factory=dict)
     _paused_until_ms: dict[StepKey, int] = field(default_factory=dict)
+    _first_until_ms: int = 0
 
     def all(self) -> list[Reservation]:
         """Returns the reservations."""
@@ -158,7 +167,10 @@
         if reason == "slipped":
             self._paused_until_ms[reservation.key] = now_ms + held_ms
         hosts = tuple(reservation.hosts)
-        self.reports.append(ReservationDropped(reservation.key, hosts, held_ms, reason))
+        waited_ms = now_ms - self.waits_since_ms.get(reservation.key, now_ms)
+        self.reports.append(
+            ReservationDropped(reservation.key, hosts, held_ms, waited_ms, reason)
+        )
 
     def pause(self, key: StepKey, until_ms: int) -> None:
         """Gives a step no reservation before a time."""
@@ -187,9 +199,10 @@
         if is_wide and now_ms < self.next_wide_ms:
             return False
         if self.by_host and len(self.by_host) + count > limit:
-            self.first = self.first or key
+            if self.first is None:
+                self.first, self._first_until_ms = key, now_ms + FIRST_MS
             return False
-        if self.first not in (None, key):
+        if self.first not in (None, key) and now_ms < self._first_until_ms:
             return False
         self.first = None
         return True
@@ -203,6 +216,8 @@
             self.first = None
         for key in [key for key in self._paused_until_ms if key not in keys]:
             del self._paused_until_ms[key]
+        for key in [key for key in self.waits_since_ms if key not in keys]:
+            del self.waits_since_ms[key]
 
     def take_reports(self) -> list[ReservationReport]:
         """Returns the reports since the last call."""
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -31,6 +31,7 @@
 )
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
+from ..domain.scheduling.reservations import ReservationDropped, Reserved
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
@@ -38,6 +39,7 @@
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .record_writer import RecordWriter
+from .reservation_log import record_reservation
 from .term_guard import TermGuard
 from .times import LEASE_MS, RENEWAL_GRACE_MS
 
@@ -266,6 +268,9 @@
                     self._context.log.event("job-unreadable", job=job, why=why)
                 case CrashWithdrawn():
                     self._record_withdrawn_crash(effect)
+                case Reserved() | ReservationDropped():
+                    term = self._guard.term
+                    record_reservation(self._context, self.pool, term, effect)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
--- a/tests/scheduling/mixed_load.py
+++ b/tests/scheduling/mixed_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import HostId
@@ -74,22 +74,20 @@
     """A pool that records which resources its hosts use.
 
     Attributes:
-        used_core_ms: Work of all runs that ended.
+        load_ms: Time in which jobs arrive.
+        used_core_ms: Work of all runs in that time.
     """
 
+    load_ms: int = LOAD_MS
     used_core_ms: float = 0.0
-    starts: list[tuple[int, str, str]] = field(default_factory=list)
 
     def _start(self, order: StartRun) -> None:
-        self.starts.append((self.time.now_ms, str(order.name), order.host))
-        super()._start(order)
-
-    def _finish(self, order: StartRun) -> None:
         job = self.jobs[order.name.job]
         cpu = job.spec.steps[order.name.step].need.cpu
-        if self.time.now_ms <= LOAD_MS:
-            self.used_core_ms += cpu * job.lengths_ms[order.name.step] / 1_000
-        super()._finish(order)
+        left_ms = max(self.load_ms - self.time.now_ms, 0)
+        length_ms = job.lengths_ms[order.name.step]
+        self.used_core_ms += cpu * min(length_ms, left_ms) / 1_000
+        super()._start(order)
 
 
 def mean_job_core_s() -> float:
@@ -120,7 +118,13 @@
 
 
 def a_mixed_pool(
-    seed: int, load: float, policy: SchedulingPolicy, *, estimate_error: float = 0.5
+    seed: int,
+    load: float,
+    policy: SchedulingPolicy,
+    *,
+    estimate_error: float = 0.5,
+    hosts: int = HOSTS,
+    load_ms: int = LOAD_MS,
 ) -> MixedPool:
     """Returns a pool to which jobs arrive at a multiple of its capacity."""
     pool = MixedPool(
@@ -130,16 +134,17 @@
         policy=policy,
         capacity=BIG_HOST,
         make_job=a_mixed_job,
+        load_ms=load_ms,
     )
-    pool.add_hosts(*(HostId(f"h{number:02}") for number in range(HOSTS)))
-    per_s = load * HOSTS * BIG_HOST.cpu / 1_000 / mean_job_core_s()
-    pool.submit_bursts(Burst(0, LOAD_MS, per_s))
+    pool.add_hosts(*(HostId(f"h{number:02}") for number in range(hosts)))
+    per_s = load * hosts * BIG_HOST.cpu / 1_000 / mean_job_core_s()
+    pool.submit_bursts(Burst(0, load_ms, per_s))
     return pool
 
 
 def play(pool: MixedPool) -> Waits:
     """Plays the arrivals and the time in which the last jobs end."""
-    while pool.time.now_ms < LOAD_MS + DRAIN_MS:
+    while pool.time.now_ms < pool.load_ms + DRAIN_MS:
         pool.time.advance(pool.time.now_ms + TICK_MS)
         pool.plan()
     return waits_of(pool)
@@ -157,23 +162,23 @@
     )
     in_time = sum(job.core_s for job in jobs if job.lateness <= 1)
     return Waits(
-        _percentiles(large),
-        _percentiles(small),
+        _percentiles(large, pool.time.now_ms),
+        _percentiles(small, pool.time.now_ms),
         (_in_time(jobs), _in_time(small), _in_time(large)),
-        pool.used_core_ms / (HOSTS * BIG_HOST.cpu * LOAD_MS / 1_000),
+        pool.used_core_ms / (len(pool.hosts) * BIG_HOST.cpu * pool.load_ms / 1_000),
         worthless / max(done, 1),
         in_time / sum(job.core_s for job in jobs),
     )
 
 
-def _percentiles(jobs: list[Submitted]) -> tuple[float, float]:
-    waits = sorted(map(_wait_s, jobs))
+def _percentiles(jobs: list[Submitted], now_ms: int) -> tuple[float, float]:
+    waits = sorted(_wait_s(job, now_ms) for job in jobs)
     return waits[len(waits) // 2], waits[len(waits) * 99 // 100]
 
 
-def _wait_s(job: Submitted) -> float:
-    """Returns the time that a job took beyond its run time."""
-    ended_ms = LOAD_MS + DRAIN_MS if job.ended_ms is None else job.ended_ms
+def _wait_s(job: Submitted, now_ms: int) -> float:
+    """Returns the time that a job took beyond its run time, so far."""
+    ended_ms = now_ms if job.ended_ms is None else job.ended_ms
     return (ended_ms - job.submitted_ms - sum(job.lengths_ms)) / 1_000
 
 
--- a/tests/scheduling/parts.py
+++ b/tests/scheduling/parts.py
@@ -29,10 +29,11 @@
     StartRun,
     StoreJobs,
 )
-from amaranthtray.domain.scheduling.pool import PoolScheduler
+from amaranthtray.domain.scheduling.pool import DECLARED_ONLY, PoolScheduler
 
 if TYPE_CHECKING:
     from amaranthtray.domain.jobs.task import RunOutcome
+    from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 
 POOL, QUEUE, TEAM = PoolName("pool"), QueueName("queue"), TeamName("team")
 BORN = 77
@@ -94,10 +95,15 @@
 class SchedulerHarness:
     """A scheduler with a store that answers at once, on a manual clock."""
 
-    def __init__(self, *hosts: HostInfo, catalog: Catalog | None = None) -> None:
+    def __init__(
+        self,
+        *hosts: HostInfo,
+        catalog: Catalog | None = None,
+        policy: SchedulingPolicy = DECLARED_ONLY,
+    ) -> None:
         self.now_ms = 0
         self.scheduler = PoolScheduler(
-            POOL, catalog or a_catalog(), EARLIER_LEASES_UNTIL_MS
+            POOL, catalog or a_catalog(), EARLIER_LEASES_UNTIL_MS, policy=policy
         )
         self.records: dict[JobId, bytes] = {}
         self.send(HostsListed(hosts))
