Tests of slipped and of overlapping reservations fail when the rule is broken

Cause: with the end of a slipped reservation removed, or with two on one host, the tests still passed. Change: the other task is too large for the room left, and two large tasks wait. Measured: both fail on a copy with the rule removed, and pass on the code.

--- a/tests/scheduling/test_look_ahead.py
+++ b/tests/scheduling/test_look_ahead.py
@@ -213,13 +213,26 @@
     """Failure: runs that last far longer than estimated would hold room for ever."""
     pool = a_waiting_pool(1)
     pool.end("h0")
-    pool.submit(a_job(small(60_000), name="other"))
+    pool.end("h0")
+    pool.submit(a_job(small(60_000, Resources(3_000, 100, 0)), name="other"))
+    assert pool.step() == []
     for _ in range(HOLD_LIMIT_MS // 100):
         if "other" in pool.step(100):
             return
     raise AssertionError(pool.reserved())
 
 
+def test_no_two_reservations_hold_one_host() -> None:
+    """Failure: two large tasks wait for the room that the other one holds."""
+    pool = FullPool(8)
+    for name in ("large-a", "large-b"):
+        pool.submit(a_job(large(), name=name))
+    pool.step()
+    reservations = pool.scheduler.state.reservations.all()
+    hosts = [host for each in reservations for host in each.hosts]
+    assert len(hosts) == len(set(hosts)) == 2
+
+
 def test_gangs_that_need_the_whole_pool_do_not_wait_for_each_other() -> None:
     """Failure: each of two gangs holds hosts that the other one needs."""
     pool = FullPool(3)
