--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -19,8 +19,10 @@
 from .crash_register import CrashRegister
 from .evacuation import EvacuationState
 from .host import Host
+from .host_choice import RecentShapes
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
 from .policy import SchedulingPolicy
+from .reservations import Reservations
 from .run_times import RunTimes
 from .shares import ShareMeter
 
@@ -55,6 +57,9 @@
         evacuation: Evacuated zones and the runs that leave them.
         run_times_record: What was learned, for the next batch; empty if it is not due.
         forecaster: Forecast for the entries that accept jobs.
+        reservations: Hosts reserved for large tasks that wait.
+        shapes: Needs of the tasks that arrived last.
+        settled: Jobs without a task to start until an event changes them.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -88,6 +93,9 @@
     evacuation: EvacuationState = field(default_factory=EvacuationState)
     run_times_record: bytes = b""
     forecaster: Forecaster = field(default_factory=Forecaster)
+    reservations: Reservations = field(default_factory=Reservations)
+    shapes: RecentShapes = field(default_factory=RecentShapes)
+    settled: set[JobId] = field(default_factory=set)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -131,6 +139,8 @@
     def add_job(self, job: Job) -> None:
         """Adds a job and the runs that its record lists."""
         self.jobs[job.spec.id] = job
+        if self.policy.look_ahead:
+            self.shapes.record(job.spec)
         if not job.state.is_final or any(job.runs()):
             self.active[job.spec.id] = job
         for name, step, task in job.created_tasks():
@@ -152,6 +162,7 @@
             self.run_times.remove_job(job.spec)
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
+        self.settled.discard(job.spec.id)
         self.dirty.add(job.spec.id)
 
     def reserve_run(self, job: Job, name: TaskName, host: Host, number: int) -> Run:
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -52,6 +52,7 @@
         is_evacuated: Whether its zone is evacuated, so that nothing starts on it.
         withheld: Resources that new runs may not use yet, after an evacuation;
             None if it may use all.
+        held: Free resources that the step being placed must leave to a reservation.
     """
 
     info: HostInfo
@@ -69,14 +70,25 @@
     quarantined_runs: int = 0
     is_evacuated: bool = False
     withheld: Resources | None = None
+    held: Resources = NO_RESOURCES
+    _known_free: tuple[HostInfo, Resources] | None = None
     _runs: dict[tuple[TaskName, int], PlacedRun] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
     @property
     def free(self) -> Resources:
         """Returns the resources that are available to new runs."""
-        room = self.info.capacity.minus(self.used)
-        return room.minus(self.withheld) if self.withheld else room
+        known = self._known_free
+        if known is None or known[0] is not self.info:
+            known = self._known_free = (self.info, self.info.capacity.minus(self.used))
+        return known[1].minus(self.withheld) if self.withheld else known[1]
+
+    @property
+    def room(self) -> Resources:
+        """Returns the resources that are available to the step being placed."""
+        if self.held is NO_RESOURCES:
+            return self.free
+        return self.free.minus(self.held)
 
     @property
     def machine(self) -> str:
@@ -113,6 +125,7 @@
         self._runs[name, run.number] = PlacedRun(name, step, run)
         self._by_step[StepKey(*name[:3])] += 1
         self.used = self.used.plus(step.reserved)
+        self._known_free = None
         self._count_suspect(run, 1)
         if step.is_lasting:
             self.used_by_lasting = self.used_by_lasting.plus(step.reserved)
@@ -122,6 +135,7 @@
         placed = self._runs.pop((name, number), None)
         if placed is not None:
             self.used = self.used.minus(placed.step.reserved)
+            self._known_free = None
             self._count_suspect(placed.run, -1)
             if placed.step.is_lasting:
                 self.used_by_lasting = self.used_by_lasting.minus(placed.step.reserved)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -22,6 +22,7 @@
 )
 from .forecast import Forecast
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
+from .reservations import ReservationDropped, Reserved
 from .run_time_events import RunTimeReport, RunTimesRead
 
 
@@ -377,4 +378,6 @@
     | EvacuationProgress
     | EvacuationHosts
     | RunTimeReport
+    | Reserved
+    | ReservationDropped
 )
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -37,6 +37,7 @@
 )
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
+from ..domain.scheduling.reservations import ReservationDropped, Reserved
 from ..domain.scheduling.run_time_events import RunTimeReport
 from . import clock
 from .advice_requester import AdviceRequester
@@ -47,6 +48,7 @@
 from .job_feed import JobFeed
 from .loss_log import LossLog
 from .record_writer import RecordWriter
+from .reservation_log import record_reservation
 from .run_time_log import RunTimeLog
 from .run_time_reader import load_run_times
 from .term_guard import TermGuard
@@ -302,6 +304,9 @@
                     self._context.log.event("job-unreadable", job=job, why=why)
                 case RunTimeReport():
                     self._run_time_log.record(effect, clock.steady_ms())
+                case Reserved() | ReservationDropped():
+                    term = self._guard.term
+                    record_reservation(self._context, self.pool, term, effect)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
--- a/tests/scheduling/parts.py
+++ b/tests/scheduling/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from amaranthtray.domain.ids import (
@@ -29,11 +30,11 @@
     StartRun,
     StoreJobs,
 )
-from amaranthtray.domain.scheduling.policy import SchedulingPolicy
-from amaranthtray.domain.scheduling.pool import PoolScheduler
+from amaranthtray.domain.scheduling.pool import DECLARED_ONLY, PoolScheduler
 
 if TYPE_CHECKING:
     from amaranthtray.domain.jobs.task import RunOutcome
+    from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 
 POOL, QUEUE, TEAM = PoolName("pool"), QueueName("queue"), TeamName("team")
 BORN = 77
@@ -96,14 +97,18 @@
     """A scheduler with a store that answers at once, on a manual clock."""
 
     def __init__(
-        self, *hosts: HostInfo, catalog: Catalog | None = None, learn: bool = False
+        self,
+        *hosts: HostInfo,
+        catalog: Catalog | None = None,
+        policy: SchedulingPolicy = DECLARED_ONLY,
+        learn: bool = False,
     ) -> None:
         self.now_ms = 0
         self.scheduler = PoolScheduler(
             POOL,
             catalog or a_catalog(),
             EARLIER_LEASES_UNTIL_MS,
-            policy=SchedulingPolicy(learn_run_times=learn),
+            policy=replace(policy, learn_run_times=learn) if learn else policy,
         )
         self.learned = b""
         self.records: dict[JobId, bytes] = {}
