Import the parser of the operator's document openly

The check of a configuration loaded it by name, which the architecture test does not see. The test now names the one module that may import the adapter, and refuses modules that load it by name, so a dependency shows either way.

--- a/src/amaranthtray/cli/config_documents.py
+++ b/src/amaranthtray/cli/config_documents.py
@@ -1,19 +1,17 @@
 """Reads the files that ``config`` checks: fleet files and operators' documents.
 
-The parser of the operator's document belongs to the adapter of the platform, which
-no other package depends on. It is found by name, like the other optional parts of a
-build, and used through the protocols below.
+The operator's document is decoded by the adapter of the platform, as entries do.
 """
 
 from __future__ import annotations
 
-import importlib
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
 
 from ..domain.configuration import Configuration
+from ..platform.document_check import OperatorDocument, read_document
 from ..settings import TomlDocument, read_text
 from .errors import InvalidInputError
 from .fleet_file import Fleet, parse_fleet
@@ -22,29 +20,11 @@
     from returns.result import Result
 
     from ..domain.errors import Problem
-    from ..domain.jobs.catalog import Catalog
 
 STEP = "check"
-PARSER_MODULE = "amaranthtray.platform.document_check"
 GROUPS = {"pool": "pools", "team": "teams", "queue": "queues"}
 
 
-class OperatorDocument(Protocol):
-    """An operator's document of the platform."""
-
-    catalog: Catalog
-
-    def locate(self, kind: str, name: str, key: str) -> str:
-        """Returns the line and key of a field; empty if the object is not there."""
-
-
-class DocumentParser(Protocol):
-    """Parses operators' documents."""
-
-    def read_document(self, text: str, file: str) -> Result[OperatorDocument, Problem]:
-        """Decodes a document as entries do."""
-
-
 @dataclass(frozen=True, slots=True)
 class FleetText:
     """A fleet file and its text."""
@@ -96,10 +76,7 @@
     text = read.unwrap()
     if not text.lstrip().startswith("{"):
         return parse_fleet(text, path).map(lambda fleet: FleetText(path, text, fleet))
-    parser = cast("DocumentParser", importlib.import_module(PARSER_MODULE))
-    return parser.read_document(text, path).map(
-        lambda document: CatalogText(path, document)
-    )
+    return read_document(text, path).map(lambda document: CatalogText(path, document))
 
 
 def fleet_configuration(fleet: Fleet) -> Configuration:
--- a/tests/architecture/test_adapter.py
+++ b/tests/architecture/test_adapter.py
@@ -62,6 +62,10 @@
     r"^\s*(?:from|import)\s+(?:\.+|amaranthtray\.)platform\b", re.M
 )
 
+ADAPTER_NAME = re.compile(r"[\"']amaranthtray\.platform\b")
+DOCUMENT_CHECK = "cli/config_documents.py"
+"""Decodes the operator's document as entries do, to check it before it is sent."""
+
 
 def test_platform_names_occur_only_in_the_adapter() -> None:
     uses = [
@@ -73,13 +77,22 @@
     assert not uses
 
 
-def test_no_other_package_imports_the_adapter() -> None:
+def test_only_the_check_of_its_documents_imports_the_adapter() -> None:
     importers = [
-        str(path.relative_to(SOURCE))
+        path.relative_to(SOURCE).as_posix()
         for path in sorted(SOURCE.rglob("*.py"))
         if ADAPTER not in path.parents and ADAPTER_IMPORT.search(path.read_text())
     ]
-    assert not importers
+    assert importers == [DOCUMENT_CHECK]
+
+
+def test_no_module_loads_the_adapter_by_name() -> None:
+    """Guards against a dependency on the adapter that import statements don't show."""
+    assert not [
+        str(path.relative_to(SOURCE))
+        for path in sorted(SOURCE.rglob("*.py"))
+        if ADAPTER not in path.parents and ADAPTER_NAME.search(path.read_text())
+    ]
 
 
 def test_the_adapter_is_small() -> None:
