--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -108,7 +108,7 @@
 
     def list_stale(self, prefix: str) -> Result[Listing, StoreFailure]:
         """Reads all keys under a prefix from any replica of the store."""
-        return self._list("read-prefix-stale", prefix, "&staleOk=true")
+        return self._list("read-prefix-stale", prefix, "&staleOk=1")
 
     def _list(
         self, step: str, prefix: str, option: str = ""
