--- a/src/amaranthtray/jobs/admission_desk.py
+++ b/src/amaranthtray/jobs/admission_controller.py
@@ -22,7 +22,7 @@
     from .unsettled_submissions import UnsettledSubmissions
 
 
-class AdmissionDesk:
+class AdmissionController:
     """Decides on submissions; thread-safe.
 
     Args:
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -9,7 +9,7 @@
 
 from ..domain.duties.names import FLEET_DUTY, DutyName, conductor_duty
 from ..domain.ids import EntryId, Incarnation
-from .admission_desk import AdmissionDesk
+from .admission_controller import AdmissionController
 from .config_follower import ConfigFollower
 from .context import JobEntryContext
 from .duty_claims import DutyClaims
@@ -77,10 +77,12 @@
             store, platform.configuration_key, self.log
         )
         self._forecasts = ForecastFollower(store, self.log)
-        desk = AdmissionDesk(
+        admission = AdmissionController(
             self._context, self._forecasts, self._submissions.unsettled
         )
-        self.service = JobService(self._context, self._config, self._submissions, desk)
+        self.service = JobService(
+            self._context, self._config, self._submissions, admission
+        )
         self._view = DutyView(self._context)
         self._incarnation = Incarnation(secrets.token_hex(8))
         self._duties: dict[DutyName, DutyTask] = {}
--- a/src/amaranthtray/jobs/service.py
+++ b/src/amaranthtray/jobs/service.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from ..domain.jobs.model import Recurrence, StepSpec
-    from .admission_desk import AdmissionDesk
+    from .admission_controller import AdmissionController
     from .config_follower import ConfigFollower
     from .context import JobEntryContext
     from .submission_writer import SubmissionWriter
@@ -141,7 +141,7 @@
         context: Objects that all tasks of the entry share.
         config: Holds the configuration in force.
         submissions: Stores submitted jobs.
-        desk: Refuses jobs that their pool can't serve.
+        admission: Refuses jobs that their pool can't serve.
     """
 
     def __init__(
@@ -149,12 +149,12 @@
         context: JobEntryContext,
         config: ConfigFollower,
         submissions: SubmissionWriter,
-        desk: AdmissionDesk,
+        admission: AdmissionController,
     ) -> None:
         self._context = context
         self._config = config
         self._submissions = submissions
-        self._desk = desk
+        self._admission = admission
 
     def admit(self, request: CallerRequest) -> AdmittedRequest | Reply:
         """Finds the queue of a request and checks its key."""
@@ -269,7 +269,7 @@
         """
         if self._is_view_stale():
             return None
-        refused = self._desk.refusal(spec, admitted.queue)
+        refused = self._admission.refusal(spec, admitted.queue)
         if refused is None:
             return None
         why = f"not stored: the pool is too full for the job ({refused.why})"
--- a/tests/jobs/test_refusals.py
+++ b/tests/jobs/test_refusals.py
@@ -18,7 +18,7 @@
 from amaranthtray.domain.scheduling.messages import StoreJobs
 from amaranthtray.domain.upkeep.moves import PoolLoad
 from amaranthtray.jobs import keys
-from amaranthtray.jobs.admission_desk import AdmissionDesk
+from amaranthtray.jobs.admission_controller import AdmissionController
 from amaranthtray.jobs.clock import wall_ms
 from amaranthtray.jobs.forecast_follower import ForecastFollower
 from amaranthtray.jobs.ledger import PoolReport
@@ -60,7 +60,9 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self.desk = AdmissionDesk(context, self.follower, self.writer.unsettled)  # type: ignore[arg-type]
+        self.admission = AdmissionController(
+            context, self.follower, self.writer.unsettled
+        )  # type: ignore[arg-type]
         forecast = Forecast(
             made_ms=wall_ms() if made_ms is None else made_ms,
             rate=1_000,
@@ -74,7 +76,7 @@
 
     def refusal(self, name: str = "a") -> Refuse | None:
         spec = replace(a_job(name=name), accepted_ms=wall_ms())
-        return self.desk.refusal(spec, a_catalog().queues[0])
+        return self.admission.refusal(spec, a_catalog().queues[0])
 
     def store_job(self, name: str = "a") -> SubmissionOutcome:
         submission = Submission(POOL, a_job(name=name), self.version)
@@ -201,4 +203,4 @@
     assert first is not None
     assert later is not None
     assert later.return_s >= first.return_s + 20 * 500 // 1_000
-    assert site.desk._returning[POOL].work_ms(1 << 60) == 0
+    assert site.admission._returning[POOL].work_ms(1 << 60) == 0
