--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -77,12 +77,9 @@
             store, platform.configuration_key, self.log
         )
         self._forecasts = ForecastFollower(store, self.log)
-        admission = AdmissionController(
-            self._context, self._forecasts, self._submissions.unsettled
-        )
-        self.service = JobService(
-            self._context, self._config, self._submissions, admission
-        )
+        writer, forecasts = self._submissions, self._forecasts
+        admission = AdmissionController(self._context, forecasts, writer.unsettled)
+        self.service = JobService(self._context, self._config, writer, admission)
         self._view = DutyView(self._context)
         self._incarnation = Incarnation(secrets.token_hex(8))
         self._duties: dict[DutyName, DutyTask] = {}
