--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -14,7 +14,6 @@
     _late_runs,
     host_speed,
     run_time_regression,
-    run_times,
 )
 from scheduling.world import World, random_job
 
@@ -134,9 +133,8 @@
     Two ended runs count as evidence here, any slower host is slow, and runs leave it
     without a gain.
     """
-    for module in (run_times, run_time_regression):
-        monkeypatch.setattr(module, "MIN_RUNS", 2)
-    monkeypatch.setattr(run_times, "CLEARLY_LARGER", 0.0)
+    monkeypatch.setattr(run_time_regression, "MIN_RUNS", 2)
+    monkeypatch.setattr(run_time_regression, "CLEARLY_LARGER", 0.0)
     monkeypatch.setattr(host_speed, "MIN_DEVIATIONS", 0.1)
     monkeypatch.setattr(_late_runs, "MIN_RUN_MS", 100)
     monkeypatch.setattr(_late_runs, "MIN_GAIN_MS", -2_000)
