--- a/src/amaranthtray/jobs/evacuation_reporter.py
+++ b/src/amaranthtray/jobs/evacuation_reporter.py
@@ -12,9 +12,7 @@
 )
 
 if TYPE_CHECKING:
-    from ..domain.ids import PoolName, Term
-    from .event_log import EventLog
-    from .metrics_registry import MetricsRegistry
+    from .conductor_log import ConductorLog
 
 EvacuationReport: TypeAlias = (
     EvacuationHosts | EvacuationProgress | RunsMoved | StartWithheld
@@ -31,33 +29,25 @@
     """Logs and counts the reports of one pool's scheduler.
 
     Args:
-        pool: The pool.
-        term: Term of the conductor.
-        log: Log of the entry.
-        metrics: Counters of the entry.
+        log: Log and counters of the pool's conductor.
     """
 
-    def __init__(
-        self, pool: PoolName, term: Term, log: EventLog, metrics: MetricsRegistry
-    ) -> None:
-        self._pool = pool
-        self._term = term
+    def __init__(self, log: ConductorLog) -> None:
         self._log = log
-        self._metrics = metrics
         self.lacks_hosts = False
 
     def record(self, report: EvacuationReport) -> None:
         """Logs a report and counts it."""
         match report:
             case StartWithheld(host, name, number):
-                self._metrics.count("starts_withheld", HELD)
-                self._event(
+                self._log.metrics.count("starts_withheld", HELD)
+                self._log.event(
                     "start-withheld", host=host, task=str(name), run=number, cause=HELD
                 )
             case RunsMoved(zone, kind, tasks, waited_ms):
                 cause = f"evacuation_{kind}"
-                self._metrics.count("runs_moved", cause, len(tasks))
-                self._event(
+                self._log.metrics.count("runs_moved", cause, len(tasks))
+                self._log.event(
                     "runs-moved",
                     zone=zone,
                     cause=cause,
@@ -66,7 +56,7 @@
                     age_ms=waited_ms,
                 )
             case EvacuationProgress(zone, remaining, moving, age_ms):
-                self._event(
+                self._log.event(
                     "evacuation-progress",
                     zone=zone,
                     remaining=remaining,
@@ -75,11 +65,8 @@
                 )
             case EvacuationHosts(has_hosts):
                 self.lacks_hosts = not has_hosts
-                self._event("evacuation-no-host", is_over=has_hosts)
+                self._log.event("evacuation-no-host", is_over=has_hosts)
 
     def count_unsent_start(self) -> None:
         """Counts a start whose order its host's link has not sent."""
-        self._metrics.count("starts_withheld", QUEUED)
-
-    def _event(self, event: str, **fields: object) -> None:
-        self._log.event(event, pool=self._pool, term=self._term, **fields)
+        self._log.metrics.count("starts_withheld", QUEUED)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -42,6 +42,7 @@
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
+from .conductor_log import ConductorLog
 from .conductor_stats import ConductorStats
 from .evacuation_reporter import EvacuationReporter
 from .host_link import HostLink
@@ -114,9 +115,10 @@
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
         self._stats = ConductorStats()
-        self._losses = LossLog(pool, term, context.log, context.metrics)
-        self._evacuation = EvacuationReporter(pool, term, context.log, context.metrics)
-        self._run_time_log = RunTimeLog(pool, term, context)
+        self._log = ConductorLog(pool, term, context.log, context.metrics)
+        self._losses = LossLog(self._log)
+        self._evacuation = EvacuationReporter(self._log)
+        self._run_time_log = RunTimeLog(self._log)
         self._links: dict[HostId, HostLink] = {}
         self._stopping = threading.Event()
         self._ended = threading.Event()
@@ -253,14 +255,12 @@
         """Logs, once a second, what the pool does and how long it takes."""
         for error_ms in scheduler.take_forecast_errors():
             kind = "late" if error_ms > 0 else "early"
-            metrics = self._context.metrics
+            metrics = self._log.metrics
             metrics.record_latency("forecast_error", kind, abs(error_ms))
         summary = self._stats.take_summary(clock.steady_ms())
         if summary is not None:
             sums = asdict(scheduler.activity())
-            self._context.log.event(
-                "pool", pool=self.pool, term=self._guard.term, **sums, **summary
-            )
+            self._log.event("pool", **sums, **summary)
 
     def _receive(self) -> list[Message]:
         try:
@@ -305,8 +305,7 @@
                 case RunTimeReport():
                     self._run_time_log.record(effect, clock.steady_ms())
                 case Reserved() | ReservationDropped():
-                    term = self._guard.term
-                    record_reservation(self._context, self.pool, term, effect)
+                    record_reservation(self._log, effect)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
--- a/src/amaranthtray/jobs/run_time_log.py
+++ b/src/amaranthtray/jobs/run_time_log.py
@@ -14,9 +14,8 @@
 )
 
 if TYPE_CHECKING:
-    from ..domain.ids import PoolName, Term
     from ..domain.scheduling.run_time_events import RunTimeReport
-    from .context import JobEntryContext
+    from .conductor_log import ConductorLog
 
 ERROR_METRIC = "run_time_error"
 
@@ -25,15 +24,11 @@
     """Logs and counts the reports of one pool's scheduler.
 
     Args:
-        pool: The pool.
-        term: Term of the conductor.
-        context: Objects that all tasks of the entry share.
+        log: Log and counters of the pool's conductor.
     """
 
-    def __init__(self, pool: PoolName, term: Term, context: JobEntryContext) -> None:
-        self._pool = pool
-        self._term = term
-        self._context = context
+    def __init__(self, log: ConductorLog) -> None:
+        self._log = log
 
     def record(self, report: RunTimeReport, now_ms: int) -> None:
         """Records a report.
@@ -42,7 +37,7 @@
             report: The report.
             now_ms: Steady-clock time.
         """
-        metrics = self._context.metrics
+        metrics = self._log.metrics
         match report:
             case RunTimeErrors(errors):
                 for error in errors:
@@ -50,12 +45,12 @@
                     metrics.record_latency(ERROR_METRIC, "expected", error.expected_ms)
             case RunTimesLearned(keys):
                 rows = [each._asdict() for each in keys]
-                self._event("run-times", keys=rows)
+                self._log.event("run-times", keys=rows)
             case RunTimesUnreadable(why):
-                self._event("run-times-unreadable", why=why)
+                self._log.event("run-times-unreadable", why=why)
             case HostSlow():
                 metrics.count("hosts_slow", "slow" if report.until_ms else "recovered")
-                self._event(
+                self._log.event(
                     "host-slow",
                     host=report.host,
                     is_slow=report.until_ms > 0,
@@ -68,7 +63,4 @@
                 metrics.count("runs_moved_by_speed", report.kind)
                 fields = asdict(report)
                 fields["name"] = str(report.name)
-                self._event("run-moved", **fields)
-
-    def _event(self, event: str, **fields: object) -> None:
-        self._context.log.event(event, pool=self._pool, term=self._term, **fields)
+                self._log.event("run-moved", **fields)
--- a/tests/jobs/test_evacuation_follower.py
+++ b/tests/jobs/test_evacuation_follower.py
@@ -11,6 +11,7 @@
 from amaranthtray.domain.jobs.model import JobId, TaskName
 from amaranthtray.domain.scheduling import evacuation
 from amaranthtray.domain.scheduling.evacuation import ZonesEvacuated
+from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.evacuation_follower import EvacuationFollower
 from amaranthtray.jobs.evacuation_reporter import EvacuationReporter
 from amaranthtray.jobs.event_log import EventLog
@@ -181,7 +182,7 @@
 def test_reports_are_counted_by_cause() -> None:
     metrics, task = MetricsRegistry(), TaskName(JobId("a"), 0, 0, 0)
     lines: Any = FakeLog()
-    reporter = EvacuationReporter(POOL, Term(1), lines, metrics)
+    reporter = EvacuationReporter(ConductorLog(POOL, Term(1), lines, metrics))
     reporter.record(evacuation.StartWithheld(HostId("h"), task, 1))
     reporter.count_unsent_start()
     kind = evacuation.RunKind.LASTING
--- a/tests/jobs/test_run_time_store.py
+++ b/tests/jobs/test_run_time_store.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from amaranthtray.domain.ids import HostId
+from amaranthtray.domain.ids import HostId, Term
 from amaranthtray.domain.jobs.model import JobId, TaskName
 from amaranthtray.domain.scheduling.run_time_events import (
     HostSlow,
@@ -21,6 +21,7 @@
     RunTimesUnreadable,
 )
 from amaranthtray.jobs import keys
+from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.jobs.run_time_log import RunTimeLog
 from amaranthtray.jobs.run_time_reader import load_run_times
@@ -101,8 +102,7 @@
     report: RunTimeReport, event: str, metric: dict[str, int]
 ) -> None:
     log, metrics = Log(), MetricsRegistry()
-    context: Any = SimpleNamespace(log=log, metrics=metrics)
-    RunTimeLog(POOL, 1, context).record(report, 100)  # type: ignore[arg-type]
+    RunTimeLog(ConductorLog(POOL, Term(1), log, metrics)).record(report, 100)  # type: ignore[arg-type]
     ((name, fields),) = log.lines
     assert (name, fields["pool"], fields["term"]) == (event, POOL, 1)
     counted = metrics.totals("hosts_slow") | metrics.totals("runs_moved_by_speed")
@@ -112,8 +112,7 @@
 def test_errors_of_run_times_are_counted_and_not_logged() -> None:
     """Guards against a log line for each run that ends."""
     log, metrics = Log(), MetricsRegistry()
-    context: Any = SimpleNamespace(log=log, metrics=metrics)
     report = RunTimeErrors((RunTimeError(100, 10), RunTimeError(1, 2)))
-    RunTimeLog(POOL, 1, context).record(report, 100)  # type: ignore[arg-type]
+    RunTimeLog(ConductorLog(POOL, Term(1), log, metrics)).record(report, 100)  # type: ignore[arg-type]
     assert metrics.totals("run_time_error") == {"declared": 2, "expected": 2}
     assert not log.lines
