With share_over_pools, a team's share is counted over all pools

Pools exchange the rates at which they receive a team's jobs through a row in the store. A pool limits a team to its portion of the weight only if the rates prove that the team submitted more than its weight in the time in which they were measured. Conductors report the worst-served tenth of their teams.

--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -22,9 +22,12 @@
 from .host_choice import RecentShapes
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
 from .policy import SchedulingPolicy
+from .ranking import job_objective_ms
 from .reservations import Reservations
 from .run_times import RunTimes
+from .share_portions import SharePortions
 from .shares import ShareMeter
+from .team_service import TeamService
 
 if TYPE_CHECKING:
     from ..jobs.task import Run, RunOutcome
@@ -61,6 +64,8 @@
         shapes: Needs of the tasks that arrived last.
         settled: Jobs without a task to start until an event changes them.
         caps: Portions of the teams' caps that the pool holds and uses.
+        share_portions: Portions of the teams' weights, if they count over all pools.
+        team_service: Ended jobs of each team, if shares count over all pools.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
         held_effects: Effects to release once the dirty records are stored.
@@ -97,6 +102,8 @@
     shapes: RecentShapes = field(default_factory=RecentShapes)
     settled: set[JobId] = field(default_factory=set)
     caps: CapTracker = field(init=False)
+    share_portions: SharePortions = field(init=False)
+    team_service: TeamService = field(default_factory=TeamService)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
     batch_effects: list[Effect] = field(default_factory=list)
@@ -110,6 +117,7 @@
 
     def __post_init__(self) -> None:
         self.caps = CapTracker(self.pool)
+        self.share_portions = SharePortions(self.pool)
         self.run_times.is_learning = self.policy.learn_run_times
 
     def apply_catalog(self, catalog: Catalog) -> None:
@@ -156,6 +164,9 @@
         if job.state.is_final:
             if not job.ended_ms:
                 job.ended_ms = self.wall_ms
+                if self.policy.share_over_pools:
+                    limit_ms = job_objective_ms(job, self.queue_of(job), self.run_times)
+                    self.team_service.record_end(job, limit_ms, self.now_ms)
             self.advice.remove_job(job.spec.id)
             self.shares.remove_job(job.spec.id)
             self.crashes.remove_job(job.spec.id)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -24,6 +24,8 @@
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
 from .reservations import ReservationDropped, Reserved
 from .run_time_events import RunTimeReport, RunTimesRead
+from .share_portions import ClaimShare, SharePortionChanged, ShareRowsRead
+from .team_service import WorstTeams
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -243,6 +245,7 @@
     | BatchStored
     | BatchNotStored
     | RunTimesRead
+    | ShareRowsRead
 )
 
 
@@ -380,4 +383,7 @@
     | RunTimeReport
     | Reserved
     | ReservationDropped
+    | ClaimShare
+    | SharePortionChanged
+    | WorstTeams
 )
--- a/src/amaranthtray/domain/scheduling/policy.py
+++ b/src/amaranthtray/domain/scheduling/policy.py
@@ -14,8 +14,10 @@
         refuse_late_jobs: Whether the pool's forecast lets entries refuse jobs that
             can't end early enough.
         look_ahead: Whether placement reserves hosts for tasks that wait for room.
+        share_over_pools: Whether a team's share is counted over all pools.
     """
 
     learn_run_times: bool = False
     refuse_late_jobs: bool = False
     look_ahead: bool = False
+    share_over_pools: bool = False
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -23,6 +23,7 @@
 from ._planner import plan_starts
 from ._progress import stop_stalled_runs
 from ._reports import apply_report
+from ._sharing import apply_portions, meter_new_job, review_shares
 from ._state import SchedulerState
 from ._vacating import vacant_hosts, vacate_hosts
 from .activity import PoolActivity, pool_activity
@@ -55,6 +56,7 @@
 )
 from .policy import SchedulingPolicy
 from .run_time_events import RunTimesRead
+from .share_portions import ShareRowsRead
 
 if TYPE_CHECKING:
     from ..ids import HostId, PoolName
@@ -125,8 +127,8 @@
                 return self._handle_job_found(message)
             case JobCancelled(job):
                 return self._cancel_job(job)
-            case PortionsRead(team, row):
-                self.state.caps.rows[team] = row
+            case PortionsRead() | ShareRowsRead():
+                apply_portions(self.state, message)
             case AdviceReceived():
                 self.state.advice.handle_advice(message)
             case VacateRequested(hosts):
@@ -179,6 +181,7 @@
         plan_starts(state)
         stops += evacuate(state)
         stops += state.caps.claims(state.catalog, now_ms)
+        stops += review_shares(state)
         stops += state.advice_requests
         state.advice_requests = []
         stops += state.reservations.take_reports()
@@ -251,15 +254,7 @@
                 return [RecordUnreadable(spec.id, str(exc))]
             self.state.add_job(job)
             if message.record is None:
-                if not self.state.forecaster.marks_excess(self.state, spec):
-                    self.state.shares.record_submission(
-                        spec, self.state.catalog, self.state.now_ms
-                    )
-                if self.state.policy.refuse_late_jobs:
-                    priority = self.state.queue_of(job).priority
-                    is_excess = spec.id in self.state.shares.excess
-                    forecaster = self.state.forecaster
-                    forecaster.record_job(job, priority, is_excess=is_excess)
+                meter_new_job(self.state, job)
         return self._cancel_job(spec.id) if message.is_cancelled else []
 
     def _cancel_job(self, job_id: JobId) -> list[Effect]:
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -69,6 +69,12 @@
     return _expected(job, run_times)[0].core_ms
 
 
+def job_objective_ms(job: Job, queue: JobQueue, run_times: RunTimes) -> float:
+    """Returns the time in ms within which a job is in time, by expected run times."""
+    total_ms = _expected(job, run_times)[0].critical_path_ms
+    return queue.slowdown_factor * total_ms + queue.target_ms
+
+
 def _expected(
     job: Job, run_times: RunTimes | None
 ) -> tuple[Estimate, list[float] | None]:
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -136,7 +136,7 @@
     def render_metrics(self) -> str:
         """Returns all metrics as text."""
         age_ms = self._config.age_ms()
-        gauges = {
+        gauges: dict[str, float] = {
             "configuration_age_ms": -1 if age_ms is None else age_ms,
             "duties_held": self._count_held(),
             "log_lines_dropped": self.log.dropped,
@@ -146,6 +146,10 @@
             conductors = list(self._conductors.values())
             gauges["zones_evacuated"] = len(self._context.evacuations.zones)
             gauges["pools_without_hosts"] = sum(c.lacks_hosts for c in conductors)
+        shares = [c.worst_share() for c in list(self._conductors.values())]
+        known = [share for share in shares if share is not None]
+        if known:
+            gauges["worst_teams_in_time"] = round(min(known), 3)
         return self._metrics.render(gauges)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..domain.ids import PoolName
+from ..domain.ids import PoolName, TeamName
 from ..domain.jobs.model import JobId
 
 if TYPE_CHECKING:
@@ -16,6 +16,7 @@
 
 SPEC, CANCEL = "spec", "cancel"
 REPORTS_PREFIX = "reports/"
+SHARES_PREFIX = "shares/"
 WAVE_PROGRESS_PREFIX = "maintenance/"
 FLEET_LEDGER_KEY = "fleet/ledger"
 """Key of the ledger that each write of the fleet duty's holder updates."""
@@ -75,6 +76,16 @@
     return f"run-times/{pool}"
 
 
+def shares_key(team: TeamName) -> str:
+    """Returns the key of the rates at which a team submits to each pool."""
+    return f"{SHARES_PREFIX}{team}"
+
+
+def team_of_shares(key: str) -> TeamName:
+    """Returns the team whose rates are stored under ``key``."""
+    return TeamName(key.removeprefix(SHARES_PREFIX))
+
+
 def pool_of_report(key: str) -> PoolName:
     """Returns the pool whose report is stored under ``key``."""
     return PoolName(key.removeprefix(REPORTS_PREFIX))
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -39,6 +39,8 @@
 from ..domain.scheduling.pool import PoolScheduler
 from ..domain.scheduling.reservations import ReservationDropped, Reserved
 from ..domain.scheduling.run_time_events import RunTimeReport
+from ..domain.scheduling.share_portions import ClaimShare, SharePortionChanged
+from ..domain.scheduling.team_service import WorstTeams
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
@@ -51,6 +53,8 @@
 from .reservation_log import record_reservation
 from .run_time_log import RunTimeLog
 from .run_time_reader import load_run_times
+from .share_log import ShareLog
+from .share_portion_writer import SharePortionWriter
 from .term_guard import TermGuard
 from .times import LEASE_MS, RENEWAL_GRACE_MS
 
@@ -79,6 +83,7 @@
         learn_run_times=section.learn_run_times,
         refuse_late_jobs=section.refuse_late_jobs,
         look_ahead=section.look_ahead,
+        share_over_pools=section.share_over_pools,
     )
 
 
@@ -124,6 +129,10 @@
         self._cap_portions = CapPortionWriter(
             pool, context, self.post, self._guard.may_order
         )
+        self._share_portions = SharePortionWriter(
+            pool, context, self.post, self._guard.may_order
+        )
+        self._share_log = ShareLog(pool, term, context.log)
         adviser = context.platform.adviser()
         self._advice = AdviceRequester(adviser, self.post, context.log)
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -149,6 +158,10 @@
         """Returns whether all hosts of the pool are in evacuated zones."""
         return self._evacuation.lacks_hosts and not self.is_over
 
+    def worst_share(self) -> float | None:
+        """Returns the share of jobs in time of the worst-served tenth of the teams."""
+        return None if self.is_over else self._share_log.worst_share(clock.steady_ms())
+
     def post(self, message: Message) -> None:
         """Queues a message; thread-safe."""
         self._mailbox.put(message)
@@ -168,6 +181,7 @@
             self._ended.set()
             self._context.hosts.unsubscribe(self.pool, self.post)
             self._cap_portions.stop()
+            self._share_portions.stop()
             self._advice.stop()
             for link in self._links.values():
                 link.close()
@@ -192,6 +206,8 @@
         ):
             return
         self._cap_portions.start()
+        if self._context.settings.scheduling.share_over_pools:
+            self._share_portions.start()
         self._advice.start()
         feed = JobFeed(self.pool, self._context, self.post, self._may_continue)
         if not feed.load():
@@ -280,6 +296,8 @@
                     self._advice.request(effect)
                 case ClaimPortion():
                     self._cap_portions.claim(effect)
+                case ClaimShare():
+                    self._share_portions.claim(effect)
                 case StartRun() | StopRun() | PaceRun():
                     self._send_order(effect)
                 case AcknowledgeEnds(host, born, sequence):
@@ -307,6 +325,8 @@
                 case Reserved() | ReservationDropped():
                     term = self._guard.term
                     record_reservation(self._context, self.pool, term, effect)
+                case SharePortionChanged() | WorstTeams():
+                    self._share_log.record(effect, clock.steady_ms())
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -126,11 +126,13 @@
         learn_run_times: Whether run times are learned from the runs that ended.
         refuse_late_jobs: Whether jobs that can't end early enough are refused.
         look_ahead: Whether placement reserves hosts for tasks that wait for room.
+        share_over_pools: Whether a team's share is counted over all pools.
     """
 
     learn_run_times: bool = False
     refuse_late_jobs: bool = False
     look_ahead: bool = False
+    share_over_pools: bool = False
 
 
 class JobEntrySettings(Struct, frozen=True, kw_only=True):
