Reads other pools' rates once a second only for teams above their weight

With a read a second for each team above half of its weight, 20 steady teams would cost a conductor more than an entry may spend on control.

--- a/src/amaranthtray/domain/scheduling/share_portions.py
+++ b/src/amaranthtray/domain/scheduling/share_portions.py
@@ -206,6 +206,38 @@
     return False
 
 
+class _View(NamedTuple):
+    """What a pool knows of one team now.
+
+    Attributes:
+        weight: The team's weight.
+        own: Jobs per second that the pool receives.
+        others: Age in ms and rate of the other pools; None if no row was read lately.
+        item: The pool's own rate in that row.
+    """
+
+    weight: int
+    own: float
+    others: list[tuple[int, float]] | None
+    item: ShareItem | None
+
+    @property
+    def total(self) -> float:
+        """Returns the jobs per second that all pools receive, as far as is known."""
+        return self.own + sum(rate for _, rate in self.others or ())
+
+    @property
+    def portion(self) -> Portion:
+        """Returns the pool's portion: the weight, or its part by the rates."""
+        weight, others = self.weight, self.others
+        if others is None or not is_above_weight(weight, self.own, others):
+            return Portion(weight, WINDOW_S * weight)
+        part = self.own / self.total
+        span_s = WINDOW_S + max((age_ms for age_ms, _ in others), default=0) / 1_000
+        left = weight * (WINDOW_S + span_s) - self.total * WINDOW_S
+        return Portion(weight * part, max(left, 0.0) * part)
+
+
 @dataclass(slots=True)
 class SharePortions:
     """The rates that one pool receives, and the rows of rates that it has read.
@@ -243,9 +275,7 @@
         if spec.team == NO_TEAM or spec.team not in catalog.teams:
             return None
         age_ms = max(wall_ms - spec.accepted_ms, 0)
-        if age_ms < WINDOW_MS:
-            arrivals = self._arrivals.setdefault(spec.team, _Arrivals())
-            arrivals.add(now_ms - age_ms)
+        self._arrivals.setdefault(spec.team, _Arrivals()).add(now_ms - age_ms)
         return self.portion(spec.team, catalog, now_ms, wall_ms)
 
     def portion(
@@ -256,98 +286,74 @@
         That is the weight as long as the team is not certainly above it, or if no row
         was read lately; else the part of the weight that is proportional to the rates.
         """
-        weight = weight_of(catalog, team)
-        others = self._others(team, catalog, now_ms, wall_ms)
-        own = self._rate(team, now_ms)
-        if others is None or not is_above_weight(weight, own, others):
-            return Portion(weight, WINDOW_S * weight)
-        total = own + sum(rate for _, rate in others)
-        span_s = WINDOW_S + max((age_ms for age_ms, _ in others), default=0) / 1_000
-        left = weight * (WINDOW_S + span_s) - total * WINDOW_S
-        return Portion(weight * own / total, max(left, 0.0) * own / total)
+        return self._view(team, catalog, now_ms, wall_ms).portion
 
     def review(
         self, catalog: Catalog, now_ms: int, wall_ms: int
     ) -> list[ClaimShare | SharePortionChanged]:
         """Returns the claims that are due, and the changes of portions to log."""
-        if (
-            self._reviewed_ms is not None
-            and now_ms - self._reviewed_ms < REVIEW_EVERY_MS
-        ):
+        last_ms, pools = self._reviewed_ms, frozenset(catalog.pools)
+        if last_ms is not None and now_ms - last_ms < REVIEW_EVERY_MS:
             return []
         self._reviewed_ms = now_ms
         effects: list[ClaimShare | SharePortionChanged] = []
         for team in list(self._arrivals):
-            rate = self._rate(team, now_ms)
-            if not rate or team not in catalog.teams:
+            if team not in catalog.teams:
                 del self._arrivals[team]
                 continue
-            if self._is_claim_due(team, catalog, now_ms, wall_ms):
+            view = self._view(team, catalog, now_ms, wall_ms)
+            if not view.own:
+                del self._arrivals[team]
+                continue
+            least = view.weight / (2 * _count_pools(catalog))
+            claimed_ms = self._claimed_ms.get(team, now_ms - CLAIM_EVERY_MS)
+            is_open = view.own > least and now_ms - claimed_ms >= CLAIM_EVERY_MS
+            if is_open and _is_claim_due(view, wall_ms):
                 self._claimed_ms[team] = now_ms
-                pools = frozenset(catalog.pools)
-                effects.append(ClaimShare(team, rate, wall_ms, pools))
-            effects += self._changes(team, catalog, now_ms, wall_ms)
+                effects.append(ClaimShare(team, view.own, wall_ms, pools))
+            effects += self._changes(team, view, now_ms)
         return effects
 
-    def _rate(self, team: TeamName, now_ms: int) -> float:
-        arrivals = self._arrivals.get(team)
-        return arrivals.rate(now_ms) if arrivals else 0.0
-
-    def _read_row(self, team: TeamName, now_ms: int) -> _ReadRow | None:
-        """Returns a team's row unless it was read too long ago."""
-        read = self._rows.get(team)
-        if read is None or now_ms - read.read_ms > ITEM_LIFETIME_MS:
-            return None
-        return read
-
-    def _others(
+    def _view(
         self, team: TeamName, catalog: Catalog, now_ms: int, wall_ms: int
-    ) -> list[tuple[int, float]] | None:
-        """Returns age in ms and rate of the other pools; None without a row."""
-        read = self._read_row(team, now_ms)
-        if read is None:
-            return None
-        return [
+    ) -> _View:
+        weight, arrivals = weight_of(catalog, team), self._arrivals.get(team)
+        own, read = arrivals.rate(now_ms) if arrivals else 0.0, self._rows.get(team)
+        # The steady clock bounds the age of a row also after a step of the wall clock.
+        if read is None or now_ms - read.read_ms > ITEM_LIFETIME_MS:
+            return _View(weight, own, None, None)
+        others = [
             (wall_ms - item.measured_ms, item.rate)
             for pool, item in read.row.items()
             if pool != self.pool
             and pool in catalog.pools
             and 0 <= wall_ms - item.measured_ms <= ITEM_LIFETIME_MS
         ]
-
-    def _is_claim_due(
-        self, team: TeamName, catalog: Catalog, now_ms: int, wall_ms: int
-    ) -> bool:
-        """Returns whether the pool's rate is to be written, or other rates be read.
-
-        Other rates matter only for a team that is not far below its weight; a pool with
-        a small part of the weight neither writes nor reads.
-        """
-        claimed_ms = self._claimed_ms.get(team)
-        if claimed_ms is not None and now_ms - claimed_ms < CLAIM_EVERY_MS:
-            return False
-        weight, rate = weight_of(catalog, team), self._rate(team, now_ms)
-        if rate <= weight / (2 * _count_pools(catalog)):
-            return False
-        read = self._read_row(team, now_ms)
-        if read is None or _is_write_due(read.row.get(self.pool), rate, wall_ms):
-            return True
-        others = self._others(team, catalog, now_ms, wall_ms) or []
-        return 2 * (rate + sum(each for _, each in others)) > weight
+        return _View(weight, own, others, read.row.get(self.pool))
 
     def _changes(
-        self, team: TeamName, catalog: Catalog, now_ms: int, wall_ms: int
+        self, team: TeamName, view: _View, now_ms: int
     ) -> list[SharePortionChanged]:
         """Returns the report of a portion that has changed by enough."""
-        weight = weight_of(catalog, team)
-        portion = self.portion(team, catalog, now_ms, wall_ms).rate
-        last, at_ms = self._reported.get(team, (weight, now_ms - LOG_EVERY_MS))
+        unreported = (float(view.weight), now_ms - LOG_EVERY_MS)
+        last, at_ms = self._reported.get(team, unreported)
+        portion = view.portion.rate
         if now_ms - at_ms < LOG_EVERY_MS or not _is_notable(last, portion):
             return []
         self._reported[team] = portion, now_ms
-        rate, read = self._rate(team, now_ms), self._read_row(team, now_ms)
-        row_age_ms = now_ms - read.read_ms if read else None
-        return [SharePortionChanged(team, rate, portion, weight, row_age_ms)]
+        row_age_ms = None if view.others is None else now_ms - self._rows[team].read_ms
+        return [SharePortionChanged(team, view.own, portion, view.weight, row_age_ms)]
+
+
+def _is_claim_due(view: _View, wall_ms: int) -> bool:
+    """Returns whether a pool's rate is to be written, or other rates to be read.
+
+    Other rates are read once a second only for a team that seems to be above its
+    weight; a flood changes the pool's own rate, so that others are read with it.
+    """
+    if view.others is None or _is_write_due(view.item, view.own, wall_ms):
+        return True
+    return view.total > view.weight
 
 
 def _is_write_due(item: ShareItem | None, rate: float, wall_ms: int) -> bool:
