--- a/tests/scheduling/test_share_portions.py
+++ b/tests/scheduling/test_share_portions.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
+from typing import Any, TypeAlias
 
 import pytest
 
@@ -21,7 +22,9 @@
 from scheduling.parts import a_catalog, a_job, a_step
 
 RED = TeamName("red")
-POOLS = A, B, C, D = tuple(PoolName(f"p{number}") for number in range(4))
+Pools: TypeAlias = tuple[PoolName, ...]
+POOLS: Pools = tuple(PoolName(f"p{number}") for number in range(4))
+A, B, C, D = POOLS
 WEIGHT = 20
 OTHERS = {pool: TeamName(f"usual-{pool}") for pool in POOLS}
 CATALOG = replace(
@@ -56,7 +59,7 @@
             job = load.Submitted(replace(spec, accepted_ms=at_ms), at_ms, (1_000,))
             self.time.after(at_ms, lambda job=job: self._submit(job))
 
-    def _apply(self, effects: list) -> None:  # type: ignore[type-arg]
+    def _apply(self, effects: list[Any]) -> None:
         super()._apply(effects)
         kinds = sp.ClaimShare, sp.SharePortionChanged, WorstTeams
         self.seen += [each for each in effects if isinstance(each, kinds)]
@@ -127,7 +130,7 @@
                     self.row = row or self.row
                     each.apply_rows(sp.ShareRowsRead({RED: dict(self.row)}), now_ms)
 
-    def flood(self, until_ms: int, rate: int = 25, pools: tuple = POOLS) -> None:  # type: ignore[type-arg]
+    def flood(self, until_ms: int, rate: int = 25, pools: Pools = POOLS) -> None:
         """Submits jobs of red, ``rate`` a second to each pool."""
         while self.now_ms < until_ms:
             self.now_ms += 1_000 // rate
