Growth of a pool's need counts while its machines are on their way

Cause: a growing need was extrapolated only while the present need exceeded the machines that the pool had, and those on their way counted as had. As soon as enough for the present need were ordered, the extrapolation ended until the need had outgrown them again, so each batch came a move too late.

A pool with room still draws no machine by growth (its test is unchanged). The new test failed before with 17 machines of 17.5.

--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -30,8 +30,9 @@
 HEADROOM_FACTOR = 1.25
 """Multiple of the need that a pool gets, as tasks pack imperfectly and more arrive."""
 
-ARRIVAL_MS = 1_500
-"""Time ahead for which a growing need is extrapolated: about that of a move."""
+ARRIVAL_MS = 2_300
+"""Time ahead for which a growing need is extrapolated: that of a move (1.5 s), of the
+report of the need before it, and of the listing of the new host after it."""
 
 LATE_SHARE = 0.5
 """Part of the machines for late work that a pool asks for."""
@@ -242,6 +243,7 @@
     moves: Moves, fleet: Fleet, loads: Mapping[PoolName, PoolLoad], now_ms: int
 ) -> dict[PoolName, _Balance]:
     have: Counter[PoolName] = Counter()
+    arrived: Counter[PoolName] = Counter()
     for machine in fleet.machines.values():
         pool = machine.pool
         if machine.name in moves.moving:
@@ -251,13 +253,16 @@
         elif machine.state is MachineState.DOWN:
             continue
         have[pool] += 1
+        arrived[machine.pool] += machine.state is MachineState.UP
     balances = {}
     for pool, load in loads.items():
         retained = math.ceil(RETAINED_SHARE * moves.assigned_counts.get(pool, 0))
         trend = moves.trends.setdefault(pool, NeedTrend())
         trend.record(load.need, now_ms)
         needed = hosts_needed(load)
-        if needed > have[pool]:
+        if needed > min(have[pool], arrived[pool]):
+            # Also while enough machines for the present need are on their way: until
+            # they arrive, the need of a burst has grown beyond them.
             forecast = trend.forecast(ARRIVAL_MS)
             needed = max(needed, math.ceil(_hosts_for(forecast, load.host)))
         late = math.ceil(LATE_SHARE * _hosts_for(load.late, load.host))
--- a/tests/upkeep/test_trend.py
+++ b/tests/upkeep/test_trend.py
@@ -8,7 +8,8 @@
 from amaranthtray.domain.jobs.model import NO_RESOURCES, Resources
 from amaranthtray.domain.upkeep.moves import record_order
 from amaranthtray.domain.upkeep.trend import MAX_GROWTH_FACTOR, NeedTrend
-from upkeep.test_moves import BUSY, IDLE, a_fleet, plan, some_moves
+from amaranthtray.domain.upkeep.waves import Fleet
+from upkeep.test_moves import BUSY, IDLE, SPARE, a_fleet, machines, plan, some_moves
 
 AMOUNTS = st.builds(Resources, *[st.integers(0, 10**7)] * 3)
 SAMPLES = st.lists(st.tuples(st.integers(1, 500), AMOUNTS), min_size=1)
@@ -57,5 +58,22 @@
     assert ordered_to_busy([50, 50, 50]) == 1
 
 
+def test_growth_goes_on_to_count_while_machines_are_on_their_way() -> None:
+    """Guards against a burst that waits until ordered machines don't suffice for it.
+
+    The need grows by 50 cores a second to 100; a move takes 1.5 s, and a machine has
+    10 cores.
+    """
+    moves, ordered = some_moves(), 0
+    every = [*machines(BUSY, 6), *machines(SPARE, 30)]
+    fleet = Fleet({machine.name: machine for machine in every}, set())
+    for number, cores in enumerate(range(40, 101, 10)):
+        orders = plan(moves, fleet, {BUSY: cores}, 200 * number).orders
+        for order in orders:
+            record_order(moves, order, 200 * number)
+        ordered += len(orders)
+    assert 6 + ordered >= (100 + 50 * 1.5) / 10
+
+
 def test_growth_within_a_pool_moves_no_machine() -> None:
     assert ordered_to_busy([20, 30, 40]) == 0
