--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -6,7 +6,8 @@
 
 In a burst a move takes as long as a caller can wait, so a growing need is extrapolated.
 When the fleet is too small, late jobs draw few machines: those go to pools whose work
-can still end in time.
+can still end in time. With a forecast of demand, machines that no pool needs are moved
+to a pool before its next peak.
 """
 
 from __future__ import annotations
@@ -19,6 +20,9 @@
 
 from ..ids import HostId, PoolName, ZoneId
 from ..jobs.model import NO_RESOURCES, Resources
+from .balance import Balance, neediest
+from .demand import hosts_for
+from .expectations import DemandReport, Expectations
 from .model import Machine, MachineName, MachineState, MoveMachine
 from .trend import NeedTrend
 
@@ -82,6 +86,7 @@
             than its work needs.
         assigned_counts: Number of machines that operators first gave each pool.
         trends: Recent needs of each pool.
+        demand: Peaks that are expected; None without a forecast of demand.
     """
 
     leaving: dict[MachineName, PoolName] = field(default_factory=dict)
@@ -89,6 +94,7 @@
     surplus_since_ms: dict[PoolName, int] = field(default_factory=dict)
     assigned_counts: dict[PoolName, int] = field(default_factory=dict)
     trends: dict[PoolName, NeedTrend] = field(default_factory=dict)
+    demand: Expectations | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,24 +105,21 @@
         vacate: Hosts to empty, with their pool.
         orders: Moves to order.
         lacking: Number of machines that each pool lacked; negative for a surplus.
+        demand: Expected peaks, and what became of them.
     """
 
     vacate: tuple[tuple[PoolName, HostId], ...]
     orders: tuple[MoveMachine, ...]
     lacking: Mapping[PoolName, int]
+    demand: tuple[DemandReport, ...] = ()
 
 
 def hosts_needed(load: PoolLoad) -> int:
     """Returns how many machines a pool needs for its work that can end in time."""
-    by_amounts = math.ceil(HEADROOM_FACTOR * _hosts_for(load.need, load.host))
+    by_amounts = math.ceil(HEADROOM_FACTOR * hosts_for(load.need, load.host))
     return max(MIN_HOSTS, by_amounts, load.wanted)
 
 
-def _hosts_for(need: Resources, host: Resources) -> float:
-    shares = [amount / each for amount, each in zip(need, host, strict=True) if each]
-    return max(shares, default=0.0)
-
-
 def plan_moves(
     moves: Moves,
     fleet: Fleet,
@@ -141,10 +144,13 @@
     kinds = _kinds_by_pool(fleet)
     fleet = _outside(evacuated, fleet, moves)
     available = _available(moves, fleet, busy)
+    withdrawn = moves.demand.withdraw(moves.leaving) if moves.demand else frozenset()
     balances = _balances(moves, fleet, loads, now_ms)
     lacked = {pool: balance.lacking for pool, balance in balances.items()}
+    reports = _expect_peaks(moves, loads, balances, len(fleet.machines), now_ms)
     orders = _move_standby(moves, available, balances, standby, kinds)
-    _select_leaving(moves, available, loads, balances, standby, kinds, now_ms)
+    idle = _idle(available, loads, withdrawn)
+    _select_leaving(moves, idle, balances, standby, kinds, now_ms)
     vacate = []
     for name, target in list(moves.leaving.items()):
         machine = fleet.machines[name]
@@ -152,7 +158,7 @@
         if machine.host in fleet.vacant:
             del moves.leaving[name]
             orders.append(MoveMachine(name, target))
-    return MovePlan(tuple(vacate), tuple(orders), lacked)
+    return MovePlan(tuple(vacate), tuple(orders), lacked, reports)
 
 
 def record_order(moves: Moves, order: MoveMachine, now_ms: int) -> None:
@@ -197,6 +203,24 @@
     ]
 
 
+def _idle(
+    available: Iterable[Machine],
+    loads: Mapping[PoolName, PoolLoad],
+    withdrawn: frozenset[MachineName],
+) -> list[Machine]:
+    """Returns the machines without runs, first those that are being emptied already.
+
+    Hosts that are being emptied are not reported as idle.
+    """
+    idle = [
+        machine
+        for machine in available
+        if machine.pool in loads
+        and (machine.name in withdrawn or machine.host in loads[machine.pool].idle)
+    ]
+    return sorted(idle, key=lambda machine: machine.name not in withdrawn)
+
+
 def _outside(evacuated: frozenset[ZoneId], fleet: Fleet, moves: Moves) -> Fleet:
     """Returns the machines outside evacuated zones; those inside stop leaving."""
     if not evacuated:
@@ -211,36 +235,9 @@
     return replace(fleet, machines=machines)
 
 
-@dataclass(slots=True)
-class _Balance:
-    """Machines of a pool, and how many it can use.
-
-    Attributes:
-        have: Machines that it has.
-        needed: Machines for work that can end in time.
-        late: Machines for other work.
-        retained: Machines that it keeps for future load.
-    """
-
-    have: int
-    needed: int
-    late: int
-    retained: int
-
-    @property
-    def shortage(self) -> int:
-        """Returns how many machines its timely work lacks."""
-        return self.needed - self.have
-
-    @property
-    def lacking(self) -> int:
-        """Returns how many machines it lacks for all of its work and its reserve."""
-        return max(self.needed + self.late, self.retained) - self.have
-
-
 def _balances(
     moves: Moves, fleet: Fleet, loads: Mapping[PoolName, PoolLoad], now_ms: int
-) -> dict[PoolName, _Balance]:
+) -> dict[PoolName, Balance]:
     have: Counter[PoolName] = Counter()
     for machine in fleet.machines.values():
         pool = machine.pool
@@ -259,9 +256,9 @@
         needed = hosts_needed(load)
         if needed > have[pool]:
             forecast = trend.forecast(ARRIVAL_MS)
-            needed = max(needed, math.ceil(_hosts_for(forecast, load.host)))
-        late = math.ceil(LATE_SHARE * _hosts_for(load.late, load.host))
-        balance = balances[pool] = _Balance(have[pool], needed, late, retained)
+            needed = max(needed, math.ceil(hosts_for(forecast, load.host)))
+        late = math.ceil(LATE_SHARE * hosts_for(load.late, load.host))
+        balance = balances[pool] = Balance(have[pool], needed, late, retained)
         if balance.needed + balance.late < balance.have:
             moves.surplus_since_ms.setdefault(pool, now_ms)
         else:
@@ -269,28 +266,30 @@
     return balances
 
 
-def _neediest(
-    balances: Mapping[PoolName, _Balance],
-    machine: Machine,
-    kinds: Mapping[PoolName, set[str]],
-) -> PoolName | None:
-    """Returns the pool that needs a machine most; a shortage precedes retention."""
-    pools = [
-        pool
-        for pool, balance in balances.items()
-        if balance.lacking > 0 and machine.kind in kinds.get(pool, {machine.kind})
-    ]
-    return max(
-        pools,
-        key=lambda pool: (max(balances[pool].shortage, 0), balances[pool].lacking),
-        default=None,
-    )
+def _expect_peaks(
+    moves: Moves,
+    loads: Mapping[PoolName, PoolLoad],
+    balances: Mapping[PoolName, Balance],
+    machines: int,
+    now_ms: int,
+) -> tuple[DemandReport, ...]:
+    """Records the needs, and adds machines for expected peaks to the balances."""
+    demand = moves.demand
+    if demand is None:
+        return ()
+    outcomes = demand.record(loads, now_ms)
+    for pool, balance in balances.items():
+        peak = balance.peak = demand.histories[pool].expected(now_ms)
+        if peak is not None:
+            host = loads[pool].host
+            balance.peak_machines = hosts_needed(PoolLoad(peak.need, host))
+    return (*outcomes, *demand.hold(balances, machines, ARRIVAL_MS, now_ms))
 
 
 def _move_standby(
     moves: Moves,
     available: Iterable[Machine],
-    balances: Mapping[PoolName, _Balance],
+    balances: Mapping[PoolName, Balance],
     standby: frozenset[PoolName],
     kinds: Mapping[PoolName, set[str]],
 ) -> list[MoveMachine]:
@@ -298,7 +297,7 @@
     orders = []
     ready = [m for m in available if m.pool in standby and m.name not in moves.leaving]
     for machine in ready:
-        pool = _neediest(balances, machine, kinds)
+        pool = neediest(balances, machine, kinds)
         if pool is not None:
             balances[pool].have += 1
             orders.append(MoveMachine(machine.name, pool))
@@ -314,9 +313,8 @@
 
 def _select_leaving(
     moves: Moves,
-    available: Iterable[Machine],
-    loads: Mapping[PoolName, PoolLoad],
-    balances: Mapping[PoolName, _Balance],
+    idle: Iterable[Machine],
+    balances: Mapping[PoolName, Balance],
     standby: frozenset[PoolName],
     kinds: Mapping[PoolName, set[str]],
     now_ms: int,
@@ -326,18 +324,18 @@
     Machines that a pool only retains for future load, or for late work, go to pools
     with a shortage.
     """
-    for machine in available:
-        load, balance = loads.get(machine.pool), balances.get(machine.pool)
-        if load is None or balance is None or machine.name in moves.leaving:
+    for machine in idle:
+        balance = balances.get(machine.pool)
+        if balance is None or machine.name in moves.leaving:
             continue
-        if machine.host not in load.idle:
-            continue
-        target = _neediest(balances, machine, kinds)
+        target = neediest(balances, machine, kinds)
         is_needed_now = target is not None and balances[target].shortage > 0
         since_ms = moves.surplus_since_ms.get(machine.pool, now_ms)
         if not is_needed_now and now_ms - since_ms < SURPLUS_DELAY_MS:
             continue
-        if balance.shortage >= 0 or (balance.lacking >= 0 and not is_needed_now):
+        if balance.shortage >= 0 or (balance.wanted >= 0 and not is_needed_now):
+            continue
+        if target is not None and not _may_leave(moves, machine, balances, target):
             continue
         if target is not None:
             balances[target].have += 1
@@ -347,3 +345,18 @@
             continue
         balance.have -= 1
         moves.leaving[machine.name] = target
+
+
+def _may_leave(
+    moves: Moves,
+    machine: Machine,
+    balances: Mapping[PoolName, Balance],
+    target: PoolName,
+) -> bool:
+    """Returns whether a surplus machine may leave; records it if for a peak only."""
+    if moves.demand is None or balances[target].lacking > 0:
+        return True
+    if not balances[machine.pool].may_lend(balances[target]):
+        return False
+    moves.demand.record_leaving(machine.name)
+    return True
--- a/src/amaranthtray/domain/upkeep/trend.py
+++ b/src/amaranthtray/domain/upkeep/trend.py
@@ -1,4 +1,4 @@
-"""Extrapolates the need of a pool over the time that a move takes."""
+"""Recent needs of a pool: growth over the time of a move, sliding extremes."""
 
 from __future__ import annotations
 
@@ -43,3 +43,19 @@
                 for before, now in zip(first, last, strict=True)
             )
         )
+
+
+class SlidingMaximum:
+    """Largest of the values of a time window, in amortized constant time."""
+
+    def __init__(self) -> None:
+        self._candidates: deque[tuple[int, float]] = deque()
+
+    def record(self, value: float, now_ms: int, window_ms: int) -> float:
+        """Adds a value; returns the largest one of the last ``window_ms``."""
+        while self._candidates and self._candidates[-1][1] <= value:
+            self._candidates.pop()
+        self._candidates.append((now_ms, value))
+        while self._candidates[0][0] < now_ms - window_ms:
+            self._candidates.popleft()
+        return self._candidates[0][1]
