--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -85,6 +85,7 @@
         self._duties: dict[DutyName, DutyTask] = {}
         self._claims = DutyClaims()
         self._conductors: dict[PoolName, PoolConductor] = {}
+        self._fleet_manager: FleetManager | None = None
         self._lock = threading.Lock()
         self._shutting_down = threading.Event()
 
@@ -146,6 +147,9 @@
             conductors = list(self._conductors.values())
             gauges["zones_evacuated"] = len(self._context.evacuations.zones)
             gauges["pools_without_hosts"] = sum(c.lacks_hosts for c in conductors)
+        if self._context.settings.scheduling.forecast_demand:
+            manager = self._fleet_manager
+            gauges["machines_held_for_peaks"] = manager.machines_held if manager else 0
         return self._metrics.render(gauges)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
@@ -165,12 +169,18 @@
 
     def _fleet_duty(self) -> DutyTask:
         def start_work(term: Term, held_term: Callable[[], Term | None]) -> DutyWork:
-            manager = FleetManager(term, held_term, self._context)
+            manager = FleetManager(
+                term, held_term, self._context, self._may_be_conducted
+            )
+            self._fleet_manager = manager
             manager.start()
             return manager
 
         return self._new_duty(FLEET_DUTY, start_work)
 
+    def _may_be_conducted(self, pool: PoolName) -> bool:
+        return self._view.free_for_ms(conductor_duty(pool)) is None
+
     def _pool_duty(self, pool: PoolName) -> DutyTask:
         def start_work(term: Term, held_term: Callable[[], Term | None]) -> DutyWork:
             conductor = PoolConductor(pool, term, held_term, self._context)
--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -25,6 +25,7 @@
 from ..store.cursor import WatchCursor
 from . import keys
 from .clock import steady_ms, wall_ms
+from .demand_recorder import DemandRecorder
 from .fenced_ledger import FencedLedger, LedgerHeader
 from .ledger import decode_report
 from .machine_mover import MachineMover
@@ -77,10 +78,15 @@
         term: Term of the holder.
         held_term: Returns the term that is certainly held now; None if there is none.
         context: Objects that all tasks of the entry share.
+        is_conducted: Returns whether a pool may have a conductor.
     """
 
     def __init__(
-        self, term: Term, held_term: Callable[[], Term | None], context: JobEntryContext
+        self,
+        term: Term,
+        held_term: Callable[[], Term | None],
+        context: JobEntryContext,
+        is_conducted: Callable[[PoolName], bool] = lambda pool: True,
     ) -> None:
         self._term = term
         self._held_term = held_term
@@ -96,12 +102,16 @@
         self._ledger = FencedLedger(
             keys.FLEET_LEDGER_KEY, term, store=context.store, log=context.log
         )
+        self._demand: DemandRecorder | None = None
+        if context.settings.scheduling.forecast_demand:
+            self._demand = DemandRecorder(term, context, is_conducted)
         self._mover = MachineMover(
             term,
             context,
             recent_orders=self._recent_orders,
             record_orders=lambda: self._commit(()),
             may_continue=self._may_continue,
+            demand=self._demand,
         )
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -113,6 +123,13 @@
         """Ends the task after the order in progress."""
         self._stopping.set()
 
+    @property
+    def machines_held(self) -> int:
+        """Returns the number of machines that are held for expected peaks."""
+        if self._demand is None or self._stopping.is_set():
+            return 0
+        return self._demand.expectations.held
+
     @property
     def is_over(self) -> bool:
         """Returns False: a fault ends only one round, not the task."""
@@ -142,7 +159,11 @@
     def take_over(self) -> bool:
         """Fences off older terms and reads the state that they stored; repeatable."""
         evacuations = self._context.evacuations
-        is_loaded = self._fence_older_terms() and self._list()
+        is_loaded = (
+            self._fence_older_terms()
+            and self._list()
+            and (self._demand is None or self._demand.load())
+        )
         return is_loaded and evacuations.subscribe(FLEET_DUTY, self._ignore)
 
     def _ignore(self, message: Message) -> None:
@@ -269,12 +290,20 @@
                         machine = fleet.machines[order.machine]
                         self._order_maintenance(name, wave, machine, order, service)
         loads = {pool: report.load for pool, report in reports.items()}
+        if self._demand is not None:
+            self._demand.follow_reports(listed.unwrap().items)
         evacuated = self._context.evacuations.zones
         for pool, host in self._mover.step(
             fleet, loads, frozenset(busy), service, evacuated
         ):
             vacate[pool].add(host)
+        self._store_round(vacate)
+
+    def _store_round(self, vacate: dict[PoolName, set[HostId]]) -> None:
+        """Stores the hosts to empty and, if they are due, the peaks of the pools."""
         self._request_vacating(vacate)
+        if self._demand is not None:
+            self._demand.store(self._commit)
 
     def _hosts_going_down(
         self, wave: Wave, fleet: Fleet
--- a/src/amaranthtray/jobs/keys.py
+++ b/src/amaranthtray/jobs/keys.py
@@ -23,6 +23,9 @@
 ASSIGNED_COUNTS_KEY = "fleet/homes"
 """Key of the number of machines that operators assigned to each pool."""
 
+DEMAND_KEY = "fleet/demand"
+"""Key of the recorded peaks of the pools' demand."""
+
 
 def inbox_prefix(pool: PoolName) -> str:
     """Returns the prefix of the requests to a pool's conductor."""
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -25,6 +25,7 @@
     from ..domain.upkeep.recent import RecentOrders
     from ..domain.upkeep.waves import Fleet
     from .context import JobEntryContext
+    from .demand_recorder import DemandRecorder
     from .ports import MachineService
 
 CONCURRENT_ORDERS = 4
@@ -43,6 +44,7 @@
         recent_orders: Machines with recent orders, shared with the waves.
         record_orders: Stores them for the next holder; returns whether they are stored.
         may_continue: Returns whether the holder may send orders now.
+        demand: Forecast of the pools' demand; None without it.
     """
 
     def __init__(
@@ -53,13 +55,15 @@
         recent_orders: RecentOrders,
         record_orders: Callable[[], bool],
         may_continue: Callable[[], bool],
+        demand: DemandRecorder | None = None,
     ) -> None:
         self._term = term
         self._context = context
         self._recent_orders = recent_orders
         self._record_orders = record_orders
         self._may_continue = may_continue
-        self._moves = moves.Moves()
+        self._demand = demand
+        self._moves = moves.Moves(demand=demand.expectations if demand else None)
         self._lacking: Mapping[PoolName, int] = {}
         self._senders = ThreadPoolExecutor(CONCURRENT_ORDERS)
 
@@ -95,6 +99,8 @@
             self._context.log.event(
                 "pools", lacking=plan.lacking, needs=needs, late=late
             )
+        if self._demand is not None:
+            self._demand.record(plan.demand)
         self._order_moves(plan.orders, service)
         return plan.vacate
 
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -120,17 +120,19 @@
 
 
 class SchedulingSection(Struct, frozen=True, kw_only=True):
-    """Section ``[scheduling]``: optional decisions of the pools' conductors.
+    """Section ``[scheduling]``: optional decisions of the roles that entries hold.
 
     Attributes:
         learn_run_times: Whether run times are learned from the runs that ended.
         refuse_late_jobs: Whether jobs that can't end early enough are refused.
         look_ahead: Whether placement reserves hosts for tasks that wait for room.
+        forecast_demand: Whether machines are moved to pools before expected peaks.
     """
 
     learn_run_times: bool = False
     refuse_late_jobs: bool = False
     look_ahead: bool = False
+    forecast_demand: bool = False
 
 
 class JobEntrySettings(Struct, frozen=True, kw_only=True):
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -26,6 +26,8 @@
 from amaranthtray.jobs.evacuation_follower import NoEvacuations
 from amaranthtray.jobs.fleet_manager import FleetManager
 from amaranthtray.jobs.ledger import PoolReport
+from amaranthtray.jobs.metrics_registry import MetricsRegistry
+from amaranthtray.settings.job_entry import SchedulingSection
 from amaranthtray.store.contract import Put, Transaction
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
@@ -75,6 +77,12 @@
         self.machine_service = FakeMachineService()
         self.held_term = Term(1)
         self.evacuations: Any = NoEvacuations()
+        self.scheduling = SchedulingSection()
+        self.metrics = MetricsRegistry()
+        self.pools = {
+            WEB: JobPool(name=WEB),
+            SPARE: JobPool(name=SPARE, is_standby=True),
+        }
 
     def put(self, key: str, value: bytes) -> None:
         assert self.store.commit(Transaction(puts=(Put(key, value),)))
@@ -85,14 +93,15 @@
         self.put(keys.report_key(WEB), value)
 
     def new_manager(self, term: int) -> FleetManager:
-        pools = {WEB: JobPool(name=WEB), SPARE: JobPool(name=SPARE, is_standby=True)}
         context: Any = SimpleNamespace(
             store=self.store,
             log=self.log,
-            catalog=lambda: SimpleNamespace(pools=pools),
+            catalog=lambda: SimpleNamespace(pools=self.pools),
             settings=SimpleNamespace(
-                machines=SimpleNamespace(holder_change_ms=HOLDER_CHANGE_MS)
+                machines=SimpleNamespace(holder_change_ms=HOLDER_CHANGE_MS),
+                scheduling=self.scheduling,
             ),
+            metrics=self.metrics,
             evacuations=self.evacuations,
             platform=SimpleNamespace(
                 waves_prefix="waves/",
--- a/tests/scheduling/load.py
+++ b/tests/scheduling/load.py
@@ -30,6 +30,7 @@
 )
 from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.pool import DECLARED_ONLY, PoolScheduler
+from amaranthtray.domain.upkeep.expectations import DemandReport, Expectations
 from amaranthtray.domain.upkeep.model import Machine, MachineName, MachineState
 from amaranthtray.domain.upkeep.moves import (
     Moves,
@@ -297,18 +298,22 @@
 
     Attributes:
         pools: The pools by name.
+        demand: Expected peaks; None without a forecast of demand.
+        reports: What the forecast led to.
         machine_s: Seconds that machines have stood in pools.
         moved: Number of moves.
     """
 
     time: Timeline
     pools: dict[PoolName, LoadedPool]
+    demand: Expectations | None = None
+    reports: list[DemandReport] = field(default_factory=list)
     machine_s: float = 0.0
     moved: int = 0
 
     def __post_init__(self) -> None:
         self._machines: dict[MachineName, Machine] = {}
-        self._moves = Moves()
+        self._moves = Moves(demand=self.demand)
 
     def add_machines(self, pool: PoolName, count: int) -> None:
         """Adds machines to a pool, or to the standby pool."""
@@ -348,6 +353,7 @@
             frozenset(),
             self.time.now_ms,
         )
+        self.reports += plan.demand
         for order in plan.orders:
             record_order(self._moves, order, self.time.now_ms)
             self._order(order.machine, order.pool)
