Learn the high level of a pool from its recorded peaks

The largest need of the last minutes hid usual peaks after a single high one, and a pool without hosts for a moment counted as a gap.

--- a/src/amaranthtray/domain/upkeep/demand.py
+++ b/src/amaranthtray/domain/upkeep/demand.py
@@ -130,16 +130,20 @@
 class DemandHistory:
     """Peaks of one pool and the next one to expect.
 
+    Attributes:
+        host: Resources of one host of the pool, as last reported.
+
     Args:
         peaks: Recent peaks that an earlier holder recorded, in order of time.
     """
 
     def __init__(self, peaks: Sequence[Peak] = ()) -> None:
+        self.host = NO_RESOURCES
         self._peaks = list(peaks)
         self._expectation: ExpectedPeak | None = None
         self._usual_need = NO_RESOURCES
         self._highest, self._lowest = SlidingMaximum(), SlidingMaximum()
-        self._first_ms: int | None = None
+        self._high = self._low = 0.0
         self._last_ms: int | None = None
         self._unseen_until_ms = 0
         self._is_high = False
@@ -168,21 +172,27 @@
 
         Args:
             need: Present need.
-            host: Resources of one host of the pool.
+            host: Resources of one host of the pool; none if it has no host now.
             now_ms: Steady-clock time.
         """
+        if self._last_ms is None and not any(host):
+            # The conductor does not know its hosts, and perhaps its jobs, yet.
+            return None
+        if any(host):
+            self.host = host
         is_after_gap = self._last_ms is None or now_ms - self._last_ms > GAP_MS
         self._last_ms = now_ms
         if self._peaks and now_ms - self._peaks[0].start_ms > MAX_AGE_MS:
             self._peaks = recent_peaks(self._peaks, now_ms)
             self._learn()
-        level = hosts_for(need, host)
-        rise, fall = self._thresholds(level, host, now_ms)
+        level = hosts_for(need, self.host)
+        self._record_levels(level, now_ms)
+        rise, fall = self._thresholds()
         if is_after_gap:
             self._resume(level, rise, fall, now_ms)
-        elif level > rise and (not self._is_high or self._was_no_peak(host, rise)):
+        elif level > rise and (not self._is_high or self._was_no_peak(level)):
             return self._start_peak(need, level, now_ms)
-        self._follow_peak(need, level, host, rise, now_ms)
+        self._follow_peak(need, level, now_ms)
         self._follow_fall(level, fall, now_ms)
         return self._check_miss(now_ms)
 
@@ -200,21 +210,25 @@
         peak = self._expectation
         return peak if peak is not None and now_ms <= peak.until_ms else None
 
-    def _thresholds(
-        self, level: float, host: Resources, now_ms: int
-    ) -> tuple[float, float]:
-        """Returns the levels above which a peak starts and below which it is over."""
-        if self._first_ms is None:
-            self._first_ms = now_ms
-        peak = self._expectation
-        window_ms = LONGEST_PERIOD_MS
+    def _record_levels(self, level: float, now_ms: int) -> None:
+        """Updates the low level of the last period, and the highest level."""
+        peak, window_ms = self._expectation, LONGEST_PERIOD_MS
         if peak is not None:
             window_ms = peak.period_ms + peak.uncertainty_ms + MISS_MS
-        high = self._highest.record(level, now_ms, window_ms)
-        low = -self._lowest.record(-level, now_ms, window_ms)
-        if now_ms - self._first_ms < window_ms:
-            # This holder has not seen a whole period yet.
-            high = max(high, hosts_for(self._usual_need, host))
+        self._low = -self._lowest.record(-level, now_ms, window_ms)
+        self._high = self._highest.record(level, now_ms, LONGEST_PERIOD_MS)
+
+    def _thresholds(self) -> tuple[float, float]:
+        """Returns the levels above which a peak starts and below which it is over.
+
+        The high level is the usual need of the recorded peaks, or the largest one
+        while they are few: a single long and high peak must not hide usual ones.
+        """
+        low, high = self._low, self._high
+        if len(self._peaks) >= MIN_PEAKS:
+            high = hosts_for(self._usual_need, self.host)
+        elif self._peaks:
+            high = max(hosts_for(peak.need, self.host) for peak in self._peaks)
         if high < MIN_PEAK_RATIO * low or high <= MIN_PEAK_HOSTS:
             return math.inf, math.inf
         return (low + high) / 2, low + FALL_SHARE * (high - low)
@@ -231,10 +245,11 @@
             self._samples = []
             self._learn()
 
-    def _was_no_peak(self, host: Resources, rise: float) -> bool:
-        """Returns whether the peak in progress was too low, as is known only now."""
+    def _was_no_peak(self, level: float) -> bool:
+        """Returns whether the peak in progress is low beside the present level."""
         is_complete = self._is_recorded and not self._samples
-        return is_complete and hosts_for(self._peaks[-1].need, host) <= rise
+        last = self._peaks[-1].need if is_complete else NO_RESOURCES
+        return is_complete and hosts_for(last, self.host) < FALL_SHARE * level
 
     def _start_peak(
         self, need: Resources, level: float, now_ms: int
@@ -258,37 +273,38 @@
         self._started = replace(peak, until_ms=now_ms + PEAK_MS)
         return PeakOutcome(peak, now_ms - peak.start_ms)
 
-    def _follow_peak(
-        self, need: Resources, level: float, host: Resources, rise: float, now_ms: int
-    ) -> None:
+    def _follow_peak(self, need: Resources, level: float, now_ms: int) -> None:
         """Updates the need of a peak during its first part, then checks its start."""
         if not self._samples:
             return
         peak = self._peaks[-1]
         if now_ms - peak.start_ms < PEAK_MS:
             self._samples.append((now_ms, level))
-            if level > hosts_for(peak.need, host):
+            if level > hosts_for(peak.need, self.host):
                 self._peaks[-1] = peak._replace(need=need)
             return
         # Before the first peaks the high level, and so the start, was not known yet.
+        rise, _ = self._thresholds()
         start_ms = next((at for at, each in self._samples if each > rise), None)
         if start_ms is not None:
             self._peaks[-1] = peak._replace(start_ms=start_ms)
-        self._drop_low_peaks(host, rise)
+        self._drop_low_peaks()
         self._samples = []
         self._learn()
 
-    def _drop_low_peaks(self, host: Resources, rise: float) -> None:
-        """Drops earlier peaks that are too low, as the high level has shown since."""
-        kept, has_break = [], False
-        *earlier, last = self._peaks
-        for peak in earlier:
-            has_break |= peak.follows_break
-            if hosts_for(peak.need, host) > rise:
-                kept.append(peak._replace(follows_break=has_break))
-                has_break = False
-        has_break |= last.follows_break
-        self._peaks = [*kept, last._replace(follows_break=has_break)]
+    def _drop_low_peaks(self) -> None:
+        """Drops earlier peaks that are low beside the others."""
+        levels = [hosts_for(peak.need, self.host) for peak in self._peaks]
+        lowest = max(FALL_SHARE * max(levels), (self._low + median(levels)) / 2)
+        kept: list[Peak] = []
+        has_break = False
+        for peak, level in zip(self._peaks, levels, strict=True):
+            if level < lowest and peak is not self._peaks[-1]:
+                has_break = True
+                continue
+            kept.append(peak._replace(follows_break=peak.follows_break or has_break))
+            has_break = False
+        self._peaks = kept
 
     def _follow_fall(self, level: float, fall: float, now_ms: int) -> None:
         if level >= fall:
@@ -315,6 +331,7 @@
             outcome = PeakOutcome(peak, now_ms - peak.start_ms, self._misses)
             if self._misses < MAX_MISSES:
                 return outcome
+            self._highest, self._lowest = SlidingMaximum(), SlidingMaximum()
             self._peaks, self._samples = [], []
             self._is_recorded, self._misses, self._cycles = False, 0, 1
             self._learn()
--- a/src/amaranthtray/domain/upkeep/expectations.py
+++ b/src/amaranthtray/domain/upkeep/expectations.py
@@ -78,7 +78,7 @@
         reports: list[DemandReport] = []
         for pool, load in loads.items():
             history = self.histories.setdefault(pool, DemandHistory())
-            if pool in self.unreported or not any(load.host):
+            if pool in self.unreported:
                 history.interrupt()
                 continue
             outcome = history.record(load.need, load.host, now_ms)
--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -279,10 +279,10 @@
         return ()
     outcomes = demand.record(loads, now_ms)
     for pool, balance in balances.items():
-        peak = balance.peak = demand.histories[pool].expected(now_ms)
+        history = demand.histories[pool]
+        peak = balance.peak = history.expected(now_ms)
         if peak is not None:
-            host = loads[pool].host
-            balance.peak_machines = hosts_needed(PoolLoad(peak.need, host))
+            balance.peak_machines = hosts_needed(PoolLoad(peak.need, history.host))
     return (*outcomes, *demand.hold(balances, machines, ARRIVAL_MS, now_ms))
 
 
