--- a/tests/jobs/test_demand_store.py
+++ b/tests/jobs/test_demand_store.py
@@ -42,8 +42,9 @@
     def run(self, manager: FleetManager, until_ms: int) -> None:
         """Plays rounds in which the pool reports its need, and notes the writes."""
         while self.at_ms < until_ms:
-            is_peak = (self.at_ms - STARTS_MS[0]) % PERIOD_MS < LENGTH_MS
-            self.report_need(80 if is_peak else 4)
+            into_ms = (self.at_ms - STARTS_MS[0]) % PERIOD_MS
+            need = 60 if into_ms < 1_000 else 80
+            self.report_need(need if into_ms < LENGTH_MS else 4)
             before = self.stored()
             self.step(manager)
             if self.stored() != before:
@@ -88,7 +89,7 @@
     manager = site.new_manager(1)
     site.plan_faults("commit", Fault.ERROR)
     site.run(manager, STARTS_MS[1])
-    assert site.writes
+    assert len(site.writes) == 2
     assert all(each - STARTS_MS[0] <= 10_000 for each in site.writes)
     assert all(
         b - a >= 5_000 for a, b in zip(site.writes, site.writes[1:], strict=False)
@@ -140,12 +141,15 @@
     manager = site.new_manager(1)
     site.run(manager, STARTS_MS[-1] + LENGTH_MS + 1_000)
     monkeypatch.setattr(site, "report_need", lambda cores: None)
+    site.run(manager, STARTS_MS[-1] + PERIOD_MS)
+    assert manager.machines_held == 1
     site.run(manager, STARTS_MS[-1] + 2 * PERIOD_MS + 2_000)
     misses = [
         (line["misses"], line["is_discarded"]) for line in site.lines("demand-missed")
     ]
     assert misses == [(1, False), (2, True)]
     assert site.metrics.totals("demand_peaks") == {"missed": 2}
+    assert manager.machines_held == 0
     del site.pools[WEB]
     assert manager._demand
     manager._demand.follow_reports(())
