--- a/src/amaranthtray/domain/upkeep/balance.py
+++ b/src/amaranthtray/domain/upkeep/balance.py
@@ -54,7 +54,7 @@
     @property
     def wanted(self) -> int:
         """Returns how many machines it lacks, also for its expected peak."""
-        return max(self.used, self.expected) - self.have
+        return max(self.needed + self.late, self.retained, self.expected) - self.have
 
     @property
     def lacks_for_peak(self) -> bool:
--- a/src/amaranthtray/domain/upkeep/demand.py
+++ b/src/amaranthtray/domain/upkeep/demand.py
@@ -190,11 +190,13 @@
         rise, fall = self._thresholds()
         if is_after_gap:
             self._resume(level, rise, fall, now_ms)
-        elif level > rise and (not self._is_high or self._was_no_peak(level)):
-            return self._start_peak(need, level, now_ms)
+        missed = self._check_miss(now_ms)
+        is_rise = level > rise and not is_after_gap
+        if is_rise and (not self._is_high or self._was_no_peak(level)):
+            return self._start_peak(need, level, now_ms) or missed
         self._follow_peak(need, level, now_ms)
         self._follow_fall(level, fall, now_ms)
-        return self._check_miss(now_ms)
+        return missed
 
     def expected(self, now_ms: int) -> ExpectedPeak | None:
         """Returns the next peak, or the one that has just started as expected.
@@ -247,9 +249,9 @@
 
     def _was_no_peak(self, level: float) -> bool:
         """Returns whether the peak in progress is low beside the present level."""
-        is_complete = self._is_recorded and not self._samples
-        last = self._peaks[-1].need if is_complete else NO_RESOURCES
-        return is_complete and hosts_for(last, self.host) < FALL_SHARE * level
+        if not self._is_recorded or self._samples or not self._peaks:
+            return False
+        return hosts_for(self._peaks[-1].need, self.host) < FALL_SHARE * level
 
     def _start_peak(
         self, need: Resources, level: float, now_ms: int
