Plans keep the hosts by their free resources and what is known of each job

The terms of ranks, the tasks that may start and the needs of a job are kept until an event or their time changes them.

--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -0,0 +1,129 @@
+"""What a plan needs to know of a job, kept until the job or the time changes it.
+
+The load that this addresses: hundreds of waiting jobs in every plan, of which only a
+few had an event since the last one.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..jobs.model import NO_RESOURCES, Resources
+from ._evacuation import stays_in_zone
+from ._waiting import waiting_steps
+from .ranking import RankTerms, rank_terms
+
+if TYPE_CHECKING:
+    from ..jobs.catalog import JobQueue
+    from ..jobs.job import Job
+    from ._state import SchedulerState
+    from ._waiting import WaitingStep
+    from .run_times import ExpectedJob
+
+
+@dataclass(slots=True)
+class JobFacts:
+    """Facts on a job since its last event; ``mark_dirty`` discards them.
+
+    Attributes:
+        terms: Terms of its rank; None if they are not known.
+        queue: Queue to which the terms apply.
+        expected: Learned run times on which the terms are based; None if only
+            declared ones count.
+        steps: Steps with tasks that may start.
+        steps_until_ms: Steady-clock time from which ``steps`` may have changed.
+        running: Resources of its runs; None if they are not known.
+        waiting: Resources of its tasks that may start; None if they are not known.
+    """
+
+    terms: RankTerms | None = None
+    queue: JobQueue | None = None
+    expected: ExpectedJob | None = None
+    steps: list[WaitingStep] | None = None
+    steps_until_ms: float = 0.0
+    running: Resources | None = None
+    waiting: Resources | None = None
+
+
+def terms_of(state: SchedulerState, job: Job) -> RankTerms:
+    """Returns the terms of a job's rank by the expected run times."""
+    facts, queue, run_times = _facts_of(state, job), state.queue_of(job), None
+    expected = None
+    if state.run_times.is_learning:
+        run_times = state.run_times
+        expected = run_times.of_job(job.spec)
+    if (
+        facts.terms is None
+        or facts.queue is not queue
+        or facts.expected is not expected
+    ):
+        facts.terms = rank_terms(job, queue, run_times)
+        facts.queue, facts.expected = queue, expected
+    return facts.terms
+
+
+def steps_of(state: SchedulerState, job: Job) -> list[WaitingStep]:
+    """Returns a job's open steps with the tasks that may start now."""
+    facts = _facts_of(state, job)
+    if facts.steps is None or state.now_ms >= facts.steps_until_ms:
+        facts.steps = list(waiting_steps(state, job))
+        facts.steps_until_ms = _unchanged_until_ms(state, job)
+    return facts.steps
+
+
+def wanted_by(state: SchedulerState, job: Job) -> Resources:
+    """Returns the need of a job's runs and of its tasks that may start now."""
+    facts = _facts_of(state, job)
+    running = facts.running
+    if running is None or state.evacuation.zones:
+        running = _running_need(state, job)
+        facts.running = None if state.evacuation.zones else running
+    if job.state.is_final:
+        return running
+    if facts.waiting is None or job.spec.recurrence:
+        facts.waiting = _waiting_need(state, job)
+    return running.plus(facts.waiting)
+
+
+def _facts_of(state: SchedulerState, job: Job) -> JobFacts:
+    facts = state.facts.get(job.spec.id)
+    if facts is None:
+        facts = state.facts[job.spec.id] = JobFacts()
+    return facts
+
+
+def _unchanged_until_ms(state: SchedulerState, job: Job) -> float:
+    """Returns until when only an event changes the tasks that may start.
+
+    Occurrences become due by the wall clock, and a task may need a copy because of an
+    event of a host, so that jobs with either are looked at in every plan.
+    """
+    if job.spec.recurrence or any(step.allows_copies for step in job.spec.steps):
+        return 0.0
+    until_ms = math.inf
+    for occurrence, number in job.open_steps(state.wall_ms):
+        for task in job.tasks(occurrence, number):
+            if task.not_before_ms > state.now_ms:
+                until_ms = min(until_ms, task.not_before_ms)
+    return until_ms
+
+
+def _running_need(state: SchedulerState, job: Job) -> Resources:
+    """Returns the total need of a job's runs that may be on a host."""
+    need = NO_RESOURCES
+    for name, _ in job.runs():
+        if not stays_in_zone(state, job, name):
+            need = need.plus(job.spec.steps[name.step].reserved)
+    return need
+
+
+def _waiting_need(state: SchedulerState, job: Job) -> Resources:
+    """Returns the total need of a job's tasks that may start now."""
+    need = NO_RESOURCES
+    for occurrence, number in job.open_steps(state.wall_ms):
+        tasks = job.tasks(occurrence, number)
+        waiting = sum(task.is_waiting for task in tasks)
+        need = need.plus(job.spec.steps[number].reserved.times(waiting))
+    return need
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -4,13 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ..jobs.model import NO_RESOURCES, Resources, StepKey
+from ..jobs.model import NO_RESOURCES, Resources
 from ..upkeep.moves import PoolLoad
-from ._evacuation import stays_in_zone
-from .ranking import Timeliness, rank
+from ._job_facts import terms_of, wanted_by
+from .ranking import Timeliness
 
 if TYPE_CHECKING:
-    from ..jobs.job import Job
     from ._state import SchedulerState
 
 
@@ -22,19 +21,14 @@
     listed = [host for host in state.hosts.values() if host.is_listed]
     hosts = [host for host in listed if not host.is_evacuated]
     size = max((host.info.capacity for host in hosts or listed), default=NO_RESOURCES)
-    need, late, unplaced = NO_RESOURCES, NO_RESOURCES, 0
+    need, late, in_time = NO_RESOURCES, NO_RESOURCES, Timeliness.IN_TIME
     for job in state.active.values():
-        wanted = _running_need(state, job)
-        if not job.state.is_final:
-            wanted = wanted.plus(_waiting_need(state, job))
-            unplaced = max(unplaced, _hosts_for_unplaced(state, job, size))
-        timeliness = rank(
-            job, state.queue_of(job), state.wall_ms, run_times=state.run_times
-        ).timeliness
-        if timeliness is Timeliness.IN_TIME:
+        wanted = wanted_by(state, job)
+        if terms_of(state, job).rank_at(state.wall_ms).timeliness is in_time:
             need = need.plus(wanted)
         else:
             late = late.plus(wanted)
+    unplaced = _hosts_for_unplaced(state, size)
     idle = tuple(
         host.info.id
         for host in hosts
@@ -44,30 +38,16 @@
     return PoolLoad(need, size, idle, wanted_hosts, late)
 
 
-def _hosts_for_unplaced(state: SchedulerState, job: Job, size: Resources) -> int:
-    """Returns how many hosts the job's overdue unplaced steps need at most."""
+def _hosts_for_unplaced(state: SchedulerState, size: Resources) -> int:
+    """Returns how many hosts the overdue unplaced steps of a job need at most."""
     lacking = 0
-    for occurrence, number in job.open_steps(state.wall_ms):
-        key, step = StepKey(job.spec.id, occurrence, number), job.spec.steps[number]
+    for key in state.unplaced.keys():
+        job = state.active.get(key.job)
+        if job is None:
+            continue
+        step = job.spec.steps[key.step]
         if state.unplaced.is_overdue(key, step, state.now_ms):
-            lacking = max(lacking, state.unplaced.hosts_needed(key, step, size))
+            is_open = (key.occurrence, key.step) in job.open_steps(state.wall_ms)
+            count = state.unplaced.hosts_needed(key, step, size) if is_open else 0
+            lacking = max(lacking, count)
     return lacking
-
-
-def _running_need(state: SchedulerState, job: Job) -> Resources:
-    """Returns the total need of a job's runs that may be on a host."""
-    need = NO_RESOURCES
-    for name, _ in job.runs():
-        if not stays_in_zone(state, job, name):
-            need = need.plus(job.spec.steps[name.step].reserved)
-    return need
-
-
-def _waiting_need(state: SchedulerState, job: Job) -> Resources:
-    """Returns the total need of a job's tasks that may start now."""
-    need = NO_RESOURCES
-    for occurrence, number in job.open_steps(state.wall_ms):
-        tasks = job.tasks(occurrence, number)
-        waiting = sum(task.is_waiting for task in tasks)
-        need = need.plus(job.spec.steps[number].reserved.times(waiting))
-    return need
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -5,9 +5,11 @@
 import math
 from dataclasses import dataclass, field
 from functools import partial
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
-from ..jobs.model import NO_RESOURCES, Resources, StepKey, StepSpec, TaskName
+from ..jobs.model import StepKey, StepSpec, TaskName
+from ._job_facts import steps_of, terms_of
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -21,15 +23,16 @@
 from ._slow_hosts import SlowHosts
 from ._unfit import Demand, UnfitDemands
 from ._unplaced import hosts_to_reserve
-from ._waiting import is_settled, waiting_steps
+from ._waiting import is_settled
 from .host import Host
+from .host_index import HostIndex
 from .look_ahead import LookAhead, look_ahead
 from .messages import StartRun
-from .placement import place_each, place_gang
-from .ranking import Rank, Timeliness, expected_core_ms, rank
+from .placement import fill_hosts, fill_hosts_or_none
+from .ranking import Timeliness, expected_core_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from ..jobs.job import Job
     from ._state import SchedulerState
@@ -40,9 +43,6 @@
 FIRST_CLASS: RankClass = (-1, False, 0)
 """Class of the rank of all jobs while none of them is bound by a reservation."""
 
-FITS_NOTHING = Resources(-1, -1, -1)
-"""Free resources without any host: not even a task that needs nothing fits."""
-
 
 @dataclass(slots=True)
 class _PlanHosts:
@@ -55,8 +55,7 @@
         crashed_machines: Machines that crashed under these tasks.
         ahead: Reservations for tasks that wait; None if the policy has none.
         unfit: Demands that no host meets.
-        open: Shared hosts that fit at least the smallest waiting task.
-        least: Smallest amount of each resource that a waiting task needs.
+        index: The shared hosts by their free resources.
     """
 
     every: list[Host]
@@ -65,22 +64,18 @@
     crashed_machines: set[str] = field(default_factory=set)
     ahead: LookAhead | None = None
     unfit: UnfitDemands = field(default_factory=UnfitDemands)
-    open: list[Host] = field(default_factory=list)
-    least: Resources = NO_RESOURCES
-
-    def narrow(self) -> None:
-        """Leaves out the hosts that fit no waiting task any more."""
-        self.open = [host for host in self.open if self.least.fits(host.free)]
+    index: HostIndex = field(default_factory=HostIndex)
 
     def exclude(self, excluded: Collection[str]) -> None:
         """Excludes hosts, and those with a quarantined run, from further sharing."""
-        self.shared = [
+        kept = [
             host
             for host in self.shared
             if host.info.id not in excluded and not host.quarantined_runs
         ]
-        self.open = self.shared
-        self.narrow()
+        if len(kept) < len(self.shared):
+            self.shared = kept
+            self.index.retain(host.info.id for host in kept)
 
 
 def plan_starts(state: SchedulerState) -> None:
@@ -97,6 +92,7 @@
     slow = SlowHosts.split(state, every)
     hosts = _PlanHosts(every, slow.usual)
     hosts.exclude(state.crashes.reserved_hosts)
+    hosts.index = HostIndex(hosts.shared)
     hosts.ahead = look_ahead(state, hosts.shared)
     waiting_keys = _place_by_rank(state, hosts, slow)
     state.unplaced.retain(waiting_keys)
@@ -109,15 +105,9 @@
     state: SchedulerState, hosts: _PlanHosts, slow: SlowHosts
 ) -> set[StepKey]:
     """Places waiting tasks; returns the keys of the steps that had any."""
-    room = _largest_free(hosts.shared)
+    room = hosts.index.largest_free()
     waiting_keys: set[StepKey] = set()
-    ranked = _jobs_by_rank(state)
-    needs = [step.reserved for _, _, steps in ranked for _, step, _ in steps]
-    hosts.least = (
-        Resources(*map(min, zip(*needs, strict=True))) if needs else hosts.least
-    )
-    hosts.narrow()
-    for rank_class, job, steps in ranked:
+    for rank_class, job, steps in _jobs_by_rank(state):
         for key, step, waiting in steps:
             waiting_keys.add(key)
             placed = 0
@@ -126,7 +116,7 @@
                 waiting = _within_cap(state, job, step, waiting)
                 placed = _place_if_fit(state, job, key, rank_class, waiting, hosts)
             if slow.hosts and placed < len(waiting):
-                placed += _place_on_slow(state, job, key, slow)
+                placed += _place_on_slow(state, job, key, slow, hosts.index)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
             if hosts.ahead is not None:
@@ -142,8 +132,7 @@
                 reserved_hosts = hosts_to_reserve(step, hosts.shared)
                 hosts.exclude(reserved_hosts)
             if placed or reserved_hosts:
-                hosts.narrow()
-                room = _largest_free(hosts.shared)
+                room = hosts.index.largest_free()
     return waiting_keys
 
 
@@ -211,15 +200,15 @@
     unsuspected, suspects, isolated = split_suspects(job, key, waiting)
     placed = 0
     if unsuspected:
-        allowed = _allowed_hosts(state, job, key, hosts.open)
-        place = place_gang if step.is_gang else place_each
+        ordered = _allowed_hosts(state, job, key, hosts.index.in_order(step))
+        place = fill_hosts_or_none if step.is_gang else fill_hosts
         shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
-        placements = place(step, key, unsuspected, allowed, shapes)
-        placed += _reserve_runs(state, job, key, placements)
+        placements = place(step, key, unsuspected, ordered, shapes)
+        placed += _reserve_runs(state, job, key, placements, hosts.index)
     if suspects:
-        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        allowed = list(_allowed_hosts(state, job, key, hosts.shared))
         placements = place_suspects(job, key, suspects, allowed)
-        placed += _reserve_runs(state, job, key, placements)
+        placed += _reserve_runs(state, job, key, placements, hosts.index)
     if isolated:
         placed += _place_isolated(state, job, key, isolated, hosts)
     if placed < len(waiting):
@@ -228,7 +217,7 @@
 
 
 def _place_on_slow(
-    state: SchedulerState, job: Job, key: StepKey, slow: SlowHosts
+    state: SchedulerState, job: Job, key: StepKey, slow: SlowHosts, index: HostIndex
 ) -> int:
     """Places tasks on slow hosts that end sooner there; returns how many."""
     tasks = job.tasks(key.occurrence, key.step)
@@ -238,9 +227,9 @@
         if task.is_waiting and not task.crashes and task.not_before_ms <= state.now_ms
     ]
     waiting = _within_cap(state, job, job.spec.steps[key.step], waiting)
-    allowed = _allowed_hosts(state, job, key, slow.hosts)
+    allowed = list(_allowed_hosts(state, job, key, slow.hosts))
     placements = slow.place(state, job, key, waiting, allowed)
-    return _reserve_runs(state, job, key, placements)
+    return _reserve_runs(state, job, key, placements, index)
 
 
 def _place_isolated(
@@ -251,14 +240,13 @@
     hosts: _PlanHosts,
 ) -> int:
     """Places tasks that need a host of their own; overdue ones share a host."""
-    allowed = _allowed_hosts(state, job, key, hosts.every)
+    allowed = list(_allowed_hosts(state, job, key, hosts.every))
     placements = place_isolated(job, key, waiting, allowed)
-    placed = _reserve_runs(state, job, key, placements)
+    placed = _reserve_runs(state, job, key, placements, hosts.index)
     overdue = overdue_for_isolation(job, key, waiting, state.now_ms)
     if overdue:
-        allowed = _allowed_hosts(state, job, key, hosts.every)
         placements = place_overdue(job, key, overdue, allowed)
-        placed += _reserve_runs(state, job, key, placements)
+        placed += _reserve_runs(state, job, key, placements, hosts.index)
     hosts.exclude(())
     if placed < len(waiting):
         hosts.unisolated += len(waiting) - placed
@@ -268,16 +256,16 @@
 
 
 def _allowed_hosts(
-    state: SchedulerState, job: Job, key: StepKey, hosts: list[Host]
-) -> list[Host]:
+    state: SchedulerState, job: Job, key: StepKey, hosts: Iterable[Host]
+) -> Iterable[Host]:
     """Returns the hosts that the placement policy allows, or all without a policy."""
     if not state.queue_of(job).needs_advice:
         return hosts
-    return [
+    return (
         host
         for host in hosts
         if state.advice.ticket(key, host.info.id, state.now_ms) is not None
-    ]
+    )
 
 
 def _request_advice(
@@ -298,47 +286,35 @@
     Jobs beyond their team's share, and jobs that can't count any more, go last.
     """
     jobs = [job for job in state.active.values() if not job.state.is_final]
-    total_core_ms = sum(expected_core_ms(job, state.run_times) for job in jobs)
+    total_core_ms = sum([expected_core_ms(job, state.run_times) for job in jobs])
     mean_core_ms = total_core_ms / max(len(jobs), 1)
-
-    def sort_key(job: Job) -> tuple[int, bool, Rank, str]:
-        queue, run_times = state.queue_of(job), state.run_times
-        job_rank = rank(job, queue, state.wall_ms, mean_core_ms, run_times)
-        goes_last = (
-            job.spec.id in state.shares.excess
-            or job_rank.timeliness is Timeliness.TOO_LATE
-        )
-        return job_rank.priority, goes_last, job_rank, job.spec.id
-
-    ranked: list[tuple[tuple[int, bool, Rank, str], Job, list[WaitingStep]]] = []
+    excess, too_late = state.shares.excess, Timeliness.TOO_LATE
+    ranked: list[
+        tuple[int, bool, Timeliness, bool, float, str, Job, list[WaitingStep]]
+    ] = []
     for job in jobs:
-        if job.spec.id in state.settled:
+        job_id = job.spec.id
+        if job_id in state.settled:
             continue
-        steps = list(waiting_steps(state, job))
+        steps = steps_of(state, job)
         if steps:
-            ranked.append((sort_key(job), job, steps))
+            found = terms_of(state, job).rank_at(state.wall_ms, mean_core_ms)
+            priority, timeliness, has_not_begun, urgency = found
+            goes_last = job_id in excess or timeliness is too_late
+            order = (priority, goes_last, timeliness, has_not_begun, urgency, job_id)
+            ranked.append((*order, job, steps))
         elif is_settled(state, job):
-            state.settled.add(job.spec.id)
-    ranked.sort()
-    return [
-        ((key[0], key[1], key[2].timeliness), job, steps) for key, job, steps in ranked
-    ]
-
-
-def _largest_free(hosts: list[Host]) -> Resources:
-    """Returns the largest free amount of each resource on any host."""
-    return largest_amounts([host.free for host in hosts])
-
-
-def largest_amounts(rooms: list[Resources]) -> Resources:
-    """Returns the largest amount of each resource; without a room, none fits."""
-    if not rooms:
-        return FITS_NOTHING
-    return Resources(*map(max, zip(*rooms, strict=True)))
+            state.settled.add(job_id)
+    ranked.sort(key=itemgetter(slice(6)))
+    return [(row[:3], row[6], row[7]) for row in ranked]
 
 
 def _reserve_runs(
-    state: SchedulerState, job: Job, key: StepKey, placements: list[Placement]
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    placements: list[Placement],
+    index: HostIndex,
 ) -> int:
     """Reserves the runs and holds their start orders until that is stored.
 
@@ -352,6 +328,7 @@
         number = gang_run if is_gang else task.last_run + 1
         name = TaskName(*key, task_number)
         run = state.reserve_run(job, name, host, number)
+        index.update(host)
         ticket = state.advice.ticket(key, host.info.id, state.now_ms) or ""
         state.held_effects.append(
             StartRun(
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -8,7 +8,7 @@
 
 from ..ids import HostId, PoolName, QueueName
 from ..jobs.catalog import Catalog, JobQueue
-from ..jobs.job import Job
+from ..jobs.job import Job, JobState
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from ..jobs.task import Run, RunOutcome
+    from ._job_facts import JobFacts
 
 
 MAX_REMOVED_JOBS = 9
@@ -60,6 +61,7 @@
         reservations: Hosts reserved for large tasks that wait.
         shapes: Needs of the tasks that arrived last.
         settled: Jobs without a task to start until an event changes them.
+        facts: What plans know of active jobs until an event changes them.
         caps: Portions of the teams' caps that the pool holds and uses.
         load: Resources that the pool needs, as last stored.
         dirty: Jobs that changed since their record was stored.
@@ -96,6 +98,7 @@
     reservations: Reservations = field(default_factory=Reservations)
     shapes: RecentShapes = field(default_factory=RecentShapes)
     settled: set[JobId] = field(default_factory=set)
+    facts: dict[JobId, JobFacts] = field(default_factory=dict)
     caps: CapTracker = field(init=False)
     dirty: set[JobId] = field(default_factory=set)
     held_effects: list[Effect] = field(default_factory=list)
@@ -163,6 +166,7 @@
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
         self.settled.discard(job.spec.id)
+        self.facts.pop(job.spec.id, None)
         self.dirty.add(job.spec.id)
 
     def reserve_run(self, job: Job, name: TaskName, host: Host, number: int) -> Run:
@@ -218,10 +222,10 @@
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs that have not started, by queue."""
         counts: dict[str, int] = {}
+        queued = JobState.QUEUED
         for job in self.active.values():
             queue = job.spec.queue
-            waits = job.state.value == "queued"
-            counts[queue] = counts.get(queue, 0) + waits
+            counts[queue] = counts.get(queue, 0) + (job.state is queued)
         return counts
 
     def begin_batch(self) -> StoreJobs:
--- a/src/amaranthtray/domain/scheduling/_unplaced.py
+++ b/src/amaranthtray/domain/scheduling/_unplaced.py
@@ -47,6 +47,10 @@
         """Returns whether all tasks that may start were placed."""
         return not self._since_ms
 
+    def keys(self) -> list[StepKey]:
+        """Returns the steps with unplaced tasks."""
+        return list(self._since_ms)
+
     def retain(self, keys: set[StepKey]) -> None:
         """Removes all steps except ``keys``, which still wait."""
         for key in [key for key in self._since_ms if key not in keys]:
--- a/src/amaranthtray/domain/scheduling/host_choice.py
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -9,7 +10,7 @@
 from ..jobs.model import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from ..jobs.model import JobSpec
     from .host import Host
@@ -71,18 +72,20 @@
 
 
 def keep_room(
-    need: Resources, hosts: list[Host], shapes: Sequence[Resources]
-) -> list[Host]:
-    """Returns the hosts with those last where a task would displace a large one.
+    need: Resources, hosts: Iterable[Host], shapes: Sequence[Resources]
+) -> Iterator[Host]:
+    """Yields the hosts with those later where a task would displace a large one.
 
     Args:
         need: Resources of the task to place.
         hosts: Hosts that fit it, the preferred first.
         shapes: Needs of large tasks that wait.
     """
-    first, rest = hosts[:CHOICE_WIDTH], hosts[CHOICE_WIDTH:]
+    rest = iter(hosts)
+    first = list(itertools.islice(rest, CHOICE_WIDTH))
     first.sort(key=lambda host: _displaced(need, host.free, shapes))
-    return first + rest
+    yield from first
+    yield from rest
 
 
 def _displaced(need: Resources, room: Resources, shapes: Sequence[Resources]) -> int:
--- a/src/amaranthtray/domain/scheduling/look_ahead.py
+++ b/src/amaranthtray/domain/scheduling/look_ahead.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..jobs.job import Job
     from ..jobs.model import StepKey, StepSpec
@@ -136,7 +136,7 @@
         rank_class: RankClass,
         unplaced: int,
         placed: int,
-        find_allowed: Callable[[], list[Host]],
+        find_allowed: Callable[[], Iterable[Host]],
     ) -> None:
         """Keeps, ends or makes the reservations of a step after its placement.
 
@@ -244,7 +244,7 @@
         reservation: Reservation,
         step: StepSpec,
         rank_class: RankClass,
-        find_allowed: Callable[[], list[Host]],
+        find_allowed: Callable[[], Iterable[Host]],
     ) -> None:
         """Keeps a reservation, on a host that is free sooner if there is one."""
         now_ms = self.state.now_ms
@@ -268,7 +268,7 @@
         key: StepKey,
         step: StepSpec,
         rank_class: RankClass,
-        find_allowed: Callable[[], list[Host]],
+        find_allowed: Callable[[], Iterable[Host]],
     ) -> None:
         """Reserves the hosts where a step can start first, if there is a place."""
         now_ms, reservations = self.state.now_ms, self.reservations
@@ -306,7 +306,7 @@
         return last if last is not None and last.rank_class > rank_class else None
 
     def _search(
-        self, key: StepKey, step: StepSpec, allowed: list[Host]
+        self, key: StepKey, step: StepSpec, allowed: Iterable[Host]
     ) -> tuple[float, dict[HostId, Resources]] | None:
         """Returns start time and hosts of the earliest start within the horizon."""
         label, count = step.required_label, step.count if step.is_gang else 1
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence, Set
 
-    from ..ids import HostId
+    from ..ids import HostId, RackId
     from ..jobs.model import Resources, StepKey, StepSpec
     from .host import Host
 
@@ -38,16 +38,42 @@
         hosts: Hosts that may be used.
         shapes: Needs of large tasks that wait, for which hosts should keep room.
     """
+    return fill_hosts(step, key, waiting, in_order(step, hosts), shapes)
+
+
+def in_order(step: StepSpec, hosts: Iterable[Host]) -> list[Host]:
+    """Returns the hosts that fit at least one task, the cheapest first."""
+    return sorted(_eligible_hosts(step, hosts), key=lambda each: _cost(step, each))
+
+
+def fill_hosts(
+    step: StepSpec,
+    key: StepKey,
+    waiting: Sequence[int],
+    ordered: Iterable[Host],
+    shapes: Sequence[Resources] = (),
+) -> list[Placement]:
+    """Places as many of the waiting tasks as fit, on the first hosts.
+
+    Args:
+        step: The step.
+        key: Key of the step.
+        waiting: Tasks to place.
+        ordered: Hosts that fit at least one task, the cheapest first; only as many are
+            taken as are needed.
+        shapes: Needs of large tasks that wait, for which hosts should keep room.
+    """
     placements: list[Placement] = []
-    ordered = sorted(_eligible_hosts(step, hosts), key=lambda each: _cost(step, each))
+    if not waiting:
+        return placements
     if shapes:
         ordered = keep_room(step.reserved, ordered, shapes)
     for host in ordered:
-        if len(placements) == len(waiting):
-            break
         count = min(_acceptable_count(step, key, host), len(waiting) - len(placements))
         numbers = waiting[len(placements) : len(placements) + count]
         placements += [Placement(number, host) for number in numbers]
+        if len(placements) == len(waiting):
+            break
     return placements
 
 
@@ -97,14 +123,34 @@
     shapes: Sequence[Resources] = (),
 ) -> list[Placement]:
     """Places all waiting tasks or none; within one rack if the step prefers that."""
-    open_hosts = list(hosts)
-    groups = [open_hosts]
+    return fill_hosts_or_none(step, key, waiting, in_order(step, hosts), shapes)
+
+
+def fill_hosts_or_none(
+    step: StepSpec,
+    key: StepKey,
+    waiting: Sequence[int],
+    ordered: Iterable[Host],
+    shapes: Sequence[Resources] = (),
+) -> list[Placement]:
+    """Places all waiting tasks of a gang on the first hosts, or none.
+
+    Args:
+        step: The step.
+        key: Key of the step.
+        waiting: Tasks to place.
+        ordered: Hosts that fit at least one task, the cheapest first.
+        shapes: Needs of large tasks that wait, for which hosts should keep room.
+    """
+    groups: list[Iterable[Host]] = [ordered]
     if step.is_same_rack:
-        racks = sorted({host.info.rack for host in open_hosts})
-        by_rack = [[h for h in open_hosts if h.info.rack == rack] for rack in racks]
-        groups = [*by_rack, open_hosts]
+        hosts = list(ordered)
+        by_rack: dict[RackId, list[Host]] = {}
+        for host in hosts:
+            by_rack.setdefault(host.info.rack, []).append(host)
+        groups = [*(by_rack[rack] for rack in sorted(by_rack)), hosts]
     for group in groups:
-        placements = place_each(step, key, waiting, group, shapes)
+        placements = fill_hosts(step, key, waiting, group, shapes)
         if len(placements) == len(waiting):
             return placements
     return []
@@ -112,9 +158,16 @@
 
 def tasks_that_fit(step: StepSpec, room: Resources) -> int:
     """Returns how many tasks of a step fit into ``room`` on one host."""
-    need = step.reserved
-    shares = [have // each for each, have in zip(need, room, strict=True) if each]
-    count = min(shares, default=step.count)
+    cpu, memory_mb, gpu = step.reserved
+    count: int | None = room.cpu // cpu if cpu else None
+    if memory_mb:
+        share = room.memory_mb // memory_mb
+        count = share if count is None or share < count else count
+    if gpu:
+        share = room.gpu // gpu
+        count = share if count is None or share < count else count
+    if count is None:
+        count = step.count
     return max(0, min(count, step.max_per_host or count))
 
 
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -64,6 +64,52 @@
     urgency: float
 
 
+class RankTerms(NamedTuple):
+    """What the rank of a job depends on beside the time; only events change it.
+
+    Attributes:
+        priority: Priority of the queue.
+        accepted_ms: Wall-clock time of acceptance.
+        is_lasting: Whether the job has lasting tasks.
+        begun_ms: Wall-clock time since which the caller waits for the occurrence.
+        objective_ms: Time within which the occurrence is owed.
+        left_ms: Time that it takes from now on.
+        core_ms: Expected work of an occurrence, in core-milliseconds.
+        has_not_begun: Whether no task of it has been started.
+    """
+
+    priority: int
+    accepted_ms: int
+    is_lasting: bool = False
+    begun_ms: int = 0
+    objective_ms: float = 0.0
+    left_ms: float = 0.0
+    core_ms: float = 0.0
+    has_not_begun: bool = False
+
+    def rank_at(self, wall_ms: int, mean_core_ms: float = 0.0) -> Rank:
+        """Returns the rank.
+
+        Args:
+            wall_ms: Wall-clock time.
+            mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
+        """
+        if self.is_lasting:
+            return Rank(-1, Timeliness.IN_TIME, False, self.accepted_ms - wall_ms)
+        objective_ms = self.objective_ms
+        slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
+        slack = slack_ms / max(objective_ms, 1.0)
+        if slack >= (START_MARGIN if self.has_not_begun else 0.0):
+            size = min(self.core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
+            urgency = slack + SIZE_WEIGHT * size
+            return Rank(
+                self.priority, Timeliness.IN_TIME, self.has_not_begun, urgency
+            )
+        late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
+        timeliness = Timeliness.LATE if late_slack_ms >= 0 else Timeliness.TOO_LATE
+        return Rank(self.priority, timeliness, False, late_slack_ms)
+
+
 def expected_core_ms(job: Job, run_times: RunTimes) -> float:
     """Returns the expected work of all tasks of a job, in core-milliseconds."""
     return _expected(job, run_times)[0].core_ms
@@ -97,9 +143,20 @@
         mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
         run_times: Expected run times; None to use only what the caller declared.
     """
+    return rank_terms(job, queue, run_times).rank_at(wall_ms, mean_core_ms)
+
+
+def rank_terms(job: Job, queue: JobQueue, run_times: RunTimes | None) -> RankTerms:
+    """Returns what the rank of a job with waiting tasks depends on beside the time.
+
+    Args:
+        job: The job.
+        queue: Queue to which it was submitted.
+        run_times: Expected run times; None to use only what the caller declared.
+    """
     spec = job.spec
     if any(step.is_lasting for step in spec.steps):
-        return Rank(-1, Timeliness.IN_TIME, False, spec.accepted_ms - wall_ms)
+        return RankTerms(queue.priority, spec.accepted_ms, is_lasting=True)
     occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
     begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
     (total_ms, core_ms), lengths_ms = _expected(job, run_times)
@@ -108,13 +165,12 @@
         step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
     }
     left_ms = critical_path_ms(spec.steps, done, lengths_ms) if done else total_ms
-    slack_ms = objective_ms - (wall_ms - begun_ms + left_ms)
-    slack = slack_ms / max(objective_ms, 1.0)
-    has_not_begun = not job.has_begun(occurrence)
-    if slack >= (START_MARGIN if has_not_begun else 0.0):
-        size = min(core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
-        urgency = slack + SIZE_WEIGHT * size
-        return Rank(queue.priority, Timeliness.IN_TIME, has_not_begun, urgency)
-    late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
-    timeliness = Timeliness.LATE if late_slack_ms >= 0 else Timeliness.TOO_LATE
-    return Rank(queue.priority, timeliness, False, late_slack_ms)
+    return RankTerms(
+        queue.priority,
+        spec.accepted_ms,
+        begun_ms=begun_ms,
+        objective_ms=objective_ms,
+        left_ms=left_ms,
+        core_ms=core_ms,
+        has_not_begun=not job.has_begun(occurrence),
+    )
