--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .estimate import Estimate, estimate_job
-from .model import JobSpec, StepSpec, TaskName
+from .model import NO_RESOURCES, JobSpec, Resources, StepSpec, TaskName
 from .task import HostCrash, Run, RunOutcome, RunPhase, Task
 
 if TYPE_CHECKING:
@@ -36,7 +36,11 @@
     @property
     def is_final(self) -> bool:
         """Returns whether the state can't change any more."""
-        return self not in (JobState.QUEUED, JobState.RUNNING)
+        return self not in _OPEN_STATES
+
+
+_OPEN_STATES = (JobState.QUEUED, JobState.RUNNING)
+"""The states that can change; enumerations are slow to look up."""
 
 
 @dataclass(slots=True)
@@ -104,6 +108,15 @@
             for run in task.runs:
                 yield name, run
 
+    def running_need(self) -> Resources:
+        """Returns the resources that the runs which may be on a host reserve."""
+        need = NO_RESOURCES
+        for (_, step), tasks in self._tasks.items():
+            count = sum([len(task.runs) for task in tasks])
+            if count:
+                need = need.plus(self.spec.steps[step].reserved.times(count))
+        return need
+
     def open_steps(self, wall_ms: int) -> Iterator[tuple[int, int]]:
         """Yields occurrence and index of each step whose tasks may run now."""
         if self.state.is_final:
--- a/src/amaranthtray/domain/scheduling/_job_facts.py
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -34,8 +34,8 @@
             declared ones count.
         steps: Steps with tasks that may start.
         steps_until_ms: Steady-clock time from which ``steps`` may have changed.
-        running: Resources of its runs; None if they are not known.
-        waiting: Resources of its tasks that may start; None if they are not known.
+        wanted: Need of its runs and of its tasks that may start; None if it is not
+            known.
     """
 
     terms: RankTerms | None = None
@@ -43,8 +43,7 @@
     expected: ExpectedJob | None = None
     steps: list[WaitingStep] | None = None
     steps_until_ms: float = 0.0
-    running: Resources | None = None
-    waiting: Resources | None = None
+    wanted: Resources | None = None
 
 
 def terms_of(state: SchedulerState, job: Job) -> RankTerms:
@@ -75,16 +74,12 @@
 
 def wanted_by(state: SchedulerState, job: Job) -> Resources:
     """Returns the need of a job's runs and of its tasks that may start now."""
+    if state.evacuation.zones:
+        return _running_need(state, job).plus(_waiting_need(state, job))
     facts = _facts_of(state, job)
-    running = facts.running
-    if running is None or state.evacuation.zones:
-        running = _running_need(state, job)
-        facts.running = None if state.evacuation.zones else running
-    if job.state.is_final:
-        return running
-    if facts.waiting is None or job.spec.recurrence:
-        facts.waiting = _waiting_need(state, job)
-    return running.plus(facts.waiting)
+    if facts.wanted is None or job.spec.recurrence:
+        facts.wanted = job.running_need().plus(_waiting_need(state, job))
+    return facts.wanted
 
 
 def _facts_of(state: SchedulerState, job: Job) -> JobFacts:
@@ -111,7 +106,7 @@
 
 
 def _running_need(state: SchedulerState, job: Job) -> Resources:
-    """Returns the total need of a job's runs that may be on a host."""
+    """Returns the total need of a job's runs, without those left in their zone."""
     need = NO_RESOURCES
     for name, _ in job.runs():
         if not stays_in_zone(state, job, name):
@@ -124,6 +119,6 @@
     need = NO_RESOURCES
     for occurrence, number in job.open_steps(state.wall_ms):
         tasks = job.tasks(occurrence, number)
-        waiting = sum(task.is_waiting for task in tasks)
+        waiting = sum([task.is_waiting for task in tasks])
         need = need.plus(job.spec.steps[number].reserved.times(waiting))
     return need
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -21,13 +21,12 @@
     listed = [host for host in state.hosts.values() if host.is_listed]
     hosts = [host for host in listed if not host.is_evacuated]
     size = max((host.info.capacity for host in hosts or listed), default=NO_RESOURCES)
-    need, late, in_time = NO_RESOURCES, NO_RESOURCES, Timeliness.IN_TIME
+    need, late, in_time = [0, 0, 0], [0, 0, 0], Timeliness.IN_TIME
     for job in state.active.values():
-        wanted = wanted_by(state, job)
-        if terms_of(state, job).rank_at(state.wall_ms).timeliness is in_time:
-            need = need.plus(wanted)
-        else:
-            late = late.plus(wanted)
+        timeliness = terms_of(state, job).timeliness_at(state.wall_ms)
+        sums = need if timeliness is in_time else late
+        for index, amount in enumerate(wanted_by(state, job)):
+            sums[index] += amount
     unplaced = _hosts_for_unplaced(state, size)
     idle = tuple(
         host.info.id
@@ -35,7 +34,7 @@
         if host.accepts_runs(state.now_ms) and not host.placed_runs()
     )
     wanted_hosts = len(hosts) + unplaced if unplaced else 0
-    return PoolLoad(need, size, idle, wanted_hosts, late)
+    return PoolLoad(Resources(*need), size, idle, wanted_hosts, Resources(*late))
 
 
 def _hosts_for_unplaced(state: SchedulerState, size: Resources) -> int:
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -64,7 +64,11 @@
     crashed_machines: set[str] = field(default_factory=set)
     ahead: LookAhead | None = None
     unfit: UnfitDemands = field(default_factory=UnfitDemands)
-    index: HostIndex = field(default_factory=HostIndex)
+    index: HostIndex = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.shared = [host for host in self.shared if not host.quarantined_runs]
+        self.index = HostIndex(self.shared)
 
     def exclude(self, excluded: Collection[str]) -> None:
         """Excludes hosts, and those with a quarantined run, from further sharing."""
@@ -92,7 +96,6 @@
     slow = SlowHosts.split(state, every)
     hosts = _PlanHosts(every, slow.usual)
     hosts.exclude(state.crashes.reserved_hosts)
-    hosts.index = HostIndex(hosts.shared)
     hosts.ahead = look_ahead(state, hosts.shared)
     waiting_keys = _place_by_rank(state, hosts, slow)
     state.unplaced.retain(waiting_keys)
@@ -328,7 +331,6 @@
         number = gang_run if is_gang else task.last_run + 1
         name = TaskName(*key, task_number)
         run = state.reserve_run(job, name, host, number)
-        index.update(host)
         ticket = state.advice.ticket(key, host.info.id, state.now_ms) or ""
         state.held_effects.append(
             StartRun(
@@ -342,4 +344,6 @@
                 run.prior_crashes,
             )
         )
+    for host in {host.info.id: host for _, host in placements}.values():
+        index.update(host)
     return len(placements)
--- a/src/amaranthtray/domain/scheduling/_quarantine.py
+++ b/src/amaranthtray/domain/scheduling/_quarantine.py
@@ -32,7 +32,10 @@
 def has_suspects(job: Job, key: StepKey, waiting: list[int]) -> bool:
     """Returns whether a host has crashed under any of a step's tasks."""
     tasks = job.tasks(key.occurrence, key.step)
-    return any(tasks[number].crashes for number in waiting)
+    for number in waiting:  # In every plan for each step: a generator is slower.
+        if tasks[number].crashes:
+            return True
+    return False
 
 
 def split_suspects(
--- a/src/amaranthtray/domain/scheduling/_unfit.py
+++ b/src/amaranthtray/domain/scheduling/_unfit.py
@@ -39,7 +39,17 @@
 
     def covers(self, demand: Demand) -> bool:
         """Returns whether a demand is at least as large as one that no host meets."""
-        return any(_is_covered(demand, each) for each in self._demands)
+        (cpu, memory_mb, gpu), rank_class, safe_ms = demand
+        for need, lowest_class, least_ms in self._demands:
+            if (
+                need[0] <= cpu
+                and need[1] <= memory_mb
+                and need[2] <= gpu
+                and lowest_class <= rank_class
+                and least_ms <= safe_ms
+            ):
+                return True
+        return False
 
     def record(self, step: StepSpec, demand: Demand) -> None:
         """Records a demand of a step that no host meets.
@@ -48,18 +58,10 @@
         """
         if step.required_label or step.max_per_host or step.is_gang:
             return
-        kept = [each for each in self._demands if not _is_covered(each, demand)]
+        only = UnfitDemands([demand])
+        kept = [each for each in self._demands if not only.covers(each)]
         self._demands = [*kept, demand][-MAX_SHAPES:]
 
     def clear(self) -> None:
         """Forgets all, as reserved room has become free."""
         self._demands.clear()
-
-
-def _is_covered(demand: Demand, unfit: Demand) -> bool:
-    """Returns whether a demand is at least as large as another."""
-    return (
-        unfit.need.fits(demand.need)
-        and unfit.rank_class <= demand.rank_class
-        and unfit.safe_ms <= demand.safe_ms
-    )
--- a/src/amaranthtray/domain/scheduling/host_choice.py
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 from collections import deque
 from dataclasses import dataclass, field
@@ -61,14 +62,16 @@
 def freest(need: Resources, hosts: list[Host], count: int) -> list[Host]:
     """Returns the hosts that have most of a task's need free."""
     cpu, memory_mb, gpu = (1 / each if each else 0.0 for each in need)
-
-    def missing(host: Host) -> float:
-        free = host.free
-        return (
-            -min(free[0] * cpu, 1) - min(free[1] * memory_mb, 1) - min(free[2] * gpu, 1)
+    missing = [
+        (
+            -min(free[0] * cpu, 1)
+            - min(free[1] * memory_mb, 1)
+            - min(free[2] * gpu, 1),
+            index,
         )
-
-    return sorted(hosts, key=missing)[:count]
+        for index, free in enumerate([host.free for host in hosts])
+    ]
+    return [hosts[index] for _, index in heapq.nsmallest(count, missing)]
 
 
 def keep_room(
@@ -90,5 +93,11 @@
 
 def _displaced(need: Resources, room: Resources, shapes: Sequence[Resources]) -> int:
     """Returns how many of the shapes fit now, but not beside the task."""
-    left = room.minus(need)
-    return sum(shape.fits(room) and not shape.fits(left) for shape in shapes)
+    cpu, memory_mb, gpu = room
+    left: Resources | None = None
+    count = 0
+    for shape in shapes:
+        if shape[0] <= cpu and shape[1] <= memory_mb and shape[2] <= gpu:
+            left = left or room.minus(need)
+            count += not shape.fits(left)
+    return count
--- a/src/amaranthtray/domain/scheduling/host_index.py
+++ b/src/amaranthtray/domain/scheduling/host_index.py
@@ -134,6 +134,7 @@
     def __init__(self, hosts: Iterable[Host] = ()) -> None:
         self._entries: dict[HostId, tuple[_Entry, _Group]] = {}
         self._groups: dict[tuple[bool, bool], _Group] = {}
+        self._largest: Resources | None = None
         entries: dict[tuple[bool, bool], list[_Entry]] = {
             (has_suspects, has_lasting): []
             for has_suspects in (False, True)
@@ -151,20 +152,34 @@
         known = self._entries.get(host.info.id)
         if known is None:
             return
-        entry, group = known
-        group.remove(entry)
-        entry, group = _entry(host, entry[1]), self._groups[_kind(host)]
+        old, group = known
+        group.remove(old)
+        entry, group = _entry(host, old[1]), self._groups[_kind(host)]
         group.add(entry)
         self._entries[host.info.id] = entry, group
+        largest = self._largest
+        if largest is not None and (
+            (old[0] == largest.cpu and entry[0] != old[0])
+            or (old[_MEMORY] == largest.memory_mb and entry[_MEMORY] != old[_MEMORY])
+            or (old[_GPU] == largest.gpu and entry[_GPU] != old[_GPU])
+            or not host.free.fits(largest)
+        ):
+            self._largest = None
 
     def retain(self, hosts: Iterable[HostId]) -> None:
         """Removes all hosts except some."""
         for host in self._entries.keys() - set(hosts):
             entry, group = self._entries.pop(host)
             group.remove(entry)
+        self._largest = None
 
     def largest_free(self) -> Resources:
         """Returns the largest free amount of each resource on any host."""
+        if self._largest is None:
+            self._largest = self._find_largest()
+        return self._largest
+
+    def _find_largest(self) -> Resources:
         groups = [group.chunks for group in self._groups.values() if group.chunks]
         if not groups:
             return FITS_NOTHING
--- a/src/amaranthtray/domain/scheduling/look_ahead.py
+++ b/src/amaranthtray/domain/scheduling/look_ahead.py
@@ -110,10 +110,11 @@
         self._borrowed.clear()
         self._release_held()
         ends_ms = self.state.now_ms + demand.safe_ms
+        cpu, memory_mb, gpu = demand.need
         for host_id, reservation in self.reservations.by_host.items():
             host = self.hosts[host_id]
             free = host.free
-            if not demand.need.fits(free):
+            if free[0] < cpu or free[1] < memory_mb or free[2] < gpu:
                 continue
             self._used[host_id] = host.used
             if reservation.key == key or demand.rank_class < reservation.rank_class:
@@ -148,7 +149,8 @@
             placed: Number of its tasks that were placed.
             find_allowed: Returns the hosts that the step may use.
         """
-        self._account_for_runs(key)
+        if self._used:
+            self._account_for_runs(key)
         step = job.spec.steps[key.step]
         if not self.may_reserve(key, step):
             return
@@ -178,8 +180,12 @@
         """Returns whether the gaps that usual tasks leave are too small for a step."""
         if step.is_gang and step.count > 1:
             return True
-        limits = zip(step.reserved, self.large_from, strict=True)
-        return not step.fills and any(each >= limit > 0 for each, limit in limits)
+        if step.fills:
+            return False
+        (cpu, memory_mb, gpu), limits = step.need, self.large_from
+        return (
+            cpu >= limits[0] > 0 or memory_mb >= limits[1] > 0 or gpu >= limits[2] > 0
+        )
 
     def finish(self, waiting: set[StepKey]) -> None:
         """Drops the reservations of steps that wait no longer; holds nothing back."""
@@ -310,13 +316,18 @@
     ) -> tuple[float, dict[HostId, Resources]] | None:
         """Returns start time and hosts of the earliest start within the horizon."""
         label, count = step.required_label, step.count if step.is_gang else 1
+        need, known, reserved = step.reserved, self.hosts, self.reservations.by_host
         candidates = [
             host
             for host in allowed
-            if host.info.id in self.hosts
-            and host.info.id not in self.reservations.by_host
-            and (not label or label in host.info.labels)
-            and step.reserved.fits(host.info.capacity.minus(host.used_by_lasting))
+            if (info := host.info).id in known
+            and info.id not in reserved
+            and (not label or label in info.labels)
+            and need.fits(info.capacity)
+            and (
+                host.used_by_lasting is NO_RESOURCES
+                or need.fits(info.capacity.minus(host.used_by_lasting))
+            )
         ]
         width = max(SEARCH_WIDTH, 2 * count)
         if len(candidates) > width:
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -47,6 +47,10 @@
     TOO_LATE = 2
 
 
+_IN_TIME, _LATE, _TOO_LATE = Timeliness
+"""The same as names of the module, which are faster to look up."""
+
+
 class Rank(NamedTuple):
     """Sort key of a job; the lowest goes first.
 
@@ -95,20 +99,22 @@
             mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
         """
         if self.is_lasting:
-            return Rank(-1, Timeliness.IN_TIME, False, self.accepted_ms - wall_ms)
+            return Rank(-1, _IN_TIME, False, self.accepted_ms - wall_ms)
         objective_ms = self.objective_ms
         slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
         slack = slack_ms / max(objective_ms, 1.0)
         if slack >= (START_MARGIN if self.has_not_begun else 0.0):
             size = min(self.core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
             urgency = slack + SIZE_WEIGHT * size
-            return Rank(
-                self.priority, Timeliness.IN_TIME, self.has_not_begun, urgency
-            )
+            return Rank(self.priority, _IN_TIME, self.has_not_begun, urgency)
         late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
-        timeliness = Timeliness.LATE if late_slack_ms >= 0 else Timeliness.TOO_LATE
+        timeliness = _LATE if late_slack_ms >= 0 else _TOO_LATE
         return Rank(self.priority, timeliness, False, late_slack_ms)
 
+    def timeliness_at(self, wall_ms: int) -> Timeliness:
+        """Returns how timely the job can still end at a wall-clock time."""
+        return self.rank_at(wall_ms).timeliness
+
 
 def expected_core_ms(job: Job, run_times: RunTimes) -> float:
     """Returns the expected work of all tasks of a job, in core-milliseconds."""
--- a/src/amaranthtray/domain/scheduling/run_times.py
+++ b/src/amaranthtray/domain/scheduling/run_times.py
@@ -144,7 +144,7 @@
         passed_ms = 0 if run.started_ms is None else now_ms - run.started_ms
         estimate = self.estimate(spec, step) if self.is_learning else None
         if estimate is None:
-            return whole._replace(expected_ms=max(whole.expected_ms - passed_ms, 0.0))
+            return RunTime(max(whole.expected_ms - passed_ms, 0.0), whole.spread)
         at_rate_ms = remaining_at_rate(run, now_ms)
         if at_rate_ms:
             return RunTime(at_rate_ms, RATE_SPREAD)
