--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -36,11 +36,11 @@
     @property
     def is_final(self) -> bool:
         """Returns whether the state can't change any more."""
-        return self not in _OPEN_STATES
+        return self not in OPEN_STATES
 
 
-_OPEN_STATES = (JobState.QUEUED, JobState.RUNNING)
-"""The states that can change; enumerations are slow to look up."""
+OPEN_STATES = (JobState.QUEUED, JobState.RUNNING)
+"""The states that can change."""
 
 
 @dataclass(slots=True)
--- a/src/amaranthtray/domain/scheduling/_job_facts.py
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..jobs.model import NO_RESOURCES, Resources
@@ -41,32 +41,27 @@
     terms: RankTerms | None = None
     queue: JobQueue | None = None
     expected: ExpectedJob | None = None
-    steps: list[WaitingStep] | None = None
-    steps_until_ms: float = 0.0
+    steps: list[WaitingStep] = field(default_factory=list)
+    steps_until_ms: float = -math.inf
     wanted: Resources | None = None
 
 
 def terms_of(state: SchedulerState, job: Job) -> RankTerms:
     """Returns the terms of a job's rank by the expected run times."""
-    facts, queue, run_times = _facts_of(state, job), state.queue_of(job), None
-    expected = None
-    if state.run_times.is_learning:
-        run_times = state.run_times
-        expected = run_times.of_job(job.spec)
-    if (
-        facts.terms is None
-        or facts.queue is not queue
-        or facts.expected is not expected
-    ):
-        facts.terms = rank_terms(job, queue, run_times)
+    run_times = state.run_times if state.run_times.is_learning else None
+    expected = run_times.of_job(job.spec) if run_times is not None else None
+    facts, queue = facts_of(state, job), state.queue_of(job)
+    terms = facts.terms
+    if terms is None or facts.queue is not queue or facts.expected is not expected:
+        terms = facts.terms = rank_terms(job, queue, run_times)
         facts.queue, facts.expected = queue, expected
-    return facts.terms
+    return terms
 
 
 def steps_of(state: SchedulerState, job: Job) -> list[WaitingStep]:
     """Returns a job's open steps with the tasks that may start now."""
-    facts = _facts_of(state, job)
-    if facts.steps is None or state.now_ms >= facts.steps_until_ms:
+    facts = facts_of(state, job)
+    if state.now_ms >= facts.steps_until_ms:
         facts.steps = list(waiting_steps(state, job))
         facts.steps_until_ms = _unchanged_until_ms(state, job)
     return facts.steps
@@ -76,13 +71,14 @@
     """Returns the need of a job's runs and of its tasks that may start now."""
     if state.evacuation.zones:
         return _running_need(state, job).plus(_waiting_need(state, job))
-    facts = _facts_of(state, job)
+    facts = facts_of(state, job)
     if facts.wanted is None or job.spec.recurrence:
         facts.wanted = job.running_need().plus(_waiting_need(state, job))
     return facts.wanted
 
 
-def _facts_of(state: SchedulerState, job: Job) -> JobFacts:
+def facts_of(state: SchedulerState, job: Job) -> JobFacts:
+    """Returns what is known of a job."""
     facts = state.facts.get(job.spec.id)
     if facts is None:
         facts = state.facts[job.spec.id] = JobFacts()
@@ -96,7 +92,7 @@
     event of a host, so that jobs with either are looked at in every plan.
     """
     if job.spec.recurrence or any(step.allows_copies for step in job.spec.steps):
-        return 0.0
+        return -math.inf
     until_ms = math.inf
     for occurrence, number in job.open_steps(state.wall_ms):
         for task in job.tasks(occurrence, number):
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -8,6 +8,7 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
 from ._job_facts import steps_of, terms_of
 from ._quarantine import (
@@ -29,7 +30,7 @@
 from .look_ahead import LookAhead, look_ahead
 from .messages import StartRun
 from .placement import fill_hosts, fill_hosts_or_none
-from .ranking import Timeliness, expected_core_ms
+from .ranking import Timeliness, mean_core_ms
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -123,14 +124,13 @@
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
             if hosts.ahead is not None:
-                if not is_tried and hosts.ahead.may_reserve(key, step):
-                    waiting = _within_cap(state, job, step, waiting)
-                may_wait = not has_suspects(job, key, waiting)
-                unplaced = len(waiting) - placed if may_wait else 0
-                find_allowed = partial(_allowed_hosts, state, job, key, hosts.shared)
-                hosts.ahead.end_step(
-                    job, key, rank_class, unplaced, placed, find_allowed
-                )
+                if hosts.ahead.account_for_runs(key, step):
+                    if not is_tried:
+                        waiting = _within_cap(state, job, step, waiting)
+                    may_wait = not has_suspects(job, key, waiting)
+                    unplaced = len(waiting) - placed if may_wait else 0
+                    find = partial(_allowed_hosts, state, job, key, hosts.shared)
+                    hosts.ahead.end_step(job, key, rank_class, unplaced, placed, find)
             elif step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
                 reserved_hosts = hosts_to_reserve(step, hosts.shared)
                 hosts.exclude(reserved_hosts)
@@ -288,9 +288,8 @@
 
     Jobs beyond their team's share, and jobs that can't count any more, go last.
     """
-    jobs = [job for job in state.active.values() if not job.state.is_final]
-    total_core_ms = sum([expected_core_ms(job, state.run_times) for job in jobs])
-    mean_core_ms = total_core_ms / max(len(jobs), 1)
+    jobs = [job for job in state.active.values() if job.state in OPEN_STATES]
+    size_ms = mean_core_ms(jobs, state.run_times)
     excess, too_late = state.shares.excess, Timeliness.TOO_LATE
     ranked: list[
         tuple[int, bool, Timeliness, bool, float, str, Job, list[WaitingStep]]
@@ -301,7 +300,7 @@
             continue
         steps = steps_of(state, job)
         if steps:
-            found = terms_of(state, job).rank_at(state.wall_ms, mean_core_ms)
+            found = terms_of(state, job).rank_at(state.wall_ms, size_ms)
             priority, timeliness, has_not_begun, urgency = found
             goes_last = job_id in excess or timeliness is too_late
             order = (priority, goes_last, timeliness, has_not_begun, urgency, job_id)
--- a/src/amaranthtray/domain/scheduling/_quarantine.py
+++ b/src/amaranthtray/domain/scheduling/_quarantine.py
@@ -131,6 +131,9 @@
     """Reserves the hosts that are empty soonest, for tasks to be isolated."""
     limit = min(wanted, 1 + len(hosts) // HOSTS_PER_RESERVED)
     reserved = state.crashes.reserved_hosts
+    if not limit:
+        state.crashes.reserved_hosts = frozenset()
+        return
     usable = [host for host in hosts if not host.has_lasting]
     usable.sort(
         key=lambda host: (
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -176,7 +176,8 @@
     @property
     def has_lasting(self) -> bool:
         """Returns whether the host has runs that do not end by themselves."""
-        return any(self.used_by_lasting)
+        used = self.used_by_lasting
+        return used is not NO_RESOURCES and any(used)
 
     def _count_suspect(self, run: Run, by: int) -> None:
         if run.prior_crashes:
--- a/src/amaranthtray/domain/scheduling/look_ahead.py
+++ b/src/amaranthtray/domain/scheduling/look_ahead.py
@@ -130,6 +130,16 @@
             )
             self._holding.append(host)
 
+    def account_for_runs(self, key: StepKey, step: StepSpec) -> bool:
+        """Accounts for the runs that were placed of a step.
+
+        Returns:
+            Whether the step may have or get a reservation: ``end_step`` must be called.
+        """
+        if self._used:
+            self._account_for_runs(key)
+        return self._is_large(step) or key in self.reservations.steps
+
     def end_step(
         self,
         job: Job,
@@ -149,11 +159,7 @@
             placed: Number of its tasks that were placed.
             find_allowed: Returns the hosts that the step may use.
         """
-        if self._used:
-            self._account_for_runs(key)
         step = job.spec.steps[key.step]
-        if not self.may_reserve(key, step):
-            return
         own = self.reservations.of_step(key) if self.has_reservation(key) else []
         wanted = unplaced
         if rank_class[2] == Timeliness.TOO_LATE or not unplaced:
@@ -172,10 +178,6 @@
         if len(own) < wanted:
             self._reserve(key, step, rank_class, find_allowed)
 
-    def may_reserve(self, key: StepKey, step: StepSpec) -> bool:
-        """Returns whether a step may have or get a reservation."""
-        return self._is_large(step) or self.has_reservation(key)
-
     def _is_large(self, step: StepSpec) -> bool:
         """Returns whether the gaps that usual tasks leave are too small for a step."""
         if step.is_gang and step.count > 1:
--- a/src/amaranthtray/domain/scheduling/profile.py
+++ b/src/amaranthtray/domain/scheduling/profile.py
@@ -8,13 +8,14 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..jobs.model import Resources
 from .placement import tasks_that_fit
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from ..ids import HostId
-    from ..jobs.model import Resources, StepKey, StepSpec
+    from ..jobs.model import StepKey, StepSpec
     from ._state import SchedulerState
     from .host import Host
 
@@ -52,22 +53,20 @@
     Lasting runs don't end. Expected ends that have passed are moved into the future.
     """
     ends: list[tuple[float, Resources]] = []
-    for placed in host.placed_runs():
-        if not placed.step.is_lasting:
-            spec = state.jobs[placed.name.job].spec
-            step, run = placed.name.step, placed.run
-            left_ms = state.run_times.remaining(
-                spec, step, run, state.now_ms
-            ).expected_ms
+    now_ms, remaining = state.now_ms, state.run_times.remaining
+    for name, step, run in host.placed_runs():
+        if not step.is_lasting:
+            spec = state.jobs[name.job].spec
+            left_ms = remaining(spec, name.step, run, now_ms).expected_ms
             if left_ms <= 0:
                 left_ms = _overrun_ms(state, run.started_ms)
-            ends.append((state.now_ms + left_ms, placed.step.reserved))
+            ends.append((now_ms + left_ms, step.reserved))
     ends.sort()
-    room = host.free
-    profile = [Freed(state.now_ms, room)]
+    cpu, memory_mb, gpu = host.free
+    profile = [Freed(now_ms, host.free)]
     for at_ms, freed in ends:
-        room = room.plus(freed)
-        profile.append(Freed(at_ms, room))
+        cpu, memory_mb, gpu = cpu + freed[0], memory_mb + freed[1], gpu + freed[2]
+        profile.append(Freed(at_ms, Resources(cpu, memory_mb, gpu)))
     return profile
 
 
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -15,6 +15,8 @@
 from ..jobs.estimate import critical_path_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ..jobs.catalog import JobQueue
     from ..jobs.estimate import Estimate
     from ..jobs.job import Job
@@ -98,27 +100,38 @@
             wall_ms: Wall-clock time.
             mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
         """
+        timeliness = self.timeliness_at(wall_ms)
         if self.is_lasting:
-            return Rank(-1, _IN_TIME, False, self.accepted_ms - wall_ms)
+            return Rank(-1, timeliness, False, self.accepted_ms - wall_ms)
         objective_ms = self.objective_ms
         slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
-        slack = slack_ms / max(objective_ms, 1.0)
-        if slack >= (START_MARGIN if self.has_not_begun else 0.0):
+        if timeliness is _IN_TIME:
             size = min(self.core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
-            urgency = slack + SIZE_WEIGHT * size
-            return Rank(self.priority, _IN_TIME, self.has_not_begun, urgency)
+            urgency = slack_ms / max(objective_ms, 1.0) + SIZE_WEIGHT * size
+            return Rank(self.priority, timeliness, self.has_not_begun, urgency)
         late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
-        timeliness = _LATE if late_slack_ms >= 0 else _TOO_LATE
         return Rank(self.priority, timeliness, False, late_slack_ms)
 
     def timeliness_at(self, wall_ms: int) -> Timeliness:
         """Returns how timely the job can still end at a wall-clock time."""
-        return self.rank_at(wall_ms).timeliness
-
-
-def expected_core_ms(job: Job, run_times: RunTimes) -> float:
-    """Returns the expected work of all tasks of a job, in core-milliseconds."""
-    return _expected(job, run_times)[0].core_ms
+        if self.is_lasting:
+            return _IN_TIME
+        objective_ms = self.objective_ms
+        slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
+        least = START_MARGIN if self.has_not_begun else 0.0
+        if slack_ms / max(objective_ms, 1.0) >= least:
+            return _IN_TIME
+        is_late = slack_ms + (LATE_FACTOR - 1) * objective_ms >= 0
+        return _LATE if is_late else _TOO_LATE
+
+
+def mean_core_ms(jobs: Sequence[Job], run_times: RunTimes) -> float:
+    """Returns the mean expected work of all tasks of a job, in core-milliseconds."""
+    if run_times.is_learning:
+        each_ms = [run_times.of_job(job.spec).estimate.core_ms for job in jobs]
+    else:
+        each_ms = [job.estimate.core_ms for job in jobs]
+    return sum(each_ms) / max(len(jobs), 1)
 
 
 def _expected(
