--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -135,16 +135,19 @@
         if occurrence in self.past:
             return True
         tasks = self._tasks.get((occurrence, step))
-        return tasks is not None and all(task.is_done for task in tasks)
+        if tasks is None:
+            return False
+        for task in tasks:  # Called very often: a generator is slower.
+            if not task.is_done:
+                return False
+        return True
 
     def has_begun(self, occurrence: int) -> bool:
         """Returns whether a task of an occurrence has been started."""
-        return any(
-            task.last_run
-            for (each, _), tasks in self._tasks.items()
-            if each == occurrence
-            for task in tasks
-        )
+        for (each, _), tasks in self._tasks.items():
+            if each == occurrence and any([task.last_run for task in tasks]):
+                return True
+        return False
 
     def is_over(self, name: TaskName) -> bool:
         """Returns whether a task needs no further run."""
--- a/src/amaranthtray/domain/scheduling/_job_facts.py
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -16,7 +16,6 @@
 from .ranking import RankTerms, rank_terms
 
 if TYPE_CHECKING:
-    from ..jobs.catalog import JobQueue
     from ..jobs.job import Job
     from ._state import SchedulerState
     from ._waiting import WaitingStep
@@ -25,11 +24,10 @@
 
 @dataclass(slots=True)
 class JobFacts:
-    """Facts on a job since its last event; ``mark_dirty`` discards them.
+    """Facts on a job since its last event, or the last change of the configuration.
 
     Attributes:
         terms: Terms of its rank; None if they are not known.
-        queue: Queue to which the terms apply.
         expected: Learned run times on which the terms are based; None if only
             declared ones count.
         steps: Steps with tasks that may start.
@@ -39,7 +37,6 @@
     """
 
     terms: RankTerms | None = None
-    queue: JobQueue | None = None
     expected: ExpectedJob | None = None
     steps: list[WaitingStep] = field(default_factory=list)
     steps_until_ms: float = -math.inf
@@ -48,14 +45,15 @@
 
 def terms_of(state: SchedulerState, job: Job) -> RankTerms:
     """Returns the terms of a job's rank by the expected run times."""
+    facts = facts_of(state, job)
+    if facts.terms is not None and not state.run_times.is_learning:
+        return facts.terms
     run_times = state.run_times if state.run_times.is_learning else None
     expected = run_times.of_job(job.spec) if run_times is not None else None
-    facts, queue = facts_of(state, job), state.queue_of(job)
-    terms = facts.terms
-    if terms is None or facts.queue is not queue or facts.expected is not expected:
-        terms = facts.terms = rank_terms(job, queue, run_times)
-        facts.queue, facts.expected = queue, expected
-    return terms
+    if facts.terms is None or facts.expected is not expected:
+        facts.terms = rank_terms(job, state.queue_of(job), run_times)
+        facts.expected = expected
+    return facts.terms
 
 
 def steps_of(state: SchedulerState, job: Job) -> list[WaitingStep]:
@@ -93,12 +91,13 @@
     """
     if job.spec.recurrence or any(step.allows_copies for step in job.spec.steps):
         return -math.inf
-    until_ms = math.inf
-    for occurrence, number in job.open_steps(state.wall_ms):
-        for task in job.tasks(occurrence, number):
-            if task.not_before_ms > state.now_ms:
-                until_ms = min(until_ms, task.not_before_ms)
-    return until_ms
+    later_ms = [
+        task.not_before_ms
+        for occurrence, number in job.open_steps(state.wall_ms)
+        for task in job.tasks(occurrence, number)
+        if task.not_before_ms > state.now_ms
+    ]
+    return min(later_ms, default=math.inf)
 
 
 def _running_need(state: SchedulerState, job: Job) -> Resources:
@@ -113,6 +112,8 @@
 def _waiting_need(state: SchedulerState, job: Job) -> Resources:
     """Returns the total need of a job's tasks that may start now."""
     need = NO_RESOURCES
+    if job.spec.id in state.settled:
+        return need
     for occurrence, number in job.open_steps(state.wall_ms):
         tasks = job.tasks(occurrence, number)
         waiting = sum([task.is_waiting for task in tasks])
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -23,7 +23,7 @@
     size = max((host.info.capacity for host in hosts or listed), default=NO_RESOURCES)
     need, late, in_time = [0, 0, 0], [0, 0, 0], Timeliness.IN_TIME
     for job in state.active.values():
-        timeliness = terms_of(state, job).timeliness_at(state.wall_ms)
+        timeliness = terms_of(state, job).rank_at(state.wall_ms).timeliness
         sums = need if timeliness is in_time else late
         for index, amount in enumerate(wanted_by(state, job)):
             sums[index] += amount
--- a/src/amaranthtray/domain/scheduling/_pacing.py
+++ b/src/amaranthtray/domain/scheduling/_pacing.py
@@ -39,8 +39,10 @@
             for placed in host.placed_runs()
             if placed.step.fills and placed.run.phase is RunPhase.RUNNING
         ]
+        if not fillers:
+            continue
         serving = list(host.serving_runs())
-        if not fillers or not (serving or any(f.run.pace < 100 for f in fillers)):
+        if not serving and all(filler.run.pace >= 100 for filler in fillers):
             continue
         worst_share = max(
             (placed.run.load / placed.step.target_ms for placed in serving),
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -290,9 +290,9 @@
     """
     jobs = [job for job in state.active.values() if job.state in OPEN_STATES]
     size_ms = mean_core_ms(jobs, state.run_times)
-    excess, too_late = state.shares.excess, Timeliness.TOO_LATE
+    wall_ms, excess, too_late = state.wall_ms, state.shares.excess, Timeliness.TOO_LATE
     ranked: list[
-        tuple[int, bool, Timeliness, bool, float, str, Job, list[WaitingStep]]
+        tuple[tuple[object, ...], tuple[RankClass, Job, list[WaitingStep]]]
     ] = []
     for job in jobs:
         job_id = job.spec.id
@@ -300,15 +300,16 @@
             continue
         steps = steps_of(state, job)
         if steps:
-            found = terms_of(state, job).rank_at(state.wall_ms, size_ms)
+            found = terms_of(state, job).rank_at(wall_ms, size_ms)
             priority, timeliness, has_not_begun, urgency = found
             goes_last = job_id in excess or timeliness is too_late
-            order = (priority, goes_last, timeliness, has_not_begun, urgency, job_id)
-            ranked.append((*order, job, steps))
+            rank_class = priority, goes_last, timeliness
+            order = (*rank_class, has_not_begun, urgency, job_id)
+            ranked.append((order, (rank_class, job, steps)))
         elif is_settled(state, job):
             state.settled.add(job_id)
-    ranked.sort(key=itemgetter(slice(6)))
-    return [(row[:3], row[6], row[7]) for row in ranked]
+    ranked.sort(key=itemgetter(0))
+    return [row for _, row in ranked]
 
 
 def _reserve_runs(
--- a/src/amaranthtray/domain/scheduling/_progress.py
+++ b/src/amaranthtray/domain/scheduling/_progress.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
-    from .host import Host, PlacedRun
+    from .host import PlacedRun
 
 STALL_MS = 2_500
 """Longest time without a change in reported progress before a run has stalled."""
@@ -34,8 +34,13 @@
     orders: list[StopRun] = []
     avoided = sum(host.avoid_until_ms > state.now_ms for host in state.hosts.values())
     for host in state.hosts.values():
+        before_ms = host.seen_ms - STALL_MS
         stalled = [
-            placed for placed in host.placed_runs() if _is_stalled(state, host, placed)
+            placed
+            for placed in host.placed_runs()
+            if placed.run.progress_ms is not None
+            and placed.run.progress_ms < before_ms
+            and _may_stall(placed)
         ]
         if not stalled:
             continue
@@ -50,10 +55,9 @@
     return orders
 
 
-def _is_stalled(state: SchedulerState, host: Host, placed: PlacedRun) -> bool:
+def _may_stall(placed: PlacedRun) -> bool:
+    """Returns whether a run without progress has stalled."""
     run, step = placed.run, placed.step
     if run.phase is not RunPhase.RUNNING or step.is_lasting or step.is_gang:
         return False
-    if step.fills or run.pace < 100 or run.progress_ms is None:
-        return False
-    return host.seen_ms - run.progress_ms > STALL_MS
+    return not step.fills and run.pace >= 100
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -120,6 +120,7 @@
         self.caps.apply_catalog(self.catalog, catalog)
         self.catalog = catalog
         self.queues.update({queue.name: queue for queue in catalog.queues})
+        self.facts.clear()
 
     @property
     def enforces_capacity(self) -> bool:
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -100,30 +100,19 @@
             wall_ms: Wall-clock time.
             mean_core_ms: Mean estimated work of the waiting jobs; 0 to ignore sizes.
         """
-        timeliness = self.timeliness_at(wall_ms)
         if self.is_lasting:
-            return Rank(-1, timeliness, False, self.accepted_ms - wall_ms)
-        objective_ms = self.objective_ms
+            return Rank(-1, _IN_TIME, False, self.accepted_ms - wall_ms)
+        objective_ms, has_not_begun = self.objective_ms, self.has_not_begun
         slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
-        if timeliness is _IN_TIME:
+        slack = slack_ms / objective_ms if objective_ms > 1.0 else slack_ms
+        if slack >= (START_MARGIN if has_not_begun else 0.0):
             size = min(self.core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
-            urgency = slack_ms / max(objective_ms, 1.0) + SIZE_WEIGHT * size
-            return Rank(self.priority, timeliness, self.has_not_begun, urgency)
+            urgency = slack + SIZE_WEIGHT * size
+            return Rank(self.priority, _IN_TIME, has_not_begun, urgency)
         late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
+        timeliness = _LATE if late_slack_ms >= 0 else _TOO_LATE
         return Rank(self.priority, timeliness, False, late_slack_ms)
 
-    def timeliness_at(self, wall_ms: int) -> Timeliness:
-        """Returns how timely the job can still end at a wall-clock time."""
-        if self.is_lasting:
-            return _IN_TIME
-        objective_ms = self.objective_ms
-        slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
-        least = START_MARGIN if self.has_not_begun else 0.0
-        if slack_ms / max(objective_ms, 1.0) >= least:
-            return _IN_TIME
-        is_late = slack_ms + (LATE_FACTOR - 1) * objective_ms >= 0
-        return _LATE if is_late else _TOO_LATE
-
 
 def mean_core_ms(jobs: Sequence[Job], run_times: RunTimes) -> float:
     """Returns the mean expected work of all tasks of a job, in core-milliseconds."""
@@ -176,13 +165,14 @@
     spec = job.spec
     if any(step.is_lasting for step in spec.steps):
         return RankTerms(queue.priority, spec.accepted_ms, is_lasting=True)
-    occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
+    occurrence = 0
+    if spec.recurrence:
+        occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
     begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
     (total_ms, core_ms), lengths_ms = _expected(job, run_times)
     objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
-    done = {
-        step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
-    }
+    steps = range(len(spec.steps))
+    done = {step for step in steps if job.is_step_done(occurrence, step)}
     left_ms = critical_path_ms(spec.steps, done, lengths_ms) if done else total_ms
     return RankTerms(
         queue.priority,
