--- a/src/amaranthtray/domain/scheduling/_job_facts.py
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -43,33 +43,31 @@
     wanted: Resources | None = None
 
 
-def terms_of(state: SchedulerState, job: Job) -> RankTerms:
+def terms_of(state: SchedulerState, job: Job, facts: JobFacts) -> RankTerms:
     """Returns the terms of a job's rank by the expected run times."""
-    facts = facts_of(state, job)
-    if facts.terms is not None and not state.run_times.is_learning:
-        return facts.terms
+    terms = facts.terms
+    if terms is not None and not state.run_times.is_learning:
+        return terms
     run_times = state.run_times if state.run_times.is_learning else None
     expected = run_times.of_job(job.spec) if run_times is not None else None
-    if facts.terms is None or facts.expected is not expected:
-        facts.terms = rank_terms(job, state.queue_of(job), run_times)
+    if terms is None or facts.expected is not expected:
+        terms = facts.terms = rank_terms(job, state.queue_of(job), run_times)
         facts.expected = expected
-    return facts.terms
+    return terms
 
 
-def steps_of(state: SchedulerState, job: Job) -> list[WaitingStep]:
-    """Returns a job's open steps with the tasks that may start now."""
+def refresh_steps(state: SchedulerState, job: Job) -> JobFacts:
+    """Finds a job's open steps with the tasks that may start now."""
     facts = facts_of(state, job)
-    if state.now_ms >= facts.steps_until_ms:
-        facts.steps = list(waiting_steps(state, job))
-        facts.steps_until_ms = _unchanged_until_ms(state, job)
-    return facts.steps
+    facts.steps = list(waiting_steps(state, job))
+    facts.steps_until_ms = _unchanged_until_ms(state, job)
+    return facts
 
 
-def wanted_by(state: SchedulerState, job: Job) -> Resources:
+def wanted_by(state: SchedulerState, job: Job, facts: JobFacts) -> Resources:
     """Returns the need of a job's runs and of its tasks that may start now."""
     if state.evacuation.zones:
         return _running_need(state, job).plus(_waiting_need(state, job))
-    facts = facts_of(state, job)
     if facts.wanted is None or job.spec.recurrence:
         facts.wanted = job.running_need().plus(_waiting_need(state, job))
     return facts.wanted
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -6,7 +6,7 @@
 
 from ..jobs.model import NO_RESOURCES, Resources
 from ..upkeep.moves import PoolLoad
-from ._job_facts import terms_of, wanted_by
+from ._job_facts import facts_of, terms_of, wanted_by
 from .ranking import Timeliness
 
 if TYPE_CHECKING:
@@ -23,10 +23,13 @@
     size = max((host.info.capacity for host in hosts or listed), default=NO_RESOURCES)
     need, late, in_time = [0, 0, 0], [0, 0, 0], Timeliness.IN_TIME
     for job in state.active.values():
-        timeliness = terms_of(state, job).rank_at(state.wall_ms).timeliness
+        facts = facts_of(state, job)
+        timeliness = terms_of(state, job, facts).rank_at(state.wall_ms).timeliness
         sums = need if timeliness is in_time else late
-        for index, amount in enumerate(wanted_by(state, job)):
-            sums[index] += amount
+        cpu, memory_mb, gpu = wanted_by(state, job, facts)
+        sums[0] += cpu
+        sums[1] += memory_mb
+        sums[2] += gpu
     unplaced = _hosts_for_unplaced(state, size)
     idle = tuple(
         host.info.id
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -10,7 +10,7 @@
 
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
-from ._job_facts import steps_of, terms_of
+from ._job_facts import refresh_steps, terms_of
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -290,7 +290,8 @@
     """
     jobs = [job for job in state.active.values() if job.state in OPEN_STATES]
     size_ms = mean_core_ms(jobs, state.run_times)
-    wall_ms, excess, too_late = state.wall_ms, state.shares.excess, Timeliness.TOO_LATE
+    now_ms, wall_ms, known = state.now_ms, state.wall_ms, state.facts
+    excess, too_late = state.shares.excess, Timeliness.TOO_LATE
     ranked: list[
         tuple[tuple[object, ...], tuple[RankClass, Job, list[WaitingStep]]]
     ] = []
@@ -298,9 +299,12 @@
         job_id = job.spec.id
         if job_id in state.settled:
             continue
-        steps = steps_of(state, job)
+        facts = known.get(job_id)
+        if facts is None or now_ms >= facts.steps_until_ms:
+            facts = refresh_steps(state, job)
+        steps = facts.steps
         if steps:
-            found = terms_of(state, job).rank_at(wall_ms, size_ms)
+            found = terms_of(state, job, facts).rank_at(wall_ms, size_ms)
             priority, timeliness, has_not_begun, urgency = found
             goes_last = job_id in excess or timeliness is too_late
             rank_class = priority, goes_last, timeliness
--- a/src/amaranthtray/domain/scheduling/host_choice.py
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -62,15 +62,11 @@
 def freest(need: Resources, hosts: list[Host], count: int) -> list[Host]:
     """Returns the hosts that have most of a task's need free."""
     cpu, memory_mb, gpu = (1 / each if each else 0.0 for each in need)
-    missing = [
-        (
-            -min(free[0] * cpu, 1)
-            - min(free[1] * memory_mb, 1)
-            - min(free[2] * gpu, 1),
-            index,
-        )
-        for index, free in enumerate([host.free for host in hosts])
-    ]
+    missing: list[tuple[float, int]] = []
+    for index, host in enumerate(hosts):
+        has_cpu, has_memory_mb, has_gpu = host.free
+        share = -min(has_cpu * cpu, 1) - min(has_memory_mb * memory_mb, 1)
+        missing.append((share - min(has_gpu * gpu, 1) if gpu else share, index))
     return [hosts[index] for _, index in heapq.nsmallest(count, missing)]
 
 
--- a/src/amaranthtray/domain/scheduling/profile.py
+++ b/src/amaranthtray/domain/scheduling/profile.py
@@ -10,6 +10,7 @@
 
 from ..jobs.model import Resources
 from .placement import tasks_that_fit
+from .run_times import declared_left_ms
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -53,11 +54,14 @@
     Lasting runs don't end. Expected ends that have passed are moved into the future.
     """
     ends: list[tuple[float, Resources]] = []
-    now_ms, remaining = state.now_ms, state.run_times.remaining
+    now_ms, run_times = state.now_ms, state.run_times
     for name, step, run in host.placed_runs():
         if not step.is_lasting:
-            spec = state.jobs[name.job].spec
-            left_ms = remaining(spec, name.step, run, now_ms).expected_ms
+            if run_times.is_learning:
+                spec = state.jobs[name.job].spec
+                left_ms = run_times.remaining(spec, name.step, run, now_ms).expected_ms
+            else:
+                left_ms = declared_left_ms(step, run, now_ms)
             if left_ms <= 0:
                 left_ms = _overrun_ms(state, run.started_ms)
             ends.append((now_ms + left_ms, step.reserved))
--- a/src/amaranthtray/domain/scheduling/run_times.py
+++ b/src/amaranthtray/domain/scheduling/run_times.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from ..ids import HostId
-    from ..jobs.model import JobSpec, TaskName
+    from ..jobs.model import JobSpec, StepSpec, TaskName
     from ..jobs.task import Run
 
 
@@ -140,9 +140,11 @@
             run: The run.
             now_ms: Steady-clock time.
         """
+        if not self.is_learning:
+            return RunTime(declared_left_ms(spec.steps[step], run, now_ms))
         whole = self.of_step(spec, step)
         passed_ms = 0 if run.started_ms is None else now_ms - run.started_ms
-        estimate = self.estimate(spec, step) if self.is_learning else None
+        estimate = self.estimate(spec, step)
         if estimate is None:
             return RunTime(max(whole.expected_ms - passed_ms, 0.0), whole.spread)
         at_rate_ms = remaining_at_rate(run, now_ms)
@@ -342,6 +344,13 @@
         return found
 
 
+def declared_left_ms(step: StepSpec, run: Run, now_ms: int) -> float:
+    """Returns the time until a run of a step ends by the declared run time."""
+    started_ms = run.started_ms
+    passed_ms = 0 if started_ms is None else now_ms - started_ms
+    return float(max(step.estimated_ms - passed_ms, 0))
+
+
 def _key(spec: JobSpec, step: int) -> str:
     image = spec.steps[step].image
     return f"image:{image}" if image else f"{QUEUE_KEY}{spec.queue}"
