--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from .estimate import Estimate, estimate_job
@@ -39,6 +40,8 @@
         return self not in OPEN_STATES
 
 
+_is_done, _last_run = attrgetter("is_done"), attrgetter("last_run")
+
 OPEN_STATES = (JobState.QUEUED, JobState.RUNNING)
 """The states that can change."""
 
@@ -135,17 +138,12 @@
         if occurrence in self.past:
             return True
         tasks = self._tasks.get((occurrence, step))
-        if tasks is None:
-            return False
-        for task in tasks:  # Called very often: a generator is slower.
-            if not task.is_done:
-                return False
-        return True
+        return tasks is not None and all(map(_is_done, tasks))
 
     def has_begun(self, occurrence: int) -> bool:
         """Returns whether a task of an occurrence has been started."""
         for (each, _), tasks in self._tasks.items():
-            if each == occurrence and any([task.last_run for task in tasks]):
+            if each == occurrence and any(map(_last_run, tasks)):
                 return True
         return False
 
--- a/src/amaranthtray/domain/scheduling/_evacuation_moves.py
+++ b/src/amaranthtray/domain/scheduling/_evacuation_moves.py
@@ -14,8 +14,8 @@
 from ._vacating import TAKEOVER_PAUSE_MS, unavailable_count
 from .evacuation import MovingRun, RunKind, RunsMoved
 from .host import QUARANTINE_CRASHES, Host, PlacedRun
-from .messages import StopRun
 from .host_index import largest_amounts
+from .messages import StopRun
 from .placement import place_each, place_gang
 
 if TYPE_CHECKING:
--- a/src/amaranthtray/domain/scheduling/_job_facts.py
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -6,20 +6,18 @@
 
 from __future__ import annotations
 
-import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..jobs.model import NO_RESOURCES, Resources
 from ._evacuation import stays_in_zone
-from ._waiting import waiting_steps
+from ._waiting import Waiting, waiting_steps
 from .ranking import RankTerms, rank_terms
+from .run_times import ExpectedJob
 
 if TYPE_CHECKING:
     from ..jobs.job import Job
     from ._state import SchedulerState
-    from ._waiting import WaitingStep
-    from .run_times import ExpectedJob
 
 
 @dataclass(slots=True)
@@ -30,16 +28,14 @@
         terms: Terms of its rank; None if they are not known.
         expected: Learned run times on which the terms are based; None if only
             declared ones count.
-        steps: Steps with tasks that may start.
-        steps_until_ms: Steady-clock time from which ``steps`` may have changed.
+        waiting: Tasks that may start; None if they are not known.
         wanted: Need of its runs and of its tasks that may start; None if it is not
             known.
     """
 
     terms: RankTerms | None = None
     expected: ExpectedJob | None = None
-    steps: list[WaitingStep] = field(default_factory=list)
-    steps_until_ms: float = -math.inf
+    waiting: Waiting | None = None
     wanted: Resources | None = None
 
 
@@ -56,12 +52,12 @@
     return terms
 
 
-def refresh_steps(state: SchedulerState, job: Job) -> JobFacts:
-    """Finds a job's open steps with the tasks that may start now."""
-    facts = facts_of(state, job)
-    facts.steps = list(waiting_steps(state, job))
-    facts.steps_until_ms = _unchanged_until_ms(state, job)
-    return facts
+def waiting_of(state: SchedulerState, job: Job) -> Waiting:
+    """Returns the tasks of a job that may start now."""
+    facts = state.facts.get(job.spec.id) or facts_of(state, job)
+    if facts.waiting is None or state.now_ms >= facts.waiting.until_ms:
+        facts.waiting = waiting_steps(state, job)
+    return facts.waiting
 
 
 def wanted_by(state: SchedulerState, job: Job, facts: JobFacts) -> Resources:
@@ -81,23 +77,6 @@
     return facts
 
 
-def _unchanged_until_ms(state: SchedulerState, job: Job) -> float:
-    """Returns until when only an event changes the tasks that may start.
-
-    Occurrences become due by the wall clock, and a task may need a copy because of an
-    event of a host, so that jobs with either are looked at in every plan.
-    """
-    if job.spec.recurrence or any(step.allows_copies for step in job.spec.steps):
-        return -math.inf
-    later_ms = [
-        task.not_before_ms
-        for occurrence, number in job.open_steps(state.wall_ms)
-        for task in job.tasks(occurrence, number)
-        if task.not_before_ms > state.now_ms
-    ]
-    return min(later_ms, default=math.inf)
-
-
 def _running_need(state: SchedulerState, job: Job) -> Resources:
     """Returns the total need of a job's runs, without those left in their zone."""
     need = NO_RESOURCES
--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -43,7 +43,7 @@
 def _hosts_for_unplaced(state: SchedulerState, size: Resources) -> int:
     """Returns how many hosts the overdue unplaced steps of a job need at most."""
     lacking = 0
-    for key in state.unplaced.keys():
+    for key in state.unplaced.steps():
         job = state.active.get(key.job)
         if job is None:
             continue
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -10,7 +10,7 @@
 
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
-from ._job_facts import refresh_steps, terms_of
+from ._job_facts import terms_of, waiting_of
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -24,7 +24,6 @@
 from ._slow_hosts import SlowHosts
 from ._unfit import Demand, UnfitDemands
 from ._unplaced import hosts_to_reserve
-from ._waiting import is_settled
 from .host import Host
 from .host_index import HostIndex
 from .look_ahead import LookAhead, look_ahead
@@ -290,8 +289,7 @@
     """
     jobs = [job for job in state.active.values() if job.state in OPEN_STATES]
     size_ms = mean_core_ms(jobs, state.run_times)
-    now_ms, wall_ms, known = state.now_ms, state.wall_ms, state.facts
-    excess, too_late = state.shares.excess, Timeliness.TOO_LATE
+    wall_ms, excess, too_late = state.wall_ms, state.shares.excess, Timeliness.TOO_LATE
     ranked: list[
         tuple[tuple[object, ...], tuple[RankClass, Job, list[WaitingStep]]]
     ] = []
@@ -299,18 +297,16 @@
         job_id = job.spec.id
         if job_id in state.settled:
             continue
-        facts = known.get(job_id)
-        if facts is None or now_ms >= facts.steps_until_ms:
-            facts = refresh_steps(state, job)
-        steps = facts.steps
+        steps, _, is_settled = waiting_of(state, job)
         if steps:
+            facts = state.facts[job_id]
             found = terms_of(state, job, facts).rank_at(wall_ms, size_ms)
             priority, timeliness, has_not_begun, urgency = found
             goes_last = job_id in excess or timeliness is too_late
             rank_class = priority, goes_last, timeliness
             order = (*rank_class, has_not_begun, urgency, job_id)
             ranked.append((order, (rank_class, job, steps)))
-        elif is_settled(state, job):
+        elif is_settled:
             state.settled.add(job_id)
     ranked.sort(key=itemgetter(0))
     return [row for _, row in ranked]
--- a/src/amaranthtray/domain/scheduling/_quarantine.py
+++ b/src/amaranthtray/domain/scheduling/_quarantine.py
@@ -32,10 +32,8 @@
 def has_suspects(job: Job, key: StepKey, waiting: list[int]) -> bool:
     """Returns whether a host has crashed under any of a step's tasks."""
     tasks = job.tasks(key.occurrence, key.step)
-    for number in waiting:  # In every plan for each step: a generator is slower.
-        if tasks[number].crashes:
-            return True
-    return False
+    suspects = [number for number in waiting if tasks[number].crashes]
+    return bool(suspects)
 
 
 def split_suspects(
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -13,6 +13,7 @@
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
 from ._forecaster import Forecaster
+from ._job_facts import JobFacts
 from ._unplaced import UnplacedSteps
 from .advice import AdviceCache, RequestAdvice
 from .caps import CapTracker
@@ -28,7 +29,6 @@
 
 if TYPE_CHECKING:
     from ..jobs.task import Run, RunOutcome
-    from ._job_facts import JobFacts
 
 
 MAX_REMOVED_JOBS = 9
--- a/src/amaranthtray/domain/scheduling/_unplaced.py
+++ b/src/amaranthtray/domain/scheduling/_unplaced.py
@@ -47,7 +47,7 @@
         """Returns whether all tasks that may start were placed."""
         return not self._since_ms
 
-    def keys(self) -> list[StepKey]:
+    def steps(self) -> list[StepKey]:
         """Returns the steps with unplaced tasks."""
         return list(self._since_ms)
 
--- a/src/amaranthtray/domain/scheduling/_waiting.py
+++ b/src/amaranthtray/domain/scheduling/_waiting.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeAlias
+import math
+from operator import attrgetter
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from ..jobs.model import StepKey, StepSpec
 from ..jobs.task import RunPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from ..jobs.job import Job
     from ..jobs.task import Task
     from ._state import SchedulerState
@@ -18,31 +18,48 @@
 """A step with the indices of its tasks that wait."""
 
 
-def waiting_steps(state: SchedulerState, job: Job) -> Iterator[WaitingStep]:
-    """Yields open steps with the indices of their tasks that may start now."""
+_allows_copies = attrgetter("allows_copies")
+
+
+class Waiting(NamedTuple):
+    """The tasks of a job that may start now.
+
+    Attributes:
+        steps: Open steps with such tasks.
+        until_ms: Steady-clock time until which only an event of the job changes them.
+        is_settled: Whether no task needs a start until an event changes the job.
+    """
+
+    steps: list[WaitingStep]
+    until_ms: float
+    is_settled: bool
+
+
+def waiting_steps(state: SchedulerState, job: Job) -> Waiting:
+    """Returns open steps with the indices of their tasks that may start now.
+
+    Occurrences become due by the wall clock, and a task may need a copy because of an
+    event of a host, so that jobs with either may change at any time.
+    """
+    spec, now_ms = job.spec, state.now_ms
+    steps: list[WaitingStep] = []
+    until_ms, is_settled = math.inf, True
+    if spec.recurrence or any(map(_allows_copies, spec.steps)):
+        until_ms, is_settled = -math.inf, False
     for occurrence, number in job.open_steps(state.wall_ms):
-        step = job.spec.steps[number]
+        step = spec.steps[number]
         tasks = job.tasks(occurrence, number)
-        waiting = [
-            index
-            for index, task in enumerate(tasks)
-            if task.not_before_ms <= state.now_ms
-            and (task.is_waiting or (step.allows_copies and _wants_copy(state, task)))
-        ]
-        if not waiting or (step.is_gang and len(waiting) < len(tasks)):
-            continue
-        yield StepKey(job.spec.id, occurrence, number), step, waiting
-
-
-def is_settled(state: SchedulerState, job: Job) -> bool:
-    """Returns whether a job has no task to start until one of its runs ends."""
-    if job.spec.recurrence or any(step.allows_copies for step in job.spec.steps):
-        return False
-    return not any(
-        task.is_waiting
-        for occurrence, number in job.open_steps(state.wall_ms)
-        for task in job.tasks(occurrence, number)
-    )
+        waiting: list[int] = []
+        for index, task in enumerate(tasks):
+            is_waiting = task.is_waiting
+            is_settled = is_settled and not is_waiting
+            if task.not_before_ms > now_ms:
+                until_ms = min(until_ms, task.not_before_ms)
+            elif is_waiting or (step.allows_copies and _wants_copy(state, task)):
+                waiting.append(index)
+        if waiting and not (step.is_gang and len(waiting) < len(tasks)):
+            steps.append((StepKey(spec.id, occurrence, number), step, waiting))
+    return Waiting(steps, until_ms, is_settled)
 
 
 def _wants_copy(state: SchedulerState, task: Task) -> bool:
--- a/src/amaranthtray/domain/scheduling/host_index.py
+++ b/src/amaranthtray/domain/scheduling/host_index.py
@@ -191,7 +191,7 @@
         )
 
     def in_order(self, step: StepSpec) -> Iterator[Host]:
-        """Yields the hosts that fit a step, those that ``placement.cost`` prefers first.
+        """Yields the hosts that fit a step, the cheapest first.
 
         The hosts must not change before the last one is taken.
         """
--- a/tests/scheduling/varied_load.py
+++ b/tests/scheduling/varied_load.py
@@ -39,11 +39,16 @@
 from scheduling.parts import POOL, QUEUE, TEAM, a_catalog
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from amaranthtray.domain.scheduling.messages import Effect
     from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 
 HOSTS, RACKS = 16, 4
+DRAIN_MS = 2_000
 FAULT_EVERY_MS = 100
+SLOWNESS = 4
+"""Multiple of the usual run times that one in ten hosts takes."""
 QUEUES = (QUEUE, QUEUE, QUEUE, QueueName("urgent"), QueueName("advised"))
 TEAMS = (TEAM, TEAM, "capped")
 
@@ -106,7 +111,10 @@
     def _list_hosts(self) -> None:
         infos = []
         for number, host in enumerate(self.hosts):
-            size, labels = 1 + number % 3, frozenset({"fast"} if number % 4 == 0 else ())
+            size, labels = (
+                1 + number % 3,
+                frozenset({"fast"} if number % 4 == 0 else ()),
+            )
             infos.append(
                 HostInfo(
                     id=host,
@@ -152,9 +160,18 @@
         if refuses < 0.03:
             outcome = StartOutcome.NO_ROOM if refuses < 0.01 else StartOutcome.REFUSED
             at_ms = self.time.now_ms
-            self._send(StartReplied(order.host, order.name, order.number, outcome, at_ms))
-        else:
-            super()._start(order)
+            self._send(
+                StartReplied(order.host, order.name, order.number, outcome, at_ms)
+            )
+            return
+        length_ms = self.jobs[order.name.job].lengths_ms[order.name.step]
+        if order.host[-1] == "7":
+            length_ms *= SLOWNESS
+        self.hosts[order.host][order.name] = order.number
+        self.time.after(length_ms, lambda: self._finish(order))
+        now_ms, outcome = self.time.now_ms, StartOutcome.STARTED
+        started = StartReplied(order.host, order.name, order.number, outcome, now_ms)
+        self._send(started)
 
     def _finish(self, order: StartRun) -> None:
         step = self.scheduler.state.step_of(order.name)
@@ -212,14 +229,25 @@
 
 
 def play_varied(
-    seed: int, policy: SchedulingPolicy, load_ms: int = 6_000
+    seed: int,
+    policy: SchedulingPolicy,
+    load_ms: int,
+    before_plan: Callable[[PoolScheduler], None],
 ) -> list[tuple[object, ...]]:
-    """Plays a load of about one and a half times a pool; returns all decisions."""
+    """Plays a load of about one and a half times a pool; returns all decisions.
+
+    Args:
+        seed: Seed of the load and of the faults.
+        policy: Optional decisions of the scheduler.
+        load_ms: Time in which jobs arrive.
+        before_plan: Called with the scheduler before each plan.
+    """
     pool = VariedPool(Timeline(), seed, policy=policy, make_job=a_varied_job)
     pool.add_hosts(*(HostId(f"h{number:02}") for number in range(HOSTS)))
     pool.submit_bursts(Burst(0, load_ms, 30))
-    while pool.time.now_ms < load_ms + 4_000:
+    while pool.time.now_ms < load_ms + DRAIN_MS:
         pool.time.advance(pool.time.now_ms + TICK_MS)
+        before_plan(pool.scheduler)
         pool.plan()
         if pool.time.now_ms % FAULT_EVERY_MS == 0:
             pool.fail()
