--- a/src/amaranthtray/domain/scheduling/host_index.py
+++ b/src/amaranthtray/domain/scheduling/host_index.py
@@ -10,7 +10,7 @@
 import heapq
 import operator
 from itertools import chain
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 from ..jobs.model import NO_RESOURCES, Resources
 from .placement import is_far
@@ -32,7 +32,11 @@
 _Entry: TypeAlias = "tuple[int, int, int, int, Host]"
 """Free CPU, position among equals, free memory, free accelerators, and the host."""
 
-_MEMORY, _GPU, _HOST = 2, 3, 4
+_CPU: Final = 0
+_POSITION: Final = 1
+_MEMORY: Final = 2
+_GPU: Final = 3
+_HOST: Final = 4
 _memory = operator.itemgetter(_MEMORY)
 _gpu = operator.itemgetter(_GPU)
 
@@ -109,11 +113,11 @@
             if (
                 chunk.memory_mb < memory_mb
                 or chunk.gpu < gpu
-                or chunk.entries[-1][0] < cpu
+                or chunk.entries[-1][_CPU] < cpu
             ):
                 continue
             for entry in chunk.entries:
-                if entry[0] < cpu or entry[2] < memory_mb or entry[3] < gpu:
+                if entry[_CPU] < cpu or entry[_MEMORY] < memory_mb or entry[_GPU] < gpu:
                     continue
                 host = entry[_HOST]
                 if host.held is not NO_RESOURCES and not need.fits(host.room):
@@ -154,12 +158,12 @@
             return
         old, group = known
         group.remove(old)
-        entry, group = _entry(host, old[1]), self._groups[_kind(host)]
+        entry, group = _entry(host, old[_POSITION]), self._groups[_kind(host)]
         group.add(entry)
         self._entries[host.info.id] = entry, group
         largest = self._largest
         if largest is not None and (
-            (old[0] == largest.cpu and entry[0] != old[0])
+            (old[_CPU] == largest.cpu and entry[_CPU] != old[_CPU])
             or (old[_MEMORY] == largest.memory_mb and entry[_MEMORY] != old[_MEMORY])
             or (old[_GPU] == largest.gpu and entry[_GPU] != old[_GPU])
             or not host.free.fits(largest)
@@ -185,7 +189,7 @@
             return FITS_NOTHING
         chunks = list(chain.from_iterable(groups))
         return Resources(
-            max(_last(group[-1])[0] for group in groups),
+            max(_last(group[-1])[_CPU] for group in groups),
             max(chunk.memory_mb for chunk in chunks),
             max(chunk.gpu for chunk in chunks),
         )
--- a/tests/scheduling/varied_load.py
+++ b/tests/scheduling/varied_load.py
@@ -103,7 +103,8 @@
             teams={**catalog.teams, "capped": team},
         )
         self.scheduler = PoolScheduler(POOL, catalog, 0, policy=self.policy)
-        self._slower = replace(catalog, queues=(urgent, advised))
+        slower = replace(usual, slowdown_factor=3.0, priority=-1)
+        self._slower = replace(catalog, queues=(slower, urgent, advised))
         self._faults = random.Random(self.seed + 1)
         self._draining: HostId | None = None
         self._lives: Counter[HostId] = Counter()
