--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from .estimate import Estimate, estimate_job
-from .model import JobSpec, StepSpec, TaskName
+from .model import NO_RESOURCES, JobSpec, Resources, StepSpec, TaskName
 from .task import HostCrash, Run, RunOutcome, RunPhase, Task
 
 if TYPE_CHECKING:
@@ -36,7 +37,13 @@
     @property
     def is_final(self) -> bool:
         """Returns whether the state can't change any more."""
-        return self not in (JobState.QUEUED, JobState.RUNNING)
+        return self not in OPEN_STATES
+
+
+_is_done, _last_run = attrgetter("is_done"), attrgetter("last_run")
+
+OPEN_STATES = (JobState.QUEUED, JobState.RUNNING)
+"""The states that can change."""
 
 
 @dataclass(slots=True)
@@ -104,6 +111,15 @@
             for run in task.runs:
                 yield name, run
 
+    def running_need(self) -> Resources:
+        """Returns the resources that the runs which may be on a host reserve."""
+        need = NO_RESOURCES
+        for (_, step), tasks in self._tasks.items():
+            count = sum([len(task.runs) for task in tasks])
+            if count:
+                need = need.plus(self.spec.steps[step].reserved.times(count))
+        return need
+
     def open_steps(self, wall_ms: int) -> Iterator[tuple[int, int]]:
         """Yields occurrence and index of each step whose tasks may run now."""
         if self.state.is_final:
@@ -122,16 +138,14 @@
         if occurrence in self.past:
             return True
         tasks = self._tasks.get((occurrence, step))
-        return tasks is not None and all(task.is_done for task in tasks)
+        return tasks is not None and all(map(_is_done, tasks))
 
     def has_begun(self, occurrence: int) -> bool:
         """Returns whether a task of an occurrence has been started."""
-        return any(
-            task.last_run
-            for (each, _), tasks in self._tasks.items()
-            if each == occurrence
-            for task in tasks
-        )
+        for (each, _), tasks in self._tasks.items():
+            if each == occurrence and any(map(_last_run, tasks)):
+                return True
+        return False
 
     def is_over(self, name: TaskName) -> bool:
         """Returns whether a task needs no further run."""
--- a/src/amaranthtray/domain/scheduling/_quarantine.py
+++ b/src/amaranthtray/domain/scheduling/_quarantine.py
@@ -32,7 +32,8 @@
 def has_suspects(job: Job, key: StepKey, waiting: list[int]) -> bool:
     """Returns whether a host has crashed under any of a step's tasks."""
     tasks = job.tasks(key.occurrence, key.step)
-    return any(tasks[number].crashes for number in waiting)
+    suspects = [number for number in waiting if tasks[number].crashes]
+    return bool(suspects)
 
 
 def split_suspects(
@@ -128,6 +129,9 @@
     """Reserves the hosts that are empty soonest, for tasks to be isolated."""
     limit = min(wanted, 1 + len(hosts) // HOSTS_PER_RESERVED)
     reserved = state.crashes.reserved_hosts
+    if not limit:
+        state.crashes.reserved_hosts = frozenset()
+        return
     usable = [host for host in hosts if not host.has_lasting]
     usable.sort(
         key=lambda host: (
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -8,11 +8,12 @@
 
 from ..ids import HostId, PoolName, QueueName
 from ..jobs.catalog import Catalog, JobQueue
-from ..jobs.job import Job
+from ..jobs.job import Job, JobState
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
 from ..upkeep.moves import PoolLoad
 from ._forecaster import Forecaster
+from ._job_facts import JobFacts
 from ._unplaced import UnplacedSteps
 from .advice import AdviceCache, RequestAdvice
 from .caps import CapTracker
@@ -63,6 +64,7 @@
         reservations: Hosts reserved for large tasks that wait.
         shapes: Needs of the tasks that arrived last.
         settled: Jobs without a task to start until an event changes them.
+        facts: What plans know of active jobs until an event changes them.
         caps: Portions of the teams' caps that the pool holds and uses.
         share_portions: Portions of the teams' weights, if they count over all pools.
         team_service: Ended jobs of each team, if shares count over all pools.
@@ -101,6 +103,7 @@
     reservations: Reservations = field(default_factory=Reservations)
     shapes: RecentShapes = field(default_factory=RecentShapes)
     settled: set[JobId] = field(default_factory=set)
+    facts: dict[JobId, JobFacts] = field(default_factory=dict)
     caps: CapTracker = field(init=False)
     share_portions: SharePortions = field(init=False)
     team_service: TeamService = field(default_factory=TeamService)
@@ -125,6 +128,7 @@
         self.caps.apply_catalog(self.catalog, catalog)
         self.catalog = catalog
         self.queues.update({queue.name: queue for queue in catalog.queues})
+        self.facts.clear()
 
     @property
     def enforces_capacity(self) -> bool:
@@ -174,6 +178,7 @@
             if not any(job.runs()):
                 self.active.pop(job.spec.id, None)
         self.settled.discard(job.spec.id)
+        self.facts.pop(job.spec.id, None)
         self.dirty.add(job.spec.id)
 
     def reserve_run(self, job: Job, name: TaskName, host: Host, number: int) -> Run:
@@ -229,10 +234,10 @@
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs that have not started, by queue."""
         counts: dict[str, int] = {}
+        queued = JobState.QUEUED
         for job in self.active.values():
             queue = job.spec.queue
-            waits = job.state.value == "queued"
-            counts[queue] = counts.get(queue, 0) + waits
+            counts[queue] = counts.get(queue, 0) + (job.state is queued)
         return counts
 
     def begin_batch(self) -> StoreJobs:
--- a/src/amaranthtray/domain/scheduling/host_choice.py
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -9,7 +11,7 @@
 from ..jobs.model import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from ..jobs.model import JobSpec
     from .host import Host
@@ -60,32 +62,38 @@
 def freest(need: Resources, hosts: list[Host], count: int) -> list[Host]:
     """Returns the hosts that have most of a task's need free."""
     cpu, memory_mb, gpu = (1 / each if each else 0.0 for each in need)
-
-    def missing(host: Host) -> float:
-        free = host.free
-        return (
-            -min(free[0] * cpu, 1) - min(free[1] * memory_mb, 1) - min(free[2] * gpu, 1)
-        )
-
-    return sorted(hosts, key=missing)[:count]
+    missing: list[tuple[float, int]] = []
+    for index, host in enumerate(hosts):
+        has_cpu, has_memory_mb, has_gpu = host.free
+        share = -min(has_cpu * cpu, 1) - min(has_memory_mb * memory_mb, 1)
+        missing.append((share - min(has_gpu * gpu, 1) if gpu else share, index))
+    return [hosts[index] for _, index in heapq.nsmallest(count, missing)]
 
 
 def keep_room(
-    need: Resources, hosts: list[Host], shapes: Sequence[Resources]
-) -> list[Host]:
-    """Returns the hosts with those last where a task would displace a large one.
+    need: Resources, hosts: Iterable[Host], shapes: Sequence[Resources]
+) -> Iterator[Host]:
+    """Yields the hosts with those later where a task would displace a large one.
 
     Args:
         need: Resources of the task to place.
         hosts: Hosts that fit it, the preferred first.
         shapes: Needs of large tasks that wait.
     """
-    first, rest = hosts[:CHOICE_WIDTH], hosts[CHOICE_WIDTH:]
+    rest = iter(hosts)
+    first = list(itertools.islice(rest, CHOICE_WIDTH))
     first.sort(key=lambda host: _displaced(need, host.free, shapes))
-    return first + rest
+    yield from first
+    yield from rest
 
 
 def _displaced(need: Resources, room: Resources, shapes: Sequence[Resources]) -> int:
     """Returns how many of the shapes fit now, but not beside the task."""
-    left = room.minus(need)
-    return sum(shape.fits(room) and not shape.fits(left) for shape in shapes)
+    cpu, memory_mb, gpu = room
+    left: Resources | None = None
+    count = 0
+    for shape in shapes:
+        if shape[0] <= cpu and shape[1] <= memory_mb and shape[2] <= gpu:
+            left = left or room.minus(need)
+            count += not shape.fits(left)
+    return count
--- a/src/amaranthtray/domain/scheduling/look_ahead.py
+++ b/src/amaranthtray/domain/scheduling/look_ahead.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..jobs.job import Job
     from ..jobs.model import StepKey, StepSpec
@@ -110,10 +110,11 @@
         self._borrowed.clear()
         self._release_held()
         ends_ms = self.state.now_ms + demand.safe_ms
+        cpu, memory_mb, gpu = demand.need
         for host_id, reservation in self.reservations.by_host.items():
             host = self.hosts[host_id]
             free = host.free
-            if not demand.need.fits(free):
+            if free[0] < cpu or free[1] < memory_mb or free[2] < gpu:
                 continue
             self._used[host_id] = host.used
             if reservation.key == key or demand.rank_class < reservation.rank_class:
@@ -129,6 +130,16 @@
             )
             self._holding.append(host)
 
+    def account_for_runs(self, key: StepKey, step: StepSpec) -> bool:
+        """Accounts for the runs that were placed of a step.
+
+        Returns:
+            Whether the step may have or get a reservation: ``end_step`` must be called.
+        """
+        if self._used:
+            self._account_for_runs(key)
+        return self._is_large(step) or key in self.reservations.steps
+
     def end_step(
         self,
         job: Job,
@@ -136,7 +147,7 @@
         rank_class: RankClass,
         unplaced: int,
         placed: int,
-        find_allowed: Callable[[], list[Host]],
+        find_allowed: Callable[[], Iterable[Host]],
     ) -> None:
         """Keeps, ends or makes the reservations of a step after its placement.
 
@@ -148,10 +159,7 @@
             placed: Number of its tasks that were placed.
             find_allowed: Returns the hosts that the step may use.
         """
-        self._account_for_runs(key)
         step = job.spec.steps[key.step]
-        if not self.may_reserve(key, step):
-            return
         own = self.reservations.of_step(key) if self.has_reservation(key) else []
         wanted = unplaced
         if rank_class[2] == Timeliness.TOO_LATE or not unplaced:
@@ -170,16 +178,16 @@
         if len(own) < wanted:
             self._reserve(key, step, rank_class, find_allowed)
 
-    def may_reserve(self, key: StepKey, step: StepSpec) -> bool:
-        """Returns whether a step may have or get a reservation."""
-        return self._is_large(step) or self.has_reservation(key)
-
     def _is_large(self, step: StepSpec) -> bool:
         """Returns whether the gaps that usual tasks leave are too small for a step."""
         if step.is_gang and step.count > 1:
             return True
-        limits = zip(step.reserved, self.large_from, strict=True)
-        return not step.fills and any(each >= limit > 0 for each, limit in limits)
+        if step.fills:
+            return False
+        (cpu, memory_mb, gpu), limits = step.need, self.large_from
+        return (
+            cpu >= limits[0] > 0 or memory_mb >= limits[1] > 0 or gpu >= limits[2] > 0
+        )
 
     def finish(self, waiting: set[StepKey]) -> None:
         """Drops the reservations of steps that wait no longer; holds nothing back."""
@@ -244,7 +252,7 @@
         reservation: Reservation,
         step: StepSpec,
         rank_class: RankClass,
-        find_allowed: Callable[[], list[Host]],
+        find_allowed: Callable[[], Iterable[Host]],
     ) -> None:
         """Keeps a reservation, on a host that is free sooner if there is one."""
         now_ms = self.state.now_ms
@@ -268,7 +276,7 @@
         key: StepKey,
         step: StepSpec,
         rank_class: RankClass,
-        find_allowed: Callable[[], list[Host]],
+        find_allowed: Callable[[], Iterable[Host]],
     ) -> None:
         """Reserves the hosts where a step can start first, if there is a place."""
         now_ms, reservations = self.state.now_ms, self.reservations
@@ -306,17 +314,22 @@
         return last if last is not None and last.rank_class > rank_class else None
 
     def _search(
-        self, key: StepKey, step: StepSpec, allowed: list[Host]
+        self, key: StepKey, step: StepSpec, allowed: Iterable[Host]
     ) -> tuple[float, dict[HostId, Resources]] | None:
         """Returns start time and hosts of the earliest start within the horizon."""
         label, count = step.required_label, step.count if step.is_gang else 1
+        need, known, reserved = step.reserved, self.hosts, self.reservations.by_host
         candidates = [
             host
             for host in allowed
-            if host.info.id in self.hosts
-            and host.info.id not in self.reservations.by_host
-            and (not label or label in host.info.labels)
-            and step.reserved.fits(host.info.capacity.minus(host.used_by_lasting))
+            if (info := host.info).id in known
+            and info.id not in reserved
+            and (not label or label in info.labels)
+            and need.fits(info.capacity)
+            and (
+                host.used_by_lasting is NO_RESOURCES
+                or need.fits(info.capacity.minus(host.used_by_lasting))
+            )
         ]
         width = max(SEARCH_WIDTH, 2 * count)
         if len(candidates) > width:
