--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -26,6 +26,7 @@
 from .look_ahead import LookAhead, look_ahead
 from .messages import StartRun
 from .placement import place_each, place_gang
+from .rack_choice import RackChoice, choose_racks
 from .ranking import Rank, Timeliness, expected_core_ms, rank
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         unisolated: Number of tasks that found no host of their own so far.
         crashed_machines: Machines that crashed under these tasks.
         ahead: Reservations for tasks that wait; None if the policy has none.
+        racks: Choice between near and remote hosts; None if no task has a rack.
         unfit: Demands that no host meets.
         open: Shared hosts that fit at least the smallest waiting task.
         least: Smallest amount of each resource that a waiting task needs.
@@ -64,6 +66,7 @@
     unisolated: int = 0
     crashed_machines: set[str] = field(default_factory=set)
     ahead: LookAhead | None = None
+    racks: RackChoice | None = None
     unfit: UnfitDemands = field(default_factory=UnfitDemands)
     open: list[Host] = field(default_factory=list)
     least: Resources = NO_RESOURCES
@@ -112,10 +115,8 @@
     room = _largest_free(hosts.shared)
     waiting_keys: set[StepKey] = set()
     ranked = _jobs_by_rank(state)
-    needs = [step.reserved for _, _, steps in ranked for _, step, _ in steps]
-    hosts.least = (
-        Resources(*map(min, zip(*needs, strict=True))) if needs else hosts.least
-    )
+    hosts.racks = choose_racks(state, hosts.shared, ranked)
+    hosts.least = _smallest_need(ranked)
     hosts.narrow()
     for rank_class, job, steps in ranked:
         for key, step, waiting in steps:
@@ -125,6 +126,7 @@
             if is_tried:
                 waiting = _within_cap(state, job, step, waiting)
                 placed = _place_if_fit(state, job, key, rank_class, waiting, hosts)
+            waiting = waiting[: len(waiting) - state.rack_waits.held(key)]
             if slow.hosts and placed < len(waiting):
                 placed += _place_on_slow(state, job, key, slow)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
@@ -166,7 +168,8 @@
     if hosts.ahead is not None:
         hosts.ahead.begin_step(key, demand)
     placed = _place_tasks(state, job, key, waiting, hosts)
-    if is_usual and placed < len(waiting):
+    held = state.rack_waits.held(key)
+    if is_usual and placed < len(waiting) - held:
         hosts.unfit.record(job.spec.steps[key.step], demand)
     return placed
 
@@ -214,7 +217,10 @@
         allowed = _allowed_hosts(state, job, key, hosts.open)
         place = place_gang if step.is_gang else place_each
         shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
-        placements = place(step, key, unsuspected, allowed, shapes)
+        if hosts.racks is not None and len(unsuspected) == len(waiting):
+            placements = hosts.racks.place(job, key, unsuspected, allowed, shapes)
+        else:
+            placements = place(step, key, unsuspected, allowed, shapes)
         placed += _reserve_runs(state, job, key, placements)
     if suspects:
         allowed = _allowed_hosts(state, job, key, hosts.shared)
@@ -325,6 +331,14 @@
     ]
 
 
+def _smallest_need(
+    ranked: list[tuple[RankClass, Job, list[WaitingStep]]],
+) -> Resources:
+    """Returns the smallest amount of each resource that a waiting task needs."""
+    needs = [step.reserved for _, _, steps in ranked for _, step, _ in steps]
+    return Resources(*map(min, zip(*needs, strict=True))) if needs else NO_RESOURCES
+
+
 def _largest_free(hosts: list[Host]) -> Resources:
     """Returns the largest free amount of each resource on any host."""
     return largest_amounts([host.free for host in hosts])
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -21,7 +21,9 @@
 from .host import Host
 from .host_choice import RecentShapes
 from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
+from .placement import is_far
 from .policy import SchedulingPolicy
+from .rack_waits import RackWaits
 from .reservations import Reservations
 from .run_times import RunTimes
 from .shares import ShareMeter
@@ -58,6 +60,7 @@
         run_times_record: What was learned, for the next batch; empty if it is not due.
         forecaster: Forecast for the entries that accept jobs.
         reservations: Hosts reserved for large tasks that wait.
+        rack_waits: Tasks that wait for the busy rack of their data.
         shapes: Needs of the tasks that arrived last.
         settled: Jobs without a task to start until an event changes them.
         caps: Portions of the teams' caps that the pool holds and uses.
@@ -94,6 +97,7 @@
     run_times_record: bytes = b""
     forecaster: Forecaster = field(default_factory=Forecaster)
     reservations: Reservations = field(default_factory=Reservations)
+    rack_waits: RackWaits = field(default_factory=RackWaits)
     shapes: RecentShapes = field(default_factory=RecentShapes)
     settled: set[JobId] = field(default_factory=set)
     caps: CapTracker = field(init=False)
@@ -174,6 +178,8 @@
         run.is_resumed = task is not None and bool(task.checkpoint)
         host.add(name, step, run)
         self.caps.add(job.spec.team, step.need)
+        if self.policy.weigh_remote_hosts and is_far(step, host):
+            self.rack_waits.remote += 1
         self.mark_dirty(job)
         return run
 
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -22,6 +22,7 @@
 )
 from .forecast import Forecast
 from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
+from .rack_waits import RackStarts, RackWait
 from .reservations import ReservationDropped, Reserved
 from .run_time_events import RunTimeReport, RunTimesRead
 
@@ -380,4 +381,6 @@
     | RunTimeReport
     | Reserved
     | ReservationDropped
+    | RackWait
+    | RackStarts
 )
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -54,6 +54,7 @@
     WatchHost,
 )
 from .policy import SchedulingPolicy
+from .rack_choice import rack_reports
 from .run_time_events import RunTimesRead
 
 if TYPE_CHECKING:
@@ -182,6 +183,7 @@
         stops += state.advice_requests
         state.advice_requests = []
         stops += state.reservations.take_reports()
+        stops += rack_reports(state)
         vacant, state.vacant = state.vacant, vacant_hosts(state)
         is_due = self._is_report_due()
         self._select_expired()
--- a/src/amaranthtray/domain/scheduling/profile.py
+++ b/src/amaranthtray/domain/scheduling/profile.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from .placement import tasks_that_fit
+from .placement import is_far, tasks_that_fit
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -16,7 +16,7 @@
     from ..ids import HostId
     from ..jobs.model import Resources, StepKey, StepSpec
     from ._state import SchedulerState
-    from .host import Host
+    from .host import Host, PlacedRun
 
 UNKNOWN_RUN_MS = 2_500.0
 """Expected remaining time of a run without an estimate."""
@@ -54,13 +54,7 @@
     ends: list[tuple[float, Resources]] = []
     for placed in host.placed_runs():
         if not placed.step.is_lasting:
-            spec = state.jobs[placed.name.job].spec
-            step, run = placed.name.step, placed.run
-            left_ms = state.run_times.remaining(
-                spec, step, run, state.now_ms
-            ).expected_ms
-            if left_ms <= 0:
-                left_ms = _overrun_ms(state, run.started_ms)
+            left_ms = expected_rest_ms(state, host, placed)
             ends.append((state.now_ms + left_ms, placed.step.reserved))
     ends.sort()
     room = host.free
@@ -71,6 +65,19 @@
     return profile
 
 
+def expected_rest_ms(state: SchedulerState, host: Host, placed: PlacedRun) -> float:
+    """Returns the expected time in ms until a run ends; above zero."""
+    (_, _, number, _), step, run = placed
+    spec = state.jobs[placed.name.job].spec
+    left_ms = state.run_times.remaining(spec, number, run, state.now_ms).expected_ms
+    if state.policy.weigh_remote_hosts and is_far(step, host):
+        # Expected run times are those of runs near their data.
+        whole_ms = state.run_times.of_step(spec, number).expected_ms
+        passed_ms = state.now_ms - (run.started_ms or state.now_ms)
+        left_ms = max(left_ms, state.policy.remote_factor * whole_ms - passed_ms)
+    return left_ms if left_ms > 0 else _overrun_ms(state, run.started_ms)
+
+
 def room_at(profile: Sequence[Freed], at_ms: float) -> Resources:
     """Returns the resources that are expected to be free at a time."""
     room = profile[0].room
--- /dev/null
+++ b/src/amaranthtray/domain/scheduling/rack_choice.py
@@ -0,0 +1,278 @@
+"""Whether a task waits for the busy rack of its data or starts in another rack.
+
+The load that this addresses: many jobs want the same rack at once. A task that runs in
+another rack than its data takes longer by a known factor, so that it often ends sooner
+if it waits for the end of a run in the rack. Tasks without a rack must not take the
+room for which others wait.
+
+A task waits only while that is expected to pay: its turn in the rack, after all tasks
+that go before it, comes sooner than the additional time of a remote run is over, and
+early enough for its job. The whole wait is bounded by that additional time, whatever
+the estimates say.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
+
+from ..ids import RackId
+from ..jobs.job import Job
+from ..jobs.model import NO_RACK, StepKey, StepSpec
+from ._rack_turns import RackTurns
+from ._state import SchedulerState
+from .host import Host
+from .placement import Placement, place_each, place_gang
+from .ranking import LATE_FACTOR, slack_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from ..jobs.model import Resources
+    from ._waiting import WaitingStep
+    from .rack_waits import RackReport
+    from .reservations import RankClass
+    from .run_times import RunTime
+
+Ranked: TypeAlias = "Sequence[tuple[RankClass, Job, list[WaitingStep]]]"
+"""Jobs with their waiting steps, in order of rank."""
+
+
+@dataclass(slots=True)
+class _Claim:
+    """Tasks of a step that want turns in the rack of their data."""
+
+    job: Job
+    key: StepKey
+    tasks: int
+
+
+@dataclass(slots=True)
+class RackChoice:
+    """The choice between near and remote hosts during one plan.
+
+    Attributes:
+        state: The scheduler's state.
+        hosts: Hosts of each rack that accept runs.
+        claims: Waiting steps by the rack of their data, in order of rank. A step is
+            removed once its tasks and those before it have their turns.
+    """
+
+    state: SchedulerState
+    hosts: dict[RackId, list[Host]]
+    claims: dict[RackId, list[_Claim]]
+    _turns: dict[RackId, RackTurns] = field(default_factory=dict)
+    _placed: Counter[StepKey] = field(default_factory=Counter)
+
+    def place(
+        self,
+        job: Job,
+        key: StepKey,
+        waiting: list[int],
+        allowed: list[Host],
+        shapes: Sequence[Resources],
+    ) -> list[Placement]:
+        """Places tasks of a step, except those that wait for the rack of their data.
+
+        Args:
+            job: Job of the step.
+            key: The step.
+            waiting: Indices of the tasks to place; none has crashed a host.
+            allowed: Hosts that the step may use.
+            shapes: Needs of large tasks that wait, for which hosts should keep room.
+        """
+        step = job.spec.steps[key.step]
+        if step.is_gang:
+            return place_gang(step, key, waiting, allowed, shapes)
+        if step.fills or step.is_lasting:
+            return place_each(step, key, waiting, allowed, shapes)
+        rack = step.data_rack
+        near = [host for host in allowed if rack and host.info.rack == rack]
+        placements = place_each(step, key, waiting, near, shapes)
+        left = waiting[len(placements) :]
+        remote: list[Placement] = []
+        for wanted in (False, True) if left else ():
+            group = [
+                host
+                for host in allowed
+                if (host.info.rack in self.claims) is wanted
+                and not (rack and host.info.rack == rack)
+            ]
+            remote += place_each(step, key, left[len(remote) :], group, shapes)
+        kept = len(remote)
+        if remote and self._may_wait(job, key, left):
+            kept -= self._hold(job, key, len(left), len(remote))
+        self._record(job, key, placements, remote[:kept])
+        return placements + remote[:kept]
+
+    def _may_wait(self, job: Job, key: StepKey, waiting: list[int]) -> bool:
+        """Returns whether tasks of a step may wait for the rack of their data.
+
+        A copy is to replace a run that is late, the rest of a checkpointed task is
+        unknown, and a ticket of a placement policy expires: these start at once.
+        """
+        rack = job.spec.steps[key.step].data_rack
+        if rack not in self.hosts or self.state.queue_of(job).needs_advice:
+            return False
+        tasks = job.tasks(key.occurrence, key.step)
+        return not any(
+            tasks[number].runs or tasks[number].checkpoint or tasks[number].crashes
+            for number in waiting
+        )
+
+    def _hold(self, job: Job, key: StepKey, waiting: int, free: int) -> int:
+        """Decides how many tasks wait; returns how many of the free places they leave.
+
+        Args:
+            job: Job of the step.
+            key: The step.
+            waiting: Number of its tasks for which the rack has no room now.
+            free: Number of these for which other hosts have room.
+        """
+        state, rack = self.state, job.spec.steps[key.step].data_rack
+        waited_ms = state.rack_waits.waited_ms(key, state.now_ms)
+        most_ms = self._longest_wait_ms(job, key, waited_ms)
+        if most_ms <= 0:
+            return 0
+        self._claim_before(rack, key)
+        turns = self._take(job, key, waiting, most_ms)
+        held = free - (waiting - len(turns))
+        if held <= 0:
+            return 0
+        expected_ms = turns[-1] - state.now_ms
+        state.rack_waits.hold(key, rack, len(turns), expected_ms, state.now_ms)
+        return held
+
+    def _longest_wait_ms(self, job: Job, key: StepKey, waited_ms: int) -> float:
+        """Returns the time within which a turn in the rack is worth the wait.
+
+        A job that would be in time with a remote run waits only if it is in time with
+        the wait as well, for the usual spread of run times.
+        """
+        state = self.state
+        run_time = state.run_times.of_step(job.spec, key.step)
+        longer_ms = _longer_ms(state, run_time)
+        slack_ms = _time_left_ms(state, job)
+        if slack_ms >= longer_ms:
+            slack_ms /= max(run_time.spread, 1.0)
+        return min(longer_ms - waited_ms, slack_ms)
+
+    def _claim_before(self, rack: RackId, key: StepKey) -> None:
+        """Gives turns to the steps that go before a step, and removes that step."""
+        claims = self.claims[rack]
+        while claims:
+            claim = claims.pop(0)
+            if claim.key == key:
+                return
+            count = self._may_start(claim)
+            run_time = self.state.run_times.of_step(claim.job.spec, claim.key.step)
+            longer_ms = _longer_ms(self.state, run_time)
+            if count > 0 and longer_ms > 0:
+                self._take(claim.job, claim.key, count, longer_ms)
+
+    def _may_start(self, claim: _Claim) -> int:
+        """Returns how many tasks of a claim wait and have room in their team's cap."""
+        job, left = claim.job, claim.tasks - self._placed[claim.key]
+        need = job.spec.steps[claim.key.step].need
+        state = self.state
+        return state.caps.count_that_fits(
+            state.catalog, job.spec.team, need, left, is_gang=False
+        )
+
+    def _take(
+        self, job: Job, key: StepKey, count: int, within_ms: float
+    ) -> list[float]:
+        """Takes turns for tasks of a step that come within a time."""
+        step = job.spec.steps[key.step]
+        turns = self._turns.get(step.data_rack)
+        if turns is None:
+            turns = RackTurns(self.state, self.hosts[step.data_rack])
+            self._turns[step.data_rack] = turns
+        run_ms = self.state.run_times.of_step(job.spec, key.step).expected_ms
+        return turns.take(key, step, count, run_ms, self.state.now_ms + within_ms)
+
+    def _record(
+        self, job: Job, key: StepKey, near: list[Placement], remote: list[Placement]
+    ) -> None:
+        """Records the placements of a step."""
+        self.state.rack_waits.record_starts(key, len(near), len(remote))
+        self._placed[key] += len(near) + len(remote)
+        if not self._turns:
+            return
+        step, now_ms = job.spec.steps[key.step], self.state.now_ms
+        run_ms = self.state.run_times.of_step(job.spec, key.step).expected_ms
+        for _, host in [*near, *remote]:
+            turns = self._turns.get(host.info.rack)
+            if turns is not None:
+                turns.occupy(host.info.id, step.reserved, now_ms + run_ms)
+
+
+def choose_racks(
+    state: SchedulerState, hosts: Iterable[Host], ranked: Ranked
+) -> RackChoice | None:
+    """Returns the choice for one plan, or None if no waiting task has a rack.
+
+    Args:
+        state: State of the scheduler.
+        hosts: Hosts that may run tasks of several jobs.
+        ranked: Jobs with waiting tasks in order of rank.
+    """
+    if not state.policy.weigh_remote_hosts:
+        return None
+    claims: dict[RackId, list[_Claim]] = {}
+    for _, job, steps in ranked:
+        for key, step, waiting in steps:
+            if _is_weighed(step):
+                claim = _Claim(job, key, len(waiting))
+                claims.setdefault(step.data_rack, []).append(claim)
+    keys = {claim.key for rack in claims.values() for claim in rack}
+    state.rack_waits.begin_plan(keys)
+    if not claims:
+        return None
+    by_rack: dict[RackId, list[Host]] = {}
+    for host in hosts:
+        if host.info.rack != NO_RACK:
+            by_rack.setdefault(host.info.rack, []).append(host)
+    return RackChoice(state, by_rack, claims)
+
+
+def rack_reports(state: SchedulerState) -> list[RackReport]:
+    """Returns what the last plan decided for the log and the metrics."""
+    reports: list[RackReport] = []
+    for wait in state.rack_waits.take_waits(state.now_ms):
+        seen_ms = [
+            host.seen_ms
+            for host in state.hosts.values()
+            if host.info.rack == wait.rack and host.accepts_runs(state.now_ms)
+        ]
+        if seen_ms:
+            age_ms = state.now_ms - min(seen_ms)
+            reports.append(wait._replace(hosts=len(seen_ms), report_age_ms=age_ms))
+    starts = state.rack_waits.take_starts()
+    return reports if starts is None else [*reports, starts]
+
+
+def _is_weighed(step: StepSpec) -> bool:
+    """Returns whether tasks of a step may wait for the rack of their data."""
+    return step.data_rack != NO_RACK and not (
+        step.is_gang or step.fills or step.is_lasting
+    )
+
+
+def _longer_ms(state: SchedulerState, run_time: RunTime) -> float:
+    """Returns by how much longer a task runs in another rack than its data."""
+    return (state.policy.remote_factor - 1) * run_time.expected_ms
+
+
+def _time_left_ms(state: SchedulerState, job: Job) -> float:
+    """Returns the time for which a job may wait before it is less timely."""
+    if any(step.is_lasting for step in job.spec.steps):
+        return math.inf
+    slack_ms, objective_ms = slack_of(
+        job, state.queue_of(job), state.wall_ms, state.run_times
+    )
+    if slack_ms < 0:
+        slack_ms += (LATE_FACTOR - 1) * objective_ms
+    return slack_ms if slack_ms >= 0 else math.inf
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -100,15 +100,12 @@
     spec = job.spec
     if any(step.is_lasting for step in spec.steps):
         return Rank(-1, Timeliness.IN_TIME, False, spec.accepted_ms - wall_ms)
-    occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
-    begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
-    (total_ms, core_ms), lengths_ms = _expected(job, run_times)
-    objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
-    done = {
-        step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
-    }
-    left_ms = critical_path_ms(spec.steps, done, lengths_ms) if done else total_ms
-    slack_ms = objective_ms - (wall_ms - begun_ms + left_ms)
+    occurrence = _occurrence(job)
+    estimate, lengths_ms = _expected(job, run_times)
+    core_ms = estimate.core_ms
+    slack_ms, objective_ms = _slack(
+        job, queue, wall_ms, occurrence, estimate.critical_path_ms, lengths_ms
+    )
     slack = slack_ms / max(objective_ms, 1.0)
     has_not_begun = not job.has_begun(occurrence)
     if slack >= (START_MARGIN if has_not_begun else 0.0):
@@ -118,3 +115,44 @@
     late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
     timeliness = Timeliness.LATE if late_slack_ms >= 0 else Timeliness.TOO_LATE
     return Rank(queue.priority, timeliness, False, late_slack_ms)
+
+
+def slack_of(
+    job: Job, queue: JobQueue, wall_ms: int, run_times: RunTimes | None = None
+) -> tuple[float, float]:
+    """Returns the time for which a job can wait and end in time, and its objective.
+
+    Args:
+        job: The job; none of its tasks is lasting.
+        queue: Queue to which it was submitted.
+        wall_ms: Wall-clock time.
+        run_times: Expected run times; None to use only what the caller declared.
+    """
+    occurrence = _occurrence(job)
+    estimate, lengths_ms = _expected(job, run_times)
+    total_ms = estimate.critical_path_ms
+    return _slack(job, queue, wall_ms, occurrence, total_ms, lengths_ms)
+
+
+def _slack(
+    job: Job,
+    queue: JobQueue,
+    wall_ms: int,
+    occurrence: int,
+    total_ms: float,
+    lengths_ms: list[float] | None,
+) -> tuple[float, float]:
+    """Returns the slack and the objective for a critical path of ``total_ms``."""
+    spec = job.spec
+    begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
+    objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
+    done = {
+        step for step in range(len(spec.steps)) if job.is_step_done(occurrence, step)
+    }
+    left_ms = critical_path_ms(spec.steps, done, lengths_ms) if done else total_ms
+    return objective_ms - (wall_ms - begun_ms + left_ms), objective_ms
+
+
+def _occurrence(job: Job) -> int:
+    """Returns the first occurrence that is not over."""
+    return next((k for k in range(job.occurrences) if k not in job.past), 0)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -37,6 +37,7 @@
 )
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
+from ..domain.scheduling.rack_waits import RackStarts, RackWait
 from ..domain.scheduling.reservations import ReservationDropped, Reserved
 from ..domain.scheduling.run_time_events import RunTimeReport
 from . import clock
@@ -47,6 +48,7 @@
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .loss_log import LossLog
+from .rack_log import record_rack_report
 from .record_writer import RecordWriter
 from .reservation_log import record_reservation
 from .run_time_log import RunTimeLog
@@ -79,6 +81,8 @@
         learn_run_times=section.learn_run_times,
         refuse_late_jobs=section.refuse_late_jobs,
         look_ahead=section.look_ahead,
+        weigh_remote_hosts=section.weigh_remote_hosts,
+        remote_factor=section.remote_factor,
     )
 
 
@@ -307,6 +311,9 @@
                 case Reserved() | ReservationDropped():
                     term = self._guard.term
                     record_reservation(self._context, self.pool, term, effect)
+                case RackWait() | RackStarts():
+                    term = self._guard.term
+                    record_rack_report(self._context, self.pool, term, effect)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -20,6 +20,7 @@
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 PositiveNumber = Annotated[float, Meta(gt=0)]
 Millis = Annotated[int, Meta(ge=1)]
+RemoteFactor = Annotated[float, Meta(ge=1, le=1_000)]
 
 
 class EntrySection(Struct, frozen=True, kw_only=True):
@@ -126,11 +127,17 @@
         learn_run_times: Whether run times are learned from the runs that ended.
         refuse_late_jobs: Whether jobs that can't end early enough are refused.
         look_ahead: Whether placement reserves hosts for tasks that wait for room.
+        weigh_remote_hosts: Whether tasks wait for the busy rack of their data where
+            they end sooner so than in another rack.
+        remote_factor: Run time of a task in another rack than that of its data, as a
+            multiple of its run time there.
     """
 
     learn_run_times: bool = False
     refuse_late_jobs: bool = False
     look_ahead: bool = False
+    weigh_remote_hosts: bool = False
+    remote_factor: RemoteFactor = 2.0
 
 
 class JobEntrySettings(Struct, frozen=True, kw_only=True):
