--- a/src/amaranthtray/bench/_planning_pool.py
+++ b/src/amaranthtray/bench/_planning_pool.py
@@ -7,7 +7,7 @@
 
 from ..domain.ids import HostId, PoolName, QueueName, RackId, TeamName, ZoneId
 from ..domain.jobs.catalog import Catalog, JobPool, JobQueue, JobTeam
-from ..domain.jobs.model import JobId, JobSpec, Resources, StepSpec, TaskName
+from ..domain.jobs.model import NO_RACK, JobId, JobSpec, Resources, StepSpec, TaskName
 from ..domain.jobs.task import RunOutcome
 from ..domain.scheduling.messages import (
     BatchStored,
@@ -33,6 +33,7 @@
 TASKS_PER_JOB = 4
 LARGE_EVERY = 10
 """One of so many jobs has large tasks."""
+HOSTS_PER_RACK = 20
 TICK_MS = 20
 ENDS_PER_HOST_AND_S = 8
 """Runs that end on a full host in a second, of tasks of about a second."""
@@ -45,15 +46,29 @@
         hosts: Number of hosts.
         waiting: Number of tasks that wait.
         look_ahead: Whether the policy has reservations.
+        weigh_remote_hosts: Whether tasks may wait for the rack of their data.
+        has_data: Whether half of the jobs have their data in a rack, and half of these
+            in the same one.
     """
 
-    def __init__(self, hosts: int, waiting: int, *, look_ahead: bool) -> None:
+    def __init__(
+        self,
+        hosts: int,
+        waiting: int,
+        *,
+        look_ahead: bool,
+        weigh_remote_hosts: bool = False,
+        has_data: bool = False,
+    ) -> None:
         self._rng = random.Random(1)
         self._hosts, self._waiting = hosts, waiting
         self._now_ms, self._jobs = 0, 0
         self._running: list[StartRun] = []
         self._sequences: dict[HostId, int] = {}
-        policy = SchedulingPolicy(look_ahead=look_ahead)
+        self._has_data = has_data
+        policy = SchedulingPolicy(
+            look_ahead=look_ahead, weigh_remote_hosts=weigh_remote_hosts
+        )
         self.scheduler = PoolScheduler(POOL, _catalog(), 0, policy=policy)
         ids = [HostId(f"h{number:04}") for number in range(hosts)]
         self._send(HostsListed(tuple(map(_host, ids))))
@@ -89,16 +104,26 @@
         need = Resources(min(sizes[0], 40_000), min(sizes[1], 82_000), 0)
         length_ms = int(1_000 * self._rng.lognormvariate(-0.1, 0.5))
         count = 1 if is_large else TASKS_PER_JOB
+        step = StepSpec(
+            count=count, need=need, estimated_ms=length_ms, data_rack=self._data_rack()
+        )
         spec = JobSpec(
             id=JobId(f"{self._jobs:016x}"),
             queue=QUEUE,
             team=TEAM,
             payload="",
-            steps=(StepSpec(count=count, need=need, estimated_ms=length_ms),),
+            steps=(step,),
             accepted_ms=self._now_ms,
         )
         self._send(JobFound(spec))
 
+    def _data_rack(self) -> RackId:
+        """Returns the rack of the next job's data; every second job has none."""
+        number = self._jobs // 2
+        if not self._has_data or self._jobs % 2:
+            return NO_RACK
+        return _rack(0 if number % 2 else number * HOSTS_PER_RACK % self._hosts)
+
     def _end(self, order: StartRun) -> None:
         sequence = self._sequences.get(order.host, 0) + 1
         self._sequences[order.host] = sequence
@@ -140,7 +165,11 @@
     )
 
 
+def _rack(number: int) -> RackId:
+    """Returns the rack of the host with a number."""
+    return RackId(f"r{number // HOSTS_PER_RACK}")
+
+
 def _host(host: HostId) -> HostInfo:
-    return HostInfo(
-        id=host, address="", zone=ZoneId("z"), rack=RackId("r"), capacity=CAPACITY
-    )
+    rack = _rack(int(host[1:]))
+    return HostInfo(id=host, address="", zone=ZoneId("z"), rack=rack, capacity=CAPACITY)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -76,6 +76,9 @@
         ("[store]", "[stor]", "stor"),
         ("link_mbps = 5.0", "link_mbps = 0", "link_mbps"),
         ("[entry]", "[entry", "line"),
+        ("[entry]", "[scheduling]\nremote_factor = 0.9\n[entry]", ">= 1"),
+        ("[entry]", "[scheduling]\nremote_factor = inf\n[entry]", "remote_factor"),
+        ("[entry]", "[scheduling]\nremote_factor = nan\n[entry]", "remote_factor"),
     ],
 )
 def test_invalid_settings_are_refused_with_name_and_place(
--- a/tests/scheduling/load.py
+++ b/tests/scheduling/load.py
@@ -233,6 +233,14 @@
         """Requests that hosts be emptied."""
         self._send(VacateRequested(hosts))
 
+    def rack_of(self, host: HostId) -> RackId:
+        """Returns the rack of a host."""
+        return RackId("r")
+
+    def length_ms(self, order: StartRun) -> int:
+        """Returns the true duration of a run."""
+        return self.jobs[order.name.job].lengths_ms[order.name.step]
+
     def _submit(self, job: Submitted) -> None:
         self.jobs[job.spec.id] = job
         self.time.after(STORE_MS, lambda: self._send(JobFound(job.spec)))
@@ -243,7 +251,7 @@
                 id=host,
                 address="",
                 zone=ZoneId(host[0]),
-                rack=RackId("r"),
+                rack=self.rack_of(host),
                 capacity=self.capacity,
             )
             for host in self.hosts
@@ -267,7 +275,7 @@
         self._send(BatchStored(batch.batch))
 
     def _start(self, order: StartRun) -> None:
-        length_ms = self.jobs[order.name.job].lengths_ms[order.name.step]
+        length_ms = self.length_ms(order)
         self.hosts[order.host][order.name] = order.number
         self.time.after(length_ms, lambda: self._finish(order))
         outcome, now_ms = StartOutcome.STARTED, self.time.now_ms
