--- a/src/amaranthtray/domain/scheduling/_rack_turns.py
+++ b/src/amaranthtray/domain/scheduling/_rack_turns.py
@@ -23,10 +23,19 @@
 
 
 class _End(NamedTuple):
-    """Expected end of a run on one of the rack's hosts."""
+    """Expected end of a run on one of the rack's hosts.
+
+    Attributes:
+        at_ms: Steady-clock time.
+        index: Place of the host in the rack.
+        following: Place of the host's next end among its known ends; 0 for a run that
+            the plan has placed.
+        freed: Resources that become free.
+    """
 
     at_ms: float
     index: int
+    following: int
     freed: Resources
 
 
@@ -61,10 +70,11 @@
         now_ms = float(state.now_ms)
         self._rooms = [_HostRoom(host, host.room, now_ms) for host in hosts]
         self._indices = {host.info.id: index for index, host in enumerate(hosts)}
+        self._known = [expected_ends(state, host) for host in hosts]
         self._ends = [
-            _End(max(at_ms, now_ms), index, freed)
-            for index, host in enumerate(hosts)
-            for at_ms, freed in expected_ends(state, host)
+            _End(ends[0][0], index, 1, ends[0][1])
+            for index, ends in enumerate(self._known)
+            if ends
         ]
         heapq.heapify(self._ends)
         self._unmet: list[_Unmet] = []
@@ -80,7 +90,7 @@
         index = self._indices.get(host)
         if index is not None:
             self._rooms[index].room = self._rooms[index].room.minus(need)
-            heapq.heappush(self._ends, _End(ends_ms, index, need))
+            heapq.heappush(self._ends, _End(ends_ms, index, 0, need))
 
     def take(
         self, key: StepKey, step: StepSpec, count: int, run_ms: float, until_ms: float
@@ -106,15 +116,25 @@
             if room.at_ms < until_ms:
                 self._fill(room, key, step, run_ms, count, turns, taken)
         while len(turns) < count and self._ends and self._ends[0].at_ms < until_ms:
-            end = heapq.heappop(self._ends)
-            room = self._rooms[end.index]
-            room.room = room.room.plus(end.freed)
-            room.at_ms = max(room.at_ms, end.at_ms)
+            room = self._end_next()
             self._fill(room, key, step, run_ms, count, turns, taken)
         if len(turns) < count and not (step.required_label or step.max_per_host):
             self._unmet.append(_Unmet(need, until_ms))
         return sorted(turns)
 
+    def _end_next(self) -> _HostRoom:
+        """Counts the next end; returns its host, which has more room from then on."""
+        end = heapq.heappop(self._ends)
+        known = self._known[end.index]
+        if 0 < end.following < len(known):
+            at_ms, freed = known[end.following]
+            following = _End(at_ms, end.index, end.following + 1, freed)
+            heapq.heappush(self._ends, following)
+        room = self._rooms[end.index]
+        room.room = room.room.plus(end.freed)
+        room.at_ms = max(room.at_ms, end.at_ms)
+        return room
+
     def _fill(
         self,
         room: _HostRoom,
@@ -136,14 +156,16 @@
             most = min(most, step.max_per_host - placed)
         while most > 0 and step.reserved.fits(room.room):
             room.room = room.room.minus(step.reserved)
-            heapq.heappush(self._ends, _End(room.at_ms + run_ms, index, step.reserved))
+            heapq.heappush(
+                self._ends, _End(room.at_ms + run_ms, index, 0, step.reserved)
+            )
             turns.append(room.at_ms)
             taken[index] += 1
             most -= 1
 
 
 def expected_ends(state: SchedulerState, host: Host) -> list[tuple[float, Resources]]:
-    """Returns when the runs of a host end, as expected, and what each frees.
+    """Returns when the runs of a host end, as expected, and what each frees, in order.
 
     Lasting runs don't end.
     """
@@ -152,10 +174,10 @@
     is_known = known is not None and known.used is host.used
     if is_known and state.now_ms - known.computed_ms < REFRESH_MS:
         return known.ends
-    ends = [
+    ends = sorted(
         (state.now_ms + expected_rest_ms(state, host, placed), placed.step.reserved)
         for placed in host.placed_runs()
         if not placed.step.is_lasting
-    ]
+    )
     waits.ends[host.info.id] = KnownEnds(host.used, state.now_ms, ends)
     return ends
--- a/src/amaranthtray/domain/scheduling/rack_choice.py
+++ b/src/amaranthtray/domain/scheduling/rack_choice.py
@@ -88,24 +88,49 @@
             return place_gang(step, key, waiting, allowed, shapes)
         if step.fills or step.is_lasting:
             return place_each(step, key, waiting, allowed, shapes)
-        rack = step.data_rack
-        near = [host for host in allowed if rack and host.info.rack == rack]
+        near, others = [], []
+        for host in allowed:
+            is_near = step.data_rack and host.info.rack == step.data_rack
+            (near if is_near else others).append(host)
         placements = place_each(step, key, waiting, near, shapes)
         left = waiting[len(placements) :]
         remote: list[Placement] = []
-        for wanted in (False, True) if left else ():
-            group = [
-                host
-                for host in allowed
-                if (host.info.rack in self.claims) is wanted
-                and not (rack and host.info.rack == rack)
-            ]
-            remote += place_each(step, key, left[len(remote) :], group, shapes)
-        kept = len(remote)
-        if remote and self._may_wait(job, key, left):
-            kept -= self._hold(job, key, len(left), len(remote))
-        self._record(job, key, placements, remote[:kept])
-        return placements + remote[:kept]
+        if left:
+            may_wait = self._may_wait(job, key, left) and _has_room(step, others)
+            turns = self._take_turns(job, key, len(left)) if may_wait else []
+            remote = self._place_remote(key, step, left, others, shapes, turns)
+        self._record(job, key, placements, remote)
+        return placements + remote
+
+    def _place_remote(
+        self,
+        key: StepKey,
+        step: StepSpec,
+        left: list[int],
+        others: list[Host],
+        shapes: Sequence[Resources],
+        turns: list[float],
+    ) -> list[Placement]:
+        """Places the tasks without a turn; holds back the others if one has room.
+
+        Racks for which tasks wait go last.
+        """
+        count = len(left) - len(turns)
+        if not count and not step.max_per_host:
+            self._hold(key, step, turns)
+            return []
+        tried = left[: count + 1]
+        remote: list[Placement] = []
+        for is_wanted in (False, True):
+            group = [each for each in others if self._is_wanted(each) is is_wanted]
+            remote += place_each(step, key, tried[len(remote) :], group, shapes)
+        if len(remote) > count:
+            self._hold(key, step, turns)
+        return remote[:count]
+
+    def _is_wanted(self, host: Host) -> bool:
+        """Returns whether tasks wait for the rack of a host."""
+        return host.info.rack in self.claims
 
     def _may_wait(self, job: Job, key: StepKey, waiting: list[int]) -> bool:
         """Returns whether tasks of a step may wait for the rack of their data.
@@ -122,28 +147,28 @@
             for number in waiting
         )
 
-    def _hold(self, job: Job, key: StepKey, waiting: int, free: int) -> int:
-        """Decides how many tasks wait; returns how many of the free places they leave.
+    def _take_turns(self, job: Job, key: StepKey, waiting: int) -> list[float]:
+        """Takes the turns in the rack that are worth a wait; returns their times.
 
         Args:
             job: Job of the step.
             key: The step.
             waiting: Number of its tasks for which the rack has no room now.
-            free: Number of these for which other hosts have room.
         """
-        state, rack = self.state, job.spec.steps[key.step].data_rack
+        state = self.state
         waited_ms = state.rack_waits.waited_ms(key, state.now_ms)
         most_ms = self._longest_wait_ms(job, key, waited_ms)
         if most_ms <= 0:
-            return 0
-        self._claim_before(rack, key)
-        turns = self._take(job, key, waiting, most_ms)
-        held = free - (waiting - len(turns))
-        if held <= 0:
-            return 0
-        expected_ms = turns[-1] - state.now_ms
-        state.rack_waits.hold(key, rack, len(turns), expected_ms, state.now_ms)
-        return held
+            return []
+        self._claim_before(job.spec.steps[key.step].data_rack, key)
+        return self._take(job, key, waiting, most_ms)
+
+    def _hold(self, key: StepKey, step: StepSpec, turns: list[float]) -> None:
+        """Holds back the tasks that have a turn."""
+        now_ms = self.state.now_ms
+        self.state.rack_waits.hold(
+            key, step.data_rack, len(turns), turns[-1] - now_ms, now_ms
+        )
 
     def _longest_wait_ms(self, job: Job, key: StepKey, waited_ms: int) -> float:
         """Returns the time within which a turn in the rack is worth the wait.
@@ -261,6 +286,15 @@
     )
 
 
+def _has_room(step: StepSpec, hosts: list[Host]) -> bool:
+    """Returns whether one of some hosts has room for a task of a step now."""
+    need, label = step.reserved, step.required_label
+    return any(
+        need.fits(host.room) and (not label or label in host.info.labels)
+        for host in hosts
+    )
+
+
 def _longer_ms(state: SchedulerState, run_time: RunTime) -> float:
     """Returns by how much longer a task runs in another rack than its data."""
     return (state.policy.remote_factor - 1) * run_time.expected_ms
