--- a/src/amaranthtray/domain/scheduling/_rack_turns.py
+++ b/src/amaranthtray/domain/scheduling/_rack_turns.py
@@ -27,14 +27,14 @@
 
     Attributes:
         at_ms: Steady-clock time.
-        index: Place of the host in the rack.
+        place: Place of the host in the rack.
         following: Place of the host's next end among its known ends; 0 for a run that
             the plan has placed.
         freed: Resources that become free.
     """
 
     at_ms: float
-    index: int
+    place: int
     following: int
     freed: Resources
 
@@ -125,12 +125,12 @@
     def _end_next(self) -> _HostRoom:
         """Counts the next end; returns its host, which has more room from then on."""
         end = heapq.heappop(self._ends)
-        known = self._known[end.index]
+        known = self._known[end.place]
         if 0 < end.following < len(known):
             at_ms, freed = known[end.following]
-            following = _End(at_ms, end.index, end.following + 1, freed)
+            following = _End(at_ms, end.place, end.following + 1, freed)
             heapq.heappush(self._ends, following)
-        room = self._rooms[end.index]
+        room = self._rooms[end.place]
         room.room = room.room.plus(end.freed)
         room.at_ms = max(room.at_ms, end.at_ms)
         return room
@@ -171,8 +171,11 @@
     """
     waits = state.rack_waits
     known = waits.ends.get(host.info.id)
-    is_known = known is not None and known.used is host.used
-    if is_known and state.now_ms - known.computed_ms < REFRESH_MS:
+    if (
+        known is not None
+        and known.used is host.used
+        and state.now_ms - known.computed_ms < REFRESH_MS
+    ):
         return known.ends
     ends = sorted(
         (state.now_ms + expected_rest_ms(state, host, placed), placed.step.reserved)
--- a/src/amaranthtray/domain/scheduling/rack_choice.py
+++ b/src/amaranthtray/domain/scheduling/rack_choice.py
@@ -88,7 +88,8 @@
             return place_gang(step, key, waiting, allowed, shapes)
         if step.fills or step.is_lasting:
             return place_each(step, key, waiting, allowed, shapes)
-        near, others = [], []
+        near: list[Host] = []
+        others: list[Host] = []
         for host in allowed:
             is_near = step.data_rack and host.info.rack == step.data_rack
             (near if is_near else others).append(host)
@@ -155,13 +156,12 @@
             key: The step.
             waiting: Number of its tasks for which the rack has no room now.
         """
-        state = self.state
-        waited_ms = state.rack_waits.waited_ms(key, state.now_ms)
-        most_ms = self._longest_wait_ms(job, key, waited_ms)
-        if most_ms <= 0:
+        run_time = self.state.run_times.of_step(job.spec, key.step)
+        longer_ms = _longer_ms(self.state, run_time)
+        if self.state.rack_waits.waited_ms(key, self.state.now_ms) >= longer_ms:
             return []
         self._claim_before(job.spec.steps[key.step].data_rack, key)
-        return self._take(job, key, waiting, most_ms)
+        return self._take(job, key, waiting, self._longest_wait_ms(job, run_time))
 
     def _hold(self, key: StepKey, step: StepSpec, turns: list[float]) -> None:
         """Holds back the tasks that have a turn."""
@@ -170,19 +170,17 @@
             key, step.data_rack, len(turns), turns[-1] - now_ms, now_ms
         )
 
-    def _longest_wait_ms(self, job: Job, key: StepKey, waited_ms: int) -> float:
-        """Returns the time within which a turn in the rack is worth the wait.
+    def _longest_wait_ms(self, job: Job, run_time: RunTime) -> float:
+        """Returns the time within which a turn in the rack is worth a wait.
 
         A job that would be in time with a remote run waits only if it is in time with
         the wait as well, for the usual spread of run times.
         """
-        state = self.state
-        run_time = state.run_times.of_step(job.spec, key.step)
-        longer_ms = _longer_ms(state, run_time)
-        slack_ms = _time_left_ms(state, job)
+        longer_ms = _longer_ms(self.state, run_time)
+        slack_ms = _time_left_ms(self.state, job)
         if slack_ms >= longer_ms:
             slack_ms /= max(run_time.spread, 1.0)
-        return min(longer_ms - waited_ms, slack_ms)
+        return min(longer_ms, slack_ms)
 
     def _claim_before(self, rack: RackId, key: StepKey) -> None:
         """Gives turns to the steps that go before a step, and removes that step."""
