--- a/src/amaranthtray/domain/scheduling/_rack_turns.py
+++ b/src/amaranthtray/domain/scheduling/_rack_turns.py
@@ -14,12 +14,12 @@
 
 if TYPE_CHECKING:
     from ..ids import HostId
-    from ..jobs.model import StepKey, StepSpec
+    from ..jobs.model import StepKey, StepSpec, TaskName
     from ._state import SchedulerState
 
 REFRESH_MS = 100
-"""Time for which the expected ends of a host's runs are kept while its runs stay the
-same: short against waits of a run's length, and long enough for several plans."""
+"""Time for which the expected ends of a host's runs are kept: short against waits of a
+run's length, and long enough for several plans."""
 
 
 class _End(NamedTuple):
@@ -169,18 +169,23 @@
 
     Lasting runs don't end.
     """
-    waits = state.rack_waits
-    known = waits.ends.get(host.info.id)
-    if (
-        known is not None
-        and known.used is host.used
-        and state.now_ms - known.computed_ms < REFRESH_MS
-    ):
-        return known.ends
-    ends = sorted(
-        (state.now_ms + expected_rest_ms(state, host, placed), placed.step.reserved)
-        for placed in host.placed_runs()
-        if not placed.step.is_lasting
-    )
-    waits.ends[host.info.id] = KnownEnds(host.used, state.now_ms, ends)
+    known = state.rack_waits.ends.get(host.info.id)
+    computed_ms, earlier = state.now_ms, {}
+    if known is not None and state.now_ms - known.computed_ms < REFRESH_MS:
+        if known.used is host.used:
+            return known.ends
+        computed_ms, earlier = known.computed_ms, known.by_run
+    by_run: dict[tuple[TaskName, int], float] = {}
+    ends: list[tuple[float, Resources]] = []
+    for placed in host.placed_runs():
+        if not placed.step.is_lasting:
+            run = placed.name, placed.run.number
+            at_ms = earlier.get(run)
+            if at_ms is None:
+                at_ms = state.now_ms + expected_rest_ms(state, host, placed)
+            by_run[run] = at_ms
+            ends.append((at_ms, placed.step.reserved))
+    ends.sort()
+    known = KnownEnds(host.used, computed_ms, ends, by_run)
+    state.rack_waits.ends[host.info.id] = known
     return ends
--- a/src/amaranthtray/domain/scheduling/rack_choice.py
+++ b/src/amaranthtray/domain/scheduling/rack_choice.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import Counter
 from dataclasses import dataclass, field
@@ -28,7 +29,7 @@
 from .ranking import LATE_FACTOR, slack_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from ..jobs.model import Resources
     from ._waiting import WaitingStep
@@ -65,6 +66,10 @@
     claims: dict[RackId, list[_Claim]]
     _turns: dict[RackId, RackTurns] = field(default_factory=dict)
     _placed: Counter[StepKey] = field(default_factory=Counter)
+    _allowed: list[Host] | None = None
+    _unwanted: list[Host] = field(default_factory=list)
+    _wanted: list[Host] = field(default_factory=list)
+    _wanted_by_rack: dict[RackId, list[Host]] = field(default_factory=dict)
 
     def place(
         self,
@@ -88,27 +93,37 @@
             return place_gang(step, key, waiting, allowed, shapes)
         if step.fills or step.is_lasting:
             return place_each(step, key, waiting, allowed, shapes)
-        near: list[Host] = []
-        others: list[Host] = []
-        for host in allowed:
-            is_near = step.data_rack and host.info.rack == step.data_rack
-            (near if is_near else others).append(host)
+        self._split(allowed)
+        near = self._wanted_by_rack.get(step.data_rack, [])
         placements = place_each(step, key, waiting, near, shapes)
         left = waiting[len(placements) :]
         remote: list[Placement] = []
         if left:
-            may_wait = self._may_wait(job, key, left) and _has_room(step, others)
+            may_wait = self._may_wait(job, key, left) and self._has_room(step)
             turns = self._take_turns(job, key, len(left)) if may_wait else []
-            remote = self._place_remote(key, step, left, others, shapes, turns)
+            remote = self._place_remote(key, step, left, shapes, turns)
         self._record(job, key, placements, remote)
         return placements + remote
 
+    def _split(self, allowed: list[Host]) -> None:
+        """Splits the hosts that a step may use by whether tasks wait for their rack."""
+        if allowed is self._allowed:
+            return
+        self._allowed, self._unwanted, self._wanted = allowed, [], []
+        self._wanted_by_rack = {}
+        for host in allowed:
+            rack = host.info.rack
+            if rack in self.claims:
+                self._wanted.append(host)
+                self._wanted_by_rack.setdefault(rack, []).append(host)
+            else:
+                self._unwanted.append(host)
+
     def _place_remote(
         self,
         key: StepKey,
         step: StepSpec,
         left: list[int],
-        others: list[Host],
         shapes: Sequence[Resources],
         turns: list[float],
     ) -> list[Placement]:
@@ -121,17 +136,26 @@
             self._hold(key, step, turns)
             return []
         tried = left[: count + 1]
-        remote: list[Placement] = []
-        for is_wanted in (False, True):
-            group = [each for each in others if self._is_wanted(each) is is_wanted]
+        remote = place_each(step, key, tried, self._unwanted, shapes)
+        if len(remote) < len(tried):
+            group = list(self._wanted_elsewhere(step))
             remote += place_each(step, key, tried[len(remote) :], group, shapes)
         if len(remote) > count:
             self._hold(key, step, turns)
         return remote[:count]
 
-    def _is_wanted(self, host: Host) -> bool:
-        """Returns whether tasks wait for the rack of a host."""
-        return host.info.rack in self.claims
+    def _wanted_elsewhere(self, step: StepSpec) -> Iterator[Host]:
+        """Yields the hosts of other racks than a step's for which tasks wait."""
+        rack = step.data_rack
+        return (host for host in self._wanted if not rack or host.info.rack != rack)
+
+    def _has_room(self, step: StepSpec) -> bool:
+        """Returns whether a host in another rack has room for a task now."""
+        need, label = step.reserved, step.required_label
+        return any(
+            need.fits(host.room) and (not label or label in host.info.labels)
+            for host in itertools.chain(self._unwanted, self._wanted_elsewhere(step))
+        )
 
     def _may_wait(self, job: Job, key: StepKey, waiting: list[int]) -> bool:
         """Returns whether tasks of a step may wait for the rack of their data.
@@ -284,15 +308,6 @@
     )
 
 
-def _has_room(step: StepSpec, hosts: list[Host]) -> bool:
-    """Returns whether one of some hosts has room for a task of a step now."""
-    need, label = step.reserved, step.required_label
-    return any(
-        need.fits(host.room) and (not label or label in host.info.labels)
-        for host in hosts
-    )
-
-
 def _longer_ms(state: SchedulerState, run_time: RunTime) -> float:
     """Returns by how much longer a task runs in another rack than its data."""
     return (state.policy.remote_factor - 1) * run_time.expected_ms
--- a/src/amaranthtray/domain/scheduling/rack_waits.py
+++ b/src/amaranthtray/domain/scheduling/rack_waits.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from ..ids import HostId, RackId
-from ..jobs.model import Resources, StepKey
+from ..jobs.model import Resources, StepKey, TaskName
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -61,12 +61,14 @@
     Attributes:
         used: Resources of these runs; a new object for each change.
         computed_ms: Steady-clock time of the computation.
-        ends: Steady-clock time of each end, and the resources that it frees.
+        ends: Steady-clock time of each end, and the resources that it frees, in order.
+        by_run: Steady-clock time of the end of each run.
     """
 
     used: Resources
     computed_ms: int
     ends: list[tuple[float, Resources]]
+    by_run: dict[tuple[TaskName, int], float]
 
 
 @dataclass(slots=True)
