--- a/tests/scheduling/test_rack_choice.py
+++ b/tests/scheduling/test_rack_choice.py
@@ -27,8 +27,6 @@
 if TYPE_CHECKING:
     from amaranthtray.domain.jobs.catalog import Catalog
 
-OFF = SchedulingPolicy()
-SEEDS = (1, 2, 3)
 OTHERS_MAY_LOSE = 0.02
 """Share of the jobs without a rack that may be late because others wait for a rack."""
 
@@ -87,11 +85,21 @@
     return sum(getattr(each, field) for each in outcomes) / len(outcomes)
 
 
-@pytest.mark.parametrize("multiple", [0.8, 1.0, 1.5])
-def test_more_tasks_run_near_their_data_and_no_others_suffer(multiple: float) -> None:
-    """Load: 12 s of jobs that want one rack of three, beside jobs without a rack."""
+@pytest.mark.parametrize(
+    ("multiple", "error", "others"),
+    [(0.8, 0.5, False), (1.0, 0.5, False), (1.5, 0.5, False), (1.0, 0.9, True)],
+)
+def test_more_tasks_run_near_their_data_and_no_others_suffer(
+    multiple: float, error: float, others: bool
+) -> None:
+    """Load: 12 s of jobs that want one rack of three, beside jobs without a rack.
+
+    The last one has poor estimates, learned run times and reservations as well.
+    """
+    base = SchedulingPolicy(learn_run_times=others, look_ahead=others)
     old, new = (
-        [play(seed, multiple, policy) for seed in SEEDS] for policy in (OFF, WEIGH)
+        [play(seed, multiple, policy, error) for seed in (1, 2, 3)]
+        for policy in (base, replace(base, weigh_remote_hosts=True))
     )
     assert mean(new, "remote") <= 0.9 * mean(old, "remote")
     assert mean(new, "run_ms") < mean(old, "run_ms")
@@ -100,29 +108,10 @@
     assert mean(new, "other_s") <= 1.02 * mean(old, "other_s")
 
 
-def test_the_choice_works_beside_the_other_decisions() -> None:
-    """Load: the same with learned run times, reservations and poor estimates."""
-    old, new = (
-        [
-            play(
-                seed,
-                1.0,
-                replace(policy, learn_run_times=True, look_ahead=True),
-                error=0.9,
-            )
-            for seed in SEEDS
-        ]
-        for policy in (OFF, WEIGH)
-    )
-    assert mean(new, "remote") < mean(old, "remote")
-    assert mean(new, "near") >= mean(old, "near")
-    assert mean(new, "other") >= mean(old, "other") - OTHERS_MAY_LOSE
-
-
 def test_plans_do_not_differ_where_no_task_has_a_rack() -> None:
     """Load: 3 s of 1.5 times the capacity by tasks without a rack."""
     ends = []
-    for policy in (OFF, WEIGH):
+    for policy in (SchedulingPolicy(), WEIGH):
         pool = RackPool(load.Timeline(), 1, policy=policy)
         pool.add_hosts(*(HostId(f"r{n % 2}-{n}") for n in range(6)))
         pool.submit_bursts(load.Burst(0, 3_000, 9.0))
