--- a/src/amaranthtray/domain/scheduling/rack_choice.py
+++ b/src/amaranthtray/domain/scheduling/rack_choice.py
@@ -15,7 +15,7 @@
 
 import itertools
 import math
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -63,7 +63,7 @@
 
     state: SchedulerState
     hosts: dict[RackId, list[Host]]
-    claims: dict[RackId, list[_Claim]]
+    claims: dict[RackId, deque[_Claim]]
     _turns: dict[RackId, RackTurns] = field(default_factory=dict)
     _placed: Counter[StepKey] = field(default_factory=Counter)
     _allowed: list[Host] | None = None
@@ -210,7 +210,7 @@
         """Gives turns to the steps that go before a step, and removes that step."""
         claims = self.claims[rack]
         while claims:
-            claim = claims.pop(0)
+            claim = claims.popleft()
             if claim.key == key:
                 return
             count = self._may_start(claim)
@@ -268,14 +268,14 @@
     """
     if not state.policy.weigh_remote_hosts:
         return None
-    claims: dict[RackId, list[_Claim]] = {}
+    claims: dict[RackId, deque[_Claim]] = {}
     for _, job, steps in ranked:
         for key, step, waiting in steps:
             if _is_weighed(step):
                 claim = _Claim(job, key, len(waiting))
-                claims.setdefault(step.data_rack, []).append(claim)
+                claims.setdefault(step.data_rack, deque()).append(claim)
     keys = {claim.key for rack in claims.values() for claim in rack}
-    state.rack_waits.begin_plan(keys)
+    state.rack_waits.begin_plan(keys, state.hosts)
     if not claims:
         return None
     by_rack: dict[RackId, list[Host]] = {}
--- a/src/amaranthtray/domain/scheduling/rack_waits.py
+++ b/src/amaranthtray/domain/scheduling/rack_waits.py
@@ -107,11 +107,20 @@
     _longest_ms: dict[RackId, int] = field(default_factory=dict)
     _reported_ms: dict[RackId, int] = field(default_factory=dict)
 
-    def begin_plan(self, waiting: Collection[StepKey]) -> None:
-        """Forgets the waits of steps without waiting tasks; none is held back yet."""
+    def begin_plan(
+        self, waiting: Collection[StepKey], hosts: Collection[HostId]
+    ) -> None:
+        """Forgets what is over; no task is held back yet.
+
+        Args:
+            waiting: Steps with waiting tasks whose data has a rack.
+            hosts: Hosts that may have runs.
+        """
         self._steps = {key: self._steps[key] for key in self._steps if key in waiting}
         for wait in self._steps.values():
             wait.held = 0
+        if len(self.ends) > len(hosts):
+            self.ends = {host: self.ends[host] for host in self.ends if host in hosts}
 
     def waited_ms(self, key: StepKey, now_ms: int) -> int:
         """Returns the time since tasks of a step were held back first; 0 if never."""
