Merge tasks that wait for the busy rack of their data

Beside plans that keep hosts in an index and the terms of each rank: with data racks a step is placed by the choice of racks on the shared hosts, otherwise from the index; the slack of a job comes from the kept terms of its rank.

--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -29,6 +29,7 @@
 from .look_ahead import LookAhead, look_ahead
 from .messages import StartRun
 from .placement import fill_hosts, fill_hosts_or_none
+from .rack_choice import RackChoice, choose_racks
 from .ranking import Timeliness, mean_core_ms
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         unisolated: Number of tasks that found no host of their own so far.
         crashed_machines: Machines that crashed under these tasks.
         ahead: Reservations for tasks that wait; None if the policy has none.
+        racks: Choice between near and remote hosts; None if no task has a rack.
         unfit: Demands that no host meets.
         index: The shared hosts by their free resources.
     """
@@ -63,6 +65,7 @@
     unisolated: int = 0
     crashed_machines: set[str] = field(default_factory=set)
     ahead: LookAhead | None = None
+    racks: RackChoice | None = None
     unfit: UnfitDemands = field(default_factory=UnfitDemands)
     index: HostIndex = field(init=False)
 
@@ -110,7 +113,9 @@
     """Places waiting tasks; returns the keys of the steps that had any."""
     room = hosts.index.largest_free()
     waiting_keys: set[StepKey] = set()
-    for rank_class, job, steps in _jobs_by_rank(state):
+    ranked = _jobs_by_rank(state)
+    hosts.racks = choose_racks(state, hosts.shared, ranked)
+    for rank_class, job, steps in ranked:
         for key, step, waiting in steps:
             waiting_keys.add(key)
             placed = 0
@@ -118,6 +123,7 @@
             if is_tried:
                 waiting = _within_cap(state, job, step, waiting)
                 placed = _place_if_fit(state, job, key, rank_class, waiting, hosts)
+            waiting = waiting[: len(waiting) - state.rack_waits.held(key)]
             if slow.hosts and placed < len(waiting):
                 placed += _place_on_slow(state, job, key, slow, hosts.index)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
@@ -157,7 +163,8 @@
     if hosts.ahead is not None:
         hosts.ahead.begin_step(key, demand)
     placed = _place_tasks(state, job, key, waiting, hosts)
-    if is_usual and placed < len(waiting):
+    held = state.rack_waits.held(key)
+    if is_usual and placed < len(waiting) - held:
         hosts.unfit.record(job.spec.steps[key.step], demand)
     return placed
 
@@ -202,10 +209,14 @@
     unsuspected, suspects, isolated = split_suspects(job, key, waiting)
     placed = 0
     if unsuspected:
-        ordered = _allowed_hosts(state, job, key, hosts.index.in_order(step))
-        place = fill_hosts_or_none if step.is_gang else fill_hosts
         shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
-        placements = place(step, key, unsuspected, ordered, shapes)
+        if hosts.racks is not None and len(unsuspected) == len(waiting):
+            allowed = _allowed_hosts(state, job, key, hosts.shared)
+            placements = hosts.racks.place(job, key, unsuspected, allowed, shapes)
+        else:
+            ordered = _allowed_hosts(state, job, key, hosts.index.in_order(step))
+            place = fill_hosts_or_none if step.is_gang else fill_hosts
+            placements = place(step, key, unsuspected, ordered, shapes)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if suspects:
         allowed = list(_allowed_hosts(state, job, key, hosts.shared))
--- a/src/amaranthtray/domain/scheduling/profile.py
+++ b/src/amaranthtray/domain/scheduling/profile.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..jobs.model import Resources
-from .placement import tasks_that_fit
+from .placement import is_far, tasks_that_fit
 from .run_times import declared_left_ms
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from ..ids import HostId
     from ..jobs.model import StepKey, StepSpec
     from ._state import SchedulerState
-    from .host import Host
+    from .host import Host, PlacedRun
 
 UNKNOWN_RUN_MS = 2_500.0
 """Expected remaining time of a run without an estimate."""
@@ -54,17 +54,11 @@
     Lasting runs don't end. Expected ends that have passed are moved into the future.
     """
     ends: list[tuple[float, Resources]] = []
-    now_ms, run_times = state.now_ms, state.run_times
-    for name, step, run in host.placed_runs():
-        if not step.is_lasting:
-            if run_times.is_learning:
-                spec = state.jobs[name.job].spec
-                left_ms = run_times.remaining(spec, name.step, run, now_ms).expected_ms
-            else:
-                left_ms = declared_left_ms(step, run, now_ms)
-            if left_ms <= 0:
-                left_ms = _overrun_ms(state, run.started_ms)
-            ends.append((now_ms + left_ms, step.reserved))
+    now_ms = state.now_ms
+    for placed in host.placed_runs():
+        if not placed.step.is_lasting:
+            left_ms = expected_rest_ms(state, host, placed)
+            ends.append((now_ms + left_ms, placed.step.reserved))
     ends.sort()
     cpu, memory_mb, gpu = host.free
     profile = [Freed(now_ms, host.free)]
@@ -74,6 +68,24 @@
     return profile
 
 
+def expected_rest_ms(state: SchedulerState, host: Host, placed: PlacedRun) -> float:
+    """Returns the expected time in ms until a run ends; above zero."""
+    name, step, run = placed
+    run_times, now_ms = state.run_times, state.now_ms
+    if run_times.is_learning:
+        spec = state.jobs[name.job].spec
+        left_ms = run_times.remaining(spec, name.step, run, now_ms).expected_ms
+    else:
+        left_ms = declared_left_ms(step, run, now_ms)
+    if state.policy.weigh_remote_hosts and is_far(step, host):
+        # Expected run times are those of runs near their data.
+        spec = state.jobs[name.job].spec
+        whole_ms = run_times.of_step(spec, name.step).expected_ms
+        passed_ms = state.now_ms - (run.started_ms or state.now_ms)
+        left_ms = max(left_ms, state.policy.remote_factor * whole_ms - passed_ms)
+    return left_ms if left_ms > 0 else _overrun_ms(state, run.started_ms)
+
+
 def room_at(profile: Sequence[Freed], at_ms: float) -> Resources:
     """Returns the resources that are expected to be free at a time."""
     room = profile[0].room
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -93,6 +93,14 @@
     core_ms: float = 0.0
     has_not_begun: bool = False
 
+    def slack_ms_at(self, wall_ms: int) -> float:
+        """Returns the time for which the job can wait and end in time.
+
+        Args:
+            wall_ms: Wall-clock time.
+        """
+        return self.objective_ms - (wall_ms - self.begun_ms + self.left_ms)
+
     def rank_at(self, wall_ms: int, mean_core_ms: float = 0.0) -> Rank:
         """Returns the rank.
 
@@ -103,7 +111,7 @@
         if self.is_lasting:
             return Rank(-1, _IN_TIME, False, self.accepted_ms - wall_ms)
         objective_ms, has_not_begun = self.objective_ms, self.has_not_begun
-        slack_ms = objective_ms - (wall_ms - self.begun_ms + self.left_ms)
+        slack_ms = self.slack_ms_at(wall_ms)
         slack = slack_ms / objective_ms if objective_ms > 1.0 else slack_ms
         if slack >= (START_MARGIN if has_not_begun else 0.0):
             size = min(self.core_ms / mean_core_ms, 1.0) if mean_core_ms else 0.0
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -37,6 +37,7 @@
 )
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
+from ..domain.scheduling.rack_waits import RackStarts, RackWait
 from ..domain.scheduling.reservations import ReservationDropped, Reserved
 from ..domain.scheduling.run_time_events import RunTimeReport
 from ..domain.scheduling.share_portions import ClaimShare, SharePortionChanged
@@ -50,6 +51,7 @@
 from .host_link import HostLink
 from .job_feed import JobFeed
 from .loss_log import LossLog
+from .rack_log import record_rack_report
 from .record_writer import RecordWriter
 from .reservation_log import record_reservation
 from .run_time_log import RunTimeLog
@@ -85,6 +87,8 @@
         refuse_late_jobs=section.refuse_late_jobs,
         look_ahead=section.look_ahead,
         share_over_pools=section.share_over_pools,
+        weigh_remote_hosts=section.weigh_remote_hosts,
+        remote_factor=section.remote_factor,
     )
 
 
@@ -309,23 +313,28 @@
                     self._unwatch_host(host)
                 case Superseded():
                     self._guard.mark_superseded()
-                case RunsLost() | TaskGivenUp() | CrashWithdrawn():
-                    self._losses.record(effect)
-                case (
-                    EvacuationHosts()
-                    | EvacuationProgress()
-                    | RunsMoved()
-                    | StartWithheld()
-                ):
-                    self._evacuation.record(effect)
-                case RecordUnreadable(job, why):
-                    self._context.log.event("job-unreadable", job=job, why=why)
-                case RunTimeReport():
-                    self._run_time_log.record(effect, clock.steady_ms())
-                case Reserved() | ReservationDropped():
-                    record_reservation(self._log, effect)
-                case SharePortionChanged() | WorstTeams():
-                    self._share_log.record(effect, clock.steady_ms())
+                case _:
+                    self._record_report(effect)
+
+    def _record_report(self, report: Effect) -> None:
+        """Logs and counts what the scheduler reports."""
+        match report:
+            case RunsLost() | TaskGivenUp() | CrashWithdrawn():
+                self._losses.record(report)
+            case (
+                EvacuationHosts() | EvacuationProgress() | RunsMoved() | StartWithheld()
+            ):
+                self._evacuation.record(report)
+            case RecordUnreadable(job, why):
+                self._context.log.event("job-unreadable", job=job, why=why)
+            case RunTimeReport():
+                self._run_time_log.record(report, clock.steady_ms())
+            case Reserved() | ReservationDropped():
+                record_reservation(self._log, report)
+            case SharePortionChanged() | WorstTeams():
+                self._share_log.record(report, clock.steady_ms())
+            case RackWait() | RackStarts():
+                record_rack_report(self._log, report)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
         link = self._links.get(order.host)
