--- a/src/amaranthtray/domain/scheduling/host_choice.py
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 from collections import deque
 from dataclasses import dataclass, field
@@ -62,12 +61,13 @@
 def freest(need: Resources, hosts: list[Host], count: int) -> list[Host]:
     """Returns the hosts that have most of a task's need free."""
     cpu, memory_mb, gpu = (1 / each if each else 0.0 for each in need)
-    missing: list[tuple[float, int]] = []
-    for index, host in enumerate(hosts):
+    missing: list[float] = []
+    for host in hosts:
         has_cpu, has_memory_mb, has_gpu = host.free
         share = -min(has_cpu * cpu, 1) - min(has_memory_mb * memory_mb, 1)
-        missing.append((share - min(has_gpu * gpu, 1) if gpu else share, index))
-    return [hosts[index] for _, index in heapq.nsmallest(count, missing)]
+        missing.append(share - min(has_gpu * gpu, 1) if gpu else share)
+    order = sorted(range(len(hosts)), key=missing.__getitem__)
+    return [hosts[index] for index in order[:count]]
 
 
 def keep_room(
