--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -111,6 +111,13 @@
             for run in task.runs:
                 yield name, run
 
+    def step_runs(self) -> Iterator[tuple[int, Run]]:
+        """Yields the runs that may be on a host, with the index of their step."""
+        for (_, step), tasks in self._tasks.items():
+            for task in tasks:
+                for run in task.runs:
+                    yield step, run
+
     def running_need(self) -> Resources:
         """Returns the resources that the runs which may be on a host reserve."""
         need = NO_RESOURCES
--- a/src/amaranthtray/domain/scheduling/_outlook.py
+++ b/src/amaranthtray/domain/scheduling/_outlook.py
@@ -23,7 +23,9 @@
 
 from ..jobs.model import NO_RESOURCES, Resources, StepKey
 from ._arrivals import WINDOW_MS
+from ._job_facts import facts_of, terms_of
 from .forecast import (
+    DECLARED_SPREAD,
     Claim,
     ClassOutlook,
     Forecast,
@@ -32,6 +34,7 @@
     taken_until,
 )
 from .ranking import LATE_FACTOR, Rank, Timeliness, rank
+from .run_times import declared_left_ms
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -150,16 +153,23 @@
 def _running_work(
     state: SchedulerState, job: Job
 ) -> Iterable[tuple[float, float, float]]:
-    for name, run in job.runs():
-        step = job.spec.steps[name.step]
-        if not step.is_lasting:
-            left = state.run_times.remaining(job.spec, name.step, run, state.now_ms)
+    run_times, now_ms = state.run_times, state.now_ms
+    for number, run in job.step_runs():
+        step = job.spec.steps[number]
+        if step.is_lasting:
+            continue
+        if run_times.is_learning:
+            left = run_times.remaining(job.spec, number, run, now_ms)
             yield _times(step, left.expected_ms / left.spread)
+        else:
+            yield _times(step, declared_left_ms(step, run, now_ms) / DECLARED_SPREAD)
 
 
 def _measure_waiting(state: SchedulerState, pool: _Pool, job: Job) -> None:
     """Adds a job's waiting tasks; lasting ones reduce what others can get."""
     rows: list[tuple[float, float, float]] = []
+    if job.spec.id in state.settled and len(job.spec.steps) == 1:
+        return
     for key, waiting in _waiting_counts(state, job, pool.room):
         step = job.spec.steps[key.step]
         if step.is_lasting:
@@ -170,7 +180,7 @@
             rows.append(_times(step, waiting * run_time.expected_ms))
     if rows:
         queue = state.queue_of(job)
-        job_rank = rank(job, queue, state.wall_ms)
+        job_rank = _declared_rank(state, job)
         limit_ms = _late_limit_ms(state, job, job_rank)
         is_excess = job.spec.id in state.shares.excess
         pool.waits = pool.waits or _has_waiting_task(state, job)
@@ -178,6 +188,13 @@
         pool.by_priority[queue.priority].append(work)
 
 
+def _declared_rank(state: SchedulerState, job: Job) -> Rank:
+    """Returns the rank of a job by what its caller declared."""
+    if state.run_times.is_learning:
+        return rank(job, state.queue_of(job), state.wall_ms)
+    return terms_of(state, job, facts_of(state, job)).rank_at(state.wall_ms)
+
+
 def _waiting_counts(
     state: SchedulerState, job: Job, room: Resources
 ) -> Iterator[tuple[StepKey, int]]:
