--- a/src/amaranthtray/domain/scheduling/host_choice.py
+++ b/src/amaranthtray/domain/scheduling/host_choice.py
@@ -53,9 +53,12 @@
 
 def share_of_host(need: Resources, size: Resources) -> float:
     """Returns the share of a host that a task takes, of its scarcest resource."""
-    return max(
-        each / have if have else 0.0 for each, have in zip(need, size, strict=True)
-    )
+    share = need[0] / size[0] if size[0] else 0.0
+    if size[1]:
+        share = max(share, need[1] / size[1])
+    if size[2]:
+        share = max(share, need[2] / size[2])
+    return share
 
 
 def freest(need: Resources, hosts: list[Host], count: int) -> list[Host]:
