--- a/tests/scheduling/test_plan_decisions.py
+++ b/tests/scheduling/test_plan_decisions.py
@@ -33,6 +33,7 @@
     SchedulingPolicy(),
     SchedulingPolicy(look_ahead=True, refuse_late_jobs=True),
     SchedulingPolicy(look_ahead=True, learn_run_times=True, refuse_late_jobs=True),
+    SchedulingPolicy(look_ahead=True, weigh_remote_hosts=True),
 )
 
 
