Refusals count a team's share over all pools where that is enabled

With `refuse_late_jobs` and `share_over_pools` the forecast still took a team's whole weight as its entitled part in every pool, so that a team that floods several pools was refused later than its share allows. It takes the pool's portion. Teams come in order of their names, so that ties no longer depend on the hash seed.

--- a/src/amaranthtray/domain/scheduling/_arrivals.py
+++ b/src/amaranthtray/domain/scheduling/_arrivals.py
@@ -9,10 +9,9 @@
 from .shares import WINDOW_S
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from ..ids import TeamName
-    from ..jobs.catalog import Catalog
     from ..jobs.model import JobSpec
 
 WINDOW_MS = WINDOW_S * 1_000
@@ -87,19 +86,19 @@
             or (each.priority == priority and is_excess and not each.is_excess)
         ]
 
-    def entitled(
-        self, teams: Iterable[TeamName], catalog: Catalog
-    ) -> dict[TeamName, float]:
+    def entitled(self, weights: Mapping[TeamName, float]) -> dict[TeamName, float]:
         """Returns the part of the submissions that a team's weight covers.
 
         The part is taken of the rate that is seen here, which is that of the accepted
         jobs. Where the entries accept this part of all submissions, the accepted rate
         settles at the root of ``SHARE_MARGIN * weight * submitted rate``, so that a
         team beyond its share gets more than its share accepted.
+
+        Args:
+            weights: Jobs per second within the share of each team.
         """
         parts: dict[TeamName, float] = {}
-        for team in teams:
-            weight = max(catalog.teams[team].weight, 1) if team in catalog.teams else 0
+        for team, weight in weights.items():
             per_s = sum(each.team == team for each in self._arrivals) / WINDOW_S
             if 0 < weight < per_s:
                 parts[team] = round(min(SHARE_MARGIN * weight / per_s, 1.0), 3)
--- a/src/amaranthtray/domain/scheduling/_forecaster.py
+++ b/src/amaranthtray/domain/scheduling/_forecaster.py
@@ -15,8 +15,10 @@
 from ._arrivals import ArrivalRates
 from ._outlook import make_forecast
 from .forecast import Forecast
+from .shares import weight_of
 
 if TYPE_CHECKING:
+    from ..ids import TeamName
     from ..jobs.job import Job
     from ._state import SchedulerState
 
@@ -101,7 +103,11 @@
             state.jobs[job].spec.team for job in state.shares.excess & state.jobs.keys()
         }
         self.arrivals.forget_old(state.wall_ms)
-        entitled = self.arrivals.entitled(excess_teams, state.catalog)
+        weights = {
+            team: _weight(state, team)
+            for team in sorted(excess_teams & state.catalog.teams.keys())
+        }
+        entitled = self.arrivals.entitled(weights)
         found = make_forecast(state, entitled)
         if found is None:
             self._waits_since_ms = None
@@ -123,3 +129,12 @@
         return (
             since_ms is not None and now_ms - since_ms >= SETTLING_MS and not is_growing
         )
+
+
+def _weight(state: SchedulerState, team: TeamName) -> float:
+    """Returns the jobs per second of the pool that are within a team's share."""
+    if not state.policy.share_over_pools:
+        return weight_of(state.catalog, team)
+    return state.share_portions.portion(
+        team, state.catalog, state.now_ms, state.wall_ms
+    ).rate
--- a/tests/scheduling/test_forecast.py
+++ b/tests/scheduling/test_forecast.py
@@ -8,8 +8,9 @@
 import msgspec
 import pytest
 
-from amaranthtray.domain.ids import QueueName, TeamName
+from amaranthtray.domain.ids import PoolName, QueueName, TeamName
 from amaranthtray.domain.jobs.admission import Accept, Refuse, decide
+from amaranthtray.domain.jobs.catalog import JobPool
 from amaranthtray.domain.jobs.model import JobSpec, Recurrence, Resources
 from amaranthtray.domain.scheduling.forecast import (
     DECLARED_SPREAD,
@@ -23,6 +24,7 @@
 )
 from amaranthtray.domain.scheduling.messages import HostsListed
 from amaranthtray.domain.scheduling.policy import SchedulingPolicy
+from amaranthtray.domain.scheduling.share_portions import ShareItem, ShareRowsRead
 from scheduling.parts import (
     TEAM,
     SchedulerHarness,
@@ -163,6 +165,26 @@
     assert len(forecast.outlooks) == 2
 
 
+def test_a_team_is_entitled_to_its_portion_of_the_weight_in_each_pool() -> None:
+    """Guards against one weight in each of the pools that a team floods."""
+    parts = []
+    for is_shared in (False, True):
+        policy = SchedulingPolicy(refuse_late_jobs=True, share_over_pools=is_shared)
+        harness = SchedulerHarness(
+            a_host("h0", cores=1), catalog=a_catalog(weights={TEAM: 2}), policy=policy
+        )
+        other = PoolName("other")
+        state = harness.scheduler.state
+        state.catalog = replace(state.catalog, pools={other: JobPool(name=other)})
+        harness.send(ShareRowsRead({TEAM: {other: ShareItem(12.0, 0)}}))
+        for number in range(60):
+            harness.submit(a_job(name=f"j{number}"))
+        forecast = forecast_after(harness, 3_500)
+        assert forecast is not None
+        parts.append(forecast.entitled[TEAM])
+    assert parts[1] == pytest.approx(parts[0] / 2, rel=0.05)
+
+
 def test_forecast_of_many_teams_and_priorities_is_at_most_one_kilobyte() -> None:
     """Guards against a report that grows with the number of teams."""
     harness, row = a_full_pool(), [ClassOutlook(999_999, 999_999, 999_999)] * 2
