--- a/src/amaranthtray/domain/upkeep/trend.py
+++ b/src/amaranthtray/domain/upkeep/trend.py
@@ -10,7 +10,7 @@
 WINDOW_MS = 800
 """Time over which growth is measured; reports come up to 400 ms apart."""
 
-MAX_GROWTH_FACTOR = 4
+MAX_GROWTH_FACTOR = 2
 """Largest forecast as a multiple of the present need: the tasks of one large job come
 at once, which is no growth that goes on."""
 
