--- a/src/amaranthtray/domain/scheduling/rack_choice.py
+++ b/src/amaranthtray/domain/scheduling/rack_choice.py
@@ -22,7 +22,7 @@
 
 from ..ids import RackId
 from ..jobs.job import Job
-from ..jobs.model import NO_RACK, StepKey, StepSpec
+from ..jobs.model import NO_RACK, Resources, StepKey, StepSpec
 from ._job_facts import facts_of, terms_of
 from ._rack_turns import RackTurns
 from ._state import SchedulerState
@@ -33,7 +33,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from ..jobs.model import Resources
     from ._waiting import WaitingStep
     from .rack_waits import RackReport
     from .reservations import RankClass
@@ -61,14 +60,17 @@
         hosts: Hosts of each rack that accept runs.
         claims: Waiting steps by the rack of their data, in order of rank. A step is
             removed once its tasks and those before it have their turns.
+        least: Smallest amount of each resource that a waiting task needs.
     """
 
     state: SchedulerState
     hosts: dict[RackId, list[Host]]
     claims: dict[RackId, deque[_Claim]]
+    least: Resources
     _turns: dict[RackId, RackTurns] = field(default_factory=dict)
     _placed: Counter[StepKey] = field(default_factory=Counter)
     _allowed: Iterable[Host] | None = None
+    _has_placed: bool = False
     _unwanted: list[Host] = field(default_factory=list)
     _wanted: list[Host] = field(default_factory=list)
     _wanted_by_rack: dict[RackId, list[Host]] = field(default_factory=dict)
@@ -109,11 +111,16 @@
 
     def _split(self, allowed: Iterable[Host]) -> None:
         """Splits the hosts that a step may use by whether tasks wait for their rack."""
-        if allowed is self._allowed:
+        if allowed is self._allowed and not self._has_placed:
             return
+        # Hosts only become fuller during a plan.
+        known = [*self._unwanted, *self._wanted]
+        hosts = known if allowed is self._allowed else allowed
         self._allowed, self._unwanted, self._wanted = allowed, [], []
-        self._wanted_by_rack = {}
-        for host in allowed:
+        self._wanted_by_rack, self._has_placed = {}, False
+        for host in hosts:
+            if not self.least.fits(host.free):
+                continue
             rack = host.info.rack
             if rack in self.claims:
                 self._wanted.append(host)
@@ -248,6 +255,7 @@
         """Records the placements of a step."""
         self.state.rack_waits.record_starts(key, len(near), len(remote))
         self._placed[key] += len(near) + len(remote)
+        self._has_placed |= bool(near or remote)
         if not self._turns:
             return
         step, now_ms = job.spec.steps[key.step], self.state.now_ms
@@ -284,7 +292,9 @@
     for host in hosts:
         if host.info.rack != NO_RACK:
             by_rack.setdefault(host.info.rack, []).append(host)
-    return RackChoice(state, by_rack, claims)
+    needs = [step.reserved for _, _, steps in ranked for _, step, _ in steps]
+    least = Resources(*map(min, zip(*needs, strict=True)))
+    return RackChoice(state, by_rack, claims, least)
 
 
 def rack_reports(state: SchedulerState) -> list[RackReport]:
