--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import random
 import socket
 import threading
 from collections.abc import Callable
@@ -138,8 +140,9 @@
 
 
 def free_port() -> int:
-    """Returns a TCP port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Returns a TCP port that is free now, below the range of outgoing connections."""
+    while True:
+        port = random.SystemRandom().randrange(20_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return port
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,7 +1,8 @@
 """Stand-in of a worker and of the machine that it is a life of.
 
 What a task does follows from its job's ``spec``, a JSON text with ``ms`` (its work)
-and ``cpu`` (what it takes of the worker).
+and ``cpu`` (what it takes of the worker). The members of a gang all begin within
+milliseconds here, so that a gang's tasks can work like others.
 """
 
 from __future__ import annotations
