--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -24,6 +24,7 @@
 HEARTBEAT_S = 1.5
 TICK_S = 0.005
 WAIT_MOST_MS = 2_000
+LASTS_S, STARTUP_S = 3_600, 0.3
 
 
 @dataclass
@@ -245,6 +246,13 @@
         self._record.add(f"stop {task} run {number} at {self.name}")
         return 200, {"clockMs": self._clock_ms(life)}
 
+    @staticmethod
+    def _percent(run: Run, now: float) -> int:
+        """Returns 100 for a task that lasts (``ms`` of an hour or more), once at work."""
+        if run.work_s >= LASTS_S:
+            return 100 if now - run.begun > STARTUP_S else 0
+        return min(99, int(100 * (now - run.begun) / run.work_s))
+
     def _hold(self, body: dict[str, Any], life: _Life) -> tuple[int, Any]:
         self._extend(life, body.get("untilMs"))
         acknowledged = int(body.get("acknowledged", 0))
@@ -261,7 +269,7 @@
             return NO_REPLY
         now = time.monotonic()
         running = [
-            [run.task, run.number, "", min(99, int(100 * (now - run.begun) / run.work_s)), run.cpu]
+            [run.task, run.number, "", self._percent(run, now), run.cpu]
             for run in life.running.values()
         ]
         finished = [
