--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A tenant hands in a large job for one service, then a gang for each of two."""
+"""A worker leaves a start unanswered, refuses its repetition, and carries it out late."""
 
 import sys
 import time
@@ -7,47 +7,52 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import BOUNDS, PREFIX, Deployment, run_case
+from deployment import Deployment, NotRun, run_case
+from rules import started_twice
+from worker import Fault
 
-OTHER = "/other/"
-LARGE, GANG_OTHER, GANG = "00000000000000f1", "00000000000000f2", "00000000000000f3"
-CAP, CPU = 100_000, 5_000
-LARGE_TASKS, LARGE_MS = 9, 5_000
-GANG_TASKS, GANG_MS = 12, 1_000
-PAUSE_S, STILL_S = 1.0, 3.0
+JOB, WORK_MS, CPU = "00000000000000c1", 8_000, 4_000
+LATE_S, UNHEALTHY_S = 4.2, 3.5
+
+
+class Disruption:
+    """The first start of the job is carried out late; the worker is then unhealthy."""
+
+    def __init__(self) -> None:
+        self.worker = ""
+        self.until = 0.0
+
+    def fault(self, name: str, call: object) -> Fault | None:
+        if call.path != "/v1/run-start":
+            return None
+        if not self.worker:
+            self.worker, self.until = name, time.monotonic() + UNHEALTHY_S
+            return Fault(late_s=LATE_S)
+        if name == self.worker and time.monotonic() < self.until:
+            return Fault(status=503)
+        return None
 
 
 def play(site: Deployment, with_trouble: bool) -> bool:
-    routes = [site.route("alpha"), site.route("beta", name="other", prefix=OTHER)]
-    site.configure(routes, cap={"cpu": CAP})
+    site.configure()
     site.start()
     if with_trouble:
-        step = {"count": LARGE_TASKS, "cpu": CPU, "requestedMemoryMb": 512,
-                "estimatedMs": LARGE_MS}
-        assert site.submit(LARGE, [step], {"ms": LARGE_MS, "cpu": CPU})
-        site.wait_for(lambda: len(site.runs()) == LARGE_TASKS, 10, "start of all tasks")
-    step = {"count": GANG_TASKS, "cpu": CPU, "requestedMemoryMb": 512,
-            "estimatedMs": GANG_MS, "gang": True}
-    gangs = ((GANG_OTHER, OTHER), (GANG, PREFIX))
-    for job, prefix in gangs:
-        assert site.submit(job, [step], {"ms": GANG_MS, "cpu": CPU}, prefix)
-        time.sleep(PAUSE_S)
-    site.wait_for(lambda: all(run.how for run in site.runs()), 20, "end of the large job")
-    time.sleep(BOUNDS["finish_s"] + STILL_S)
-    lost = []
-    for job, prefix in gangs:
-        for entry in site.entries:
-            status, answer = site.ask("GET", job, entry, prefix)
-        if not any(run.task.startswith(job) for run in site.runs()):
-            lost.append(job)
-            site.record.say(f"gang {job} has no start; it is shown as {answer}")
-        elif answer.get("state") != "completed":
-            lost.append(job)
-            site.record.say(f"gang {job} is shown as {answer}")
-    running = sum(run.cpu for run in site.runs() if not run.how)
-    site.record.say(f"{running} of the tenant's {CAP} is in use, a gang needs"
-                    f" {GANG_TASKS * CPU}; portions: {site.store.read('caps/tenant')}")
-    return bool(lost) and running < CAP / 2
-
-
-run_case(FOLDER, play, services=("alpha", "beta"))
+        disruption = Disruption()
+        for worker in site.workers:
+            worker.fault = lambda call, name=worker.name: disruption.fault(name, call)
+    step = {"count": 1, "cpu": CPU, "requestedMemoryMb": 512, "estimatedMs": WORK_MS}
+    assert site.submit(JOB, [step], {"ms": WORK_MS, "cpu": CPU})
+    for second in range(40):
+        time.sleep(1)
+        status, answer = site.ask("GET", JOB, site.entries[second % 3])
+        if status == 200 and answer.get("state") == "completed":
+            break
+    else:
+        raise NotRun("the job isn't completed")
+    found = started_twice(site)
+    for line in found:
+        site.record.say(line)
+    return bool(found)
+
+
+run_case(FOLDER, play)
