--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,8 +12,8 @@
 from rules import started_twice
 
 JOB, TASKS, WORK_MS = "00000000000000b1", 640, 5_000
-KILL_AFTER_S = 4.0
-"""Time after the first start: a second before the tasks begin to end."""
+KILL_AFTER_S = 4.7
+"""Time after the first start: shortly before the tasks begin to end."""
 
 BACK_AFTER_S = 3.0
 
