--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,6 @@
-"""A worker leaves a start unanswered, refuses its repetition, and carries it out late."""
+"""The conductor of a pool is killed while the tasks of a large job end."""
 
+import signal
 import sys
 import time
 from pathlib import Path
@@ -9,39 +10,25 @@
 
 from deployment import Deployment, NotRun, run_case
 from rules import started_twice
-from worker import Fault
 
-JOB, WORK_MS, CPU = "00000000000000c1", 8_000, 4_000
-LATE_S, UNHEALTHY_S = 4.2, 3.5
+JOB, TASKS, WORK_MS = "00000000000000b1", 640, 5_000
+KILL_AFTER_S = 4.7
+"""Time after the first start: shortly before the tasks begin to end."""
 
-
-class Disruption:
-    """The first start of the job is carried out late; the worker is then unhealthy."""
-
-    def __init__(self) -> None:
-        self.worker = ""
-        self.until = 0.0
-
-    def fault(self, name: str, call: object) -> Fault | None:
-        if call.path != "/v1/run-start":
-            return None
-        if not self.worker:
-            self.worker, self.until = name, time.monotonic() + UNHEALTHY_S
-            return Fault(late_s=LATE_S)
-        if name == self.worker and time.monotonic() < self.until:
-            return Fault(status=503)
-        return None
+BACK_AFTER_S = 3.0
 
 
 def play(site: Deployment, with_trouble: bool) -> bool:
     site.configure()
     site.start()
+    step = {"count": TASKS, "cpu": 100, "requestedMemoryMb": 64, "estimatedMs": WORK_MS}
+    assert site.submit(JOB, [step], {"ms": WORK_MS, "cpu": 100})
+    site.wait_for(lambda: len(site.runs()) >= TASKS, 20, "start of all tasks")
+    begun = sorted(run.begun for run in site.runs())
+    site.record.say(f"{TASKS} tasks started within {begun[-1] - begun[0]:.1f} s")
     if with_trouble:
-        disruption = Disruption()
-        for worker in site.workers:
-            worker.fault = lambda call, name=worker.name: disruption.fault(name, call)
-    step = {"count": 1, "cpu": CPU, "requestedMemoryMb": 512, "estimatedMs": WORK_MS}
-    assert site.submit(JOB, [step], {"ms": WORK_MS, "cpu": CPU})
+        time.sleep(max(0.0, begun[0] + KILL_AFTER_S - time.monotonic()))
+        _kill_conductor(site)
     for second in range(40):
         time.sleep(1)
         status, answer = site.ask("GET", JOB, site.entries[second % 3])
@@ -50,9 +37,20 @@
     else:
         raise NotRun("the job isn't completed")
     found = started_twice(site)
-    for line in found:
+    for line in found[:10]:
         site.record.say(line)
+    site.record.say(f"{len(found)} of {TASKS} tasks ran twice")
     return bool(found)
 
 
+def _kill_conductor(site: Deployment) -> None:
+    conductor = site.conductor("alpha")
+    if conductor is None:
+        raise NotRun("no conductor")
+    site.record.say(f"SIGKILL to {conductor.name}, which conducts the pool")
+    conductor.kill()
+    time.sleep(BACK_AFTER_S)
+    conductor.start()
+
+
 run_case(FOLDER, play)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A worker refuses all starts while the others are full; clients ask for ``pending``."""
+"""A worker leaves a start unanswered, refuses its repetition, and carries it out late."""
 
 import sys
 import time
@@ -7,59 +7,52 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import PREFIX, Deployment, NotRun, call, run_case
+from deployment import Deployment, NotRun, run_case
+from rules import started_twice
 from worker import Fault
 
-FULL_CPU, LONG_MS = 60_000, 12_000
-SMALL_CPU, SMALL_MS, SMALL_JOBS = 5_000, 1_000, 10
-GREY_S, VISIBLE_S = 6.5, 3.0 + 2.0
+JOB, WORK_MS, CPU = "00000000000000c1", 8_000, 4_000
+LATE_S, UNHEALTHY_S = 4.2, 3.5
+
+
+class Disruption:
+    """The first start of the job is carried out late; the worker is then unhealthy."""
+
+    def __init__(self) -> None:
+        self.worker = ""
+        self.until = 0.0
+
+    def fault(self, name: str, call: object) -> Fault | None:
+        if call.path != "/v1/run-start":
+            return None
+        if not self.worker:
+            self.worker, self.until = name, time.monotonic() + UNHEALTHY_S
+            return Fault(late_s=LATE_S)
+        if name == self.worker and time.monotonic() < self.until:
+            return Fault(status=503)
+        return None
 
 
 def play(site: Deployment, with_trouble: bool) -> bool:
     site.configure()
     site.start()
-    grey, begin = site.workers[0], time.monotonic()
     if with_trouble:
-        site.record.say(f"{grey.name} answers starts with 503 for {GREY_S} s")
-
-        def fault(request: object) -> Fault | None:
-            is_start = request.path == "/v1/run-start"
-            is_grey = time.monotonic() < begin + GREY_S
-            return Fault(status=503) if is_start and is_grey else None
-
-        grey.fault = fault
-    for number in range(7):
-        step = {"count": 1, "cpu": FULL_CPU, "requestedMemoryMb": 512, "estimatedMs": LONG_MS}
-        assert site.submit(f"{number:016x}", [step], {"ms": LONG_MS, "cpu": FULL_CPU})
-    site.wait_for(lambda: len(site.runs()) >= 7, 3, "start of the large tasks")
-    small = [f"{number:016x}" for number in range(100, 100 + SMALL_JOBS)]
-    for job in small:
-        step = {"count": 1, "cpu": SMALL_CPU, "requestedMemoryMb": 512, "estimatedMs": SMALL_MS}
-        assert site.submit(job, [step], {"ms": SMALL_MS, "cpu": SMALL_CPU})
-    accepted = time.monotonic()
-    found = False
-    while time.monotonic() < accepted + VISIBLE_S + 1.5:
-        time.sleep(0.2)
-        if time.monotonic() < accepted + VISIBLE_S:
-            continue
-        waiting = _not_begun(site, small)
-        entry = site.entries[int(time.monotonic() * 10) % 3]
-        status, answer = call(entry.port, "GET", PREFIX)
-        after = _not_begun(site, small)
-        site.record.add(f"GET pending at {entry.name}: {status} {answer}; not begun {after}")
-        if status == 200 and waiting == after and answer["pending"] < len(after) / 2:
-            site.record.say(f"pending is given as {answer['pending']}, but {len(after)} jobs"
-                            f" haven't begun, accepted over {VISIBLE_S} s before")
-            found = True
+        disruption = Disruption()
+        for worker in site.workers:
+            worker.fault = lambda call, name=worker.name: disruption.fault(name, call)
+    step = {"count": 1, "cpu": CPU, "requestedMemoryMb": 512, "estimatedMs": WORK_MS}
+    assert site.submit(JOB, [step], {"ms": WORK_MS, "cpu": CPU})
+    for second in range(40):
+        time.sleep(1)
+        status, answer = site.ask("GET", JOB, site.entries[second % 3])
+        if status == 200 and answer.get("state") == "completed":
             break
-    for job in small[:3]:
-        site.ask("GET", job, site.entries[0])
-    return found
-
-
-def _not_begun(site: Deployment, jobs: list[str]) -> list[str]:
-    begun = {run.task.split(".")[0] for run in site.runs()}
-    return [job for job in jobs if job not in begun]
+    else:
+        raise NotRun("the job isn't completed")
+    found = started_twice(site)
+    for line in found:
+        site.record.say(line)
+    return bool(found)
 
 
 run_case(FOLDER, play)
