Review: a fault of a script exits with 2, not with 1

Cause: a failed assertion of a script, such as a submission that no entry accepted, ended it with the exit code of a broken rule; a job that had started and was only late counted as broken in cases 1 to 3. Result: both exit with 2 now, and SIGTERM ends what a script started.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,7 +37,9 @@
         status, answer = site.ask("GET", SECOND, entry, OTHER)
     starts = sum(run.task.startswith(SECOND) for run in site.runs())
     if starts:
-        return answer.get("state") != "completed"
+        if answer.get("state") != "completed":
+            raise NotRun(f"the second job has started, but isn't completed: {answer}")
+        return False
     rows = site.store.read("caps/tenant")
     site.record.say(f"the second job has no start {BOUNDS['finish_s']} s and {STILL_S} s after"
                     f" its acceptance, though its tenant has nothing running; it is shown as"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,7 +33,9 @@
     starts = sum(run.task.startswith(AFTER) for run in site.runs())
     if status != 200:
         raise NotRun(f"the second job: {status} {answer}")
-    if starts and answer["state"] == "completed":
+    if starts:
+        if answer["state"] != "completed":
+            raise NotRun(f"the second job has started, but isn't completed: {answer}")
         return False
     dead = sum(entry.process.poll() is not None for entry in site.entries)
     site.record.say(f"the second job has {starts} starts {BOUNDS['finish_s']} s and {STILL_S} s"
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -263,14 +263,16 @@
     """Plays a case and ends the process with its verdict."""
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     code = NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     with Deployment(folder, **options) as site:
         watchdog = threading.Timer(int(os.environ.get("MOST_S", "112")), _give_up, (site,))
         watchdog.daemon = True
         watchdog.start()
         try:
             code = BROKEN if play(site, with_trouble) else HELD
-        except NotRun as exc:
-            site.record.say(f"the case could not run: {exc}")
+        except Exception as exc:
+            # A fault of the script or of a stand-in is no broken rule.
+            site.record.say(f"the case could not run: {exc!r}")
         site.record.say(f"verdict: {['held', 'broken', 'not run'][code]}")
     sys.stdout.flush()
     os._exit(code)
