A pool reads its portion again after its cap was lowered

Cause: a pool that sees a lower cap deletes its copy of the stored portions, so that they are read again. Only a claim reads them, and claims were made for teams with a copy or with waiting tasks. A pool with neither kept its former portion in the store (72.5 of 50 cores), and all others saw a sum above the cap.

Change: the tracker remembers for which teams the stored row may differ from the known one, and claims for these too, until a row has been read. The same holds for a claim without a reply, which left a larger portion in the store, and for a pool that runs tasks when a cap is introduced, which claimed nothing. Claims are logged and counted by their outcome.

--- a/src/amaranthtray/domain/scheduling/_sharing.py
+++ b/src/amaranthtray/domain/scheduling/_sharing.py
@@ -18,8 +18,8 @@
 ) -> None:
     """Applies rows that were read: portions of a cap, or rates of teams."""
     match message:
-        case PortionsRead(team, row):
-            state.caps.rows[team] = row
+        case PortionsRead():
+            state.caps.apply_row(message)
         case ShareRowsRead():
             state.share_portions.apply_rows(message, state.now_ms)
 
--- a/src/amaranthtray/domain/scheduling/caps.py
+++ b/src/amaranthtray/domain/scheduling/caps.py
@@ -95,6 +95,8 @@
         rows: Rows as last read, with claims that shrink a portion already applied.
         claimed_ms: Steady-clock time of the last claim, by team.
         unmet: Needs that exceeded the portion since the last claims, by team.
+        unread: Teams whose stored row may differ from the known one: their cap was
+            lowered or introduced, or a claim has had no reply.
     """
 
     pool: PoolName
@@ -102,6 +104,7 @@
     rows: dict[TeamName, Mapping[PoolName, Resources]] = field(default_factory=dict)
     claimed_ms: dict[TeamName, int] = field(default_factory=dict)
     unmet: dict[TeamName, Resources] = field(default_factory=dict)
+    unread: set[TeamName] = field(default_factory=set)
 
     def add(self, team: TeamName, need: Resources) -> None:
         """Adds the resources of a run that may be on a host."""
@@ -111,6 +114,11 @@
         """Releases the resources of a run that has ended."""
         self.used[team] = self.used.get(team, NO_RESOURCES).minus(need)
 
+    def apply_row(self, message: PortionsRead) -> None:
+        """Takes over a row that was read or written."""
+        self.rows[message.team] = message.row
+        self.unread.discard(message.team)
+
     def count_that_fits(
         self,
         catalog: Catalog,
@@ -145,9 +153,9 @@
         return fitting
 
     def claims(self, catalog: Catalog, now_ms: int) -> list[ClaimPortion]:
-        """Returns the claims that are due."""
+        """Returns the claims that are due; each is repeated until it has a reply."""
         claims = []
-        for team in {*self.unmet, *self.rows}:
+        for team in {*self.unmet, *self.rows, *self.unread}:
             cap = self._cap(catalog, team)
             if cap is None:
                 continue
@@ -159,21 +167,30 @@
                 continue
             used = self.used.get(team, NO_RESOURCES)
             portion = self._shrunk_portion(team, slack) if urgent is None else urgent
+            if portion is None and team in self.unread:
+                portion = self._sufficient_portion(team, slack)
             if portion is not None:
                 self.claimed_ms[team] = now_ms
+                self.unread.add(team)
                 self._shrink_row(team, portion)
                 claims.append(ClaimPortion(team, used, portion, cap))
         self.unmet.clear()
         return claims
 
     def apply_catalog(self, old: Catalog, new: Catalog) -> None:
-        """Removes rows of lowered caps: other pools' portions must be read again."""
-        for team in list(self.rows):
+        """Removes rows of lowered caps: all pools' portions must be read again.
+
+        That holds also for a pool with nothing more to start, as others may use only
+        what it returns.
+        """
+        for team in {*self.rows, *self.used}:
             before, after = self._cap(old, team), self._cap(new, team)
             if after is None:
                 continue
             if before is None or not upper_bounds(before).fits(upper_bounds(after)):
-                del self.rows[team]
+                self.rows.pop(team, None)
+                self.claimed_ms.pop(team, None)
+                self.unread.add(team)
 
     def _shrink_row(self, team: TeamName, claimed: Resources) -> None:
         """Applies a smaller portion at once, as the reply to a claim may be lost."""
@@ -195,13 +212,17 @@
 
     def _shrunk_portion(self, team: TeamName, slack: Resources) -> Resources | None:
         """Returns a smaller portion if the pool holds more than its use and slack."""
-        used = self.used.get(team, NO_RESOURCES)
         portion = self.rows.get(team, {}).get(self.pool, NO_RESOURCES)
-        if not any(used):
+        enough = self._sufficient_portion(team, slack)
+        if not any(enough):
             return NO_RESOURCES if any(portion) else None
-        enough = used.plus(slack)
         return None if portion.fits(enough.plus(slack)) else enough
 
+    def _sufficient_portion(self, team: TeamName, slack: Resources) -> Resources:
+        """Returns what the pool uses, and slack if it uses anything."""
+        used = self.used.get(team, NO_RESOURCES)
+        return used.plus(slack) if any(used) else NO_RESOURCES
+
     def _cap(self, catalog: Catalog, team: TeamName) -> Resources | None:
         owner = catalog.teams.get(team)
         return owner.cap if owner is not None and any(owner.cap) else None
--- a/src/amaranthtray/jobs/cap_portion_writer.py
+++ b/src/amaranthtray/jobs/cap_portion_writer.py
@@ -11,14 +11,21 @@
 
 from ..domain.ids import PoolName, TeamName
 from ..domain.jobs.model import Resources
-from ..domain.scheduling.caps import ClaimPortion, PortionsRead, claim
+from ..domain.scheduling.caps import (
+    ClaimPortion,
+    PortionRow,
+    PortionsRead,
+    claim,
+    total,
+)
 from ..store.contract import Conflict
+from .write_outcome import write_outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..domain.scheduling.messages import Message
-    from ..store.contract import Versioned
+    from ..store.contract import StoreFailure, Versioned
     from .context import JobEntryContext
 
 CAPS_PREFIX = "caps/"
@@ -85,31 +92,58 @@
         key = f"{CAPS_PREFIX}{request.team}"
         read = self._context.store.get(key)
         if not isinstance(read, Success):
+            self._log_failure(request, "not_read", read.failure())
             return True
         stored = read.unwrap()
         old = _row(stored) if stored else {}
         row = claim(old, self._pool, request)
         if row == old:
+            self._context.metrics.count("cap_claims", "unchanged")
             self._publish(request.team, row)
             return True
         version = stored.version if stored else 0
         value = msgspec.json.encode(row)
         written = self._context.store.compare_and_swap(key, value, version=version)
         if isinstance(written, Success):
+            self._context.metrics.count("cap_claims", "written")
+            self._log_change(request, row)
             self._publish(request.team, row)
             return True
-        self._context.log.event(
-            "portion-not-changed", team=request.team, why=repr(written.failure())
-        )
+        failure = written.failure()
+        self._log_failure(request, write_outcome(failure), failure)
         # Only a conflict is retried at once. After a lost reply the next claim reads
         # the row again: the delayed write either fails, as the row has changed
         # since, or its result is what is read.
-        return not isinstance(written.failure(), Conflict)
+        return not isinstance(failure, Conflict)
+
+    def _log_change(self, request: ClaimPortion, row: PortionRow) -> None:
+        self._context.log.event(
+            "portion-changed",
+            team=request.team,
+            pool=self._pool,
+            used=request.used,
+            portion=row[self._pool],
+            total=total(row),
+            cap=request.cap,
+        )
+
+    def _log_failure(
+        self, request: ClaimPortion, outcome: str, failure: StoreFailure
+    ) -> None:
+        self._context.metrics.count("cap_claims", outcome)
+        self._context.log.event(
+            "portion-not-changed",
+            team=request.team,
+            pool=self._pool,
+            used=request.used,
+            want=request.want,
+            why=repr(failure),
+        )
 
-    def _publish(self, team: TeamName, row: dict[PoolName, Resources]) -> None:
+    def _publish(self, team: TeamName, row: PortionRow) -> None:
         self._post(PortionsRead(team, row))
 
 
-def _row(item: Versioned) -> dict[PoolName, Resources]:
+def _row(item: Versioned) -> PortionRow:
     rows = msgspec.json.decode(item.value, type=dict[str, Resources])
     return {PoolName(pool): portion for pool, portion in rows.items()}
--- a/src/amaranthtray/jobs/share_portion_writer.py
+++ b/src/amaranthtray/jobs/share_portion_writer.py
@@ -17,8 +17,9 @@
     decode_row,
     encode_row,
 )
-from ..store.contract import Conflict, EffectUnknown
+from ..store.contract import Conflict
 from . import clock, keys
+from .write_outcome import write_outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -123,7 +124,7 @@
             self._post(ShareRowsRead({request.team: row}))
             return True
         failure = written.failure()
-        self._context.metrics.count("share_writes", _outcome(failure))
+        self._context.metrics.count("share_writes", write_outcome(failure))
         self._log_failure(request.team, failure)
         # Only a conflict is retried at once. After a lost reply the next claim reads
         # the row again, which shows whether the write took effect.
@@ -141,12 +142,3 @@
         self._context.log.event(
             "share-not-exchanged", team=team, pool=self._pool, why=repr(failure)
         )
-
-
-def _outcome(failure: StoreFailure) -> str:
-    match failure:
-        case Conflict():
-            return "conflict"
-        case EffectUnknown():
-            return "unknown"
-    return "not_written"
--- a/tests/scheduling/test_caps.py
+++ b/tests/scheduling/test_caps.py
@@ -4,13 +4,18 @@
 
 from dataclasses import replace
 
+import pytest
+
 from amaranthtray.domain.ids import PoolName
 from amaranthtray.domain.jobs.catalog import JobPool, JobTeam
 from amaranthtray.domain.jobs.model import NO_RESOURCES, Resources
 from amaranthtray.domain.scheduling.caps import (
+    CLAIM_RETRY_MS,
+    SHRINK_CHECK_MS,
     CapTracker,
     ClaimPortion,
     PortionRow,
+    PortionsRead,
     claim,
     total,
 )
@@ -114,3 +119,90 @@
     tracker.rows[TEAM] = {A: Resources(4_000, 0, 0)}
     tracker.apply_catalog(a_capped_catalog(), a_capped_catalog(Resources(5_000, 0, 0)))
     assert TEAM not in tracker.rows
+
+
+class StoredRow:
+    """The row of one team in the store, and the claims of two pools on it."""
+
+    def __init__(self, cap: Resources = CAP) -> None:
+        self.catalog = a_capped_catalog(cap)
+        self.row: PortionRow = {}
+        self.pools = {pool: CapTracker(pool) for pool in (A, B)}
+
+    def review(self, pool: PoolName, now_ms: int, *, is_lost: bool = False) -> None:
+        """Carries out the claims of a pool that are due; or loses them."""
+        tracker = self.pools[pool]
+        for request in tracker.claims(self.catalog, now_ms):
+            if not is_lost:
+                self.row = claim(self.row, pool, request)
+                tracker.apply_row(PortionsRead(TEAM, dict(self.row)))
+
+    def change_cap(self, cap: Resources) -> None:
+        """Applies a configuration with another cap in both pools."""
+        old, self.catalog = self.catalog, a_capped_catalog(cap)
+        for tracker in self.pools.values():
+            tracker.apply_catalog(old, self.catalog)
+
+    def start(self, pool: PoolName, count: int, now_ms: int) -> int:
+        """Starts up to ``count`` tasks of a pool; returns how many may start."""
+        tracker, fitting = self.pools[pool], 0
+        for _ in range(2):
+            fitting = tracker.count_that_fits(self.catalog, TEAM, NEED, count)
+            self.review(pool, now_ms)
+            now_ms += CLAIM_RETRY_MS
+        for _ in range(fitting):
+            tracker.add(TEAM, NEED)
+        return fitting
+
+    def end(self, pool: PoolName, count: int) -> None:
+        """Ends tasks of a pool."""
+        for _ in range(count):
+            self.pools[pool].remove(TEAM, NEED)
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_a_pool_that_ran_tasks_when_the_cap_was_lowered_returns_its_portion(
+    *, is_lost: bool
+) -> None:
+    """Guards against a portion that no pool returns and that blocks all others."""
+    site = StoredRow()
+    assert site.start(A, 8, 0) == 8
+    site.change_cap(Resources(5_000, 0, 0))
+    site.review(A, 1_000, is_lost=is_lost)
+    site.end(A, 8)
+    for second in range(2, 8):
+        site.review(A, second * 1_000)
+    assert not any(site.row[A])
+    assert site.start(B, 5, 8_000) == 5
+
+
+def test_a_pool_within_the_lowered_cap_gives_up_what_it_does_not_use() -> None:
+    """Guards against slack of the former cap that leaves too little to others."""
+    site = StoredRow()
+    assert site.start(A, 8, 0) == 8
+    site.end(A, 6)
+    site.change_cap(Resources(5_000, 0, 0))
+    site.review(A, 1_000)
+    assert site.start(B, 3, 2_000) == 1
+
+
+def test_a_claim_without_a_reply_is_repeated() -> None:
+    """Guards against a portion that shrank here, but not in the store."""
+    site = StoredRow()
+    assert site.start(A, 8, 0) == 8
+    site.end(A, 8)
+    site.review(A, SHRINK_CHECK_MS * 2, is_lost=True)
+    assert any(site.row[A])
+    site.review(A, SHRINK_CHECK_MS * 4)
+    assert not any(site.row[A])
+    assert site.pools[A].claims(site.catalog, SHRINK_CHECK_MS * 6) == []
+
+
+def test_a_pool_claims_what_it_runs_when_a_cap_is_introduced() -> None:
+    """Guards against tasks that count in no portion as they started without a cap."""
+    site = StoredRow(NO_RESOURCES)
+    assert site.start(A, 8, 0) == 8
+    site.change_cap(CAP)
+    site.review(A, 1_000)
+    assert site.row[A].cpu >= 8_000
+    assert site.start(B, 5, 2_000) <= 2
