An unusable entry in the list of hosts leaves the others in use

Cause: the adapter gave missing fields defaults and took any text with a colon and a number for an address. The conductor makes the client of a new host in its own thread, and the HTTP library refuses such an address with an exception: the conductor ended, its duty was released, and each next one met the same entry. The log has one conductor-fault a term.

Change: an entry must have all fields that each host writes, with amounts in range and an IPv4 address and port. A host that no client can be made for is logged and gets no runs. Related paths: data nested too deeply ended the thread that follows the list; unreadable portions of a cap ended each conductor; an unreadable refusal of a start, or any fault while it was sent, left its run ordered for ever; an unreadable report ended the poll that renews the lease; unreadable advice ended the requests for advice. The links of a conductor are a module of their own now, and the generic HTTP client lives in web/, as it translates nothing.

--- a/src/amaranthtray/jobs/cap_portion_writer.py
+++ b/src/amaranthtray/jobs/cap_portion_writer.py
@@ -75,7 +75,8 @@
         if not isinstance(listed, Success):
             return False
         for item in listed.unwrap().items:
-            self._publish(TeamName(item.key.removeprefix(CAPS_PREFIX)), _row(item))
+            team = TeamName(item.key.removeprefix(CAPS_PREFIX))
+            self._publish(team, self._row(item))
         return True
 
     def _run(self) -> None:
@@ -95,7 +96,7 @@
             self._log_failure(request, "not_read", read.failure())
             return True
         stored = read.unwrap()
-        old = _row(stored) if stored else {}
+        old = self._row(stored) if stored else {}
         row = claim(old, self._pool, request)
         if row == old:
             self._context.metrics.count("cap_claims", "unchanged")
@@ -143,7 +144,13 @@
     def _publish(self, team: TeamName, row: PortionRow) -> None:
         self._post(PortionsRead(team, row))
 
-
-def _row(item: Versioned) -> PortionRow:
-    rows = msgspec.json.decode(item.value, type=dict[str, Resources])
-    return {PoolName(pool): portion for pool, portion in rows.items()}
+    def _row(self, item: Versioned) -> PortionRow:
+        """Returns the stored portions; an unreadable row is written anew."""
+        try:
+            rows = msgspec.json.decode(item.value, type=dict[str, Resources])
+        except msgspec.MsgspecError as exc:
+            self._context.log.event(
+                "portion-row-unreadable", key=item.key, why=str(exc)
+            )
+            return {}
+        return {PoolName(pool): portion for pool, portion in rows.items()}
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -124,7 +124,12 @@
             is_same = known_born == born and not self._is_silent
             acknowledged = sequence if is_same else 0
             wait_ms = POLL_WAIT_MS if pending <= acknowledged else 0
-            status = self._poll(acknowledged, wait_ms)
+            try:
+                status = self._poll(acknowledged, wait_ms)
+            except Exception as exc:
+                # Without this thread the lease would lapse unnoticed.
+                self._log.event("poll-fault", host=self.info.id, why=repr(exc))
+                status = None
             if isinstance(status, HostStatus):
                 born = status.born
                 pending = max((end.sequence for end in status.ends), default=0)
@@ -199,7 +204,12 @@
     def _send_start(self, order: StartRun | StopRun | PaceRun) -> None:
         match order:
             case StartRun():
-                self.start_run(order)
+                try:
+                    self.start_run(order)
+                except Exception:
+                    # The call may have been sent, so the run has to be resolved.
+                    self._post_start_reply(order, StartOutcome.NO_REPLY, 1)
+                    raise
             case PaceRun() if self._guard.may_order():
                 self._api.pace(order.name, order.number, order.percent)
 
@@ -230,19 +240,24 @@
             if outcome is not StartOutcome.NO_REPLY:
                 break
             unanswered += 1
-        is_reused = isinstance(outcome, AddressReused)
-        self._post(
-            StartReplied(
-                self.info.id,
-                order.name,
-                order.number,
-                StartOutcome.REFUSED if isinstance(outcome, AddressReused) else outcome,
-                steady_ms(),
-                was_repeated=unanswered > 0,
-            )
-        )
-        if is_reused:
+        if isinstance(outcome, AddressReused):
+            self._post_start_reply(order, StartOutcome.REFUSED, unanswered)
             self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
+        else:
+            self._post_start_reply(order, outcome, unanswered)
+
+    def _post_start_reply(
+        self, order: StartRun, outcome: StartOutcome, unanswered: int
+    ) -> None:
+        reply = StartReplied(
+            self.info.id,
+            order.name,
+            order.number,
+            outcome,
+            steady_ms(),
+            was_repeated=unanswered > 0,
+        )
+        self._post(reply)
 
     def _reason_not_to_send(self) -> StartOutcome | None:
         """Returns the outcome of a start that must not be sent now, else None."""
--- /dev/null
+++ b/src/amaranthtray/jobs/host_links.py
@@ -0,0 +1,110 @@
+"""The links of one conductor to the hosts of its pool."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
+from . import clock
+from .host_link import HostLink
+from .times import LEASE_MS, RENEWAL_GRACE_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..domain.ids import HostId
+    from ..domain.scheduling.messages import (
+        AcknowledgeEnds,
+        HostInfo,
+        Message,
+        PaceRun,
+        StartRun,
+        StopRun,
+    )
+    from .conductor_log import ConductorLog
+    from .context import JobEntryContext
+    from .term_guard import TermGuard
+
+
+class HostLinks:
+    """Opens and closes links, and passes orders on to them; not thread-safe.
+
+    Args:
+        context: Objects that all tasks of the entry share.
+        guard: Tells whether leases may be renewed and orders sent.
+        post: Queues a message for the conductor.
+        log: Log of the conductor.
+
+    Attributes:
+        earlier_leases_until_ms: Steady-clock time at which leases granted by earlier
+            terms have expired.
+    """
+
+    def __init__(
+        self,
+        context: JobEntryContext,
+        guard: TermGuard,
+        post: Callable[[Message], None],
+        log: ConductorLog,
+    ) -> None:
+        self._context = context
+        self._guard = guard
+        self._post = post
+        self._log = log
+        self._max_lease_ms = context.settings.hosts.max_lease_ms
+        self._lease_ms = min(LEASE_MS, self._max_lease_ms)
+        wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
+        self.earlier_leases_until_ms = clock.steady_ms() + wait_ms
+        self._links: dict[HostId, HostLink] = {}
+
+    def open(self, info: HostInfo) -> None:
+        """Opens a link in place of an earlier one.
+
+        A host that no client can be made for stays without one, and so gets no runs.
+        """
+        self.close(info.id)
+        try:
+            api = self._context.platform.host_api(info, self._guard.term)
+        except ValueError as exc:
+            self._log.event("host-unusable", host=info.id, why=str(exc))
+            return
+        lease = HostLease(
+            lease_ms=self._lease_ms,
+            max_lease_ms=self._max_lease_ms,
+            earlier_leases_until_ms=self.earlier_leases_until_ms,
+        )
+        link = HostLink(
+            info,
+            api=api,
+            lease=lease,
+            guard=self._guard,
+            post=self._post,
+            log=self._context.log,
+            is_evacuated=lambda: info.zone in self._context.evacuations.zones,
+        )
+        self._links[info.id] = link
+        link.start()
+
+    def close(self, host: HostId) -> None:
+        """Closes the link to a host if there is one."""
+        link = self._links.pop(host, None)
+        if link is not None:
+            link.close()
+
+    def close_all(self) -> None:
+        """Closes all links."""
+        for host in list(self._links):
+            self.close(host)
+
+    def has(self, host: HostId) -> bool:
+        """Returns whether there is a link to a host."""
+        return host in self._links
+
+    def order(self, order: StartRun | StopRun | PaceRun) -> None:
+        """Queues an order to a host that has a link."""
+        self._links[order.host].order(order)
+
+    def acknowledge(self, effect: AcknowledgeEnds) -> None:
+        """Acknowledges ends of a host, if it has a link, from its next poll on."""
+        if self.has(effect.host):
+            self._links[effect.host].acknowledge(effect.born, effect.sequence)
--- a/src/amaranthtray/jobs/host_list_follower.py
+++ b/src/amaranthtray/jobs/host_list_follower.py
@@ -87,11 +87,20 @@
     def _run(self) -> None:
         while True:
             self._has_subscribers.wait()
-            cursor = self._cursor
-            is_read = self._list() if cursor is None else self._follow(cursor)
-            if not is_read:
+            if not self._read():
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
+    def _read(self) -> bool:
+        """Reads the list or its changes; returns False if a pause is needed."""
+        cursor = self._cursor
+        try:
+            return self._list() if cursor is None else self._follow(cursor)
+        except Exception as exc:
+            # A fault must not end the thread, as the entry's pools get hosts from it.
+            self._log.event("host-list-fault", why=repr(exc))
+            self._cursor = None
+            return False
+
     def _list(self) -> bool:
         listed = self._store.list(self._platform.hosts_prefix)
         if not isinstance(listed, Success):
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -15,7 +15,6 @@
     RunsMoved,
     StartWithheld,
 )
-from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
 from ..domain.scheduling.losses import CrashWithdrawn, RunsLost, TaskGivenUp
 from ..domain.scheduling.messages import (
     AcknowledgeEnds,
@@ -48,7 +47,7 @@
 from .conductor_log import ConductorLog
 from .conductor_stats import ConductorStats
 from .evacuation_reporter import EvacuationReporter
-from .host_link import HostLink
+from .host_links import HostLinks
 from .job_feed import JobFeed
 from .loss_log import LossLog
 from .rack_log import record_rack_report
@@ -59,12 +58,11 @@
 from .share_log import ShareLog
 from .share_portion_writer import SharePortionWriter
 from .term_guard import TermGuard
-from .times import LEASE_MS, RENEWAL_GRACE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..domain.ids import HostId, PoolName, Term
+    from ..domain.ids import PoolName, Term
     from ..domain.jobs.catalog import Catalog
     from ..settings.job_entry import SchedulingSection
     from .context import JobEntryContext
@@ -117,9 +115,6 @@
         self.pool = pool
         self._guard = TermGuard(term, held_term)
         self._context = context
-        self._lease_ms = min(LEASE_MS, context.settings.hosts.max_lease_ms)
-        wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
-        self._earlier_leases_until_ms = clock.steady_ms() + wait_ms
         self._mailbox: queue.SimpleQueue[Message | _Stop] = queue.SimpleQueue()
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
@@ -128,7 +123,7 @@
         self._losses = LossLog(self._log)
         self._evacuation = EvacuationReporter(self._log)
         self._run_time_log = RunTimeLog(self._log)
-        self._links: dict[HostId, HostLink] = {}
+        self._links = HostLinks(context, self._guard, self.post, self._log)
         self._stopping = threading.Event()
         self._ended = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
@@ -189,24 +184,17 @@
             self._cap_portions.stop()
             self._share_portions.stop()
             self._advice.stop()
-            for link in self._links.values():
-                link.close()
+            self._links.close_all()
             self._context.evacuations.unsubscribe(self.pool, self.post)
             log.event("conducting-ended", pool=self.pool, term=self._guard.term)
 
     def _conduct(self) -> None:
-        while not self._writer.fence_older_terms():
-            if self._writer.is_superseded or not self._may_continue():
-                return
-            self._stopping.wait(STORE_RETRY_MS / 1_000)
-        while not self._cap_portions.load():
-            if not self._may_continue():
-                return
-            self._stopping.wait(STORE_RETRY_MS / 1_000)
-        while not self._context.evacuations.subscribe(self.pool, self.post):
-            if not self._may_continue():
-                return
-            self._stopping.wait(STORE_RETRY_MS / 1_000)
+        if not (
+            self._repeat(self._writer.fence_older_terms)
+            and self._repeat(self._cap_portions.load)
+            and self._repeat(self._subscribe_to_evacuations)
+        ):
+            return
         if not load_run_times(
             self.pool, self._context, self.post, self._may_continue, self._stopping
         ):
@@ -227,7 +215,7 @@
         scheduler = PoolScheduler(
             self.pool,
             catalog,
-            self._earlier_leases_until_ms,
+            self._links.earlier_leases_until_ms,
             int(retention_s * 1_000) + RETENTION_MARGIN_MS,
             _policy(self._context.settings.scheduling),
         )
@@ -235,6 +223,17 @@
         while self._may_continue():
             self._run_round(scheduler)
 
+    def _subscribe_to_evacuations(self) -> bool:
+        return self._context.evacuations.subscribe(self.pool, self.post)
+
+    def _repeat(self, load: Callable[[], bool]) -> bool:
+        """Repeats a call until it succeeds; returns False if the conductor must end."""
+        while not load():
+            if self._writer.is_superseded or not self._may_continue():
+                return False
+            self._stopping.wait(STORE_RETRY_MS / 1_000)
+        return True
+
     def _may_continue(self) -> bool:
         return not self._stopping.is_set() and self._guard.may_renew()
 
@@ -304,13 +303,12 @@
                     self._share_portions.claim(effect)
                 case StartRun() | StopRun() | PaceRun():
                     self._send_order(effect)
-                case AcknowledgeEnds(host, born, sequence):
-                    if host in self._links:
-                        self._links[host].acknowledge(born, sequence)
+                case AcknowledgeEnds():
+                    self._links.acknowledge(effect)
                 case WatchHost(info):
-                    self._watch_host(info.id, effect)
+                    self._links.open(info)
                 case UnwatchHost(host):
-                    self._unwatch_host(host)
+                    self._links.close(host)
                 case Superseded():
                     self._guard.mark_superseded()
                 case _:
@@ -337,46 +335,22 @@
                 record_rack_report(self._log, report)
 
     def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
-        link = self._links.get(order.host)
-        if link is not None:
-            details: dict[str, object] = {}
-            if isinstance(order, StartRun):
-                self._stats.record_order(order, clock.steady_ms())
-                if order.prior_crashes:
-                    details["prior_crashes"] = order.prior_crashes
-            self._context.log.event(
-                type(order).__name__,
-                host=order.host,
-                task=str(order.name),
-                run=order.number,
-                term=self._guard.term,
-                **details,
-            )
-            link.order(order)
-
-    def _watch_host(self, host: HostId, effect: WatchHost) -> None:
-        self._unwatch_host(host)
-        lease = HostLease(
-            lease_ms=self._lease_ms,
-            max_lease_ms=self._context.settings.hosts.max_lease_ms,
-            earlier_leases_until_ms=self._earlier_leases_until_ms,
-        )
-        link = HostLink(
-            effect.info,
-            api=self._context.platform.host_api(effect.info, self._guard.term),
-            lease=lease,
-            guard=self._guard,
-            post=self.post,
-            log=self._context.log,
-            is_evacuated=lambda: effect.info.zone in self._context.evacuations.zones,
+        if not self._links.has(order.host):
+            return
+        details: dict[str, object] = {}
+        if isinstance(order, StartRun):
+            self._stats.record_order(order, clock.steady_ms())
+            if order.prior_crashes:
+                details["prior_crashes"] = order.prior_crashes
+        self._context.log.event(
+            type(order).__name__,
+            host=order.host,
+            task=str(order.name),
+            run=order.number,
+            term=self._guard.term,
+            **details,
         )
-        self._links[host] = link
-        link.start()
-
-    def _unwatch_host(self, host: HostId) -> None:
-        link = self._links.pop(host, None)
-        if link is not None:
-            link.close()
+        self._links.order(order)
 
     def _write_loop(self) -> None:
         while not self._stopping.is_set():
--- a/src/amaranthtray/platform/advice_client.py
+++ b/src/amaranthtray/platform/advice_client.py
@@ -8,7 +8,7 @@
 
 from ..domain.ids import HostId
 from ..jobs.ports import Advice
-from ._http import HttpPeer, Response
+from ..web.http_peer import HttpPeer, Response
 
 if TYPE_CHECKING:
     from ..domain.scheduling.advice import RequestAdvice
@@ -45,6 +45,9 @@
         )
         if not isinstance(outcome, Response) or not outcome.is_success:
             return None
-        body = msgspec.json.decode(outcome.body, type=_AdviceBody)
+        try:
+            body = msgspec.json.decode(outcome.body, type=_AdviceBody)
+        except msgspec.MsgspecError:
+            return None
         tickets = {HostId(host): ticket for host, ticket in body.allowed}
         return Advice(tickets, body.valid_ms)
--- a/src/amaranthtray/platform/documents.py
+++ b/src/amaranthtray/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from ..domain.ids import HostId, PoolName, QueueName, RackId, TeamName, ZoneId
@@ -9,6 +11,7 @@
 from ..domain.jobs.model import Resources
 from ..domain.scheduling.messages import HostInfo
 from ..domain.upkeep.model import MachineName, WaveRequest
+from ..web.address import split_address
 
 CONFIGURATION_KEY = "op/config"
 HOSTS_PREFIX = "servers/"
@@ -17,11 +20,14 @@
 EVACUATIONS_PREFIX = "op/evacuate/"
 USABLE_STATES = ("ready", "draining")
 
+Amount = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
+"""A count, or an amount of a resource."""
+
 
 class _ResourceAmounts(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    requested_memory_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    requested_memory_mb: Amount = 0
+    gpu: Amount = 0
 
     def resources(self) -> Resources:
         return Resources(self.cpu, self.requested_memory_mb, self.gpu)
@@ -102,15 +108,22 @@
 
 
 class _HostEntry(msgspec.Struct, rename="camel"):
-    """A host's entry in the list of hosts, which the host writes."""
+    """A host's entry in the list of hosts.
+
+    A host writes all fields without a default; other writers may leave some out.
+    """
 
     service: str
     address: str
     state: str
-    zone: str = ""
-    capacity: _ResourceAmounts = msgspec.field(default_factory=_ResourceAmounts)
-    labels: list[str] = []
-    remaining_ms: int = 0
+    zone: str
+    version: str
+    slots: Amount
+    cold_remaining_ms: Amount
+    sequence: Amount
+    capacity: _ResourceAmounts
+    labels: list[str]
+    remaining_ms: Amount = 0
     machine: str = ""
 
 
@@ -142,9 +155,10 @@
     """Returns a host and its pool; None if the entry names no usable host."""
     try:
         entry = msgspec.json.decode(data, type=_HostEntry)
-    except msgspec.MsgspecError:
+        split_address(entry.address)
+    except (msgspec.MsgspecError, RecursionError, ValueError):
         return None
-    if entry.state not in USABLE_STATES or not _is_host_and_port(entry.address):
+    if entry.state not in USABLE_STATES:
         return None
     info = HostInfo(
         id=HostId(key.removeprefix(HOSTS_PREFIX)),
@@ -215,8 +229,3 @@
 def _rack(labels: list[str]) -> RackId:
     """Returns the rack, which is the last label; the first is the host's kind."""
     return RackId(labels[-1]) if len(labels) > 1 else RackId("")
-
-
-def _is_host_and_port(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdecimal()
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -10,7 +10,7 @@
 from ..domain.jobs.task import RunOutcome
 from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome, StartRun
 from ..jobs.ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
-from ._http import CallOutcome, HttpPeer, Response
+from ..web.http_peer import CallOutcome, HttpPeer, Response
 
 if TYPE_CHECKING:
     from ..domain.ids import HostId, Term
@@ -89,8 +89,7 @@
             case Response(status=status) if 200 <= status < 300:
                 return StartOutcome.STARTED
             case Response(status=409, body=body):
-                refusal = msgspec.json.decode(body, type=_RefusalBody)
-                return _REFUSAL_OUTCOMES.get(refusal.reason, StartOutcome.REFUSED)
+                return _decode_refusal(body)
             case Response(status=429 | 503):
                 return StartOutcome.UNHEALTHY
             case Response(status=status) if status == MISDIRECTED:
@@ -167,12 +166,20 @@
     return False
 
 
+def _decode_refusal(body: bytes) -> StartOutcome:
+    try:
+        refusal = msgspec.json.decode(body, type=_RefusalBody)
+    except msgspec.MsgspecError:
+        return StartOutcome.REFUSED
+    return _REFUSAL_OUTCOMES.get(refusal.reason, StartOutcome.REFUSED)
+
+
 def _decode_status(body: bytes) -> PollOutcome:
     try:
         status = msgspec.json.decode(body, type=_StatusBody)
         running = [_decode_run(row) for row in status.running]
         ends = [_decode_end(row) for row in status.finished]
-    except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+    except (msgspec.MsgspecError, ValueError, IndexError, TypeError) as exc:
         return NoUsableReply(f"unreadable status: {exc}")
     return HostStatus(
         clock_ms=status.clock_ms,
@@ -183,12 +190,12 @@
 
 
 def _decode_run(row: list[Any]) -> RunReport | None:
-    name = TaskName.parse(row[0])
+    name = TaskName.parse(str(row[0]))
     load = int(row[4]) if len(row) > 4 else 0
     return name and RunReport(name, int(row[1]), str(row[2]), int(row[3]), load)
 
 
 def _decode_end(row: list[Any]) -> EndReport | None:
-    name = TaskName.parse(row[1])
+    name = TaskName.parse(str(row[1]))
     how = RunOutcome(row[3])
     return name and EndReport(int(row[0]), name, int(row[2]), how, str(row[4]))
--- a/src/amaranthtray/platform/machine_client.py
+++ b/src/amaranthtray/platform/machine_client.py
@@ -16,7 +16,7 @@
     MaintainMachine,
     OrderOutcome,
 )
-from ._http import HttpPeer, Response
+from ..web.http_peer import HttpPeer, Response
 
 if TYPE_CHECKING:
     from ..domain.ids import Term
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -14,6 +14,7 @@
 from ..jobs.metrics_registry import MetricsRegistry
 from ..settings.job_entry import load_job_entry
 from ..web import WebServer
+from ..web.address import split_address
 from . import documents
 from .advice_client import AdviceClient
 from .host_client import HostClient
@@ -145,6 +146,6 @@
     )
     servers = []
     for root, address, threads in pages:
-        host, _, port = address.rpartition(":")
-        servers.append(WebServer(root, host=host, port=int(port), threads=threads))
+        host, port = split_address(address)
+        servers.append(WebServer(root, host=host, port=port, threads=threads))
     return servers
--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -26,7 +26,7 @@
     WatchBatch,
     WatchEvent,
 )
-from ._http import CallOutcome, HttpPeer, Response
+from ..web.http_peer import CallOutcome, HttpPeer, Response
 
 CALL_TIMEOUT_MS = 1_000
 """A reply takes some milliseconds; a slow store may take fifty times as long."""
--- a/src/amaranthtray/web/__init__.py
+++ b/src/amaranthtray/web/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP servers, each with a CherryPy application of its own."""
+"""HTTP servers, each with its CherryPy application, and clients of one peer."""
 
 from __future__ import annotations
 
--- a/src/amaranthtray/platform/_http.py
+++ b/src/amaranthtray/web/http_peer.py
@@ -16,6 +16,8 @@
     NewConnectionError,
 )
 
+from .address import split_address
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -76,14 +78,17 @@
     Args:
         address: IP address and port.
         connections: Most connections that are kept open.
+
+    Raises:
+        ValueError: ``address`` is not an address.
     """
 
     def __init__(self, address: str, *, connections: int) -> None:
         self.address = address
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         self._pool = urllib3.HTTPConnectionPool(
             host,
-            int(port),
+            port,
             maxsize=connections,
             retries=False,
             socket_options=_SOCKET_OPTIONS,
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -20,13 +20,18 @@
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
     "zone": "z",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "coldRemainingMs": 0,
     "capacity": {"cpu": 16000, "requestedMemoryMb": 32768, "gpu": 1},
     "labels": ["a", "r1-3"],
     "machine": "m-1",
     "sequence": 4,
     "unknownField": [],
 }
+AMOUNTS = {"requestedMemoryMb": 1, "gpu": 0, "cpu": 1}
+REQUIRED = sorted({*HOST_ENTRY} - {"machine", "unknownField"})
 ROUTE = {
     "name": "r",
     "host": "h.example",
@@ -65,12 +70,44 @@
         encoded(HOST_ENTRY | {"address": "nowhere"}),
         encoded(HOST_ENTRY | {"capacity": "large"}),
         encoded({key: HOST_ENTRY[key] for key in HOST_ENTRY if key != "service"}),
+        b'{"unknownField":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        encoded(HOST_ENTRY | {"capacity": AMOUNTS | {"cpu": -1}}),
+        encoded(HOST_ENTRY | {"capacity": AMOUNTS | {"cpu": 10**25}}),
+        encoded(HOST_ENTRY | {"slots": "8"}),
     ],
 )
 def test_an_invalid_entry_names_no_host(data: bytes) -> None:
     assert decode_host("servers/x", data) is None
 
 
+@pytest.mark.parametrize("name", REQUIRED)
+def test_an_entry_without_a_field_names_no_host(name: str) -> None:
+    """Guards against orders to what another writer has left on the list."""
+    entry = {key: HOST_ENTRY[key] for key in HOST_ENTRY if key != name}
+    assert decode_host("servers/x", encoded(entry)) is None
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1 :80",
+        "a b:80",
+        "host.example:80",
+        ":80",
+        "10.0.0.1:",
+        "10.0.0.1:0",
+        "10.0.0.1:65536",
+        "10.0.0.1:-1",
+        "10.0.0.1:\u0663",
+        "10.0.0.1/x:80",
+        "10.0.0.1\n:80",
+    ],
+)
+def test_an_entry_with_a_faulty_address_names_no_host(address: str) -> None:
+    """Guards against an address that no client can be made for."""
+    assert decode_host("servers/x", encoded(HOST_ENTRY | {"address": address})) is None
+
+
 def test_a_configuration_is_decoded() -> None:
     document = {
         "version": 7,
