A start without a reply is stopped although its repetition was refused

Cause: the last reply counted as the outcome of the order. After a refused repetition the run was marked as confirmed, and the next report without it counted as proof that it is not on the host, though the first try can still be carried out.

Change: if a try had no reply, the run is stopped, after which its host rejects the start, unless the host has reported the run itself. The same cause elsewhere: a refused repetition of a machine's move hid that the first order may be carried out; its outcome stays unknown now.

--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -186,8 +186,8 @@
         number: Run number.
         outcome: Result of the order.
         replied_ms: Steady-clock time of the reply.
-        was_repeated: Whether an earlier attempt got no response, and may have started
-            the run.
+        was_repeated: Whether an earlier attempt got no response; the host may have
+            started the run, or may start it later.
     """
 
     host: HostId
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -64,6 +64,7 @@
     from ..jobs.catalog import Catalog
     from ..jobs.job import Job
     from ..jobs.model import JobId
+    from .host import PlacedRun
     from .losses import LossCause
 
 FULL_BACKOFF_MS = 500
@@ -335,20 +336,26 @@
             if run.phase is RunPhase.STARTING:
                 run.phase, run.confirmed_ms = RunPhase.RUNNING, reply.replied_ms
             return []
-        if reply.outcome is StartOutcome.NO_REPLY:
-            run.phase, run.confirmed_ms = RunPhase.STOPPING, None
-            return [StopRun(reply.host, reply.name, reply.number)]
         if reply.outcome is StartOutcome.FENCED:
             return [Superseded(reply.host)]
-        if reply.was_repeated:
-            # The first attempt may have started the run, and it may have ended since:
-            # the host's next report shows.
-            run.phase, run.confirmed_ms = RunPhase.RUNNING, reply.replied_ms
-        else:
-            self.state.drop_run(reply.name, run)
         self._back_off(host, reply)
+        if reply.outcome is StartOutcome.NO_REPLY or reply.was_repeated:
+            return self._stop_unanswered(placed)
+        self.state.drop_run(reply.name, run)
         return []
 
+    def _stop_unanswered(self, placed: PlacedRun) -> list[Effect]:
+        """Stops a run of which a try had no reply: it may start at any time.
+
+        Once the host has confirmed the stop, it rejects such a start. A run that the
+        host has reported, or that is being stopped, can't start again.
+        """
+        name, _, run = placed
+        if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
+            return []
+        run.phase, run.confirmed_ms = RunPhase.STOPPING, None
+        return [StopRun(run.host, name, run.number)]
+
     def _back_off(self, host: Host, reply: StartReplied) -> None:
         """Delays new runs on the host, or the task, according to a refusal."""
         now_ms = self.state.now_ms
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -131,14 +131,21 @@
                 self._handle_reply(order, reply)
 
     def _order(self, order: MoveMachine, service: MachineService) -> OrderOutcome:
-        """Sends one order, once more if its outcome is unknown."""
+        """Sends one order, once more if its outcome is unknown.
+
+        A refusal of the second try leaves the outcome unknown: the first one may be
+        what the platform is carrying out, or may be carried out later.
+        """
         outcome = OrderOutcome.REFUSED
         for _ in range(MAX_TRIES):
             if not self._may_continue():
                 break
             # Earlier orders may have taken seconds; the quiet period starts now.
             self._recent_orders.record((order.machine,), steady_ms())
+            was_unknown = outcome is OrderOutcome.UNKNOWN
             outcome = service.order(order)
+            if was_unknown and outcome is OrderOutcome.REFUSED:
+                return OrderOutcome.UNKNOWN
             if outcome is not OrderOutcome.UNKNOWN:
                 break
         return outcome
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -221,6 +221,27 @@
     assert len(site.machine_service.orders) == 2
 
 
+def test_a_refused_repetition_of_a_move_leaves_its_outcome_unknown() -> None:
+    """Guards against a machine that counts as staying while its first try moves it."""
+    site = FleetSite()
+    manager = site.new_manager(1)
+    site.report_need(24)
+    outcomes = [OrderOutcome.UNKNOWN, OrderOutcome.REFUSED]
+
+    def reply_next() -> None:
+        site.machine_service.outcome = outcomes.pop(0)
+
+    site.machine_service.on_order = reply_next
+    site.step(manager)
+    moved = {order.machine for order in site.machine_service.orders}
+    assert len(moved) == 1
+    assert not outcomes
+    site.machine_service.on_order = lambda: None
+    site.step(manager)
+    assert len(site.machine_service.orders) == 2
+    assert {*manager._mover._moves.moving} == moved
+
+
 def test_a_fault_of_one_order_leaves_no_order_of_its_group_unrecorded() -> None:
     site = FleetSite()
     manager = site.new_manager(1)
--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -30,6 +30,7 @@
     crashing_share: float = 0.0,
     evacuations: int = 0,
     learn: bool = False,
+    unhealthy_share: float = 0.0,
 ) -> World:
     """Simulates a period with faults, then one without in which all jobs must end.
 
@@ -38,8 +39,10 @@
         crashing_share: Share of the jobs whose first task crashes its hosts.
         evacuations: Number of times at which other zones are evacuated.
         learn: Whether run times are learned.
+        unhealthy_share: Share of the starts that hosts refuse as unhealthy.
     """
     world = World(seed, fault_rate=0.06, learn=learn)
+    world.unhealthy_share = unhealthy_share
     rng = world.rng
     world.take_over()
     for number in range(8):
@@ -65,7 +68,7 @@
         world.schedule(rng.randint(0, FAULTY_MS), lambda z=zones: world.evacuate(*z))
     world.schedule(FAULTY_MS, world.evacuate)
     world.run_until(world.now_ms + FAULTY_MS)
-    world.fault_rate = 0.0
+    world.fault_rate = world.unhealthy_share = 0.0
     for host in world.hosts.values():
         host.is_partitioned = False
         if not host.is_up:
@@ -107,6 +110,14 @@
     assert not unfinished
 
 
+@pytest.mark.parametrize("seed", range(SCHEDULES // 2))
+def test_late_starts_beside_refusals_run_once_on_a_seeded_schedule(seed: int) -> None:
+    """Guards against a second run of a task whose first order arrives late."""
+    world = run_schedule(seed, unhealthy_share=0.4)
+    assert not world.promises.broken
+    assert all(world.state(job).is_final for job in world.specs)
+
+
 @pytest.mark.parametrize("seed", range(SCHEDULES // 2))
 def test_crashing_tasks_are_given_up_and_no_others_on_a_seeded_schedule(
     seed: int,
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -95,6 +95,8 @@
         if term < self.term:
             return StartOutcome.FENCED
         self.term = term
+        if self.world.is_unhealthy():
+            return StartOutcome.UNHEALTHY
         self._extend(until_ms)
         if order.name in self.running and self.running[order.name][0] == order.number:
             return StartOutcome.STARTED
@@ -404,6 +406,8 @@
         self.rng = random.Random(seed)
         self.fault_rate = fault_rate
         self.fail_share = 0.02
+        self.unhealthy_share = 0.0
+        self._health_rng = random.Random(seed)
         self.now_ms = 1_000_000
         self.catalog = Catalog(
             version=1,
@@ -490,6 +494,14 @@
             act()
             self._is_late = False
 
+    def is_unhealthy(self) -> bool:
+        """Returns whether a host refuses an order that arrives in time."""
+        return (
+            self.unhealthy_share > 0
+            and not self._is_late
+            and self._health_rng.random() < self.unhealthy_share
+        )
+
     def count_start(self, name: TaskName) -> None:
         """Counts a start, but not one by an order that arrived late."""
         self.starts[name] += not self._is_late
