A run whose end a host has not listed yet does not count as absent

Cause: a worker lists 500 ends in a reply. A report in which a run is neither running nor ended counted as proof of its absence, although the list may be only the first part.

Change: a report says whether it has all ends, and only such a report proves absence. Related: a listing of the store that ends before its last page counted as the whole list; it counts as not read now.

--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -117,6 +117,8 @@
 
 def _is_absence_proven(placed: PlacedRun, report: HostReport) -> bool:
     """Returns whether a report without the run proves that it is not on the host."""
+    if not report.has_all_ends:
+        return False
     run = placed.run
     match run.phase:
         case RunPhase.UNCONFIRMED:
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -127,6 +127,8 @@
         received_ms: Steady-clock time of the response.
         running: Runs that are running on the host.
         ends: Ended runs that have not been acknowledged.
+        has_all_ends: Whether ``ends`` has all of them. If not, a run that is neither
+            running nor in ``ends`` may have ended.
     """
 
     host: HostId
@@ -135,6 +137,7 @@
     received_ms: int
     running: tuple[RunReport, ...]
     ends: tuple[EndReport, ...]
+    has_all_ends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -151,6 +151,9 @@
                 self._is_silent = False
                 if self.record_incarnation(outcome.born):
                     return self._poll(0, 0)
+                if not outcome.has_all_ends:
+                    ends = len(outcome.ends)
+                    self._log.event("host-ends-partial", host=self.info.id, ends=ends)
                 self._post(
                     HostReport(
                         self.info.id,
@@ -159,6 +162,7 @@
                         received_ms,
                         outcome.running,
                         outcome.ends,
+                        outcome.has_all_ends,
                     )
                 )
                 return outcome
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -25,13 +25,15 @@
         clock_ms: The host's steady clock when it answered.
         born: Wall time at which the host's present incarnation started.
         running: Runs that are in progress.
-        ends: Ends of runs that were not acknowledged yet.
+        ends: Ends of runs that were not acknowledged yet, the earliest first.
+        has_all_ends: Whether ``ends`` has all of them.
     """
 
     clock_ms: int
     born: int
     running: tuple[RunReport, ...]
     ends: tuple[EndReport, ...]
+    has_all_ends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -21,6 +21,9 @@
 TOKENS_PER_TERM = 1_000
 """Fencing tokens of one term; each new incarnation of a host uses the next one."""
 
+MAX_ENDS = 500
+"""A host lists at most so many ends in a reply, the others once these are forgotten."""
+
 CONNECTIONS = 3
 """One each for starts, for stops and for the poll that waits for ends."""
 
@@ -186,6 +189,7 @@
         born=status.born,
         running=tuple(run for run in running if run is not None),
         ends=tuple(end for end in ends if end is not None),
+        has_all_ends=len(ends) < MAX_ENDS,
     )
 
 
--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -124,10 +124,12 @@
             page = read.unwrap()
             first_version = first_version or page.current_rev
             items.extend(item.versioned() for item in page.items)
-            if not page.has_more or not page.items:
+            if not page.has_more:
+                return Success(Listing(tuple(items), first_version))
+            if not page.items:
                 break
             after = page.items[-1].key
-        return Success(Listing(tuple(items), first_version))
+        return Failure(Unavailable(step, self._address, "the list has no end"))
 
     def create(
         self, key: str, value: bytes, *, lease: LeaseId | None = None
--- a/tests/scheduling/test_schedules.py
+++ b/tests/scheduling/test_schedules.py
@@ -31,6 +31,7 @@
     evacuations: int = 0,
     learn: bool = False,
     unhealthy_share: float = 0.0,
+    max_ends: int = 500,
 ) -> World:
     """Simulates a period with faults, then one without in which all jobs must end.
 
@@ -40,9 +41,10 @@
         evacuations: Number of times at which other zones are evacuated.
         learn: Whether run times are learned.
         unhealthy_share: Share of the starts that hosts refuse as unhealthy.
+        max_ends: Number of ends that a host lists in one reply.
     """
     world = World(seed, fault_rate=0.06, learn=learn)
-    world.unhealthy_share = unhealthy_share
+    world.unhealthy_share, world.max_ends = unhealthy_share, max_ends
     rng = world.rng
     world.take_over()
     for number in range(8):
@@ -118,6 +120,16 @@
     assert all(world.state(job).is_final for job in world.specs)
 
 
+@pytest.mark.parametrize("seed", range(SCHEDULES // 2))
+def test_ends_that_a_host_lists_in_parts_count_once_on_a_seeded_schedule(
+    seed: int,
+) -> None:
+    """Guards against a second run of a task whose end comes with a later reply."""
+    world = run_schedule(seed, max_ends=1)
+    assert not world.promises.broken
+    assert all(world.state(job).is_final for job in world.specs)
+
+
 @pytest.mark.parametrize("seed", range(SCHEDULES // 2))
 def test_crashing_tasks_are_given_up_and_no_others_on_a_seeded_schedule(
     seed: int,
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -367,8 +367,10 @@
                 RunReport(name, number, "", 50, 0)
                 for name, (number, _) in host.running.items()
             )
+            ends = tuple(host.ends[: world.max_ends])
+            has_all_ends = len(ends) < world.max_ends
             report = HostReport(
-                host_id, host.born, sent_ms, 0, running, tuple(host.ends)
+                host_id, host.born, sent_ms, 0, running, ends, has_all_ends
             )
             return report, host.clock()
 
@@ -407,6 +409,7 @@
         self.fault_rate = fault_rate
         self.fail_share = 0.02
         self.unhealthy_share = 0.0
+        self.max_ends = 500
         self._health_rng = random.Random(seed)
         self.now_ms = 1_000_000
         self.catalog = Catalog(
