A pool returns a portion of a cap that is too small to start anything with

Cause: a claim that can't get all it wants takes what the cap leaves. Two pools then hold parts that are each too small, and a portion shrinks only when nothing waits. Slack that a pool keeps beside tasks that last blocks a gang elsewhere in the same way.

Change: such a portion is collected for one second, then returned, and for another second the pool takes only a portion that is large enough. Slack is returned 4 s after the last start.

--- a/src/amaranthtray/domain/scheduling/caps.py
+++ b/src/amaranthtray/domain/scheduling/caps.py
@@ -30,6 +30,16 @@
 CLAIM_RETRY_MS = 100
 """Time between claims for a team whose cap is exhausted."""
 
+HOLD_MS = 1_000
+"""Time for which a pool collects a portion that is too small to start anything with.
+Without a limit, two pools that collect parts of one cap could wait for each other."""
+
+REST_MS = 1_000
+"""Time after that in which the pool takes a portion only if it can start something."""
+
+SLACK_KEPT_MS = 4_000
+"""Time after the last start of a team's tasks for which the pool keeps slack."""
+
 PortionRow: TypeAlias = "dict[PoolName, Resources]"
 """The portions of one team by pool."""
 
@@ -43,12 +53,14 @@
         used: Resources in use, the lower bound of the portion.
         want: Requested portion; less is granted if the cap leaves less.
         cap: The team's cap.
+        least: Portion below which only ``used`` is taken.
     """
 
     team: TeamName
     used: Resources
     want: Resources
     cap: Resources
+    least: Resources = NO_RESOURCES
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +86,7 @@
             for used, want, room in zip(request.used, request.want, left, strict=True)
         )
     )
-    return {**row, pool: portion}
+    return {**row, pool: portion if request.least.fits(portion) else request.used}
 
 
 def total(row: Mapping[PoolName, Resources]) -> Resources:
@@ -95,6 +107,15 @@
         rows: Rows as last read, with claims that shrink a portion already applied.
         claimed_ms: Steady-clock time of the last claim, by team.
         unmet: Needs that exceeded the portion since the last claims, by team.
+        too_large: Least of the needs that found no room in the portion while nothing
+            else did, since the last claims, by team.
+        usable: Teams of which something fitted since the last claims.
+        held_ms: Steady-clock time since which a portion is too small to start
+            anything, by team.
+        resting_until_ms: Steady-clock time until which such a portion is not collected
+            again, by team.
+        grown: Teams of which tasks were started since the last claims.
+        grown_ms: Steady-clock time of the claims after the last start, by team.
         unread: Teams whose stored row may differ from the known one: their cap was
             lowered or introduced, or a claim has had no reply.
     """
@@ -104,11 +125,18 @@
     rows: dict[TeamName, Mapping[PoolName, Resources]] = field(default_factory=dict)
     claimed_ms: dict[TeamName, int] = field(default_factory=dict)
     unmet: dict[TeamName, Resources] = field(default_factory=dict)
+    too_large: dict[TeamName, Resources] = field(default_factory=dict)
+    usable: set[TeamName] = field(default_factory=set)
+    held_ms: dict[TeamName, int] = field(default_factory=dict)
+    resting_until_ms: dict[TeamName, int] = field(default_factory=dict)
+    grown: set[TeamName] = field(default_factory=set)
+    grown_ms: dict[TeamName, int] = field(default_factory=dict)
     unread: set[TeamName] = field(default_factory=set)
 
     def add(self, team: TeamName, need: Resources) -> None:
         """Adds the resources of a run that may be on a host."""
         self.used[team] = self.used.get(team, NO_RESOURCES).plus(need)
+        self.grown.add(team)
 
     def remove(self, team: TeamName, need: Resources) -> None:
         """Releases the resources of a run that has ended."""
@@ -150,6 +178,11 @@
                 fitting = 0
             lacking = need.times(count - fitting)
             self.unmet[team] = self.unmet.get(team, NO_RESOURCES).plus(lacking)
+        if fitting:
+            self.usable.add(team)
+        elif count:
+            whole = need.times(count) if is_gang else need
+            self.too_large[team] = min(whole, self.too_large.get(team, whole))
         return fitting
 
     def claims(self, catalog: Catalog, now_ms: int) -> list[ClaimPortion]:
@@ -160,7 +193,10 @@
             if cap is None:
                 continue
             since_ms = now_ms - self.claimed_ms.get(team, now_ms - SHRINK_CHECK_MS)
+            self._record_growth(team, now_ms)
             slack = _slack(catalog, cap)
+            if now_ms - self.grown_ms.get(team, now_ms) >= SLACK_KEPT_MS:
+                slack = NO_RESOURCES
             urgent = self._urgent_portion(team, cap, slack)
             due_ms = SHRINK_CHECK_MS if urgent is None else CLAIM_RETRY_MS
             if since_ms < due_ms:
@@ -172,11 +208,34 @@
             if portion is not None:
                 self.claimed_ms[team] = now_ms
                 self.unread.add(team)
+                least = self._least_portion(team, now_ms)
                 self._shrink_row(team, portion)
-                claims.append(ClaimPortion(team, used, portion, cap))
+                claims.append(ClaimPortion(team, used, portion, cap, least))
         self.unmet.clear()
+        self.too_large.clear()
+        self.usable.clear()
         return claims
 
+    def _record_growth(self, team: TeamName, now_ms: int) -> None:
+        if team in self.grown:
+            self.grown.remove(team)
+            self.grown_ms[team] = now_ms
+
+    def _least_portion(self, team: TeamName, now_ms: int) -> Resources:
+        """Returns the least portion to take; a smaller one is collected for a time."""
+        need = self.too_large.get(team)
+        if need is None or team in self.usable:
+            self.held_ms.pop(team, None)
+            return NO_RESOURCES
+        used = self.used.get(team, NO_RESOURCES)
+        portion = self.rows.get(team, {}).get(self.pool, NO_RESOURCES)
+        if portion.fits(used):
+            self.held_ms.pop(team, None)
+        elif now_ms - self.held_ms.setdefault(team, now_ms) >= HOLD_MS:
+            self.resting_until_ms[team] = now_ms + REST_MS
+        is_resting = now_ms < self.resting_until_ms.get(team, now_ms)
+        return used.plus(need) if is_resting else NO_RESOURCES
+
     def apply_catalog(self, old: Catalog, new: Catalog) -> None:
         """Removes rows of lowered caps: all pools' portions must be read again.
 
--- a/tests/scheduling/test_caps.py
+++ b/tests/scheduling/test_caps.py
@@ -12,6 +12,7 @@
 from amaranthtray.domain.scheduling.caps import (
     CLAIM_RETRY_MS,
     SHRINK_CHECK_MS,
+    SLACK_KEPT_MS,
     CapTracker,
     ClaimPortion,
     PortionRow,
@@ -186,6 +187,62 @@
     assert site.start(B, 3, 2_000) == 1
 
 
+def wait_for_gangs(site: StoredRow, counts: dict[PoolName, int]) -> list[PoolName]:
+    """Lets pools claim for a gang each until one may start; returns who may."""
+    for now_ms in range(0, 3_000, CLAIM_RETRY_MS):
+        ready = [
+            pool
+            for pool, count in counts.items()
+            if site.pools[pool].count_that_fits(
+                site.catalog, TEAM, NEED, count, is_gang=True
+            )
+        ]
+        if ready:
+            return ready
+        for pool in counts:
+            site.review(pool, now_ms)
+    return []
+
+
+@pytest.mark.parametrize("first", [A, B])
+def test_gangs_of_two_pools_do_not_wait_for_each_others_part_of_the_cap(
+    first: PoolName,
+) -> None:
+    """Guards against parts of a cap that are each too small, and never returned."""
+    site = StoredRow()
+    site.row = {A: Resources(5_800, 2_000, 0), B: Resources(4_200, 2_000, 0)}
+    for tracker in site.pools.values():
+        tracker.apply_row(PortionsRead(TEAM, dict(site.row)))
+    other = B if first is A else A
+    ready = wait_for_gangs(site, {first: 6, other: 6})
+    assert len(ready) == 1
+
+
+def test_a_gang_collects_room_that_becomes_free_in_parts() -> None:
+    """Guards against a large need that small ones of another pool always overtake."""
+    site = StoredRow()
+    assert site.start(A, 8, 0) == 8
+    gang, now_ms = site.pools[B], 1_000
+    for _ in range(8):
+        assert not gang.count_that_fits(site.catalog, TEAM, NEED, 6, is_gang=True)
+        site.review(B, now_ms)
+        site.end(A, 1)
+        site.pools[A].claimed_ms.clear()
+        site.review(A, now_ms)
+        now_ms += CLAIM_RETRY_MS
+    assert gang.count_that_fits(site.catalog, TEAM, NEED, 6, is_gang=True) == 6
+
+
+def test_a_pool_whose_tasks_last_returns_its_slack() -> None:
+    """Guards against slack that keeps a gang of another pool from starting for ever."""
+    site = StoredRow()
+    assert site.start(A, 4, 0) == 4
+    for now_ms in range(0, SLACK_KEPT_MS + 2 * SHRINK_CHECK_MS, CLAIM_RETRY_MS):
+        site.review(A, now_ms)
+    assert site.row[A] == NEED.times(4)
+    assert wait_for_gangs(site, {B: 6}) == [B]
+
+
 def test_a_claim_without_a_reply_is_repeated() -> None:
     """Guards against a portion that shrank here, but not in the store."""
     site = StoredRow()
