A start of a task that crashed hosts is not repeated without a reply

Change: such a start gets one try. Without a reply it is stopped, as after three tries, and the task starts again under a new number.

--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -218,10 +218,14 @@
                 self._api.pace(order.name, order.number, order.percent)
 
     def start_run(self, order: StartRun) -> None:
-        """Orders a start; repeats it while no reply comes and the run isn't stopped."""
+        """Orders a start; repeats it while no reply comes and the run isn't stopped.
+
+        A task under which hosts have crashed gets one try: a host that crashes under
+        it, and is back at once, would start the same run again.
+        """
         outcome: StartOutcome | AddressReused = StartOutcome.NO_REPLY
-        unanswered = 0
-        while unanswered < MAX_START_TRIES:
+        unanswered, max_tries = 0, 1 if order.prior_crashes else MAX_START_TRIES
+        while unanswered < max_tries:
             now_ms = steady_ms()
             until_ms = self._lease.next_expiry_ms(now_ms)
             if until_ms is None and not unanswered:
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import HostId, Term
@@ -84,6 +85,17 @@
     assert [type(each) for each in posted] == [StartReplied]
 
 
+def test_a_start_of_a_task_under_which_hosts_crashed_is_not_repeated() -> None:
+    """Guards against a host that is back at once and starts the same run again."""
+    api = FakeHost(lambda: StartOutcome.NO_REPLY)
+    link, posted = a_link(api)
+    link.start_run(replace(an_order(), prior_crashes=1))
+    assert api.starts == 1
+    reply = posted[0]
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.NO_REPLY
+
+
 def test_a_start_is_not_repeated_once_its_run_is_stopped() -> None:
     def answer() -> StartOutcome:
         link.order(StopRun(HostId("h"), NAME, 1))
