A job counts as pending until a host has started one of its tasks

Callers saw pending 0 for a queue with ten jobs that had not begun for five seconds, as a worker refused all their starts.

Cause: a job counted as waiting until its first run was placed, though the host may refuse it.

Change: it counts until a host has confirmed or reported a run, or the end of one; the record keeps that. Runs of an earlier conductor count as started until their hosts report.

--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -55,6 +55,7 @@
         state: State that callers see.
         past: Completed occurrences.
         ended_ms: Wall-clock time at which a final state was reached; 0 before.
+        has_started: Whether a host has certainly started one of its tasks.
         estimate: Estimated duration and work of one occurrence.
     """
 
@@ -62,6 +63,7 @@
     state: JobState = JobState.QUEUED
     past: set[int] = field(default_factory=set)
     ended_ms: int = 0
+    has_started: bool = False
     estimate: Estimate = field(init=False)
     _tasks: dict[tuple[int, int], list[Task]] = field(default_factory=dict)
 
@@ -159,6 +161,17 @@
         task = self.task(name)
         return self.state.is_final or (task is not None and task.is_done)
 
+    @property
+    def is_pending(self) -> bool:
+        """Returns whether callers see the job as waiting: no task has started.
+
+        A run that was placed or ordered may still be refused. Runs of an earlier
+        conductor count as started until their hosts report.
+        """
+        if self.has_started or self.state.is_final:
+            return False
+        return not any(run.phase is RunPhase.UNCONFIRMED for _, run in self.runs())
+
     def is_gang_broken(self, name: TaskName) -> bool:
         """Returns whether a task's gang lacks a member, so that no member can work."""
         if not self.spec.steps[name.step].is_gang:
@@ -185,6 +198,7 @@
         if task is None:
             return
         task.runs.remove(run)
+        self.has_started = True
         step = self.spec.steps[name.step]
         if checkpoint:
             self._set_checkpoint(name, checkpoint)
@@ -204,6 +218,7 @@
         task = self.task(name)
         if task is None or task.is_done or self.state.is_final:
             return False
+        self.has_started = True
         step = self.spec.steps[name.step]
         if step.is_lasting:
             return False
--- a/src/amaranthtray/domain/jobs/record.py
+++ b/src/amaranthtray/domain/jobs/record.py
@@ -49,6 +49,8 @@
     ended_ms: int = 0
     past: list[int] = []
     tasks: list[TaskRecord] = []
+    # Absent in records of earlier versions.
+    has_started: bool | None = None
 
 
 def encode_spec(spec: JobSpec) -> bytes:
@@ -73,6 +75,7 @@
         ended_ms=job.ended_ms,
         past=sorted(job.past),
         tasks=[task for task in tasks if task.last_run],
+        has_started=job.has_started,
     )
     return msgspec.json.encode(record)
 
@@ -98,6 +101,8 @@
     record = msgspec.json.decode(data, type=JobRecord)
     job.state, job.ended_ms = record.state, record.ended_ms
     job.past = set(record.past)
+    is_running = record.state is JobState.RUNNING
+    job.has_started = is_running if record.has_started is None else record.has_started
     for stored in record.tasks:
         task = job.task(
             TaskName(spec.id, stored.occurrence, stored.step, stored.number)
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -103,9 +103,7 @@
     run = placed.run
     run.checkpoint, run.load = reported.checkpoint, reported.load
     record_progress(state, placed, reported.percent)
-    if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
-        run.phase = RunPhase.RUNNING
-        run.confirmed_ms = report.received_ms
+    state.confirm_start(placed, report.received_ms)
     record_survival(state, placed)
 
 
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -8,9 +8,10 @@
 
 from ..ids import HostId, PoolName, QueueName
 from ..jobs.catalog import Catalog, JobQueue
-from ..jobs.job import Job, JobState
+from ..jobs.job import Job
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
+from ..jobs.task import RunPhase
 from ..upkeep.moves import PoolLoad
 from ._forecaster import Forecaster
 from ._job_facts import JobFacts
@@ -34,6 +35,7 @@
 
 if TYPE_CHECKING:
     from ..jobs.task import Run, RunOutcome
+    from .host import PlacedRun
 
 
 MAX_REMOVED_JOBS = 9
@@ -199,6 +201,13 @@
         self.mark_dirty(job)
         return run
 
+    def confirm_start(self, placed: PlacedRun, confirmed_ms: int) -> None:
+        """Applies that a host has started a run; a run that is stopped stays so."""
+        name, _, run = placed
+        self.jobs[name.job].has_started = True
+        if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
+            run.phase, run.confirmed_ms = RunPhase.RUNNING, confirmed_ms
+
     def end_run(
         self, name: TaskName, run: Run, outcome: RunOutcome, checkpoint: str
     ) -> None:
@@ -238,12 +247,11 @@
         self.expired = tuple(itertools.islice(over, MAX_REMOVED_JOBS))
 
     def pending(self) -> dict[str, int]:
-        """Returns the number of jobs that have not started, by queue."""
+        """Returns the number of jobs of which no task has started, by queue."""
         counts: dict[str, int] = {}
-        queued = JobState.QUEUED
         for job in self.active.values():
             queue = job.spec.queue
-            counts[queue] = counts.get(queue, 0) + (job.state is queued)
+            counts[queue] = counts.get(queue, 0) + job.is_pending
         return counts
 
     def begin_batch(self) -> StoreJobs:
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -331,17 +331,17 @@
         placed = host.find(reply.name, reply.number) if host else None
         if host is None or placed is None:
             return []
-        run = placed.run
         if reply.outcome is StartOutcome.STARTED:
-            if run.phase is RunPhase.STARTING:
-                run.phase, run.confirmed_ms = RunPhase.RUNNING, reply.replied_ms
+            # After a restart of the host, the reply is of its earlier incarnation.
+            if placed.run.phase is RunPhase.STARTING:
+                self.state.confirm_start(placed, reply.replied_ms)
             return []
         if reply.outcome is StartOutcome.FENCED:
             return [Superseded(reply.host)]
         self._back_off(host, reply)
         if reply.outcome is StartOutcome.NO_REPLY or reply.was_repeated:
             return self._stop_unanswered(placed)
-        self.state.drop_run(reply.name, run)
+        self.state.drop_run(reply.name, placed.run)
         return []
 
     def _stop_unanswered(self, placed: PlacedRun) -> list[Effect]:
