Orders for machines are logged with the time since their term was checked

The log could not tell when the former holder had checked its term. Lines of moves and maintenance have the tries and the time from the last check to the end of the call now.

--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -330,6 +330,7 @@
         is_recorded = self._save_progress(name, wave) and (
             not is_repeated or self._commit(())
         )
+        checked_ms = steady_ms()
         if not is_recorded or not self._may_continue():
             return
         outcome = service.order(order)
@@ -338,6 +339,7 @@
             machine=machine.name,
             wave=name,
             outcome=outcome,
+            since_check_ms=steady_ms() - checked_ms,
             term=self._term,
         )
         handle_reply(wave, machine.name, outcome)
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 from returns.result import Success
@@ -35,6 +35,21 @@
 """Tries of an order whose outcome is unknown."""
 
 
+class _OrderReply(NamedTuple):
+    """What became of an order.
+
+    Attributes:
+        outcome: Outcome of all tries.
+        tries: Number of tries.
+        since_check_ms: Time from the last check of the term to the end of its try, in
+            which the order was on its way.
+    """
+
+    outcome: OrderOutcome
+    tries: int
+    since_check_ms: int
+
+
 class MachineMover:
     """Plans moves by the pools' loads, and orders them under one term.
 
@@ -130,30 +145,36 @@
             for order, reply in replies:
                 self._handle_reply(order, reply)
 
-    def _order(self, order: MoveMachine, service: MachineService) -> OrderOutcome:
+    def _order(self, order: MoveMachine, service: MachineService) -> _OrderReply:
         """Sends one order, once more if its outcome is unknown.
 
         A refusal of the second try leaves the outcome unknown: the first one may be
         what the platform is carrying out, or may be carried out later.
         """
-        outcome = OrderOutcome.REFUSED
-        for _ in range(MAX_TRIES):
+        outcome, checked_ms, tries = OrderOutcome.REFUSED, steady_ms(), 0
+        while tries < MAX_TRIES:
+            checked_ms = steady_ms()
             if not self._may_continue():
                 break
+            tries += 1
             # Earlier orders may have taken seconds; the quiet period starts now.
             self._recent_orders.record((order.machine,), steady_ms())
             was_unknown = outcome is OrderOutcome.UNKNOWN
             outcome = service.order(order)
             if was_unknown and outcome is OrderOutcome.REFUSED:
-                return OrderOutcome.UNKNOWN
+                outcome = OrderOutcome.UNKNOWN
             if outcome is not OrderOutcome.UNKNOWN:
                 break
-        return outcome
-
-    def _handle_reply(self, order: MoveMachine, reply: Future[OrderOutcome]) -> None:
-        exc = reply.exception()
-        outcome = OrderOutcome.UNKNOWN if exc else reply.result()
-        details = {"why": repr(exc)} if exc else {}
+        return _OrderReply(outcome, tries, steady_ms() - checked_ms)
+
+    def _handle_reply(self, order: MoveMachine, future: Future[_OrderReply]) -> None:
+        exc = future.exception()
+        if exc is not None:
+            outcome: OrderOutcome = OrderOutcome.UNKNOWN
+            details: dict[str, object] = {"why": repr(exc)}
+        else:
+            outcome, tries, since_check_ms = future.result()
+            details = {"tries": tries, "since_check_ms": since_check_ms}
         self._context.log.event(
             "move",
             machine=order.machine,
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -31,6 +31,7 @@
 from amaranthtray.store.contract import Put, Transaction
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
+from jobs.test_run_time_store import Log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -306,3 +307,16 @@
         subscribe=lambda role, post: False
     )
     assert not manager.take_over()
+
+
+def test_a_move_is_logged_with_the_time_since_its_term_was_checked() -> None:
+    """An order that a later holder's order overtakes is traced by that time."""
+    site, log = FleetSite(), Log()
+    site.log = log  # type: ignore[assignment]
+    manager = site.new_manager(1)
+    site.report_need(24)
+    site.machine_service.outcome = OrderOutcome.UNKNOWN
+    site.step(manager)
+    (line,) = [fields for event, fields in log.lines if event == "move"]
+    assert (line["tries"], line["term"]) == (machine_mover.MAX_TRIES, 1)
+    assert line["since_check_ms"] >= 0
