A pool claims a cap only for tasks that its hosts have room for

Cause: the need of all waiting tasks was claimed.

Change: a claim is bounded by the free resources of the hosts that accept runs, and by their number for tasks that must be apart; a gang that doesn't fit claims nothing.

Evidence: four tests; before, the claim was for all nine waiting tasks.

--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -94,6 +94,7 @@
         and host.info.id not in state.to_vacate
         and (state.enforces_capacity or not host.has_unknown_runs)
     ]
+    state.caps.apply_room([host.free for host in every])
     if not every:
         return
     slow = SlowHosts.split(state, every)
@@ -190,7 +191,12 @@
 ) -> list[int]:
     """Returns the tasks that the team's cap permits; all or none of a gang."""
     count = state.caps.count_that_fits(
-        state.catalog, job.spec.team, step.need, len(waiting), is_gang=step.is_gang
+        state.catalog,
+        job.spec.team,
+        step.need,
+        len(waiting),
+        is_gang=step.is_gang,
+        max_per_host=step.max_per_host,
     )
     return waiting[:count]
 
--- a/src/amaranthtray/domain/scheduling/caps.py
+++ b/src/amaranthtray/domain/scheduling/caps.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -20,6 +20,8 @@
 
 UNLIMITED = 1 << 60
 
+UNLIMITED_ROOM = Resources(UNLIMITED, UNLIMITED, UNLIMITED)
+
 SLACK_DIVISOR = 4
 """All pools together claim up to the cap divided by this beyond their need, so that
 claims are rare. More slack could leave too little for a gang or a large task."""
@@ -106,6 +108,8 @@
         used: Resources that each team uses in the pool.
         rows: Rows as last read, with claims that shrink a portion already applied.
         claimed_ms: Steady-clock time of the last claim, by team.
+        room: Free resources of the hosts; a larger portion can't be used.
+        host_count: Number of hosts that accept runs.
         unmet: Needs that exceeded the portion since the last claims, by team.
         too_large: Least of the needs that found no room in the portion while nothing
             else did, since the last claims, by team.
@@ -124,6 +128,8 @@
     used: dict[TeamName, Resources] = field(default_factory=dict)
     rows: dict[TeamName, Mapping[PoolName, Resources]] = field(default_factory=dict)
     claimed_ms: dict[TeamName, int] = field(default_factory=dict)
+    room: Resources = UNLIMITED_ROOM
+    host_count: int = UNLIMITED
     unmet: dict[TeamName, Resources] = field(default_factory=dict)
     too_large: dict[TeamName, Resources] = field(default_factory=dict)
     usable: set[TeamName] = field(default_factory=set)
@@ -147,6 +153,13 @@
         self.rows[message.team] = message.row
         self.unread.discard(message.team)
 
+    def apply_room(self, rooms: Sequence[Resources]) -> None:
+        """Takes over the free resources of each host that accepts runs."""
+        self.host_count = len(rooms)
+        self.room = NO_RESOURCES
+        for room in rooms:
+            self.room = self.room.plus(Resources(*(max(each, 0) for each in room)))
+
     def count_that_fits(
         self,
         catalog: Catalog,
@@ -155,6 +168,7 @@
         count: int,
         *,
         is_gang: bool = False,
+        max_per_host: int = 0,
     ) -> int:
         """Returns how many more tasks the team may start in the pool now.
 
@@ -164,6 +178,7 @@
             need: Resources that each task needs.
             count: Number of waiting tasks.
             is_gang: Whether the tasks start all together or not at all.
+            max_per_host: Tasks of the step that may share a host; 0 without a limit.
         """
         cap = self._cap(catalog, team)
         if cap is None:
@@ -176,15 +191,40 @@
         if fitting < count:
             if is_gang:
                 fitting = 0
-            lacking = need.times(count - fitting)
-            self.unmet[team] = self.unmet.get(team, NO_RESOURCES).plus(lacking)
+            placeable = _count_fitting(need, self.room, count)
+            if max_per_host:
+                placeable = min(placeable, max_per_host * self.host_count)
+            if placeable > fitting and (placeable == count or not is_gang):
+                self._record_unmet(team, need, placeable, fitting, is_gang=is_gang)
         if fitting:
             self.usable.add(team)
-        elif count:
-            whole = need.times(count) if is_gang else need
-            self.too_large[team] = min(whole, self.too_large.get(team, whole))
         return fitting
 
+    def _record_unmet(
+        self,
+        team: TeamName,
+        need: Resources,
+        placeable: int,
+        fitting: int,
+        *,
+        is_gang: bool,
+    ) -> None:
+        """Records what a step lacks in the portion, up to the room of the hosts.
+
+        Args:
+            team: Team that owns the tasks.
+            need: Resources that each task needs.
+            placeable: Number of waiting tasks that the hosts have room for.
+            fitting: Number of them that the portion has room for.
+            is_gang: Whether the tasks start all together or not at all.
+        """
+        lacking = need.times(placeable - fitting)
+        unmet = self.unmet.get(team, NO_RESOURCES).plus(lacking)
+        self.unmet[team] = Resources(*map(min, unmet, self.room))
+        if not fitting:
+            whole = need.times(placeable) if is_gang else need
+            self.too_large[team] = min(whole, self.too_large.get(team, whole))
+
     def claims(self, catalog: Catalog, now_ms: int) -> list[ClaimPortion]:
         """Returns the claims that are due; each is repeated until it has a reply."""
         claims = []
--- a/tests/scheduling/test_caps.py
+++ b/tests/scheduling/test_caps.py
@@ -12,6 +12,7 @@
 from amaranthtray.domain.scheduling.caps import (
     CLAIM_RETRY_MS,
     SHRINK_CHECK_MS,
+    SLACK_DIVISOR,
     SLACK_KEPT_MS,
     CapTracker,
     ClaimPortion,
@@ -187,6 +188,43 @@
     assert site.start(B, 3, 2_000) == 1
 
 
+def test_a_portion_is_claimed_for_the_tasks_that_hosts_have_room_for() -> None:
+    """Guards against a cap that one pool holds for tasks that it can't place."""
+    tracker, catalog = CapTracker(A), a_capped_catalog()
+    tracker.apply_room([Resources(1_500, 9_000, 0), Resources(-500, 9_000, 0)])
+    assert tracker.count_that_fits(catalog, TEAM, NEED, 9) == 0
+    assert tracker.count_that_fits(catalog, TEAM, NEED, 9) == 0
+    (request,) = tracker.claims(catalog, 0)
+    slack = CAP.cpu // SLACK_DIVISOR
+    assert request.want.cpu <= 1_500 + slack
+
+
+def test_tasks_that_must_be_apart_claim_for_one_host_each() -> None:
+    """Guards against a portion for tasks that no further host can take."""
+    tracker, catalog = CapTracker(A), a_capped_catalog()
+    tracker.apply_room([Resources(9_000, 9_000, 0)] * 2)
+    assert tracker.count_that_fits(catalog, TEAM, NEED, 9, max_per_host=1) == 0
+    (request,) = tracker.claims(catalog, 0)
+    assert request.want.cpu == 2_000 + CAP.cpu // SLACK_DIVISOR
+
+
+@pytest.mark.parametrize("is_gang", [True, False])
+def test_a_pool_without_hosts_that_accept_runs_claims_nothing(*, is_gang: bool) -> None:
+    """Guards against a pool without room that keeps a portion from others."""
+    tracker, catalog = CapTracker(A), a_capped_catalog()
+    tracker.apply_room([])
+    assert tracker.count_that_fits(catalog, TEAM, NEED, 9, is_gang=is_gang) == 0
+    assert tracker.claims(catalog, 0) == []
+
+
+def test_a_gang_that_hosts_have_no_room_for_claims_nothing() -> None:
+    """Guards against a portion that a gang keeps while it waits for hosts."""
+    tracker, catalog = CapTracker(A), a_capped_catalog()
+    tracker.apply_room([Resources(4_000, 9_000, 0)])
+    assert tracker.count_that_fits(catalog, TEAM, NEED, 9, is_gang=True) == 0
+    assert tracker.claims(catalog, 0) == []
+
+
 def wait_for_gangs(site: StoredRow, counts: dict[PoolName, int]) -> list[PoolName]:
     """Lets pools claim for a gang each until one may start; returns who may."""
     for now_ms in range(0, 3_000, CLAIM_RETRY_MS):
