A delayed write of a portion of a cap no longer takes effect

Cause: a write that shrinks a portion and has no reply could take effect after the portion had been read and used again, by the same conductor or by the next one. With a slow store, the reply to an earlier claim undid a smaller one that was under way.

Change: after a write without a reply the next claim writes in any case; a write expects the term key of the pool's duty as well; a claim is open until its reply, and replies to earlier claims are ignored.

--- a/src/amaranthtray/domain/scheduling/_sharing.py
+++ b/src/amaranthtray/domain/scheduling/_sharing.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .caps import PortionsRead
+from .caps import ClaimFailed, PortionsRead
 from .share_portions import ShareRowsRead
 
 if TYPE_CHECKING:
@@ -14,12 +14,12 @@
 
 
 def apply_portions(
-    state: SchedulerState, message: PortionsRead | ShareRowsRead
+    state: SchedulerState, message: PortionsRead | ClaimFailed | ShareRowsRead
 ) -> None:
     """Applies rows that were read: portions of a cap, or rates of teams."""
     match message:
-        case PortionsRead():
-            state.caps.apply_row(message)
+        case PortionsRead() | ClaimFailed():
+            state.caps.apply_reply(message)
         case ShareRowsRead():
             state.share_portions.apply_rows(message, state.now_ms)
 
--- a/src/amaranthtray/domain/scheduling/caps.py
+++ b/src/amaranthtray/domain/scheduling/caps.py
@@ -56,6 +56,7 @@
         want: Requested portion; less is granted if the cap leaves less.
         cap: The team's cap.
         least: Portion below which only ``used`` is taken.
+        number: Number of the claim; it grows with each claim of the pool.
     """
 
     team: TeamName
@@ -63,14 +64,30 @@
     want: Resources
     cap: Resources
     least: Resources = NO_RESOURCES
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class PortionsRead:
-    """The portions of a team's cap were read or written."""
+    """The portions of a team's cap were read or written.
+
+    Attributes:
+        team: The team.
+        row: Its portions.
+        number: Number of the claim; 0 if the pool made none yet.
+    """
 
     team: TeamName
     row: Mapping[PoolName, Resources]
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimFailed:
+    """A claim had no certain result; the portions may have changed."""
+
+    team: TeamName
+    number: int
 
 
 def upper_bounds(cap: Resources) -> Resources:
@@ -120,6 +137,8 @@
             again, by team.
         grown: Teams of which tasks were started since the last claims.
         grown_ms: Steady-clock time of the claims after the last start, by team.
+        open_claims: Number of the last claim, by team, until it has a reply.
+        last_number: Number of the last claim.
         unread: Teams whose stored row may differ from the known one: their cap was
             lowered or introduced, or a claim has had no reply.
     """
@@ -137,6 +156,8 @@
     resting_until_ms: dict[TeamName, int] = field(default_factory=dict)
     grown: set[TeamName] = field(default_factory=set)
     grown_ms: dict[TeamName, int] = field(default_factory=dict)
+    open_claims: dict[TeamName, int] = field(default_factory=dict)
+    last_number: int = 0
     unread: set[TeamName] = field(default_factory=set)
 
     def add(self, team: TeamName, need: Resources) -> None:
@@ -148,10 +169,19 @@
         """Releases the resources of a run that has ended."""
         self.used[team] = self.used.get(team, NO_RESOURCES).minus(need)
 
-    def apply_row(self, message: PortionsRead) -> None:
-        """Takes over a row that was read or written."""
-        self.rows[message.team] = message.row
-        self.unread.discard(message.team)
+    def apply_reply(self, reply: PortionsRead | ClaimFailed) -> None:
+        """Takes over the result of a claim, or the row that a new conductor has read.
+
+        A claim is open until its reply; that of an earlier one is ignored, as the later
+        one may yet return what it shows.
+        """
+        team = reply.team
+        if reply.number != self.open_claims.get(team, reply.number):
+            return
+        self.open_claims.pop(team, None)
+        if isinstance(reply, PortionsRead):
+            self.rows[team] = reply.row
+            self.unread.discard(team)
 
     def apply_room(self, rooms: Sequence[Resources]) -> None:
         """Takes over the free resources of each host that accepts runs."""
@@ -238,8 +268,8 @@
             if now_ms - self.grown_ms.get(team, now_ms) >= SLACK_KEPT_MS:
                 slack = NO_RESOURCES
             urgent = self._urgent_portion(team, cap, slack)
-            due_ms = SHRINK_CHECK_MS if urgent is None else CLAIM_RETRY_MS
-            if since_ms < due_ms:
+            is_urgent = urgent is not None and team not in self.open_claims
+            if since_ms < (CLAIM_RETRY_MS if is_urgent else SHRINK_CHECK_MS):
                 continue
             used = self.used.get(team, NO_RESOURCES)
             portion = self._shrunk_portion(team, slack) if urgent is None else urgent
@@ -250,7 +280,9 @@
                 self.unread.add(team)
                 least = self._least_portion(team, now_ms)
                 self._shrink_row(team, portion)
-                claims.append(ClaimPortion(team, used, portion, cap, least))
+                self.last_number += 1
+                number = self.open_claims[team] = self.last_number
+                claims.append(ClaimPortion(team, used, portion, cap, least, number))
         self.unmet.clear()
         self.too_large.clear()
         self.usable.clear()
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -12,7 +12,7 @@
 from ..jobs.task import RunOutcome
 from ..upkeep.moves import PoolLoad
 from .advice import AdviceReceived, RequestAdvice
-from .caps import ClaimPortion, PortionsRead
+from .caps import ClaimFailed, ClaimPortion, PortionsRead
 from .evacuation import (
     EvacuationHosts,
     EvacuationProgress,
@@ -238,6 +238,7 @@
     | VacateRequested
     | ZonesEvacuated
     | PortionsRead
+    | ClaimFailed
     | AdviceReceived
     | HostsListed
     | HostReport
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -28,7 +28,7 @@
 from ._vacating import vacant_hosts, vacate_hosts
 from .activity import PoolActivity, pool_activity
 from .advice import AdviceReceived
-from .caps import PortionsRead
+from .caps import ClaimFailed, PortionsRead
 from .evacuation import ZonesEvacuated
 from .host import Host
 from .messages import (
@@ -129,7 +129,7 @@
                 return self._handle_job_found(message)
             case JobCancelled(job):
                 return self._cancel_job(job)
-            case PortionsRead() | ShareRowsRead():
+            case PortionsRead() | ClaimFailed() | ShareRowsRead():
                 apply_portions(self.state, message)
             case AdviceReceived():
                 self.state.advice.handle_advice(message)
--- a/src/amaranthtray/jobs/cap_portion_writer.py
+++ b/src/amaranthtray/jobs/cap_portion_writer.py
@@ -9,24 +9,30 @@
 import msgspec
 from returns.result import Success
 
+from ..domain.duties.names import conductor_duty
 from ..domain.ids import PoolName, TeamName
 from ..domain.jobs.model import Resources
 from ..domain.scheduling.caps import (
+    ClaimFailed,
     ClaimPortion,
     PortionRow,
     PortionsRead,
     claim,
     total,
 )
-from ..store.contract import Conflict
+from ..store.contract import Conflicts, EffectUnknown, Put, Transaction
+from ..store.duties import read_term_version, term_key
 from .write_outcome import write_outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from returns.result import Result
+
     from ..domain.scheduling.messages import Message
     from ..store.contract import StoreFailure, Versioned
     from .context import JobEntryContext
+    from .term_guard import TermGuard
 
 CAPS_PREFIX = "caps/"
 MAX_TRIES = 5
@@ -36,11 +42,14 @@
 class CapPortionWriter:
     """Changes a pool's portion in the rows of teams by compare-and-swap.
 
+    Each write expects the term key of the pool's duty as well, so that a delayed one of
+    an earlier conductor fails.
+
     Args:
         pool: Pool whose portions it changes.
         context: Objects that all tasks of the entry share.
         post: Queues a message for the conductor.
-        may_order: Returns whether the conductor's term is certainly held.
+        guard: Tells whether the conductor's term is certainly held.
     """
 
     def __init__(
@@ -48,12 +57,14 @@
         pool: PoolName,
         context: JobEntryContext,
         post: Callable[[Message], None],
-        may_order: Callable[[], bool],
+        guard: TermGuard,
     ) -> None:
         self._pool = pool
         self._context = context
         self._post = post
-        self._may_order = may_order
+        self._guard = guard
+        self._term_key, self._term_version = term_key(conductor_duty(pool)), 0
+        self._unsettled: set[TeamName] = set()
         self._queue: queue.SimpleQueue[ClaimPortion | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -71,12 +82,17 @@
 
     def load(self) -> bool:
         """Posts the rows of all teams; returns whether they could be read."""
+        store, duty = self._context.store, conductor_duty(self._pool)
+        version = read_term_version(store, duty, self._guard.term)
+        if not isinstance(version, Success):
+            return False
+        self._term_version = version.unwrap()
         listed = self._context.store.list(CAPS_PREFIX)
         if not isinstance(listed, Success):
             return False
         for item in listed.unwrap().items:
             team = TeamName(item.key.removeprefix(CAPS_PREFIX))
-            self._publish(team, self._row(item))
+            self._post(PortionsRead(team, self._row(item)))
         return True
 
     def _run(self) -> None:
@@ -84,38 +100,53 @@
             request = self._queue.get()
             if request is None:
                 return
-            for _ in range(MAX_TRIES):
-                if not self._may_order() or self._claim(request):
-                    break
-
-    def _claim(self, request: ClaimPortion) -> bool:
-        """Tries a claim once; returns False if it should be tried again now."""
+            self._post(self.carry_out(request))
+
+    def carry_out(self, request: ClaimPortion) -> PortionsRead | ClaimFailed:
+        """Carries out a claim; tries again at once after conflicts."""
+        for _ in range(MAX_TRIES):
+            if not self._guard.may_order():
+                break
+            result = self._try(request)
+            if result is not None:
+                return result
+        return ClaimFailed(request.team, request.number)
+
+    def _try(self, request: ClaimPortion) -> PortionsRead | ClaimFailed | None:
+        """Tries a claim once; returns None after a conflict."""
+        failed = ClaimFailed(request.team, request.number)
         key = f"{CAPS_PREFIX}{request.team}"
         read = self._context.store.get(key)
         if not isinstance(read, Success):
             self._log_failure(request, "not_read", read.failure())
-            return True
+            return failed
         stored = read.unwrap()
         old = self._row(stored) if stored else {}
         row = claim(old, self._pool, request)
-        if row == old:
+        read_row = PortionsRead(request.team, row, request.number)
+        if row == old and request.team not in self._unsettled:
             self._context.metrics.count("cap_claims", "unchanged")
-            self._publish(request.team, row)
-            return True
-        version = stored.version if stored else 0
-        value = msgspec.json.encode(row)
-        written = self._context.store.compare_and_swap(key, value, version=version)
+            return read_row
+        # A write that had no reply may be delayed. The next one changes the version,
+        # also if it leaves the row as it is, so that the delayed one fails.
+        written = self._write(key, stored.version if stored else 0, row)
         if isinstance(written, Success):
+            self._unsettled.discard(request.team)
             self._context.metrics.count("cap_claims", "written")
             self._log_change(request, row)
-            self._publish(request.team, row)
-            return True
+            return read_row
         failure = written.failure()
         self._log_failure(request, write_outcome(failure), failure)
-        # Only a conflict is retried at once. After a lost reply the next claim reads
-        # the row again: the delayed write either fails, as the row has changed
-        # since, or its result is what is read.
-        return not isinstance(failure, Conflict)
+        if isinstance(failure, EffectUnknown):
+            self._unsettled.add(request.team)
+        return None if isinstance(failure, Conflicts) else failed
+
+    def _write(
+        self, key: str, version: int, row: PortionRow
+    ) -> Result[int, StoreFailure]:
+        put = Put(key, msgspec.json.encode(row))
+        expect = ((key, version), (self._term_key, self._term_version))
+        return self._context.store.commit(Transaction(expect=expect, puts=(put,)))
 
     def _log_change(self, request: ClaimPortion, row: PortionRow) -> None:
         self._context.log.event(
@@ -141,9 +172,6 @@
             why=repr(failure),
         )
 
-    def _publish(self, team: TeamName, row: PortionRow) -> None:
-        self._post(PortionsRead(team, row))
-
     def _row(self, item: Versioned) -> PortionRow:
         """Returns the stored portions; an unreadable row is written anew."""
         try:
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -127,9 +127,7 @@
         self._stopping = threading.Event()
         self._ended = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
-        self._cap_portions = CapPortionWriter(
-            pool, context, self.post, self._guard.may_order
-        )
+        self._cap_portions = CapPortionWriter(pool, context, self.post, self._guard)
         self._share_portions = SharePortionWriter(
             pool, context, self.post, self._guard.may_order
         )
--- a/src/amaranthtray/jobs/write_outcome.py
+++ b/src/amaranthtray/jobs/write_outcome.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..store.contract import Conflict, EffectUnknown
+from ..store.contract import Conflict, Conflicts, EffectUnknown
 
 if TYPE_CHECKING:
     from ..store.contract import StoreFailure
@@ -13,7 +13,7 @@
 def write_outcome(failure: StoreFailure) -> str:
     """Returns whether a failed write conflicted, may have taken effect, or did not."""
     match failure:
-        case Conflict():
+        case Conflict() | Conflicts():
             return "conflict"
         case EffectUnknown():
             return "unknown"
--- a/src/amaranthtray/store/duties.py
+++ b/src/amaranthtray/store/duties.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from ..domain.duties.messages import (
     CallFailed,
@@ -50,6 +50,31 @@
 PREFIX = "duties/"
 
 
+def term_key(name: DutyName) -> str:
+    """Returns the key of a duty's newest term; it changes with each new holder."""
+    return f"{PREFIX}{name}/term"
+
+
+def read_term_version(
+    store: Store, name: DutyName, term: Term
+) -> Result[int, StoreFailure]:
+    """Returns the version of a duty's term key while ``term`` is the newest.
+
+    A write that expects this version fails once a later term has begun. Returns a
+    ``Conflict`` if one has.
+    """
+    read = store.get(term_key(name))
+    if not isinstance(read, Success):
+        return Failure(read.failure())
+    stored = read.unwrap()
+    if stored is None:
+        return Success(0)
+    value = msgspec.json.decode(stored.value, type=_TermValue)
+    if value.term != term:
+        return Failure(Conflict("read-term", name, stored))
+    return Success(stored.version)
+
+
 class _TermValue(msgspec.Struct):
     """Value of the term key: the latest term and the claim that acquired it."""
 
@@ -78,7 +103,7 @@
         self.holder = holder
         self._store = store
         self._clock = clock
-        self._term_key = f"{PREFIX}{name}/term"
+        self._term_key = term_key(name)
         self._holder_key = f"{PREFIX}{name}/holder"
 
     def run(self) -> Term | None:
--- a/tests/jobs/test_cap_portion_writer.py
+++ b/tests/jobs/test_cap_portion_writer.py
@@ -8,11 +8,18 @@
 import msgspec
 import pytest
 
-from amaranthtray.domain.ids import PoolName, TeamName
-from amaranthtray.domain.jobs.model import NO_RESOURCES, Resources
-from amaranthtray.domain.scheduling.caps import ClaimPortion, PortionsRead
+from amaranthtray.domain.duties.names import conductor_duty
+from amaranthtray.domain.ids import PoolName, TeamName, Term
+from amaranthtray.domain.jobs.model import Resources
+from amaranthtray.domain.scheduling.caps import (
+    ClaimFailed,
+    ClaimPortion,
+    PortionsRead,
+)
 from amaranthtray.jobs.cap_portion_writer import CAPS_PREFIX, CapPortionWriter
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
+from amaranthtray.jobs.term_guard import TermGuard
+from amaranthtray.store.duties import term_key
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
 from jobs.test_run_time_store import Log
@@ -31,14 +38,34 @@
         self.context: Any = SimpleNamespace(
             store=self.store, log=self.lines, metrics=self.metrics
         )
-        self.writer = CapPortionWriter(
-            A, self.context, self.posted.append, lambda: True
-        )
+        self.writer = self.new_writer(1)
 
-    def claim(self, cpu: int) -> bool:
+    def new_writer(self, term: int) -> CapPortionWriter:
+        """Returns the writer of a conductor that has begun its term."""
+        key = term_key(conductor_duty(A))
+        stored = self.platform.read(key)
+        version = stored.version if stored else 0
+        value = msgspec.json.encode({"term": term, "claim": "e"})
+        self.platform.write(key, value, version, None, "").unwrap()
+        guard = TermGuard(Term(term), lambda: Term(term))
+        writer = CapPortionWriter(A, self.context, self.posted.append, guard)
+        assert writer.load()
+        return writer
+
+    def claim(self, cpu: int, used: int = 0) -> PortionsRead | ClaimFailed:
         """Claims a portion, as the writer's thread does."""
-        want = Resources(cpu, 0, 0)
-        return self.writer._claim(ClaimPortion(RED, NO_RESOURCES, want, CAP))
+        used_now, want = Resources(used, 0, 0), Resources(cpu, 0, 0)
+        return self.writer.carry_out(ClaimPortion(RED, used_now, want, CAP, number=7))
+
+    def stored(self) -> int:
+        """Returns the CPU of the pool's stored portion."""
+        row = msgspec.json.decode(self.platform.read(KEY).value)
+        return int(row[A][0])
+
+
+def portion(cpu: int) -> PortionsRead:
+    """Returns the result of a claim that gives pool A a portion."""
+    return PortionsRead(RED, {A: Resources(cpu, 0, 0)}, 7)
 
 
 def test_an_unreadable_row_does_not_end_the_conductor() -> None:
@@ -47,28 +74,53 @@
     site.platform.write(KEY, b"{", 0, None, "").unwrap()
     assert site.writer.load()
     assert site.posted == [PortionsRead(RED, {})]
-    assert site.claim(4_000)
-    stored = msgspec.json.decode(site.platform.read(KEY).value)
-    assert stored == {"a": [4_000, 0, 0]}
+    assert site.claim(4_000) == portion(4_000)
+    assert site.stored() == 4_000
 
 
 @pytest.mark.parametrize(
     ("step", "fault", "kind"),
     [
         ("get", Fault.ERROR, "not_read"),
-        ("compare_and_swap", Fault.ERROR, "not_written"),
-        ("compare_and_swap", Fault.LOST_REPLY, "unknown"),
+        ("commit", Fault.ERROR, "not_written"),
+        ("commit", Fault.LOST_REPLY, "unknown"),
     ],
 )
-def test_a_claim_that_fails_is_counted_and_changes_nothing_here(
+def test_a_claim_that_fails_is_counted_and_reported(
     step: str, fault: Fault, kind: str
 ) -> None:
     """Guards against a portion that counts as held although no reply came."""
     site = Site()
     site.plan_faults(step, fault)
-    assert site.claim(4_000)
-    assert not site.posted
+    assert site.claim(4_000) == ClaimFailed(RED, 7)
     assert site.metrics.totals("cap_claims") == {kind: 1}
     assert [event for event, _ in site.lines.lines] == ["portion-not-changed"]
-    site.claim(4_000)
-    assert site.posted == [PortionsRead(RED, {A: Resources(4_000, 0, 0)})]
+    assert site.claim(4_000) == portion(4_000)
+
+
+def test_a_delayed_write_does_not_shrink_a_portion_that_is_used_again() -> None:
+    """Guards against more running than the cap: the rest was given to another pool."""
+    site = Site()
+    site.claim(8_000)
+    site.plan_faults("commit", Fault.LATE_EFFECT)
+    assert site.claim(1_000) == ClaimFailed(RED, 7)
+    assert site.claim(8_000) == portion(8_000)
+    site.platform.apply_delayed_writes()
+    assert site.stored() == 8_000
+
+
+def test_a_delayed_write_of_an_earlier_conductor_does_not_shrink_a_portion() -> None:
+    """Guards against the same after a takeover, before the first claim."""
+    site = Site()
+    site.claim(8_000)
+    site.plan_faults("commit", Fault.LATE_EFFECT)
+    site.claim(1_000)
+    site.new_writer(2)
+    site.platform.apply_delayed_writes()
+    assert site.stored() == 8_000
+
+
+def test_a_conductor_whose_term_is_over_reads_no_portions() -> None:
+    site = Site()
+    site.new_writer(2)
+    assert not site.writer.load()
--- a/tests/scheduling/test_caps.py
+++ b/tests/scheduling/test_caps.py
@@ -15,6 +15,7 @@
     SLACK_DIVISOR,
     SLACK_KEPT_MS,
     CapTracker,
+    ClaimFailed,
     ClaimPortion,
     PortionRow,
     PortionsRead,
@@ -137,7 +138,7 @@
         for request in tracker.claims(self.catalog, now_ms):
             if not is_lost:
                 self.row = claim(self.row, pool, request)
-                tracker.apply_row(PortionsRead(TEAM, dict(self.row)))
+                tracker.apply_reply(PortionsRead(TEAM, dict(self.row), request.number))
 
     def change_cap(self, cap: Resources) -> None:
         """Applies a configuration with another cap in both pools."""
@@ -250,7 +251,7 @@
     site = StoredRow()
     site.row = {A: Resources(5_800, 2_000, 0), B: Resources(4_200, 2_000, 0)}
     for tracker in site.pools.values():
-        tracker.apply_row(PortionsRead(TEAM, dict(site.row)))
+        tracker.apply_reply(PortionsRead(TEAM, dict(site.row)))
     other = B if first is A else A
     ready = wait_for_gangs(site, {first: 6, other: 6})
     assert len(ready) == 1
@@ -301,3 +302,27 @@
     site.review(A, 1_000)
     assert site.row[A].cpu >= 8_000
     assert site.start(B, 5, 2_000) <= 2
+
+
+def test_the_reply_to_an_earlier_claim_does_not_undo_a_smaller_one() -> None:
+    """Guards against use of a portion that a claim under way returns."""
+    tracker, catalog = CapTracker(A), a_capped_catalog()
+    tracker.count_that_fits(catalog, TEAM, NEED, 8)
+    (large,) = tracker.claims(catalog, 0)
+    (small,) = tracker.claims(catalog, SHRINK_CHECK_MS)
+    assert small.want == NO_RESOURCES
+    tracker.apply_reply(PortionsRead(TEAM, claim({}, A, large), large.number))
+    assert tracker.count_that_fits(catalog, TEAM, NEED, 8) == 0
+
+
+def test_no_claim_is_made_while_another_one_is_open() -> None:
+    """Guards against claims that pile up while the store is slow."""
+    tracker, catalog = CapTracker(A), a_capped_catalog()
+    numbers = []
+    for now_ms in range(0, SHRINK_CHECK_MS, CLAIM_RETRY_MS):
+        tracker.count_that_fits(catalog, TEAM, NEED, 8)
+        numbers += [each.number for each in tracker.claims(catalog, now_ms)]
+    assert numbers == [1]
+    tracker.apply_reply(ClaimFailed(TEAM, 1))
+    tracker.count_that_fits(catalog, TEAM, NEED, 8)
+    assert [each.number for each in tracker.claims(catalog, SHRINK_CHECK_MS)] == [2]
--- a/tests/scheduling/varied_load.py
+++ b/tests/scheduling/varied_load.py
@@ -149,7 +149,8 @@
                 case ClaimPortion():
                     self.decisions.append(("claim", effect))
                     row = self.scheduler.state.caps.rows.get(effect.team, {})
-                    read = PortionsRead(effect.team, claim(dict(row), POOL, effect))
+                    claimed = claim(dict(row), POOL, effect)
+                    read = PortionsRead(effect.team, claimed, effect.number)
                     self.time.after(20, lambda each=read: self._send(each))
         super()._apply(effects)
 
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -22,7 +22,12 @@
 from amaranthtray.domain.jobs.model import JobId, JobSpec, Resources, StepSpec, TaskName
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import RunOutcome
-from amaranthtray.domain.scheduling.caps import ClaimPortion, PortionsRead, claim
+from amaranthtray.domain.scheduling.caps import (
+    ClaimFailed,
+    ClaimPortion,
+    PortionsRead,
+    claim,
+)
 from amaranthtray.domain.scheduling.evacuation import ZonesEvacuated
 from amaranthtray.domain.scheduling.lease import HostLease
 from amaranthtray.domain.scheduling.messages import (
@@ -263,11 +268,15 @@
                     self.world.schedule(10, lambda request=effect: self.claim(request))
 
     def claim(self, request: ClaimPortion) -> None:
-        if self.may_order:
-            row = claim(self.world.portions, POOL, request)
-            if self.world.rng.random() < 0.9:
-                self.world.portions = row
-                self.deliver(PortionsRead(request.team, dict(row)))
+        if not self.may_order:
+            return
+        row, draw = claim(self.world.portions, POOL, request), self.world.rng.random()
+        if draw < 0.95:
+            self.world.portions = row
+        if draw < 0.9:
+            self.deliver(PortionsRead(request.team, dict(row), request.number))
+        else:
+            self.deliver(ClaimFailed(request.team, request.number))
 
     def store(self, batch: StoreJobs) -> None:
         def arrive() -> None:
