--- a/src/amaranthtray/platform/documents.py
+++ b/src/amaranthtray/platform/documents.py
@@ -23,6 +23,8 @@
 Amount = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 """A count, or an amount of a resource."""
 
+Number = Annotated[float, msgspec.Meta(ge=0)]
+
 
 class _ResourceAmounts(msgspec.Struct, rename="camel"):
     cpu: Amount = 0
@@ -118,9 +120,9 @@
     state: str
     zone: str
     version: str
-    slots: Amount
-    cold_remaining_ms: Amount
-    sequence: Amount
+    slots: Number
+    cold_remaining_ms: Number
+    sequence: Number
     capacity: _ResourceAmounts
     labels: list[str]
     remaining_ms: Amount = 0
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -80,6 +80,13 @@
     assert decode_host("servers/x", data) is None
 
 
+@pytest.mark.parametrize("number", [0, 1200, 1200.5, 1e3])
+def test_numbers_of_a_host_may_have_a_fraction(number: float) -> None:
+    """Guards against a host that counts as unusable for a field without a use."""
+    entry = HOST_ENTRY | {"coldRemainingMs": number, "slots": number}
+    assert decode_host("servers/x", encoded(entry)) is not None
+
+
 @pytest.mark.parametrize("name", REQUIRED)
 def test_an_entry_without_a_field_names_no_host(name: str) -> None:
     """Guards against orders to what another writer has left on the list."""
