--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -136,9 +136,10 @@
 
     def render_metrics(self) -> str:
         """Returns all metrics as text."""
-        age_ms = self._config.age_ms()
+        age_ms, list_age_ms = self._config.age_ms(), self._context.hosts.age_ms()
         gauges: dict[str, float] = {
             "configuration_age_ms": -1 if age_ms is None else age_ms,
+            "host_list_age_ms": -1 if list_age_ms is None else list_age_ms,
             "duties_held": self._count_held(),
             "log_lines_dropped": self.log.dropped,
             "ready": int(self.is_ready),
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -44,6 +44,9 @@
 MAX_START_TRIES = 3
 """Tries of a start order; a host that is up answers at least one of them."""
 
+LOGGED_WAIT_MS = 500
+"""A start that is sent longer after its order than this has a log line."""
+
 STOP_RETRY_MS = 150
 """Pause between tries of a stop order."""
 
@@ -205,11 +208,11 @@
                     return
                 self._changed.wait(left_ms / 1_000)
 
-    def _send_start(self, order: StartRun | StopRun | PaceRun) -> None:
+    def _send_start(self, order: StartRun | StopRun | PaceRun, ordered_ms: int) -> None:
         match order:
             case StartRun():
                 try:
-                    self.start_run(order)
+                    self.start_run(order, ordered_ms)
                 except Exception:
                     # The call may have been sent, so the run has to be resolved.
                     self._post_start_reply(order, StartOutcome.NO_REPLY, 1)
@@ -217,17 +220,20 @@
             case PaceRun() if self._guard.may_order():
                 self._api.pace(order.name, order.number, order.percent)
 
-    def start_run(self, order: StartRun) -> None:
-        """Orders a start; repeats it while no reply comes and the run isn't stopped.
+    def start_run(self, order: StartRun, ordered_ms: int | None = None) -> None:
+        """Sends a start; repeats it while no reply comes and the run isn't stopped.
 
         A task under which hosts have crashed gets one try: a host that crashes under
         it, and is back at once, would start the same run again.
+
+        Args:
+            order: The start.
+            ordered_ms: Steady-clock time at which it was queued; None if it is now.
         """
         outcome: StartOutcome | AddressReused = StartOutcome.NO_REPLY
         unanswered, max_tries = 0, 1 if order.prior_crashes else MAX_START_TRIES
         while unanswered < max_tries:
-            now_ms = steady_ms()
-            until_ms = self._lease.next_expiry_ms(now_ms)
+            until_ms = self._lease.next_expiry_ms(steady_ms())
             if until_ms is None and not unanswered:
                 outcome = StartOutcome.UNHEALTHY
             if until_ms is None or self._closing.is_set():
@@ -241,6 +247,7 @@
             if (unsent := self._reason_not_to_send()) is not None:
                 outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
+            self._log_late_start(order, ordered_ms, unanswered)
             token = self._api.fencing_token
             outcome = self._api.start(order, until_ms)
             if outcome is StartOutcome.FENCED and token != self._api.fencing_token:
@@ -254,6 +261,20 @@
         else:
             self._post_start_reply(order, outcome, unanswered)
 
+    def _log_late_start(
+        self, order: StartRun, ordered_ms: int | None, unanswered: int
+    ) -> None:
+        waited_ms = 0 if ordered_ms is None else steady_ms() - ordered_ms
+        if waited_ms > LOGGED_WAIT_MS:
+            self._log.event(
+                "start-sent-late",
+                host=self.info.id,
+                task=str(order.name),
+                run=order.number,
+                waited_ms=waited_ms,
+                unanswered=unanswered,
+            )
+
     def _post_start_reply(
         self, order: StartRun, outcome: StartOutcome, unanswered: int
     ) -> None:
@@ -276,7 +297,7 @@
             return StartOutcome.NO_REPLY
         return None if self._guard.may_order() else StartOutcome.REFUSED
 
-    def _send_stop(self, order: StartRun | StopRun | PaceRun) -> None:
+    def _send_stop(self, order: StartRun | StopRun | PaceRun, _: int) -> None:
         if isinstance(order, StopRun):
             self.stop_run(order)
 
@@ -294,18 +315,18 @@
     """Sends orders one after the other; its thread starts with the first order.
 
     Args:
-        carry_out: Sends one order.
+        carry_out: Sends one order, given also the steady-clock time of its queueing.
         log: Log of the entry.
     """
 
     def __init__(
         self,
-        carry_out: Callable[[StartRun | StopRun | PaceRun], None],
+        carry_out: Callable[[StartRun | StopRun | PaceRun, int], None],
         log: EventLog,
     ) -> None:
         self._carry_out = carry_out
         self._log = log
-        self._queue: queue.SimpleQueue[StartRun | StopRun | PaceRun | None]
+        self._queue: queue.SimpleQueue[tuple[StartRun | StopRun | PaceRun, int] | None]
         self._queue = queue.SimpleQueue()
         self._thread: threading.Thread | None = None
 
@@ -314,16 +335,17 @@
         if self._thread is None:
             self._thread = threading.Thread(target=self._run, daemon=True)
             self._thread.start()
-        self._queue.put(order)
+        self._queue.put((order, steady_ms()))
 
     def close(self) -> None:
         """Ends the thread after the orders queued so far."""
         self._queue.put(None)
 
     def _run(self) -> None:
-        while (order := self._queue.get()) is not None:
+        while (queued := self._queue.get()) is not None:
+            order, queued_ms = queued
             try:
-                self._carry_out(order)
+                self._carry_out(order, queued_ms)
             except Exception as exc:
                 # The known state of the run stays until the next poll updates it.
                 self._log.event("order-fault", host=order.host, why=repr(exc))
--- a/src/amaranthtray/jobs/host_list_follower.py
+++ b/src/amaranthtray/jobs/host_list_follower.py
@@ -48,6 +48,8 @@
         self._hosts: dict[str, tuple[PoolName, HostInfo]] = {}
         self._subscribers: dict[PoolName, Callable[[Message], None]] = {}
         self._cursor: WatchCursor | None = None
+        self._read_ms: int | None = None
+        self._is_failing = False
         self._has_subscribers = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -79,6 +81,16 @@
                 return None
             return frozenset(info.zone for _, info in self._hosts.values())
 
+    def age_ms(self) -> int | None:
+        """Returns the time since the list was last certainly the newest.
+
+        None if no pool needs the list, or if it has not been read.
+        """
+        with self._lock:
+            if self._cursor is None or self._read_ms is None:
+                return None
+            return steady_ms() - self._read_ms
+
     def _hosts_of(self, pool: PoolName) -> HostsListed:
         return HostsListed(
             tuple(info for owner, info in self._hosts.values() if owner == pool)
@@ -102,9 +114,12 @@
             return False
 
     def _list(self) -> bool:
+        sent_ms = steady_ms()
         listed = self._store.list(self._platform.hosts_prefix)
         if not isinstance(listed, Success):
-            self._log.event("hosts-not-read", why=repr(listed.failure()))
+            self._log.event(
+                "hosts-not-read", why=repr(listed.failure()), age_ms=self.age_ms()
+            )
             return False
         listing = listed.unwrap()
         with self._lock:
@@ -112,10 +127,12 @@
             for item in listing.items:
                 self._set(item.key, item.value)
             self._cursor = WatchCursor(listing.at_version)
+            self._record_read(sent_ms)
             self._publish(set(self._subscribers))
         return True
 
     def _follow(self, cursor: WatchCursor) -> bool:
+        sent_ms = steady_ms()
         watched = self._store.watch(
             self._platform.hosts_prefix,
             after_version=cursor.version,
@@ -125,6 +142,7 @@
             if isinstance(watched.failure(), Compacted):
                 self._log.event("watch-compacted", prefix=self._platform.hosts_prefix)
                 return self._list()
+            self._log_failure(repr(watched.failure()))
             return False
         batch = watched.unwrap()
         with self._lock:
@@ -134,22 +152,43 @@
             for event in batch.events:
                 pools |= self._set(event.key, event.value)
             cursor.advance(batch, steady_ms())
+            self._record_read(sent_ms)
             self._publish(pools)
         if batch.events:
             threading.Event().wait(BATCHING_PAUSE_MS / 1_000)
         return True
 
+    def _record_read(self, sent_ms: int) -> None:
+        """Records a call that the store answered, and the end of failed ones."""
+        if self._is_failing and self._read_ms is not None:
+            self._log.event("hosts-read-again", after_ms=sent_ms - self._read_ms)
+        self._is_failing, self._read_ms = False, sent_ms
+
+    def _log_failure(self, why: str) -> None:
+        """Logs the first of a series of failed watches."""
+        if not self._is_failing:
+            self._log.event("hosts-not-followed", why=why, age_ms=self.age_ms())
+        self._is_failing = True
+
     def _set(self, key: str, value: bytes | None) -> set[PoolName]:
         """Applies an entry of the list; returns the pools whose hosts it changes."""
-        pools = {previous[0] for previous in [self._hosts.pop(key, None)] if previous}
+        previous = self._hosts.pop(key, None)
+        pools = {previous[0]} if previous else set()
         decoded = None if value is None else self._platform.decode_host(key, value)
         if decoded is not None:
             self._hosts[key] = decoded
             pools.add(decoded[0])
+            self._log_leaving(previous and previous[1], decoded[1])
         elif value is not None:
             self._log.event("host-entry-unreadable", key=key)
         return pools
 
+    def _log_leaving(self, previous: HostInfo | None, info: HostInfo) -> None:
+        if info.is_draining and not (previous and previous.is_draining):
+            self._log.event(
+                "host-leaving", host=info.id, remaining_ms=info.remaining_ms
+            )
+
     def _publish(self, pools: set[PoolName]) -> None:
         for pool in pools:
             post = self._subscribers.get(pool)
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -162,7 +162,7 @@
 
     link, posted = a_link(FakeHost(fail))
     with pytest.raises(RuntimeError):
-        link._send_start(an_order())
+        link._send_start(an_order(), 0)
     (reply,) = posted
     assert isinstance(reply, StartReplied)
     assert (reply.outcome, reply.was_repeated) == (StartOutcome.NO_REPLY, True)
