--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -49,8 +49,10 @@
         self.follower.subscribe(POOL, self.posted.append)
 
     def write(self, host: str, entry: dict[str, object]) -> None:
-        value = json.dumps(entry).encode()
-        self.platform.write(f"{PREFIX}{host}", value, 0, None, "").unwrap()
+        key, value = f"{PREFIX}{host}", json.dumps(entry).encode()
+        present = self.platform.read(key)
+        version = present.version if present else 0
+        self.platform.write(key, value, version, None, "").unwrap()
 
     def hosts(self) -> set[str]:
         """Returns the hosts of the pool as they were last posted."""
