The whole list of hosts is read after a broken watch, and never goes backwards

Cause: the reader of the list trusted each watch for completeness. After a broken watch (cut, unanswered, refused) it went on from the same version, although the store may forget changes meanwhile and say so only while it still knows what it forgot; a repeated older change replaced a newer entry; and a list that was read while the last conductor of the entry ended was kept, to be given to the next one at any later time. Now a broken watch is followed by a read of the whole list, as the reader of evacuations does already; an entry is replaced only by a later version; and a list that nobody needs any more is dropped.

--- a/src/amaranthtray/jobs/host_list_follower.py
+++ b/src/amaranthtray/jobs/host_list_follower.py
@@ -46,6 +46,7 @@
         self._log = log
         self._lock = threading.Lock()
         self._hosts: dict[str, tuple[PoolName, HostInfo]] = {}
+        self._versions: dict[str, int] = {}
         self._subscribers: dict[PoolName, Callable[[Message], None]] = {}
         self._cursor: WatchCursor | None = None
         self._read_ms: int | None = None
@@ -72,7 +73,7 @@
                 del self._subscribers[pool]
             if not self._subscribers:
                 self._has_subscribers.clear()
-                self._cursor = None
+                self._cursor = self._read_ms = None
 
     def zones(self) -> frozenset[ZoneId] | None:
         """Returns the zones that have hosts; None if the list has not been read."""
@@ -87,9 +88,7 @@
         None if no pool needs the list, or if it has not been read.
         """
         with self._lock:
-            if self._cursor is None or self._read_ms is None:
-                return None
-            return steady_ms() - self._read_ms
+            return None if self._read_ms is None else steady_ms() - self._read_ms
 
     def _hosts_of(self, pool: PoolName) -> HostsListed:
         return HostsListed(
@@ -123,9 +122,11 @@
             return False
         listing = listed.unwrap()
         with self._lock:
-            self._hosts = {}
+            if not self._subscribers:
+                return True
+            self._hosts, self._versions = {}, {}
             for item in listing.items:
-                self._set(item.key, item.value)
+                self._set(item.key, item.value, item.version)
             self._cursor = WatchCursor(listing.at_version)
             self._record_read(sent_ms)
             self._publish(set(self._subscribers))
@@ -139,18 +140,21 @@
             timeout_ms=WATCH_MS,
         )
         if not isinstance(watched, Success):
+            # A broken watch may have missed changes that the next one doesn't repeat.
+            self._cursor = None
             if isinstance(watched.failure(), Compacted):
                 self._log.event("watch-compacted", prefix=self._platform.hosts_prefix)
-                return self._list()
+                return True
             self._log_failure(repr(watched.failure()))
             return False
         batch = watched.unwrap()
         with self._lock:
-            if self._cursor is None:
+            if self._cursor is not cursor:
                 return True
             pools: set[PoolName] = set()
             for event in batch.events:
-                pools |= self._set(event.key, event.value)
+                if event.version > self._versions.get(event.key, 0):
+                    pools |= self._set(event.key, event.value, event.version)
             cursor.advance(batch, steady_ms())
             self._record_read(sent_ms)
             self._publish(pools)
@@ -170,8 +174,11 @@
             self._log.event("hosts-not-followed", why=why, age_ms=self.age_ms())
         self._is_failing = True
 
-    def _set(self, key: str, value: bytes | None) -> set[PoolName]:
+    def _set(self, key: str, value: bytes | None, version: int) -> set[PoolName]:
         """Applies an entry of the list; returns the pools whose hosts it changes."""
+        self._versions[key] = version
+        if value is None:
+            del self._versions[key]
         previous = self._hosts.pop(key, None)
         pools = {previous[0]} if previous else set()
         decoded = None if value is None else self._platform.decode_host(key, value)
