A start is checked against the present list of hosts right before it is sent

Cause: a start acted on what was known when it was decided. Behind it came the write of its record, the queue of its host's link (2.1 s for each start there that gets no reply) and up to two more tries; after that only the term and the evacuated zones were looked at. And nothing limited the age of the list: when its reader stood still, starts went on for as long as it did. Change: before each try the link asks the list whether the host is listed, is leaving, and how old the list is. The reader's watches take at most a fifth of the limit, so that an idle list and a broken connection don't make it old. What is not sent is placed elsewhere at once; a try that had no reply is stopped.

--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -26,6 +26,7 @@
 from .reservations import ReservationDropped, Reserved
 from .run_time_events import RunTimeReport, RunTimesRead
 from .share_portions import ClaimShare, SharePortionChanged, ShareRowsRead
+from .start_check import StartHindrance
 from .team_service import WorstTeams
 
 
@@ -166,7 +167,7 @@
         UNHEALTHY: The host is unhealthy; the run does not execute.
         FENCED: The host has received an order of a higher term.
         NO_REPLY: None of several attempts got a response.
-        WITHHELD: The order was not sent, as the host's zone is evacuated.
+        WITHHELD: The order was not sent, as the host may no longer get starts.
     """
 
     STARTED = "started"
@@ -191,6 +192,7 @@
         replied_ms: Steady-clock time of the reply.
         was_repeated: Whether an earlier attempt got no response; the host may have
             started the run, or may start it later.
+        hindrance: What kept the order, or its next try, from being sent.
     """
 
     host: HostId
@@ -199,6 +201,7 @@
     outcome: StartOutcome
     replied_ms: int
     was_repeated: bool = False
+    hindrance: StartHindrance | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -6,9 +6,9 @@
 
 from msgspec import MsgspecError
 
-from ..jobs.model import StepKey
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
+from ._backoff import delay_starts
 from ._evacuation import (
     apply_zones,
     evacuate,
@@ -67,12 +67,6 @@
     from .host import PlacedRun
     from .losses import LossCause
 
-FULL_BACKOFF_MS = 500
-"""Time without new runs for a host that refused a run for lack of resources."""
-
-UNHEALTHY_BACKOFF_MS = 1_000
-"""Time without new runs for a host that reported itself as unhealthy."""
-
 INSPECT_EVERY_MS = 50
 """Shortest time between inspections of all hosts; hosts report less often."""
 
@@ -338,7 +332,7 @@
             return []
         if reply.outcome is StartOutcome.FENCED:
             return [Superseded(reply.host)]
-        self._back_off(host, reply)
+        delay_starts(self.state, host, reply)
         if reply.outcome is StartOutcome.NO_REPLY or reply.was_repeated:
             return self._stop_unanswered(placed)
         self.state.drop_run(reply.name, placed.run)
@@ -356,20 +350,6 @@
         run.phase, run.confirmed_ms = RunPhase.STOPPING, None
         return [StopRun(run.host, name, run.number)]
 
-    def _back_off(self, host: Host, reply: StartReplied) -> None:
-        """Delays new runs on the host, or the task, according to a refusal."""
-        now_ms = self.state.now_ms
-        match reply.outcome:
-            case StartOutcome.NO_ROOM:
-                host.avoid_until_ms = now_ms + FULL_BACKOFF_MS
-            case StartOutcome.UNHEALTHY:
-                host.avoid_until_ms = now_ms + UNHEALTHY_BACKOFF_MS
-            case StartOutcome.REFUSED | StartOutcome.NO_TICKET:
-                self.state.advice.remove_ticket(StepKey(*reply.name[:3]), reply.host)
-                task = self.state.jobs[reply.name.job].task(reply.name)
-                if task is not None:
-                    task.not_before_ms = now_ms + FULL_BACKOFF_MS
-
     def _handle_stop_reply(self, reply: StopReplied) -> list[Effect]:
         host = self.state.hosts.get(reply.host)
         placed = host.find(reply.name, reply.number) if host else None
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -60,7 +60,7 @@
         cfg = settings.entry
         self.log = EventLog({"entry": cfg.name, "zone": cfg.zone})
         self._config = ConfigFollower(store, platform, self.log)
-        hosts = HostListFollower(store, platform, self.log)
+        hosts = HostListFollower(store, platform, self.log, settings.hosts)
         self._context = JobEntryContext(
             settings=settings,
             store=store,
--- a/src/amaranthtray/jobs/evacuation_reporter.py
+++ b/src/amaranthtray/jobs/evacuation_reporter.py
@@ -10,6 +10,7 @@
     RunsMoved,
     StartWithheld,
 )
+from ..domain.scheduling.start_check import StartHindrance
 
 if TYPE_CHECKING:
     from .conductor_log import ConductorLog
@@ -22,7 +23,8 @@
 """Most moved tasks that one log line names."""
 
 HELD, QUEUED = "held", "queued"
-"""Causes of withheld starts: its record was not stored, or its order not sent."""
+"""Causes of starts withheld from evacuated zones: the record was not stored yet, or
+the order not sent."""
 
 
 class EvacuationReporter:
@@ -67,6 +69,8 @@
                 self.lacks_hosts = not has_hosts
                 self._log.event("evacuation-no-host", is_over=has_hosts)
 
-    def count_unsent_start(self) -> None:
+    def count_unsent_start(self, hindrance: StartHindrance | None) -> None:
         """Counts a start whose order its host's link has not sent."""
-        self._log.metrics.count("starts_withheld", QUEUED)
+        is_evacuated = hindrance in (None, StartHindrance.EVACUATED)
+        kind = QUEUED if is_evacuated else str(hindrance)
+        self._log.metrics.count("starts_withheld", kind)
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -28,6 +28,7 @@
     from ..domain.jobs.model import TaskName
     from ..domain.scheduling.lease import HostLease
     from ..domain.scheduling.messages import HostInfo
+    from ..domain.scheduling.start_check import StartHindrance
     from .event_log import EventLog
     from .ports import HostApi
     from .term_guard import TermGuard
@@ -61,7 +62,7 @@
         guard: Tells whether leases may be renewed and orders sent.
         post: Queues a message for the conductor.
         log: Log of the entry.
-        is_evacuated: Returns whether the host's zone is evacuated now.
+        hindrance: Returns what keeps starts from being sent to the host now.
     """
 
     def __init__(
@@ -73,10 +74,10 @@
         guard: TermGuard,
         post: Callable[[Message], None],
         log: EventLog,
-        is_evacuated: Callable[[], bool] = lambda: False,
+        hindrance: Callable[[], StartHindrance | None] = lambda: None,
     ) -> None:
         self.info = info
-        self._is_evacuated = is_evacuated
+        self._hindrance = hindrance
         self._api = api
         self._lease = lease
         self._guard = guard
@@ -231,6 +232,7 @@
             ordered_ms: Steady-clock time at which it was queued; None if it is now.
         """
         outcome: StartOutcome | AddressReused = StartOutcome.NO_REPLY
+        hindrance: StartHindrance | None = None
         unanswered, max_tries = 0, 1 if order.prior_crashes else MAX_START_TRIES
         while unanswered < max_tries:
             until_ms = self._lease.next_expiry_ms(steady_ms())
@@ -244,14 +246,12 @@
                 break
             if (order.name, order.number) in self._stopped_runs:
                 return
-            if (unsent := self._reason_not_to_send()) is not None:
+            hindrance = self._hindrance()
+            if (unsent := self._reason_not_to_send(hindrance)) is not None:
                 outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
             self._log_late_start(order, ordered_ms, unanswered)
-            token = self._api.fencing_token
-            outcome = self._api.start(order, until_ms)
-            if outcome is StartOutcome.FENCED and token != self._api.fencing_token:
-                outcome = StartOutcome.REFUSED
+            outcome = self._call_start(order, until_ms)
             if outcome is not StartOutcome.NO_REPLY:
                 break
             unanswered += 1
@@ -259,7 +259,16 @@
             self._post_start_reply(order, StartOutcome.REFUSED, unanswered)
             self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
         else:
-            self._post_start_reply(order, outcome, unanswered)
+            self._post_start_reply(order, outcome, unanswered, hindrance)
+
+    def _call_start(
+        self, order: StartRun, until_ms: int
+    ) -> StartOutcome | AddressReused:
+        token = self._api.fencing_token
+        outcome = self._api.start(order, until_ms)
+        if outcome is StartOutcome.FENCED and token != self._api.fencing_token:
+            return StartOutcome.REFUSED
+        return outcome
 
     def _log_late_start(
         self, order: StartRun, ordered_ms: int | None, unanswered: int
@@ -276,7 +285,11 @@
             )
 
     def _post_start_reply(
-        self, order: StartRun, outcome: StartOutcome, unanswered: int
+        self,
+        order: StartRun,
+        outcome: StartOutcome,
+        unanswered: int,
+        hindrance: StartHindrance | None = None,
     ) -> None:
         reply = StartReplied(
             self.info.id,
@@ -285,12 +298,15 @@
             outcome,
             steady_ms(),
             was_repeated=unanswered > 0,
+            hindrance=hindrance,
         )
         self._post(reply)
 
-    def _reason_not_to_send(self) -> StartOutcome | None:
+    def _reason_not_to_send(
+        self, hindrance: StartHindrance | None
+    ) -> StartOutcome | None:
         """Returns the outcome of a start that must not be sent now, else None."""
-        if self._is_evacuated():
+        if hindrance is not None:
             return StartOutcome.WITHHELD
         if self._closing.is_set():
             # The entry may have forgotten the zones once its links were closed.
--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
+from ..domain.scheduling.start_check import StartHindrance, start_hindrance
 from . import clock
 from .host_link import HostLink
 from .times import LEASE_MS, RENEWAL_GRACE_MS
@@ -80,11 +81,18 @@
             guard=self._guard,
             post=self._post,
             log=self._context.log,
-            is_evacuated=lambda: info.zone in self._context.evacuations.zones,
+            hindrance=lambda: self._hindrance(info),
         )
         self._links[info.id] = link
         link.start()
 
+    def _hindrance(self, info: HostInfo) -> StartHindrance | None:
+        """Returns what keeps starts from being sent to a host now."""
+        if info.zone in self._context.evacuations.zones:
+            return StartHindrance.EVACUATED
+        limit_ms = self._context.settings.hosts.leaving_start_limit_ms
+        return start_hindrance(self._context.hosts.listed(info.id), limit_ms)
+
     def close(self, host: HostId) -> None:
         """Closes the link to a host if there is one."""
         link = self._links.pop(host, None)
--- a/src/amaranthtray/jobs/host_list_follower.py
+++ b/src/amaranthtray/jobs/host_list_follower.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from ..domain.scheduling.messages import HostsListed
+from ..domain.scheduling.start_check import ListedHost
 from ..store.contract import Compacted
 from ..store.cursor import WatchCursor
 from .clock import steady_ms
@@ -16,14 +17,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..domain.ids import PoolName, ZoneId
+    from ..domain.ids import HostId, PoolName, ZoneId
     from ..domain.scheduling.messages import HostInfo, Message
+    from ..settings.job_entry import HostsSection
     from ..store.contract import TransactionalStore
     from .event_log import EventLog
     from .ports import Platform
 
 RETRY_PAUSE_MS = 200
 
+WATCHES_PER_LIMIT = 5
+"""Watches within the time limit for starts on leaving hosts: each answer renews the
+age of the list, and a broken connection has to show well before the limit."""
+
 BATCHING_PAUSE_MS = 120
 """Pause between watches, to batch changes: each host writes about once in two seconds,
 and a call for each of these writes would be most of an entry's store calls."""
@@ -36,14 +42,21 @@
         store: The platform's store.
         platform: Decodes the entries of the list.
         log: Log of the entry.
+        settings: Limits of hosts.
     """
 
     def __init__(
-        self, store: TransactionalStore, platform: Platform, log: EventLog
+        self,
+        store: TransactionalStore,
+        platform: Platform,
+        log: EventLog,
+        settings: HostsSection,
     ) -> None:
         self._store = store
         self._platform = platform
         self._log = log
+        limit_ms = settings.leaving_start_limit_ms
+        self._watch_ms = min(WATCH_MS, limit_ms // WATCHES_PER_LIMIT)
         self._lock = threading.Lock()
         self._hosts: dict[str, tuple[PoolName, HostInfo]] = {}
         self._versions: dict[str, int] = {}
@@ -90,6 +103,16 @@
         with self._lock:
             return None if self._read_ms is None else steady_ms() - self._read_ms
 
+    def listed(self, host: HostId) -> ListedHost:
+        """Returns a host as the list has it now."""
+        key = f"{self._platform.hosts_prefix}{host}"
+        with self._lock:
+            _, info = self._hosts.get(key, (None, None))
+            read_ms = self._read_ms
+        age_ms = None if read_ms is None else steady_ms() - read_ms
+        is_leaving = info is not None and info.is_draining
+        return ListedHost(info is not None, is_leaving, age_ms)
+
     def _hosts_of(self, pool: PoolName) -> HostsListed:
         return HostsListed(
             tuple(info for owner, info in self._hosts.values() if owner == pool)
@@ -137,7 +160,7 @@
         watched = self._store.watch(
             self._platform.hosts_prefix,
             after_version=cursor.version,
-            timeout_ms=WATCH_MS,
+            timeout_ms=self._watch_ms,
         )
         if not isinstance(watched, Success):
             # A broken watch may have missed changes that the next one doesn't repeat.
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -256,7 +256,7 @@
     def _record_start_reply(self, reply: StartReplied) -> None:
         self._stats.record_reply(reply)
         if reply.outcome is StartOutcome.WITHHELD:
-            self._evacuation.count_unsent_start()
+            self._evacuation.count_unsent_start(reply.hindrance)
         if reply.outcome is not StartOutcome.STARTED:
             self._context.log.event(
                 "start-not-confirmed",
@@ -265,6 +265,7 @@
                 run=reply.number,
                 outcome=reply.outcome,
                 was_repeated=reply.was_repeated,
+                hindrance=reply.hindrance,
                 term=self._guard.term,
             )
 
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -75,9 +75,12 @@
 
     Attributes:
         max_lease_ms: Longest lease that a host grants.
+        leaving_start_limit_ms: Time after a host's report of leaving within which
+            starts on it must end.
     """
 
     max_lease_ms: Millis
+    leaving_start_limit_ms: Millis = 2_000
 
 
 class MachinesSection(Struct, frozen=True, kw_only=True):
--- a/tests/jobs/test_evacuation_follower.py
+++ b/tests/jobs/test_evacuation_follower.py
@@ -11,6 +11,7 @@
 from amaranthtray.domain.jobs.model import JobId, TaskName
 from amaranthtray.domain.scheduling import evacuation
 from amaranthtray.domain.scheduling.evacuation import ZonesEvacuated
+from amaranthtray.domain.scheduling.start_check import StartHindrance
 from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.evacuation_follower import EvacuationFollower
 from amaranthtray.jobs.evacuation_reporter import EvacuationReporter
@@ -184,11 +185,12 @@
     lines: Any = FakeLog()
     reporter = EvacuationReporter(ConductorLog(POOL, Term(1), lines, metrics))
     reporter.record(evacuation.StartWithheld(HostId("h"), task, 1))
-    reporter.count_unsent_start()
+    reporter.count_unsent_start(StartHindrance.EVACUATED)
+    reporter.count_unsent_start(StartHindrance.LEAVING)
     kind = evacuation.RunKind.LASTING
     reporter.record(evacuation.RunsMoved(A, kind, (task, task), 5))
     reporter.record(evacuation.EvacuationHosts(has_hosts=False))
-    assert metrics.totals("starts_withheld") == {"held": 1, "queued": 1}
+    assert metrics.totals("starts_withheld") == {"held": 1, "queued": 1, "leaving": 1}
     assert metrics.totals("runs_moved") == {"evacuation_lasting": 2}
     assert reporter.lacks_hosts
     assert lines.names() == ["start-withheld", "runs-moved", "evacuation-no-host"]
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -23,7 +23,7 @@
 from amaranthtray.jobs.ports import NoUsableReply
 from amaranthtray.platform import documents
 from amaranthtray.platform.host_client import HostClient
-from amaranthtray.settings.job_entry import SchedulingSection
+from amaranthtray.settings.job_entry import HostsSection, SchedulingSection
 from amaranthtray.web.http_peer import Response
 from jobs.store_site import StoreSite
 from jobs.test_host_link import FakeHost, a_link, an_order
@@ -45,7 +45,8 @@
             hosts_prefix=PREFIX, decode_host=documents.decode_host
         )
         log: Any = self.lines
-        self.follower = HostListFollower(self.store, platform, log)
+        hosts = HostsSection(max_lease_ms=9_000)
+        self.follower = HostListFollower(self.store, platform, log, hosts)
         self.follower.subscribe(POOL, self.posted.append)
 
     def write(self, host: str, entry: dict[str, object]) -> None:
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -16,6 +16,7 @@
     StopReplied,
     StopRun,
 )
+from amaranthtray.domain.scheduling.start_check import StartHindrance
 from amaranthtray.jobs.event_log import EventLog
 from amaranthtray.jobs.host_link import MAX_START_TRIES, HostLink
 from amaranthtray.jobs.term_guard import TermGuard
@@ -53,7 +54,7 @@
     born: int = INCARNATION,
     is_silent: bool = False,
     held_term: Callable[[], Term | None] = lambda: Term(1),
-    is_evacuated: Callable[[], bool] = lambda: False,
+    hindrance: Callable[[], StartHindrance | None] = lambda: None,
 ) -> tuple[HostLink, list[Message]]:
     lease = HostLease(lease_ms=5_000, max_lease_ms=9_000, earlier_leases_until_ms=0)
     lease.record_answer(0, born, 0)
@@ -67,7 +68,7 @@
         guard=TermGuard(Term(1), held_term),
         post=posted.append,
         log=EventLog({}, write=lambda data: None),
-        is_evacuated=is_evacuated,
+        hindrance=hindrance,
     )
     link.record_incarnation(born)
     return link, posted
@@ -164,7 +165,7 @@
 
 def test_a_start_that_was_queued_before_an_evacuation_is_not_sent() -> None:
     api = FakeHost(lambda: StartOutcome.STARTED)
-    link, posted = a_link(api, is_evacuated=lambda: True)
+    link, posted = a_link(api, hindrance=lambda: StartHindrance.EVACUATED)
     link.start_run(an_order())
     assert api.starts == 0
     reply = posted[0]
@@ -174,7 +175,8 @@
 
 def test_a_start_without_a_reply_is_not_resent_into_an_evacuated_zone() -> None:
     api = FakeHost(lambda: StartOutcome.NO_REPLY)
-    link, posted = a_link(api, is_evacuated=lambda: api.starts > 0)
+    evacuated = StartHindrance.EVACUATED
+    link, posted = a_link(api, hindrance=lambda: evacuated if api.starts else None)
     link.start_run(an_order())
     assert api.starts == 1
     reply = posted[0]
