A start also needs fresh evacuations and cancellations, and no long wait

Change: what a start depends on is put together right before each try, with its age: list of hosts, evacuated zones, cancellations of the pool's jobs. A watch takes at most a fifth of its limit, so that two in a row are fresh.

--- a/src/amaranthtray/jobs/evacuation_follower.py
+++ b/src/amaranthtray/jobs/evacuation_follower.py
@@ -12,7 +12,7 @@
 from ..store.cursor import WatchCursor
 from .clock import steady_ms
 from .steps import run_step
-from .times import WATCH_MS
+from .times import WATCH_MS, WATCHES_PER_LIMIT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,9 +25,6 @@
 
 RETRY_PAUSE_MS = 200
 
-WATCHES_PER_LIMIT = 2.5
-"""Within the limit, a watch whose connection has died and the next read must fit."""
-
 
 class NoEvacuations:
     """Stands for the follower where the settings enable no evacuations."""
@@ -37,6 +34,10 @@
     def start(self) -> None:
         """Does nothing."""
 
+    def age_ms(self) -> int | None:
+        """Returns 0, as there are no requests to know of."""
+        return 0
+
     def subscribe(self, role: str, post: Callable[[Message], None]) -> bool:
         """Posts nothing; returns True, as there are no requests to read."""
         return True
@@ -68,7 +69,7 @@
         self._store = store
         self._platform = platform
         self._log = log
-        self._watch_ms = min(WATCH_MS, int(start_limit_ms / WATCHES_PER_LIMIT))
+        self._watch_ms = min(WATCH_MS, start_limit_ms // WATCHES_PER_LIMIT)
         self._known_zones = known_zones
         self._lock = threading.Lock()
         self._requests: dict[str, ZoneId] = {}
@@ -76,6 +77,7 @@
         self._unchecked: set[ZoneId] = set()
         self._zones: frozenset[ZoneId] = frozenset()
         self._read_ms: int | None = None
+        self._confirmed_ms: int | None = None
         self._cursor: WatchCursor | None = None
         self._subscribers: dict[str, Callable[[Message], None]] = {}
         self._has_subscribers = threading.Event()
@@ -90,6 +92,14 @@
         """Returns the zones that are evacuated, as last read."""
         return self._zones
 
+    def age_ms(self) -> int | None:
+        """Returns the time since the zones were certainly the present ones.
+
+        None if they were not read, or if no role is held.
+        """
+        confirmed_ms = self._confirmed_ms
+        return None if confirmed_ms is None else steady_ms() - confirmed_ms
+
     def subscribe(self, role: str, post: Callable[[Message], None]) -> bool:
         """Reads the requests, and posts the zones to a role's task now and on changes.
 
@@ -112,7 +122,7 @@
                 del self._subscribers[role]
             if not self._subscribers:
                 self._has_subscribers.clear()
-                self._cursor = self._read_ms = None
+                self._cursor = self._read_ms = self._confirmed_ms = None
                 self._requests, self._zones = {}, frozenset()
 
     def step(self) -> bool:
@@ -129,6 +139,7 @@
                 threading.Event().wait(RETRY_PAUSE_MS / 1_000)
 
     def _list(self) -> bool:
+        sent_ms = steady_ms()
         listed = self._store.list(self._platform.evacuations_prefix)
         if not isinstance(listed, Success):
             self._log.event("evacuations-not-read", why=repr(listed.failure()))
@@ -136,6 +147,7 @@
         with self._lock:
             if self._subscribers:
                 self._apply_listing(listed.unwrap())
+                self._confirmed_ms = max(sent_ms, self._confirmed_ms or 0)
         return True
 
     def _apply_listing(self, listing: Listing) -> None:
@@ -151,7 +163,7 @@
         self._publish()
 
     def _follow(self, cursor: WatchCursor) -> bool:
-        prefix = self._platform.evacuations_prefix
+        prefix, sent_ms = self._platform.evacuations_prefix, steady_ms()
         watched = self._store.watch(
             prefix, after_version=cursor.version, timeout_ms=self._watch_ms
         )
@@ -169,6 +181,7 @@
             if self._cursor is cursor:
                 self._apply_events(batch.events)
                 cursor.advance(batch, steady_ms())
+                self._confirmed_ms = max(sent_ms, self._confirmed_ms or 0)
         return True
 
     def _apply_events(self, events: tuple[WatchEvent, ...]) -> None:
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -62,7 +62,8 @@
         guard: Tells whether leases may be renewed and orders sent.
         post: Queues a message for the conductor.
         log: Log of the entry.
-        hindrance: Returns what keeps starts from being sent to the host now.
+        hindrance: Returns what keeps a start from being sent to the host now, by the
+            time in ms since it was ordered.
     """
 
     def __init__(
@@ -74,7 +75,7 @@
         guard: TermGuard,
         post: Callable[[Message], None],
         log: EventLog,
-        hindrance: Callable[[], StartHindrance | None] = lambda: None,
+        hindrance: Callable[[int], StartHindrance | None] = lambda waited_ms: None,
     ) -> None:
         self.info = info
         self._hindrance = hindrance
@@ -231,6 +232,7 @@
             order: The start.
             ordered_ms: Steady-clock time at which it was queued; None if it is now.
         """
+        ordered_ms = steady_ms() if ordered_ms is None else ordered_ms
         outcome: StartOutcome | AddressReused = StartOutcome.NO_REPLY
         hindrance: StartHindrance | None = None
         unanswered, max_tries = 0, 1 if order.prior_crashes else MAX_START_TRIES
@@ -246,11 +248,11 @@
                 break
             if (order.name, order.number) in self._stopped_runs:
                 return
-            hindrance = self._hindrance()
+            hindrance = self._hindrance(waited_ms := steady_ms() - ordered_ms)
             if (unsent := self._reason_not_to_send(hindrance)) is not None:
                 outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
-            self._log_late_start(order, ordered_ms, unanswered)
+            self._log_late_start(order, waited_ms, unanswered)
             outcome = self._call_start(order, until_ms)
             if outcome is not StartOutcome.NO_REPLY:
                 break
@@ -270,10 +272,7 @@
             return StartOutcome.REFUSED
         return outcome
 
-    def _log_late_start(
-        self, order: StartRun, ordered_ms: int | None, unanswered: int
-    ) -> None:
-        waited_ms = 0 if ordered_ms is None else steady_ms() - ordered_ms
+    def _log_late_start(self, order: StartRun, waited_ms: int, unanswered: int) -> None:
         if waited_ms > LOGGED_WAIT_MS:
             self._log.event(
                 "start-sent-late",
--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
-from ..domain.scheduling.start_check import StartHindrance, start_hindrance
+from ..domain.scheduling.start_check import (
+    StartHindrance,
+    StartInputs,
+    StartLimits,
+    start_hindrance,
+)
 from . import clock
 from .host_link import HostLink
 from .times import LEASE_MS, RENEWAL_GRACE_MS
@@ -35,6 +40,8 @@
         guard: Tells whether leases may be renewed and orders sent.
         post: Queues a message for the conductor.
         log: Log of the conductor.
+        cancellations_age_ms: Returns the time since the cancellations of the pool's
+            jobs were certainly known; None if they never were.
 
     Attributes:
         earlier_leases_until_ms: Steady-clock time at which leases granted by earlier
@@ -47,11 +54,13 @@
         guard: TermGuard,
         post: Callable[[Message], None],
         log: ConductorLog,
+        cancellations_age_ms: Callable[[], int | None],
     ) -> None:
         self._context = context
         self._guard = guard
         self._post = post
         self._log = log
+        self._cancellations_age_ms = cancellations_age_ms
         self._max_lease_ms = context.settings.hosts.max_lease_ms
         self._lease_ms = min(LEASE_MS, self._max_lease_ms)
         wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
@@ -81,17 +90,28 @@
             guard=self._guard,
             post=self._post,
             log=self._context.log,
-            hindrance=lambda: self._hindrance(info),
+            hindrance=lambda waited_ms: self._hindrance(info, waited_ms),
         )
         self._links[info.id] = link
         link.start()
 
-    def _hindrance(self, info: HostInfo) -> StartHindrance | None:
-        """Returns what keeps starts from being sent to a host now."""
-        if info.zone in self._context.evacuations.zones:
-            return StartHindrance.EVACUATED
-        limit_ms = self._context.settings.hosts.leaving_start_limit_ms
-        return start_hindrance(self._context.hosts.listed(info.id), limit_ms)
+    def _hindrance(self, info: HostInfo, waited_ms: int) -> StartHindrance | None:
+        """Returns what keeps a start from being sent to a host now."""
+        settings, evacuations = self._context.settings, self._context.evacuations
+        inputs = StartInputs(
+            host=self._context.hosts.listed(info.id),
+            is_evacuated=info.zone in evacuations.zones,
+            evacuations_age_ms=evacuations.age_ms(),
+            cancellations_age_ms=self._cancellations_age_ms(),
+            waited_ms=waited_ms,
+        )
+        evacuation = settings.evacuation
+        limits = StartLimits(
+            leaving_ms=settings.hosts.leaving_start_limit_ms,
+            evacuation_ms=evacuation.start_limit_ms if evacuation else None,
+            cancellation_ms=settings.jobs.cancellation_limit_ms,
+        )
+        return start_hindrance(inputs, limits)
 
     def close(self, host: HostId) -> None:
         """Closes the link to a host if there is one."""
--- a/src/amaranthtray/jobs/host_list_follower.py
+++ b/src/amaranthtray/jobs/host_list_follower.py
@@ -12,7 +12,7 @@
 from ..store.contract import Compacted
 from ..store.cursor import WatchCursor
 from .clock import steady_ms
-from .times import WATCH_MS
+from .times import WATCH_MS, WATCHES_PER_LIMIT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,10 +26,6 @@
 
 RETRY_PAUSE_MS = 200
 
-WATCHES_PER_LIMIT = 5
-"""Watches within the time limit for starts on leaving hosts: each answer renews the
-age of the list, and a broken connection has to show well before the limit."""
-
 BATCHING_PAUSE_MS = 120
 """Pause between watches, to batch changes: each host writes about once in two seconds,
 and a call for each of these writes would be most of an entry's store calls."""
--- a/src/amaranthtray/jobs/job_feed.py
+++ b/src/amaranthtray/jobs/job_feed.py
@@ -22,7 +22,7 @@
 from . import keys
 from .clock import steady_ms
 from .steps import run_step
-from .times import WATCH_MS
+from .times import WATCH_MS, WATCHES_PER_LIMIT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,9 +59,17 @@
         self._post = post
         self._may_continue = may_continue
         self._cursor = WatchCursor(0)
+        self._confirmed_ms: int | None = None
+        limit_ms = context.settings.jobs.cancellation_limit_ms
+        self._watch_ms = min(WATCH_MS, limit_ms // WATCHES_PER_LIMIT)
         self._pause = threading.Event()
         self._thread = threading.Thread(target=self._follow, daemon=True)
 
+    def age_ms(self) -> int | None:
+        """Returns the time since all cancellations were known; None if never."""
+        confirmed_ms = self._confirmed_ms
+        return None if confirmed_ms is None else steady_ms() - confirmed_ms
+
     def load(self) -> bool:
         """Posts all jobs; returns False if the conductor had to end before that."""
         while self._may_continue():
@@ -87,6 +95,7 @@
         return True
 
     def _list(self) -> bool:
+        sent_ms = steady_ms()
         listed = self._context.store.list(self._prefix)
         if not isinstance(listed, Success):
             self._context.log.event("jobs-not-read", why=repr(listed.failure()))
@@ -104,6 +113,7 @@
                 record, cancel = self._records.get(job), keys.CANCEL in values
                 self._post_job(values[keys.SPEC], record, is_cancelled=cancel)
         self._cursor = WatchCursor(listing.at_version)
+        self._confirmed_ms = sent_ms
         return True
 
     def _post_job(
@@ -131,12 +141,14 @@
 
     def step(self) -> bool:
         """Waits for changes once; returns whether it read."""
+        sent_ms = steady_ms()
         batch = self._context.store.watch(
-            self._prefix, after_version=self._cursor.version, timeout_ms=WATCH_MS
+            self._prefix, after_version=self._cursor.version, timeout_ms=self._watch_ms
         )
         if isinstance(batch, Success):
             self._apply_events(batch.unwrap().events)
             self._cursor.advance(batch.unwrap(), steady_ms())
+            self._confirmed_ms = sent_ms
             return True
         if isinstance(batch.failure(), Compacted):
             self._context.log.event("watch-compacted", prefix=self._prefix)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -125,7 +125,10 @@
         self._losses = LossLog(self._log)
         self._evacuation = EvacuationReporter(self._log)
         self._run_time_log = RunTimeLog(self._log)
-        self._links = HostLinks(context, self._guard, self.post, self._log)
+        self._feed = JobFeed(pool, context, self.post, self._may_continue)
+        self._links = HostLinks(
+            context, self._guard, self.post, self._log, self._feed.age_ms
+        )
         self._stopping = threading.Event()
         self._ended = threading.Event()
         self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
@@ -203,10 +206,9 @@
         if self._context.settings.scheduling.share_over_pools:
             self._share_portions.start()
         self._advice.start()
-        feed = JobFeed(self.pool, self._context, self.post, self._may_continue)
-        if not feed.load():
+        if not self._feed.load():
             return
-        feed.start()
+        self._feed.start()
         self._writer_thread.start()
         catalog = self._context.catalog()
         if catalog is None:
--- a/src/amaranthtray/jobs/times.py
+++ b/src/amaranthtray/jobs/times.py
@@ -16,6 +16,10 @@
 """A duty is given up shortly before its conductor ends, so that no duty
 is held without a conductor."""
 
+WATCHES_PER_LIMIT = 5
+"""Watches within a time limit for starts. What a watch shows is as old as the call when
+it answers, so that it gets as old as two watches before the next one has answered."""
+
 WATCH_MS = 2_000
 """Longest wait of a watch. A connection may die without a reset, which only this
 timeout detects; until then its reader sees no changes."""
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -101,10 +101,13 @@
     Attributes:
         kept_after_end_s: Time for which the state of an ended job can be read.
         key_withdrawal_ms: Time within which a withdrawn key must stop working.
+        cancellation_limit_ms: Time after a job's cancellation within which starts of
+            its tasks must end.
     """
 
     kept_after_end_s: PositiveNumber
     key_withdrawal_ms: Millis
+    cancellation_limit_ms: Millis = 3_000
 
 
 class AdviceSection(Struct, frozen=True, kw_only=True):
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -32,6 +32,7 @@
     "cloud.address": '"10.2.0.2:80"',
     "bounds.leaseMs": "3000",
     "bounds.drainMs": "2500",
+    "bounds.cancel_ms": "4000",
     "bounds.status_s": "120",
     "bounds.revokeMs": "5000",
     "bounds.evacuationMs": "5000",
@@ -52,6 +53,7 @@
     settings = load_job_entry(str(path)).unwrap()
     assert settings.entry.metrics_address == "10.1.0.1:7000"
     assert settings.hosts.leaving_start_limit_ms == 2_500
+    assert settings.jobs.cancellation_limit_ms == 4_000
     assert settings.machine.size == MachineSize(cores=1.5, link_mbps=5.0)
     assert settings.machines is not None
     assert settings.advice is not None
--- a/tests/jobs/test_evacuation_follower.py
+++ b/tests/jobs/test_evacuation_follower.py
@@ -200,7 +200,10 @@
     """It must not even ask for hosts, which the context of this test lacks."""
     site, log = EvacuationSite(), EventLog({}, write=lambda data: None)
     context: Any = SimpleNamespace(store=site.store, log=log, metrics=MetricsRegistry())
-    context.settings = SimpleNamespace(hosts=SimpleNamespace(max_lease_ms=9_000))
+    context.settings = SimpleNamespace(
+        hosts=SimpleNamespace(max_lease_ms=9_000),
+        jobs=SimpleNamespace(cancellation_limit_ms=3_000),
+    )
     context.platform = SimpleNamespace(adviser=lambda: None)
     stop = SimpleNamespace(subscribe=lambda role, post: conductor.stop())
     context.evacuations = stop
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -117,7 +117,9 @@
         log=lines,
         metrics=MetricsRegistry(),
         settings=SimpleNamespace(
-            hosts=SimpleNamespace(max_lease_ms=9_000), scheduling=SchedulingSection()
+            hosts=SimpleNamespace(max_lease_ms=9_000),
+            jobs=SimpleNamespace(cancellation_limit_ms=3_000),
+            scheduling=SchedulingSection(),
         ),
         platform=SimpleNamespace(adviser=lambda: None, host_api=host_api),
         evacuations=SimpleNamespace(zones=frozenset()),
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -54,7 +54,7 @@
     born: int = INCARNATION,
     is_silent: bool = False,
     held_term: Callable[[], Term | None] = lambda: Term(1),
-    hindrance: Callable[[], StartHindrance | None] = lambda: None,
+    hindrance: Callable[[int], StartHindrance | None] = lambda waited_ms: None,
 ) -> tuple[HostLink, list[Message]]:
     lease = HostLease(lease_ms=5_000, max_lease_ms=9_000, earlier_leases_until_ms=0)
     lease.record_answer(0, born, 0)
@@ -165,7 +165,7 @@
 
 def test_a_start_that_was_queued_before_an_evacuation_is_not_sent() -> None:
     api = FakeHost(lambda: StartOutcome.STARTED)
-    link, posted = a_link(api, hindrance=lambda: StartHindrance.EVACUATED)
+    link, posted = a_link(api, hindrance=lambda _: StartHindrance.EVACUATED)
     link.start_run(an_order())
     assert api.starts == 0
     reply = posted[0]
@@ -176,7 +176,7 @@
 def test_a_start_without_a_reply_is_not_resent_into_an_evacuated_zone() -> None:
     api = FakeHost(lambda: StartOutcome.NO_REPLY)
     evacuated = StartHindrance.EVACUATED
-    link, posted = a_link(api, hindrance=lambda: evacuated if api.starts else None)
+    link, posted = a_link(api, hindrance=lambda _: evacuated if api.starts else None)
     link.start_run(an_order())
     assert api.starts == 1
     reply = posted[0]
--- a/tests/jobs/test_share_portion_writer.py
+++ b/tests/jobs/test_share_portion_writer.py
@@ -137,7 +137,8 @@
     site.write_as_other(7.0)
     context, section = site.context, SchedulingSection(share_over_pools=is_on)
     hosts = SimpleNamespace(max_lease_ms=9_000)
-    context.settings = SimpleNamespace(hosts=hosts, scheduling=section)
+    jobs = SimpleNamespace(cancellation_limit_ms=3_000)
+    context.settings = SimpleNamespace(hosts=hosts, jobs=jobs, scheduling=section)
     context.evacuations = SimpleNamespace(subscribe=lambda pool, post: True)
     context.platform = SimpleNamespace(adviser=lambda: None)
     context.catalog = lambda: None
--- a/tests/jobs/test_starts_on_leaving_hosts.py
+++ b/tests/jobs/test_starts_on_leaving_hosts.py
@@ -14,6 +14,7 @@
 from adapter.test_documents import HOST_ENTRY
 from amaranthtray.domain.ids import HostId, Term
 from amaranthtray.domain.scheduling.messages import StartOutcome, StartReplied
+from amaranthtray.domain.scheduling.start_check import StartHindrance
 from amaranthtray.jobs import host_link, host_list_follower
 from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.host_link import HostLink
@@ -38,6 +39,7 @@
 
 HOST = HostId("h")
 LEAVING_LIMIT_MS = 2_000
+LIMIT_MS = 3_000
 DRAINING = HOST_ENTRY | {"state": "draining", "remainingMs": 1_500}
 
 
@@ -59,16 +61,25 @@
         hosts = SimpleNamespace(
             max_lease_ms=9_000, leaving_start_limit_ms=LEAVING_LIMIT_MS
         )
+        self.evacuations_age_ms, self.cancellations_age_ms = 0, 0
         context: Any = SimpleNamespace(
             platform=SimpleNamespace(host_api=lambda info, term: self.api),
-            settings=SimpleNamespace(hosts=hosts),
-            evacuations=SimpleNamespace(zones=frozenset()),
+            settings=SimpleNamespace(
+                hosts=hosts,
+                jobs=SimpleNamespace(cancellation_limit_ms=LIMIT_MS),
+                evacuation=SimpleNamespace(start_limit_ms=LIMIT_MS),
+            ),
+            evacuations=SimpleNamespace(
+                zones=frozenset(), age_ms=lambda: self.evacuations_age_ms
+            ),
             hosts=self.site.follower,
             log=lines,
         )
         guard = TermGuard(Term(1), lambda: Term(1))
         log = ConductorLog(POOL, Term(1), lines, MetricsRegistry())
-        links = HostLinks(context, guard, self.posted.put, log)
+        links = HostLinks(
+            context, guard, self.posted.put, log, lambda: self.cancellations_age_ms
+        )
         links.open(a_host(HOST))
         self.link = links._links[HOST]
         self.link._lease.record_answer(0, INCARNATION, self.now_ms)
@@ -145,6 +156,28 @@
     assert orders.api.starts == 0
 
 
+@pytest.mark.parametrize("view", ["evacuations_age_ms", "cancellations_age_ms"])
+@pytest.mark.parametrize(("age_ms", "starts"), [(900, 1), (LIMIT_MS, 0), (None, 0)])
+def test_no_start_is_sent_while_what_forbids_it_cannot_be_known(
+    view: str, age_ms: int | None, starts: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against starts in evacuated zones, or of cancelled jobs."""
+    orders = Orders(monkeypatch)
+    setattr(orders, view, age_ms)
+    orders.link.start_run(an_order())
+    assert orders.api.starts == starts
+
+
+def test_a_start_that_waited_long_for_others_is_planned_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts on a host that has shrunk since they were ordered."""
+    orders = Orders(monkeypatch)
+    orders.link.start_run(an_order(), orders.now_ms - LEAVING_LIMIT_MS - 1)
+    assert orders.api.starts == 0
+    assert orders.reply().hindrance is StartHindrance.DELAYED
+
+
 class ScriptedStore:
     """A store whose lists and watches reply as the test says."""
 
--- a/tests/jobs/test_task_faults.py
+++ b/tests/jobs/test_task_faults.py
@@ -54,7 +54,11 @@
             log=self.lines,
             metrics=MetricsRegistry(),
             platform=self.platform,
-            settings=SimpleNamespace(hosts=hosts, scheduling=SchedulingSection()),
+            settings=SimpleNamespace(
+                hosts=hosts,
+                jobs=SimpleNamespace(cancellation_limit_ms=3_000),
+                scheduling=SchedulingSection(),
+            ),
         )
         self.guard = TermGuard(Term(1), lambda: Term(1))
 
--- a/tests/jobs/test_watches.py
+++ b/tests/jobs/test_watches.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from amaranthtray.domain.scheduling.start_check import MAX_AGE_SHARE
 from amaranthtray.jobs import (
     duty_task,
     evacuation_follower,
@@ -30,3 +31,8 @@
     }
     assert waits == {"WATCH_MS": times.WATCH_MS}
     assert times.WATCH_MS + WATCH_SLACK_MS < ACT_AGAIN_MS
+
+
+def test_a_quiet_watch_is_not_too_old_for_a_start() -> None:
+    """Guards against starts that wait although nothing has changed."""
+    assert 2 / times.WATCHES_PER_LIMIT < MAX_AGE_SHARE
