--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 N ?= 2000
 
-.PHONY: demo test lint types unit bench capacity dist fuzz format clean
+.PHONY: demo test lint types unit soak bench capacity dist fuzz format clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -30,6 +30,10 @@
 unit: $(STAMP)
 	$(PY) -m pytest -n $(JOBS) --dist worksteal
 
+soak: N = 50
+soak: $(STAMP)
+	PYTHONPATH=src:tests $(PY) -m soak --seed $(SEED) --runs $(N) --jobs $(JOBS)
+
 format: $(STAMP)
 	$(PY) -m ruff format src tests
 	$(PY) -m ruff check --fix src tests
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak: entries as real processes, with stand-ins around them and seeded faults."""
