--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -128,7 +128,7 @@
         self._entry = entry
         self._connection = http.client.HTTPConnection(LOOPBACK, entry.port, timeout=3)
 
-    def call(self, method: str, job: str, body: object = None) -> tuple[int, Any]:
+    def call(self, method: str, path: str, body: object = None) -> tuple[int, Any]:
         """Returns the status and body of a reply; status 0 without a whole reply."""
         headers = JSON_HEADERS | {
             "Host": HOST_HEADER,
@@ -137,7 +137,7 @@
         }
         data = None if body is None else json.dumps(body)
         try:
-            self._connection.request(method, f"/jobs/{job}", data, headers)
+            self._connection.request(method, path, data, headers)
             response = self._connection.getresponse()
             text = response.read()
             return response.status, json.loads(text) if text else {}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,11 +35,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StartsUnanswered:
-    """Hosts leave part of the starts unanswered, and carry part of these out late."""
+    """Hosts don't carry out, carry out late, or refuse part of the starts."""
 
     count: int
     lost_share: float
     late_share: float
+    refused_share: float
     lasts_s: float
 
 
@@ -102,11 +103,11 @@
     """Draws one fault."""
     lasts_s = rng.uniform(0.5, 5)
     signals = (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP)
-    lost_share, late_share = rng.random() / 2, rng.random() / 2
+    shares = [rng.random() / 3 for _ in range(3)]
     choices: tuple[Fault, ...] = (
         HostsLeave(rng.randint(1, 3), rng.uniform(2.5, 7)),
         HostsCrash(rng.randint(1, 2), rng.choice((None, 0.1, 3.0))),
-        StartsUnanswered(rng.randint(1, 3), lost_share, late_share, lasts_s),
+        StartsUnanswered(rng.randint(1, 3), *shares, lasts_s),
         EntrySignalled(rng.choice(signals), rng.random() < 0.7, lasts_s),
         StoreSilent(rng.uniform(0.3, 3)),
         StoreSlow(rng.uniform(0.02, 0.25), rng.random() / 3, lasts_s),
@@ -123,17 +124,17 @@
         case HostsLeave(count, serve_s):
             for host in site.choose_hosts(count, rng):
                 host.leave(serve_s)
-                site.add_host()
+                site.add_host(host.pool)
         case HostsCrash(count, back_after_s):
             for host in site.choose_hosts(count, rng):
                 host.crash(back_after_s)
                 if back_after_s is None:
-                    site.add_host()
-        case StartsUnanswered(count, lost_share, late_share, lasts_s):
+                    site.add_host(host.pool)
+        case StartsUnanswered(count, lost_share, late_share, refused_share, lasts_s):
             hosts = site.choose_hosts(count, rng)
             for host in hosts:
-                host.unanswered_share = lost_share
-                host.late_share = lost_share + late_share
+                host.unanswered_share, host.late_share = lost_share, late_share
+                host.refused_share = refused_share
             _after(lasts_s, lambda: [host.answer_all() for host in hosts])
         case EntrySignalled(number, is_conductor, lasts_s):
             entry = site.choose_entry(rng, is_conductor=is_conductor)
--- a/tests/soak/host.py
+++ b/tests/soak/host.py
@@ -70,13 +70,14 @@
     Attributes:
         unanswered_share: Share of the starts that get no reply and are not carried out.
         late_share: Share of the starts that get no reply and are carried out late.
+        refused_share: Share of the starts that are refused as the host is unhealthy.
     """
 
     def __init__(
         self, name: str, pool: str, store: StoreStandIn, observer: Observer, seed: int
     ) -> None:
-        self.name, self._pool = HostId(name), pool
-        self.unanswered_share = self.late_share = 0.0
+        self.name, self.pool = HostId(name), pool
+        self.unanswered_share = self.late_share = self.refused_share = 0.0
         self._store, self._observer = store, observer
         self._rng = random.Random(f"{seed}/{name}")
         self._changed = threading.Condition()
@@ -97,7 +98,7 @@
 
     def answer_all(self) -> None:
         """Answers all starts again."""
-        self.unanswered_share = self.late_share = 0.0
+        self.unanswered_share = self.late_share = self.refused_share = 0.0
 
     def leave(self, serves_s: float) -> None:
         """Says that it leaves, serves on for a while and ends for good."""
@@ -138,7 +139,7 @@
         with self._changed:
             self._sequence += 1
             entry = {
-                "service": self._pool,
+                "service": self.pool,
                 "address": self.server.address,
                 "zone": "z",
                 "version": "1",
@@ -187,13 +188,16 @@
         if call.headers.get("Expected-Instance", self.name) != self.name:
             return Reply(421)
         life, draw = self._life, self._rng.random()
-        if call.path == "/v1/run-start" and draw < self.unanswered_share:
-            return SILENCE
-        if call.path == "/v1/run-start" and draw < self.late_share:
-            delay_s = self._rng.uniform(2, 6)
-            late = (call, life, True)
-            threading.Timer(delay_s, self._carry_out, late).start()
-            return SILENCE
+        if call.path == "/v1/run-start":
+            if draw < self.unanswered_share:
+                return SILENCE
+            draw -= self.unanswered_share
+            if draw < self.late_share:
+                late = (call, life, True)
+                threading.Timer(self._rng.uniform(2, 6), self._carry_out, late).start()
+                return SILENCE
+            if draw - self.late_share < self.refused_share:
+                return Reply(503)
         return self._carry_out(call, life, False)
 
     def _carry_out(self, call: Call, life: _Life, is_late: bool) -> Reply:
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -22,14 +22,14 @@
 
     Attributes:
         lock: Held while an observation is made and recorded.
-        accepted: Jobs that a caller was told are accepted.
+        accepted: Paths of the jobs that a caller was told are accepted.
         cancelled: Jobs whose cancellation was acknowledged.
         starts: Number of starts.
     """
 
     def __init__(self) -> None:
         self.lock = threading.RLock()
-        self.accepted: set[JobId] = set()
+        self.accepted: dict[JobId, str] = {}
         self.cancelled: set[JobId] = set()
         self.starts = 0
         self._checker = JobPromiseChecker()
@@ -52,9 +52,18 @@
         with self.lock:
             self._checker.record_accepted(spec)
 
-    def record_accepted(self, job: JobId) -> None:
+    def record_accepted(self, job: JobId, path: str) -> None:
         with self.lock:
-            self.accepted.add(job)
+            self.accepted[job] = path
+
+    def open_jobs(self) -> dict[JobId, str]:
+        """Returns the accepted jobs that nobody has cancelled, with their paths."""
+        with self.lock:
+            return {
+                job: path
+                for job, path in self.accepted.items()
+                if job not in self.cancelled
+            }
 
     def record_cancelled(self, job: JobId) -> None:
         """Records an acknowledged cancellation; starts must end within a time limit."""
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -6,7 +6,7 @@
 import random
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import QueueName, TeamName
@@ -21,7 +21,7 @@
     from collections.abc import Callable, Sequence
     from pathlib import Path
 
-POOL, CPU, MEMORY_MB = "pool", 880, 64
+TEAM, CPU, MEMORY_MB = TeamName("team"), 880, 64
 START_S, FINISH_S, LISTED_S = 30, 40, 2
 MAX_TRIES = 40
 RETRY_S = 0.3
@@ -34,7 +34,8 @@
     Attributes:
         seed: Seed of the faults and of the load.
         entries: Number of entries, each a process.
-        hosts: Number of hosts.
+        pools: Names of the pools; each has a queue of the same name.
+        hosts: Number of hosts of each pool.
         callers: Number of callers, each with a connection to an entry.
         jobs_per_s: Jobs handed in a second.
         faults: Number of faults.
@@ -43,6 +44,7 @@
 
     seed: int
     entries: int = 3
+    pools: tuple[str, ...] = ("pool",)
     hosts: int = 6
     callers: int = 6
     jobs_per_s: float = 12.0
@@ -58,10 +60,10 @@
         self.observer = Observer()
         self.store = StoreStandIn(settings.seed)
         self._hosts_lock = threading.Lock()
-        self._host_count = 0
+        self._host_count, self._version = 0, 0
         self.hosts: list[HostStandIn] = []
-        for _ in range(settings.hosts):
-            self.add_host()
+        for pool in settings.pools * settings.hosts:
+            self.add_host(pool)
         self.entries = [
             EntryProcess(f"entry-{n}", f"z{n % 3}", folder, self.store)
             for n in range(settings.entries)
@@ -69,11 +71,11 @@
         self._load_is_over = threading.Event()
 
     def __enter__(self) -> Site:
-        self._configure()
+        self.configure()
         for entry in self.entries:
             entry.start()
-        self._wait(START_S, lambda: all(entry.is_ready for entry in self.entries))
-        self._wait(START_S, lambda: bool(self._conductor()))
+        self.wait(START_S, lambda: all(entry.is_ready for entry in self.entries))
+        self.wait(START_S, lambda: all(map(self._conductor, self.settings.pools)))
         time.sleep(LISTED_S)
         return self
 
@@ -98,8 +100,18 @@
         self._load_is_over.set()
         for caller in callers:
             caller.join(FINISH_S)
-        self._check_ends()
-        return self.observer.broken
+        return self.finish()
+
+    def hand_in(self, spec: JobSpec) -> None:
+        """Hands a job in.
+
+        Raises:
+            TimeoutError: No entry has accepted it.
+        """
+        callers = [Caller(entry) for entry in self.entries]
+        self.observer.record_sent(spec)
+        if not self._hand_in(spec, callers, random.Random(spec.id)):
+            raise TimeoutError(f"no entry accepts {spec.id}")
 
     def choose_hosts(self, count: int, rng: random.Random) -> list[HostStandIn]:
         """Chooses hosts that are up and stay; two are left untouched."""
@@ -111,40 +123,46 @@
 
     def choose_entry(self, rng: random.Random, *, is_conductor: bool) -> EntryProcess:
         """Chooses the entry that conducts the pool, or any."""
-        name = self._conductor()
+        name = self._conductor(rng.choice(self.settings.pools))
         found = [entry for entry in self.entries if entry.name == name]
         return found[0] if found and is_conductor else rng.choice(self.entries)
 
-    def add_host(self) -> None:
-        """Adds an empty host."""
+    def add_host(self, pool: str) -> None:
+        """Adds an empty host to a pool."""
         with self._hosts_lock:
             self._host_count += 1
             name = f"h{self._host_count}"
             host = HostStandIn(
-                name, POOL, self.store, self.observer, self.settings.seed
+                name, pool, self.store, self.observer, self.settings.seed
             )
             self.hosts.append(host)
 
-    def _conductor(self) -> str:
-        holder = self.store.read(f"duties/conductor/{POOL}/holder")
+    def _conductor(self, pool: str) -> str:
+        holder = self.store.read(f"duties/conductor/{pool}/holder")
         return holder.decode().partition("/")[0]
 
-    def _configure(self) -> None:
-        route = {
-            "name": "jobs",
-            "host": HOST_HEADER,
-            "prefix": "/jobs/",
-            "service": POOL,
-            "timeoutMs": 3_000,
-            "targetLatencyMs": 600,
-            "maxAttempts": 4,
-            "slowdownFactor": 2.0,
-        }
+    def configure(self, *, cap_cpu: int = 0) -> None:
+        """Writes a configuration with a cap of the team's CPU; 0 is no cap."""
+        self._version += 3
+        routes = [
+            {
+                "name": pool,
+                "host": HOST_HEADER,
+                "prefix": f"/{pool}/",
+                "service": pool,
+                "timeoutMs": 3_000,
+                "targetLatencyMs": 600,
+                "maxAttempts": 4,
+                "slowdownFactor": 2.0,
+            }
+            for pool in self.settings.pools
+        ]
+        team = {"name": TEAM, "apiKeys": [KEY], "weight": 20, "cap": {"cpu": cap_cpu}}
         document = {
-            "version": 3,
-            "routes": [route],
-            "services": [{"name": POOL, "enforceCapacity": True}],
-            "tenants": [{"name": "team", "apiKeys": [KEY], "weight": 20}],
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": pool} for pool in self.settings.pools],
+            "tenants": [team],
         }
         self.store.write("op/config", document)
 
@@ -154,30 +172,30 @@
         callers = [Caller(entry) for entry in self.entries]
         pause_s = self.settings.callers / self.settings.jobs_per_s
         while not self._load_is_over.wait(rng.uniform(0.5, 1.5) * pause_s):
-            spec = _random_job(rng)
+            spec = random_job(rng, rng.choice(self.settings.pools))
             self.observer.record_sent(spec)
             if self._hand_in(spec, callers, rng) and rng.random() < 0.1:
                 time.sleep(rng.uniform(0, 0.5))
-                self._cancel(spec.id, callers, rng)
+                self._cancel(spec, callers, rng)
 
     def _hand_in(
         self, spec: JobSpec, callers: list[Caller], rng: random.Random
     ) -> bool:
         steps = [_step_body(step) for step in spec.steps]
         body = {"spec": spec.payload, "steps": steps}
-        is_accepted = self._repeat("POST", spec.id, callers, rng, body)
+        is_accepted = self._repeat("POST", _path(spec), callers, rng, body)
         if is_accepted:
-            self.observer.record_accepted(spec.id)
+            self.observer.record_accepted(spec.id, _path(spec))
         return is_accepted
 
-    def _cancel(self, job: JobId, callers: list[Caller], rng: random.Random) -> None:
-        if self._repeat("DELETE", job, callers, rng):
-            self.observer.record_cancelled(job)
+    def _cancel(self, spec: JobSpec, callers: list[Caller], rng: random.Random) -> None:
+        if self._repeat("DELETE", _path(spec), callers, rng):
+            self.observer.record_cancelled(spec.id)
 
     def _repeat(
         self,
         method: str,
-        job: JobId,
+        path: str,
         callers: list[Caller],
         rng: random.Random,
         body: object = None,
@@ -186,39 +204,45 @@
         first = rng.randrange(len(callers))
         for attempt in range(MAX_TRIES):
             caller = callers[(first + attempt) % len(callers)]
-            status, _ = caller.call(method, job, body)
+            status, _ = caller.call(method, path, body)
             if 200 <= status < 300:
                 return True
             time.sleep(RETRY_S)
         return False
 
-    def _check_ends(self) -> None:
-        """Waits until all accepted jobs have ended, and checks their states."""
+    def finish(self) -> list[str]:
+        """Waits until all accepted jobs have ended; returns the broken promises."""
         callers = [Caller(entry) for entry in self.entries]
         rng = random.Random(self.settings.seed)
         end_s = time.monotonic() + FINISH_S
-        is_open = self.observer.accepted - self.observer.cancelled
+        is_open = self.observer.open_jobs()
         while is_open and time.monotonic() < end_s:
-            for job in sorted(is_open):
-                status, body = rng.choice(callers).call("GET", job)
+            for job, path in sorted(is_open.items()):
+                status, body = rng.choice(callers).call("GET", path)
                 if status == 200 and body.get("state") == "completed":
                     self.observer.record_completed(job)
-                    is_open.discard(job)
+                    del is_open[job]
                 elif status == 410 or body.get("state") in ("failed", "cancelled"):
                     self.observer.report(f"{job}: {status} {body} though accepted")
-                    is_open.discard(job)
+                    del is_open[job]
             time.sleep(RETRY_S)
         for job in sorted(is_open):
             self.observer.report(f"{job}: accepted, not completed after {FINISH_S} s")
         for entry in self.entries:
             if entry.has_ended:
                 self.observer.report(f"{entry.name} ended by itself")
+        return self.observer.broken
+
+    def wait(self, seconds: float, holds: Callable[[], bool]) -> None:
+        """Waits until something holds.
 
-    def _wait(self, seconds: float, holds: Callable[[], bool]) -> None:
+        Raises:
+            TimeoutError: It doesn't hold after that time.
+        """
         end_s = time.monotonic() + seconds
         while not holds():
             if time.monotonic() > end_s:
-                raise TimeoutError(f"the deployment is not up after {seconds} s")
+                raise TimeoutError(f"what is waited for does not hold in {seconds} s")
             time.sleep(0.05)
 
 
@@ -229,29 +253,40 @@
     return [(at_s, draw_fault(rng)) for at_s in times]
 
 
-def _random_job(rng: random.Random) -> JobSpec:
-    milliseconds = rng.choice((150, 400, 640, 1_200))
-    first = StepSpec(
-        count=rng.randint(1, 8),
-        need=Resources(CPU, MEMORY_MB, 0),
-        estimated_ms=milliseconds,
-    )
-    second = StepSpec(
-        count=2,
-        need=Resources(CPU, MEMORY_MB, 0),
-        estimated_ms=milliseconds,
-        after=(0,),
-    )
+def random_job(rng: random.Random, pool: str) -> JobSpec:
+    """Returns a small job of one or two steps."""
+    run_ms = rng.choice((150, 400, 640, 1_200))
+    first = a_step(rng.randint(1, 8), run_ms)
+    second = replace(a_step(2, run_ms), after=(0,))
+    steps = (first, second)[: rng.randint(1, 2)]
+    return a_job(f"{rng.getrandbits(64):016x}", pool, *steps)
+
+
+def a_step(
+    count: int, run_ms: int, *, cpu: int = CPU, is_gang: bool = False
+) -> StepSpec:
+    """Returns a step of tasks that run for ``run_ms``."""
+    need = Resources(cpu, MEMORY_MB, 0)
+    return StepSpec(count=count, need=need, estimated_ms=run_ms, is_gang=is_gang)
+
+
+def a_job(name: str, pool: str, *steps: StepSpec) -> JobSpec:
+    """Returns a job; its hosts run each task as the first step says."""
+    work = {"ms": steps[0].estimated_ms, "cpu": steps[0].need.cpu}
     return JobSpec(
-        id=JobId(f"{rng.getrandbits(64):016x}"),
-        queue=QueueName("jobs"),
-        team=TeamName("team"),
-        payload=json.dumps({"ms": milliseconds, "cpu": CPU}),
-        steps=(first, second)[: rng.randint(1, 2)],
+        id=JobId(name),
+        queue=QueueName(pool),
+        team=TEAM,
+        payload=json.dumps(work),
+        steps=steps,
         max_attempts=4,
     )
 
 
+def _path(spec: JobSpec) -> str:
+    return f"/{spec.queue}/{spec.id}"
+
+
 def _step_body(step: StepSpec) -> dict[str, object]:
     return {
         "count": step.count,
@@ -259,4 +294,5 @@
         "requestedMemoryMb": step.need.memory_mb,
         "estimatedMs": step.estimated_ms,
         "after": list(step.after),
+        "gang": step.is_gang,
     }
