A call without a reply resets its connection, so that it can't arrive later

Suspected cause, not shown: closing a connection leaves what is unsent to the system, which goes on sending it when the partition ends; by the users' page, held-up bytes are lost only if their sender resets the connection. Change: connections of calls to the store, hosts, machines and advice linger for 0 s, so that each close is a reset. The same holds for writes to the store and orders to hosts that were given up.

--- a/src/amaranthtray/web/http_peer.py
+++ b/src/amaranthtray/web/http_peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -31,8 +32,13 @@
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
 
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Linger time of 0 s. Otherwise the system goes on sending what a call without a reply
+left unsent, and an abandoned order arrives once a partition has ended."""
+
 _SOCKET_OPTIONS = [
     *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
