A copy of a late run goes to another machine than its run

With learn_run_times (off in deploy/), the copy of a run that takes far longer than others could be placed on the host of that run: it is as late there and takes the host's room twice. Cause: tasks that wait for a copy were placed like those without a run. Change: copies are placed apart, never on a machine that has a run of the task.

--- a/src/amaranthtray/domain/scheduling/_late_runs.py
+++ b/src/amaranthtray/domain/scheduling/_late_runs.py
@@ -13,16 +13,19 @@
 from ..jobs.model import StepKey
 from ..jobs.task import RunPhase
 from .messages import StopRun
-from .placement import is_far, place_each
+from .placement import is_far, place_apart, place_each
 from .ranking import Timeliness, rank
 from .run_time_events import RunMoved
 from .step_evidence import whole_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..jobs.job import Job
     from ._state import SchedulerState
     from .host import Host, PlacedRun
     from .messages import Effect
+    from .placement import Placement
 
 MAX_MOVED_SHARE = 0.03
 """Maximum part of the pool's runs that are moved or copied at a time; one is always
@@ -102,6 +105,29 @@
     return effects
 
 
+def split_copies(job: Job, key: StepKey, waiting: list[int]) -> list[int]:
+    """Returns those of the tasks to start that already have a run."""
+    tasks = job.tasks(key.occurrence, key.step)
+    return [number for number in waiting if tasks[number].runs]
+
+
+def place_copies(
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    copied: list[int],
+    hosts: Iterable[Host],
+) -> list[Placement]:
+    """Places copies of runs, each on another machine than the run that it copies."""
+    tasks = job.tasks(key.occurrence, key.step)
+    machines: dict[int, set[str]] = {}
+    for number in copied:
+        on = [state.hosts.get(run.host) for run in tasks[number].runs]
+        machines[number] = {host.machine for host in on if host is not None}
+    step = job.spec.steps[key.step]
+    return place_apart(step, key, machines, hosts, needs_other_machine=True)
+
+
 def _late_run(state: SchedulerState, host: Host, placed: PlacedRun) -> _LateRun | None:
     """Returns a run if it should be moved or copied."""
     name, step, run = placed
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -11,6 +11,7 @@
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
 from ._job_facts import terms_of, waiting_of
+from ._late_runs import place_copies, split_copies
 from ._quarantine import (
     crashed_machines,
     has_suspects,
@@ -214,6 +215,12 @@
     step = job.spec.steps[key.step]
     unsuspected, suspects, isolated = split_suspects(job, key, waiting)
     placed = 0
+    copied = split_copies(job, key, unsuspected)
+    if copied:
+        unsuspected = [number for number in unsuspected if number not in copied]
+        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        placements = place_copies(state, job, key, copied, allowed)
+        placed += _reserve_runs(state, job, key, placements, hosts.index)
     if unsuspected:
         shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
         if hosts.racks is not None and len(unsuspected) == len(waiting):
--- a/tests/scheduling/test_host_speed.py
+++ b/tests/scheduling/test_host_speed.py
@@ -11,6 +11,8 @@
 from amaranthtray.domain.ids import HostId
 from amaranthtray.domain.jobs.model import JobId, StepKey
 from amaranthtray.domain.jobs.task import RunPhase
+from amaranthtray.domain.scheduling._late_runs import place_copies
+from amaranthtray.domain.scheduling.host import Host
 from amaranthtray.domain.scheduling.host_speed import (
     FIRST_PAUSE_MS,
     TRIAL_RUNS,
@@ -159,6 +161,19 @@
     assert [run.host for run in runs] == ["slow", "other"]
 
 
+def test_a_copy_does_not_share_the_machine_of_its_run() -> None:
+    """Guards against a copy that is as late as its run, and fills its host twice."""
+    pool = SlowHostPool()
+    pool.start_on_slow_host(allows_copies=True)
+    job, hosts = pool.state.jobs[JobId("a")], list(pool.state.hosts.values())
+    key = StepKey(JobId("a"), 0, 0)
+    assert len(hosts) == 2
+    assert place_copies(pool.state, job, key, [0], hosts) == []
+    free = Host(a_host("free"), born=1)
+    (placement,) = place_copies(pool.state, job, key, [0], [*hosts, free])
+    assert placement.host is free
+
+
 @pytest.mark.parametrize(
     "fields",
     [
