Soak: distinct ports, and no process outlives a deployment that is not up

With 60 entries a port was given twice (29764 in use), the deployment was not up after 30 s, and its 179 processes of three plays went on; they were ended by hand. Ports are taken below those of outgoing connections and never twice, and entries are ended when the start fails.

--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -72,12 +72,19 @@
 
     def __enter__(self) -> Site:
         self.configure()
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start(self) -> None:
         for entry in self.entries:
             entry.start()
         self.wait(START_S, lambda: all(entry.is_ready for entry in self.entries))
         self.wait(START_S, lambda: all(map(self._conductor, self.settings.pools)))
         time.sleep(LISTED_S)
-        return self
 
     def __exit__(self, *_: object) -> None:
         for entry in self.entries:
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import random
 import socket
 import threading
 import time
@@ -14,6 +16,8 @@
     from collections.abc import Callable
 
 LOOPBACK = "127.0.0.1"
+LISTENING_PORTS = range(20_000, 32_000)
+_given_ports: set[int] = set()
 METHODS = ("GET", "POST", "DELETE")
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -141,8 +145,12 @@
 
 
 def free_port() -> int:
-    """Returns a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Returns a port that nobody listens on, and that no outgoing connection gets."""
+    while True:
+        port = random.SystemRandom().choice(LISTENING_PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return port
