Soak: an entry that is being restarted does not outlive its run

A fault's restart could start the process again after the run had ended it; one process was found after a run and ended by its id. An entry is closed for good now.

--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import threading
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -58,12 +59,20 @@
         )
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
+        self._lock = threading.Lock()
+        self._is_closed = False
 
     def start(self) -> None:
+        """Starts the process, unless the run is over."""
+        with self._lock:
+            if not self._is_closed:
+                self._process = self._new_process()
+
+    def _new_process(self) -> subprocess.Popen[bytes]:
         env = {name: os.environ[name] for name in PASSED_ON if name in os.environ}
         env["AMARANTHTRAY_NODE_FILE"] = str(self._settings)
         with self._log.open("ab") as log:
-            self._process = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, "deploy/entry.py"],
                 cwd=ROOT,
                 env=env,
@@ -96,6 +105,12 @@
         if self._process is not None:
             self._process.wait()
 
+    def close(self) -> None:
+        """Ends the process for good, also if a fault is about to start it again."""
+        with self._lock:
+            self._is_closed = True
+            self.kill()
+
     @property
     def has_ended(self) -> bool:
         return self._process is None or self._process.poll() is not None
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -88,7 +88,7 @@
 
     def __exit__(self, *_: object) -> None:
         for entry in self.entries:
-            entry.kill()
+            entry.close()
 
     def play(self, faults: Sequence[tuple[float, Fault]]) -> list[str]:
         """Hands jobs in while faults come; returns the broken promises."""
