Log what ends a lasting task, who is away then, and on reports of which age

Cause: StopRun had no reason, and neither the tasks counted as away nor the age of the reports behind that count was logged. Ends of runs had no line, so that a lapsed run and a stopped one look alike; a stop that waited or was repeated couldn't be told from one that was answered at once.

Change: lasting-task-stopped with reason, may_miss, the absent tasks with cause, host and age of its report; lasting-task-ended with the outcome; stop-answered-late; lease-renewed-late; maintain and move name the host. No decision changes.

--- a/src/amaranthtray/domain/scheduling/_evacuation_moves.py
+++ b/src/amaranthtray/domain/scheduling/_evacuation_moves.py
@@ -11,7 +11,9 @@
 
 from ..jobs.model import StepKey, TaskName
 from ..jobs.task import Run, RunPhase
-from ._vacating import TAKEOVER_PAUSE_MS, unavailable_count
+from ._absence import absent_tasks, stop_report
+from ._vacating import TAKEOVER_PAUSE_MS
+from .absence import StopReason
 from .evacuation import MovingRun, RunKind, RunsMoved
 from .host import QUARANTINE_CRASHES, Host, PlacedRun
 from .host_index import largest_amounts
@@ -81,6 +83,8 @@
                 stops = _stop_gang(state, job, key, room)
         if stops:
             effects += [_report(state, runs[0], stops), *stops]
+            for stop in stops:
+                effects += stop_report(state, stop, StopReason.EVACUATED)
     return effects
 
 
@@ -151,7 +155,7 @@
     may_miss = max(job.spec.steps[key.step].may_miss, 1)
     stops: list[StopRun] = []
     for placed in runs:
-        if unavailable_count(state, job, placed) >= may_miss:
+        if len(absent_tasks(state, placed.name)) >= may_miss:
             break
         targets = room.place(job, key, [placed.name.number])
         if not targets:
--- a/src/amaranthtray/domain/scheduling/_lost_runs.py
+++ b/src/amaranthtray/domain/scheduling/_lost_runs.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from ..jobs.task import HostCrash, RunPhase
+from ._absence import WORKING_PERCENT
 from .crash_register import HostIncarnation
 from .losses import (
     CrashWithdrawn,
@@ -30,8 +31,6 @@
 CERTAIN_CRASHES = (LossCause.ADDRESS_REUSED, LossCause.HOST_RESTARTED)
 """Causes that show that the incarnation of the host has ended."""
 
-WORKING_PERCENT = 100
-
 
 def drop_lost_runs(
     state: SchedulerState, lost: Iterable[tuple[TaskName, Run]], cause: LossCause
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunOutcome, RunPhase
+from ._absence import stop_report
 from ._learning import note_progress, record_end
 from ._lost_runs import (
     LossReport,
@@ -13,6 +14,7 @@
     withdraw_crash,
 )
 from ._progress import record_progress
+from .absence import LastingRunEnded, StopReason
 from .crash_register import HostIncarnation
 from .losses import LossCause
 from .messages import Effect, HostReport, RunReport, StopRun
@@ -36,7 +38,7 @@
     host.born = report.born
     host.is_silent = False
     host.seen_ms = state.now_ms
-    _apply_ends(state, host, report)
+    effects += _apply_ends(state, host, report)
     running = {(run.name, run.number): run for run in report.running}
     for placed in host.placed_runs():
         reported = running.pop((placed.name, placed.run.number), None)
@@ -50,7 +52,9 @@
             absent.append(placed)
     effects += _drop_absent(state, host, absent)
     host.has_unknown_runs = bool(running)
-    effects += [StopRun(host.info.id, name, number) for name, number in running]
+    for name, number in running:
+        stop = StopRun(host.info.id, name, number)
+        effects += [stop, *stop_report(state, stop, StopReason.UNRECORDED)]
     return effects
 
 
@@ -78,7 +82,11 @@
             placed.run.phase, placed.run.confirmed_ms = RunPhase.UNCONFIRMED, None
 
 
-def _apply_ends(state: SchedulerState, host: Host, report: HostReport) -> None:
+def _apply_ends(
+    state: SchedulerState, host: Host, report: HostReport
+) -> list[LastingRunEnded]:
+    """Applies the ends in a report; returns those of lasting tasks."""
+    ended: list[LastingRunEnded] = []
     for end in report.ends:
         placed = host.find(end.name, end.number)
         if placed is None:
@@ -86,6 +94,13 @@
             continue
         if placed.run.phase is RunPhase.RESERVED:
             continue
+        if placed.step.is_lasting:
+            was_stopped = placed.run.phase is RunPhase.STOPPING
+            ended.append(
+                LastingRunEnded(
+                    report.host, end.name, end.number, end.outcome, was_stopped
+                )
+            )
         record_end(state, host, placed, end, report)
         task = state.jobs[end.name.job].task(end.name)
         if task is not None and end.outcome is RunOutcome.FAILED:
@@ -95,6 +110,7 @@
         )
     if report.ends:
         state.acknowledge(host, max(end.sequence for end in report.ends))
+    return ended
 
 
 def _apply_running(
--- a/src/amaranthtray/domain/scheduling/losses.py
+++ b/src/amaranthtray/domain/scheduling/losses.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 from ..ids import HostId
 from ..jobs.model import TaskName
@@ -94,3 +94,6 @@
     host: HostId
     born: int
     tasks: tuple[TaskName, ...]
+
+
+Loss: TypeAlias = RunsLost | TaskGivenUp | CrashWithdrawn
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -11,6 +11,7 @@
 from ..jobs.model import NO_RACK, NO_RESOURCES, JobId, JobSpec, Resources, TaskName
 from ..jobs.task import RunOutcome
 from ..upkeep.moves import PoolLoad
+from .absence import LastingRunReport
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimFailed, ClaimPortion, PortionsRead
 from .evacuation import (
@@ -21,7 +22,7 @@
     ZonesEvacuated,
 )
 from .forecast import Forecast
-from .losses import CrashWithdrawn, LossCause, RunsLost, TaskGivenUp
+from .losses import Loss, LossCause
 from .rack_waits import RackStarts, RackWait
 from .reservations import ReservationDropped, Reserved
 from .run_time_events import RunTimeReport, RunTimesRead
@@ -380,9 +381,8 @@
     | WatchHost
     | UnwatchHost
     | Superseded
-    | RunsLost
-    | TaskGivenUp
-    | CrashWithdrawn
+    | Loss
+    | LastingRunReport
     | RecordUnreadable
     | StartWithheld
     | RunsMoved
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -8,6 +8,7 @@
 
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
+from ._absence import stop_report
 from ._backoff import delay_starts
 from ._evacuation import (
     apply_zones,
@@ -26,6 +27,7 @@
 from ._sharing import apply_portions, meter_new_job, review_shares
 from ._state import SchedulerState
 from ._vacating import vacant_hosts, vacate_hosts
+from .absence import StopReason
 from .activity import PoolActivity, pool_activity
 from .advice import AdviceReceived
 from .caps import ClaimFailed, PortionsRead
@@ -271,7 +273,9 @@
                 self.state.drop_run(name, run)
             elif run.phase is not RunPhase.STOPPING:
                 run.phase, run.confirmed_ms = RunPhase.STOPPING, None
-                effects.append(StopRun(run.host, name, run.number))
+                stop = StopRun(run.host, name, run.number)
+                report = stop_report(self.state, stop, StopReason.GANG_BROKEN)
+                effects += [stop, *report]
         return effects
 
     def _update_hosts(self, message: HostsListed) -> list[Effect]:
@@ -348,7 +352,8 @@
         if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
             return []
         run.phase, run.confirmed_ms = RunPhase.STOPPING, None
-        return [StopRun(run.host, name, run.number)]
+        stop = StopRun(run.host, name, run.number)
+        return [stop, *stop_report(self.state, stop, StopReason.NO_REPLY)]
 
     def _handle_stop_reply(self, reply: StopReplied) -> list[Effect]:
         host = self.state.hosts.get(reply.host)
--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -345,6 +345,8 @@
         self._context.log.event(
             "maintain",
             machine=machine.name,
+            host=machine.host,
+            pool=machine.pool,
             wave=name,
             outcome=outcome,
             since_check_ms=steady_ms() - checked_ms,
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import threading
 from typing import TYPE_CHECKING
 
@@ -20,6 +19,7 @@
     StopRun,
 )
 from .clock import steady_ms
+from .order_thread import HostOrder, OrderThread
 from .ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
 
 if TYPE_CHECKING:
@@ -46,7 +46,12 @@
 """Tries of a start order; a host that is up answers at least one of them."""
 
 LOGGED_WAIT_MS = 500
-"""A start that is sent longer after its order than this has a log line."""
+"""A start that is sent, or a stop that is answered, longer after its order than this
+has a log line."""
+
+LOGGED_RENEWAL_MS = 3_500
+"""A lease that is renewed longer after the last time than this has a log line; it
+usually takes two seconds, in which the host holds the request."""
 
 STOP_RETRY_MS = 150
 """Pause between tries of a stop order."""
@@ -88,10 +93,11 @@
         self._changed = threading.Condition()
         self._acknowledged = (0, 0)
         self._is_silent = False
+        self._renewed_ms: int | None = None
         self._born: int | None = None
         self._stopped_runs: set[tuple[TaskName, int]] = set()
-        self._starts = _OrderThread(self._send_start, log)
-        self._stops = _OrderThread(self._send_stop, log)
+        self._starts = OrderThread(self._send_start, log)
+        self._stops = OrderThread(self._send_stop, log)
         self._poll_thread = threading.Thread(target=self._poll_loop, daemon=True)
 
     def start(self) -> None:
@@ -106,7 +112,7 @@
         with self._changed:
             self._changed.notify_all()
 
-    def order(self, order: StartRun | StopRun | PaceRun) -> None:
+    def order(self, order: HostOrder) -> None:
         """Queues an order; stops don't wait behind starts that get no reply."""
         if isinstance(order, StopRun):
             self._stopped_runs.add((order.name, order.number))
@@ -154,6 +160,8 @@
             case HostStatus():
                 self._lease.record_answer(outcome.clock_ms, outcome.born, received_ms)
                 self._is_silent = False
+                if until_ms is not None:
+                    self._record_renewal(sent_ms)
                 if self.record_incarnation(outcome.born):
                     return self._poll(0, 0)
                 if not outcome.has_all_ends:
@@ -179,6 +187,13 @@
                 self._handle_silence(detail)
         return None
 
+    def _record_renewal(self, sent_ms: int) -> None:
+        """Logs a renewal that was sent long after the last one."""
+        last_ms, self._renewed_ms = self._renewed_ms, sent_ms
+        if last_ms is not None and sent_ms - last_ms > LOGGED_RENEWAL_MS:
+            after_ms = sent_ms - last_ms
+            self._log.event("lease-renewed-late", host=self.info.id, after_ms=after_ms)
+
     def record_incarnation(self, born: int) -> bool:
         """Records the host's incarnation; if it is new, fences off all earlier orders.
 
@@ -210,7 +225,7 @@
                     return
                 self._changed.wait(left_ms / 1_000)
 
-    def _send_start(self, order: StartRun | StopRun | PaceRun, ordered_ms: int) -> None:
+    def _send_start(self, order: HostOrder, ordered_ms: int) -> None:
         match order:
             case StartRun():
                 try:
@@ -312,55 +327,37 @@
             return StartOutcome.NO_REPLY
         return None if self._guard.may_order() else StartOutcome.REFUSED
 
-    def _send_stop(self, order: StartRun | StopRun | PaceRun, _: int) -> None:
+    def _send_stop(self, order: HostOrder, ordered_ms: int) -> None:
         if isinstance(order, StopRun):
-            self.stop_run(order)
+            self.stop_run(order, ordered_ms)
+
+    def stop_run(self, order: StopRun, ordered_ms: int | None = None) -> None:
+        """Orders a stop; repeats it until the host replies or the link is closed.
 
-    def stop_run(self, order: StopRun) -> None:
-        """Orders a stop; repeats it until the host replies or the link is closed."""
+        Args:
+            order: The stop.
+            ordered_ms: Steady-clock time at which it was queued; None if it is now.
+        """
+        ordered_ms = steady_ms() if ordered_ms is None else ordered_ms
+        unanswered = 0
         while not self._closing.is_set():
-            if self._guard.may_order() and self._api.stop(order.name, order.number):
-                reply = StopReplied(self.info.id, order.name, order.number, steady_ms())
-                self._post(reply)
-                return
+            if self._guard.may_order():
+                sent_ms = steady_ms()
+                if self._api.stop(order.name, order.number):
+                    self._log_late_stop(order, sent_ms - ordered_ms, unanswered)
+                    host, replied_ms = self.info.id, steady_ms()
+                    self._post(StopReplied(host, order.name, order.number, replied_ms))
+                    return
+                unanswered += 1
             self._closing.wait(STOP_RETRY_MS / 1_000)
 
-
-class _OrderThread:
-    """Sends orders one after the other; its thread starts with the first order.
-
-    Args:
-        carry_out: Sends one order, given also the steady-clock time of its queueing.
-        log: Log of the entry.
-    """
-
-    def __init__(
-        self,
-        carry_out: Callable[[StartRun | StopRun | PaceRun, int], None],
-        log: EventLog,
-    ) -> None:
-        self._carry_out = carry_out
-        self._log = log
-        self._queue: queue.SimpleQueue[tuple[StartRun | StopRun | PaceRun, int] | None]
-        self._queue = queue.SimpleQueue()
-        self._thread: threading.Thread | None = None
-
-    def put(self, order: StartRun | StopRun | PaceRun) -> None:
-        """Queues an order."""
-        if self._thread is None:
-            self._thread = threading.Thread(target=self._run, daemon=True)
-            self._thread.start()
-        self._queue.put((order, steady_ms()))
-
-    def close(self) -> None:
-        """Ends the thread after the orders queued so far."""
-        self._queue.put(None)
-
-    def _run(self) -> None:
-        while (queued := self._queue.get()) is not None:
-            order, queued_ms = queued
-            try:
-                self._carry_out(order, queued_ms)
-            except Exception as exc:
-                # The known state of the run stays until the next poll updates it.
-                self._log.event("order-fault", host=order.host, why=repr(exc))
+    def _log_late_stop(self, order: StopRun, waited_ms: int, unanswered: int) -> None:
+        if waited_ms > LOGGED_WAIT_MS:
+            self._log.event(
+                "stop-answered-late",
+                host=self.info.id,
+                task=str(order.name),
+                run=order.number,
+                waited_ms=waited_ms,
+                unanswered=unanswered,
+            )
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -116,7 +116,7 @@
             )
         if self._demand is not None:
             self._demand.record(plan.demand)
-        self._order_moves(plan.orders, service)
+        self._order_moves(plan.orders, fleet, service)
         return plan.vacate
 
     def close(self) -> None:
@@ -124,7 +124,7 @@
         self._senders.shutdown(wait=False)
 
     def _order_moves(
-        self, planned: tuple[MoveMachine, ...], service: MachineService
+        self, planned: tuple[MoveMachine, ...], fleet: Fleet, service: MachineService
     ) -> None:
         """Records the moves for the next holder, then orders them."""
         if not planned:
@@ -143,7 +143,7 @@
             for order, _ in replies:
                 moves.record_order(self._moves, order, steady_ms())
             for order, reply in replies:
-                self._handle_reply(order, reply)
+                self._handle_reply(order, fleet.machines[order.machine].host, reply)
 
     def _order(self, order: MoveMachine, service: MachineService) -> _OrderReply:
         """Sends one order, once more if its outcome is unknown.
@@ -167,7 +167,9 @@
                 break
         return _OrderReply(outcome, tries, steady_ms() - checked_ms)
 
-    def _handle_reply(self, order: MoveMachine, future: Future[_OrderReply]) -> None:
+    def _handle_reply(
+        self, order: MoveMachine, host: HostId, future: Future[_OrderReply]
+    ) -> None:
         exc = future.exception()
         if exc is not None:
             outcome: OrderOutcome = OrderOutcome.UNKNOWN
@@ -178,6 +180,7 @@
         self._context.log.event(
             "move",
             machine=order.machine,
+            host=host,
             pool=order.pool,
             outcome=outcome,
             term=self._term,
--- /dev/null
+++ b/src/amaranthtray/jobs/order_thread.py
@@ -0,0 +1,57 @@
+"""A thread that sends orders to one host, one after the other."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from typing import TYPE_CHECKING, TypeAlias
+
+from ..domain.scheduling.messages import PaceRun, StartRun, StopRun
+from .clock import steady_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .event_log import EventLog
+
+HostOrder: TypeAlias = StartRun | StopRun | PaceRun
+
+
+class OrderThread:
+    """Sends orders one after the other; its thread starts with the first order.
+
+    Args:
+        carry_out: Sends one order, given also the steady-clock time of its queueing.
+        log: Log of the entry.
+    """
+
+    def __init__(
+        self,
+        carry_out: Callable[[HostOrder, int], None],
+        log: EventLog,
+    ) -> None:
+        self._carry_out = carry_out
+        self._log = log
+        self._queue: queue.SimpleQueue[tuple[HostOrder, int] | None]
+        self._queue = queue.SimpleQueue()
+        self._thread: threading.Thread | None = None
+
+    def put(self, order: HostOrder) -> None:
+        """Queues an order."""
+        if self._thread is None:
+            self._thread = threading.Thread(target=self._run, daemon=True)
+            self._thread.start()
+        self._queue.put((order, steady_ms()))
+
+    def close(self) -> None:
+        """Ends the thread after the orders queued so far."""
+        self._queue.put(None)
+
+    def _run(self) -> None:
+        while (queued := self._queue.get()) is not None:
+            order, queued_ms = queued
+            try:
+                self._carry_out(order, queued_ms)
+            except Exception as exc:
+                # The known state of the run stays until the next poll updates it.
+                self._log.event("order-fault", host=order.host, why=repr(exc))
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ..domain.scheduling.absence import LastingRunEnded, LastingRunStopped
 from ..domain.scheduling.advice import RequestAdvice
 from ..domain.scheduling.caps import ClaimPortion
 from ..domain.scheduling.evacuation import (
@@ -50,6 +51,7 @@
 from .evacuation_reporter import EvacuationReporter
 from .host_links import HostLinks
 from .job_feed import JobFeed
+from .lasting_run_log import record_lasting_run
 from .loss_log import LossLog
 from .rack_log import record_rack_report
 from .record_writer import RecordWriter
@@ -322,6 +324,8 @@
         match report:
             case RunsLost() | TaskGivenUp() | CrashWithdrawn():
                 self._losses.record(report)
+            case LastingRunStopped() | LastingRunEnded():
+                record_lasting_run(self._log, report)
             case (
                 EvacuationHosts() | EvacuationProgress() | RunsMoved() | StartWithheld()
             ):
