Orders to hosts in a module of their own

StartRun, StopRun and PaceRun move to orders.py, and the union of the three has one name, HostOrder, in place of four spellings.

--- a/src/amaranthtray/bench/_planning_pool.py
+++ b/src/amaranthtray/bench/_planning_pool.py
@@ -19,9 +19,9 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StoreJobs,
 )
+from ..domain.scheduling.orders import StartRun
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
 
--- a/src/amaranthtray/capacity/scheduling.py
+++ b/src/amaranthtray/capacity/scheduling.py
@@ -19,9 +19,9 @@
     JobFound,
     StartOutcome,
     StartReplied,
-    StartRun,
     StoreJobs,
 )
+from ..domain.scheduling.orders import StartRun
 from ..domain.scheduling.pool import PoolScheduler
 from .slope import Resource, Role, Sample, Slope
 
--- a/src/amaranthtray/domain/invariants/absence.py
+++ b/src/amaranthtray/domain/invariants/absence.py
@@ -1,4 +1,4 @@
-"""The promise that orders take no more tasks of a lasting step away than it may miss."""
+"""The promise that orders take no more lasting tasks away than their step may miss."""
 
 from __future__ import annotations
 
--- a/src/amaranthtray/domain/scheduling/_absence.py
+++ b/src/amaranthtray/domain/scheduling/_absence.py
@@ -13,7 +13,7 @@
     from ..jobs.model import TaskName
     from ..jobs.task import Run, Task
     from ._state import SchedulerState
-    from .messages import StopRun
+    from .orders import StopRun
 
 WORKING_PERCENT = 100
 
--- a/src/amaranthtray/domain/scheduling/_evacuation.py
+++ b/src/amaranthtray/domain/scheduling/_evacuation.py
@@ -18,7 +18,7 @@
     RunKind,
     StartWithheld,
 )
-from .messages import StartRun
+from .orders import StartRun
 
 if TYPE_CHECKING:
     from ..ids import ZoneId
--- a/src/amaranthtray/domain/scheduling/_evacuation_moves.py
+++ b/src/amaranthtray/domain/scheduling/_evacuation_moves.py
@@ -17,7 +17,7 @@
 from .evacuation import MovingRun, RunKind, RunsMoved
 from .host import QUARANTINE_CRASHES, Host, PlacedRun
 from .host_index import largest_amounts
-from .messages import StopRun
+from .orders import StopRun
 from .placement import place_each, place_gang
 
 if TYPE_CHECKING:
--- a/src/amaranthtray/domain/scheduling/_late_runs.py
+++ b/src/amaranthtray/domain/scheduling/_late_runs.py
@@ -12,7 +12,7 @@
 
 from ..jobs.model import StepKey
 from ..jobs.task import RunPhase
-from .messages import StopRun
+from .orders import StopRun
 from .placement import is_far, place_apart, place_each
 from .ranking import Timeliness, rank
 from .run_time_events import RunMoved
--- a/src/amaranthtray/domain/scheduling/_pacing.py
+++ b/src/amaranthtray/domain/scheduling/_pacing.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunPhase
-from .messages import PaceRun
+from .orders import PaceRun
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -28,7 +28,7 @@
 from .host import Host
 from .host_index import HostIndex
 from .look_ahead import LookAhead, look_ahead
-from .messages import StartRun
+from .orders import StartRun
 from .placement import fill_hosts, fill_hosts_or_none
 from .rack_choice import RackChoice, choose_racks
 from .ranking import Timeliness, mean_core_ms
--- a/src/amaranthtray/domain/scheduling/_progress.py
+++ b/src/amaranthtray/domain/scheduling/_progress.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunPhase
-from .messages import StopRun
+from .orders import StopRun
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -17,11 +17,12 @@
 from .absence import LastingRunEnded, StopReason
 from .crash_register import HostIncarnation
 from .losses import LossCause
-from .messages import Effect, HostReport, RunReport, StopRun
+from .orders import StopRun
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
     from .host import Host, PlacedRun
+    from .messages import Effect, HostReport, RunReport
 
 FAILURE_BACKOFF_MS = 200
 """Delay before a failed task restarts, to tell a bad host from a bad job."""
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -22,7 +22,7 @@
 from .evacuation import EvacuationState
 from .host import Host
 from .host_choice import RecentShapes
-from .messages import AcknowledgeEnds, Effect, StartRun, StoreJobs
+from .messages import AcknowledgeEnds, Effect, StoreJobs
 from .placement import is_far
 from .policy import SchedulingPolicy
 from .rack_waits import RackWaits
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from ..jobs.task import Run, RunOutcome
     from .host import PlacedRun
+    from .orders import StartRun
 
 
 MAX_REMOVED_JOBS = 9
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -8,7 +8,7 @@
 from ..jobs.task import RunPhase
 from ._absence import absent_tasks, stop_report
 from .absence import StopReason
-from .messages import StopRun
+from .orders import StopRun
 from .placement import place_each
 
 if TYPE_CHECKING:
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -23,6 +23,7 @@
 )
 from .forecast import Forecast
 from .losses import Loss, LossCause
+from .orders import HostOrder
 from .rack_waits import RackStarts, RackWait
 from .reservations import ReservationDropped, Reserved
 from .run_time_events import RunTimeReport, RunTimesRead
@@ -283,52 +284,6 @@
     forecast: Forecast | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class StartRun:
-    """Orders a host to start a run.
-
-    Attributes:
-        host: Host that is to start the run.
-        host_born: Start time of the host's incarnation; no other incarnation may
-            receive the order.
-        name: Task to run.
-        number: Run number.
-        payload: Payload that the caller submitted for the job's tasks.
-        checkpoint: Checkpoint to resume from; empty to start from the beginning.
-        ticket: Proof that a placement policy allows the host; empty where no policy
-            applies.
-        prior_crashes: Hosts that crashed under earlier runs of the task, for the log.
-    """
-
-    host: HostId
-    host_born: int
-    name: TaskName
-    number: int
-    payload: str
-    checkpoint: str
-    ticket: str = ""
-    prior_crashes: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class StopRun:
-    """Orders a host to stop a run; repeated until the host replies."""
-
-    host: HostId
-    name: TaskName
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class PaceRun:
-    """Orders a host to limit a run to ``percent`` of its full speed."""
-
-    host: HostId
-    name: TaskName
-    number: int
-    percent: int
-
-
 @dataclass(frozen=True, slots=True)
 class AcknowledgeEnds:
     """Lets a host drop ended runs up to ``sequence``, as their results are stored."""
@@ -374,9 +329,7 @@
     StoreJobs
     | ClaimPortion
     | RequestAdvice
-    | StartRun
-    | StopRun
-    | PaceRun
+    | HostOrder
     | AcknowledgeEnds
     | WatchHost
     | UnwatchHost
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -48,14 +48,13 @@
     RecordUnreadable,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
     Superseded,
     UnwatchHost,
     VacateRequested,
     WatchHost,
 )
+from .orders import StartRun, StopRun
 from .policy import SchedulingPolicy
 from .rack_choice import rack_reports
 from .run_time_events import RunTimesRead
--- a/src/amaranthtray/jobs/conductor_stats.py
+++ b/src/amaranthtray/jobs/conductor_stats.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..domain.scheduling.messages import StartReplied, StartRun, StoreJobs
+    from ..domain.scheduling.messages import StartReplied, StoreJobs
+    from ..domain.scheduling.orders import StartRun
 
 SUMMARY_INTERVAL_MS = 1_000
 
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -11,15 +11,13 @@
     HostRunsEnded,
     HostSilent,
     Message,
-    PaceRun,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
 )
+from ..domain.scheduling.orders import HostOrder, PaceRun, StartRun, StopRun
 from .clock import steady_ms
-from .order_thread import HostOrder, OrderThread
+from .order_thread import OrderThread
 from .ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
 
 if TYPE_CHECKING:
--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -19,14 +19,8 @@
     from collections.abc import Callable
 
     from ..domain.ids import HostId
-    from ..domain.scheduling.messages import (
-        AcknowledgeEnds,
-        HostInfo,
-        Message,
-        PaceRun,
-        StartRun,
-        StopRun,
-    )
+    from ..domain.scheduling.messages import AcknowledgeEnds, HostInfo, Message
+    from ..domain.scheduling.orders import HostOrder
     from .conductor_log import ConductorLog
     from .context import JobEntryContext
     from .term_guard import TermGuard
@@ -128,7 +122,7 @@
         """Returns whether there is a link to a host."""
         return host in self._links
 
-    def order(self, order: StartRun | StopRun | PaceRun) -> None:
+    def order(self, order: HostOrder) -> None:
         """Queues an order to a host that has a link."""
         self._links[order.host].order(order)
 
--- a/src/amaranthtray/jobs/order_thread.py
+++ b/src/amaranthtray/jobs/order_thread.py
@@ -4,18 +4,16 @@
 
 import queue
 import threading
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
-from ..domain.scheduling.messages import PaceRun, StartRun, StopRun
 from .clock import steady_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..domain.scheduling.orders import HostOrder
     from .event_log import EventLog
 
-HostOrder: TypeAlias = StartRun | StopRun | PaceRun
-
 
 class OrderThread:
     """Sends orders one after the other; its thread starts with the first order.
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -25,17 +25,15 @@
     CatalogChanged,
     Effect,
     Message,
-    PaceRun,
     RecordUnreadable,
     StartOutcome,
     StartReplied,
-    StartRun,
-    StopRun,
     StoreJobs,
     Superseded,
     UnwatchHost,
     WatchHost,
 )
+from ..domain.scheduling.orders import HostOrder, PaceRun, StartRun, StopRun
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
 from ..domain.scheduling.rack_waits import RackStarts, RackWait
@@ -341,7 +339,7 @@
             case RackWait() | RackStarts():
                 record_rack_report(self._log, report)
 
-    def _send_order(self, order: StartRun | StopRun | PaceRun) -> None:
+    def _send_order(self, order: HostOrder) -> None:
         if not self._links.has(order.host):
             return
         details: dict[str, object] = {}
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -13,7 +13,8 @@
     from ..domain.jobs.catalog import Catalog
     from ..domain.jobs.model import TaskName
     from ..domain.scheduling.advice import RequestAdvice
-    from ..domain.scheduling.messages import HostInfo, StartOutcome, StartRun
+    from ..domain.scheduling.messages import HostInfo, StartOutcome
+    from ..domain.scheduling.orders import StartRun
     from ..domain.upkeep.model import Machine, MachineOrder, OrderOutcome, WaveRequest
 
 
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -8,12 +8,13 @@
 
 from ..domain.jobs.model import TaskName
 from ..domain.jobs.task import RunOutcome
-from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome, StartRun
+from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome
 from ..jobs.ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
 from ..web.http_peer import CallOutcome, HttpPeer, Response
 
 if TYPE_CHECKING:
     from ..domain.ids import HostId, Term
+    from ..domain.scheduling.orders import StartRun
 
 ORDER_TIMEOUT_MS = 700
 """A host replies to an order within milliseconds, over a slow link within tens."""
--- a/tests/jobs/test_conductor_stats.py
+++ b/tests/jobs/test_conductor_stats.py
@@ -7,9 +7,9 @@
 from amaranthtray.domain.scheduling.messages import (
     StartOutcome,
     StartReplied,
-    StartRun,
     StoreJobs,
 )
+from amaranthtray.domain.scheduling.orders import StartRun
 from amaranthtray.domain.upkeep.moves import PoolLoad
 from amaranthtray.jobs.conductor_stats import (
     REPLY_WAIT_MS,
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -12,10 +12,9 @@
     Message,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
 )
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from amaranthtray.domain.scheduling.start_check import StartHindrance
 from amaranthtray.jobs.event_log import EventLog
 from amaranthtray.jobs.host_link import MAX_START_TRIES, HostLink
--- a/tests/scheduling/crashing_pool.py
+++ b/tests/scheduling/crashing_pool.py
@@ -25,11 +25,10 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
     StoreJobs,
 )
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from amaranthtray.domain.scheduling.pool import PoolScheduler
 from scheduling.parts import POOL, a_catalog, a_host
 
--- a/tests/scheduling/load.py
+++ b/tests/scheduling/load.py
@@ -24,10 +24,10 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StoreJobs,
     VacateRequested,
 )
+from amaranthtray.domain.scheduling.orders import StartRun
 from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.pool import DECLARED_ONLY, PoolScheduler
 from amaranthtray.domain.upkeep.expectations import DemandReport, Expectations
--- a/tests/scheduling/misdeclared.py
+++ b/tests/scheduling/misdeclared.py
@@ -16,10 +16,9 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
 )
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from scheduling.load import SLOWDOWN, TARGET_MS, LoadedPool, Submitted
 from scheduling.parts import QUEUE, TEAM
 
--- a/tests/scheduling/mixed_load.py
+++ b/tests/scheduling/mixed_load.py
@@ -20,7 +20,7 @@
 from scheduling.parts import QUEUE, TEAM
 
 if TYPE_CHECKING:
-    from amaranthtray.domain.scheduling.messages import StartRun
+    from amaranthtray.domain.scheduling.orders import StartRun
 
 BIG_HOST = Resources(64_000, 256_000, 0)
 HOSTS = 14
--- a/tests/scheduling/parts.py
+++ b/tests/scheduling/parts.py
@@ -27,9 +27,9 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StoreJobs,
 )
+from amaranthtray.domain.scheduling.orders import StartRun
 from amaranthtray.domain.scheduling.pool import DECLARED_ONLY, PoolScheduler
 
 if TYPE_CHECKING:
--- a/tests/scheduling/rack_load.py
+++ b/tests/scheduling/rack_load.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     import random
 
-    from amaranthtray.domain.scheduling.messages import StartRun
+    from amaranthtray.domain.scheduling.orders import StartRun
 
 WEIGH = SchedulingPolicy(weigh_remote_hosts=True)
 REMOTE_FACTOR = 2
--- a/tests/scheduling/test_absence.py
+++ b/tests/scheduling/test_absence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from amaranthtray.domain.jobs.task import RunOutcome
 from amaranthtray.domain.scheduling.absence import (
@@ -16,11 +17,13 @@
     Effect,
     HostSilent,
     HostsListed,
-    StartRun,
     VacateRequested,
 )
 from scheduling.parts import SchedulerHarness, a_host, a_job, a_step, an_end
 
+if TYPE_CHECKING:
+    from amaranthtray.domain.scheduling.orders import StartRun
+
 HOSTS = tuple(a_host(name) for name in "abcd")
 
 
--- a/tests/scheduling/test_absence_schedules.py
+++ b/tests/scheduling/test_absence_schedules.py
@@ -108,7 +108,7 @@
     return world
 
 
-@pytest.mark.parametrize("seed", (*range(SCHEDULES), *FOUND))
+@pytest.mark.parametrize("seed", [*range(SCHEDULES), *FOUND])
 def test_no_order_takes_more_tasks_away_than_their_step_may_miss(seed: int) -> None:
     """Guards against stops that don't count the tasks of a step that are away."""
     world = run_services(seed)
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -9,7 +9,8 @@
     AdviceReceived,
     RequestAdvice,
 )
-from amaranthtray.domain.scheduling.messages import Effect, StartOutcome, StartRun
+from amaranthtray.domain.scheduling.messages import Effect, StartOutcome
+from amaranthtray.domain.scheduling.orders import StartRun
 from scheduling.parts import SchedulerHarness, a_catalog, a_host, a_job, a_step
 
 VALID_MS = 10_000
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -8,9 +8,9 @@
     HostsListed,
     JobCancelled,
     StartOutcome,
-    StartRun,
     StoreJobs,
 )
+from amaranthtray.domain.scheduling.orders import StartRun
 from scheduling.parts import SchedulerHarness, a_catalog, a_host, a_job, a_step, an_end
 
 UNGUARDED = {"catalog": a_catalog(enforces_capacity=False)}
--- a/tests/scheduling/test_evacuation.py
+++ b/tests/scheduling/test_evacuation.py
@@ -14,7 +14,8 @@
 from amaranthtray.domain.scheduling._evacuation_moves import SETTLE_MS
 from amaranthtray.domain.scheduling._load import pool_load
 from amaranthtray.domain.scheduling._vacating import TAKEOVER_PAUSE_MS
-from amaranthtray.domain.scheduling.messages import Effect, StartOutcome, StartRun
+from amaranthtray.domain.scheduling.messages import Effect, StartOutcome
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from scheduling.load import Burst, LoadedPool, Timeline, run_pool
 from scheduling.parts import BORN, SchedulerHarness, a_host, a_job, a_step, an_end
 from scheduling.test_schedules import run_schedule
@@ -59,7 +60,7 @@
                 self._report(host)
         return effects
 
-    def end(self, order: messages.StopRun) -> None:
+    def end(self, order: StopRun) -> None:
         """Ends a run that was ordered to stop."""
         ended = next(r for r in self.runs[order.host] if r.name == order.name)
         self.runs[order.host].remove(ended)
@@ -84,8 +85,8 @@
     return site
 
 
-def stops(effects: list[Effect]) -> list[messages.StopRun]:
-    return [each for each in effects if isinstance(each, messages.StopRun)]
+def stops(effects: list[Effect]) -> list[StopRun]:
+    return [each for each in effects if isinstance(each, StopRun)]
 
 
 def started_on(effects: list[Effect]) -> set[str]:
--- a/tests/scheduling/test_host_speed.py
+++ b/tests/scheduling/test_host_speed.py
@@ -20,7 +20,8 @@
     SlowHost,
     SpeedSample,
 )
-from amaranthtray.domain.scheduling.messages import StartOutcome, StopRun
+from amaranthtray.domain.scheduling.messages import StartOutcome
+from amaranthtray.domain.scheduling.orders import StopRun
 from amaranthtray.domain.scheduling.run_time_events import HostSlow, RunMoved
 from scheduling.parts import SchedulerHarness, a_host, a_job, a_step
 from scheduling.test_run_times import learned
--- a/tests/scheduling/test_look_ahead.py
+++ b/tests/scheduling/test_look_ahead.py
@@ -15,9 +15,9 @@
     HostSilent,
     HostsListed,
     StartOutcome,
-    StartRun,
     VacateRequested,
 )
+from amaranthtray.domain.scheduling.orders import StartRun
 from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.reservations import (
     HORIZON_MS,
--- a/tests/scheduling/test_partial_reports.py
+++ b/tests/scheduling/test_partial_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -15,13 +16,15 @@
     HostReport,
     HostsListed,
     StartOutcome,
-    StartRun,
 )
 from amaranthtray.jobs.ports import HostStatus
 from amaranthtray.platform.host_client import MAX_ENDS, HostClient
 from amaranthtray.web.http_peer import Response
 from scheduling.parts import BORN, SchedulerHarness, a_host, a_job, a_step
 
+if TYPE_CHECKING:
+    from amaranthtray.domain.scheduling.orders import StartRun
+
 TASKS = 4
 
 
--- a/tests/scheduling/test_pending_jobs.py
+++ b/tests/scheduling/test_pending_jobs.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 import pytest
 
 from amaranthtray.domain.jobs.record import encode_job, restore
 from amaranthtray.domain.jobs.task import RunOutcome
-from amaranthtray.domain.scheduling.messages import (
-    HostsListed,
-    StartOutcome,
-    StartRun,
-)
+from amaranthtray.domain.scheduling.messages import HostsListed, StartOutcome
 from scheduling.parts import QUEUE, SchedulerHarness, a_host, a_job, an_end
 
+if TYPE_CHECKING:
+    from amaranthtray.domain.scheduling.orders import StartRun
+
 
 def a_harness_with_an_order() -> tuple[SchedulerHarness, StartRun]:
     harness = SchedulerHarness(a_host())
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -17,11 +17,10 @@
     JobFound,
     RecordUnreadable,
     StartOutcome,
-    StartRun,
-    StopRun,
     StoreJobs,
     VacateRequested,
 )
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from scheduling.parts import SchedulerHarness, a_catalog, a_host, a_job, a_step, an_end
 
 
@@ -277,7 +276,8 @@
 
 
 def test_a_filler_is_stopped_while_a_serving_task_misses_its_target() -> None:
-    from amaranthtray.domain.scheduling.messages import HostReport, PaceRun, RunReport
+    from amaranthtray.domain.scheduling.messages import HostReport, RunReport
+    from amaranthtray.domain.scheduling.orders import PaceRun
 
     harness = SchedulerHarness(a_host())
     harness.submit(a_job(a_step(is_lasting=True, target_ms=100), name="serves"))
--- a/tests/scheduling/test_rack_choice.py
+++ b/tests/scheduling/test_rack_choice.py
@@ -16,8 +16,8 @@
     HostSilent,
     HostsListed,
     StartOutcome,
-    StartRun,
 )
+from amaranthtray.domain.scheduling.orders import StartRun
 from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.rack_waits import RackStarts, RackWait
 from scheduling import load
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import TeamName
 from amaranthtray.domain.jobs.task import RunOutcome
-from amaranthtray.domain.scheduling.messages import StartOutcome, StartRun
+from amaranthtray.domain.scheduling.messages import StartOutcome
 from amaranthtray.domain.scheduling.shares import ShareMeter
 from scheduling.parts import SchedulerHarness, a_catalog, a_host, a_job, an_end
 
+if TYPE_CHECKING:
+    from amaranthtray.domain.scheduling.orders import StartRun
+
 RED, BLUE = TeamName("red"), TeamName("blue")
 
 
--- a/tests/scheduling/test_unanswered_starts.py
+++ b/tests/scheduling/test_unanswered_starts.py
@@ -4,12 +4,8 @@
 
 import pytest
 
-from amaranthtray.domain.scheduling.messages import (
-    StartOutcome,
-    StartRun,
-    StopReplied,
-    StopRun,
-)
+from amaranthtray.domain.scheduling.messages import StartOutcome, StopReplied
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from scheduling.parts import SchedulerHarness, a_host, a_job
 
 REFUSALS = [
--- a/tests/scheduling/varied_load.py
+++ b/tests/scheduling/varied_load.py
@@ -26,12 +26,11 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
     StoreJobs,
     VacateRequested,
 )
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from amaranthtray.domain.scheduling.pool import PoolScheduler
 from amaranthtray.domain.scheduling.reservations import ReservationDropped, Reserved
 from scheduling.load import TICK_MS, Burst, LoadedPool, Submitted, Timeline
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -47,12 +47,11 @@
     RunReport,
     StartOutcome,
     StartReplied,
-    StartRun,
     StopReplied,
-    StopRun,
     StoreJobs,
     VacateRequested,
 )
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from amaranthtray.domain.scheduling.policy import SchedulingPolicy
 from amaranthtray.domain.scheduling.pool import PoolScheduler
 
