A lasting task that may be at work is not stopped as its start had no reply

Callers saw: more tasks of a service away than it may miss. A start without a reply, or with a refused repetition, was followed by a stop of the run, whatever the others did. The start may have been carried out, and the task be at work: a host's report is up to two seconds old. The class: an order that ends a run is decided on what isn't known instead of on what is.

Change: the run of a lasting task is left alone until its host's next report (the link asks for one at once). If the report has it, it goes on; if a report that was requested after the last try doesn't have it, it is stopped, so that a delayed start is refused.

--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -30,6 +30,8 @@
         STOPPING: The run is to be stopped; it may still be executing.
         UNCONFIRMED: Ordered earlier, by another conductor or before the host restarted;
             the host has not reported since.
+        UNANSWERED: A try to start it had no reply; the host's next report shows whether
+            it is running.
     """
 
     RESERVED = 1
@@ -37,6 +39,7 @@
     RUNNING = 3
     STOPPING = 4
     UNCONFIRMED = 5
+    UNANSWERED = 6
 
 
 class HostCrash(NamedTuple):
--- a/src/amaranthtray/domain/scheduling/_absence.py
+++ b/src/amaranthtray/domain/scheduling/_absence.py
@@ -26,6 +26,7 @@
     RunPhase.STARTING: AbsenceCause.ORDERED,
     RunPhase.STOPPING: AbsenceCause.STOPPING,
     RunPhase.UNCONFIRMED: AbsenceCause.UNCONFIRMED,
+    RunPhase.UNANSWERED: AbsenceCause.ORDERED,
 }
 
 
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -51,6 +51,10 @@
                 effects.append(StopRun(host.info.id, placed.name, placed.run.number))
         elif _is_absence_proven(placed, report):
             absent.append(placed)
+        elif _has_not_started(placed, report):
+            placed.run.phase, placed.run.confirmed_ms = RunPhase.STOPPING, None
+            stop = StopRun(host.info.id, placed.name, placed.run.number)
+            effects += [stop, *stop_report(state, stop, StopReason.NO_REPLY)]
     effects += _drop_absent(state, host, absent)
     host.has_unknown_runs = bool(running)
     for name, number in running:
@@ -130,6 +134,17 @@
     return is_running and state.jobs[placed.name.job].is_over(placed.name)
 
 
+def _has_not_started(placed: PlacedRun, report: HostReport) -> bool:
+    """Returns whether an order without a reply had started no run at the report."""
+    run = placed.run
+    return (
+        run.phase is RunPhase.UNANSWERED
+        and report.has_all_ends
+        and run.confirmed_ms is not None
+        and run.confirmed_ms < report.sent_ms
+    )
+
+
 def _is_absence_proven(placed: PlacedRun, report: HostReport) -> bool:
     """Returns whether a report without the run proves that it is not on the host."""
     if not report.has_all_ends:
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -39,6 +39,8 @@
     from .orders import StartRun
 
 
+_ORDERED_PHASES = (RunPhase.STARTING, RunPhase.UNCONFIRMED, RunPhase.UNANSWERED)
+
 MAX_REMOVED_JOBS = 9
 """Maximum number of jobs per batch; each takes three keys of one transaction."""
 
@@ -206,7 +208,7 @@
         """Applies that a host has started a run; a run that is stopped stays so."""
         name, _, run = placed
         self.jobs[name.job].has_started = True
-        if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
+        if run.phase in _ORDERED_PHASES:
             run.phase, run.confirmed_ms = RunPhase.RUNNING, confirmed_ms
 
     def end_run(
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -337,22 +337,25 @@
             return [Superseded(reply.host)]
         delay_starts(self.state, host, reply)
         if reply.outcome is StartOutcome.NO_REPLY or reply.was_repeated:
-            return self._stop_unanswered(placed)
+            return self._settle_unanswered(placed, reply.replied_ms)
         self.state.drop_run(reply.name, placed.run)
         return []
 
-    def _stop_unanswered(self, placed: PlacedRun) -> list[Effect]:
+    def _settle_unanswered(self, placed: PlacedRun, replied_ms: int) -> list[Effect]:
         """Stops a run of which a try had no reply: it may start at any time.
 
         Once the host has confirmed the stop, it rejects such a start. A run that the
-        host has reported, or that is being stopped, can't start again.
+        host has reported, or that is being stopped, can't start again. A lasting task
+        may be at work already, so it is stopped only if its host doesn't report it.
         """
-        name, _, run = placed
+        name, step, run = placed
         if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
             return []
+        if step.is_lasting:
+            run.phase, run.confirmed_ms = RunPhase.UNANSWERED, replied_ms
+            return []
         run.phase, run.confirmed_ms = RunPhase.STOPPING, None
-        stop = StopRun(run.host, name, run.number)
-        return [stop, *stop_report(self.state, stop, StopReason.NO_REPLY)]
+        return [StopRun(run.host, name, run.number)]
 
     def _handle_stop_reply(self, reply: StopReplied) -> list[Effect]:
         host = self.state.hosts.get(reply.host)
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -91,6 +91,7 @@
         self._changed = threading.Condition()
         self._acknowledged = (0, 0)
         self._is_silent = False
+        self._is_report_due = False
         self._renewed_ms: int | None = None
         self._born: int | None = None
         self._stopped_runs: set[tuple[TaskName, int]] = set()
@@ -132,7 +133,8 @@
             # After missed replies another incarnation may answer, with other ends.
             is_same = known_born == born and not self._is_silent
             acknowledged = sequence if is_same else 0
-            wait_ms = POLL_WAIT_MS if pending <= acknowledged else 0
+            is_due, self._is_report_due = self._is_report_due, False
+            wait_ms = 0 if is_due or pending > acknowledged else POLL_WAIT_MS
             try:
                 status = self._poll(acknowledged, wait_ms)
             except Exception as exc:
@@ -303,6 +305,8 @@
         unanswered: int,
         hindrance: StartHindrance | None = None,
     ) -> None:
+        # The next report shows what became of a try without a reply.
+        self._is_report_due |= unanswered > 0
         reply = StartReplied(
             self.info.id,
             order.name,
