A stop that serves other work is decided again before each try

Callers saw: more tasks of a service away than it may miss. A stop that empties a host or a zone was decided once, by who was at work then. The order waited behind others to its host, and was repeated every 150 ms until it was answered. When it was carried out, others had gone: tasks on hosts that leave are stopped at any time.

Change: such a stop is voluntary. It gets one try, and none after 0.5 s in the queue; then the conductor decides again. After a try without a reply the task counts as away for the others, until a report that was requested a second later shows its run. Nothing is stopped voluntarily on a host that doesn't answer.

--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -80,6 +80,8 @@
             placed it.
         is_moved: Whether it is stopped to resume elsewhere, or gets a copy there.
         prior_crashes: Crashes of the task's hosts that were known at the placement.
+        stop_tried_ms: Steady-clock time of a stop without a reply, until a later report
+            shows that the run goes on; None if there was none.
         has_survived: Whether it has worked for so long that it does not crash its host.
     """
 
@@ -100,6 +102,7 @@
     started_ms: int | None = None
     is_moved: bool = False
     prior_crashes: int = 0
+    stop_tried_ms: int | None = None
     has_survived: bool = False
 
 
--- a/src/amaranthtray/domain/scheduling/_absence.py
+++ b/src/amaranthtray/domain/scheduling/_absence.py
@@ -21,6 +21,9 @@
 """Maximum age of a report that shows a task as working; hosts hold a request for
 two seconds while no run ends."""
 
+MAX_STOP_MS = 1_000
+"""Longest time that a stop takes; meanwhile its host reports the run as working."""
+
 _CAUSES = {
     RunPhase.RESERVED: AbsenceCause.ORDERED,
     RunPhase.STARTING: AbsenceCause.ORDERED,
@@ -88,6 +91,8 @@
     """Returns why a run is not known to be working; None if it is."""
     if run.phase is not RunPhase.RUNNING:
         return _CAUSES[run.phase]
+    if run.stop_tried_ms is not None:
+        return AbsenceCause.STOPPING
     host = state.hosts.get(run.host)
     if host is None or state.now_ms - host.seen_ms >= FRESH_REPORT_MS:
         return AbsenceCause.REPORT_OUTDATED
--- a/src/amaranthtray/domain/scheduling/_evacuation_moves.py
+++ b/src/amaranthtray/domain/scheduling/_evacuation_moves.py
@@ -196,13 +196,14 @@
 ) -> list[StopRun]:
     """Stops the runs whose tasks have a target; records that these are moving."""
     orders: list[StopRun] = []
-    for name, _, run in runs:
+    for name, step, run in runs:
         target = targets.get(name.number)
         if target is None:
             continue
         run.phase, run.confirmed_ms = RunPhase.STOPPING, None
         state.evacuation.moving[name] = MovingRun(run.number, state.now_ms, target)
-        orders.append(StopRun(run.host, name, run.number))
+        is_voluntary = step.is_lasting and step.may_miss > 0 and not step.is_gang
+        orders.append(StopRun(run.host, name, run.number, is_voluntary))
     return orders
 
 
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs.task import RunOutcome, RunPhase
-from ._absence import stop_report
+from ._absence import MAX_STOP_MS, stop_report
 from ._learning import note_progress, record_end
 from ._lost_runs import (
     LossReport,
@@ -100,7 +100,8 @@
         if placed.run.phase is RunPhase.RESERVED:
             continue
         if placed.step.is_lasting:
-            was_stopped = placed.run.phase is RunPhase.STOPPING
+            is_stopping = placed.run.phase is RunPhase.STOPPING
+            was_stopped = is_stopping or placed.run.stop_tried_ms is not None
             ended.append(
                 LastingRunEnded(
                     report.host, end.name, end.number, end.outcome, was_stopped
@@ -123,6 +124,11 @@
 ) -> None:
     run = placed.run
     run.checkpoint, run.load = reported.checkpoint, reported.load
+    if (
+        run.stop_tried_ms is not None
+        and report.sent_ms > run.stop_tried_ms + MAX_STOP_MS
+    ):
+        run.stop_tried_ms = None
     record_progress(state, placed, reported.percent)
     state.confirm_start(placed, report.received_ms)
     record_survival(state, placed)
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
+    from .absence import StopUnconfirmed
     from .host import Host, PlacedRun
     from .messages import Effect
 
@@ -37,13 +38,34 @@
         for placed in host.placed_runs():
             if placed.run.phase is RunPhase.RUNNING and _may_stop(state, host, placed):
                 placed.run.phase, placed.run.confirmed_ms = RunPhase.STOPPING, None
-                stop = StopRun(host.info.id, placed.name, placed.run.number)
                 is_leaving = host.info.is_draining
+                stop = StopRun(
+                    host.info.id,
+                    placed.name,
+                    placed.run.number,
+                    is_voluntary=placed.step.may_miss > 0 and not is_leaving,
+                )
                 reason = StopReason.LEAVING if is_leaving else StopReason.EMPTIED
                 effects += [stop, *stop_report(state, stop, reason)]
     return effects
 
 
+def decide_stop_again(state: SchedulerState, stop: StopUnconfirmed) -> None:
+    """Lets a run be stopped by a new decision, after a stop that had no reply.
+
+    Until a report shows that the run goes on, its task counts as away.
+    """
+    host = state.hosts.get(stop.host)
+    placed = host.find(stop.name, stop.number) if host is not None else None
+    if placed is None or placed.run.phase is not RunPhase.STOPPING:
+        return
+    run = placed.run
+    run.phase, run.confirmed_ms = RunPhase.RUNNING, stop.replied_ms
+    if stop.was_sent:
+        run.stop_tried_ms = stop.replied_ms
+    state.evacuation.moving.pop(stop.name, None)
+
+
 def vacant_hosts(state: SchedulerState) -> frozenset[str]:
     """Returns the hosts to be emptied that are empty."""
     return frozenset(
@@ -72,6 +94,8 @@
     step, name = placed.step, placed.name
     if host.info.is_draining:
         return True
+    if host.is_silent:
+        return False
     if (
         state.first_planned_ms is None
         or state.now_ms < state.first_planned_ms + TAKEOVER_PAUSE_MS
--- a/src/amaranthtray/domain/scheduling/absence.py
+++ b/src/amaranthtray/domain/scheduling/absence.py
@@ -70,6 +70,25 @@
     GANG_BROKEN = "gang_broken"
 
 
+@dataclass(frozen=True, slots=True)
+class StopUnconfirmed:
+    """A voluntary stop waited too long, or its only try got no reply.
+
+    Attributes:
+        host: Host of the run.
+        name: Task of the run.
+        number: Run number.
+        replied_ms: Steady-clock time at which the link gave up.
+        was_sent: Whether the host may have received the order, or may receive it later.
+    """
+
+    host: HostId
+    name: TaskName
+    number: int
+    replied_ms: int
+    was_sent: bool
+
+
 @dataclass(frozen=True, slots=True)
 class LastingRunStopped:
     """Reports the order to stop a run of a lasting task whose job goes on.
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -11,7 +11,7 @@
 from ..jobs.model import NO_RACK, NO_RESOURCES, JobId, JobSpec, Resources, TaskName
 from ..jobs.task import RunOutcome
 from ..upkeep.moves import PoolLoad
-from .absence import LastingRunReport
+from .absence import LastingRunReport, StopUnconfirmed
 from .advice import AdviceReceived, RequestAdvice
 from .caps import ClaimFailed, ClaimPortion, PortionsRead
 from .evacuation import (
@@ -251,6 +251,7 @@
     | HostRunsEnded
     | StartReplied
     | StopReplied
+    | StopUnconfirmed
     | CatalogChanged
     | BatchStored
     | BatchNotStored
--- a/src/amaranthtray/domain/scheduling/orders.py
+++ b/src/amaranthtray/domain/scheduling/orders.py
@@ -38,11 +38,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Orders a host to stop a run; repeated until the host replies."""
+    """Orders a host to stop a run; repeated until the host replies.
+
+    A voluntary one gets one try: it depends on the other tasks of the step, so that it
+    has to be decided again.
+    """
 
     host: HostId
     name: TaskName
     number: int
+    is_voluntary: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -26,8 +26,8 @@
 from ._reports import apply_report
 from ._sharing import apply_portions, meter_new_job, review_shares
 from ._state import SchedulerState
-from ._vacating import vacant_hosts, vacate_hosts
-from .absence import StopReason
+from ._vacating import decide_stop_again, vacant_hosts, vacate_hosts
+from .absence import StopReason, StopUnconfirmed
 from .activity import PoolActivity, pool_activity
 from .advice import AdviceReceived
 from .caps import ClaimFailed, PortionsRead
@@ -145,7 +145,7 @@
                 return self._handle_start_reply(message)
             case RunTimesRead():
                 return [*restore_run_times(self.state, message)]
-            case StopReplied():
+            case StopReplied() | StopUnconfirmed():
                 return self._handle_stop_reply(message)
             case CatalogChanged(catalog):
                 self.state.apply_catalog(catalog)
@@ -357,7 +357,10 @@
         run.phase, run.confirmed_ms = RunPhase.STOPPING, None
         return [StopRun(run.host, name, run.number)]
 
-    def _handle_stop_reply(self, reply: StopReplied) -> list[Effect]:
+    def _handle_stop_reply(self, reply: StopReplied | StopUnconfirmed) -> list[Effect]:
+        if isinstance(reply, StopUnconfirmed):
+            decide_stop_again(self.state, reply)
+            return []
         host = self.state.hosts.get(reply.host)
         placed = host.find(reply.name, reply.number) if host else None
         if placed is not None and placed.run.phase is RunPhase.STOPPING:
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -5,6 +5,7 @@
 import threading
 from typing import TYPE_CHECKING
 
+from ..domain.scheduling.absence import StopUnconfirmed
 from ..domain.scheduling.losses import LossCause
 from ..domain.scheduling.messages import (
     HostReport,
@@ -51,6 +52,10 @@
 """A lease that is renewed longer after the last time than this has a log line; it
 usually takes two seconds, in which the host holds the request."""
 
+MAX_VOLUNTARY_WAIT_MS = 500
+"""Longest wait of a voluntary stop behind others to its host; the tasks of its step
+that were at work may be away by then."""
+
 STOP_RETRY_MS = 150
 """Pause between tries of a stop order."""
 
@@ -336,6 +341,8 @@
     def stop_run(self, order: StopRun, ordered_ms: int | None = None) -> None:
         """Orders a stop; repeats it until the host replies or the link is closed.
 
+        A voluntary stop is returned to the conductor instead of being repeated.
+
         Args:
             order: The stop.
             ordered_ms: Steady-clock time at which it was queued; None if it is now.
@@ -343,6 +350,10 @@
         ordered_ms = steady_ms() if ordered_ms is None else ordered_ms
         unanswered = 0
         while not self._closing.is_set():
+            waited_ms = steady_ms() - ordered_ms
+            if order.is_voluntary and (unanswered or waited_ms > MAX_VOLUNTARY_WAIT_MS):
+                self._post_unconfirmed_stop(order, was_sent=unanswered > 0)
+                return
             if self._guard.may_order():
                 sent_ms = steady_ms()
                 if self._api.stop(order.name, order.number):
@@ -353,6 +364,20 @@
                 unanswered += 1
             self._closing.wait(STOP_RETRY_MS / 1_000)
 
+    def _post_unconfirmed_stop(self, order: StopRun, *, was_sent: bool) -> None:
+        self._is_report_due |= was_sent
+        host, replied_ms = self.info.id, steady_ms()
+        self._log.event(
+            "stop-unconfirmed",
+            host=host,
+            task=str(order.name),
+            run=order.number,
+            was_sent=was_sent,
+        )
+        self._post(
+            StopUnconfirmed(host, order.name, order.number, replied_ms, was_sent)
+        )
+
     def _log_late_stop(self, order: StopRun, waited_ms: int, unanswered: int) -> None:
         if waited_ms > LOGGED_WAIT_MS:
             self._log.event(
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -7,6 +7,7 @@
 
 from amaranthtray.domain.ids import HostId, Term
 from amaranthtray.domain.jobs.model import JobId, TaskName
+from amaranthtray.domain.scheduling.absence import StopUnconfirmed
 from amaranthtray.domain.scheduling.lease import HostLease
 from amaranthtray.domain.scheduling.messages import (
     Message,
@@ -16,8 +17,13 @@
 )
 from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from amaranthtray.domain.scheduling.start_check import StartHindrance
+from amaranthtray.jobs.clock import steady_ms
 from amaranthtray.jobs.event_log import EventLog
-from amaranthtray.jobs.host_link import MAX_START_TRIES, HostLink
+from amaranthtray.jobs.host_link import (
+    MAX_START_TRIES,
+    MAX_VOLUNTARY_WAIT_MS,
+    HostLink,
+)
 from amaranthtray.jobs.term_guard import TermGuard
 from scheduling.parts import a_host
 
@@ -33,7 +39,7 @@
 
     def __init__(self, answer: Callable[[], StartOutcome]) -> None:
         self.fencing_token = 1_000
-        self.starts = 0
+        self.starts = self.stops = self.unanswered_stops = 0
         self._answer = answer
 
     def start(self, order: StartRun, until_ms: int) -> StartOutcome:
@@ -41,7 +47,8 @@
         return self._answer()
 
     def stop(self, name: TaskName, number: int) -> bool:
-        return True
+        self.stops += 1
+        return self.stops > self.unanswered_stops
 
     def close(self) -> None:
         """Does nothing."""
@@ -182,3 +189,35 @@
     assert isinstance(reply, StartReplied)
     assert reply.outcome is StartOutcome.NO_REPLY
     assert reply.was_repeated
+
+
+def test_a_voluntary_stop_without_a_reply_is_left_to_a_new_decision() -> None:
+    """Guards against an order that is repeated although its reason has gone away."""
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    api.unanswered_stops = 1
+    link, posted = a_link(api)
+    link.stop_run(StopRun(HostId("h"), NAME, 1, is_voluntary=True))
+    assert api.stops == 1
+    (lost,) = posted
+    assert isinstance(lost, StopUnconfirmed)
+    assert lost.was_sent
+
+
+def test_a_voluntary_stop_that_waited_for_others_is_not_sent() -> None:
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    link, posted = a_link(api)
+    ordered_ms = steady_ms() - MAX_VOLUNTARY_WAIT_MS - 1
+    link.stop_run(StopRun(HostId("h"), NAME, 1, is_voluntary=True), ordered_ms)
+    assert api.stops == 0
+    (unsent,) = posted
+    assert isinstance(unsent, StopUnconfirmed)
+    assert not unsent.was_sent
+
+
+def test_another_stop_is_repeated_until_its_host_replies() -> None:
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    api.unanswered_stops = 2
+    link, posted = a_link(api)
+    link.stop_run(StopRun(HostId("h"), NAME, 1))
+    assert api.stops == 3
+    assert [type(each) for each in posted] == [StopReplied]
--- a/tests/scheduling/test_absence.py
+++ b/tests/scheduling/test_absence.py
@@ -11,6 +11,7 @@
     LastingRunEnded,
     LastingRunStopped,
     StopReason,
+    StopUnconfirmed,
 )
 from amaranthtray.domain.scheduling.messages import (
     Effect,
@@ -26,10 +27,10 @@
 HOSTS = tuple(a_host(name) for name in "abcd")
 
 
-def a_service(count: int = 3, may_miss: int = 2) -> tuple[SchedulerHarness, StartRun]:
+def a_service(may_miss: int = 2) -> tuple[SchedulerHarness, StartRun]:
     """Returns a pool whose tasks work on hosts of their own, and the first start."""
     harness = SchedulerHarness(*HOSTS)
-    step = a_step(count, is_lasting=True, may_miss=may_miss, max_per_host=1)
+    step = a_step(3, is_lasting=True, may_miss=may_miss, max_per_host=1)
     harness.submit(a_job(step))
     starts = harness.starts()
     harness.now_ms = 10_000
@@ -106,3 +107,50 @@
     harness.now_ms = 2_300
     harness.report(start.host)
     assert [again.number for again in harness.starts()] == [2]
+
+
+def stop_orders(effects: list[Effect]) -> list[StopRun]:
+    return [each for each in effects if isinstance(each, StopRun)]
+
+
+def an_unconfirmed_stop() -> tuple[SchedulerHarness, StopRun]:
+    """Returns a pool in which a voluntary stop had no reply."""
+    harness, first = a_service(may_miss=1)
+    harness.send(VacateRequested(frozenset({first.host})))
+    (stop,) = stop_orders(harness.plan())
+    assert stop.is_voluntary
+    harness.now_ms += 700
+    lost = StopUnconfirmed(stop.host, stop.name, stop.number, harness.now_ms, True)
+    harness.send(lost)
+    return harness, stop
+
+
+def test_a_voluntary_stop_is_not_repeated_once_other_tasks_are_away() -> None:
+    """Guards against an order that waits for a reply while its reason goes away."""
+    harness, stop = an_unconfirmed_stop()
+    assert stop_orders(harness.plan()) == [stop]
+    harness.send(StopUnconfirmed(stop.host, stop.name, stop.number, 10_900, True))
+    other = next(h.id for h in HOSTS if h.id != stop.host)
+    harness.send(HostSilent(other))
+    harness.now_ms += 100
+    assert not stop_orders(harness.plan())
+
+
+def test_a_task_counts_as_away_until_a_report_shows_that_its_stop_failed() -> None:
+    harness, stop = an_unconfirmed_stop()
+    running = ((stop.name, stop.number),)
+    other = next(h.id for h in HOSTS if h.id != stop.host)
+    harness.send(VacateRequested(frozenset({other})))
+    for later_ms, expected in ((500, []), (1_200, [other])):
+        harness.now_ms = 10_700 + later_ms
+        harness.report(stop.host, running=running)
+        assert [each.host for each in stop_orders(harness.plan())] == expected
+
+
+def test_a_stop_that_was_never_sent_leaves_its_task_at_work() -> None:
+    harness, _stop = an_unconfirmed_stop()
+    (again,) = stop_orders(harness.plan())
+    unsent = StopUnconfirmed(again.host, again.name, again.number, 10_900, False)
+    harness.send(unsent)
+    harness.now_ms += 100
+    assert stop_orders(harness.plan()) == [again]
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -24,6 +24,7 @@
 from amaranthtray.domain.jobs.model import JobId, JobSpec, Resources, StepSpec, TaskName
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import RunOutcome
+from amaranthtray.domain.scheduling.absence import StopUnconfirmed
 from amaranthtray.domain.scheduling.caps import (
     ClaimFailed,
     ClaimPortion,
@@ -66,9 +67,9 @@
 CANCEL_MS = CONTACT_MS = 3_000
 MAX_DELAY_MS = 8_000
 LATENCY_MS = 2
-STOP_MS, STARTUP_MS, NOTICE_MS = 200, 300, 4_500
-"""Time that a stop and a start of a lasting task take, and after which a task that is
-away for any cause counts as away."""
+MAX_STOP_MS, STARTUP_MS, NOTICE_MS = 900, 300, 4_500
+"""Longest time of a stop and time of a start of a lasting task, and time after which a
+task that is away for any cause counts as away."""
 CRASH_DELAY_MS = 10
 """Time from the start of a crashing task to the crash of its host."""
 CAPACITY = Resources(4_000, 8_000, 0)
@@ -145,7 +146,7 @@
                 stop = partial(
                     self._end_stopped, name, number, self.born, self._is_held_up()
                 )
-                self.world.schedule(STOP_MS, stop)
+                self.world.schedule(self.world.stop_rng.randint(1, MAX_STOP_MS), stop)
             else:
                 self.end(name, RunOutcome.STOPPED)
         self.ended[name] = max(self.ended.get(name, 0), number)
@@ -397,10 +398,17 @@
 
     def stop(self, order: StopRun) -> None:
         if not self.may_order:
+            if order.is_voluntary:
+                unsent = (order.host, order.name, order.number, self.world.now_ms)
+                self.deliver(StopUnconfirmed(*unsent, was_sent=False))
             return
         host, token = self.world.hosts[order.host], self.tokens[order.host]
 
         def replied(outcome: bool | None) -> None:
+            if outcome is None and order.is_voluntary:
+                lost = (order.host, order.name, order.number, self.world.now_ms)
+                self.deliver(StopUnconfirmed(*lost, was_sent=True))
+                return
             if outcome is None:
                 self.world.schedule(150, lambda: self.stop(order))
                 return
@@ -475,6 +483,7 @@
         self.unhealthy_share = 0.0
         self.max_ends = 500
         self._health_rng = random.Random(seed)
+        self.stop_rng = random.Random(seed)
         self.now_ms = 1_000_000
         self.catalog = Catalog(
             version=1,
