Lasting tasks leave a host that goes away one after the other, while time is left

Callers saw: more tasks of a service away than it may miss. When a host said that it leaves, all its lasting tasks were stopped at once. That is allowed, but their tasks count as away for the others of the step, and a stop of another host's run, accepted before, takes up to a second. Where the stops on the leaving host took less time, that run ended while too many were away. The class: two that end runs of one step, of which only one counts.

Change: a task on a leaving host waits while as many of its step are away as it may miss, until one second before the host may go; and a task on such a host counts as away for any voluntary stop, as it will be soon.

--- a/src/amaranthtray/domain/scheduling/_absence.py
+++ b/src/amaranthtray/domain/scheduling/_absence.py
@@ -33,10 +33,23 @@
 }
 
 
-def absent_tasks(state: SchedulerState, name: TaskName) -> tuple[AbsentTask, ...]:
-    """Returns the other tasks of a task's step that are not known to be working."""
+def absent_tasks(
+    state: SchedulerState, name: TaskName, *, with_leaving: bool = True
+) -> tuple[AbsentTask, ...]:
+    """Returns the other tasks of a task's step that are not known to be working.
+
+    Args:
+        state: State of the scheduler.
+        name: The task.
+        with_leaving: Whether tasks that work on hosts about to leave count as away.
+    """
     found = (_absence(state, number, task) for number, task in _others(state, name))
-    return tuple(each for each in found if each is not None)
+    return tuple(
+        each
+        for each in found
+        if each is not None
+        and (with_leaving or each.cause is not AbsenceCause.HOST_LEAVING)
+    )
 
 
 def stop_report(
@@ -98,4 +111,6 @@
         return AbsenceCause.REPORT_OUTDATED
     if host.is_silent:
         return AbsenceCause.HOST_SILENT
-    return None if run.percent >= WORKING_PERCENT else AbsenceCause.NOT_WORKING
+    if run.percent < WORKING_PERCENT:
+        return AbsenceCause.NOT_WORKING
+    return AbsenceCause.HOST_LEAVING if host.info.is_draining else None
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -6,7 +6,7 @@
 
 from ..jobs.model import StepKey
 from ..jobs.task import RunPhase
-from ._absence import absent_tasks, stop_report
+from ._absence import MAX_STOP_MS, absent_tasks, stop_report
 from .absence import StopReason
 from .orders import StopRun
 from .placement import place_each
@@ -20,15 +20,22 @@
 VACATE_GRACE_MS = 4_000
 """Time in which runs without checkpoints may end by themselves."""
 
+LEAVE_MARGIN_MS = MAX_STOP_MS
+"""Time before a host leaves at which all its lasting tasks are stopped, so that they
+start elsewhere: a run that ends with its host is given up only with its lease."""
+
 TAKEOVER_PAUSE_MS = 2_500
 """A new conductor moves no lasting task for this time: hosts report a run as working
 until a stop that the last conductor ordered is complete, which takes a second."""
 
 
 def vacate_hosts(state: SchedulerState) -> list[Effect]:
-    """Returns orders to stop the runs that may leave hosts to be emptied."""
+    """Returns orders to stop the runs that may leave hosts to be emptied.
+
+    Tasks on hosts that leave go first, as they have the least time.
+    """
     effects: list[Effect] = []
-    for host in state.hosts.values():
+    for host in sorted(state.hosts.values(), key=lambda each: each.leaves_ms is None):
         if host.info.id in state.to_vacate and host.vacate_since_ms is None:
             host.vacate_since_ms = state.now_ms
         elif host.info.id not in state.to_vacate:
@@ -93,7 +100,12 @@
     """Returns whether a lasting task may stop now to move to another host."""
     step, name = placed.step, placed.name
     if host.info.is_draining:
-        return True
+        return (
+            not step.may_miss
+            or len(absent_tasks(state, name, with_leaving=False)) < step.may_miss
+            or host.leaves_ms is None
+            or state.now_ms >= host.leaves_ms - LEAVE_MARGIN_MS
+        )
     if host.is_silent:
         return False
     if (
--- a/src/amaranthtray/domain/scheduling/absence.py
+++ b/src/amaranthtray/domain/scheduling/absence.py
@@ -21,6 +21,7 @@
         UNCONFIRMED: Its run was ordered by another conductor or to an earlier
             incarnation of the host, which has not reported since.
         NOT_WORKING: Its host reports the run as not at work yet, or as paced.
+        HOST_LEAVING: Its host is about to leave, so that it will be away soon.
         HOST_SILENT: The last call to its host got no response.
         REPORT_OUTDATED: The last report of its host is too old.
     """
@@ -30,6 +31,7 @@
     STOPPING = "stopping"
     UNCONFIRMED = "unconfirmed"
     NOT_WORKING = "not_working"
+    HOST_LEAVING = "host_leaving"
     HOST_SILENT = "host_silent"
     REPORT_OUTDATED = "report_outdated"
 
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -47,6 +47,8 @@
         vacate_since_ms: Steady-clock time since which the host is to be emptied; None
             if it is not.
         seen_ms: Steady-clock time of its last report.
+        leaves_ms: Steady-clock time until which it stays at least; None unless it has
+            said that it leaves.
         suspect_runs: Number of its runs whose task's hosts have crashed before.
         quarantined_runs: Number of its runs that must not share it with other jobs.
         is_evacuated: Whether its zone is evacuated, so that nothing starts on it.
@@ -66,6 +68,7 @@
     used_by_lasting: Resources = NO_RESOURCES
     vacate_since_ms: int | None = None
     seen_ms: int = 0
+    leaves_ms: int | None = None
     suspect_runs: int = 0
     quarantined_runs: int = 0
     is_evacuated: bool = False
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -292,6 +292,7 @@
                     effects.append(WatchHost(info))
                 host.info = info
             host.is_listed = True
+            _record_leaving(host, self.state.now_ms)
         for host in hosts.values():
             if host.info.id not in listed:
                 host.is_listed = False
@@ -388,3 +389,11 @@
                 run.phase = RunPhase.STARTING
             released.append(effect)
         return released
+
+
+def _record_leaving(host: Host, now_ms: int) -> None:
+    """Records how long a host that says that it leaves stays at least."""
+    if not host.info.is_draining:
+        host.leaves_ms = None
+    elif host.leaves_ms is None:
+        host.leaves_ms = now_ms + host.info.remaining_ms
--- a/tests/scheduling/test_absence.py
+++ b/tests/scheduling/test_absence.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from amaranthtray.domain.jobs.task import RunOutcome
+from amaranthtray.domain.scheduling._vacating import LEAVE_MARGIN_MS
 from amaranthtray.domain.scheduling.absence import (
     AbsenceCause,
     AbsentTask,
@@ -154,3 +155,18 @@
     harness.send(unsent)
     harness.now_ms += 100
     assert stop_orders(harness.plan()) == [again]
+
+
+def test_a_leaving_host_keeps_tasks_while_others_are_away_and_time_is_left() -> None:
+    """Guards against stops on a leaving host beside one that is under way elsewhere."""
+    harness, first = a_service(may_miss=1)
+    harness.send(VacateRequested(frozenset({first.host})))
+    assert len(stop_orders(harness.plan())) == 1
+    other = next(h.id for h in HOSTS if h.id != first.host)
+    leaving = replace(a_host(other), is_draining=True, remaining_ms=4_000)
+    listed = [leaving if h.id == other else h for h in HOSTS]
+    harness.send(HostsListed(tuple(listed)))
+    harness.now_ms += LEAVE_MARGIN_MS
+    assert not stop_orders(harness.plan())
+    harness.now_ms += 4_000 - 2 * LEAVE_MARGIN_MS
+    assert [each.host for each in stop_orders(harness.plan())] == [other]
