After a takeover a run counts as at work a second after its host's first report

Suspected, not seen: a host accepts a stop of the last conductor just before the new one calls it, and lists the run as at work until the stop is complete. The pause of 2.5 s after a takeover covers it only if the host answers within 1.5 s.

Change: a run counts as at work only one second after its host's first report to this conductor.

Evidence: the new test fails without the change.

--- a/src/amaranthtray/domain/scheduling/_absence.py
+++ b/src/amaranthtray/domain/scheduling/_absence.py
@@ -109,6 +109,9 @@
     host = state.hosts.get(run.host)
     if host is None or state.now_ms - host.seen_ms >= FRESH_REPORT_MS:
         return AbsenceCause.REPORT_OUTDATED
+    if host.first_seen_ms is None or state.now_ms - host.first_seen_ms < MAX_STOP_MS:
+        # The last conductor may have ordered a stop that is not complete.
+        return AbsenceCause.UNCONFIRMED
     if host.is_silent:
         return AbsenceCause.HOST_SILENT
     if run.percent < WORKING_PERCENT:
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -39,6 +39,8 @@
     host.born = report.born
     host.is_silent = False
     host.seen_ms = state.now_ms
+    if host.first_seen_ms is None:
+        host.first_seen_ms = state.now_ms
     effects += _apply_ends(state, host, report)
     running = {(run.name, run.number): run for run in report.running}
     for placed in host.placed_runs():
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -47,6 +47,7 @@
         vacate_since_ms: Steady-clock time since which the host is to be emptied; None
             if it is not.
         seen_ms: Steady-clock time of its last report.
+        first_seen_ms: Steady-clock time of its first report; None before it.
         leaves_ms: Steady-clock time until which it stays at least; None unless it has
             said that it leaves.
         suspect_runs: Number of its runs whose task's hosts have crashed before.
@@ -68,6 +69,7 @@
     used_by_lasting: Resources = NO_RESOURCES
     vacate_since_ms: int | None = None
     seen_ms: int = 0
+    first_seen_ms: int | None = None
     leaves_ms: int | None = None
     suspect_runs: int = 0
     quarantined_runs: int = 0
--- a/tests/scheduling/test_absence.py
+++ b/tests/scheduling/test_absence.py
@@ -5,7 +5,8 @@
 from dataclasses import replace
 
 from amaranthtray.domain.jobs.task import RunOutcome
-from amaranthtray.domain.scheduling._vacating import LEAVE_MARGIN_MS
+from amaranthtray.domain.scheduling._absence import MAX_STOP_MS
+from amaranthtray.domain.scheduling._vacating import LEAVE_MARGIN_MS, TAKEOVER_PAUSE_MS
 from amaranthtray.domain.scheduling.absence import (
     AbsenceCause,
     AbsentTask,
@@ -170,3 +171,22 @@
     assert not stop_orders(harness.plan())
     harness.now_ms += 4_000 - 2 * LEAVE_MARGIN_MS
     assert [each.host for each in stop_orders(harness.plan())] == [other]
+
+
+def test_a_run_counts_as_at_work_only_after_a_stop_of_the_last_conductor_is_over() -> (
+    None
+):
+    """Guards against a stop that the host accepted just before its first report."""
+    harness, first = a_service(may_miss=1)
+    job = harness.scheduler.state.jobs[first.name.job]
+    successor = SchedulerHarness()
+    successor.submit(job.spec, record=harness.records[first.name.job])
+    successor.send(HostsListed(HOSTS))
+    successor.send(VacateRequested(frozenset({first.host})))
+    running = {run.host: ((name, run.number),) for name, run in job.runs()}
+    successor.plan()
+    for later_ms, expected in ((0, 0), (MAX_STOP_MS, 1)):
+        successor.now_ms = TAKEOVER_PAUSE_MS + later_ms
+        for host in HOSTS:
+            successor.report(host.id, running=running.get(host.id, ()))
+        assert len(stop_orders(successor.plan())) == expected
