A host counts as empty only by a report that follows from the present request

The report of empty hosts had neither an age nor the request that it followed from. A host that was emptied, released, filled and selected again was ordered by the first report; so was a host that a new holder selected for the first time. After the order of a move its host was no longer requested to be empty, though an order without a reply may be carried out seconds later. The class: an order is given on knowledge of any age.

Change: requests to empty hosts are numbered, with the number since which each host has been in all of them; the report names the request that it follows from. A write whose outcome is unknown makes all hosts that it added or removed new. Hosts stay requested while the move of their machine may be under way, and those whose machines the last holder may just have ordered. The form without numbers is still read.

Tests: the new ones of test_fleet_duty.py and test_moves.py. Before, three tests of test_fleet_duty.py got their order by a report without any request, which is the fault; they store the request now.

--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -22,7 +22,7 @@
 from .evacuation import EvacuationState
 from .host import Host
 from .host_choice import RecentShapes
-from .messages import AcknowledgeEnds, Effect, StoreJobs
+from .messages import AcknowledgeEnds, Effect, StoreJobs, VacateRequested
 from .placement import is_far
 from .policy import SchedulingPolicy
 from .rack_waits import RackWaits
@@ -41,6 +41,8 @@
 
 _ORDERED_PHASES = (RunPhase.STARTING, RunPhase.UNCONFIRMED, RunPhase.UNANSWERED)
 
+NOTHING_TO_VACATE = VacateRequested(frozenset())
+
 MAX_REMOVED_JOBS = 9
 """Maximum number of jobs per batch; each takes three keys of one transaction."""
 
@@ -57,7 +59,7 @@
         active: Jobs that are not in a final state or still have runs.
         hosts: Hosts by id; a host that left the pool stays while it may have runs.
         queues: All queues of this and earlier configurations.
-        to_vacate: Hosts that are to be emptied.
+        vacate_request: Hosts that are to be emptied.
         vacant: Hosts to be emptied that are empty, as last stored.
         advice: Cached placement advice.
         advice_requests: Advice requests to return with the next plan.
@@ -96,7 +98,7 @@
     active: dict[JobId, Job] = field(default_factory=dict)
     hosts: dict[HostId, Host] = field(default_factory=dict)
     queues: dict[QueueName, JobQueue] = field(default_factory=dict)
-    to_vacate: frozenset[HostId] = frozenset()
+    vacate_request: VacateRequested = NOTHING_TO_VACATE
     vacant: frozenset[str] = frozenset()
     load: PoolLoad = field(default_factory=PoolLoad)
     advice: AdviceCache = field(default_factory=AdviceCache)
@@ -132,6 +134,11 @@
         self.share_portions = SharePortions(self.pool)
         self.run_times.is_learning = self.policy.learn_run_times
 
+    @property
+    def to_vacate(self) -> frozenset[HostId]:
+        """Returns the hosts that are to be emptied."""
+        return self.vacate_request.hosts
+
     def apply_catalog(self, catalog: Catalog) -> None:
         """Applies a version of the configuration; removed queues stay known."""
         self.caps.apply_catalog(self.catalog, catalog)
@@ -278,6 +285,7 @@
             self.expired,
             learned,
             self.forecaster.forecast,
+            self.vacate_request.number,
         )
 
     def handle_batch_stored(self) -> list[Effect]:
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -77,9 +77,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VacateRequested:
-    """The complete set of the pool's hosts to empty and to keep empty."""
+    """The complete set of the pool's hosts to empty and to keep empty.
+
+    Attributes:
+        hosts: The hosts.
+        number: Number of the request.
+    """
 
     hosts: frozenset[HostId]
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,6 +279,7 @@
         removed: Ended jobs that are not kept any longer; callers can't query them.
         run_times: Learned run times in their stored form; empty to leave them.
         forecast: Forecast for the entries that accept jobs, if there is one.
+        vacate_number: Number of the request that ``vacant`` follows from.
     """
 
     batch: int
@@ -283,6 +290,7 @@
     removed: tuple[JobId, ...] = ()
     run_times: bytes = b""
     forecast: Forecast | None = None
+    vacate_number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -128,8 +128,8 @@
                 apply_portions(self.state, message)
             case AdviceReceived():
                 self.state.advice.handle_advice(message)
-            case VacateRequested(hosts):
-                self.state.to_vacate = hosts
+            case VacateRequested():
+                self.state.vacate_request = message
             case ZonesEvacuated(zones):
                 apply_zones(self.state, zones)
             case HostsListed():
--- a/src/amaranthtray/domain/upkeep/moves.py
+++ b/src/amaranthtray/domain/upkeep/moves.py
@@ -142,7 +142,7 @@
         evacuated: Zones whose machines neither move nor count.
     """
     _finish_moves(moves, fleet, busy, now_ms)
-    kinds = _kinds_by_pool(fleet)
+    kinds, listed = _kinds_by_pool(fleet), fleet.machines
     fleet = _outside(evacuated, fleet, moves)
     available = _available(moves, fleet, busy)
     withdrawn = moves.demand.withdraw(moves.leaving) if moves.demand else frozenset()
@@ -159,6 +159,7 @@
         if machine.host in fleet.vacant:
             del moves.leaving[name]
             orders.append(MoveMachine(name, target))
+    vacate += _departing(moves, listed, standby)
     return MovePlan(tuple(vacate), tuple(orders), lacked, reports)
 
 
@@ -191,6 +192,26 @@
             del moves.leaving[name]
 
 
+def _departing(
+    moves: Moves,
+    machines: Mapping[MachineName, Machine],
+    standby: frozenset[PoolName],
+) -> list[tuple[PoolName, HostId]]:
+    """Returns the hosts of machines whose move was ordered and that are still there.
+
+    An order without a reply may be carried out at any time, so they stay empty.
+    """
+    return [
+        (machine.pool, machine.host)
+        for name, (target, _) in moves.moving.items()
+        if (machine := machines.get(name)) is not None
+        and machine.state is MachineState.UP
+        and machine.pool != target
+        and machine.pool not in standby
+        and machine.host
+    ]
+
+
 def _available(
     moves: Moves, fleet: Fleet, busy: frozenset[MachineName]
 ) -> list[Machine]:
--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -31,6 +30,7 @@
 from .machine_mover import MachineMover
 from .steps import run_step
 from .times import WATCH_MS
+from .vacate_requests import VacateRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -95,7 +95,7 @@
         self._stopping = threading.Event()
         self._waves: dict[str, Wave] = {}
         self._saved_progress: dict[str, bytes] = {}
-        self._vacating: dict[PoolName, frozenset[HostId]] = {}
+        self._vacating = VacateRequests(context.store, context.log, self._commit)
         self._cursor = WatchCursor(0)
         machines = context.settings.machines
         change_ms = machines.holder_change_ms if machines else 0
@@ -197,23 +197,12 @@
         progress_by_key = {item.key: item.value for item in progress.unwrap().items}
         for item in waves.unwrap().items:
             self._add_wave(item.value, progress_by_key)
-        if not self._read_vacating():
+        catalog = self._context.catalog()
+        if not self._vacating.load(catalog.pools if catalog else ()):
             return False
         self._cursor = WatchCursor(waves.unwrap().at_version)
         return True
 
-    def _read_vacating(self) -> bool:
-        """Reads the vacate requests of the last holder, which this one may revoke."""
-        catalog = self._context.catalog()
-        for pool in catalog.pools if catalog else ():
-            read = self._context.store.get(keys.vacate_key(pool))
-            if not isinstance(read, Success):
-                return False
-            stored = read.unwrap()
-            hosts = msgspec.json.decode(stored.value, type=list[str]) if stored else []
-            self._vacating.setdefault(pool, frozenset(HostId(host) for host in hosts))
-        return True
-
     def _add_wave(self, value: bytes, progress: dict[str, bytes]) -> None:
         try:
             request = self._context.platform.decode_wave(value)
@@ -277,10 +266,10 @@
             keys.pool_of_report(item.key): decode_report(item.value)
             for item in listed.unwrap().items
         }
-        hosts = {HostId(h) for report in reports.values() for h in report.vacant}
-        fleet = Fleet({each.name: each for each in machines}, hosts)
-        vacate: dict[PoolName, set[HostId]] = defaultdict(set)
+        by_name = {each.name: each for each in machines}
+        fleet = Fleet(by_name, self._vacating.vacant(reports))
         busy = set(self._recent_orders.in_quiet_period(steady_ms()))
+        vacate = self._vacating.hosts_of(busy, fleet)
         for name, wave in list(self._waves.items()):
             if wave.is_over:
                 continue
@@ -309,7 +298,7 @@
 
     def _store_round(self, vacate: dict[PoolName, set[HostId]]) -> None:
         """Stores the hosts to empty and, if they are due, the peaks of the pools."""
-        self._request_vacating(vacate)
+        self._vacating.request(vacate)
         if self._demand is not None:
             self._demand.store(self._commit)
 
@@ -378,13 +367,3 @@
         self._saved_progress[name] = value
         wave.is_announced, wave.is_over = True, is_over
         return True
-
-    def _request_vacating(self, wanted: dict[PoolName, set[HostId]]) -> None:
-        for pool in {*wanted, *self._vacating}:
-            hosts = frozenset(wanted.get(pool, ()))
-            if hosts == self._vacating.get(pool):
-                continue
-            put = Put(keys.vacate_key(pool), msgspec.json.encode(sorted(hosts)))
-            self._context.log.event("vacate", pool=pool, hosts=sorted(hosts))
-            if self._commit((put,)):
-                self._vacating[pool] = hosts
--- a/src/amaranthtray/jobs/job_feed.py
+++ b/src/amaranthtray/jobs/job_feed.py
@@ -9,7 +9,6 @@
 import msgspec
 from returns.result import Success
 
-from ..domain.ids import HostId
 from ..domain.jobs.record import decode_spec
 from ..domain.scheduling.messages import (
     JobCancelled,
@@ -21,6 +20,7 @@
 from ..store.cursor import WatchCursor
 from . import keys
 from .clock import steady_ms
+from .ledger import decode_vacate_request
 from .steps import run_step
 from .times import WATCH_MS, WATCHES_PER_LIMIT
 
@@ -128,11 +128,11 @@
 
     def _post_vacating(self, value: bytes) -> None:
         try:
-            hosts = msgspec.json.decode(value, type=list[str])
+            request = decode_vacate_request(value)
         except msgspec.MsgspecError as exc:
             self._context.log.event("vacating-unreadable", why=str(exc))
             return
-        self._post(VacateRequested(frozenset(HostId(host) for host in hosts)))
+        self._post(VacateRequested(frozenset(request.hosts), request.number))
 
     def _follow(self) -> None:
         while self._may_continue():
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -94,6 +94,7 @@
         puts = (*records, *more)
         report = PoolReport(
             vacant=sorted(batch.vacant),
+            vacate_number=batch.vacate_number or msgspec.UNSET,
             load=batch.load,
             forecast=batch.forecast or msgspec.UNSET,
         )
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -25,7 +25,11 @@
 from amaranthtray.jobs import fleet_manager, keys, machine_mover
 from amaranthtray.jobs.evacuation_follower import NoEvacuations
 from amaranthtray.jobs.fleet_manager import FleetManager
-from amaranthtray.jobs.ledger import PoolReport
+from amaranthtray.jobs.ledger import (
+    PoolReport,
+    VacateRequest,
+    decode_vacate_request,
+)
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.settings.job_entry import SchedulingSection
 from amaranthtray.store.contract import Put, Transaction
@@ -40,6 +44,7 @@
 
 WEB, SPARE = PoolName("web"), PoolName("spare")
 HOLDER_CHANGE_MS = 60_000
+NO_LOAD = PoolLoad()
 
 
 class FakeMachineService:
@@ -93,6 +98,13 @@
         value = msgspec.json.encode(PoolReport(load=load))
         self.put(keys.report_key(WEB), value)
 
+    def report_vacant(self, *hosts: HostId, load: PoolLoad = NO_LOAD) -> None:
+        """Stores a request to empty hosts, and the report that they are empty."""
+        request = VacateRequest(number=1, hosts=dict.fromkeys(hosts, 1))
+        self.put(keys.vacate_key(WEB), msgspec.json.encode(request))
+        report = PoolReport(vacant=[str(h) for h in hosts], vacate_number=1, load=load)
+        self.put(keys.report_key(WEB), msgspec.json.encode(report))
+
     def new_manager(self, term: int) -> FleetManager:
         context: Any = SimpleNamespace(
             store=self.store,
@@ -175,8 +187,7 @@
     names = (site.machine_service.listed[0].name,)
     wave = WaveRequest(number=1, machines=names, duration_ms=1_000, cap=4)
     site.put("waves/1", msgspec.json.encode(wave))
-    report = PoolReport(vacant=[str(site.machine_service.listed[0].host)])
-    site.put(keys.report_key(WEB), msgspec.json.encode(report))
+    site.report_vacant(site.machine_service.listed[0].host)
     site.machine_service.outcome = OrderOutcome.UNKNOWN
     seen: list[list[str]] = []
     site.machine_service.on_order = lambda: seen.append(site.recorded_orders())
@@ -269,8 +280,7 @@
     wave = WaveRequest(number=1, machines=names, duration_ms=1_000, cap=4)
     site.put("waves/1", msgspec.json.encode(wave))
     hosts = [machine.host for machine in site.machine_service.listed]
-    report = PoolReport(vacant=[str(host) for host in hosts])
-    site.put(keys.report_key(WEB), msgspec.json.encode(report))
+    site.report_vacant(*hosts)
     site.held_term = Term(2)
     site.machine_service.orders.clear()
     site.step(site.new_manager(2))
@@ -292,10 +302,8 @@
     names = (site.machine_service.listed[0].name,)
     wave = WaveRequest(number=1, machines=names, duration_ms=1_000, cap=4)
     site.put("waves/1", msgspec.json.encode(wave))
-    vacant = [str(site.machine_service.listed[0].host)]
     need = PoolLoad(Resources(100_000), Resources(10_000), ())
-    report = PoolReport(vacant=vacant, load=need)
-    site.put(keys.report_key(WEB), msgspec.json.encode(report))
+    site.report_vacant(site.machine_service.listed[0].host, load=need)
     site.step(site.new_manager(1))
     assert [type(each) for each in site.machine_service.orders] == [MaintainMachine]
 
@@ -320,3 +328,64 @@
     (line,) = [fields for event, fields in log.lines if event == "move"]
     assert (line["tries"], line["term"]) == (machine_mover.MAX_TRIES, 1)
     assert line["since_check_ms"] >= 0
+
+
+def a_wave_of(site: FleetSite, *machines: Machine) -> None:
+    names = tuple(machine.name for machine in machines)
+    wave = WaveRequest(number=1, machines=names, duration_ms=1_000, cap=4)
+    site.put("waves/1", msgspec.json.encode(wave))
+
+
+def test_a_host_that_an_earlier_request_emptied_has_to_be_emptied_again() -> None:
+    """Guards against maintenance of a host that has got runs since its report."""
+    site = FleetSite()
+    machine = site.machine_service.listed[0]
+    site.report_vacant(machine.host)
+    manager = site.new_manager(1)
+    site.step(manager)
+    a_wave_of(site, machine)
+    manager._list()
+    site.step(manager)
+    assert not site.machine_service.orders
+    stored = site.platform.read(keys.vacate_key(WEB))
+    assert stored is not None
+    assert decode_vacate_request(stored.value).hosts == {machine.host: 3}
+    report = PoolReport(vacant=[str(machine.host)], vacate_number=3)
+    site.put(keys.report_key(WEB), msgspec.json.encode(report))
+    site.step(manager)
+    assert [order.machine for order in site.machine_service.orders] == [machine.name]
+
+
+def test_a_request_that_may_be_stored_empties_no_host_by_an_older_report() -> None:
+    """Guards against a host that its conductor fills after a write without a reply."""
+    site = FleetSite()
+    machine = site.machine_service.listed[0]
+    site.report_vacant(machine.host)
+    manager = site.new_manager(1)
+    site.plan_faults("commit", Fault.LOST_REPLY)
+    manager._vacating.request({})
+    manager._vacating.request({WEB: {machine.host}})
+    a_wave_of(site, machine)
+    manager._list()
+    site.step(manager)
+    assert not site.machine_service.orders
+
+
+def test_a_new_holder_keeps_hosts_empty_that_the_last_one_may_have_ordered() -> None:
+    """Guards against runs on a host whose order is carried out after the takeover."""
+    site = FleetSite()
+    machine = site.machine_service.listed[0]
+    site.report_vacant(machine.host)
+    first = site.new_manager(1)
+    first._recent_orders.record((machine.name,), fleet_manager.steady_ms())
+    assert first._commit(())
+    site.held_term = Term(2)
+    site.step(site.new_manager(2))
+    stored = site.platform.read(keys.vacate_key(WEB))
+    assert stored is not None
+    assert set(decode_vacate_request(stored.value).hosts) == {machine.host}
+
+
+def test_requests_without_numbers_are_read() -> None:
+    """Entries of the version before stored only the hosts."""
+    assert decode_vacate_request(b'["a"]') == VacateRequest(hosts={HostId("a"): 0})
--- a/tests/upkeep/test_moves.py
+++ b/tests/upkeep/test_moves.py
@@ -6,7 +6,12 @@
 
 from amaranthtray.domain.ids import HostId, PoolName, ZoneId
 from amaranthtray.domain.jobs.model import Resources
-from amaranthtray.domain.upkeep.model import Machine, MachineName, MachineState
+from amaranthtray.domain.upkeep.model import (
+    Machine,
+    MachineName,
+    MachineState,
+    MoveMachine,
+)
 from amaranthtray.domain.upkeep.moves import (
     MovePlan,
     Moves,
@@ -157,3 +162,14 @@
     assert planned.lacking[IDLE] == 0
     assert moved == {"spare-0", "spare-2", "idle-0"}
     assert not moves.leaving
+
+
+def test_the_host_of_a_machine_whose_move_has_no_reply_stays_empty() -> None:
+    """Guards against runs on a host that a late order takes away."""
+    moves, fleet = some_moves(), a_fleet()
+    machine = fleet.machines[MachineName("idle-0")]
+    record_order(moves, MoveMachine(machine.name, BUSY), 0)
+    assert (IDLE, machine.host) in plan(moves, fleet, {BUSY: 40, IDLE: 10}).vacate
+    arrived = replace(machine, pool=BUSY, host=HostId("next-life"))
+    fleet = replace(fleet, machines={**fleet.machines, machine.name: arrived})
+    assert not plan(moves, fleet, {BUSY: 40, IDLE: 10}).vacate
