A poll after a lost one asks a host for no lease again; the host may have restarted

Change: the poll after a lost one asks for none, as before. It still goes out at once, and hosts hold a poll for 1.6 s, so that 1.1 s are left.

--- a/src/amaranthtray/domain/scheduling/lease.py
+++ b/src/amaranthtray/domain/scheduling/lease.py
@@ -47,16 +47,6 @@
         self._until_ms = max(self._until_ms, until_ms)
         return until_ms
 
-    def renewal_ms(self, now_ms: int) -> int | None:
-        """Returns the lease end to request in a poll; None before the first contact.
-
-        A silent host is asked for the end that the lost call asked for, which does not
-        postpone the time at which all runs have certainly ended.
-        """
-        if self._is_silent and self._clock_ms is not None:
-            return self._until_ms
-        return self.next_expiry_ms(now_ms)
-
     def record_answer(self, clock_ms: int, born: int, received_ms: int) -> None:
         """Records the host's clock and incarnation from a response."""
         self._is_silent = False
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -158,8 +158,8 @@
 
     def _poll(self, acknowledged: int, wait_ms: int) -> HostStatus | None:
         sent_ms = steady_ms()
-        until_ms = self._lease.renewal_ms(sent_ms)
-        if until_ms is None or self._is_silent:
+        until_ms = self._lease.next_expiry_ms(sent_ms)
+        if until_ms is None:
             wait_ms = 0
         outcome = self._api.poll(until_ms, acknowledged, wait_ms)
         received_ms = steady_ms()
