Hosts hold polls for two seconds again; shorter ones made runs count as stalled

A run counts as stalled after two reports without progress that span 2.5 s: 4 s with polls of 2 s, 3.2 s with polls of 1.6 s.

Change: 2 s again. The poll after a lost one still goes out at once, which leaves 0.3 s until the lease expires (0.05 s before).

--- a/src/amaranthtray/domain/scheduling/_absence.py
+++ b/src/amaranthtray/domain/scheduling/_absence.py
@@ -18,8 +18,8 @@
 WORKING_PERCENT = 100
 
 FRESH_REPORT_MS = 3_000
-"""Maximum age of a report that shows a task as working; hosts hold a poll for more than
-a second while no run ends."""
+"""Maximum age of a report that shows a task as working; hosts hold a request for
+two seconds while no run ends."""
 
 MAX_STOP_MS = 1_000
 """Longest time that a stop takes; meanwhile its host reports the run as working."""
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -32,9 +32,8 @@
     from .ports import HostApi
     from .term_guard import TermGuard
 
-POLL_WAIT_MS = 1_600
-"""Time for which a host holds a poll while no run ends, which saves calls. After one
-poll without a reply there is time for the next one before the lease expires."""
+POLL_WAIT_MS = 2_000
+"""Longest wait that a host accepts; it saves calls while no run ends."""
 
 MAX_STORING_WAIT_MS = 400
 """Longest wait for reported ends to be stored before the host is polled again."""
