Soak: an entry that a fault restarts has not ended by itself

Its log shows leaving (the schedule's SIGTERM), and stopped 2.9 s later; the check at the end of the run came between that end and the start that the same fault makes. The check was wrong there: it now leaves out an entry only while a restart of the schedule is under way. An entry that ends otherwise, or after its restart, is reported as before.

The logs don't show whether the check fell into that gap to the millisecond; no other signal or fault of the run ends an entry.

--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -61,6 +61,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._lock = threading.Lock()
         self._is_closed = False
+        self._restarts = 0
 
     def start(self) -> None:
         """Starts the process, unless the run is over."""
@@ -87,9 +88,13 @@
 
     def restart(self, number: signal.Signals) -> None:
         """Ends the process with a signal and starts it again."""
-        self.signal(number)
-        self.wait()
-        self.start()
+        self._restarts += 1
+        try:
+            self.signal(number)
+            self.wait()
+            self.start()
+        finally:
+            self._restarts -= 1
 
     def wait(self) -> None:
         """Waits for the end of the process, and ends it if that takes too long."""
@@ -113,6 +118,9 @@
 
     @property
     def has_ended(self) -> bool:
+        """Returns whether the process has ended and no restart is under way."""
+        if self._restarts:
+            return False
         return self._process is None or self._process.poll() is not None
 
     @property
