Empty hosts are reported again for each request that has them

A report is stored when the set of empty hosts changes; a host that was released and requested again between two plans was in the set before and after, so no report followed, and it waited until the pool stored another one. After a write that failed it was the same, also before.

Change: a report is due while there are empty hosts and the last one stored is of another request, or may not be stored.

Evidence: both cases of the new test fail without the change.

--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -61,6 +61,8 @@
         queues: All queues of this and earlier configurations.
         vacate_request: Hosts that are to be emptied.
         vacant: Hosts to be emptied that are empty, as last stored.
+        stored_vacate_number: Number of the request in the last report; None if that may
+            not be stored.
         advice: Cached placement advice.
         advice_requests: Advice requests to return with the next plan.
         shares: Meter of submissions beyond the teams' shares.
@@ -100,6 +102,7 @@
     queues: dict[QueueName, JobQueue] = field(default_factory=dict)
     vacate_request: VacateRequested = NOTHING_TO_VACATE
     vacant: frozenset[str] = frozenset()
+    stored_vacate_number: int | None = 0
     load: PoolLoad = field(default_factory=PoolLoad)
     advice: AdviceCache = field(default_factory=AdviceCache)
     advice_requests: list[RequestAdvice] = field(default_factory=list)
@@ -139,6 +142,12 @@
         """Returns the hosts that are to be emptied."""
         return self.vacate_request.hosts
 
+    @property
+    def is_vacancy_outdated(self) -> bool:
+        """Returns whether empty hosts were last reported for an earlier request."""
+        is_same = self.stored_vacate_number == self.vacate_request.number
+        return bool(self.vacant) and not is_same
+
     def apply_catalog(self, catalog: Catalog) -> None:
         """Applies a version of the configuration; removed queues stay known."""
         self.caps.apply_catalog(self.catalog, catalog)
@@ -268,6 +277,7 @@
         """Begins a batch with the records of all dirty jobs."""
         self.batch += 1
         self.is_storing = True
+        self.stored_vacate_number = self.vacate_request.number
         self.batch_jobs, self.dirty = self.dirty, set()
         self.batch_effects, self.held_effects = self.held_effects, []
         records = tuple(
@@ -303,6 +313,7 @@
         self.dirty |= self.batch_jobs
         self.held_effects = self.batch_effects + self.held_effects
         self.batch_effects = []
+        self.stored_vacate_number = None
         self.run_times.stored = -1
 
     def find_run(self, order: StartRun) -> Run | None:
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -186,7 +186,8 @@
         vacant, state.vacant = state.vacant, vacant_hosts(state)
         is_due = self._is_report_due()
         self._select_expired()
-        if state.dirty or state.vacant != vacant or is_due or state.expired:
+        is_due |= state.vacant != vacant or state.is_vacancy_outdated
+        if state.dirty or is_due or state.expired:
             batch = state.begin_batch()
             self._published = batch.pending
             return [*stops, batch]
--- a/tests/scheduling/test_absence.py
+++ b/tests/scheduling/test_absence.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from amaranthtray.domain.jobs.task import RunOutcome
 from amaranthtray.domain.scheduling._absence import MAX_STOP_MS
 from amaranthtray.domain.scheduling._vacating import LEAVE_MARGIN_MS, TAKEOVER_PAUSE_MS
@@ -16,11 +18,14 @@
     StopUnconfirmed,
 )
 from amaranthtray.domain.scheduling.messages import (
+    BatchNotStored,
+    BatchStored,
     Effect,
     HostSilent,
     HostsListed,
     StartOutcome,
     StopReplied,
+    StoreJobs,
     VacateRequested,
 )
 from amaranthtray.domain.scheduling.orders import StartRun, StopRun
@@ -190,3 +195,23 @@
         for host in HOSTS:
             successor.report(host.id, running=running.get(host.id, ()))
         assert len(stop_orders(successor.plan())) == expected
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_an_empty_host_is_reported_for_each_request_that_has_it(is_lost: bool) -> None:
+    """Guards against a host that waits for a report that its pool has no cause for."""
+    harness = SchedulerHarness(*HOSTS)
+    empty = frozenset({HOSTS[0].id})
+    for number in (1, 3):
+        harness.send(VacateRequested(empty, number))
+        harness.now_ms += 1_000
+        plan = harness.scheduler.plan(harness.now_ms, 0)
+        stored = [each for each in plan if isinstance(each, StoreJobs)]
+        if is_lost:
+            harness.send(BatchNotStored(stored[0].batch))
+            plan = harness.scheduler.plan(harness.now_ms, 0)
+            stored = [each for each in plan if isinstance(each, StoreJobs)]
+        assert [(each.vacant, each.vacate_number) for each in stored] == [
+            (empty, number)
+        ]
+        harness.send(BatchStored(stored[0].batch))
