A host is fenced off when it falls silent, before it can answer as another incarnation

Callers saw, in our schedules: a task that runs twice. The first try of a start was carried out 8 s late, on the host's next incarnation. That one had accepted a poll with the old token, whose reply was lost; the token was raised only with the call after it.

Change: a link raises its token when a call gets no reply. A stop that its own newer token has fenced off is repeated instead of counting as accepted. A new link to a host goes on with the last one's token; it began below it, which the conductor took for a higher term. The tokens of a term no longer reach those of the next.

--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -104,6 +104,11 @@
         self._stops = OrderThread(self._send_stop, log)
         self._poll_thread = threading.Thread(target=self._poll_loop, daemon=True)
 
+    @property
+    def fencing_token(self) -> int:
+        """Returns the fencing token of the next order."""
+        return self._api.fencing_token
+
     def start(self) -> None:
         """Starts the thread that polls the host and renews its lease."""
         self._poll_thread.start()
@@ -216,6 +221,9 @@
         self._lease.record_no_answer()
         if not self._is_silent:
             self._is_silent = True
+            # The host may have restarted, and then knows no token: its first call has
+            # to fence off the orders that were sent before.
+            self._api.increment_fencing_token()
             self._log.event("host-silent", host=self.info.id, detail=detail)
             self._post(HostSilent(self.info.id))
         if self._lease.is_expired(steady_ms()):
@@ -273,7 +281,7 @@
             if (unsent := self._reason_not_to_send(hindrance)) is not None:
                 outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
-            self._log_late_start(order, waited_ms, unanswered)
+            self._log_late("start-sent-late", order, waited_ms, unanswered)
             outcome = self._call_start(order, until_ms)
             if outcome is not StartOutcome.NO_REPLY:
                 break
@@ -289,14 +297,26 @@
     ) -> StartOutcome | AddressReused:
         token = self._api.fencing_token
         outcome = self._api.start(order, until_ms)
-        if outcome is StartOutcome.FENCED and token != self._api.fencing_token:
+        if outcome is StartOutcome.FENCED and not self._is_current(token):
             return StartOutcome.REFUSED
         return outcome
 
-    def _log_late_start(self, order: StartRun, waited_ms: int, unanswered: int) -> None:
+    def _call_stop(self, order: StopRun) -> bool:
+        """Returns whether a stop need not be repeated."""
+        token = self._api.fencing_token
+        is_answered = self._api.stop(order.name, order.number)
+        return is_answered and self._is_current(token)
+
+    def _is_current(self, token: int) -> bool:
+        """Returns whether this link, or one that replaced it, uses no newer token."""
+        return token == self._api.fencing_token and not self._closing.is_set()
+
+    def _log_late(
+        self, event: str, order: StartRun | StopRun, waited_ms: int, unanswered: int
+    ) -> None:
         if waited_ms > LOGGED_WAIT_MS:
             self._log.event(
-                "start-sent-late",
+                event,
                 host=self.info.id,
                 task=str(order.name),
                 run=order.number,
@@ -356,9 +376,8 @@
                 self._post_unconfirmed_stop(order, was_sent=unanswered > 0)
                 return
             if self._guard.may_order():
-                sent_ms = steady_ms()
-                if self._api.stop(order.name, order.number):
-                    self._log_late_stop(order, sent_ms - ordered_ms, unanswered)
+                if self._call_stop(order):
+                    self._log_late("stop-answered-late", order, waited_ms, unanswered)
                     host, replied_ms = self.info.id, steady_ms()
                     self._post(StopReplied(host, order.name, order.number, replied_ms))
                     return
@@ -378,14 +397,3 @@
         self._post(
             StopUnconfirmed(host, order.name, order.number, replied_ms, was_sent)
         )
-
-    def _log_late_stop(self, order: StopRun, waited_ms: int, unanswered: int) -> None:
-        if waited_ms > LOGGED_WAIT_MS:
-            self._log.event(
-                "stop-answered-late",
-                host=self.info.id,
-                task=str(order.name),
-                run=order.number,
-                waited_ms=waited_ms,
-                unanswered=unanswered,
-            )
--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -60,6 +60,7 @@
         wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
         self.earlier_leases_until_ms = clock.steady_ms() + wait_ms
         self._links: dict[HostId, HostLink] = {}
+        self._last_tokens: dict[HostId, int] = {}
 
     def open(self, info: HostInfo) -> None:
         """Opens a link in place of an earlier one.
@@ -72,6 +73,7 @@
         except ValueError as exc:
             self._log.event("host-unusable", host=info.id, why=str(exc))
             return
+        api.continue_fencing_tokens(self._last_tokens.pop(info.id, 0))
         lease = HostLease(
             lease_ms=self._lease_ms,
             max_lease_ms=self._max_lease_ms,
@@ -111,6 +113,7 @@
         """Closes the link to a host if there is one."""
         link = self._links.pop(host, None)
         if link is not None:
+            self._last_tokens[host] = link.fencing_token
             link.close()
 
     def close_all(self) -> None:
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -64,6 +64,9 @@
     def increment_fencing_token(self) -> None:
         """Fences off all orders that were sent so far."""
 
+    def continue_fencing_tokens(self, token: int) -> None:
+        """Goes on from the token of an earlier client of the host in the same term."""
+
     def start(self, order: StartRun, until_ms: int) -> StartOutcome | AddressReused:
         """Orders a start; the lease expires at ``until_ms`` on the host's clock."""
 
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -20,7 +20,8 @@
 """A host replies to an order within milliseconds, over a slow link within tens."""
 
 TOKENS_PER_TERM = 1_000
-"""Fencing tokens of one term; each new incarnation of a host uses the next one."""
+"""Fencing tokens of one term; each silence and each new incarnation of a host uses the
+next one. The last one stays, as the one after it belongs to the next term."""
 
 MAX_ENDS = 500
 """A host lists at most so many ends in a reply, the others once these are forgotten."""
@@ -66,6 +67,7 @@
         self._peer = HttpPeer(address, connections=CONNECTIONS)
         self._headers = {"Expected-Instance": str(host)}
         self._fencing_token = term * TOKENS_PER_TERM
+        self._last_token = self._fencing_token + TOKENS_PER_TERM - 1
 
     @property
     def fencing_token(self) -> int:
@@ -74,7 +76,11 @@
 
     def increment_fencing_token(self) -> None:
         """Fences off all orders that were sent so far."""
-        self._fencing_token += 1
+        self._fencing_token = min(self._fencing_token + 1, self._last_token)
+
+    def continue_fencing_tokens(self, token: int) -> None:
+        """Goes on from the token of an earlier client of the host in the same term."""
+        self._fencing_token = max(self._fencing_token, token)
 
     def start(self, order: StartRun, until_ms: int) -> StartOutcome | AddressReused:
         """Orders a start; the lease expires at ``until_ms`` on the host's clock."""
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -97,6 +97,11 @@
 class NoLink:
     """A client of a host that does nothing."""
 
+    fencing_token = 0
+
+    def continue_fencing_tokens(self, token: int) -> None:
+        """Does nothing."""
+
     def poll(self, *_: object) -> None:
         raise OSError
 
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import HostId, Term
@@ -24,7 +25,10 @@
     MAX_VOLUNTARY_WAIT_MS,
     HostLink,
 )
+from amaranthtray.jobs.host_links import HostLinks
+from amaranthtray.jobs.ports import NoUsableReply
 from amaranthtray.jobs.term_guard import TermGuard
+from amaranthtray.platform.host_client import HostClient
 from scheduling.parts import a_host
 
 if TYPE_CHECKING:
@@ -41,15 +45,28 @@
         self.fencing_token = 1_000
         self.starts = self.stops = self.unanswered_stops = 0
         self._answer = answer
+        self.on_start: Callable[[], object] = lambda: None
+        self.on_stop: Callable[[], object] = lambda: None
 
     def start(self, order: StartRun, until_ms: int) -> StartOutcome:
         self.starts += 1
+        self.on_start()
         return self._answer()
 
     def stop(self, name: TaskName, number: int) -> bool:
         self.stops += 1
+        self.on_stop()
         return self.stops > self.unanswered_stops
 
+    def increment_fencing_token(self) -> None:
+        self.fencing_token += 1
+
+    def continue_fencing_tokens(self, token: int) -> None:
+        self.fencing_token = max(self.fencing_token, token)
+
+    def poll(self, *args: object) -> NoUsableReply:
+        return NoUsableReply("lost")
+
     def close(self) -> None:
         """Does nothing."""
 
@@ -221,3 +238,61 @@
     link.stop_run(StopRun(HostId("h"), NAME, 1))
     assert api.stops == 3
     assert [type(each) for each in posted] == [StopReplied]
+
+
+def test_the_first_call_after_a_silence_fences_off_the_orders_before_it() -> None:
+    """Guards against a late start on a host that restarted and knows no token yet."""
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    link, _ = a_link(api)
+    for _ in range(2):
+        link._poll(0, 0)
+    assert api.fencing_token == 1_001
+
+
+def test_a_stop_that_a_newer_token_of_its_link_has_fenced_off_is_repeated() -> None:
+    """Guards against a run that goes on although its stop counts as accepted."""
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    link, posted = a_link(api)
+    api.on_stop = lambda: api.stops == 1 and api.increment_fencing_token()
+    link.stop_run(StopRun(HostId("h"), NAME, 1))
+    assert api.stops == 2
+    assert [type(each) for each in posted] == [StopReplied]
+
+
+def test_a_start_of_a_replaced_link_that_is_fenced_off_ends_no_conductor() -> None:
+    api = FakeHost(lambda: StartOutcome.FENCED)
+    link, posted = a_link(api)
+    api.on_start = link.close
+    link.start_run(an_order())
+    (reply,) = posted
+    assert isinstance(reply, StartReplied)
+    assert reply.outcome is StartOutcome.REFUSED
+
+
+def test_the_tokens_of_a_term_end_before_those_of_the_next() -> None:
+    client = HostClient(HostId("h"), "127.0.0.1:9", Term(3))
+    for _ in range(2_000):
+        client.increment_fencing_token()
+    assert (
+        client.fencing_token
+        < HostClient(HostId("h"), "127.0.0.1:9", Term(4)).fencing_token
+    )
+
+
+def test_a_new_link_to_a_host_goes_on_with_the_tokens_of_the_last_one() -> None:
+    """Guards against a conductor that its own newer token of a host ends."""
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    context = SimpleNamespace(
+        settings=SimpleNamespace(hosts=SimpleNamespace(max_lease_ms=10_000)),
+        platform=SimpleNamespace(host_api=lambda info, term: api),
+        log=EventLog({}, write=lambda data: None),
+    )
+    guard = TermGuard(Term(1), lambda: Term(1))
+    guard.mark_superseded()
+    links = HostLinks(context, guard, lambda message: None, None, lambda: None)  # type: ignore[arg-type]
+    links.open(a_host())
+    api.fencing_token = 1_007
+    api = FakeHost(lambda: StartOutcome.STARTED)
+    links.open(a_host())
+    assert api.fencing_token == 1_007
+    links.close_all()
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -405,6 +405,8 @@
         host, token = self.world.hosts[order.host], self.tokens[order.host]
 
         def replied(outcome: bool | None) -> None:
+            if token != self.tokens[order.host]:
+                outcome = None
             if outcome is None and order.is_voluntary:
                 lost = (order.host, order.name, order.number, self.world.now_ms)
                 self.deliver(StopUnconfirmed(*lost, was_sent=True))
@@ -450,6 +452,7 @@
             now_ms = world.now_ms
             if answer is None:
                 lease.record_no_answer()
+                self.tokens[host_id] += host_id not in self.silent
                 self.silent.add(host_id)
                 self.deliver(HostSilent(host_id))
                 if lease.is_expired(now_ms):
