A pool asks for a host to which lasting tasks of emptied hosts can move

The tasks on the host that was to be emptied fitted nowhere, and as none of them waited to start, the pool asked for no host.

Change: tasks that may leave a host to be emptied and fit on no other count like tasks that find no host; after a second the pool asks for one.

--- a/src/amaranthtray/domain/scheduling/_load.py
+++ b/src/amaranthtray/domain/scheduling/_load.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from ._state import SchedulerState
+    from ._unplaced import UnplacedSteps
 
 
 def pool_load(state: SchedulerState) -> PoolLoad:
@@ -41,15 +42,27 @@
 
 
 def _hosts_for_unplaced(state: SchedulerState, size: Resources) -> int:
-    """Returns how many hosts the overdue unplaced steps of a job need at most."""
+    """Returns how many hosts the overdue steps of a job need at most.
+
+    A wave would wait for a host that tasks can move to, as none of them waits to start.
+    """
+    return max(
+        _lacking_hosts(state, state.unplaced, size),
+        _lacking_hosts(state, state.unmovable, size),
+    )
+
+
+def _lacking_hosts(
+    state: SchedulerState, unplaced: UnplacedSteps, size: Resources
+) -> int:
     lacking = 0
-    for key in state.unplaced.steps():
+    for key in unplaced.steps():
         job = state.active.get(key.job)
         if job is None:
             continue
         step = job.spec.steps[key.step]
-        if state.unplaced.is_overdue(key, step, state.now_ms):
+        if unplaced.is_overdue(key, step, state.now_ms):
             is_open = (key.occurrence, key.step) in job.open_steps(state.wall_ms)
-            count = state.unplaced.hosts_needed(key, step, size) if is_open else 0
+            count = unplaced.hosts_needed(key, step, size) if is_open else 0
             lacking = max(lacking, count)
     return lacking
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -67,6 +67,7 @@
         advice_requests: Advice requests to return with the next plan.
         shares: Meter of submissions beyond the teams' shares.
         unplaced: Steps with tasks that fit on no host.
+        unmovable: Steps with tasks on hosts to be emptied that fit on no other host.
         crashes: Tasks under which hosts crashed.
         run_times: Expected run times of tasks.
         evacuation: Evacuated zones and the runs that leave them.
@@ -108,6 +109,7 @@
     advice_requests: list[RequestAdvice] = field(default_factory=list)
     shares: ShareMeter = field(default_factory=ShareMeter)
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
+    unmovable: UnplacedSteps = field(default_factory=UnplacedSteps)
     crashes: CrashRegister = field(default_factory=CrashRegister)
     run_times: RunTimes = field(default_factory=RunTimes)
     evacuation: EvacuationState = field(default_factory=EvacuationState)
--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from ..jobs.model import StepKey
@@ -40,6 +41,7 @@
     Tasks on hosts that leave go first, as they have the least time.
     """
     effects: list[Effect] = []
+    unmovable: Counter[StepKey] = Counter()
     for host in sorted(state.hosts.values(), key=lambda each: each.leaves_ms is None):
         if host.info.id in state.to_vacate and host.vacate_since_ms is None:
             host.vacate_since_ms = state.now_ms
@@ -48,20 +50,42 @@
         if host.vacate_since_ms is None and not host.info.is_draining:
             continue
         for placed in host.placed_runs():
-            if placed.run.phase is RunPhase.RUNNING and _may_stop(state, host, placed):
-                placed.run.phase, placed.run.confirmed_ms = RunPhase.STOPPING, None
-                is_leaving = host.info.is_draining
-                stop = StopRun(
-                    host.info.id,
-                    placed.name,
-                    placed.run.number,
-                    is_voluntary=placed.step.may_miss > 0 and not is_leaving,
-                )
-                reason = StopReason.LEAVING if is_leaving else StopReason.EMPTIED
-                effects += [stop, *stop_report(state, stop, reason)]
+            if placed.run.phase is not RunPhase.RUNNING:
+                continue
+            if not _may_stop(state, host, placed):
+                continue
+            if _must_fit_elsewhere(host, placed) and not _fits_elsewhere(state, placed):
+                unmovable[StepKey(*placed.name[:3])] += 1
+                continue
+            effects += _stop(state, host, placed)
+    for key, count in unmovable.items():
+        state.unmovable.record(key, count, state.now_ms)
+    state.unmovable.retain(set(unmovable))
     return effects
 
 
+def _stop(state: SchedulerState, host: Host, placed: PlacedRun) -> list[Effect]:
+    """Returns the order to stop a run that may leave its host, and its report."""
+    name, step, run = placed
+    run.phase, run.confirmed_ms = RunPhase.STOPPING, None
+    is_leaving = host.info.is_draining
+    is_voluntary = step.may_miss > 0 and not is_leaving
+    stop = StopRun(host.info.id, name, run.number, is_voluntary)
+    reason = StopReason.LEAVING if is_leaving else StopReason.EMPTIED
+    return [stop, *stop_report(state, stop, reason)]
+
+
+def _must_fit_elsewhere(host: Host, placed: PlacedRun) -> bool:
+    """Returns whether a run stays unless its task can start on another host at once."""
+    return placed.step.is_lasting and not host.info.is_draining
+
+
+def _fits_elsewhere(state: SchedulerState, placed: PlacedRun) -> bool:
+    key, number = StepKey(*placed.name[:3]), placed.name.number
+    hosts = [each for each in state.hosts.values() if each.accepts_runs(state.now_ms)]
+    return bool(place_each(placed.step, key, [number], hosts))
+
+
 def decide_stop_again(state: SchedulerState, stop: StopUnconfirmed) -> None:
     """Lets a run be stopped by a new decision, after a stop that had no reply.
 
@@ -126,7 +150,4 @@
         or state.now_ms < state.first_planned_ms + TAKEOVER_PAUSE_MS
     ):
         return False
-    if step.may_miss and len(absent_tasks(state, name)) >= step.may_miss:
-        return False
-    hosts = [each for each in state.hosts.values() if each.accepts_runs(state.now_ms)]
-    return bool(place_each(step, StepKey(*name[:3]), [name.number], hosts))
+    return not step.may_miss or len(absent_tasks(state, name)) < step.may_miss
--- a/tests/scheduling/test_absence.py
+++ b/tests/scheduling/test_absence.py
@@ -8,6 +8,8 @@
 
 from amaranthtray.domain.jobs.task import RunOutcome
 from amaranthtray.domain.scheduling._absence import MAX_STOP_MS
+from amaranthtray.domain.scheduling._load import pool_load
+from amaranthtray.domain.scheduling._unplaced import SPREAD_WAIT_MS
 from amaranthtray.domain.scheduling._vacating import LEAVE_MARGIN_MS, TAKEOVER_PAUSE_MS
 from amaranthtray.domain.scheduling.absence import (
     AbsenceCause,
@@ -231,3 +233,24 @@
     assert not stop_orders(harness.plan())
     harness.now_ms += 100
     assert [each.host for each in stop_orders(harness.plan())] == [other]
+
+
+def test_a_pool_asks_for_a_host_to_which_tasks_of_emptied_hosts_can_move() -> None:
+    """Guards against a wave that waits for room that nobody asks for."""
+    hosts = HOSTS[:3]
+    harness = SchedulerHarness(*hosts)
+    harness.submit(a_job(a_step(3, is_lasting=True, may_miss=1, max_per_host=1)))
+    starts = harness.starts()
+    harness.now_ms = 10_000
+    harness.send(VacateRequested(frozenset({starts[0].host})))
+    for later_ms, wanted in ((0, 0), (SPREAD_WAIT_MS, 4)):
+        harness.now_ms = 10_000 + later_ms
+        for start in starts:
+            harness.report(start.host, running=((start.name, start.number),))
+        assert not stop_orders(harness.plan())
+        assert pool_load(harness.scheduler.state).wanted == wanted
+    harness.send(HostsListed(HOSTS))
+    harness.report(HOSTS[3].id)
+    harness.now_ms += 100
+    assert [each.host for each in stop_orders(harness.plan())] == [starts[0].host]
+    assert pool_load(harness.scheduler.state).wanted == 0
