--- a/review/stand-ins-2/site2.py
+++ b/review/stand-ins-2/site2.py
@@ -291,7 +291,11 @@
 
 
 class Adviser(Server):
-    """The service that knows which workers a policy allows; it allows all."""
+    """The service that knows which workers a policy allows.
+
+    Attributes:
+        denied: Ids of workers that it never allows.
+    """
 
     def __init__(self, record: Record, decide_ms: int, per_item_ms: int) -> None:
         super().__init__()
@@ -300,7 +304,7 @@
         self.valid_ms = 3_000
         self.turn = asyncio.Lock()
         self.calls = 0
-        self.tickets: set[str] = set()
+        self.denied: set[str] = set()
 
     async def answer(self, method, target, heads, body):  # type: ignore[no-untyped-def]
         data = json.loads(body)
@@ -309,8 +313,9 @@
             await asyncio.sleep(
                 (self.decide_ms + self.per_item_ms * len(data["workers"])) / 1_000
             )
-        rows = [[worker, uuid.uuid4().hex[:16]] for worker in data["workers"]]
-        self.record.add(f"advise {data['step']} workers={len(rows)}")
+        allowed = [each for each in data["workers"] if each not in self.denied]
+        rows = [[worker, uuid.uuid4().hex[:16]] for worker in allowed]
+        self.record.add(f"advise {data['step']}: {len(rows)} of {len(data['workers'])}")
         return 200, {"allowed": rows, "validMs": self.valid_ms}
 
 
@@ -708,11 +713,15 @@
         pools: Number of workers of each pool.
         advice: Milliseconds for a decision and for each worker; None without advice.
         cap: Cap of the tenant, in thousandths of a core; 0 for none.
+        standby: Pool whose machines are off.
+        max_attempts: Failed runs of a task after which its job has failed.
+        more_routes: Fields of further routes, beside those of the first one; they
+            have no advice.
     """
 
     def __init__(  # type: ignore[no-untyped-def]
         self, folder, *, entries=3, pools=None, cpu=16_000, advice=None, cap=0,
-        standby=None, max_attempts=3,
+        standby=None, max_attempts=3, more_routes=(),
     ) -> None:
         self.record = Record(Path(folder) / "record.txt")
         self._temp = tempfile.TemporaryDirectory(prefix="review-")
@@ -722,7 +731,7 @@
         self.adviser = Adviser(self.record, *advice) if advice else None
         self.pools = pools or {"pool": 6}
         self.cap, self.version, self.standby = cap, 0, standby
-        self.max_attempts = max_attempts
+        self.max_attempts, self.more_routes = max_attempts, more_routes
         self.workers: list[Worker] = []
         for pool, count in self.pools.items():
             for number in range(count):
@@ -760,6 +769,9 @@
                     "validMs": self.adviser.valid_ms,
                 }
             routes.append(route)
+        for more in self.more_routes:
+            plain = {k: v for k, v in routes[0].items() if k != "advice"}
+            routes.append(plain | more)
         config = {
             "version": self.version,
             "routes": routes,
