--- a/review/stand-ins-2/site2.py
+++ b/review/stand-ins-2/site2.py
@@ -28,6 +28,7 @@
 GANG_TIMEOUT_MS = 3_000
 STATUS_S = 120
 LEASE_MS = 3_000
+VALUE_BYTES = 1_048_576
 KEY = "key-of-the-tenant"
 HOST = "site.example"
 
@@ -136,6 +137,7 @@
         self.leases: dict[int, tuple[float, int]] = {}
         self.last_lease = 0
         self.is_busy = False
+        self.too_large = 0
         self.busy_since = 0.0
         self.changed = asyncio.Event()
 
@@ -276,7 +278,10 @@
                 current = [self.items.get(r["key"]) for r in rows]
                 return 412, {"items": [item for item in current if item]}
         for put in puts:
-            if len(put["value"]) * 3 // 4 > 1_048_576:
+            if len(put["value"]) * 3 // 4 > VALUE_BYTES:
+                self.too_large += 1
+                size = len(put["value"]) * 3 // 4
+                self.record.add(f"write of {put['key']} refused: {size} bytes")
                 return 400, {}
             if put.get("lease", 0) and put["lease"] not in self.leases:
                 return 404, {}
