--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,72 +1,62 @@
-"""A short burst on a queue with placement advice: the requester never recovers.
+"""A short outage of the store in a wave: the hosts to be emptied stay out of use.
 
-A pool of 8 workers and a queue with `advice`. Clients hand in 4 small jobs a second for
-45 s; the adviser's calls take 136 ms, so they use it for 54 % of the time. For 4 s in
-between 2.6 times as many jobs come. Afterwards the usual load goes on for 31 s.
+Two pools of two workers. A job runs a task on each worker of pool `a`; then the
+operator asks for upkeep of both machines, and the store is down for 2 s. Afterwards a
+client hands in a small job to pool `a`, whose workers have nothing left to run.
 """
 
 import asyncio
+import json
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand-ins-2"))
 
 from site2 import Site, run_case
 
-JOBS_PER_S = 4.0
-TRAFFIC_S, BURST_AT_S, BURST_S, BURST_X = 45.0, 10.0, 4.0, 2.6
-DECIDE_MS, PER_ITEM_MS, WORKERS = 80, 7, 8
-FINISH_S, IDLE_S = 14.0, 3.0
+OUTAGE_S = 2.0
+WATCHED_S = 45.0
 
 
 async def play(folder: Path, with_trouble: bool) -> list[str]:
-    site = Site(folder, pools={"pool": WORKERS}, advice=(DECIDE_MS, PER_ITEM_MS))
+    site = Site(folder, pools={"a": 2, "b": 2})
     try:
         await site.open()
-        jobs = []
-
-        async def hand_in() -> None:
-            step = {
-                "count": 2, "cpu": 1_000, "requestedMemoryMb": 100, "estimatedMs": 800,
-            }
-            jobs.append(await site.submit("pool", [step], work_ms=800))
-
-        begun, sent = time.monotonic(), 0
-        while (at_s := time.monotonic() - begun) < TRAFFIC_S:
-            due = at_s * JOBS_PER_S
-            if with_trouble:
-                in_burst = min(max(at_s - BURST_AT_S, 0), BURST_S)
-                due += in_burst * (BURST_X - 1) * JOBS_PER_S
-            if sent < due:
-                sent += 1
-                site.spawn(hand_in())
-            await asyncio.sleep(0.005)
-        site.record.add("end of the traffic")
-        await asyncio.sleep(FINISH_S)
-        # Each of these could run for the whole of the next 3 s, and doesn't.
-        waiting = [job for job in jobs if job.accepted_s is not None and not job.starts]
-        room = []
-        until = time.monotonic() + IDLE_S
-        while time.monotonic() < until:
-            used = sum(r["cpu"] for w in site.workers for r in w.runs.values())
-            room.append(used / sum(w.cpu for w in site.workers))
-            await asyncio.sleep(0.05)
-        lost = [job for job in waiting if not job.starts]
-        for job in lost:
-            await site.state("pool", job)
-        site.record.add(
-            f"{len(jobs)} jobs, {len(lost)} never started; at most "
-            f"{max(room):.0%} of the pool was in use; {site.adviser.calls} calls for "
-            f"advice in all"
+        first = await site.submit(
+            "a",
+            [{"count": 2, "cpu": 1_000, "estimatedMs": 6_000, "antiAffinity": 1}],
+            work_ms=6_000,
+        )
+        await asyncio.sleep(1)
+        wave = {
+            "wave": 1, "machines": ["m-a-0", "m-a-1"], "durationS": 26, "cap": 2,
+        }
+        site.store.put("op/wave/1", json.dumps(wave).encode())
+        site.record.add(f"operator writes op/wave/1: {wave}")
+        await asyncio.sleep(1)
+        if with_trouble:
+            site.store.set_busy(True)
+            await asyncio.sleep(OUTAGE_S)
+            site.store.set_busy(False)
+        await asyncio.sleep(9)
+        second = await site.submit(
+            "a", [{"count": 1, "cpu": 1_000, "estimatedMs": 500}], work_ms=500
         )
-        if lost and max(room) < 0.5:
-            return [
-                f"LOST: {FINISH_S:.0f} s after the end of the traffic {len(lost)} of "
-                f"{len(jobs)} accepted jobs had nothing running for {IDLE_S:.0f} s, "
-                f"with at most {max(room):.0%} of the pool's capacity in use"
-            ]
-        return []
+        await asyncio.sleep(WATCHED_S)
+        state = await site.state("a", second)
+        await site.state("a", first)
+        status = site.store.get("status/wave/1")
+        site.record.add(f"status/wave/1: {status!r}; upkeeps {site.cloud.upkeeps}")
+        site.record.add(f"holders: {site.holders()}")
+        broken = []
+        if second.accepted_s is not None and not second.starts:
+            broken.append(
+                f"LOST: job {second.id} was accepted at {second.accepted_s:.1f} s; "
+                f"{WATCHED_S:.0f} s later nothing of it has started and it is shown "
+                f"as {state!r}, though both workers of its pool run nothing; of the "
+                f"wave's 2 machines {len(site.cloud.upkeeps)} had their upkeep"
+            )
+        return broken
     finally:
         await site.close()
 
--- a/review/stand-ins-2/site2.py
+++ b/review/stand-ins-2/site2.py
@@ -105,6 +105,7 @@
                     name, _, value = row.decode("latin-1").partition(":")
                     heads[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(heads.get("content-length", 0)))
+                heads["x-port"] = str(writer.get_extra_info("sockname")[1])
                 status, data = await self.answer(method, target, heads, body)
                 payload = json.dumps(data).encode()
                 head = (
@@ -350,7 +351,8 @@
         self.id = f"i-{uuid.uuid4().hex[:10]}"
         self.machine, self.zone, self.rack = machine, zone, f"r{number // 4}"
         self.sequence = 0
-        self.is_up = False
+        self.is_up = self.is_dark = False
+        self.dark_servers: list = []
         self._reset()
 
     def _reset(self) -> None:
@@ -375,16 +377,36 @@
 
     def crash(self) -> list[str]:
         """Ends at once with all that runs here; says nothing."""
+        lost = self.crash_runs("crashes")
+        self.shut()
+        return lost
+
+    def crash_runs(self, how: str) -> list[str]:
+        """Ends all runs without a word."""
         lost = [f"{task}/{run}" for task, run in self.runs]
-        self.site.record.add(f"worker {self.id} ({self.machine}) crashes with {lost}")
+        self.site.record.add(f"worker {self.id} ({self.machine}) {how} with {lost}")
         self.is_up = False
         while self.runs:
             (task, run), each = self.runs.popitem()
             self.site.note_end(task, run, "crashed", self.id)
             self._leave_gang(task, run, each, "crashed")
-        self.shut()
         return lost
 
+    def go_dark(self) -> None:
+        """Ends with all that runs here; its address stays silent, without a reset."""
+        self.is_dark = True
+        self.crash_runs("falls silent")
+
+    async def start_elsewhere(self) -> None:
+        """Starts again under the same id, at another address."""
+        self.dark_servers.append((self._server, set(self._writers)))
+        self._server, self._writers = None, set()
+        self.port = free_port()
+        self.address = f"127.0.0.1:{self.port}"
+        await self.start()
+        self.is_dark = False
+        self.site.record.add(f"worker {self.id} starts again at {self.address}")
+
     def write_entry(self) -> None:
         self.sequence += 1
         entry = {
@@ -468,6 +490,8 @@
             self.until = max(self.until, min(until, self.clock() + MAX_HOLD_MS))
 
     async def answer(self, method, target, heads, body):  # type: ignore[no-untyped-def]
+        if self.is_dark or int(heads["x-port"]) != self.port:
+            await asyncio.sleep(3_600)
         if heads.get("expected-instance", self.id) != self.id:
             return 421, {"clockMs": self.clock()}
         data = json.loads(body or b"{}")
@@ -480,7 +504,7 @@
         if target == "/v1/run-stop":
             return self._stop(data)
         if target == "/v1/hold":
-            return await self._hold(data)
+            return await self._hold(data, heads)
         if target == "/v1/pace":
             return 200, {"clockMs": self.clock()}
         return 400, {}
@@ -523,7 +547,7 @@
             self.site.record.add(f"stop {task} run {run} at {self.id}")
         return 200, {"clockMs": clock}
 
-    async def _hold(self, data):  # type: ignore[no-untyped-def]
+    async def _hold(self, data, heads):  # type: ignore[no-untyped-def]
         self._extend(data.get("untilMs"))
         upto = data.get("acknowledged", 0)
         self.finished = [row for row in self.finished if row[0] > upto]
@@ -531,6 +555,8 @@
         if wait and not self.finished:
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self.ended.wait(), wait)
+        if self.is_dark or int(heads["x-port"]) != self.port:
+            await asyncio.sleep(3_600)
         clock = self.clock()
         running = []
         for (task, run), each in self.runs.items():
@@ -897,6 +923,11 @@
                 await entry.process.wait()
         for task in list(self.tasks):
             task.cancel()
+        for worker in self.workers:
+            for server, writers in worker.dark_servers:
+                server.close()
+                for writer in writers:
+                    writer.transport.abort()
         for server in (self.store, self.cloud, self.adviser, *self.workers):
             if server is not None:
                 server.shut()
