--- a/review/stand-ins-2/site2.py
+++ b/review/stand-ins-2/site2.py
@@ -20,7 +20,7 @@
 import time
 import uuid
 from pathlib import Path
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 MAX_HOLD_MS = 10_000
@@ -352,6 +352,7 @@
         self.machine, self.zone, self.rack = machine, zone, f"r{number // 4}"
         self.sequence = 0
         self.is_up = self.is_dark = False
+        self.called_s = self.wrote_s = 0.0
         self.dark_servers: list = []
         self._reset()
 
@@ -492,6 +493,7 @@
     async def answer(self, method, target, heads, body):  # type: ignore[no-untyped-def]
         if self.is_dark or int(heads["x-port"]) != self.port:
             await asyncio.sleep(3_600)
+        self.called_s = time.monotonic()
         if heads.get("expected-instance", self.id) != self.id:
             return 421, {"clockMs": self.clock()}
         data = json.loads(body or b"{}")
@@ -961,4 +963,4 @@
     sys.exit(1 if broken else 0)
 
 
-__all__ = ["CaseError", "Job", "Site", "call", "run_case", "unquote"]
+__all__ = ["CaseError", "Job", "Site", "Worker", "call", "run_case"]
