--- a/review/stand-ins-2/site2.py
+++ b/review/stand-ins-2/site2.py
@@ -644,11 +644,14 @@
 
     def __init__(self, site: Site, number: int) -> None:
         self.site, self.name = site, f"frontend-z-{number}"
-        ports = [free_port() for _ in range(3)]
-        self.callers, self.readiness, self.metrics = ports
+        self.choose_ports()
         self.process: asyncio.subprocess.Process | None = None
         self.log = site.folder / f"{self.name}.log"
 
+    def choose_ports(self) -> None:
+        ports = [free_port() for _ in range(3)]
+        self.callers, self.readiness, self.metrics = ports
+
     def _settings(self) -> str:
         site = self.site
         text = (
@@ -839,6 +842,12 @@
         while not all([await entry.is_ready() for entry in self.entries]):
             if time.monotonic() > until:
                 raise CaseError("the entries are not ready")
+            for entry in self.entries:
+                if entry.process.returncode is not None:
+                    # Another process took one of its ports before it was bound.
+                    self.record.add(f"entry {entry.name} ended; it gets other ports")
+                    entry.choose_ports()
+                    await entry.start()
             await asyncio.sleep(0.2)
         duties = len(self.pools) + 1 - (self.standby is not None)
         while len(self.holders()) < duties:
