--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -16,7 +16,7 @@
 from ._progress import record_progress
 from .absence import LastingRunEnded, StopReason
 from .crash_register import HostIncarnation
-from .losses import LossCause
+from .losses import LateEnd, LossCause, RunOnOtherIncarnation
 from .orders import StopRun
 
 if TYPE_CHECKING:
@@ -46,6 +46,7 @@
     for placed in host.placed_runs():
         reported = running.pop((placed.name, placed.run.number), None)
         if reported is not None:
+            effects += _note_incarnation(placed, report)
             _apply_running(state, placed, reported, report)
             note_progress(state, host, placed)
             if _is_obsolete(state, placed):
@@ -89,18 +90,35 @@
             placed.run.phase, placed.run.confirmed_ms = RunPhase.UNCONFIRMED, None
 
 
+def _note_incarnation(
+    placed: PlacedRun, report: HostReport
+) -> list[RunOnOtherIncarnation]:
+    """Reports, once, that the host has a run which a former incarnation should have."""
+    run = placed.run
+    if run.host_born == report.born or run.phase is RunPhase.RUNNING:
+        return []
+    return [
+        RunOnOtherIncarnation(
+            report.host, report.born, placed.name, run.number, run.host_born
+        )
+    ]
+
+
 def _apply_ends(
     state: SchedulerState, host: Host, report: HostReport
-) -> list[LastingRunEnded]:
-    """Applies the ends in a report; returns those of lasting tasks."""
-    ended: list[LastingRunEnded] = []
+) -> list[LastingRunEnded | LateEnd | RunOnOtherIncarnation]:
+    """Applies the ends in a report; reports those that are late or of lasting tasks."""
+    ended: list[LastingRunEnded | LateEnd | RunOnOtherIncarnation] = []
     for end in report.ends:
         placed = host.find(end.name, end.number)
         if placed is None:
-            state.apply_late_end(end.name, end.number, end.outcome)
+            is_applied = state.apply_late_end(end.name, end.number, end.outcome)
+            late = (end.name, end.number, end.outcome, is_applied)
+            ended.append(LateEnd(report.host, report.born, *late))
             continue
         if placed.run.phase is RunPhase.RESERVED:
             continue
+        ended += _note_incarnation(placed, report)
         if placed.step.is_lasting:
             is_stopping = placed.run.phase is RunPhase.STOPPING
             was_stopped = is_stopping or placed.run.stop_tried_ms is not None
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -238,11 +238,16 @@
         job.end_run(name, run, outcome, checkpoint)
         self.mark_dirty(job)
 
-    def apply_late_end(self, name: TaskName, number: int, outcome: RunOutcome) -> None:
-        """Applies the end of a run that was dropped before its host reported it."""
+    def apply_late_end(self, name: TaskName, number: int, outcome: RunOutcome) -> bool:
+        """Applies the end of a run that was dropped before its host reported it.
+
+        Returns whether the end changes the task.
+        """
         job = self.jobs.get(name.job)
-        if job is not None and job.apply_late_end(name, number, outcome):
-            self.mark_dirty(job)
+        if job is None or not job.apply_late_end(name, number, outcome):
+            return False
+        self.mark_dirty(job)
+        return True
 
     def drop_run(self, name: TaskName, run: Run) -> None:
         """Removes a run that is on no host and whose outcome is unknown."""
--- a/src/amaranthtray/domain/scheduling/losses.py
+++ b/src/amaranthtray/domain/scheduling/losses.py
@@ -8,7 +8,7 @@
 
 from ..ids import HostId
 from ..jobs.model import TaskName
-from ..jobs.task import HostCrash
+from ..jobs.task import HostCrash, RunOutcome
 
 
 class LossCause(StrEnum):
@@ -96,4 +96,46 @@
     tasks: tuple[TaskName, ...]
 
 
-Loss: TypeAlias = RunsLost | TaskGivenUp | CrashWithdrawn
+@dataclass(frozen=True, slots=True)
+class LateEnd:
+    """Reports the end of a run that had been given up.
+
+    Attributes:
+        host: The host that lists the end.
+        born: Its incarnation.
+        name: Task of the run.
+        number: Run number.
+        outcome: How the run ended.
+        is_applied: Whether the end changes the task; a repeated one doesn't.
+    """
+
+    host: HostId
+    born: int
+    name: TaskName
+    number: int
+    outcome: RunOutcome
+    is_applied: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RunOnOtherIncarnation:
+    """Reports a run that an incarnation has which it was not ordered for.
+
+    Attributes:
+        host: The host.
+        born: Incarnation that has the run.
+        name: Task of the run.
+        number: Run number.
+        ordered_born: Incarnation for which the run was ordered.
+    """
+
+    host: HostId
+    born: int
+    name: TaskName
+    number: int
+    ordered_born: int
+
+
+Loss: TypeAlias = (
+    RunsLost | TaskGivenUp | CrashWithdrawn | LateEnd | RunOnOtherIncarnation
+)
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -18,6 +18,7 @@
 )
 from ..domain.scheduling.orders import HostOrder, PaceRun, StartRun, StopRun
 from .clock import steady_ms
+from .link_log import LinkLog
 from .order_thread import OrderThread
 from .ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
 
@@ -44,14 +45,6 @@
 MAX_START_TRIES = 3
 """Tries of a start order; a host that is up answers at least one of them."""
 
-LOGGED_WAIT_MS = 500
-"""A start that is sent, or a stop that is answered, longer after its order than this
-has a log line."""
-
-LOGGED_RENEWAL_MS = 3_500
-"""A lease that is renewed longer after the last time than this has a log line; it
-usually takes as long as a host holds a poll."""
-
 MAX_VOLUNTARY_WAIT_MS = 500
 """Longest wait of a voluntary stop behind others to its host; the tasks of its step
 that were at work may be away by then."""
@@ -91,13 +84,12 @@
         self._lease = lease
         self._guard = guard
         self._post = post
-        self._log = log
+        self._log = LinkLog(info.id, log)
         self._closing = threading.Event()
         self._changed = threading.Condition()
         self._acknowledged = (0, 0)
         self._is_silent = False
         self._is_report_due = False
-        self._renewed_ms: int | None = None
         self._born: int | None = None
         self._stopped_runs: set[tuple[TaskName, int]] = set()
         self._starts = OrderThread(self._send_start, log)
@@ -150,7 +142,7 @@
                 status = self._poll(acknowledged, wait_ms)
             except Exception as exc:
                 # Without this thread the lease would lapse unnoticed.
-                self._log.event("poll-fault", host=self.info.id, why=repr(exc))
+                self._log.event("poll-fault", why=repr(exc))
                 status = None
             if isinstance(status, HostStatus):
                 born = status.born
@@ -172,12 +164,12 @@
                 self._lease.record_answer(outcome.clock_ms, outcome.born, received_ms)
                 self._is_silent = False
                 if until_ms is not None:
-                    self._record_renewal(sent_ms)
-                if self.record_incarnation(outcome.born):
+                    self._log.record_renewal(sent_ms)
+                if self.record_incarnation(outcome.born, acknowledged, until_ms):
                     return self._poll(0, 0)
                 if not outcome.has_all_ends:
                     ends = len(outcome.ends)
-                    self._log.event("host-ends-partial", host=self.info.id, ends=ends)
+                    self._log.event("host-ends-partial", ends=ends)
                 self._post(
                     HostReport(
                         self.info.id,
@@ -198,23 +190,30 @@
                 self._handle_silence(detail)
         return None
 
-    def _record_renewal(self, sent_ms: int) -> None:
-        """Logs a renewal that was sent long after the last one."""
-        last_ms, self._renewed_ms = self._renewed_ms, sent_ms
-        if last_ms is not None and sent_ms - last_ms > LOGGED_RENEWAL_MS:
-            after_ms = sent_ms - last_ms
-            self._log.event("lease-renewed-late", host=self.info.id, after_ms=after_ms)
-
-    def record_incarnation(self, born: int) -> bool:
+    def record_incarnation(
+        self, born: int, acknowledged: int = 0, until_ms: int | None = None
+    ) -> bool:
         """Records the host's incarnation; if it is new, fences off all earlier orders.
 
-        Returns whether it is new.
+        Args:
+            born: Wall-clock time at which the incarnation started.
+            acknowledged: Number of the last end that the answered poll acknowledged.
+            until_ms: End of the lease that it requested; None if it requested none.
+
+        Returns:
+            Whether it is new.
         """
         former, self._born = self._born, born
         if former is None or former == born:
             return False
         self._api.increment_fencing_token()
-        self._log.event("host-reborn", host=self.info.id, born=born, was=former)
+        self._log.event(
+            "host-reborn",
+            born=born,
+            was=former,
+            acknowledged=acknowledged,
+            until_ms=until_ms,
+        )
         return True
 
     def _handle_silence(self, detail: str) -> None:
@@ -224,7 +223,7 @@
             # The host may have restarted, and then knows no token: its first call has
             # to fence off the orders that were sent before.
             self._api.increment_fencing_token()
-            self._log.event("host-silent", host=self.info.id, detail=detail)
+            self._log.event("host-silent", detail=detail)
             self._post(HostSilent(self.info.id))
         if self._lease.is_expired(steady_ms()):
             self._post(HostRunsEnded(self.info.id, LossCause.LEASE_EXPIRED))
@@ -281,7 +280,7 @@
             if (unsent := self._reason_not_to_send(hindrance)) is not None:
                 outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
-            self._log_late("start-sent-late", order, waited_ms, unanswered)
+            self._log.record_wait("start-sent-late", order, waited_ms, unanswered)
             outcome = self._call_start(order, until_ms)
             if outcome is not StartOutcome.NO_REPLY:
                 break
@@ -311,19 +310,6 @@
         """Returns whether this link, or one that replaced it, uses no newer token."""
         return token == self._api.fencing_token and not self._closing.is_set()
 
-    def _log_late(
-        self, event: str, order: StartRun | StopRun, waited_ms: int, unanswered: int
-    ) -> None:
-        if waited_ms > LOGGED_WAIT_MS:
-            self._log.event(
-                event,
-                host=self.info.id,
-                task=str(order.name),
-                run=order.number,
-                waited_ms=waited_ms,
-                unanswered=unanswered,
-            )
-
     def _post_start_reply(
         self,
         order: StartRun,
@@ -377,7 +363,9 @@
                 return
             if self._guard.may_order():
                 if self._call_stop(order):
-                    self._log_late("stop-answered-late", order, waited_ms, unanswered)
+                    self._log.record_wait(
+                        "stop-answered-late", order, waited_ms, unanswered
+                    )
                     host, replied_ms = self.info.id, steady_ms()
                     self._post(StopReplied(host, order.name, order.number, replied_ms))
                     return
@@ -389,7 +377,6 @@
         host, replied_ms = self.info.id, steady_ms()
         self._log.event(
             "stop-unconfirmed",
-            host=host,
             task=str(order.name),
             run=order.number,
             was_sent=was_sent,
--- a/src/amaranthtray/jobs/loss_log.py
+++ b/src/amaranthtray/jobs/loss_log.py
@@ -4,9 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from ..domain.scheduling.losses import CrashWithdrawn, RunsLost, TaskGivenUp
+from ..domain.scheduling.losses import (
+    CrashWithdrawn,
+    LateEnd,
+    RunOnOtherIncarnation,
+    RunsLost,
+    TaskGivenUp,
+)
 
 if TYPE_CHECKING:
+    from ..domain.scheduling.losses import Loss
     from .conductor_log import ConductorLog
 
 MAX_LOGGED_RUNS = 40
@@ -23,7 +30,7 @@
     def __init__(self, log: ConductorLog) -> None:
         self._log = log
 
-    def record(self, loss: RunsLost | TaskGivenUp | CrashWithdrawn) -> None:
+    def record(self, loss: Loss) -> None:
         """Logs and counts a loss."""
         match loss:
             case RunsLost():
@@ -32,6 +39,10 @@
                 self._record_given_up_task(loss)
             case CrashWithdrawn():
                 self._record_withdrawn_crash(loss)
+            case LateEnd():
+                self._record_late_end(loss)
+            case RunOnOtherIncarnation():
+                self._record_other_incarnation(loss)
 
     def _record_lost_runs(self, lost: RunsLost) -> None:
         self._log.metrics.count("runs_lost", lost.cause, len(lost.runs))
@@ -64,3 +75,26 @@
             born=withdrawn.born,
             tasks=[str(task) for task in withdrawn.tasks[:MAX_LOGGED_RUNS]],
         )
+
+    def _record_late_end(self, end: LateEnd) -> None:
+        self._log.metrics.count("late_ends", end.outcome)
+        self._log.event(
+            "run-ended-late",
+            host=end.host,
+            born=end.born,
+            task=str(end.name),
+            run=end.number,
+            outcome=end.outcome,
+            is_applied=end.is_applied,
+        )
+
+    def _record_other_incarnation(self, run: RunOnOtherIncarnation) -> None:
+        self._log.metrics.count("runs_on_other_incarnations")
+        self._log.event(
+            "run-on-other-incarnation",
+            host=run.host,
+            born=run.born,
+            task=str(run.name),
+            run=run.number,
+            ordered_born=run.ordered_born,
+        )
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -17,7 +17,13 @@
     RunsMoved,
     StartWithheld,
 )
-from ..domain.scheduling.losses import CrashWithdrawn, RunsLost, TaskGivenUp
+from ..domain.scheduling.losses import (
+    CrashWithdrawn,
+    LateEnd,
+    RunOnOtherIncarnation,
+    RunsLost,
+    TaskGivenUp,
+)
 from ..domain.scheduling.messages import (
     AcknowledgeEnds,
     BatchNotStored,
@@ -320,7 +326,13 @@
     def _record_report(self, report: Effect) -> None:
         """Logs and counts what the scheduler reports."""
         match report:
-            case RunsLost() | TaskGivenUp() | CrashWithdrawn():
+            case (
+                RunsLost()
+                | TaskGivenUp()
+                | CrashWithdrawn()
+                | LateEnd()
+                | RunOnOtherIncarnation()
+            ):
                 self._losses.record(report)
             case LastingRunStopped() | LastingRunEnded():
                 record_lasting_run(self._log, report)
@@ -345,6 +357,7 @@
         details: dict[str, object] = {}
         if isinstance(order, StartRun):
             self._stats.record_order(order, clock.steady_ms())
+            details["born"] = order.host_born
             if order.prior_crashes:
                 details["prior_crashes"] = order.prior_crashes
         self._context.log.event(
