--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -113,8 +113,9 @@
         placed = host.find(end.name, end.number)
         if placed is None:
             is_applied = state.apply_late_end(end.name, end.number, end.outcome)
-            late = (end.name, end.number, end.outcome, is_applied)
-            ended.append(LateEnd(report.host, report.born, *late))
+            if end.sequence > host.acknowledged:
+                late = (end.name, end.number, end.outcome, is_applied)
+                ended.append(LateEnd(report.host, report.born, *late))
             continue
         if placed.run.phase is RunPhase.RESERVED:
             continue
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -67,6 +67,8 @@
 CANCEL_MS = CONTACT_MS = 3_000
 MAX_DELAY_MS = 8_000
 LATENCY_MS = 2
+TIMEOUT_MS = 700
+CHECK_MS, STORING_MS = 20, 50
 MAX_STOP_MS, STARTUP_MS, NOTICE_MS = 900, 300, 4_500
 """Longest time of a stop and time of a start of a lasting task, and time after which a
 task that is away for any cause counts as away."""
@@ -120,7 +122,7 @@
         if self.used() + step.need.cpu > CAPACITY.cpu:
             return StartOutcome.NO_ROOM
         self.world.count_start(order.name)
-        length_ms = self.world.rng.randint(200, 2_500)
+        length_ms = self.world.rng.randint(200, self.world.longest_run_ms)
         if step.is_lasting:
             length_ms = STARTUP_MS
         self.running[order.name] = (order.number, self.world.now_ms + length_ms)
@@ -433,20 +435,21 @@
         )
         acknowledged = known[1] if is_same else 0
 
-        def request_report() -> tuple[HostReport, int] | None:
+        def accept() -> bool:
             host.check_lease()
-            if not host.hold(token, until_ms, acknowledged):
-                return None
+            return host.hold(token, until_ms, acknowledged)
+
+        def report() -> tuple[HostReport, int] | None:
             running = tuple(
                 RunReport(name, number, "", host.percent(name), 0)
                 for name, (number, _) in host.running.items()
             )
             ends = tuple(host.ends[: world.max_ends])
             has_all_ends = len(ends) < world.max_ends
-            report = HostReport(
+            status = HostReport(
                 host_id, host.born, sent_ms, 0, running, ends, has_all_ends
             )
-            return report, host.clock()
+            return status, host.clock()
 
         def replied(answer: tuple[HostReport, int] | None) -> None:
             now_ms = world.now_ms
@@ -458,19 +461,23 @@
                 if lease.is_expired(now_ms):
                     self.deliver(HostRunsEnded(host_id))
             else:
-                report, clock_ms = answer
-                lease.record_answer(clock_ms, report.born, now_ms)
+                status, clock_ms = answer
+                lease.record_answer(clock_ms, status.born, now_ms)
                 self.silent.discard(host_id)
                 former = self.incarnations.get(host_id)
-                self.incarnations[host_id] = report.born
-                if former not in (None, report.born):
+                self.incarnations[host_id] = status.born
+                if former not in (None, status.born):
                     self.tokens[host_id] += 1
                     self.hold_loop(host_id)
                     return
-                self.deliver(report)
-            world.schedule(world.rng.randint(30, 400), lambda: self.hold_loop(host_id))
+                self.deliver(status)
+            pause_ms = STORING_MS if world.poll_wait_ms else world.rng.randint(30, 400)
+            world.schedule(pause_ms, lambda: self.hold_loop(host_id))
 
-        world.call(host, request_report, replied)
+        if world.poll_wait_ms and until_ms is not None:
+            world.call_and_wait(host, accept, report, replied)
+        else:
+            world.call(host, lambda: report() if accept() else None, replied)
 
 
 class World:
@@ -485,6 +492,8 @@
         self.fail_share = 0.02
         self.unhealthy_share = 0.0
         self.max_ends = 500
+        self.poll_wait_ms = 0
+        self.longest_run_ms = 2_500
         self._health_rng = random.Random(seed)
         self.stop_rng = random.Random(seed)
         self.now_ms = 1_000_000
@@ -546,32 +555,61 @@
         host: SimHost,
         act: Callable[[], object],
         replied: Callable[[object], None],
+        timeout_ms: int = TIMEOUT_MS,
     ) -> None:
         """Carries out a call, unless it or its reply is lost, or it arrives late."""
         born, draw = host.born, self.rng.random()
         if host.is_partitioned:
             host.cut_until_ms = self.now_ms + CONTACT_MS
         if host.is_partitioned or draw < self.fault_rate / 2:
-            self.schedule(700, lambda: replied(None))
+            self.schedule(timeout_ms, lambda: replied(None))
             return
         if draw < self.fault_rate:
             late_ms = self.rng.randint(1_000, MAX_DELAY_MS)
             self.schedule(late_ms, lambda: self._act_late(host, born, act))
-            self.schedule(700, lambda: replied(None))
+            self.schedule(timeout_ms, lambda: replied(None))
             return
 
         def arrive() -> None:
             if not host.is_up or host.born != born or host.is_partitioned:
-                self.schedule(700, lambda: replied(None))
+                self.schedule(timeout_ms, lambda: replied(None))
                 return
             result = act()
             if draw > 1 - self.fault_rate / 2:
-                self.schedule(700, lambda: replied(None))
+                self.schedule(timeout_ms, lambda: replied(None))
             else:
                 self.schedule(LATENCY_MS, lambda: replied(result))
 
         self.schedule(LATENCY_MS, arrive)
 
+    def call_and_wait(
+        self,
+        host: SimHost,
+        accept: Callable[[], bool],
+        report: Callable[[], object],
+        replied: Callable[[object], None],
+    ) -> None:
+        """Carries out a call that the host answers when a run ends, or after a while.
+
+        A host that goes down meanwhile leaves the caller waiting to its time limit.
+        """
+        born, wait_ends_ms = host.born, self.now_ms + self.poll_wait_ms
+        times_out_ms = wait_ends_ms + TIMEOUT_MS
+
+        def accepted(is_accepted: object) -> None:
+            if not is_accepted:
+                replied(None)
+            elif host.born != born or not host.is_up or host.is_partitioned:
+                left_ms = max(times_out_ms - self.now_ms, 0)
+                self.schedule(left_ms, lambda: replied(None))
+            elif host.ends or self.now_ms >= wait_ends_ms:
+                replied(report())
+            else:
+                self.schedule(CHECK_MS, lambda: accepted(True))
+
+        timeout_ms = times_out_ms - self.now_ms
+        self.call(host, accept, accepted, timeout_ms)
+
     def _act_late(self, host: SimHost, born: int, act: Callable[[], object]) -> None:
         if self._is_reached(host, born):
             self.is_late = True
