--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -10,7 +10,8 @@
 from ..domain.jobs.task import RunOutcome
 from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome
 from ..jobs.ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
-from ..web.http_peer import CallOutcome, HttpPeer, Response
+from ..web.http_channel import HttpChannel
+from ..web.http_peer import CallOutcome, NoResponse, Response
 
 if TYPE_CHECKING:
     from ..domain.ids import HostId, Term
@@ -26,9 +27,6 @@
 MAX_ENDS = 500
 """A host lists at most so many ends in a reply, the others once these are forgotten."""
 
-CONNECTIONS = 3
-"""One each for starts, for stops and for the poll that waits for ends."""
-
 MISDIRECTED = 421
 
 _REFUSAL_OUTCOMES = {
@@ -54,18 +52,64 @@
     born: int = 0
 
 
+class _Lane:
+    """One connection to a host, and the incarnation that it leads to.
+
+    A connection ends with the incarnation of the host that accepted it. What was sent
+    for one incarnation over a connection on which that one has answered reaches no
+    other.
+
+    Attributes:
+        born: Start of the incarnation that has answered; None before its first answer.
+    """
+
+    def __init__(self, host: HostId, address: str) -> None:
+        self._channel = HttpChannel(address)
+        self._headers = {"Expected-Instance": str(host)}
+        self.born: int | None = None
+
+    def open(self) -> NoResponse | None:
+        """Opens a connection unless there is one; returns why it can't."""
+        return None if self._channel.is_open else self.reopen()
+
+    def reopen(self) -> NoResponse | None:
+        """Opens another connection; returns why it can't."""
+        self.born = None
+        return self._channel.open()
+
+    def order(
+        self, path: str, payload: object, timeout_ms: int = ORDER_TIMEOUT_MS
+    ) -> CallOutcome:
+        """Sends an order on the open connection."""
+        return self._channel.call(
+            "POST", path, timeout_ms=timeout_ms, payload=payload, headers=self._headers
+        )
+
+    def interrupt(self) -> None:
+        """Ends the connection and the call in progress on it."""
+        self._channel.interrupt()
+
+    def close(self) -> None:
+        """Closes the connection for good."""
+        self._channel.close()
+
+
 class HostClient:
-    """Calls one host; some threads may send orders while another one polls it.
+    """Calls one host; starts, stops and polls have a thread and a connection each.
 
     Args:
         host: Id of the host.
         address: IP address and port.
         term: Term of the conductor.
+
+    Raises:
+        ValueError: ``address`` is not an address.
     """
 
     def __init__(self, host: HostId, address: str, term: Term) -> None:
-        self._peer = HttpPeer(address, connections=CONNECTIONS)
-        self._headers = {"Expected-Instance": str(host)}
+        self._starts, self._stops, self._polls = (
+            _Lane(host, address) for _ in range(3)
+        )
         self._fencing_token = term * TOKENS_PER_TERM
         self._last_token = self._fencing_token + TOKENS_PER_TERM - 1
 
@@ -83,7 +127,13 @@
         self._fencing_token = max(self._fencing_token, token)
 
     def start(self, order: StartRun, until_ms: int) -> StartOutcome | AddressReused:
-        """Orders a start; the lease expires at ``until_ms`` on the host's clock."""
+        """Orders a start; the lease expires at ``until_ms`` on the host's clock.
+
+        Sends nothing if another incarnation than that of the order answers. The next
+        poll then shows it, and isn't waited for.
+        """
+        if (hindrance := self._check_incarnation(order.host_born)) is not None:
+            return hindrance
         payload: dict[str, Any] = {
             "task": str(order.name),
             "run": order.number,
@@ -95,7 +145,7 @@
             payload["checkpoint"] = order.checkpoint
         if order.ticket:
             payload["ticket"] = order.ticket
-        match self._order("/v1/run-start", payload):
+        match self._starts.order("/v1/run-start", payload):
             case Response(status=status) if 200 <= status < 300:
                 return StartOutcome.STARTED
             case Response(status=409, body=body):
@@ -108,6 +158,25 @@
                 return StartOutcome.REFUSED
         return StartOutcome.NO_REPLY
 
+    def _check_incarnation(self, born: int) -> StartOutcome | AddressReused | None:
+        """Returns why a start for an incarnation can't be sent; None if it can."""
+        lane = self._starts
+        is_former = lane.born not in (None, born)
+        if (lane.reopen() if is_former else lane.open()) is not None:
+            return StartOutcome.UNHEALTHY
+        if lane.born is None:
+            match self._read_status(lane, None, 0, 0):
+                case AddressReused() as reused:
+                    return reused
+                case OrderFenced():
+                    return StartOutcome.FENCED
+                case NoUsableReply():
+                    return StartOutcome.UNHEALTHY
+        if lane.born != born:
+            self._polls.interrupt()
+            return StartOutcome.REFUSED
+        return None
+
     def stop(self, name: TaskName, number: int) -> bool:
         """Orders a stop; returns whether it need not be repeated."""
         payload = {
@@ -115,7 +184,9 @@
             "run": number,
             "fencingToken": self._fencing_token,
         }
-        return _needs_no_repeat(self._order("/v1/run-stop", payload))
+        if self._stops.open() is not None:
+            return False
+        return _needs_no_repeat(self._stops.order("/v1/run-stop", payload))
 
     def pace(self, name: TaskName, number: int, percent: int) -> bool:
         """Sets the speed of a run; returns whether the order need not be repeated."""
@@ -125,18 +196,37 @@
             "percent": percent,
             "fencingToken": self._fencing_token,
         }
-        return _needs_no_repeat(self._order("/v1/pace", payload))
+        if self._starts.open() is not None:
+            return False
+        return _needs_no_repeat(self._starts.order("/v1/pace", payload))
 
     def poll(
         self, until_ms: int | None, acknowledged: int, wait_ms: int
     ) -> PollOutcome:
         """Extends the lease, acknowledges ends and returns the host's runs.
 
+        The first poll on a connection does neither and doesn't wait: another
+        incarnation may answer it, with another clock and other numbers of ends.
+
         Args:
             until_ms: End of the lease on the host's clock; None keeps the present one.
             acknowledged: Sequence number of the last end that the host may remove.
             wait_ms: Longest time to wait for another run to end.
         """
+        if (failure := self._polls.open()) is not None:
+            return NoUsableReply(failure.detail)
+        if self._polls.born is None:
+            return self._read_status(self._polls, None, 0, 0)
+        return self._read_status(self._polls, until_ms, acknowledged, wait_ms)
+
+    def close(self) -> None:
+        """Closes all connections, after the calls in progress."""
+        for lane in (self._starts, self._stops, self._polls):
+            lane.close()
+
+    def _read_status(
+        self, lane: _Lane, until_ms: int | None, acknowledged: int, wait_ms: int
+    ) -> PollOutcome:
         payload = {
             "fencingToken": self._fencing_token,
             "acknowledged": acknowledged,
@@ -144,10 +234,13 @@
         }
         if until_ms is not None:
             payload["untilMs"] = until_ms
-        outcome = self._order("/v1/hold", payload, ORDER_TIMEOUT_MS + wait_ms)
+        outcome = lane.order("/v1/hold", payload, ORDER_TIMEOUT_MS + wait_ms)
         match outcome:
             case Response(status=status, body=body) if 200 <= status < 300:
-                return _decode_status(body)
+                decoded = _decode_status(body)
+                if isinstance(decoded, HostStatus):
+                    lane.born = decoded.born
+                return decoded
             case Response(status=409):
                 return OrderFenced()
             case Response(status=status) if status == MISDIRECTED:
@@ -156,17 +249,6 @@
                 return NoUsableReply(f"status {status}")
         return NoUsableReply(outcome.detail)
 
-    def close(self) -> None:
-        """Closes idle connections."""
-        self._peer.close()
-
-    def _order(
-        self, path: str, payload: object, timeout_ms: int = ORDER_TIMEOUT_MS
-    ) -> CallOutcome:
-        return self._peer.call(
-            "POST", path, timeout_ms=timeout_ms, payload=payload, headers=self._headers
-        )
-
 
 def _needs_no_repeat(outcome: CallOutcome) -> bool:
     """Returns whether an order was accepted, fenced off or sent to another host."""
--- a/src/amaranthtray/web/http_peer.py
+++ b/src/amaranthtray/web/http_peer.py
@@ -36,7 +36,7 @@
 """Linger time of 0 s. Otherwise the system goes on sending what a call without a reply
 left unsent, and an abandoned order arrives once a partition has ended."""
 
-_SOCKET_OPTIONS = [
+SOCKET_OPTIONS = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -97,7 +97,7 @@
             port,
             maxsize=connections,
             retries=False,
-            socket_options=_SOCKET_OPTIONS,
+            socket_options=SOCKET_OPTIONS,
         )
 
     def call(
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -24,6 +24,7 @@
 from amaranthtray.platform import documents
 from amaranthtray.platform.host_client import HostClient
 from amaranthtray.settings.job_entry import HostsSection, SchedulingSection
+from amaranthtray.web.http_channel import HttpChannel
 from amaranthtray.web.http_peer import Response
 from jobs.store_site import StoreSite
 from jobs.test_host_link import FakeHost, a_link, an_order
@@ -149,8 +150,11 @@
 ) -> None:
     """Guards against a run that stays ordered for ever as its reply is unreadable."""
     client = HostClient(HostId("h"), "127.0.0.1:80", Term(1))
-    monkeypatch.setattr(client._peer, "call", lambda *_, **__: Response(409, body))
-    assert client.start(an_order(), 1_000) is StartOutcome.REFUSED
+    order = an_order()
+    client._starts.born = order.host_born
+    monkeypatch.setattr(HttpChannel, "is_open", True)
+    monkeypatch.setattr(HttpChannel, "call", lambda *_, **__: Response(409, body))
+    assert client.start(order, 1_000) is StartOutcome.REFUSED
 
 
 @pytest.mark.parametrize("rows", [[[7]], [[None] * 5], [5], [[1, 7, 1, "gone", ""]]])
@@ -160,7 +164,8 @@
     """Guards against a poll that ends, after which leases lapse unnoticed."""
     client = HostClient(HostId("h"), "127.0.0.1:80", Term(1))
     body = json.dumps({"clockMs": 1, "running": [], "finished": rows}).encode()
-    monkeypatch.setattr(client._peer, "call", lambda *_, **__: Response(200, body))
+    monkeypatch.setattr(HttpChannel, "open", lambda *_: None)
+    monkeypatch.setattr(HttpChannel, "call", lambda *_, **__: Response(200, body))
     assert isinstance(client.poll(None, 0, 0), NoUsableReply)
 
 
--- a/tests/scheduling/test_partial_reports.py
+++ b/tests/scheduling/test_partial_reports.py
@@ -19,6 +19,7 @@
 )
 from amaranthtray.jobs.ports import HostStatus
 from amaranthtray.platform.host_client import MAX_ENDS, HostClient
+from amaranthtray.web.http_channel import HttpChannel
 from amaranthtray.web.http_peer import Response
 from scheduling.parts import BORN, SchedulerHarness, a_host, a_job, a_step
 
@@ -100,7 +101,8 @@
         [number, f"a.0.0.{number}", 1, "done", ""] for number in range(1, count + 1)
     ]
     body = json.dumps({"clockMs": 1, "running": [], "finished": rows}).encode()
-    monkeypatch.setattr(client._peer, "call", lambda *_, **__: Response(200, body))
+    monkeypatch.setattr(HttpChannel, "open", lambda *_: None)
+    monkeypatch.setattr(HttpChannel, "call", lambda *_, **__: Response(200, body))
     status = client.poll(None, 0, 0)
     assert isinstance(status, HostStatus)
     assert status.has_all_ends is has_all_ends
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -376,6 +376,12 @@
             return
         host, token = self.world.hosts[order.host], self.tokens[order.host]
 
+        def start() -> StartOutcome:
+            # The connection for starts leads to the order's incarnation only.
+            if host.born != order.host_born and not self.world.is_late:
+                return StartOutcome.REFUSED
+            return host.start(token, order, until_ms)
+
         def replied(outcome: StartOutcome | None) -> None:
             is_new = token != self.tokens[order.host]
             if outcome is StartOutcome.FENCED and is_new:
@@ -396,7 +402,7 @@
                 )
             )
 
-        self.world.call(host, lambda: host.start(token, order, until_ms), replied)
+        self.world.call(host, start, replied)
 
     def stop(self, order: StopRun) -> None:
         if not self.may_order:
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -49,11 +49,13 @@
 
     Attributes:
         silent_before_s: Connections opened before this time get no replies any more.
+        ended_before_s: Connections opened before this time are reset when they are
+            used, as by a host that has restarted without a word.
     """
 
     def __init__(self, handle: Callable[[Call], Reply]) -> None:
         self.handle = handle
-        self.silent_before_s = 0.0
+        self.silent_before_s = self.ended_before_s = 0.0
         self.connections: set[socket.socket] = set()
         self._port = 0
         self._http: ThreadingHTTPServer | None = None
@@ -119,7 +121,8 @@
         parts = urlsplit(self.path)
         body = json.loads(data) if data else {}
         call = Call(parts.path, dict(parse_qsl(parts.query)), self.headers, body)
-        reply = self.stand_in.handle(call)
+        has_ended = self._opened_s < self.stand_in.ended_before_s
+        reply = RESET if has_ended else self.stand_in.handle(call)
         if reply == RESET:
             reset(self.connection)
             self.close_connection = True
