--- a/src/amaranthtray/domain/scheduling/lease.py
+++ b/src/amaranthtray/domain/scheduling/lease.py
@@ -51,11 +51,9 @@
         """Records the host's clock and incarnation from a response."""
         self._is_silent = False
         if self._clock_ms is None or born != self._born:
-            # Earlier terms may have granted as much as this one does. An order to an
-            # earlier incarnation has an end that is far ahead on the new clock.
-            is_reborn = self._clock_ms is not None
-            lease_ms = self._max_lease_ms if is_reborn else self._lease_ms
-            self._until_ms = clock_ms + lease_ms
+            # An order to an earlier incarnation, also one of an earlier term, may have
+            # been carried out late: its end is far ahead on the new clock.
+            self._until_ms = clock_ms + self._max_lease_ms
             self._born = born
             self._clock_ms, self._read_ms = clock_ms, received_ms
             return
