--- a/src/amaranthtray/domain/scheduling/_lost_runs.py
+++ b/src/amaranthtray/domain/scheduling/_lost_runs.py
@@ -22,6 +22,7 @@
     from ..jobs.task import Run
     from ._state import SchedulerState
     from .host import Host, PlacedRun
+    from .messages import HostRunsEnded
 
 LossReport: TypeAlias = RunsLost | TaskGivenUp
 
@@ -52,6 +53,22 @@
     return reports
 
 
+def drop_ended_runs(state: SchedulerState, ended: HostRunsEnded) -> list[LossReport]:
+    """Drops the runs on a host, or those of one of its incarnations."""
+    host = state.hosts.get(ended.host)
+    if host is None:
+        return []
+    runs = [
+        (placed.name, placed.run)
+        for placed in host.placed_runs()
+        if ended.born in (None, placed.run.host_born)
+    ]
+    lost = drop_lost_runs(state, runs, ended.cause)
+    if ended.born in (None, host.born):
+        host.born = None
+    return lost
+
+
 def drop_runs_of_unlisted_hosts(state: SchedulerState) -> list[LossReport]:
     """Drops runs on hosts that had left the list before this conductor's term."""
     lost = [
--- a/src/amaranthtray/domain/scheduling/lease.py
+++ b/src/amaranthtray/domain/scheduling/lease.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 SLOWEST_CLOCK_RATE = 0.98
 """Lowest rate of a host's steady clock, relative to this clock."""
 
@@ -67,6 +69,13 @@
             return None
         return self._clock_ms + int((now_ms - self._read_ms) * SLOWEST_CLOCK_RATE)
 
+    def expires_by_ms(self) -> int:
+        """Returns the steady-clock time from which on the lease has expired."""
+        if self._clock_ms is None:
+            return self._earlier_leases_until_ms
+        left_ms = self._until_ms + 1 - self._clock_ms
+        return self._read_ms + math.ceil(left_ms / SLOWEST_CLOCK_RATE)
+
     def is_expired(self, now_ms: int) -> bool:
         """Returns whether all runs under the lease have certainly ended."""
         earliest_ms = self.earliest_clock_ms(now_ms)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -158,10 +158,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRunsEnded:
-    """All runs on a host have certainly ended."""
+    """All runs on a host have certainly ended.
+
+    Attributes:
+        host: The host.
+        cause: How it was learned.
+        born: Incarnation whose runs have ended; None if no later one is known.
+    """
 
     host: HostId
     cause: LossCause = LossCause.LEASE_EXPIRED
+    born: int | None = None
 
 
 class StartOutcome(StrEnum):
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -19,7 +19,7 @@
 )
 from ._learning import restore_run_times, review_run_times
 from ._load import pool_load
-from ._lost_runs import LossReport, drop_lost_runs, drop_runs_of_unlisted_hosts
+from ._lost_runs import LossReport, drop_ended_runs, drop_runs_of_unlisted_hosts
 from ._pacing import pace_fillers
 from ._planner import plan_starts
 from ._progress import stop_stalled_runs
@@ -66,7 +66,6 @@
     from ..jobs.job import Job
     from ..jobs.model import JobId
     from .host import PlacedRun
-    from .losses import LossCause
 
 INSPECT_EVERY_MS = 50
 """Shortest time between inspections of all hosts; hosts report less often."""
@@ -139,8 +138,8 @@
                 return apply_report(self.state, host, message) if host else []
             case HostSilent(host_id):
                 return self._handle_silent_host(host_id)
-            case HostRunsEnded(host_id, cause):
-                return self._handle_runs_ended(host_id, cause)
+            case HostRunsEnded():
+                return self._handle_runs_ended(message)
             case StartReplied():
                 return self._handle_start_reply(message)
             case RunTimesRead():
@@ -313,17 +312,13 @@
             host.is_silent = True
         return []
 
-    def _handle_runs_ended(self, host_id: HostId, cause: LossCause) -> list[Effect]:
-        host = self.state.hosts.get(host_id)
-        if host is None:
-            return []
-        runs = [(placed.name, placed.run) for placed in host.placed_runs()]
-        lost = drop_lost_runs(self.state, runs, cause)
-        host.born = None
-        if host.is_listed:
+    def _handle_runs_ended(self, ended: HostRunsEnded) -> list[Effect]:
+        lost = drop_ended_runs(self.state, ended)
+        host = self.state.hosts.get(ended.host)
+        if host is None or host.is_listed or host.placed_runs():
             return [*lost]
-        del self.state.hosts[host_id]
-        return [*lost, UnwatchHost(host_id)]
+        del self.state.hosts[ended.host]
+        return [*lost, UnwatchHost(ended.host)]
 
     def _handle_start_reply(self, reply: StartReplied) -> list[Effect]:
         host = self.state.hosts.get(reply.host)
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -101,6 +101,14 @@
         """Returns the fencing token of the next order."""
         return self._api.fencing_token
 
+    @property
+    def lease_expires_by_ms(self) -> int:
+        """Returns the steady-clock time from which on the host's lease has expired.
+
+        After ``close`` it doesn't change any more.
+        """
+        return self._lease.expires_by_ms()
+
     def start(self) -> None:
         """Starts the thread that polls the host and renews its lease."""
         self._poll_thread.start()
@@ -157,6 +165,7 @@
         until_ms = self._lease.next_expiry_ms(sent_ms)
         if until_ms is None:
             wait_ms = 0
+        token = self._api.fencing_token
         outcome = self._api.poll(until_ms, acknowledged, wait_ms)
         received_ms = steady_ms()
         match outcome:
@@ -167,9 +176,7 @@
                     self._log.record_renewal(sent_ms)
                 if self.record_incarnation(outcome.born, acknowledged, until_ms):
                     return self._poll(0, 0)
-                if not outcome.has_all_ends:
-                    ends = len(outcome.ends)
-                    self._log.event("host-ends-partial", ends=ends)
+                self._log.record_ends(outcome)
                 self._post(
                     HostReport(
                         self.info.id,
@@ -182,9 +189,12 @@
                     )
                 )
                 return outcome
+            case AddressReused() if self._born is None:
+                # Runs of earlier terms may be at another address.
+                self._handle_silence("address reused")
             case AddressReused():
-                self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
-            case OrderFenced():
+                self._post_address_reused()
+            case OrderFenced() if self._is_current(token):
                 self._guard.mark_superseded()
             case NoUsableReply(detail):
                 self._handle_silence(detail)
@@ -216,6 +226,10 @@
         )
         return True
 
+    def _post_address_reused(self, born: int | None = None) -> None:
+        ended = HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED, born)
+        self._post(ended)
+
     def _handle_silence(self, detail: str) -> None:
         self._lease.record_no_answer()
         if not self._is_silent:
@@ -287,7 +301,7 @@
             unanswered += 1
         if isinstance(outcome, AddressReused):
             self._post_start_reply(order, StartOutcome.REFUSED, unanswered)
-            self._post(HostRunsEnded(self.info.id, LossCause.ADDRESS_REUSED))
+            self._post_address_reused(order.host_born)
         else:
             self._post_start_reply(order, outcome, unanswered, hindrance)
 
--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..domain.scheduling.lease import SLOWEST_CLOCK_RATE, HostLease
+from ..domain.scheduling.messages import (
+    HostReport,
+    HostRunsEnded,
+    HostSilent,
+    Message,
+)
 from ..domain.scheduling.start_check import (
     StartHindrance,
     StartInputs,
@@ -19,13 +26,21 @@
     from collections.abc import Callable
 
     from ..domain.ids import HostId
-    from ..domain.scheduling.messages import AcknowledgeEnds, HostInfo, Message
+    from ..domain.scheduling.messages import AcknowledgeEnds, HostInfo
     from ..domain.scheduling.orders import HostOrder
     from .conductor_log import ConductorLog
     from .context import JobEntryContext
     from .term_guard import TermGuard
 
 
+@dataclass(frozen=True, slots=True)
+class LinkMessage:
+    """A message of one link, which another one may have replaced since."""
+
+    link: int
+    message: Message
+
+
 class HostLinks:
     """Opens and closes links, and passes orders on to them; not thread-safe.
 
@@ -46,7 +61,7 @@
         self,
         context: JobEntryContext,
         guard: TermGuard,
-        post: Callable[[Message], None],
+        post: Callable[[LinkMessage], None],
         log: ConductorLog,
         cancellations_age_ms: Callable[[], int | None],
     ) -> None:
@@ -60,7 +75,10 @@
         wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
         self.earlier_leases_until_ms = clock.steady_ms() + wait_ms
         self._links: dict[HostId, HostLink] = {}
+        self._numbers: dict[HostId, int] = {}
+        self._opened = 0
         self._last_tokens: dict[HostId, int] = {}
+        self._last_leases: dict[HostId, int] = {}
 
     def open(self, info: HostInfo) -> None:
         """Opens a link in place of an earlier one.
@@ -77,20 +95,41 @@
         lease = HostLease(
             lease_ms=self._lease_ms,
             max_lease_ms=self._max_lease_ms,
-            earlier_leases_until_ms=self.earlier_leases_until_ms,
+            earlier_leases_until_ms=max(
+                self.earlier_leases_until_ms, self._last_leases.pop(info.id, 0)
+            ),
         )
+        self._opened += 1
+        number = self._numbers[info.id] = self._opened
         link = HostLink(
             info,
             api=api,
             lease=lease,
             guard=self._guard,
-            post=self._post,
+            post=lambda message: self._post(LinkMessage(number, message)),
             log=self._context.log,
             hindrance=lambda waited_ms: self._hindrance(info, waited_ms),
         )
         self._links[info.id] = link
         link.start()
 
+    def receive(self, sent: Message | LinkMessage) -> Message | None:
+        """Returns a message; None if it is of a link and outdated.
+
+        What a link that was replaced has learned of its host holds for the host's
+        former address and incarnation. Its replies to orders name a run each, and hold.
+        """
+        if not isinstance(sent, LinkMessage):
+            return sent
+        message = sent.message
+        if isinstance(message, HostReport | HostSilent | HostRunsEnded):
+            if self._numbers.get(message.host) == sent.link:
+                return message
+            kind = type(message).__name__
+            self._log.event("link-outdated", host=message.host, message=kind)
+            return None
+        return message
+
     def _hindrance(self, info: HostInfo, waited_ms: int) -> StartHindrance | None:
         """Returns what keeps a start from being sent to a host now."""
         settings, evacuations = self._context.settings, self._context.evacuations
@@ -113,8 +152,10 @@
         """Closes the link to a host if there is one."""
         link = self._links.pop(host, None)
         if link is not None:
+            del self._numbers[host]
             self._last_tokens[host] = link.fencing_token
             link.close()
+            self._last_leases[host] = link.lease_expires_by_ms
 
     def close_all(self) -> None:
         """Closes all links."""
--- a/src/amaranthtray/jobs/link_log.py
+++ b/src/amaranthtray/jobs/link_log.py
@@ -8,6 +8,7 @@
     from ..domain.ids import HostId
     from ..domain.scheduling.orders import StartRun, StopRun
     from .event_log import EventLog
+    from .ports import HostStatus
 
 LOGGED_WAIT_MS = 500
 """A start that is sent, or a stop that is answered, longer after its order than this
@@ -41,6 +42,11 @@
         if last_ms is not None and sent_ms - last_ms > LOGGED_RENEWAL_MS:
             self.event("lease-renewed-late", after_ms=sent_ms - last_ms)
 
+    def record_ends(self, status: HostStatus) -> None:
+        """Logs that a host listed only the first of its ends."""
+        if not status.has_all_ends:
+            self.event("host-ends-partial", ends=len(status.ends))
+
     def record_wait(
         self, event: str, order: StartRun | StopRun, waited_ms: int, unanswered: int
     ) -> None:
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -53,7 +53,7 @@
 from .conductor_log import ConductorLog
 from .conductor_stats import ConductorStats
 from .evacuation_reporter import EvacuationReporter
-from .host_links import HostLinks
+from .host_links import HostLinks, LinkMessage
 from .job_feed import JobFeed
 from .lasting_run_log import record_lasting_run
 from .loss_log import LossLog
@@ -123,7 +123,8 @@
         self.pool = pool
         self._guard = TermGuard(term, held_term)
         self._context = context
-        self._mailbox: queue.SimpleQueue[Message | _Stop] = queue.SimpleQueue()
+        self._mailbox: queue.SimpleQueue[Message | LinkMessage | _Stop]
+        self._mailbox = queue.SimpleQueue()
         self._batches: queue.SimpleQueue[StoreJobs | None] = queue.SimpleQueue()
         self._last_plan_ms = 0
         self._stats = ConductorStats()
@@ -172,7 +173,7 @@
         """Returns the share of jobs in time of the worst-served tenth of the teams."""
         return None if self.is_over else self._share_log.worst_share(clock.steady_ms())
 
-    def post(self, message: Message) -> None:
+    def post(self, message: Message | LinkMessage) -> None:
         """Queues a message; thread-safe."""
         self._mailbox.put(message)
 
@@ -248,7 +249,10 @@
     def _run_round(self, scheduler: PoolScheduler) -> None:
         """Handles the queued messages, then plans."""
         messages = self._receive()
-        for message in messages:
+        for sent in messages:
+            message = self._links.receive(sent)
+            if message is None:
+                continue
             now_ms, wall_ms = clock.steady_ms(), clock.wall_ms()
             if isinstance(message, StartReplied):
                 self._record_start_reply(message)
@@ -290,14 +294,14 @@
             sums = asdict(scheduler.activity())
             self._log.event("pool", **sums, **summary)
 
-    def _receive(self) -> list[Message]:
+    def _receive(self) -> list[Message | LinkMessage]:
         try:
             messages = [self._mailbox.get(timeout=MAX_ROUND_INTERVAL_MS / 1_000)]
         except queue.Empty:
             return []
         while not self._mailbox.empty():
             messages.append(self._mailbox.get_nowait())
-        return [message for message in messages if not isinstance(message, _Stop)]
+        return [each for each in messages if not isinstance(each, _Stop)]
 
     def _apply_effects(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/tests/jobs/test_starts_on_leaving_hosts.py
+++ b/tests/jobs/test_starts_on_leaving_hosts.py
@@ -18,7 +18,7 @@
 from amaranthtray.jobs import host_link, host_list_follower
 from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.host_link import HostLink
-from amaranthtray.jobs.host_links import HostLinks
+from amaranthtray.jobs.host_links import HostLinks, LinkMessage
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.jobs.term_guard import TermGuard
 from amaranthtray.store.contract import (
@@ -35,7 +35,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from amaranthtray.domain.scheduling.messages import Message
 
 HOST = HostId("h")
 LEAVING_LIMIT_MS = 2_000
@@ -56,7 +55,7 @@
         assert self.site.follower._read()
         self.on_start: Callable[[], StartOutcome] = lambda: StartOutcome.STARTED
         self.api = FakeHost(lambda: self.on_start())
-        self.posted: queue.Queue[Message] = queue.Queue()
+        self.posted: queue.Queue[LinkMessage] = queue.Queue()
         lines: Any = self.site.lines
         hosts = SimpleNamespace(
             max_lease_ms=9_000, leaving_start_limit_ms=LEAVING_LIMIT_MS
@@ -92,7 +91,7 @@
 
     def reply(self) -> StartReplied:
         """Returns the next posted reply to a start."""
-        message = self.posted.get(timeout=5)
+        message = self.posted.get(timeout=5).message
         assert isinstance(message, StartReplied)
         return message
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -7,6 +7,7 @@
 from amaranthtray.domain.jobs.record import decode_state
 from amaranthtray.domain.jobs.task import RunOutcome
 from amaranthtray.domain.scheduling._vacating import TAKEOVER_PAUSE_MS
+from amaranthtray.domain.scheduling.losses import LossCause
 from amaranthtray.domain.scheduling.messages import (
     AcknowledgeEnds,
     BatchNotStored,
@@ -126,6 +127,20 @@
     assert StopRun(again.host, again.name, again.number) in harness.plan()
 
 
+def test_runs_of_another_incarnation_outlast_the_end_of_one() -> None:
+    """Guards against a second run of a task beside its run on the next incarnation."""
+    harness = SchedulerHarness(a_host())
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.reply_to_start(order, StartOutcome.STARTED)
+    cause = LossCause.ADDRESS_REUSED
+    harness.send(HostRunsEnded(order.host, cause, order.host_born - 1))
+    assert harness.starts() == []
+    harness.send(HostRunsEnded(order.host, cause, order.host_born))
+    harness.report()
+    assert [again.number for again in harness.starts()] == [2]
+
+
 def test_a_late_failure_counts_once() -> None:
     harness = SchedulerHarness(a_host(), a_host("i"))
     harness.submit(a_job())
