duties: a tick beside a check of the term no longer hides it

What callers saw: nothing certain.

Cause: DutyHolder.term_at takes a time that is earlier than the last tick as a clock that has stepped back. Conductors and the fleet manager ask from other threads; a tick of the duty's thread between their reading of the clock and the comparison made the term None for that one check. A conductor drops an order then; the fleet manager ended.

Fix: DutyRunner.term reads the state machine's latest time before the clock. A tick can't come between in the wrong order any more, and a clock that has stepped back is still seen.

Evidence: the test makes a tick after each reading of the clock. It failed before (None instead of term 1) and passes now.

--- a/src/amaranthtray/domain/duties/holder.py
+++ b/src/amaranthtray/domain/duties/holder.py
@@ -147,14 +147,26 @@
         self._attempts = 0
         self._now_ms = 0
 
-    def term_at(self, now_ms: int) -> Term | None:
+    @property
+    def latest_ms(self) -> int:
+        """Returns the latest time that the state machine was given."""
+        return self._now_ms
+
+    def term_at(self, now_ms: int, *, latest_ms: int | None = None) -> Term | None:
         """Returns the term to act under; ``None`` unless the duty is certainly held.
 
-        Call this with the current monotonic time right before each action.
+        Call this right before each action.
+
+        Args:
+            now_ms: Current monotonic time.
+            latest_ms: ``latest_ms`` from before the clock was read. A thread that
+                doesn't tick must give it, as a tick after that reading of the clock
+                would look as if the clock had stepped back.
         """
+        latest_ms = self._now_ms if latest_ms is None else latest_ms
         match self.state:
             case Held(term=term, until_ms=until_ms):
-                return term if self._now_ms <= now_ms < until_ms else None
+                return term if latest_ms <= now_ms < until_ms else None
         return None
 
     def tick(self, now_ms: int) -> tuple[DutyCall, ...]:
--- a/src/amaranthtray/store/duties.py
+++ b/src/amaranthtray/store/duties.py
@@ -83,7 +83,7 @@
 
 
 class DutyRunner:
-    """Runs one duty of one entry; must be used by one thread only.
+    """Runs one duty of one entry; any thread may call ``term``, one all the rest.
 
     Args:
         name: The duty.
@@ -116,7 +116,8 @@
 
     def term(self) -> Term | None:
         """Returns the term to act under now; None unless it is certainly held."""
-        return self.holder.term_at(self._clock())
+        latest_ms = self.holder.latest_ms
+        return self.holder.term_at(self._clock(), latest_ms=latest_ms)
 
     def release(self) -> None:
         """Releases the duty, as an entry does when it shuts down."""
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -187,6 +187,22 @@
     assert site.holders() == []
 
 
+def test_a_tick_after_a_read_of_the_clock_does_not_hide_the_held_term() -> None:
+    """Guards against a holder that seems lost while another thread renews it."""
+    site = site_with_first_holder()
+    candidate = site.candidates["e0"]
+    read_clock = candidate.runner._clock
+
+    def read_before_a_tick() -> int:
+        now_ms = read_clock()
+        site.now_ms += 1
+        site.tick(candidate)
+        return now_ms
+
+    candidate.runner._clock = read_before_a_tick
+    assert candidate.runner.term() == 1
+
+
 def test_duty_names() -> None:
     assert steward_duty(ZoneId("z1")) == "steward/z1"
     assert conductor_duty(PoolName("web")) == "conductor/web"
