--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -137,7 +137,7 @@
 
     def _poll_loop(self) -> None:
         born, pending = 0, 0
-        while not self._closing.is_set() and self._guard.may_renew():
+        while not self._closing.is_set() and self._guard.may_continue():
             with self._changed:
                 known_born, sequence = self._acknowledged
             # After missed replies another incarnation may answer, with other ends.
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -237,7 +237,7 @@
         return True
 
     def _may_continue(self) -> bool:
-        return not self._stopping.is_set() and self._guard.may_renew()
+        return not self._stopping.is_set() and self._guard.may_continue()
 
     def _run_round(self, scheduler: PoolScheduler) -> None:
         """Handles the queued messages, then plans."""
