duties: a duty without work is released, whatever left it without

A duty could be held by an entry that did nothing for it: for good if the start of its work failed (no thread to be had, a client that can't be made), and until the view of duties caught up if the work ended just after it began.

Cause: DutyTask noted the term before it started the work, and starts work for another term only. And a duty whose work had ended stayed wanted as long as the view of duties showed it as free.

Fix: a held duty that has no work, or whose work is over, isn't wanted; it is released and may be acquired again, here or elsewhere, under a higher term.

Tests changed: the contexts of two harnesses have metrics, which the task uses now, and that of test_duty_task.py passes on the held term.

--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -46,7 +46,7 @@
 
     @property
     def is_over(self) -> bool:
-        """Returns whether it has ended by itself, by a fault or for a higher term."""
+        """Returns whether any part of it has ended by itself, for whatever reason."""
 
     def stop(self) -> None:
         """Ends the task soon."""
@@ -161,6 +161,12 @@
         """Returns whether the entry holds the duty."""
         return self._term is not None
 
+    @property
+    def lacks_work(self) -> bool:
+        """Returns whether the duty is held, but its work has ended or never begun."""
+        work = self._work
+        return self.is_held and (work is None or work.is_over)
+
     def start(self) -> None:
         """Starts the thread."""
         self._thread.start()
@@ -189,9 +195,14 @@
         A duty whose work has ended by itself is released and may be acquired again.
         """
         holder = self._runner.holder
-        is_idle = self._work is not None and self._work.is_over
-        is_held = self._term is not None and not is_idle
-        holder.is_wanted = is_held or self._claims.claim(self._name, self._may_acquire)
+        if self.lacks_work:
+            if holder.is_wanted:
+                self._record("work_ended", self._term)
+            holder.is_wanted = False
+        else:
+            holder.is_wanted = self.is_held or self._claims.claim(
+                self._name, self._may_acquire
+            )
         if not holder.is_wanted:
             self._claims.release(self._name)
         term = self._runner.run()
@@ -208,8 +219,8 @@
         return free_ms >= self._jitter_ms + acquire_delay_ms(size, other_duties)
 
     def _begin_work(self, term: Term) -> None:
-        self._context.log.event("duty-taken", duty=self._name, term=term)
         self._end_work()
+        self._record("taken", term)
         self._term = term
         self._work = self._start_work(term, self._runner.term)
 
@@ -217,8 +228,14 @@
         """Stops the work if the duty was held."""
         if self._term is None:
             return
-        self._context.log.event("duty-lost", duty=self._name, term=self._term)
+        self._record("lost", self._term)
         self._term = None
         if self._work is not None:
             self._work.stop()
             self._work = None
+
+    def _record(self, change: str, term: Term | None) -> None:
+        """Logs and counts a change of the duty."""
+        self._context.metrics.count("duty_changes", change)
+        event = f"duty-{change.replace('_', '-')}"
+        self._context.log.event(event, duty=self._name, term=term)
--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -137,10 +137,12 @@
     def render_metrics(self) -> str:
         """Returns all metrics as text."""
         age_ms, list_age_ms = self._config.age_ms(), self._context.hosts.age_ms()
+        duties = list(self._duties.values())
         gauges: dict[str, float] = {
             "configuration_age_ms": -1 if age_ms is None else age_ms,
             "host_list_age_ms": -1 if list_age_ms is None else list_age_ms,
-            "duties_held": self._count_held(),
+            "duties_held": sum(duty.is_held for duty in duties),
+            "duties_without_work": sum(duty.lacks_work for duty in duties),
             "log_lines_dropped": self.log.dropped,
             "ready": int(self.is_ready),
         }
@@ -207,9 +209,6 @@
             start_work=start_work,
         )
 
-    def _count_held(self) -> int:
-        return sum(duty.is_held for duty in list(self._duties.values()))
-
 
 def _evacuation_follower(
     settings: JobEntrySettings,
--- a/tests/jobs/test_duty_placement.py
+++ b/tests/jobs/test_duty_placement.py
@@ -10,6 +10,7 @@
 from amaranthtray.domain.ids import EntryId, Incarnation
 from amaranthtray.jobs.duty_claims import DutyClaims
 from amaranthtray.jobs.duty_task import JITTER_MS, DutyTask
+from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.settings.job_entry import MachineSection
 from jobs.store_site import DutyWork, StoreSite
 
@@ -50,6 +51,7 @@
         log=site.log,
         catalog=lambda: object(),
         settings=SimpleNamespace(machine=machine),
+        metrics=MetricsRegistry(),
     )
     view: Any = duty
     task = DutyTask(
--- a/tests/jobs/test_duty_task.py
+++ b/tests/jobs/test_duty_task.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from amaranthtray.domain.duties.names import DutyName
-from amaranthtray.domain.ids import EntryId, Incarnation
+from amaranthtray.domain.ids import EntryId, Incarnation, Term
+from amaranthtray.jobs import duty_task
 from amaranthtray.jobs.duty_claims import DutyClaims
-from amaranthtray.jobs.duty_task import DutyTask
+from amaranthtray.jobs.duty_task import DUTY_SETTINGS, DutyTask
+from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.settings.job_entry import MachineSection
 from jobs.store_site import DutyWork, StoreSite
 
@@ -23,6 +28,8 @@
     site: StoreSite = field(default_factory=StoreSite)
     started_work: list[DutyWork] = field(default_factory=list)
     is_free: bool = True
+    held_term: Callable[[], Term | None] = lambda: None
+    metrics: MetricsRegistry = field(default_factory=MetricsRegistry)
 
     def __post_init__(self) -> None:
         context: Any = SimpleNamespace(
@@ -30,6 +37,7 @@
             log=self.site.log,
             catalog=lambda: object(),
             settings=SimpleNamespace(machine=MachineSection()),
+            metrics=self.metrics,
         )
         view: Any = SimpleNamespace(free_for_ms=lambda name: 10_000 * self.is_free)
         self.task = DutyTask(
@@ -39,14 +47,23 @@
             context=context,
             view=view,
             claims=DutyClaims(),
-            start_work=lambda term, held_term: self.start_work(),
+            start_work=self.start_work,
         )
 
-    def start_work(self) -> DutyWork:
+    def start_work(self, term: Term, held_term: Callable[[], Term | None]) -> Any:
+        self.held_term = held_term
         self.started_work.append(DutyWork())
         return self.started_work[-1]
 
 
+@pytest.fixture
+def harness(monkeypatch: pytest.MonkeyPatch) -> DutyTaskHarness:
+    """A duty task on the manual clock of its store."""
+    site = StoreSite()
+    monkeypatch.setattr(duty_task, "steady_ms", lambda: site.now_ms)
+    return DutyTaskHarness(site)
+
+
 def test_a_free_duty_is_acquired_and_its_work_starts() -> None:
     harness = DutyTaskHarness()
     harness.task.step()
@@ -63,3 +80,38 @@
     assert not harness.task.is_held
     assert harness.started_work[0].stops == 1
     assert harness.site.platform.read(f"duties/{DUTY}/holder") is None
+
+
+def test_a_duty_whose_work_has_ended_is_released_although_it_seems_free() -> None:
+    """Guards against a held duty without work, while the view of duties is old."""
+    harness = DutyTaskHarness()
+    harness.task.step()
+    harness.started_work[0].is_over = True
+    harness.task.step()
+    assert not harness.task.is_held
+    assert harness.metrics.totals("duty_changes") == {
+        "taken": 1,
+        "work_ended": 1,
+        "lost": 1,
+    }
+
+
+def test_a_duty_whose_work_could_not_start_is_acquired_again(
+    harness: DutyTaskHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a duty that is held for good without work."""
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("can't start new thread")
+
+    start_work = harness.task._start_work
+    monkeypatch.setattr(harness.task, "_start_work", fail)
+    with pytest.raises(RuntimeError):
+        harness.task.step()
+    assert harness.task.lacks_work
+    monkeypatch.setattr(harness.task, "_start_work", start_work)
+    for _ in range(3):
+        harness.site.now_ms += DUTY_SETTINGS.retry_ms
+        harness.task.step()
+    assert len(harness.started_work) == 1
+    assert harness.held_term() == 2
