fleet: a short gap in its term pauses the fleet manager instead of ending it

Hosts that were to be emptied stayed so and got no work, and accepted jobs never started beside idle hosts.

Cause: FleetManager ended its loop at the first check without a certain term, its is_over was always false, and DutyTask starts work for another term only. A renewal up to 2.5 s after the deadline resumes the same term, so the duty went on without its work.

Fix: the manager asks a TermGuard, as conductors do. It pauses while the term isn't certain, and after 3 s, or by a fault, it is over and says so; its duty is released then. DutyTask tells the work of each gap (resume) before the work sees the term again, whether or not a thread of it has noticed: DutyHolder counts late renewals. An order isn't sent in a round that began before a gap, and after one the ledger is written, and waves and evacuated zones are read, before the next. Without a machine service the manager waits until its duty is lost.

For operators: duty-resumed and duty_changes_total{kind="resumed"}.

Tests changed: the harness of test_fleet_duty.py takes the function that returns the held term, and the stand-in for work counts gaps.

--- a/src/amaranthtray/domain/duties/holder.py
+++ b/src/amaranthtray/domain/duties/holder.py
@@ -129,6 +129,12 @@
         incarnation: This incarnation of the entry.
         rng: Source of randomness for the delays between attempts.
         settings: Timing.
+
+    Attributes:
+        is_wanted: Whether to acquire the duty, or keep it.
+        state: Present state.
+        late_renewals: Number of renewals after the deadline, each of which ended a gap
+            in which the term wasn't certainly held.
     """
 
     def __init__(
@@ -141,6 +147,7 @@
     ) -> None:
         self.is_wanted = False
         self.state: DutyState = Idle(0)
+        self.late_renewals = 0
         self._name = f"{entry}/{incarnation}"
         self._rng = rng
         self._settings = settings or DutySettings()
@@ -305,6 +312,8 @@
             return self._give_up()
         match reply:
             case CallSucceeded():
+                # Counted first, so that no other thread sees the term without it.
+                self.late_renewals += self._now_ms >= state.until_ms
                 self.state = replace(
                     state,
                     until_ms=state.renewal_sent_ms
--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -42,12 +42,22 @@
 
 
 class DutyWork(Protocol):
-    """The task that an entry runs while it holds a duty."""
+    """The task that an entry runs while it holds a duty.
+
+    Its term may be uncertain for a while, and then be resumed. Either it pauses, or it
+    ends and says so; its duty is released then.
+    """
 
     @property
     def is_over(self) -> bool:
         """Returns whether any part of it has ended by itself, for whatever reason."""
 
+    def resume(self) -> None:
+        """Tells it that its term was uncertain, and is certain again after this call.
+
+        It must not act by what it read before.
+        """
+
     def stop(self) -> None:
         """Ends the task soon."""
 
@@ -153,6 +163,7 @@
         self._runner = DutyRunner(name, holder, store=context.store, clock=steady_ms)
         self._term: Term | None = None
         self._work: DutyWork | None = None
+        self._known_gaps = 0
         self._resigning = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -210,6 +221,17 @@
             self._begin_work(term)
         elif isinstance(holder.state, Idle) and self._term is not None:
             self._end_work()
+        elif holder.late_renewals != self._known_gaps:
+            self._resume_work()
+
+    def _held_term(self) -> Term | None:
+        """Returns the term that is certainly held; None until the work knows of a gap.
+
+        Any thread may call this.
+        """
+        term = self._runner.term()
+        is_known = self._runner.holder.late_renewals == self._known_gaps
+        return term if is_known else None
 
     def _may_acquire(self, other_duties: int) -> bool:
         free_ms = self._view.free_for_ms(self._name)
@@ -221,8 +243,14 @@
     def _begin_work(self, term: Term) -> None:
         self._end_work()
         self._record("taken", term)
-        self._term = term
-        self._work = self._start_work(term, self._runner.term)
+        self._term, self._known_gaps = term, self._runner.holder.late_renewals
+        self._work = self._start_work(term, self._held_term)
+
+    def _resume_work(self) -> None:
+        if self._work is not None:
+            self._record("resumed", self._term)
+            self._work.resume()
+        self._known_gaps = self._runner.holder.late_renewals
 
     def _end_work(self) -> None:
         """Stops the work if the duty was held."""
--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -10,7 +10,6 @@
 
 from ..domain.duties.names import FLEET_DUTY
 from ..domain.ids import HostId, PoolName, WaveName
-from ..domain.upkeep.model import MachineName, Wave
 from ..domain.upkeep.recent import RecentOrders
 from ..domain.upkeep.waves import (
     Fleet,
@@ -18,7 +17,6 @@
     new_wave,
     plan_wave,
     record_order,
-    resume,
 )
 from ..store.contract import Put
 from ..store.cursor import WatchCursor
@@ -29,15 +27,17 @@
 from .ledger import decode_report
 from .machine_mover import MachineMover
 from .steps import run_step
+from .term_guard import TermGuard
 from .times import WATCH_MS
 from .vacate_requests import VacateRequests
+from .wave_progress import encode_progress, restore_progress
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from ..domain.ids import Term
     from ..domain.scheduling.messages import Message
-    from ..domain.upkeep.model import Machine, MachineOrder
+    from ..domain.upkeep.model import Machine, MachineOrder, Wave
     from .context import JobEntryContext
     from .ports import MachineService
 
@@ -62,16 +62,6 @@
     ordered: list[str] = msgspec.field(default_factory=list)
 
 
-class _WaveProgress(msgspec.Struct):
-    """Progress of a wave, stored for the next holder."""
-
-    done: list[str] = []
-    down: dict[str, str] = {}
-    confirmed: list[str] = []
-    begun_wall_ms: int = 0
-    is_over: bool = False
-
-
 class FleetManager:
     """Carries out maintenance waves and machine moves under one term.
 
@@ -90,9 +80,11 @@
         is_conducted: Callable[[PoolName], bool] = lambda pool: True,
     ) -> None:
         self._term = term
-        self._held_term = held_term
+        self._guard = TermGuard(term, held_term)
         self._context = context
         self._stopping = threading.Event()
+        self._ended = threading.Event()
+        self._gaps = self._known_gaps = 0
         self._waves: dict[str, Wave] = {}
         self._saved_progress: dict[str, bytes] = {}
         self._vacating = VacateRequests(context.store, context.log, self._commit)
@@ -111,7 +103,7 @@
             context,
             recent_orders=self._recent_orders,
             record_orders=lambda: self._commit(()),
-            may_continue=self._may_continue,
+            may_order=self._may_order,
             demand=self._demand,
         )
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -120,6 +112,10 @@
         """Starts the thread."""
         self._thread.start()
 
+    def resume(self) -> None:
+        """Lets no order follow from what was read before now."""
+        self._gaps += 1
+
     def stop(self) -> None:
         """Ends the task after the order in progress."""
         self._stopping.set()
@@ -127,22 +123,40 @@
     @property
     def machines_held(self) -> int:
         """Returns the number of machines that are held for expected peaks."""
-        if self._demand is None or self._stopping.is_set():
+        if self._demand is None or self._stopping.is_set() or self.is_over:
             return 0
         return self._demand.expectations.held
 
     @property
     def is_over(self) -> bool:
-        """Returns False: a fault ends only one round, not the task."""
-        return False
+        """Returns whether the task has ended, by ``stop`` or by itself."""
+        return self._ended.is_set()
 
     def _may_continue(self) -> bool:
-        is_held = self._held_term() == self._term and not self._ledger.is_superseded
-        return is_held and not self._stopping.is_set()
+        return self._guard.may_continue() and not self._must_end()
+
+    def _may_order(self) -> bool:
+        is_held = self._guard.may_order() and self._gaps == self._known_gaps
+        return is_held and not self._must_end()
+
+    def _must_end(self) -> bool:
+        return self._stopping.is_set() or self._ledger.is_superseded
 
     def _run(self) -> None:
+        log, evacuations = self._context.log, self._context.evacuations
+        try:
+            self._manage()
+        except Exception as exc:
+            log.event("fleet-fault", why=repr(exc), term=self._term)
+        finally:
+            self._ended.set()
+            self._mover.close()
+            evacuations.unsubscribe(FLEET_DUTY, self._ignore)
+
+    def _manage(self) -> None:
         service = self._context.platform.machine_service(self._term)
         if service is None:
+            self._stopping.wait()
             return
         log = self._context.log
         while self._may_continue() and not run_step(
@@ -152,23 +166,41 @@
         threading.Thread(target=self._follow_waves, daemon=True).start()
         while self._may_continue():
             try:
-                self.step(service)
+                self._run_round(service)
             except Exception as exc:
                 log.event("fleet-fault", why=repr(exc), term=self._term)
             self._stopping.wait(ROUND_INTERVAL_MS / 1_000)
-        self._mover.close()
         service.close()
-        self._context.evacuations.unsubscribe(FLEET_DUTY, self._ignore)
+
+    def _run_round(self, service: MachineService) -> None:
+        """Runs a step unless the term or what is known isn't certain now."""
+        if self._guard.may_order() and self._read_after_gap():
+            self.step(service)
+
+    def _read_after_gap(self) -> bool:
+        """Reads anew what rounds don't, once after each gap; False if it is not read.
+
+        Nobody else had the duty in the gap, so this holder's own state is up to date.
+        """
+        gaps = self._gaps
+        if gaps == self._known_gaps:
+            return True
+        is_read = self._commit(()) and self._list() and self._follow_evacuations()
+        if is_read:
+            self._known_gaps = gaps
+        return is_read
 
     def take_over(self) -> bool:
         """Fences off older terms and reads the state that they stored; repeatable."""
-        evacuations = self._context.evacuations
         is_loaded = (
             self._fence_older_terms()
             and self._list()
             and (self._demand is None or self._demand.load())
         )
-        return is_loaded and evacuations.subscribe(FLEET_DUTY, self._ignore)
+        return is_loaded and self._follow_evacuations()
+
+    def _follow_evacuations(self) -> bool:
+        return self._context.evacuations.subscribe(FLEET_DUTY, self._ignore)
 
     def _ignore(self, message: Message) -> None:
         """Ignores changes of the evacuated zones, which each round reads."""
@@ -215,17 +247,10 @@
         wave = new_wave(request, steady_ms(), wall_ms())
         stored = progress.get(keys.wave_progress_key(WaveName(name)))
         if stored is not None:
-            saved = msgspec.json.decode(stored, type=_WaveProgress)
-            wave.done = {MachineName(each) for each in saved.done}
-            wave.down = {
-                MachineName(each): HostId(host) for each, host in saved.down.items()
-            }
-            wave.confirmed = {MachineName(each) for each in saved.confirmed}
-            wave.uncertain = set(wave.down) - wave.confirmed
-            resume(wave, saved.begun_wall_ms, steady_ms(), wall_ms())
-            wave.is_announced, wave.is_over = True, saved.is_over
+            restore_progress(wave, stored, steady_ms(), wall_ms())
             self._saved_progress[name] = stored
-        self._waves[name] = wave
+        if self._waves.setdefault(name, wave) is not wave:
+            return
         self._context.log.event(
             "wave",
             number=request.number,
@@ -328,7 +353,7 @@
             not is_repeated or self._commit(())
         )
         checked_ms = steady_ms()
-        if not is_recorded or not self._may_continue():
+        if not is_recorded or not self._may_order():
             return
         outcome = service.order(order)
         self._context.log.event(
@@ -346,14 +371,7 @@
     def _save_progress(self, name: str, wave: Wave) -> bool:
         """Stores progress and the operator's status; returns whether that succeeded."""
         is_over = not wave.left and not wave.down
-        progress = _WaveProgress(
-            done=sorted(wave.done),
-            down=dict(sorted(wave.down.items())),
-            confirmed=sorted(wave.confirmed),
-            begun_wall_ms=wave.begun_wall_ms,
-            is_over=is_over,
-        )
-        value = msgspec.json.encode(progress)
+        value = encode_progress(wave, is_over=is_over)
         if value == self._saved_progress.get(name):
             return True
         puts = [Put(keys.wave_progress_key(WaveName(name)), value)]
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -58,7 +58,7 @@
         context: Objects that all tasks of the entry share.
         recent_orders: Machines with recent orders, shared with the waves.
         record_orders: Stores them for the next holder; returns whether they are stored.
-        may_continue: Returns whether the holder may send orders now.
+        may_order: Returns whether the holder may send orders now.
         demand: Forecast of the pools' demand; None without it.
     """
 
@@ -69,14 +69,14 @@
         *,
         recent_orders: RecentOrders,
         record_orders: Callable[[], bool],
-        may_continue: Callable[[], bool],
+        may_order: Callable[[], bool],
         demand: DemandRecorder | None = None,
     ) -> None:
         self._term = term
         self._context = context
         self._recent_orders = recent_orders
         self._record_orders = record_orders
-        self._may_continue = may_continue
+        self._may_order = may_order
         self._demand = demand
         self._moves = moves.Moves(demand=demand.expectations if demand else None)
         self._lacking: Mapping[PoolName, int] = {}
@@ -134,7 +134,7 @@
             return
         for first in range(0, len(planned), CONCURRENT_ORDERS):
             group = planned[first : first + CONCURRENT_ORDERS]
-            if not self._may_continue():
+            if not self._may_order():
                 return
             replies = [
                 (order, self._senders.submit(self._order, order, service))
@@ -154,7 +154,7 @@
         outcome, checked_ms, tries = OrderOutcome.REFUSED, steady_ms(), 0
         while tries < MAX_TRIES:
             checked_ms = steady_ms()
-            if not self._may_continue():
+            if not self._may_order():
                 break
             tries += 1
             # Earlier orders may have taken seconds; the quiet period starts now.
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -146,6 +146,9 @@
         """Starts the thread."""
         self._thread.start()
 
+    def resume(self) -> None:
+        """Does nothing, as each start checks how old what it follows from is."""
+
     def stop(self) -> None:
         """Ends the conductor soon; runs continue under their leases."""
         self._stopping.set()
--- a/tests/jobs/store_site.py
+++ b/tests/jobs/store_site.py
@@ -29,10 +29,14 @@
 
 @dataclass
 class DutyWork:
-    """Work that counts how often it is stopped."""
+    """Work that counts how often it is stopped and told of gaps in its term."""
 
     is_over: bool = False
     stops: int = 0
+    gaps: int = 0
 
     def stop(self) -> None:
         self.stops += 1
+
+    def resume(self) -> None:
+        self.gaps += 1
--- a/tests/jobs/test_duty_task.py
+++ b/tests/jobs/test_duty_task.py
@@ -19,6 +19,7 @@
 from jobs.store_site import DutyWork, StoreSite
 
 DUTY = DutyName("conductor/p")
+TERM_ENDS_MS = DUTY_SETTINGS.ttl_ms - DUTY_SETTINGS.margin_ms
 
 
 @dataclass
@@ -115,3 +116,29 @@
         harness.task.step()
     assert len(harness.started_work) == 1
     assert harness.held_term() == 2
+
+
+def test_work_is_told_of_a_gap_in_its_term_before_it_may_act_again(
+    harness: DutyTaskHarness,
+) -> None:
+    harness.task.step()
+    (work,) = harness.started_work
+    harness.site.platform.is_down = True
+    harness.site.now_ms = TERM_ENDS_MS
+    harness.task.step()
+    assert harness.held_term() is None
+    assert harness.task.is_held
+    harness.site.platform.is_down = False
+    harness.site.now_ms += DUTY_SETTINGS.renew_retry_ms
+    harness.task._runner.run()
+    assert harness.held_term() is None
+    harness.task.step()
+    assert (harness.held_term(), work.gaps) == (1, 1)
+    assert harness.metrics.totals("duty_changes") == {"taken": 1, "resumed": 1}
+
+
+def test_a_renewal_in_time_is_no_gap(harness: DutyTaskHarness) -> None:
+    harness.task.step()
+    harness.site.now_ms = TERM_ENDS_MS - 1
+    harness.task.step()
+    assert (harness.held_term(), harness.started_work[0].gaps) == (1, 0)
--- a/tests/jobs/test_fleet_duty.py
+++ b/tests/jobs/test_fleet_duty.py
@@ -81,7 +81,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.machine_service = FakeMachineService()
-        self.held_term = Term(1)
+        self.held_term: Term | None = Term(1)
         self.evacuations: Any = NoEvacuations()
         self.scheduling = SchedulingSection()
         self.metrics = MetricsRegistry()
@@ -105,7 +105,9 @@
         report = PoolReport(vacant=[str(h) for h in hosts], vacate_number=1, load=load)
         self.put(keys.report_key(WEB), msgspec.json.encode(report))
 
-    def new_manager(self, term: int) -> FleetManager:
+    def new_manager(
+        self, term: int, held_term: Callable[[], Term | None] | None = None
+    ) -> FleetManager:
         context: Any = SimpleNamespace(
             store=self.store,
             log=self.log,
@@ -125,7 +127,8 @@
                 ),
             ),
         )
-        manager = FleetManager(Term(term), lambda: self.held_term, context)
+        held_term = held_term or (lambda: self.held_term)
+        manager = FleetManager(Term(term), held_term, context)
         assert manager.take_over()
         return manager
 
