--- a/src/amaranthtray/domain/duties/holder.py
+++ b/src/amaranthtray/domain/duties/holder.py
@@ -129,6 +129,12 @@
         incarnation: This incarnation of the entry.
         rng: Source of randomness for the delays between attempts.
         settings: Timing.
+
+    Attributes:
+        is_wanted: Whether to acquire the duty, or keep it.
+        state: Present state.
+        late_renewals: Number of renewals after the deadline, each of which ended a gap
+            in which the term wasn't certainly held.
     """
 
     def __init__(
@@ -141,20 +147,33 @@
     ) -> None:
         self.is_wanted = False
         self.state: DutyState = Idle(0)
+        self.late_renewals = 0
         self._name = f"{entry}/{incarnation}"
         self._rng = rng
         self._settings = settings or DutySettings()
         self._attempts = 0
         self._now_ms = 0
 
-    def term_at(self, now_ms: int) -> Term | None:
+    @property
+    def latest_ms(self) -> int:
+        """Returns the latest time that the state machine was given."""
+        return self._now_ms
+
+    def term_at(self, now_ms: int, *, latest_ms: int | None = None) -> Term | None:
         """Returns the term to act under; ``None`` unless the duty is certainly held.
 
-        Call this with the current monotonic time right before each action.
+        Call this right before each action.
+
+        Args:
+            now_ms: Current monotonic time.
+            latest_ms: ``latest_ms`` from before the clock was read. A thread that
+                doesn't tick must give it, as a tick after that reading of the clock
+                would look as if the clock had stepped back.
         """
+        latest_ms = self._now_ms if latest_ms is None else latest_ms
         match self.state:
             case Held(term=term, until_ms=until_ms):
-                return term if self._now_ms <= now_ms < until_ms else None
+                return term if latest_ms <= now_ms < until_ms else None
         return None
 
     def tick(self, now_ms: int) -> tuple[DutyCall, ...]:
@@ -293,6 +312,8 @@
             return self._give_up()
         match reply:
             case CallSucceeded():
+                # Counted first, so that no other thread sees the term without it.
+                self.late_renewals += self._now_ms >= state.until_ms
                 self.state = replace(
                     state,
                     until_ms=state.renewal_sent_ms
--- a/src/amaranthtray/jobs/duty_task.py
+++ b/src/amaranthtray/jobs/duty_task.py
@@ -42,11 +42,21 @@
 
 
 class DutyWork(Protocol):
-    """The task that an entry runs while it holds a duty."""
+    """The task that an entry runs while it holds a duty.
+
+    Its term may be uncertain for a while, and then be resumed. Either it pauses, or it
+    ends and says so; its duty is released then.
+    """
 
     @property
     def is_over(self) -> bool:
-        """Returns whether it has ended by itself, by a fault or for a higher term."""
+        """Returns whether any part of it has ended by itself, for whatever reason."""
+
+    def resume(self) -> None:
+        """Tells it that its term was uncertain, and is certain again after this call.
+
+        It must not act by what it read before.
+        """
 
     def stop(self) -> None:
         """Ends the task soon."""
@@ -153,6 +163,7 @@
         self._runner = DutyRunner(name, holder, store=context.store, clock=steady_ms)
         self._term: Term | None = None
         self._work: DutyWork | None = None
+        self._known_gaps = 0
         self._resigning = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -161,6 +172,12 @@
         """Returns whether the entry holds the duty."""
         return self._term is not None
 
+    @property
+    def lacks_work(self) -> bool:
+        """Returns whether the duty is held, but its work has ended or never begun."""
+        work = self._work
+        return self.is_held and (work is None or work.is_over)
+
     def start(self) -> None:
         """Starts the thread."""
         self._thread.start()
@@ -189,9 +206,14 @@
         A duty whose work has ended by itself is released and may be acquired again.
         """
         holder = self._runner.holder
-        is_idle = self._work is not None and self._work.is_over
-        is_held = self._term is not None and not is_idle
-        holder.is_wanted = is_held or self._claims.claim(self._name, self._may_acquire)
+        if self.lacks_work:
+            if holder.is_wanted:
+                self._record("work_ended", self._term)
+            holder.is_wanted = False
+        else:
+            holder.is_wanted = self.is_held or self._claims.claim(
+                self._name, self._may_acquire
+            )
         if not holder.is_wanted:
             self._claims.release(self._name)
         term = self._runner.run()
@@ -199,6 +221,17 @@
             self._begin_work(term)
         elif isinstance(holder.state, Idle) and self._term is not None:
             self._end_work()
+        elif holder.late_renewals != self._known_gaps:
+            self._resume_work()
+
+    def _held_term(self) -> Term | None:
+        """Returns the term that is certainly held; None until the work knows of a gap.
+
+        Any thread may call this.
+        """
+        term = self._runner.term()
+        is_known = self._runner.holder.late_renewals == self._known_gaps
+        return term if is_known else None
 
     def _may_acquire(self, other_duties: int) -> bool:
         free_ms = self._view.free_for_ms(self._name)
@@ -208,17 +241,29 @@
         return free_ms >= self._jitter_ms + acquire_delay_ms(size, other_duties)
 
     def _begin_work(self, term: Term) -> None:
-        self._context.log.event("duty-taken", duty=self._name, term=term)
         self._end_work()
-        self._term = term
-        self._work = self._start_work(term, self._runner.term)
+        self._record("taken", term)
+        self._term, self._known_gaps = term, self._runner.holder.late_renewals
+        self._work = self._start_work(term, self._held_term)
+
+    def _resume_work(self) -> None:
+        if self._work is not None:
+            self._record("resumed", self._term)
+            self._work.resume()
+        self._known_gaps = self._runner.holder.late_renewals
 
     def _end_work(self) -> None:
         """Stops the work if the duty was held."""
         if self._term is None:
             return
-        self._context.log.event("duty-lost", duty=self._name, term=self._term)
+        self._record("lost", self._term)
         self._term = None
         if self._work is not None:
             self._work.stop()
             self._work = None
+
+    def _record(self, change: str, term: Term | None) -> None:
+        """Logs and counts a change of the duty."""
+        self._context.metrics.count("duty_changes", change)
+        event = f"duty-{change.replace('_', '-')}"
+        self._context.log.event(event, duty=self._name, term=term)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -153,6 +153,9 @@
         """Starts the thread."""
         self._thread.start()
 
+    def resume(self) -> None:
+        """Does nothing, as each start checks how old what it follows from is."""
+
     def stop(self) -> None:
         """Ends the conductor soon; runs continue under their leases."""
         self._stopping.set()
@@ -244,7 +247,7 @@
         return True
 
     def _may_continue(self) -> bool:
-        return not self._stopping.is_set() and self._guard.may_renew()
+        return not self._stopping.is_set() and self._guard.may_continue()
 
     def _run_round(self, scheduler: PoolScheduler) -> None:
         """Handles the queued messages, then plans."""
