Advice: one request of a pool at a time, chosen anew by each plan

Cause: a step asked again a second after its last request, also while that one still waited in the requester's queue. The queue had no bound and dropped nothing, neither second requests nor those of steps that had started or ended. Once the wait was over a second, each waiting step added a request a second.

Now the scheduler gives the requester one request and the next one after its outcome, which is always reported, also when the call fails. Each plan lists what is worth asking in order of rank: hosts with room first, moves out of an evacuated zone in turn with starts, hosts without room last. So the queue has a bound and holds nothing that has become useless. Hosts that can never run the step are not asked for. The next request goes out with the answer, so a store write doesn't idle the service.

The test that a request without a response is repeated after a second is replaced: the passing of time doesn't show a loss. In its place are that a request is not repeated before its outcome, that it is after a reported failure, and that each call has exactly one outcome. Two tests waited for the time after which requests were repeated, which is gone: they wait for half of a ticket's validity, and for the pause after a refused start.

--- a/src/amaranthtray/domain/scheduling/_evacuation_moves.py
+++ b/src/amaranthtray/domain/scheduling/_evacuation_moves.py
@@ -12,8 +12,10 @@
 from ..jobs.model import StepKey, TaskName
 from ..jobs.task import Run, RunPhase
 from ._absence import absent_tasks, stop_report
+from ._advice_requests import allowed_hosts, want_advice
 from ._vacating import TAKEOVER_PAUSE_MS
 from .absence import StopReason
+from .advice_queue import Purpose
 from .evacuation import MovingRun, RunKind, RunsMoved
 from .host import QUARANTINE_CRASHES, Host, PlacedRun
 from .host_index import largest_amounts
@@ -284,13 +286,5 @@
     def _allowed_hosts(self, job: Job, key: StepKey) -> list[Host]:
         """Returns the hosts that the placement policy allows; requests more advice."""
         state, hosts = self._state, list(self._hosts.values())
-        if not state.queue_of(job).needs_advice:
-            return hosts
-        request = state.advice.next_request(key, hosts, state.now_ms)
-        if request is not None:
-            state.advice_requests.append(request)
-        return [
-            host
-            for host in hosts
-            if state.advice.ticket(key, host.info.id, state.now_ms) is not None
-        ]
+        want_advice(state, job, key, hosts, Purpose.MOVE)
+        return list(allowed_hosts(state, job, key, hosts))
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -10,6 +10,7 @@
 
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
+from ._advice_requests import allowed_hosts, want_advice
 from ._job_facts import terms_of, waiting_of
 from ._late_runs import place_copies, split_copies
 from ._quarantine import (
@@ -34,7 +35,7 @@
 from .ranking import Timeliness, mean_core_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection
 
     from ..jobs.job import Job
     from ._state import SchedulerState
@@ -88,6 +89,7 @@
 
 def plan_starts(state: SchedulerState) -> None:
     """Places waiting tasks in order of rank while hosts have free resources."""
+    state.advice_queue.begin_plan()
     every = [
         host
         for host in state.hosts.values()
@@ -136,7 +138,7 @@
                         waiting = _within_cap(state, job, step, waiting)
                     may_wait = not has_suspects(job, key, waiting)
                     unplaced = len(waiting) - placed if may_wait else 0
-                    find = partial(_allowed_hosts, state, job, key, hosts.shared)
+                    find = partial(allowed_hosts, state, job, key, hosts.shared)
                     hosts.ahead.end_step(job, key, rank_class, unplaced, placed, find)
             elif step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
                 reserved_hosts = hosts_to_reserve(step, hosts.shared)
@@ -218,27 +220,27 @@
     copied = split_copies(job, key, unsuspected)
     if copied:
         unsuspected = [number for number in unsuspected if number not in copied]
-        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        allowed = allowed_hosts(state, job, key, hosts.shared)
         placements = place_copies(state, job, key, copied, allowed)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if unsuspected:
         shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
         if hosts.racks is not None and len(unsuspected) == len(waiting):
-            allowed = _allowed_hosts(state, job, key, hosts.shared)
+            allowed = allowed_hosts(state, job, key, hosts.shared)
             placements = hosts.racks.place(job, key, unsuspected, allowed, shapes)
         else:
-            ordered = _allowed_hosts(state, job, key, hosts.index.in_order(step))
+            ordered = allowed_hosts(state, job, key, hosts.index.in_order(step))
             place = fill_hosts_or_none if step.is_gang else fill_hosts
             placements = place(step, key, unsuspected, ordered, shapes)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if suspects:
-        allowed = list(_allowed_hosts(state, job, key, hosts.shared))
+        allowed = list(allowed_hosts(state, job, key, hosts.shared))
         placements = place_suspects(job, key, suspects, allowed)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if isolated:
         placed += _place_isolated(state, job, key, isolated, hosts)
     if placed < len(waiting):
-        _request_advice(state, job, key, hosts.every)
+        want_advice(state, job, key, hosts.every)
     return placed
 
 
@@ -253,7 +255,7 @@
         if task.is_waiting and not task.crashes and task.not_before_ms <= state.now_ms
     ]
     waiting = _within_cap(state, job, job.spec.steps[key.step], waiting)
-    allowed = list(_allowed_hosts(state, job, key, slow.hosts))
+    allowed = list(allowed_hosts(state, job, key, slow.hosts))
     placements = slow.place(state, job, key, waiting, allowed)
     return _reserve_runs(state, job, key, placements, index)
 
@@ -266,7 +268,7 @@
     hosts: _PlanHosts,
 ) -> int:
     """Places tasks that need a host of their own; overdue ones share a host."""
-    allowed = list(_allowed_hosts(state, job, key, hosts.every))
+    allowed = list(allowed_hosts(state, job, key, hosts.every))
     placements = place_isolated(job, key, waiting, allowed)
     placed = _reserve_runs(state, job, key, placements, hosts.index)
     overdue = overdue_for_isolation(job, key, waiting, state.now_ms)
@@ -281,29 +283,6 @@
     return placed
 
 
-def _allowed_hosts(
-    state: SchedulerState, job: Job, key: StepKey, hosts: Iterable[Host]
-) -> Iterable[Host]:
-    """Returns the hosts that the placement policy allows, or all without a policy."""
-    if not state.queue_of(job).needs_advice:
-        return hosts
-    return (
-        host
-        for host in hosts
-        if state.advice.ticket(key, host.info.id, state.now_ms) is not None
-    )
-
-
-def _request_advice(
-    state: SchedulerState, job: Job, key: StepKey, hosts: list[Host]
-) -> None:
-    """Requests advice on more hosts if the queue has a placement policy."""
-    if state.queue_of(job).needs_advice:
-        request = state.advice.next_request(key, hosts, state.now_ms)
-        if request is not None:
-            state.advice_requests.append(request)
-
-
 def _jobs_by_rank(
     state: SchedulerState,
 ) -> list[tuple[RankClass, Job, list[WaitingStep]]]:
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -16,7 +16,8 @@
 from ._forecaster import Forecaster
 from ._job_facts import JobFacts
 from ._unplaced import UnplacedSteps
-from .advice import AdviceCache, RequestAdvice
+from .advice import AdviceCache
+from .advice_queue import AdviceQueue
 from .caps import CapTracker
 from .crash_register import CrashRegister
 from .evacuation import EvacuationState
@@ -64,7 +65,7 @@
         stored_vacate_number: Number of the request in the last report; None if that may
             not be stored.
         advice: Cached placement advice.
-        advice_requests: Advice requests to return with the next plan.
+        advice_queue: Requests for advice that go next.
         shares: Meter of submissions beyond the teams' shares.
         unplaced: Steps with tasks that fit on no host.
         unmovable: Steps with tasks on hosts to be emptied that fit on no other host.
@@ -106,7 +107,7 @@
     stored_vacate_number: int | None = 0
     load: PoolLoad = field(default_factory=PoolLoad)
     advice: AdviceCache = field(default_factory=AdviceCache)
-    advice_requests: list[RequestAdvice] = field(default_factory=list)
+    advice_queue: AdviceQueue = field(default_factory=AdviceQueue)
     shares: ShareMeter = field(default_factory=ShareMeter)
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     unmovable: UnplacedSteps = field(default_factory=UnplacedSteps)
@@ -199,6 +200,7 @@
                     limit_ms = job_objective_ms(job, self.queue_of(job), self.run_times)
                     self.team_service.record_end(job, limit_ms, self.now_ms)
             self.advice.remove_job(job.spec.id)
+            self.advice_queue.remove_job(job.spec.id)
             self.shares.remove_job(job.spec.id)
             self.crashes.remove_job(job.spec.id)
             self.run_times.remove_job(job.spec)
--- a/src/amaranthtray/domain/scheduling/activity.py
+++ b/src/amaranthtray/domain/scheduling/activity.py
@@ -23,6 +23,7 @@
         free: Free resources of the accepting hosts.
         runs: Number of runs by phase.
         waiting: Number of tasks that may start now and have no run.
+        advice_waiting: Number of steps that wait to be asked for placement advice.
     """
 
     hosts: int
@@ -31,6 +32,7 @@
     free: Resources
     runs: dict[str, int]
     waiting: int
+    advice_waiting: int
 
 
 def pool_activity(state: SchedulerState) -> PoolActivity:
@@ -53,4 +55,5 @@
         free=free,
         runs=dict(runs),
         waiting=waiting,
+        advice_waiting=state.advice_queue.waiting,
     )
--- a/src/amaranthtray/domain/scheduling/advice.py
+++ b/src/amaranthtray/domain/scheduling/advice.py
@@ -8,10 +8,12 @@
 
 from ..ids import HostId
 from ..jobs.model import StepKey
+from .placement import acceptable_count, may_ever_fit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..jobs.model import StepSpec
     from .host import Host
 
 HOSTS_PER_REQUEST = 30
@@ -20,9 +22,6 @@
 EXPIRY_MARGIN_MS = 300
 """Remaining validity of a ticket, as it must be valid when the start order arrives."""
 
-REQUEST_RETRY_MS = 1_000
-"""Time after which a request without a response is repeated."""
-
 
 @dataclass(frozen=True, slots=True)
 class RequestAdvice:
@@ -49,11 +48,17 @@
     valid_until_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceFailed:
+    """A request for advice was refused, or will certainly get no answer any more."""
+
+    step: StepKey
+
+
 @dataclass(slots=True)
 class _StepAdvice:
     denied: set[HostId] = field(default_factory=set)
     tickets: dict[HostId, tuple[str, int]] = field(default_factory=dict)
-    requested_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -65,7 +70,6 @@
     def handle_advice(self, received: AdviceReceived) -> None:
         """Stores tickets and denied hosts from a response."""
         advice = self._steps.setdefault(received.step, _StepAdvice())
-        advice.requested_ms = None
         for host in received.hosts:
             ticket = received.tickets.get(host)
             if ticket is None:
@@ -79,37 +83,43 @@
         ticket, until_ms = advice.tickets.get(host, ("", 0)) if advice else ("", 0)
         return ticket if now_ms + EXPIRY_MARGIN_MS < until_ms else None
 
+    def is_allowed(self, step: StepKey, host: HostId) -> bool:
+        """Returns whether the policy is known to allow a host, with or without ticket.
+
+        An expired ticket can be renewed, as what the policy allows doesn't change.
+        """
+        advice = self._steps.get(step)
+        return advice is not None and host in advice.tickets
+
     def remove_ticket(self, step: StepKey, host: HostId) -> None:
         """Removes a ticket that its host has refused."""
         advice = self._steps.get(step)
         if advice is not None:
             advice.tickets.pop(host, None)
 
-    def next_request(
-        self, step: StepKey, hosts: Iterable[Host], now_ms: int
-    ) -> RequestAdvice | None:
-        """Returns the request that is due for a step with too few allowed hosts."""
-        advice = self._steps.setdefault(step, _StepAdvice())
-        if (
-            advice.requested_ms is not None
-            and now_ms - advice.requested_ms < REQUEST_RETRY_MS
-        ):
-            return None
-        unknown_hosts = [
+    def unknown_hosts(
+        self, key: StepKey, step: StepSpec, hosts: Iterable[Host], now_ms: int
+    ) -> list[Host]:
+        """Returns hosts for which a request is of use, those with room now first.
+
+        Hosts with an expired ticket go before others, as the policy still allows them.
+        """
+        advice = self._steps.get(key) or _StepAdvice()
+        unknown = [
             host
             for host in hosts
             if host.info.id not in advice.denied
-            and self.ticket(step, host.info.id, now_ms) is None
+            and self.ticket(key, host.info.id, now_ms) is None
+            and may_ever_fit(step, host)
         ]
-        # Hosts with an expired ticket go first, as the policy still allows them.
-        unknown_hosts.sort(
-            key=lambda host: (host.info.id not in advice.tickets, -host.free.cpu)
+        unknown.sort(
+            key=lambda host: (
+                not acceptable_count(step, key, host),
+                host.info.id not in advice.tickets,
+                -host.free.cpu,
+            )
         )
-        ids = tuple(host.info.id for host in unknown_hosts[:HOSTS_PER_REQUEST])
-        if not ids:
-            return None
-        advice.requested_ms = now_ms
-        return RequestAdvice(step, ids)
+        return unknown[:HOSTS_PER_REQUEST]
 
     def remove_job(self, job: str) -> None:
         """Removes all steps of a job that is over."""
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -12,7 +12,7 @@
 from ..jobs.task import RunOutcome
 from ..upkeep.moves import PoolLoad
 from .absence import LastingRunReport, StopUnconfirmed
-from .advice import AdviceReceived, RequestAdvice
+from .advice import AdviceFailed, AdviceReceived, RequestAdvice
 from .caps import ClaimFailed, ClaimPortion, PortionsRead
 from .evacuation import (
     EvacuationHosts,
@@ -251,6 +251,7 @@
     | PortionsRead
     | ClaimFailed
     | AdviceReceived
+    | AdviceFailed
     | HostsListed
     | HostReport
     | HostSilent
--- a/src/amaranthtray/domain/scheduling/placement.py
+++ b/src/amaranthtray/domain/scheduling/placement.py
@@ -69,7 +69,7 @@
     if shapes:
         ordered = keep_room(step.reserved, ordered, shapes)
     for host in ordered:
-        count = min(_acceptable_count(step, key, host), len(waiting) - len(placements))
+        count = min(acceptable_count(step, key, host), len(waiting) - len(placements))
         numbers = waiting[len(placements) : len(placements) + count]
         placements += [Placement(number, host) for number in numbers]
         if len(placements) == len(waiting):
@@ -105,7 +105,7 @@
         candidates = [
             (_suspect_cost(step, host, counts[host.info.id], avoided), index, host)
             for index, host in enumerate(eligible)
-            if counts[host.info.id] < _acceptable_count(step, key, host)
+            if counts[host.info.id] < acceptable_count(step, key, host)
             and not (needs_other_machine and host.machine in avoided)
         ]
         if candidates:
@@ -171,6 +171,14 @@
     return max(0, min(count, step.max_per_host or count))
 
 
+def may_ever_fit(step: StepSpec, host: Host) -> bool:
+    """Returns whether a host has the label of a step and is large enough for a task."""
+    label = step.required_label
+    return step.reserved.fits(host.info.capacity) and (
+        not label or label in host.info.labels
+    )
+
+
 def _eligible_hosts(step: StepSpec, hosts: Iterable[Host]) -> list[Host]:
     """Returns the hosts that match the step's label and fit at least one task."""
     label, need = step.required_label, step.reserved
@@ -190,7 +198,7 @@
     return bool(step.data_rack) and host.info.rack != step.data_rack
 
 
-def _acceptable_count(step: StepSpec, key: StepKey, host: Host) -> int:
+def acceptable_count(step: StepSpec, key: StepKey, host: Host) -> int:
     """Returns how many more tasks of a step a host can accept."""
     count = tasks_that_fit(step, host.room)
     if step.max_per_host:
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -9,6 +9,7 @@
 from ..jobs.record import restore
 from ..jobs.task import RunPhase
 from ._absence import stop_report
+from ._advice_requests import apply_advice
 from ._backoff import delay_starts
 from ._evacuation import (
     apply_zones,
@@ -29,7 +30,7 @@
 from ._vacating import decide_stop_again, vacant_hosts, vacate_hosts
 from .absence import StopReason, StopUnconfirmed
 from .activity import PoolActivity, pool_activity
-from .advice import AdviceReceived
+from .advice import AdviceFailed, AdviceReceived
 from .caps import ClaimFailed, PortionsRead
 from .evacuation import ZonesEvacuated
 from .host import Host
@@ -126,8 +127,8 @@
                 return self._cancel_job(job)
             case PortionsRead() | ClaimFailed() | ShareRowsRead():
                 apply_portions(self.state, message)
-            case AdviceReceived():
-                self.state.advice.handle_advice(message)
+            case AdviceReceived() | AdviceFailed():
+                return apply_advice(self.state, message)
             case VacateRequested():
                 self.state.vacate_request = message
             case ZonesEvacuated(zones):
@@ -179,8 +180,7 @@
         stops += evacuate(state)
         stops += state.caps.claims(state.catalog, now_ms)
         stops += review_shares(state)
-        stops += state.advice_requests
-        state.advice_requests = []
+        stops += state.advice_queue.take_next(now_ms)
         stops += state.reservations.take_reports()
         stops += rack_reports(state)
         vacant, state.vacant = state.vacant, vacant_hosts(state)
--- a/src/amaranthtray/jobs/advice_requester.py
+++ b/src/amaranthtray/jobs/advice_requester.py
@@ -7,35 +7,36 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ..domain.scheduling.advice import AdviceReceived, RequestAdvice
+from ..domain.scheduling.advice import AdviceFailed, AdviceReceived, RequestAdvice
 from .clock import steady_ms
+from .ports import Advice, NoAdvice
 from .steps import run_step
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..domain.scheduling.messages import Message
-    from .event_log import EventLog
+    from .conductor_log import ConductorLog
     from .ports import Adviser
 
-RETRY_PAUSE_MS = 200
-"""Pause after the service was busy or did not answer."""
-
 
 class AdviceRequester:
-    """Sends requests to the adviser, one at a time.
+    """Sends requests to the adviser; each has exactly one outcome.
+
+    The scheduler gives it the next request after the outcome of the last one, so that
+    its queue holds one request at most.
 
     Args:
         adviser: Client of the advice service; None if none is configured.
         post: Queues a message for the conductor.
-        log: Log of the entry.
+        log: Log and counters of the conductor.
     """
 
     def __init__(
         self,
         adviser: Adviser | None,
         post: Callable[[Message], None],
-        log: EventLog,
+        log: ConductorLog,
     ) -> None:
         self._adviser = adviser
         self._post = post
@@ -60,17 +61,36 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             request = self._queue.get()
-            if request is None or self._adviser is None:
-                continue
-            sent_ms = steady_ms()
-            ask = partial(self._adviser.request, request)
-            advice = run_step(self._log, "advice", ask, otherwise=None)
-            if advice is None:
-                self._log.event("no-advice", step=str(request.step))
-                self._stopping.wait(RETRY_PAUSE_MS / 1_000)
-                continue
-            until_ms = sent_ms + advice.valid_ms
-            received = AdviceReceived(
-                request.step, request.hosts, advice.tickets, until_ms
-            )
-            self._post(received)
+            if request is not None:
+                self._post(self.carry_out(request))
+
+    def carry_out(self, request: RequestAdvice) -> AdviceReceived | AdviceFailed:
+        """Sends a request once; returns its outcome."""
+        sent_ms = steady_ms()
+        fault = NoAdvice("fault")
+        ask = partial(self._ask, request)
+        advice = run_step(self._log.log, "advice", ask, otherwise=fault)
+        self._record(request, advice, steady_ms() - sent_ms)
+        if isinstance(advice, NoAdvice):
+            return AdviceFailed(request.step)
+        until_ms = sent_ms + advice.valid_ms
+        return AdviceReceived(request.step, request.hosts, advice.tickets, until_ms)
+
+    def _ask(self, request: RequestAdvice) -> Advice | NoAdvice:
+        if self._adviser is None:
+            return NoAdvice("no advice service is configured")
+        return self._adviser.request(request)
+
+    def _record(
+        self, request: RequestAdvice, advice: Advice | NoAdvice, took_ms: int
+    ) -> None:
+        kind = "failed" if isinstance(advice, NoAdvice) else "answered"
+        self._log.metrics.record_latency("advice", kind, took_ms)
+        step, asked = ".".join(map(str, request.step)), len(request.hosts)
+        common: dict[str, object] = {"step": step, "hosts": asked, "took_ms": took_ms}
+        match advice:
+            case NoAdvice(why):
+                self._log.event("no-advice", why=why, **common)
+            case Advice():
+                allowed = len(advice.tickets)
+                self._log.event("advice", allowed=allowed, **common)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -138,7 +138,7 @@
         )
         self._share_log = ShareLog(self._log)
         adviser = context.platform.adviser()
-        self._advice = AdviceRequester(adviser, self.post, context.log)
+        self._advice = AdviceRequester(adviser, self.post, self._log)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._writer_thread = threading.Thread(target=self._write_loop, daemon=True)
 
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -102,11 +102,18 @@
     valid_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoAdvice:
+    """A call for advice was refused, or had no usable answer in time."""
+
+    why: str
+
+
 class Adviser(Protocol):
     """Client of the service that knows which hosts the placement policy allows."""
 
-    def request(self, request: RequestAdvice) -> Advice | None:
-        """Returns the allowed hosts; None if the service did not answer."""
+    def request(self, request: RequestAdvice) -> Advice | NoAdvice:
+        """Returns the allowed hosts; after a call without them none will follow."""
 
 
 class MachineService(Protocol):
--- a/src/amaranthtray/platform/advice_client.py
+++ b/src/amaranthtray/platform/advice_client.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..domain.ids import HostId
-from ..jobs.ports import Advice
+from ..jobs.ports import Advice, NoAdvice
 from ..web.http_peer import HttpPeer, Response
 
 if TYPE_CHECKING:
@@ -33,8 +33,8 @@
     def __init__(self, address: str) -> None:
         self._peer = HttpPeer(address, connections=1)
 
-    def request(self, request: RequestAdvice) -> Advice | None:
-        """Returns the tickets of the allowed hosts; None if the call failed."""
+    def request(self, request: RequestAdvice) -> Advice | NoAdvice:
+        """Returns the tickets of the allowed hosts, or why there are none."""
         key = request.step
         payload = {
             "step": f"{key.job}.{key.occurrence}.{key.step}",
@@ -43,11 +43,13 @@
         outcome = self._peer.call(
             "POST", "/v1/advise", timeout_ms=ADVICE_TIMEOUT_MS, payload=payload
         )
-        if not isinstance(outcome, Response) or not outcome.is_success:
-            return None
+        if not isinstance(outcome, Response):
+            return NoAdvice(outcome.detail)
+        if not outcome.is_success:
+            return NoAdvice(str(outcome.status))
         try:
             body = msgspec.json.decode(outcome.body, type=_AdviceBody)
-        except msgspec.MsgspecError:
-            return None
+        except msgspec.MsgspecError as exc:
+            return NoAdvice(repr(exc))
         tickets = {HostId(host): ticket for host, ticket in body.allowed}
         return Advice(tickets, body.valid_ms)
