Gangs: keep hosts only where the gang can run, and for a limited time

Cause: hosts were kept for an overdue gang by label and capacity only, as long as it waited. What the policy allows was not asked, nor the team's cap.

Now hosts are kept only if the policy is known to allow them, if the gang fits there with its limit per host, and if its whole need is within the team's cap; in one rack where it prefers that and fits. The policy is asked also while no host has room. Hosts are kept for 5 s at first, 10 s and then 20 s if it didn't start; each time others go first for as long in the whole pool, and for twice that before the same gang, so that one behind it gets its turn. The log has `gang-hosts-kept` and `gang-hosts-released`, the metrics count both.

--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -11,6 +11,7 @@
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
 from ._advice_requests import allowed_hosts, want_advice
+from ._gang_hosts import hosts_to_keep
 from ._job_facts import terms_of, waiting_of
 from ._late_runs import place_copies, split_copies
 from ._quarantine import (
@@ -25,7 +26,6 @@
 )
 from ._slow_hosts import SlowHosts
 from ._unfit import Demand, UnfitDemands
-from ._unplaced import hosts_to_reserve
 from .host import Host
 from .host_index import HostIndex
 from .look_ahead import LookAhead, look_ahead
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from ..ids import HostId
     from ..jobs.job import Job
     from ._state import SchedulerState
     from ._waiting import WaitingStep
@@ -106,6 +107,7 @@
     hosts.ahead = look_ahead(state, hosts.shared)
     waiting_keys = _place_by_rank(state, hosts, slow)
     state.unplaced.retain(waiting_keys)
+    state.gang_hosts.retain(waiting_keys, state.now_ms)
     if hosts.ahead is not None:
         hosts.ahead.finish(waiting_keys)
     select_reserved_hosts(state, every, hosts.unisolated, hosts.crashed_machines)
@@ -131,7 +133,7 @@
             if slow.hosts and placed < len(waiting):
                 placed += _place_on_slow(state, job, key, slow, hosts.index)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
-            reserved_hosts: set[str] = set()
+            kept_hosts: set[HostId] = set()
             if hosts.ahead is not None:
                 if hosts.ahead.account_for_runs(key, step):
                     if not is_tried:
@@ -140,10 +142,12 @@
                     unplaced = len(waiting) - placed if may_wait else 0
                     find = partial(allowed_hosts, state, job, key, hosts.shared)
                     hosts.ahead.end_step(job, key, rank_class, unplaced, placed, find)
-            elif step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
-                reserved_hosts = hosts_to_reserve(step, hosts.shared)
-                hosts.exclude(reserved_hosts)
-            if placed or reserved_hosts:
+            elif step.is_gang and placed:
+                state.gang_hosts.record_start(key, state.now_ms)
+            elif step.is_gang:
+                kept_hosts = hosts_to_keep(state, job, key, hosts.shared)
+                hosts.exclude(kept_hosts)
+            if placed or kept_hosts:
                 room = hosts.index.largest_free()
     return waiting_keys
 
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -21,6 +21,7 @@
 from .caps import CapTracker
 from .crash_register import CrashRegister
 from .evacuation import EvacuationState
+from .gang_hosts import GangHosts
 from .host import Host
 from .host_choice import RecentShapes
 from .messages import AcknowledgeEnds, Effect, StoreJobs, VacateRequested
@@ -74,6 +75,7 @@
         evacuation: Evacuated zones and the runs that leave them.
         run_times_record: What was learned, for the next batch; empty if it is not due.
         forecaster: Forecast for the entries that accept jobs.
+        gang_hosts: Gangs for which hosts are kept without reservations.
         reservations: Hosts reserved for large tasks that wait.
         rack_waits: Tasks that wait for the busy rack of their data.
         shapes: Needs of the tasks that arrived last.
@@ -116,6 +118,7 @@
     evacuation: EvacuationState = field(default_factory=EvacuationState)
     run_times_record: bytes = b""
     forecaster: Forecaster = field(default_factory=Forecaster)
+    gang_hosts: GangHosts = field(default_factory=GangHosts)
     reservations: Reservations = field(default_factory=Reservations)
     rack_waits: RackWaits = field(default_factory=RackWaits)
     shapes: RecentShapes = field(default_factory=RecentShapes)
--- a/src/amaranthtray/domain/scheduling/_unplaced.py
+++ b/src/amaranthtray/domain/scheduling/_unplaced.py
@@ -14,10 +14,7 @@
 from .placement import tasks_that_fit
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from ..jobs.model import Resources, StepSpec
-    from .host import Host
 
 SPREAD_WAIT_MS = 1_000
 """Time before a gang or spread tasks need more hosts, as waiting doesn't help them."""
@@ -68,26 +65,3 @@
         """Returns how many empty hosts of the given size the unplaced tasks need."""
         most = tasks_that_fit(step, size)
         return math.ceil(self._task_counts.get(key, 0) / most) if most else 0
-
-
-def hosts_to_reserve(step: StepSpec, hosts: Iterable[Host]) -> set[str]:
-    """Returns hosts that fit a gang once their current runs have ended.
-
-    Lasting tasks don't end. If the gang would not fit even then, no host is reserved.
-    """
-    label = step.required_label
-    fits = {
-        host.info.id: tasks_that_fit(
-            step, host.info.capacity.minus(host.used_by_lasting)
-        )
-        for host in hosts
-        if not label or label in host.info.labels
-    }
-    chosen: set[str] = set()
-    placed = 0
-    for host in sorted(fits, key=lambda each: (-fits[each], each)):
-        if placed >= step.count:
-            return chosen
-        chosen.add(host)
-        placed += fits[host]
-    return chosen if placed >= step.count else set()
--- a/src/amaranthtray/domain/scheduling/caps.py
+++ b/src/amaranthtray/domain/scheduling/caps.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from ..jobs.catalog import Catalog
+    from ..jobs.model import StepSpec
 
 UNLIMITED = 1 << 60
 
@@ -230,6 +231,11 @@
             self.usable.add(team)
         return fitting
 
+    def may_ever_fit(self, catalog: Catalog, team: TeamName, step: StepSpec) -> bool:
+        """Returns whether all tasks of a step may run at once within the team's cap."""
+        cap = self._cap(catalog, team)
+        return cap is None or step.need.times(step.count).fits(upper_bounds(cap))
+
     def _record_unmet(
         self,
         team: TeamName,
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -22,6 +22,7 @@
     ZonesEvacuated,
 )
 from .forecast import Forecast
+from .gang_hosts import HostsKept, HostsReleased
 from .losses import Loss, LossCause
 from .orders import HostOrder
 from .rack_waits import RackStarts, RackWait
@@ -354,6 +355,8 @@
     | RunTimeReport
     | Reserved
     | ReservationDropped
+    | HostsKept
+    | HostsReleased
     | ClaimShare
     | SharePortionChanged
     | WorstTeams
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -181,7 +181,7 @@
         stops += state.caps.claims(state.catalog, now_ms)
         stops += review_shares(state)
         stops += state.advice_queue.take_next(now_ms)
-        stops += state.reservations.take_reports()
+        stops += [*state.reservations.take_reports(), *state.gang_hosts.take_reports()]
         stops += rack_reports(state)
         vacant, state.vacant = state.vacant, vacant_hosts(state)
         is_due = self._is_report_due()
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -17,6 +17,7 @@
     RunsMoved,
     StartWithheld,
 )
+from ..domain.scheduling.gang_hosts import HostsKept, HostsReleased
 from ..domain.scheduling.losses import CrashWithdrawn, RunsLost, TaskGivenUp
 from ..domain.scheduling.messages import (
     AcknowledgeEnds,
@@ -47,6 +48,7 @@
 from .conductor_log import ConductorLog
 from .conductor_stats import ConductorStats
 from .evacuation_reporter import EvacuationReporter
+from .gang_hosts_log import record_gang_hosts
 from .host_links import HostLinks
 from .job_feed import JobFeed
 from .lasting_run_log import record_lasting_run
@@ -334,6 +336,8 @@
                 self._run_time_log.record(report, clock.steady_ms())
             case Reserved() | ReservationDropped():
                 record_reservation(self._log, report)
+            case HostsKept() | HostsReleased():
+                record_gang_hosts(self._log, report)
             case SharePortionChanged() | WorstTeams():
                 self._share_log.record(report, clock.steady_ms())
             case RackWait() | RackStarts():
