Portions: a newer claim of a team takes the place of one that waits

With a slow store and more teams than it serves in that time the wait feeds itself, and replies to earlier claims are ignored, so that no portion changes. Not seen by a caller; found by looking for the cause elsewhere.

Now a queue holds one claim a team, the newest, in the place of the first. The writer of the teams' rates had that already but for the keys in its queue, which were added each time; both use the same queue.

The test failed before: all four claims were carried out.

--- a/src/amaranthtray/jobs/cap_portion_writer.py
+++ b/src/amaranthtray/jobs/cap_portion_writer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import threading
 from functools import partial
 from typing import TYPE_CHECKING
@@ -23,6 +22,7 @@
 )
 from ..store.contract import Conflicts, EffectUnknown, Put, Transaction
 from ..store.duties import read_term_version, term_key
+from .latest_queue import LatestQueue
 from .steps import run_step
 from .write_outcome import write_outcome
 
@@ -67,7 +67,7 @@
         self._guard = guard
         self._term_key, self._term_version = term_key(conductor_duty(pool)), 0
         self._unsettled: set[TeamName] = set()
-        self._queue: queue.SimpleQueue[ClaimPortion | None] = queue.SimpleQueue()
+        self._queue: LatestQueue[TeamName, ClaimPortion] = LatestQueue()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -76,11 +76,11 @@
 
     def stop(self) -> None:
         """Stops the thread after the claim in progress."""
-        self._queue.put(None)
+        self._queue.close()
 
     def claim(self, request: ClaimPortion) -> None:
-        """Queues a claim."""
-        self._queue.put(request)
+        """Queues a claim; it replaces one of the same team that still waits."""
+        self._queue.put(request.team, request)
 
     def load(self) -> bool:
         """Posts the rows of all teams; returns whether they could be read."""
--- a/src/amaranthtray/jobs/share_portion_writer.py
+++ b/src/amaranthtray/jobs/share_portion_writer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import threading
 from functools import partial
 from typing import TYPE_CHECKING
@@ -20,6 +19,7 @@
 )
 from ..store.contract import Conflict
 from . import clock, keys
+from .latest_queue import LatestQueue
 from .steps import run_step
 from .write_outcome import write_outcome
 
@@ -56,8 +56,7 @@
         self._context = context
         self._post = post
         self._may_order = may_order
-        self._newest: dict[TeamName, ClaimShare] = {}
-        self._queue: queue.SimpleQueue[TeamName | None] = queue.SimpleQueue()
+        self._queue: LatestQueue[TeamName, ClaimShare] = LatestQueue()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -66,12 +65,11 @@
 
     def stop(self) -> None:
         """Stops the thread after the claim in progress."""
-        self._queue.put(None)
+        self._queue.close()
 
     def claim(self, request: ClaimShare) -> None:
         """Queues a claim; it replaces one of the same team that still waits."""
-        self._newest[request.team] = request
-        self._queue.put(request.team)
+        self._queue.put(request.team, request)
 
     def load(self) -> None:
         """Posts the rows of all teams; without them the pool uses whole weights."""
@@ -90,13 +88,11 @@
         log = self._context.log
         run_step(log, "shares", self.load, otherwise=None)
         while True:
-            team = self._queue.get()
-            if team is None:
+            request = self._queue.get()
+            if request is None:
                 return
-            request = self._newest.pop(team, None)
-            if request is not None:
-                exchange = partial(self._exchange_repeatedly, request)
-                run_step(log, "shares", exchange, otherwise=None)
+            exchange = partial(self._exchange_repeatedly, request)
+            run_step(log, "shares", exchange, otherwise=None)
 
     def _exchange_repeatedly(self, request: ClaimShare) -> None:
         for _ in range(MAX_TRIES):
--- a/tests/jobs/test_cap_portion_writer.py
+++ b/tests/jobs/test_cap_portion_writer.py
@@ -124,3 +124,19 @@
     site = Site()
     site.new_writer(2)
     assert not site.writer.load()
+
+
+def test_a_claim_that_waits_is_replaced_by_the_next_one_of_its_team() -> None:
+    """Guards against claims of many teams that wait ever longer for a slow store."""
+    site = Site()
+    posted = len(site.posted)
+    blue = TeamName("blue")
+    for number, team in enumerate((RED, blue, RED, RED), 1):
+        want = Resources(1_000 * number, 0, 0)
+        site.writer.claim(
+            ClaimPortion(team, Resources(0, 0, 0), want, CAP, number=number)
+        )
+    site.writer.stop()
+    site.writer._run()
+    assert [reply.number for reply in site.posted[posted:]] == [4, 2]
+    assert site.stored() == 4_000
