Host links: a stop that waits is not queued once more by each report

Not seen by a caller; found by looking for the cause elsewhere.

Now an equal stop that waits is replaced, so a run has at most one order under way and one waiting. A voluntary stop, which gets one try, and one that is repeated remain two orders, and all orders of a pace are sent in turn.

The test of repeated stops failed before; the two on what must not be merged passed there.

--- a/src/amaranthtray/jobs/order_thread.py
+++ b/src/amaranthtray/jobs/order_thread.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import queue
 import threading
 from typing import TYPE_CHECKING
 
+from ..domain.scheduling.orders import StopRun
 from .clock import steady_ms
+from .latest_queue import LatestQueue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,20 +31,23 @@
     ) -> None:
         self._carry_out = carry_out
         self._log = log
-        self._queue: queue.SimpleQueue[tuple[HostOrder, int] | None]
-        self._queue = queue.SimpleQueue()
+        self._queue: LatestQueue[object, tuple[HostOrder, int]] = LatestQueue()
         self._thread: threading.Thread | None = None
 
     def put(self, order: HostOrder) -> None:
-        """Queues an order."""
+        """Queues an order, but for a stop of which an equal one waits.
+
+        Each report that lists a run which must not go on orders its stop once more.
+        """
         if self._thread is None:
             self._thread = threading.Thread(target=self._run, daemon=True)
             self._thread.start()
-        self._queue.put((order, steady_ms()))
+        key = order if isinstance(order, StopRun) else object()
+        self._queue.put(key, (order, steady_ms()))
 
     def close(self) -> None:
         """Ends the thread after the orders queued so far."""
-        self._queue.put(None)
+        self._queue.close()
 
     def _run(self) -> None:
         while (queued := self._queue.get()) is not None:
