Vacating: a lasting task stops only for a host that the policy allows

Like the hosts that were kept for a gang, the host for which a lasting task is stopped was chosen by capacity and label only. On a queue with a placement policy the task was stopped with no ticket for another host: until advice came it worked nowhere, and for good where the policy allows no host with room. Not seen by a caller; found by looking for the cause elsewhere.

Now the task stays until it has a ticket for a host with room, for which advice is requested. As hosts are inspected less often than plans are made, requests for moves stay listed until they are sent.

The three tests failed before.

--- a/src/amaranthtray/domain/scheduling/_vacating.py
+++ b/src/amaranthtray/domain/scheduling/_vacating.py
@@ -13,7 +13,9 @@
     has_stop_under_way,
     stop_report,
 )
+from ._advice_requests import allowed_hosts, want_advice
 from .absence import StopReason
+from .advice_queue import Purpose
 from .orders import StopRun
 from .placement import place_each
 
@@ -82,8 +84,11 @@
 
 def _fits_elsewhere(state: SchedulerState, placed: PlacedRun) -> bool:
     key, number = StepKey(*placed.name[:3]), placed.name.number
+    job = state.jobs[key.job]
     hosts = [each for each in state.hosts.values() if each.accepts_runs(state.now_ms)]
-    return bool(place_each(placed.step, key, [number], hosts))
+    want_advice(state, job, key, hosts, Purpose.MOVE)
+    allowed = allowed_hosts(state, job, key, hosts)
+    return bool(place_each(placed.step, key, [number], allowed))
 
 
 def decide_stop_again(state: SchedulerState, stop: StopUnconfirmed) -> None:
--- a/src/amaranthtray/domain/scheduling/advice_queue.py
+++ b/src/amaranthtray/domain/scheduling/advice_queue.py
@@ -37,7 +37,7 @@
 
     Attributes:
         START: A task starts at once if a host is allowed, or a gang is completed.
-        MOVE: A run can leave an evacuated zone.
+        MOVE: A run can leave an evacuated zone, or a host that is to be emptied.
         PREPARE: None of the hosts has room now.
     """
 
@@ -78,13 +78,19 @@
     _last_purpose: Purpose = Purpose.PREPARE
 
     def begin_plan(self) -> None:
-        """Forgets the listed requests; the plan lists those that are of use now."""
-        self.waiting = 0
-        for listed in self._listed.values():
-            listed.clear()
+        """Forgets the listed requests for starts; the plan lists them anew.
+
+        Moves are not planned each time, so their requests stay until they are sent.
+        """
+        self.waiting = len(self._listed[Purpose.MOVE])
+        self._listed[Purpose.START].clear()
+        self._listed[Purpose.PREPARE].clear()
 
     def accepts(self, step: StepKey, purpose: Purpose, now_ms: int) -> bool:
         """Returns whether a request for a step may be listed; counts one that waits."""
+        for listed in self._listed.values():
+            if any(request.step == step for request in listed):
+                return False
         pause = self._steps.get(step)
         is_accepted = (
             step != self.outstanding
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -5,6 +5,7 @@
 from amaranthtray.domain.ids import HostId
 from amaranthtray.domain.jobs.model import JobId, Resources
 from amaranthtray.domain.scheduling._backoff import FULL_BACKOFF_MS
+from amaranthtray.domain.scheduling._vacating import TAKEOVER_PAUSE_MS
 from amaranthtray.domain.scheduling.advice import (
     EXPIRY_MARGIN_MS,
     AdviceFailed,
@@ -22,8 +23,9 @@
     Effect,
     JobCancelled,
     StartOutcome,
+    VacateRequested,
 )
-from amaranthtray.domain.scheduling.orders import StartRun
+from amaranthtray.domain.scheduling.orders import StartRun, StopRun
 from scheduling.parts import SchedulerHarness, a_catalog, a_host, a_job, a_step
 
 VALID_MS = 10_000
@@ -205,3 +207,55 @@
     harness.reply_to_start(order, StartOutcome.NO_TICKET)
     harness.now_ms += FULL_BACKOFF_MS
     assert [each.hosts for each in advice_requests(harness.plan())] == [(H1,)]
+
+
+def a_lasting_task(*allowed: HostId) -> tuple[SchedulerHarness, StartRun]:
+    """Returns a pool with a lasting task whose tickets have expired, and its start."""
+    harness = a_harness()
+    harness.submit(a_job(a_step(1, is_lasting=True, may_miss=1)))
+    (request,) = advice_requests(harness.plan())
+    allow(harness, request, *allowed)
+    (start,) = harness.starts()
+    harness.now_ms += 2 * VALID_MS
+    harness.report(start.host, running=((start.name, start.number),))
+    harness.plan()
+    harness.now_ms += TAKEOVER_PAUSE_MS
+    return harness, start
+
+
+def test_a_lasting_task_stays_where_the_policy_allows_no_other_host() -> None:
+    """Guards against a task that is stopped for a host that it may not use."""
+    harness, start = a_lasting_task(H1)
+    harness.submit(a_job(name="b"))
+    harness.send(VacateRequested(frozenset({start.host})))
+    for _ in range(20):
+        effects = harness.plan()
+        assert not any(isinstance(each, StopRun) for each in effects)
+        harness.now_ms += 100
+
+
+def test_a_lasting_task_leaves_its_host_once_another_one_gives_a_ticket() -> None:
+    harness, start = a_lasting_task(H1, H2)
+    harness.send(VacateRequested(frozenset({start.host})))
+    effects = harness.plan()
+    assert not any(isinstance(each, StopRun) for each in effects)
+    (request,) = advice_requests(effects)
+    (other,) = request.hosts
+    assert other != start.host
+    allow(harness, request, other)
+    harness.now_ms += 100
+    assert any(isinstance(each, StopRun) for each in harness.plan())
+
+
+def test_a_request_for_a_move_waits_for_its_turn() -> None:
+    """Guards against a host that is never emptied while many jobs need advice."""
+    harness, start = a_lasting_task(H1, H2)
+    for number in range(3):
+        harness.submit(a_job(name=f"j{number}"))
+    (request,) = advice_requests(harness.plan())
+    harness.send(VacateRequested(frozenset({start.host})))
+    for _ in range(3):
+        harness.plan()
+        harness.now_ms += 10
+    answer = AdviceReceived(request.step, request.hosts, {}, 0)
+    assert [each.step.job for each in advice_requests(harness.send(answer))] == ["a"]
