Quarantine: no host is kept free for a suspect that can't run on it

Like the hosts that were kept for a gang, the hosts kept free for tasks under which two hosts have crashed were chosen without their label, capacity and placement policy. A task that no host suits kept one host, and one more for each eight, from all others for good: the whole of a pool of one host. Not seen by a caller; found by looking for the cause elsewhere.

Now only hosts count that the policy is known to allow, with the label, and large enough. A task that suits none keeps none.

The test failed before, for a label and for a need larger than the host.

--- a/src/amaranthtray/domain/scheduling/_gang_hosts.py
+++ b/src/amaranthtray/domain/scheduling/_kept_hosts.py
@@ -1,4 +1,4 @@
-"""Selects the hosts that are kept for a gang which has waited for too long."""
+"""Selects the hosts that may be kept for tasks: those that can certainly run there."""
 
 from __future__ import annotations
 
@@ -48,9 +48,19 @@
     return chosen
 
 
+def suitable_hosts(
+    state: SchedulerState, job: Job, key: StepKey, hosts: Iterable[Host]
+) -> set[HostId]:
+    """Returns the hosts on which a task of a step can certainly run, if empty."""
+    step = job.spec.steps[key.step]
+    allowed = _known_to_be_allowed(state, job, key, hosts)
+    return {host.info.id for host in allowed if may_ever_fit(step, host)}
+
+
 def _known_to_be_allowed(
     state: SchedulerState, job: Job, key: StepKey, hosts: Iterable[Host]
 ) -> Iterable[Host]:
+    """Returns the hosts that the policy is known to allow, or all without a policy."""
     if not state.queue_of(job).needs_advice:
         return hosts
     return (host for host in hosts if state.advice.is_allowed(key, host.info.id))
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -8,11 +8,12 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from ..ids import HostId
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
 from ._advice_requests import allowed_hosts, want_advice
-from ._gang_hosts import hosts_to_keep
 from ._job_facts import terms_of, waiting_of
+from ._kept_hosts import hosts_to_keep, suitable_hosts
 from ._late_runs import place_copies, split_copies
 from ._quarantine import (
     crashed_machines,
@@ -37,7 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from ..ids import HostId
     from ..jobs.job import Job
     from ._state import SchedulerState
     from ._waiting import WaitingStep
@@ -56,6 +56,7 @@
         every: Hosts that accept runs.
         shared: Those that may run tasks of several jobs.
         unisolated: Number of tasks that found no host of their own so far.
+        suitable: Hosts on which some of these tasks can certainly run.
         crashed_machines: Machines that crashed under these tasks.
         ahead: Reservations for tasks that wait; None if the policy has none.
         racks: Choice between near and remote hosts; None if no task has a rack.
@@ -66,6 +67,7 @@
     every: list[Host]
     shared: list[Host]
     unisolated: int = 0
+    suitable: set[HostId] = field(default_factory=set)
     crashed_machines: set[str] = field(default_factory=set)
     ahead: LookAhead | None = None
     racks: RackChoice | None = None
@@ -110,7 +112,10 @@
     state.gang_hosts.retain(waiting_keys, state.now_ms)
     if hosts.ahead is not None:
         hosts.ahead.finish(waiting_keys)
-    select_reserved_hosts(state, every, hosts.unisolated, hosts.crashed_machines)
+    suitable = [host for host in every if host.info.id in hosts.suitable]
+    select_reserved_hosts(
+        state, suitable, hosts.unisolated, hosts.crashed_machines, len(every)
+    )
 
 
 def _place_by_rank(
@@ -280,8 +285,10 @@
         placements = place_overdue(job, key, overdue, allowed)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     hosts.exclude(())
-    if placed < len(waiting):
+    suitable = suitable_hosts(state, job, key, hosts.every)
+    if placed < len(waiting) and suitable:
         hosts.unisolated += len(waiting) - placed
+        hosts.suitable |= suitable
         for machines in crashed_machines(job, key, waiting).values():
             hosts.crashed_machines |= machines
     return placed
--- a/src/amaranthtray/domain/scheduling/_quarantine.py
+++ b/src/amaranthtray/domain/scheduling/_quarantine.py
@@ -124,10 +124,22 @@
 
 
 def select_reserved_hosts(
-    state: SchedulerState, hosts: list[Host], wanted: int, avoided_machines: set[str]
+    state: SchedulerState,
+    hosts: list[Host],
+    wanted: int,
+    avoided_machines: set[str],
+    pool_size: int,
 ) -> None:
-    """Reserves the hosts that are empty soonest, for tasks to be isolated."""
-    limit = min(wanted, 1 + len(hosts) // HOSTS_PER_RESERVED)
+    """Reserves the hosts that are empty soonest, for tasks to be isolated.
+
+    Args:
+        state: State of the scheduler.
+        hosts: Hosts on which some of the tasks can certainly run.
+        wanted: Number of tasks that found no host.
+        avoided_machines: Machines that crashed under these.
+        pool_size: Number of all hosts that accept runs.
+    """
+    limit = min(wanted, 1 + pool_size // HOSTS_PER_RESERVED)
     reserved = state.crashes.reserved_hosts
     if not limit:
         state.crashes.reserved_hosts = frozenset()
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -8,7 +8,7 @@
 
 from amaranthtray.domain.ids import HostId
 from amaranthtray.domain.jobs.job import Job, JobState
-from amaranthtray.domain.jobs.model import JobId, Resources, StepKey, TaskName
+from amaranthtray.domain.jobs.model import JobId, Resources, StepKey, StepSpec, TaskName
 from amaranthtray.domain.jobs.record import restore
 from amaranthtray.domain.jobs.task import HostCrash, Run, RunPhase
 from amaranthtray.domain.scheduling._quarantine import place_overdue
@@ -204,3 +204,19 @@
     key = StepKey(JobId("a"), 0, 0)
     placements = place_overdue(job, key, [0], [Host(a_host("empty")), busy])
     assert [placement.host for placement in placements] == [busy]
+
+
+@pytest.mark.parametrize(
+    "step", [a_step(required_label="fast"), a_step(need=Resources(9_000, 1, 0))]
+)
+def test_no_host_is_kept_for_a_suspect_that_can_run_on_none(step: StepSpec) -> None:
+    """Guards against a pool of one host that is kept free for good."""
+    harness = SchedulerHarness(a_host())
+    harness.submit(a_job(step))
+    crashes = [HostCrash(HostId(name), BORN, name) for name in ("x", "y")]
+    task = harness.scheduler.state.jobs[JobId("a")].task(task_name("a"))
+    assert task is not None
+    task.crashes = crashes
+    for number in range(3):
+        harness.submit(a_job(name=f"other{number}"))
+        assert len(harness.starts()) == 1
