--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -8,9 +8,12 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from ..ids import HostId
 from ..jobs.job import OPEN_STATES
 from ..jobs.model import StepKey, StepSpec, TaskName
+from ._advice_requests import allowed_hosts, want_advice
 from ._job_facts import terms_of, waiting_of
+from ._kept_hosts import hosts_to_keep, suitable_hosts
 from ._late_runs import place_copies, split_copies
 from ._quarantine import (
     crashed_machines,
@@ -24,7 +27,6 @@
 )
 from ._slow_hosts import SlowHosts
 from ._unfit import Demand, UnfitDemands
-from ._unplaced import hosts_to_reserve
 from .host import Host
 from .host_index import HostIndex
 from .look_ahead import LookAhead, look_ahead
@@ -34,7 +36,7 @@
 from .ranking import Timeliness, mean_core_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection
 
     from ..jobs.job import Job
     from ._state import SchedulerState
@@ -54,6 +56,7 @@
         every: Hosts that accept runs.
         shared: Those that may run tasks of several jobs.
         unisolated: Number of tasks that found no host of their own so far.
+        suitable: Hosts on which some of these tasks can certainly run.
         crashed_machines: Machines that crashed under these tasks.
         ahead: Reservations for tasks that wait; None if the policy has none.
         racks: Choice between near and remote hosts; None if no task has a rack.
@@ -64,6 +67,7 @@
     every: list[Host]
     shared: list[Host]
     unisolated: int = 0
+    suitable: set[HostId] = field(default_factory=set)
     crashed_machines: set[str] = field(default_factory=set)
     ahead: LookAhead | None = None
     racks: RackChoice | None = None
@@ -88,6 +92,7 @@
 
 def plan_starts(state: SchedulerState) -> None:
     """Places waiting tasks in order of rank while hosts have free resources."""
+    state.advice_queue.begin_plan()
     every = [
         host
         for host in state.hosts.values()
@@ -104,9 +109,13 @@
     hosts.ahead = look_ahead(state, hosts.shared)
     waiting_keys = _place_by_rank(state, hosts, slow)
     state.unplaced.retain(waiting_keys)
+    state.gang_hosts.retain(waiting_keys, state.now_ms)
     if hosts.ahead is not None:
         hosts.ahead.finish(waiting_keys)
-    select_reserved_hosts(state, every, hosts.unisolated, hosts.crashed_machines)
+    suitable = [host for host in every if host.info.id in hosts.suitable]
+    select_reserved_hosts(
+        state, suitable, hosts.unisolated, hosts.crashed_machines, len(every)
+    )
 
 
 def _place_by_rank(
@@ -129,19 +138,21 @@
             if slow.hosts and placed < len(waiting):
                 placed += _place_on_slow(state, job, key, slow, hosts.index)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
-            reserved_hosts: set[str] = set()
+            kept_hosts: set[HostId] = set()
             if hosts.ahead is not None:
                 if hosts.ahead.account_for_runs(key, step):
                     if not is_tried:
                         waiting = _within_cap(state, job, step, waiting)
                     may_wait = not has_suspects(job, key, waiting)
                     unplaced = len(waiting) - placed if may_wait else 0
-                    find = partial(_allowed_hosts, state, job, key, hosts.shared)
+                    find = partial(allowed_hosts, state, job, key, hosts.shared)
                     hosts.ahead.end_step(job, key, rank_class, unplaced, placed, find)
-            elif step.is_gang and state.unplaced.is_overdue(key, step, state.now_ms):
-                reserved_hosts = hosts_to_reserve(step, hosts.shared)
-                hosts.exclude(reserved_hosts)
-            if placed or reserved_hosts:
+            elif step.is_gang and placed:
+                state.gang_hosts.record_start(key, state.now_ms)
+            elif step.is_gang:
+                kept_hosts = hosts_to_keep(state, job, key, hosts.shared)
+                hosts.exclude(kept_hosts)
+            if placed or kept_hosts:
                 room = hosts.index.largest_free()
     return waiting_keys
 
@@ -218,27 +229,27 @@
     copied = split_copies(job, key, unsuspected)
     if copied:
         unsuspected = [number for number in unsuspected if number not in copied]
-        allowed = _allowed_hosts(state, job, key, hosts.shared)
+        allowed = allowed_hosts(state, job, key, hosts.shared)
         placements = place_copies(state, job, key, copied, allowed)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if unsuspected:
         shapes = hosts.ahead.shapes if hosts.ahead is not None else ()
         if hosts.racks is not None and len(unsuspected) == len(waiting):
-            allowed = _allowed_hosts(state, job, key, hosts.shared)
+            allowed = allowed_hosts(state, job, key, hosts.shared)
             placements = hosts.racks.place(job, key, unsuspected, allowed, shapes)
         else:
-            ordered = _allowed_hosts(state, job, key, hosts.index.in_order(step))
+            ordered = allowed_hosts(state, job, key, hosts.index.in_order(step))
             place = fill_hosts_or_none if step.is_gang else fill_hosts
             placements = place(step, key, unsuspected, ordered, shapes)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if suspects:
-        allowed = list(_allowed_hosts(state, job, key, hosts.shared))
+        allowed = list(allowed_hosts(state, job, key, hosts.shared))
         placements = place_suspects(job, key, suspects, allowed)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     if isolated:
         placed += _place_isolated(state, job, key, isolated, hosts)
     if placed < len(waiting):
-        _request_advice(state, job, key, hosts.every)
+        want_advice(state, job, key, hosts.every)
     return placed
 
 
@@ -253,7 +264,7 @@
         if task.is_waiting and not task.crashes and task.not_before_ms <= state.now_ms
     ]
     waiting = _within_cap(state, job, job.spec.steps[key.step], waiting)
-    allowed = list(_allowed_hosts(state, job, key, slow.hosts))
+    allowed = list(allowed_hosts(state, job, key, slow.hosts))
     placements = slow.place(state, job, key, waiting, allowed)
     return _reserve_runs(state, job, key, placements, index)
 
@@ -266,7 +277,7 @@
     hosts: _PlanHosts,
 ) -> int:
     """Places tasks that need a host of their own; overdue ones share a host."""
-    allowed = list(_allowed_hosts(state, job, key, hosts.every))
+    allowed = list(allowed_hosts(state, job, key, hosts.every))
     placements = place_isolated(job, key, waiting, allowed)
     placed = _reserve_runs(state, job, key, placements, hosts.index)
     overdue = overdue_for_isolation(job, key, waiting, state.now_ms)
@@ -274,36 +285,15 @@
         placements = place_overdue(job, key, overdue, allowed)
         placed += _reserve_runs(state, job, key, placements, hosts.index)
     hosts.exclude(())
-    if placed < len(waiting):
+    suitable = suitable_hosts(state, job, key, hosts.every)
+    if placed < len(waiting) and suitable:
         hosts.unisolated += len(waiting) - placed
+        hosts.suitable |= suitable
         for machines in crashed_machines(job, key, waiting).values():
             hosts.crashed_machines |= machines
     return placed
 
 
-def _allowed_hosts(
-    state: SchedulerState, job: Job, key: StepKey, hosts: Iterable[Host]
-) -> Iterable[Host]:
-    """Returns the hosts that the placement policy allows, or all without a policy."""
-    if not state.queue_of(job).needs_advice:
-        return hosts
-    return (
-        host
-        for host in hosts
-        if state.advice.ticket(key, host.info.id, state.now_ms) is not None
-    )
-
-
-def _request_advice(
-    state: SchedulerState, job: Job, key: StepKey, hosts: list[Host]
-) -> None:
-    """Requests advice on more hosts if the queue has a placement policy."""
-    if state.queue_of(job).needs_advice:
-        request = state.advice.next_request(key, hosts, state.now_ms)
-        if request is not None:
-            state.advice_requests.append(request)
-
-
 def _jobs_by_rank(
     state: SchedulerState,
 ) -> list[tuple[RankClass, Job, list[WaitingStep]]]:
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -16,10 +16,12 @@
 from ._forecaster import Forecaster
 from ._job_facts import JobFacts
 from ._unplaced import UnplacedSteps
-from .advice import AdviceCache, RequestAdvice
+from .advice import AdviceCache
+from .advice_queue import AdviceQueue
 from .caps import CapTracker
 from .crash_register import CrashRegister
 from .evacuation import EvacuationState
+from .gang_hosts import GangHosts
 from .host import Host
 from .host_choice import RecentShapes
 from .messages import AcknowledgeEnds, Effect, StoreJobs, VacateRequested
@@ -64,7 +66,7 @@
         stored_vacate_number: Number of the request in the last report; None if that may
             not be stored.
         advice: Cached placement advice.
-        advice_requests: Advice requests to return with the next plan.
+        advice_queue: Requests for advice that go next.
         shares: Meter of submissions beyond the teams' shares.
         unplaced: Steps with tasks that fit on no host.
         unmovable: Steps with tasks on hosts to be emptied that fit on no other host.
@@ -73,6 +75,7 @@
         evacuation: Evacuated zones and the runs that leave them.
         run_times_record: What was learned, for the next batch; empty if it is not due.
         forecaster: Forecast for the entries that accept jobs.
+        gang_hosts: Gangs for which hosts are kept without reservations.
         reservations: Hosts reserved for large tasks that wait.
         rack_waits: Tasks that wait for the busy rack of their data.
         shapes: Needs of the tasks that arrived last.
@@ -106,7 +109,7 @@
     stored_vacate_number: int | None = 0
     load: PoolLoad = field(default_factory=PoolLoad)
     advice: AdviceCache = field(default_factory=AdviceCache)
-    advice_requests: list[RequestAdvice] = field(default_factory=list)
+    advice_queue: AdviceQueue = field(default_factory=AdviceQueue)
     shares: ShareMeter = field(default_factory=ShareMeter)
     unplaced: UnplacedSteps = field(default_factory=UnplacedSteps)
     unmovable: UnplacedSteps = field(default_factory=UnplacedSteps)
@@ -115,6 +118,7 @@
     evacuation: EvacuationState = field(default_factory=EvacuationState)
     run_times_record: bytes = b""
     forecaster: Forecaster = field(default_factory=Forecaster)
+    gang_hosts: GangHosts = field(default_factory=GangHosts)
     reservations: Reservations = field(default_factory=Reservations)
     rack_waits: RackWaits = field(default_factory=RackWaits)
     shapes: RecentShapes = field(default_factory=RecentShapes)
@@ -199,6 +203,7 @@
                     limit_ms = job_objective_ms(job, self.queue_of(job), self.run_times)
                     self.team_service.record_end(job, limit_ms, self.now_ms)
             self.advice.remove_job(job.spec.id)
+            self.advice_queue.remove_job(job.spec.id)
             self.shares.remove_job(job.spec.id)
             self.crashes.remove_job(job.spec.id)
             self.run_times.remove_job(job.spec)
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -12,7 +12,7 @@
 from ..jobs.task import RunOutcome
 from ..upkeep.moves import PoolLoad
 from .absence import LastingRunReport, StopUnconfirmed
-from .advice import AdviceReceived, RequestAdvice
+from .advice import AdviceFailed, AdviceReceived, RequestAdvice
 from .caps import ClaimFailed, ClaimPortion, PortionsRead
 from .evacuation import (
     EvacuationHosts,
@@ -22,6 +22,7 @@
     ZonesEvacuated,
 )
 from .forecast import Forecast
+from .gang_hosts import HostsKept, HostsReleased
 from .losses import Loss, LossCause
 from .orders import HostOrder
 from .rack_waits import RackStarts, RackWait
@@ -258,6 +259,7 @@
     | PortionsRead
     | ClaimFailed
     | AdviceReceived
+    | AdviceFailed
     | HostsListed
     | HostReport
     | HostSilent
@@ -360,6 +362,8 @@
     | RunTimeReport
     | Reserved
     | ReservationDropped
+    | HostsKept
+    | HostsReleased
     | ClaimShare
     | SharePortionChanged
     | WorstTeams
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -8,22 +8,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ..domain.scheduling.absence import LastingRunEnded, LastingRunStopped
 from ..domain.scheduling.advice import RequestAdvice
 from ..domain.scheduling.caps import ClaimPortion
-from ..domain.scheduling.evacuation import (
-    EvacuationHosts,
-    EvacuationProgress,
-    RunsMoved,
-    StartWithheld,
-)
-from ..domain.scheduling.losses import (
-    CrashWithdrawn,
-    LateEnd,
-    RunOnOtherIncarnation,
-    RunsLost,
-    TaskGivenUp,
-)
 from ..domain.scheduling.messages import (
     AcknowledgeEnds,
     BatchNotStored,
@@ -31,7 +17,6 @@
     CatalogChanged,
     Effect,
     Message,
-    RecordUnreadable,
     StartOutcome,
     StartReplied,
     StoreJobs,
@@ -42,27 +27,17 @@
 from ..domain.scheduling.orders import HostOrder, PaceRun, StartRun, StopRun
 from ..domain.scheduling.policy import SchedulingPolicy
 from ..domain.scheduling.pool import PoolScheduler
-from ..domain.scheduling.rack_waits import RackStarts, RackWait
-from ..domain.scheduling.reservations import ReservationDropped, Reserved
-from ..domain.scheduling.run_time_events import RunTimeReport
-from ..domain.scheduling.share_portions import ClaimShare, SharePortionChanged
-from ..domain.scheduling.team_service import WorstTeams
+from ..domain.scheduling.share_portions import ClaimShare
 from . import clock
 from .advice_requester import AdviceRequester
 from .cap_portion_writer import CapPortionWriter
 from .conductor_log import ConductorLog
 from .conductor_stats import ConductorStats
-from .evacuation_reporter import EvacuationReporter
 from .host_links import HostLinks, LinkMessage
 from .job_feed import JobFeed
-from .lasting_run_log import record_lasting_run
-from .loss_log import LossLog
-from .rack_log import record_rack_report
 from .record_writer import RecordWriter
-from .reservation_log import record_reservation
-from .run_time_log import RunTimeLog
 from .run_time_reader import load_run_times
-from .share_log import ShareLog
+from .scheduler_log import SchedulerLog
 from .share_portion_writer import SharePortionWriter
 from .steps import run_step
 from .term_guard import TermGuard
@@ -129,9 +104,7 @@
         self._last_plan_ms = 0
         self._stats = ConductorStats()
         self._log = ConductorLog(pool, term, context.log, context.metrics)
-        self._losses = LossLog(self._log)
-        self._evacuation = EvacuationReporter(self._log)
-        self._run_time_log = RunTimeLog(self._log)
+        self._reports = SchedulerLog(self._log)
         self._feed = JobFeed(pool, context, self.post, self._may_continue)
         self._links = HostLinks(
             context, self._guard, self.post, self._log, self._feed.age_ms
@@ -143,9 +116,8 @@
         self._share_portions = SharePortionWriter(
             pool, context, self.post, self._guard.may_order
         )
-        self._share_log = ShareLog(self._log)
         adviser = context.platform.adviser()
-        self._advice = AdviceRequester(adviser, self.post, context.log)
+        self._advice = AdviceRequester(adviser, self.post, self._log)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._writer_thread = threading.Thread(target=self._write_loop, daemon=True)
 
@@ -170,11 +142,15 @@
     @property
     def lacks_hosts(self) -> bool:
         """Returns whether all hosts of the pool are in evacuated zones."""
-        return self._evacuation.lacks_hosts and not self.is_over
+        return self._reports.evacuation.lacks_hosts and not self.is_over
 
     def worst_share(self) -> float | None:
         """Returns the share of jobs in time of the worst-served tenth of the teams."""
-        return None if self.is_over else self._share_log.worst_share(clock.steady_ms())
+        return (
+            None
+            if self.is_over
+            else self._reports.shares.worst_share(clock.steady_ms())
+        )
 
     def post(self, message: Message | LinkMessage) -> None:
         """Queues a message; thread-safe."""
@@ -273,7 +249,7 @@
     def _record_start_reply(self, reply: StartReplied) -> None:
         self._stats.record_reply(reply)
         if reply.outcome is StartOutcome.WITHHELD:
-            self._evacuation.count_unsent_start(reply.hindrance)
+            self._reports.evacuation.count_unsent_start(reply.hindrance)
         if reply.outcome is not StartOutcome.STARTED:
             self._context.log.event(
                 "start-not-confirmed",
@@ -328,35 +304,7 @@
                 case Superseded():
                     self._guard.mark_superseded()
                 case _:
-                    self._record_report(effect)
-
-    def _record_report(self, report: Effect) -> None:
-        """Logs and counts what the scheduler reports."""
-        match report:
-            case (
-                RunsLost()
-                | TaskGivenUp()
-                | CrashWithdrawn()
-                | LateEnd()
-                | RunOnOtherIncarnation()
-            ):
-                self._losses.record(report)
-            case LastingRunStopped() | LastingRunEnded():
-                record_lasting_run(self._log, report)
-            case (
-                EvacuationHosts() | EvacuationProgress() | RunsMoved() | StartWithheld()
-            ):
-                self._evacuation.record(report)
-            case RecordUnreadable(job, why):
-                self._context.log.event("job-unreadable", job=job, why=why)
-            case RunTimeReport():
-                self._run_time_log.record(report, clock.steady_ms())
-            case Reserved() | ReservationDropped():
-                record_reservation(self._log, report)
-            case SharePortionChanged() | WorstTeams():
-                self._share_log.record(report, clock.steady_ms())
-            case RackWait() | RackStarts():
-                record_rack_report(self._log, report)
+                    self._reports.record(effect)
 
     def _send_order(self, order: HostOrder) -> None:
         if not self._links.has(order.host):
