--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -9,9 +9,9 @@
 from ..domain.jobs.model import TaskName
 from ..domain.jobs.task import RunOutcome
 from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome
+from ..jobs.host_lane import HostLane
 from ..jobs.ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
-from ..web.http_channel import HttpChannel
-from ..web.http_peer import CallOutcome, NoResponse, Response
+from ..web.http_peer import CallOutcome, Response
 
 if TYPE_CHECKING:
     from ..domain.ids import HostId, Term
@@ -52,48 +52,6 @@
     born: int = 0
 
 
-class _Lane:
-    """One connection to a host, and the incarnation that it leads to.
-
-    A connection ends with the incarnation of the host that accepted it. What was sent
-    for one incarnation over a connection on which that one has answered reaches no
-    other.
-
-    Attributes:
-        born: Start of the incarnation that has answered; None before its first answer.
-    """
-
-    def __init__(self, host: HostId, address: str) -> None:
-        self._channel = HttpChannel(address)
-        self._headers = {"Expected-Instance": str(host)}
-        self.born: int | None = None
-
-    def open(self) -> NoResponse | None:
-        """Opens a connection unless there is one; returns why it can't."""
-        return None if self._channel.is_open else self.reopen()
-
-    def reopen(self) -> NoResponse | None:
-        """Opens another connection; returns why it can't."""
-        self.born = None
-        return self._channel.open()
-
-    def order(
-        self, path: str, payload: object, timeout_ms: int = ORDER_TIMEOUT_MS
-    ) -> CallOutcome:
-        """Sends an order on the open connection."""
-        return self._channel.call(
-            "POST", path, timeout_ms=timeout_ms, payload=payload, headers=self._headers
-        )
-
-    def interrupt(self) -> None:
-        """Ends the connection and the call in progress on it."""
-        self._channel.interrupt()
-
-    def close(self) -> None:
-        """Closes the connection for good."""
-        self._channel.close()
-
-
 class HostClient:
     """Calls one host; starts, stops and polls have a thread and a connection each.
 
@@ -107,8 +65,9 @@
     """
 
     def __init__(self, host: HostId, address: str, term: Term) -> None:
+        headers = {"Expected-Instance": str(host)}
         self._starts, self._stops, self._polls = (
-            _Lane(host, address) for _ in range(3)
+            HostLane(address, headers) for _ in range(3)
         )
         self._fencing_token = term * TOKENS_PER_TERM
         self._last_token = self._fencing_token + TOKENS_PER_TERM - 1
@@ -145,7 +104,7 @@
             payload["checkpoint"] = order.checkpoint
         if order.ticket:
             payload["ticket"] = order.ticket
-        match self._starts.order("/v1/run-start", payload):
+        match self._starts.send("/v1/run-start", payload, ORDER_TIMEOUT_MS):
             case Response(status=status) if 200 <= status < 300:
                 return StartOutcome.STARTED
             case Response(status=409, body=body):
@@ -186,7 +145,9 @@
         }
         if self._stops.open() is not None:
             return False
-        return _needs_no_repeat(self._stops.order("/v1/run-stop", payload))
+        return _needs_no_repeat(
+            self._stops.send("/v1/run-stop", payload, ORDER_TIMEOUT_MS)
+        )
 
     def pace(self, name: TaskName, number: int, percent: int) -> bool:
         """Sets the speed of a run; returns whether the order need not be repeated."""
@@ -198,7 +159,9 @@
         }
         if self._starts.open() is not None:
             return False
-        return _needs_no_repeat(self._starts.order("/v1/pace", payload))
+        return _needs_no_repeat(
+            self._starts.send("/v1/pace", payload, ORDER_TIMEOUT_MS)
+        )
 
     def poll(
         self, until_ms: int | None, acknowledged: int, wait_ms: int
@@ -225,7 +188,7 @@
             lane.close()
 
     def _read_status(
-        self, lane: _Lane, until_ms: int | None, acknowledged: int, wait_ms: int
+        self, lane: HostLane, until_ms: int | None, acknowledged: int, wait_ms: int
     ) -> PollOutcome:
         payload = {
             "fencingToken": self._fencing_token,
@@ -234,7 +197,7 @@
         }
         if until_ms is not None:
             payload["untilMs"] = until_ms
-        outcome = lane.order("/v1/hold", payload, ORDER_TIMEOUT_MS + wait_ms)
+        outcome = lane.send("/v1/hold", payload, ORDER_TIMEOUT_MS + wait_ms)
         match outcome:
             case Response(status=status, body=body) if 200 <= status < 300:
                 decoded = _decode_status(body)
