--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 	$(PY) -m mypy
 
 unit: $(STAMP)
-	$(PY) -m pytest -n $(JOBS) --dist worksteal
+	$(PY) -m pytest -n $(JOBS) --dist worksteal --ignore tests/hostile
+	$(PY) -m pytest tests/hostile
 
 soak: N = 50
 soak: $(STAMP)
--- /dev/null
+++ b/tests/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Clients without limits against an entry's own process."""
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -45,15 +45,16 @@
 
     def __init__(self, name: str, zone: str, folder: Path, store: StoreStandIn) -> None:
         self.name = name
-        self.port, self._readiness_port = free_port(), free_port()
+        self.port, self.readiness_port = free_port(), free_port()
+        self.metrics_port = free_port()
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(
             SETTINGS.format(
                 name=name,
                 zone=zone,
                 callers=f"{LOOPBACK}:{self.port}",
-                readiness=f"{LOOPBACK}:{self._readiness_port}",
-                metrics=f"{LOOPBACK}:{free_port()}",
+                readiness=f"{LOOPBACK}:{self.readiness_port}",
+                metrics=f"{LOOPBACK}:{self.metrics_port}",
                 store=store.server.address,
             )
         )
@@ -116,6 +117,11 @@
             self._is_closed = True
             self.kill()
 
+    @property
+    def pid(self) -> int:
+        """Returns the id of the process; 0 before its start."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def has_ended(self) -> bool:
         """Returns whether the process has ended and no restart is under way."""
@@ -125,7 +131,7 @@
 
     @property
     def is_ready(self) -> bool:
-        port = self._readiness_port
+        port = self.readiness_port
         connection = http.client.HTTPConnection(LOOPBACK, port, timeout=1)
         try:
             connection.request("GET", "/v1/readyz")
