--- a/src/amaranthtray/web/bodies.py
+++ b/src/amaranthtray/web/bodies.py
@@ -6,6 +6,7 @@
 import msgspec
 from cheroot.errors import MaxSizeExceeded
 
+from .chunked_body import READ_BYTES
 from .read_deadlines import DEADLINES_KEY, SOCKET_KEY, ReadDeadlines
 
 JSON_TYPE = "application/json"
@@ -51,12 +52,17 @@
 
 
 def _read_up_to(limit_bytes: int) -> bytes:
+    rfile, body = cherrypy.request.rfile, bytearray()
     try:
-        body: bytes = cherrypy.request.rfile.read(limit_bytes + 1)
+        while len(body) <= limit_bytes:
+            piece = rfile.read(min(READ_BYTES, limit_bytes + 1 - len(body)))
+            if not piece:
+                break
+            body += piece
     except MaxSizeExceeded as exc:
         message = f"send at most {limit_bytes} bytes"
         raise cherrypy.HTTPError(TOO_LARGE, message) from exc
     except (ValueError, OSError) as exc:
         message = "the body is malformed or ended too early"
         raise cherrypy.HTTPError(MALFORMED, message) from exc
-    return body
+    return bytes(body)
--- a/src/amaranthtray/web/server.py
+++ b/src/amaranthtray/web/server.py
@@ -13,6 +13,7 @@
 from cheroot import wsgi
 from cherrypy import _cprequest
 
+from .chunked_body import ChunkedBody
 from .read_deadlines import DEADLINES_KEY, SOCKET_KEY, ReadDeadlines
 
 JSON_TYPE = "application/json"
@@ -159,6 +160,9 @@
 
     def get_environ(self) -> dict[str, Any]:
         """Returns the WSGI environment with the socket and the read deadlines."""
+        if self.req.chunked_read:
+            limit_bytes = self.req.server.max_request_body_size
+            self.req.rfile = ChunkedBody(self.req.conn.rfile, limit_bytes)
         env: dict[str, Any] = super().get_environ()
         env[SOCKET_KEY] = self.req.conn.socket
         env[DEADLINES_KEY] = self.req.server.read_deadlines
