--- a/src/amaranthtray/web/server.py
+++ b/src/amaranthtray/web/server.py
@@ -163,6 +163,9 @@
         if self.req.chunked_read:
             limit_bytes = self.req.server.max_request_body_size
             self.req.rfile = ChunkedBody(self.req.conn.rfile, limit_bytes)
+        elif self.req.rfile.remaining < 0:
+            # Reading a negative number of bytes reads to the end of the connection.
+            self.req.rfile.remaining = 0
         env: dict[str, Any] = super().get_environ()
         env[SOCKET_KEY] = self.req.conn.socket
         env[DEADLINES_KEY] = self.req.server.read_deadlines
