--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -6,10 +6,12 @@
 import signal
 import sys
 import threading
+from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.result import Failure
 
+from ..jobs.client_refusals import ClientRefusals
 from ..jobs.entry import JobEntry
 from ..jobs.metrics_registry import MetricsRegistry
 from ..settings.job_entry import load_job_entry
@@ -108,7 +110,7 @@
     metrics = MetricsRegistry()
     store = PlatformStore(settings.store.address, metrics)
     entry = JobEntry(settings, store, PlatformAdapter(settings), metrics)
-    servers = _servers(settings, entry)
+    servers = _servers(settings, entry, metrics)
     entry.start()
     for server in servers:
         server.start()
@@ -137,15 +139,30 @@
     entry.apply_settings(loaded.unwrap())
 
 
-def _servers(settings: JobEntrySettings, entry: JobEntry) -> list[WebServer]:
-    cfg = settings.entry
-    pages = (
-        (Ingress(entry.service), cfg.callers_address, CALLER_THREADS),
-        (ReadinessPage(lambda: entry.is_ready), cfg.readiness_address, PAGE_THREADS),
-        (MetricsPage(entry.render_metrics), cfg.metrics_address, PAGE_THREADS),
+def _servers(
+    settings: JobEntrySettings, entry: JobEntry, metrics: MetricsRegistry
+) -> list[WebServer]:
+    cfg, limits = settings.entry, settings.clients
+    refusals = ClientRefusals(metrics, entry.log)
+    ingress = Ingress(entry.service)
+    readiness = ReadinessPage(lambda: entry.is_ready)
+    most, most_pages = limits.max_connections, limits.max_page_connections
+    metrics_page = MetricsPage(entry.render_metrics)
+    rows = (
+        ("callers", ingress, cfg.callers_address, CALLER_THREADS, most),
+        ("readiness", readiness, cfg.readiness_address, PAGE_THREADS, most_pages),
+        ("metrics", metrics_page, cfg.metrics_address, PAGE_THREADS, most_pages),
     )
     servers = []
-    for root, address, threads in pages:
+    for name, root, address, threads, connections in rows:
         host, port = split_address(address)
-        servers.append(WebServer(root, host=host, port=port, threads=threads))
+        server = WebServer(
+            root,
+            host=host,
+            port=port,
+            threads=threads,
+            max_connections=connections,
+            on_refused=partial(refusals.record, name),
+        )
+        servers.append(server)
     return servers
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -20,6 +20,7 @@
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 PositiveNumber = Annotated[float, Meta(gt=0)]
 Millis = Annotated[int, Meta(ge=1)]
+Count = Annotated[int, Meta(ge=1)]
 RemoteFactor = Annotated[float, Meta(ge=1, le=1_000)]
 
 
@@ -95,6 +96,18 @@
     holder_change_ms: Millis
 
 
+class ClientsSection(Struct, frozen=True, kw_only=True):
+    """Section ``[clients]``: bounds of what clients may make an entry hold.
+
+    Attributes:
+        max_connections: Open connections at the address for callers.
+        max_page_connections: Open connections at each of the other two addresses.
+    """
+
+    max_connections: Count = 1_536
+    max_page_connections: Count = 128
+
+
 class JobsSection(Struct, frozen=True, kw_only=True):
     """Section ``[jobs]``: retention of ended jobs and withdrawal of keys.
 
@@ -157,6 +170,7 @@
     store: StoreSection
     hosts: HostsSection
     jobs: JobsSection
+    clients: ClientsSection = ClientsSection()
     machine: MachineSection = MachineSection()
     machines: MachinesSection | None = None
     advice: AdviceSection | None = None
--- a/src/amaranthtray/web/server.py
+++ b/src/amaranthtray/web/server.py
@@ -9,29 +9,27 @@
 
 import cherrypy
 import msgspec
-from cheroot import server as cheroot_server
-from cheroot import wsgi
 from cherrypy import _cprequest
 
-from .chunked_body import ChunkedBody
-from .read_deadlines import DEADLINES_KEY, SOCKET_KEY, ReadDeadlines
+from ._http_server import BoundedServer
+from .lingering_close import LingeringCloses
+from .read_deadlines import SOCKET_KEY, ReadDeadlines
 
 JSON_TYPE = "application/json"
 SHUTDOWN_TIMEOUT_S = 1
 ACCEPTED_QUEUE_TIMEOUT_S = 0.01
 MAX_KEEP_ALIVE_CONNECTIONS = 1_024
 SERVER_NAME = "amaranthtray"
-CONTENT_LENGTH = b"Content-Length"
 
 F = TypeVar("F", bound=Callable[..., Any])
 
-_SERVER: Any = wsgi.Server
-_GATEWAY: Any = wsgi.Gateway_10
-_REQUEST: Any = cheroot_server.HTTPRequest
-_CONNECTION: Any = cheroot_server.HTTPConnection
 _CHERRYPY_REQUEST: Any = _cprequest.Request
 
 
+def _ignore_refusal(_kind: str) -> None:
+    """Counts nothing."""
+
+
 class WebServer:
     """Serves one CherryPy application on one address.
 
@@ -46,6 +44,9 @@
         read_timeout_ms: Maximum time without data in the middle of a request, and
             maximum time to receive the headers.
         backlog: Number of connections that may wait to be accepted.
+        max_connections: Number of open connections; further ones are refused with 503.
+        on_refused: Called with the kind of each refusal or closed connection, one of
+            ``amaranthtray.web.REFUSALS``.
     """
 
     def __init__(
@@ -59,9 +60,14 @@
         max_header_bytes: int = 16 << 10,
         read_timeout_ms: int = 10_000,
         backlog: int = 256,
+        max_connections: int = 1_536,
+        on_refused: Callable[[str], object] = _ignore_refusal,
     ) -> None:
-        self.read_deadlines = ReadDeadlines(read_timeout_ms / 1_000)
-        self._server: Any = _SERVER(
+        self.read_deadlines = ReadDeadlines(
+            read_timeout_ms / 1_000, lambda: on_refused("slow")
+        )
+        self._lingering = LingeringCloses()
+        self._server: Any = BoundedServer(
             (host, port),
             _application(root),
             numthreads=threads,
@@ -75,9 +81,10 @@
         self._server.max_request_body_size = max_body_bytes
         self._server.max_request_header_size = max_header_bytes
         self._server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
-        self._server.gateway = _DeadlineGateway
-        self._server.ConnectionClass = _DeadlineConnection
+        self._server.max_connections = max_connections
         self._server.read_deadlines = self.read_deadlines
+        self._server.lingering = self._lingering
+        self._server.on_refused = on_refused
         self._server.error_log = _drop_server_log
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
         self._start_error: OSError | None = None
@@ -100,6 +107,7 @@
         if self._start_error is not None:
             raise self._start_error
         self.read_deadlines.start()
+        self._lingering.start()
         self._thread.start()
 
     def _prepare(self) -> None:
@@ -117,59 +125,7 @@
         self._server.stop()
         self.read_deadlines.stop()
         self._thread.join(timeout=5)
-
-
-class _HeaderFields(dict[bytes, bytes]):
-    """Header fields of one request; rejects contradictory Content-Length fields."""
-
-    def __setitem__(self, name: bytes, value: bytes) -> None:
-        if name == CONTENT_LENGTH and self.get(name, value) != value:
-            raise ValueError("Content-Length is given twice with different values.")
-        super().__setitem__(name, value)
-
-
-class _StrictHeaderReader(cheroot_server.HeaderReader):
-    """Rejects requests whose end two HTTP parsers could see in different places."""
-
-    def __call__(self, rfile: Any, hdict: dict[bytes, bytes] | None = None) -> Any:
-        """Reads the header fields of a request."""
-        fields: dict[bytes, bytes] = {} if hdict is None else hdict
-        fields.update(super().__call__(rfile, _HeaderFields()))
-        return fields
-
-
-class _DeadlineRequest(_REQUEST):  # type: ignore[misc]
-    """A request whose headers must arrive within the time limit."""
-
-    header_reader = _StrictHeaderReader()
-
-    def parse_request(self) -> None:
-        """Reads the request line and the headers."""
-        with self.server.read_deadlines.limit_headers(self.conn.socket):
-            super().parse_request()
-
-
-class _DeadlineConnection(_CONNECTION):  # type: ignore[misc]
-    """A connection whose requests have a time limit for their headers."""
-
-    RequestHandlerClass = _DeadlineRequest
-
-
-class _DeadlineGateway(_GATEWAY):  # type: ignore[misc]
-    """Adds the socket and the read deadlines to the environment of a request."""
-
-    def get_environ(self) -> dict[str, Any]:
-        """Returns the WSGI environment with the socket and the read deadlines."""
-        if self.req.chunked_read:
-            limit_bytes = self.req.server.max_request_body_size
-            self.req.rfile = ChunkedBody(self.req.conn.rfile, limit_bytes)
-        elif self.req.rfile.remaining < 0:
-            # Reading a negative number of bytes reads to the end of the connection.
-            self.req.rfile.remaining = 0
-        env: dict[str, Any] = super().get_environ()
-        env[SOCKET_KEY] = self.req.conn.socket
-        env[DEADLINES_KEY] = self.req.server.read_deadlines
-        return env
+        self._lingering.stop()
 
 
 def exposed(handler: F) -> F:
