--- a/src/amaranthtray/jobs/client_refusals.py
+++ b/src/amaranthtray/jobs/client_refusals.py
@@ -36,7 +36,7 @@
 
         Args:
             address: ``callers``, ``readiness`` or ``metrics``.
-            kind: One of ``amaranthtray.web.REFUSALS``.
+            kind: One of ``amaranthtray.web.REFUSALS``, or ``documents``.
         """
         self._metrics.count("clients_refused", kind)
         now_ms, key = steady_ms(), (address, kind)
--- a/src/amaranthtray/platform/ingress.py
+++ b/src/amaranthtray/platform/ingress.py
@@ -10,6 +10,7 @@
 
 from .. import web
 from ..entry.caller_api import bearer_token
+from ..jobs.decode_budget import DecodeBudget, decoded_size
 from ..jobs.service import (
     Accepted,
     AdmittedRequest,
@@ -29,6 +30,7 @@
     from collections.abc import Callable
 
     from ..jobs.service import JobService
+    from ..settings.job_entry import ClientsSection
 
 MAX_BODY_BYTES = 1 << 20
 """Limit until the configuration is known; the configured limit is lower."""
@@ -47,10 +49,20 @@
 
     Args:
         service: Handles the requests.
+        limits: Bounds of the documents that are submitted.
+        on_refused: Called with ``documents`` when a document doesn't fit into what is
+            left for all of them.
     """
 
-    def __init__(self, service: JobService) -> None:
+    def __init__(
+        self,
+        service: JobService,
+        limits: ClientsSection,
+        on_refused: Callable[[str], object],
+    ) -> None:
         self._service = service
+        self._on_refused = on_refused
+        self._budget = DecodeBudget(limits.max_decoded_mb << 20)
 
     @web.exposed
     def default(self, *_parts: str, **_query: str) -> bytes:
@@ -77,6 +89,15 @@
 
     def _submit(self, request: CallerRequest, max_body_bytes: int) -> bytes:
         body = web.read_body(max_body_bytes)
+        size = decoded_size(body)
+        web.require(self._budget.can_ever_hold(size), 413, "the job has too many steps")
+        with self._budget.hold(size) as is_held:
+            if is_held:
+                return self._store(request, body)
+        self._on_refused("documents")
+        return _write_reply(RetryLater("not stored: too many large jobs at one time"))
+
+    def _store(self, request: CallerRequest, body: bytes) -> bytes:
         try:
             job = decode_job(body)
         except msgspec.MsgspecError as exc:
--- a/src/amaranthtray/platform/job_wire.py
+++ b/src/amaranthtray/platform/job_wire.py
@@ -81,10 +81,13 @@
     """Returns the job in a request body.
 
     Raises:
-        msgspec.ValidationError: The body is not a job; the message names the fault
-            and its place.
+        msgspec.MsgspecError: The body is not a job; the message names the fault and its
+            place.
     """
-    job = msgspec.json.decode(data, type=_Job)
+    try:
+        job = msgspec.json.decode(data, type=_Job)
+    except RecursionError as exc:
+        raise msgspec.ValidationError("the document is nested too deeply") from exc
     if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
         message = f"spec is longer than {MAX_PAYLOAD_BYTES} bytes - at `$.spec`"
         raise msgspec.ValidationError(message)
--- a/src/amaranthtray/platform/run.py
+++ b/src/amaranthtray/platform/run.py
@@ -144,7 +144,7 @@
 ) -> list[WebServer]:
     cfg, limits = settings.entry, settings.clients
     refusals = ClientRefusals(metrics, entry.log)
-    ingress = Ingress(entry.service)
+    ingress = Ingress(entry.service, limits, partial(refusals.record, "callers"))
     readiness = ReadinessPage(lambda: entry.is_ready)
     most, most_pages = limits.max_connections, limits.max_page_connections
     metrics_page = MetricsPage(entry.render_metrics)
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -102,10 +102,13 @@
     Attributes:
         max_connections: Open connections at the address for callers.
         max_page_connections: Open connections at each of the other two addresses.
+        max_decoded_mb: Estimated memory of all documents that are decoded and stored
+            at one time, in megabytes.
     """
 
     max_connections: Count = 1_536
     max_page_connections: Count = 128
+    max_decoded_mb: Count = 64
 
 
 class JobsSection(Struct, frozen=True, kw_only=True):
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -173,3 +173,8 @@
 def test_an_invalid_job_is_refused_with_the_place(body: object, where: str) -> None:
     with pytest.raises(msgspec.ValidationError, match=where):
         decode_job(encoded(body))
+
+
+def test_a_job_that_is_nested_too_deeply_is_refused() -> None:
+    with pytest.raises(msgspec.ValidationError, match="nested"):
+        decode_job(b'{"x":' + b"[" * 100_000)
