--- a/src/amaranthtray/platform/ingress.py
+++ b/src/amaranthtray/platform/ingress.py
@@ -61,6 +61,7 @@
         on_refused: Callable[[str], object],
     ) -> None:
         self._service = service
+        self._limits = limits
         self._on_refused = on_refused
         self._budget = DecodeBudget(limits.max_decoded_mb << 20)
 
@@ -99,7 +100,7 @@
 
     def _store(self, request: CallerRequest, body: bytes) -> bytes:
         try:
-            job = decode_job(body)
+            job = decode_job(body, self._limits)
         except msgspec.MsgspecError as exc:
             raise cherrypy.HTTPError(400, str(exc)) from exc
         reply = self._service.submit(request, job.payload, job.steps, job.recurrence)
--- a/src/amaranthtray/platform/job_wire.py
+++ b/src/amaranthtray/platform/job_wire.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from msgspec import Meta
@@ -10,6 +10,9 @@
 from ..domain.ids import RackId
 from ..domain.jobs.model import Recurrence, Resources, StepSpec
 
+if TYPE_CHECKING:
+    from ..settings.job_entry import ClientsSection
+
 MAX_PAYLOAD_BYTES = 4_000
 MAX_TASKS = 10_000
 
@@ -77,17 +80,18 @@
     recurrence: Recurrence | None
 
 
-def decode_job(data: bytes) -> JobBody:
+def decode_job(data: bytes, limits: ClientsSection) -> JobBody:
     """Returns the job in a request body.
 
     Raises:
-        msgspec.MsgspecError: The body is not a job; the message names the fault and its
-            place.
+        msgspec.MsgspecError: The body is not a job, or a larger one than ``limits``
+            allow; the message names the fault and its place.
     """
     try:
         job = msgspec.json.decode(data, type=_Job)
     except RecursionError as exc:
         raise msgspec.ValidationError("the document is nested too deeply") from exc
+    _check_size(job, limits)
     if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
         message = f"spec is longer than {MAX_PAYLOAD_BYTES} bytes - at `$.spec`"
         raise msgspec.ValidationError(message)
@@ -99,3 +103,16 @@
     if job.repeat_count:
         recurrence = Recurrence(job.repeat_count, job.start_at_ms, job.interval_ms)
     return JobBody(job.spec, tuple(step.spec() for step in job.steps), recurrence)
+
+
+def _check_size(job: _Job, limits: ClientsSection) -> None:
+    tasks = sum(step.count for step in job.steps)
+    if tasks > limits.max_job_tasks:
+        message = f"a job has at most {limits.max_job_tasks} tasks - at `$.steps`"
+        raise msgspec.ValidationError(message)
+    if tasks * max(job.repeat_count, 1) > limits.max_job_runs:
+        message = (
+            f"a job has at most {limits.max_job_runs} tasks over all its repetitions"
+            " - at `$.repeatCount`"
+        )
+        raise msgspec.ValidationError(message)
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -104,11 +104,15 @@
         max_page_connections: Open connections at each of the other two addresses.
         max_decoded_mb: Estimated memory of all documents that are decoded and stored
             at one time, in megabytes.
+        max_job_tasks: Tasks of a job, of all its steps together.
+        max_job_runs: Tasks of a job, of all its steps and repetitions together.
     """
 
     max_connections: Count = 1_536
     max_page_connections: Count = 128
     max_decoded_mb: Count = 64
+    max_job_tasks: Count = 10_000
+    max_job_runs: Count = 100_000
 
 
 class JobsSection(Struct, frozen=True, kw_only=True):
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -15,6 +15,7 @@
     encode_wave_status,
 )
 from amaranthtray.platform.job_wire import decode_job
+from amaranthtray.settings.job_entry import ClientsSection
 
 HOST_ENTRY = {
     "service": "huvo11a",
@@ -152,7 +153,7 @@
         "startAtMs": 1000,
         "intervalMs": 50,
     }
-    job = decode_job(encoded(body))
+    job = decode_job(encoded(body), ClientsSection())
     assert job.steps[0].max_per_host == 2
     assert job.steps[1].after == (0,)
     assert job.recurrence is not None
@@ -168,13 +169,15 @@
         ({"spec": "x", "steps": [{"count": -1}]}, "steps"),
         ({"spec": "x", "steps": [{"cpu": "much"}]}, "steps"),
         ({"spec": "x", "steps": [{"after": [0]}]}, "after"),
+        ({"spec": "x", "steps": [{"count": 5_001}] * 2}, "steps"),
+        ({"spec": "x", "steps": [{}] * 11, "repeatCount": 10_000}, "repeatCount"),
     ],
 )
 def test_an_invalid_job_is_refused_with_the_place(body: object, where: str) -> None:
     with pytest.raises(msgspec.ValidationError, match=where):
-        decode_job(encoded(body))
+        decode_job(encoded(body), ClientsSection())
 
 
 def test_a_job_that_is_nested_too_deeply_is_refused() -> None:
     with pytest.raises(msgspec.ValidationError, match="nested"):
-        decode_job(b'{"x":' + b"[" * 100_000)
+        decode_job(b'{"x":' + b"[" * 100_000, ClientsSection())
