--- a/src/amaranthtray/jobs/entry.py
+++ b/src/amaranthtray/jobs/entry.py
@@ -115,12 +115,13 @@
     def apply_settings(self, settings: JobEntrySettings) -> None:
         """Applies changed settings; addresses keep their values until a restart."""
         old = self._context.settings
-        is_entry_changed = (settings.entry, settings.evacuation) != (
+        is_restart_needed = (settings.entry, settings.clients, settings.evacuation) != (
             old.entry,
+            old.clients,
             old.evacuation,
         )
         self._context.settings = settings
-        self.log.event("settings-taken", needs_restart=is_entry_changed)
+        self.log.event("settings-taken", needs_restart=is_restart_needed)
 
     def shut_down(self, drain_s: float) -> None:
         """Becomes not ready, releases all duties and waits for the load balancer."""
--- a/src/amaranthtray/web/_http_server.py
+++ b/src/amaranthtray/web/_http_server.py
@@ -118,7 +118,7 @@
         server.open_connections.add(self)
 
     def close(self) -> None:
-        """Closes the descriptor now rather than at the next garbage collection."""
+        """Frees the connection now rather than at the next garbage collection."""
         self.server.open_connections.discard(self)
         # These caches refer to the connection itself.
         self.resolve_peer_creds = self.get_peer_creds = None
