--- a/src/amaranthtray/platform/job_wire.py
+++ b/src/amaranthtray/platform/job_wire.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from msgspec import Meta
 
 from ..domain.ids import RackId
 from ..domain.jobs.model import Recurrence, Resources, StepSpec
+from ..jobs.job_size import job_size_problem
+
+if TYPE_CHECKING:
+    from ..settings.job_entry import ClientsSection
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_TASKS = 10_000
@@ -77,14 +81,17 @@
     recurrence: Recurrence | None
 
 
-def decode_job(data: bytes) -> JobBody:
+def decode_job(data: bytes, limits: ClientsSection) -> JobBody:
     """Returns the job in a request body.
 
     Raises:
-        msgspec.ValidationError: The body is not a job; the message names the fault
-            and its place.
+        msgspec.MsgspecError: The body is not a job, or a larger one than ``limits``
+            allow; the message names the fault and its place.
     """
-    job = msgspec.json.decode(data, type=_Job)
+    try:
+        job = msgspec.json.decode(data, type=_Job)
+    except RecursionError as exc:
+        raise msgspec.ValidationError("the document is nested too deeply") from exc
     if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
         message = f"spec is longer than {MAX_PAYLOAD_BYTES} bytes - at `$.spec`"
         raise msgspec.ValidationError(message)
@@ -95,4 +102,7 @@
     recurrence = None
     if job.repeat_count:
         recurrence = Recurrence(job.repeat_count, job.start_at_ms, job.interval_ms)
-    return JobBody(job.spec, tuple(step.spec() for step in job.steps), recurrence)
+    steps = tuple(step.spec() for step in job.steps)
+    if (problem := job_size_problem(steps, recurrence, limits)) is not None:
+        raise msgspec.ValidationError(problem)
+    return JobBody(job.spec, steps, recurrence)
