Keep each job's record within a value of the store

Cause: a record had a row for each started task, 1.18 MB for 20,000. The store takes 1 MiB a value and rejects the transaction as a whole; the same batch was written again for good, and starts and acknowledgements wait for it.

No more tasks of a job are begun at once than rows fit (3,780 with 1 MiB), and no more occurrences are open than marks fit. So a record fits at all times. A job that needs more at once is refused with 400. A record that the store rejects all the same is written apart from its batch, and its job fails. A transaction has no more bytes of records than one value. A specification that the store rejects no longer keeps those of other callers in its group from being stored.

The in-memory store and the soak's stand-in reject such values now; settings in four tests got the section of the store.

--- a/src/amaranthtray/domain/jobs/job.py
+++ b/src/amaranthtray/domain/jobs/job.py
@@ -9,6 +9,7 @@
 
 from .estimate import Estimate, estimate_job
 from .model import NO_RESOURCES, JobSpec, Resources, StepSpec, TaskName
+from .record_limits import DEFAULT_LIMITS, RecordLimits
 from .task import HostCrash, Run, RunOutcome, RunPhase, Task
 
 if TYPE_CHECKING:
@@ -56,6 +57,7 @@
         past: Completed occurrences.
         ended_ms: Wall-clock time at which a final state was reached; 0 before.
         has_started: Whether a host has certainly started one of its tasks.
+        limits: What its record can hold.
         estimate: Estimated duration and work of one occurrence.
     """
 
@@ -64,17 +66,48 @@
     past: set[int] = field(default_factory=set)
     ended_ms: int = 0
     has_started: bool = False
+    limits: RecordLimits = DEFAULT_LIMITS
     estimate: Estimate = field(init=False)
     _tasks: dict[tuple[int, int], list[Task]] = field(default_factory=dict)
+    _first_open: int = 0
+    _max_open: int = field(init=False)
 
     def __post_init__(self) -> None:
         self.estimate = estimate_job(self.spec.steps)
+        # Jobs that former versions accepted may have no valid limit.
+        self._max_open = max(self.limits.max_occurrences(self.spec), 1)
 
     @property
     def occurrences(self) -> int:
         """Returns how many times the steps run."""
         return self.spec.recurrence.count if self.spec.recurrence else 1
 
+    @property
+    def first_open(self) -> int:
+        """Returns the first occurrence that is not past."""
+        while self._first_open in self.past:
+            self._first_open += 1
+        return self._first_open
+
+    def count_startable(self) -> int:
+        """Returns how many tasks that have never been started may be started now.
+
+        More of them would outgrow the job's record. Tasks that have been started have
+        their row in it until they are done.
+        """
+        count = sum(step.count for step in self.spec.steps)
+        if count * min(self._max_open, self.occurrences) <= self.limits.max_begun:
+            return self.limits.max_begun
+        begun = sum(
+            [
+                1
+                for tasks in self._tasks.values()
+                for task in tasks
+                if task.last_run and (task.runs or not task.is_done)
+            ]
+        )
+        return max(self.limits.max_begun - begun, 0)
+
     def due_ms(self, occurrence: int) -> int:
         """Returns the wall-clock time at which an occurrence may start."""
         recurrence = self.spec.recurrence
@@ -133,11 +166,13 @@
         """Yields occurrence and index of each step whose tasks may run now."""
         if self.state.is_final:
             return
-        for occurrence in range(self.occurrences):
+        left = self._max_open
+        for occurrence in range(self.first_open, self.occurrences):
             if occurrence in self.past:
                 continue
-            if self.due_ms(occurrence) > wall_ms:
+            if self.due_ms(occurrence) > wall_ms or not left:
                 return
+            left -= 1
             for step, spec in enumerate(self.spec.steps):
                 if all(self.is_step_done(occurrence, before) for before in spec.after):
                     yield occurrence, step
@@ -290,6 +325,13 @@
             if not self.state.is_final:
                 self._close_occurrence(name.occurrence)
 
+    def fail(self) -> bool:
+        """Fails the job as a whole; returns whether that changed its state."""
+        if self.state.is_final:
+            return False
+        self.state = JobState.FAILED
+        return True
+
     def cancel(self) -> bool:
         """Cancels the job; returns whether that changed its state."""
         if self.state.is_final:
--- a/src/amaranthtray/domain/scheduling/_job_facts.py
+++ b/src/amaranthtray/domain/scheduling/_job_facts.py
@@ -91,8 +91,12 @@
     need = NO_RESOURCES
     if job.spec.id in state.settled:
         return need
+    startable = job.count_startable()
     for occurrence, number in job.open_steps(state.wall_ms):
         tasks = job.tasks(occurrence, number)
         waiting = sum([task.is_waiting for task in tasks])
+        fresh = sum([not task.last_run for task in tasks])
+        waiting -= max(fresh - startable, 0)
+        startable = max(startable - fresh, 0)
         need = need.plus(job.spec.steps[number].reserved.times(waiting))
     return need
--- a/src/amaranthtray/domain/scheduling/_planner.py
+++ b/src/amaranthtray/domain/scheduling/_planner.py
@@ -120,6 +120,7 @@
     for rank_class, job, steps in ranked:
         for key, step, waiting in steps:
             waiting_keys.add(key)
+            startable = waiting
             placed = 0
             is_tried = step.reserved.fits(room) or has_suspects(job, key, waiting)
             if is_tried:
@@ -127,7 +128,7 @@
                 placed = _place_if_fit(state, job, key, rank_class, waiting, hosts)
             waiting = waiting[: len(waiting) - state.rack_waits.held(key)]
             if slow.hosts and placed < len(waiting):
-                placed += _place_on_slow(state, job, key, slow, hosts.index)
+                placed += _place_on_slow(state, job, key, startable, slow, hosts.index)
             state.unplaced.record(key, len(waiting) - placed, state.now_ms)
             reserved_hosts: set[str] = set()
             if hosts.ahead is not None:
@@ -243,14 +244,19 @@
 
 
 def _place_on_slow(
-    state: SchedulerState, job: Job, key: StepKey, slow: SlowHosts, index: HostIndex
+    state: SchedulerState,
+    job: Job,
+    key: StepKey,
+    startable: list[int],
+    slow: SlowHosts,
+    index: HostIndex,
 ) -> int:
     """Places tasks on slow hosts that end sooner there; returns how many."""
     tasks = job.tasks(key.occurrence, key.step)
     waiting = [
         number
-        for number, task in enumerate(tasks)
-        if task.is_waiting and not task.crashes and task.not_before_ms <= state.now_ms
+        for number in startable
+        if tasks[number].is_waiting and not tasks[number].crashes
     ]
     waiting = _within_cap(state, job, job.spec.steps[key.step], waiting)
     allowed = list(_allowed_hosts(state, job, key, slow.hosts))
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -11,6 +11,7 @@
 from ..jobs.job import Job
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
+from ..jobs.record_limits import DEFAULT_LIMITS, RecordLimits
 from ..jobs.task import RunPhase
 from ..upkeep.moves import PoolLoad
 from ._forecaster import Forecaster
@@ -55,6 +56,7 @@
         pool: Name of the pool.
         catalog: Configuration in force.
         policy: Optional decisions.
+        limits: What a job's record can hold.
         jobs: All jobs that are stored.
         active: Jobs that are not in a final state or still have runs.
         hosts: Hosts by id; a host that left the pool stays while it may have runs.
@@ -97,6 +99,7 @@
     pool: PoolName
     catalog: Catalog
     policy: SchedulingPolicy = field(default_factory=SchedulingPolicy)
+    limits: RecordLimits = DEFAULT_LIMITS
     jobs: dict[JobId, Job] = field(default_factory=dict)
     active: dict[JobId, Job] = field(default_factory=dict)
     hosts: dict[HostId, Host] = field(default_factory=dict)
@@ -282,11 +285,7 @@
         self.stored_vacate_number = self.vacate_request.number
         self.batch_jobs, self.dirty = self.dirty, set()
         self.batch_effects, self.held_effects = self.held_effects, []
-        records = tuple(
-            (job_id, encode_job(self.jobs[job_id]))
-            for job_id in sorted(self.batch_jobs)
-            if job_id in self.jobs
-        )
+        records, oversized = self._encode_records()
         learned, self.run_times_record = self.run_times_record, b""
         return StoreJobs(
             self.batch,
@@ -298,14 +297,24 @@
             learned,
             self.forecaster.forecast,
             self.vacate_request.number,
+            oversized,
         )
 
-    def handle_batch_stored(self) -> list[Effect]:
-        """Ends a batch that was written; returns the effects that it held."""
+    def handle_batch_stored(self, set_apart: tuple[JobId, ...] = ()) -> list[Effect]:
+        """Ends a batch that was written; returns the effects that it held.
+
+        Jobs whose record the store has rejected fail. The effects are then held until
+        that is stored, as they may depend on these jobs.
+        """
         self.is_storing = False
         for job_id in self.expired:
             self.jobs.pop(job_id, None)
         self.expired = ()
+        rejected = [self.jobs[job_id] for job_id in set_apart if job_id in self.jobs]
+        failed = [job for job in rejected if self._fail_job(job)]
+        if failed:
+            self.held_effects = self.batch_effects + self.held_effects
+            self.batch_effects = []
         released, self.batch_effects = self.batch_effects, []
         return released
 
@@ -318,6 +327,39 @@
         self.stored_vacate_number = None
         self.run_times.stored = -1
 
+    def _encode_records(
+        self,
+    ) -> tuple[tuple[tuple[JobId, bytes], ...], tuple[tuple[JobId, int], ...]]:
+        """Returns the records of the batch, and jobs whose record is too large.
+
+        These fail, as no task of theirs can be started any more. If even the record of
+        the failed job is too large, the one in the store stays.
+        """
+        records: list[tuple[JobId, bytes]] = []
+        oversized: list[tuple[JobId, int]] = []
+        for job_id in sorted(self.batch_jobs):
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            data = encode_job(job)
+            if len(data) > self.limits.value_bytes:
+                oversized.append((job_id, len(data)))
+                self._fail_job(job)
+                data = encode_job(job)
+            if len(data) <= self.limits.value_bytes:
+                records.append((job_id, data))
+        return tuple(records), tuple(oversized)
+
+    def _fail_job(self, job: Job) -> bool:
+        """Fails a job whose record can't be stored; returns whether it was open."""
+        if not job.fail():
+            return False
+        for name, run in list(job.runs()):
+            if run.phase is RunPhase.RESERVED:
+                self.drop_run(name, run)
+        self.mark_dirty(job)
+        return True
+
     def find_run(self, order: StartRun) -> Run | None:
         """Returns the run that a held order would start, if it still exists."""
         job = self.jobs.get(order.name.job)
--- a/src/amaranthtray/domain/scheduling/_waiting.py
+++ b/src/amaranthtray/domain/scheduling/_waiting.py
@@ -46,6 +46,7 @@
     until_ms, is_settled = math.inf, True
     if spec.recurrence or any(map(_allows_copies, spec.steps)):
         until_ms, is_settled = -math.inf, False
+    startable = job.count_startable()
     for occurrence, number in job.open_steps(state.wall_ms):
         step = spec.steps[number]
         tasks = job.tasks(occurrence, number)
@@ -57,11 +58,36 @@
                 until_ms = min(until_ms, task.not_before_ms)
             elif is_waiting or (step.allows_copies and _wants_copy(state, task)):
                 waiting.append(index)
-        if waiting and not (step.is_gang and len(waiting) < len(tasks)):
+        if step.is_gang and len(waiting) < len(tasks):
+            continue
+        waiting, startable = _within_record(step, tasks, waiting, startable)
+        if waiting:
             steps.append((StepKey(spec.id, occurrence, number), step, waiting))
     return Waiting(steps, until_ms, is_settled)
 
 
+def _within_record(
+    step: StepSpec, tasks: list[Task], waiting: list[int], startable: int
+) -> tuple[list[int], int]:
+    """Returns the tasks that the job's record has room for, and how many more it has.
+
+    A gang that doesn't fit keeps later steps from taking the room that it needs.
+    """
+    fresh = sum([not tasks[index].last_run for index in waiting])
+    if fresh <= startable:
+        return waiting, startable - fresh
+    if step.is_gang:
+        return [], 0
+    kept: list[int] = []
+    for index in waiting:
+        if tasks[index].last_run:
+            kept.append(index)
+        elif startable:
+            kept.append(index)
+            startable -= 1
+    return kept, 0
+
+
 def _wants_copy(state: SchedulerState, task: Task) -> bool:
     """Returns whether a task needs a copy, as its only run is silent or ends late.
 
--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -80,6 +80,13 @@
     _runs: dict[tuple[TaskName, int], PlacedRun] = field(default_factory=dict)
     _by_step: Counter[StepKey] = field(default_factory=Counter)
 
+    def record_leaving(self, now_ms: int) -> None:
+        """Records how long the host stays at least if it says that it leaves."""
+        if not self.info.is_draining:
+            self.leaves_ms = None
+        elif self.leaves_ms is None:
+            self.leaves_ms = now_ms + self.info.remaining_ms
+
     @property
     def free(self) -> Resources:
         """Returns the resources that are available to new runs."""
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -231,9 +231,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchStored:
-    """A batch of records was written."""
+    """A batch of records was written.
+
+    Attributes:
+        batch: The batch.
+        set_apart: Jobs whose record the store has rejected.
+    """
 
     batch: int
+    set_apart: tuple[JobId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -280,6 +286,8 @@
         run_times: Learned run times in their stored form; empty to leave them.
         forecast: Forecast for the entries that accept jobs, if there is one.
         vacate_number: Number of the request that ``vacant`` follows from.
+        oversized: Jobs whose record is too large to be stored, with its size in bytes;
+            they have failed.
     """
 
     batch: int
@@ -291,6 +299,7 @@
     run_times: bytes = b""
     forecast: Forecast | None = None
     vacate_number: int = 0
+    oversized: tuple[tuple[JobId, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -7,6 +7,7 @@
 from msgspec import MsgspecError
 
 from ..jobs.record import restore
+from ..jobs.record_limits import DEFAULT_LIMITS, RecordLimits
 from ..jobs.task import RunPhase
 from ._absence import stop_report
 from ._backoff import delay_starts
@@ -96,6 +97,7 @@
             terms have expired.
         retention_ms: Time for which an ended job is kept.
         policy: Optional decisions.
+        limits: What a job's record can hold.
     """
 
     def __init__(
@@ -105,11 +107,12 @@
         earlier_leases_until_ms: int,
         retention_ms: int = DEFAULT_RETENTION_MS,
         policy: SchedulingPolicy = DECLARED_ONLY,
+        limits: RecordLimits = DEFAULT_LIMITS,
     ) -> None:
         self._retention_ms = retention_ms
         self._expiry_checked_ms = 0
         self._earlier_leases_until_ms: int | None = earlier_leases_until_ms
-        self.state = SchedulerState(pool, catalog, policy)
+        self.state = SchedulerState(pool, catalog, policy, limits)
         self.state.apply_catalog(catalog)
         self._published: dict[str, int] = {}
         self._published_ms = 0
@@ -149,8 +152,8 @@
                 return self._handle_stop_reply(message)
             case CatalogChanged(catalog):
                 self.state.apply_catalog(catalog)
-            case BatchStored(batch):
-                return self._handle_batch_stored(batch)
+            case BatchStored():
+                return self._handle_batch_stored(message)
             case BatchNotStored(batch):
                 if batch == self.state.batch:
                     self.state.handle_batch_failure()
@@ -248,7 +251,7 @@
         spec = message.spec
         if spec.id not in self.state.jobs:
             try:
-                job = restore(spec, message.record)
+                job = restore(spec, message.record, self.state.limits)
             except MsgspecError as exc:
                 return [RecordUnreadable(spec.id, str(exc))]
             self.state.add_job(job)
@@ -293,7 +296,7 @@
                     effects.append(WatchHost(info))
                 host.info = info
             host.is_listed = True
-            _record_leaving(host, self.state.now_ms)
+            host.record_leaving(self.state.now_ms)
         for host in hosts.values():
             if host.info.id not in listed:
                 host.is_listed = False
@@ -369,10 +372,10 @@
             placed.run.confirmed_ms = reply.replied_ms
         return []
 
-    def _handle_batch_stored(self, batch: int) -> list[Effect]:
-        if batch != self.state.batch or not self.state.is_storing:
+    def _handle_batch_stored(self, stored: BatchStored) -> list[Effect]:
+        if stored.batch != self.state.batch or not self.state.is_storing:
             return []
-        return self._release_effects(self.state.handle_batch_stored())
+        return self._release_effects(self.state.handle_batch_stored(stored.set_apart))
 
     def _release_effects(self, effects: list[Effect]) -> list[Effect]:
         """Returns held effects, without starts of runs that are no longer wanted."""
@@ -390,11 +393,3 @@
                 run.phase = RunPhase.STARTING
             released.append(effect)
         return released
-
-
-def _record_leaving(host: Host, now_ms: int) -> None:
-    """Records how long a host that says that it leaves stays at least."""
-    if not host.info.is_draining:
-        host.leaves_ms = None
-    elif host.leaves_ms is None:
-        host.leaves_ms = now_ms + host.info.remaining_ms
--- a/src/amaranthtray/domain/scheduling/ranking.py
+++ b/src/amaranthtray/domain/scheduling/ranking.py
@@ -181,7 +181,7 @@
         return RankTerms(queue.priority, spec.accepted_ms, is_lasting=True)
     occurrence = 0
     if spec.recurrence:
-        occurrence = next((k for k in range(job.occurrences) if k not in job.past), 0)
+        occurrence = job.first_open % job.occurrences
     begun_ms = max(spec.accepted_ms, job.due_ms(occurrence))
     (total_ms, core_ms), lengths_ms = _expected(job, run_times)
     objective_ms = queue.slowdown_factor * total_ms + queue.target_ms
--- a/src/amaranthtray/jobs/fenced_ledger.py
+++ b/src/amaranthtray/jobs/fenced_ledger.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns.result import Success
 
-from ..store.contract import Conflicts, Put, Transaction
+from ..store.contract import Conflicts, Put, Rejected, Transaction
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -43,12 +43,17 @@
         term: Term of the holder.
         store: The platform's store.
         log: Log of the entry.
+
+    Attributes:
+        is_superseded: Whether a later term has written.
+        was_rejected: Whether the store has rejected the last write as such.
     """
 
     def __init__(
         self, key: str, term: Term, *, store: TransactionalStore, log: EventLog
     ) -> None:
         self.is_superseded = False
+        self.was_rejected = False
         self._key = key
         self._term = term
         self._store = store
@@ -97,6 +102,7 @@
         if self._version is None:
             return False
         self._last_batch += 1
+        self.was_rejected = False
         ledger.term, ledger.batch = self._term, self._last_batch
         transaction = Transaction(
             expect=((self._key, self._version),),
@@ -111,6 +117,7 @@
         self._log.event(
             "records-not-stored", ledger=self._key, term=self._term, why=repr(failure)
         )
+        self.was_rejected = isinstance(failure, Rejected)
         if isinstance(failure, Conflicts):
             stored = next((i for i in failure.found if i.key == self._key), None)
             self._resolve_version(stored)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ..domain.jobs.record_limits import RecordLimits
 from ..domain.scheduling.absence import LastingRunEnded, LastingRunStopped
 from ..domain.scheduling.advice import RequestAdvice
 from ..domain.scheduling.caps import ClaimPortion
@@ -92,6 +93,18 @@
     )
 
 
+def _record_writer(
+    pool: PoolName, term: Term, context: JobEntryContext, limits: RecordLimits
+) -> RecordWriter:
+    return RecordWriter(
+        pool,
+        term,
+        store=context.store,
+        log=context.log,
+        value_bytes=limits.value_bytes,
+    )
+
+
 @dataclass(slots=True)
 class _Stop:
     """Message that wakes the conductor so that it ends."""
@@ -131,7 +144,8 @@
         )
         self._stopping = threading.Event()
         self._ended = threading.Event()
-        self._writer = RecordWriter(pool, term, store=context.store, log=context.log)
+        self._limits = RecordLimits(context.settings.store.max_value_bytes)
+        self._writer = _record_writer(pool, term, context, self._limits)
         self._cap_portions = CapPortionWriter(pool, context, self.post, self._guard)
         self._share_portions = SharePortionWriter(
             pool, context, self.post, self._guard.may_order
@@ -220,6 +234,7 @@
             self._links.earlier_leases_until_ms,
             int(retention_s * 1_000) + RETENTION_MARGIN_MS,
             _policy(self._context.settings.scheduling),
+            self._limits,
         )
         self._context.hosts.subscribe(self.pool, self.post)
         while self._may_continue():
@@ -372,7 +387,8 @@
             if self._writer.is_superseded:
                 self._guard.mark_superseded()
             if is_stored:
-                self.post(BatchStored(batch.batch))
+                self._log.count_unstored(batch.oversized, self._writer.set_apart)
+                self.post(BatchStored(batch.batch, self._writer.set_apart))
             else:
                 self._stopping.wait(STORE_RETRY_MS / 1_000)
                 self.post(BatchNotStored(batch.batch))
--- a/src/amaranthtray/jobs/record_writer.py
+++ b/src/amaranthtray/jobs/record_writer.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
+from ..domain.jobs.model import JobId
+from ..domain.jobs.record_limits import DEFAULT_VALUE_BYTES
 from ..store.contract import Put
 from . import keys
 from .clock import wall_ms
@@ -14,11 +16,13 @@
 
 if TYPE_CHECKING:
     from ..domain.ids import PoolName, Term
-    from ..domain.jobs.model import JobId
     from ..domain.scheduling.messages import StoreJobs
     from ..store.contract import TransactionalStore
     from .event_log import EventLog
 
+Row: TypeAlias = tuple[JobId, bytes]
+"""A job and its record."""
+
 RECORDS_PER_WRITE = 29
 """A transaction allows 32 keys; the ledger uses two, the report one.
 
@@ -34,6 +38,12 @@
         term: Term of the conductor.
         store: The platform's store.
         log: Log of the entry.
+        value_bytes: Maximum size of a value of the store; a transaction has no more
+            bytes of records.
+
+    Attributes:
+        set_apart: Jobs of the last batch whose record the store has rejected; the
+            others are stored.
     """
 
     def __init__(
@@ -43,8 +53,12 @@
         *,
         store: TransactionalStore,
         log: EventLog,
+        value_bytes: int = DEFAULT_VALUE_BYTES,
     ) -> None:
+        self.set_apart: tuple[JobId, ...] = ()
         self._pool = pool
+        self._log = log
+        self._value_bytes = value_bytes
         self._ledger = FencedLedger(keys.ledger_key(pool), term, store=store, log=log)
         self._term = term
         self._report: PoolReport | None = None
@@ -55,20 +69,19 @@
         return self._ledger.is_superseded
 
     def write(self, batch: StoreJobs) -> bool:
-        """Writes a batch; returns whether all of it is certainly stored."""
+        """Writes a batch; returns whether all of it is certainly stored.
+
+        A record that the store rejects is left out, and ``set_apart`` names its job.
+        """
+        self.set_apart = ()
         if not self._ledger.is_loaded and not self.fence_older_terms():
             return False
-        rows = list(batch.records)
         learned: tuple[Put, ...] = ()
         if batch.run_times:
             learned = (Put(keys.run_times_key(self._pool), batch.run_times),)
-        first = RECORDS_PER_WRITE - len(learned)
-        chunks = [
-            rows[start : start + RECORDS_PER_WRITE]
-            for start in range(first, len(rows), RECORDS_PER_WRITE)
-        ]
-        is_stored = self._write_chunk(rows[:first], batch, learned) and all(
-            self._write_chunk(chunk, batch) for chunk in chunks
+        first, *others = self._chunks(list(batch.records), len(learned))
+        is_stored = self._write_chunk(first, batch, learned) and all(
+            self._write_chunk(chunk, batch) for chunk in others
         )
         return is_stored and self._remove(batch)
 
@@ -82,11 +95,43 @@
             return False
         return last.term == self._term or self._commit((), last.pending)
 
+    def _chunks(self, rows: list[Row], first_keys: int) -> list[list[Row]]:
+        """Returns the rows of each transaction; the first one has other keys, too."""
+        chunks: list[list[Row]] = [[]]
+        left, left_bytes = RECORDS_PER_WRITE - first_keys, self._value_bytes
+        for row in rows:
+            if not left or (chunks[-1] and len(row[1]) > left_bytes):
+                chunks.append([])
+                left, left_bytes = RECORDS_PER_WRITE, self._value_bytes
+            chunks[-1].append(row)
+            left, left_bytes = left - 1, left_bytes - len(row[1])
+        return chunks
+
     def _write_chunk(
-        self,
-        rows: list[tuple[JobId, bytes]],
-        batch: StoreJobs,
-        more: tuple[Put, ...] = (),
+        self, rows: list[Row], batch: StoreJobs, more: tuple[Put, ...] = ()
+    ) -> bool:
+        """Writes records; one that the store rejects is set apart from the others."""
+        if self._write_rows(rows, batch, more):
+            return True
+        if not rows or not self._ledger.was_rejected:
+            return False
+        if len(rows) > 1:
+            middle = len(rows) // 2
+            return self._write_chunk(rows[:middle], batch, more) and self._write_chunk(
+                rows[middle:], batch
+            )
+        ((job, record),) = rows
+        # Once more, as a job must not fail because of a single reply.
+        if self._write_rows(rows, batch, more):
+            return True
+        if not self._ledger.was_rejected:
+            return False
+        self.set_apart += (job,)
+        self._log.event("record-set-apart", job=job, bytes=len(record))
+        return self._write_rows([], batch, more)
+
+    def _write_rows(
+        self, rows: list[Row], batch: StoreJobs, more: tuple[Put, ...]
     ) -> bool:
         records = tuple(
             Put(keys.record_key(self._pool, job), record) for job, record in rows
--- a/src/amaranthtray/jobs/service.py
+++ b/src/amaranthtray/jobs/service.py
@@ -12,7 +12,8 @@
 from ..domain.jobs.catalog import Catalog, JobQueue
 from ..domain.jobs.job import JobState
 from ..domain.jobs.model import NO_TEAM, JobId, JobSpec
-from ..domain.jobs.record import decode_state
+from ..domain.jobs.record import decode_state, spec_problem
+from ..domain.jobs.record_limits import RecordLimits
 from ..store.contract import Conflicts, EffectUnknown, Put, Transaction
 from . import keys
 from .clock import wall_ms
@@ -90,6 +91,13 @@
     """The queue is not open, and the request has no valid key."""
 
 
+@dataclass(frozen=True, slots=True)
+class NeverRun:
+    """The job can't be carried out; it is not stored and never runs."""
+
+    why: str
+
+
 @dataclass(frozen=True, slots=True)
 class RetryLater:
     """The request had no effect and may be retried later."""
@@ -112,6 +120,7 @@
     | NoSuchQueue
     | NoSuchJob
     | KeyRefused
+    | NeverRun
     | RetryLater
     | OutcomeUnknown
 )
@@ -194,7 +203,9 @@
                 accepted_ms=wall_ms(),
                 max_attempts=admitted.queue.max_attempts,
             )
-            refused = self._refusal(admitted, spec)
+            refused = self._size_refusal(admitted, spec) or self._refusal(
+                admitted, spec
+            )
             if refused is not None:
                 return refused
             outcome = self._store(admitted, spec, request)
@@ -262,6 +273,27 @@
         ledger = decode_ledger(stored.value)
         return PendingReply(ledger.pending.get(admitted.queue.name, 0))
 
+    def _size_refusal(
+        self, admitted: AdmittedRequest, spec: JobSpec
+    ) -> Accepted | NeverRun | RetryLater | None:
+        """Returns the reply to a job whose record could outgrow a value of the store.
+
+        A former version may have stored such a job, and its caller may ask again.
+        """
+        limits = RecordLimits(self._context.settings.store.max_value_bytes)
+        why = spec_problem(spec, limits)
+        if why is None:
+            return None
+        found = self._context.store.get(
+            keys.job_key(admitted.queue.pool, spec.id, keys.SPEC)
+        )
+        if not isinstance(found, Success):
+            return RetryLater("the store is unavailable")
+        self._context.log.event(
+            "submit", job=spec.id, queue=spec.queue, outcome="too_large", why=why
+        )
+        return NeverRun(why) if found.unwrap() is None else Accepted()
+
     def _refusal(self, admitted: AdmittedRequest, spec: JobSpec) -> RetryLater | None:
         """Returns the refusal of a job; None if it is to be stored.
 
--- a/src/amaranthtray/jobs/submission_writer.py
+++ b/src/amaranthtray/jobs/submission_writer.py
@@ -14,7 +14,7 @@
 from ..domain.ids import PoolName
 from ..domain.jobs.model import JobSpec
 from ..domain.jobs.record import encode_spec
-from ..store.contract import Conflicts, EffectUnknown, Put, Transaction
+from ..store.contract import Conflicts, EffectUnknown, Put, Rejected, Transaction
 from . import keys
 from .clock import steady_ms
 from .steps import run_step
@@ -170,6 +170,10 @@
                 for submission in group:
                     submission.may_be_stored = True
                 return group
+            case Rejected() if len(group) > 1:
+                for submission in group:
+                    self.store_group([submission])
+                return []
         self._log.event("jobs-not-stored", why=repr(failure), jobs=len(group))
         for submission in group:
             submission.finish(
--- a/src/amaranthtray/platform/ingress.py
+++ b/src/amaranthtray/platform/ingress.py
@@ -16,6 +16,7 @@
     CallerRequest,
     JobStateReply,
     KeyRefused,
+    NeverRun,
     NoSuchJob,
     NoSuchQueue,
     OutcomeUnknown,
@@ -154,6 +155,8 @@
             return 410, {"error": "no such job"}
         case KeyRefused():
             return 401, {"error": "unknown key"}
+        case NeverRun(why):
+            return 400, {"error": why}
         case RetryLater(why):
             return 503, {"error": why}
         case OutcomeUnknown(why):
--- a/src/amaranthtray/platform/store_client.py
+++ b/src/amaranthtray/platform/store_client.py
@@ -19,6 +19,7 @@
     LeaseId,
     Listing,
     Put,
+    Rejected,
     StoreFailure,
     Transaction,
     Unavailable,
@@ -246,13 +247,15 @@
 
     def _failure(
         self, step: str, outcome: CallOutcome, *, is_write: bool
-    ) -> Unavailable | EffectUnknown | CallsSpent:
+    ) -> Unavailable | Rejected | EffectUnknown | CallsSpent:
         peer = self._address
         match outcome:
             case Response(status=429):
                 return CallsSpent(step, peer, RETRY_AFTER_MS)
             case Response(status=503):
                 return Unavailable(step, peer, "503")
+            case Response(status=(400 | 413) as status):
+                return Rejected(step, peer, f"status {status}")
             case Response(status=status):
                 return Unavailable(step, peer, f"status {status}")
         if is_write and outcome.was_sent:
--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -8,6 +8,7 @@
 from msgspec import Meta, Struct
 
 from ..domain.duties.placement import FULL_CORES, FULL_LINK_MBPS, MachineSize
+from ..domain.jobs.record_limits import DEFAULT_VALUE_BYTES, MIN_VALUE_BYTES
 from .toml_document import TomlDocument
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 PositiveNumber = Annotated[float, Meta(gt=0)]
 Millis = Annotated[int, Meta(ge=1)]
+ValueBytes = Annotated[int, Meta(ge=MIN_VALUE_BYTES)]
 RemoteFactor = Annotated[float, Meta(ge=1, le=1_000)]
 
 
@@ -65,9 +67,11 @@
 
     Attributes:
         address: Address of the store.
+        max_value_bytes: Maximum size of a value.
     """
 
     address: Address
+    max_value_bytes: ValueBytes = DEFAULT_VALUE_BYTES
 
 
 class HostsSection(Struct, frozen=True, kw_only=True):
--- a/src/amaranthtray/store/contract.py
+++ b/src/amaranthtray/store/contract.py
@@ -82,6 +82,15 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The store doesn't take such a call, however often; it had no effect."""
+
+    step: str
+    peer: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallsSpent:
     """The entry's own limit on calls refused this one; nothing was sent."""
@@ -154,6 +163,7 @@
     Conflict
     | Conflicts
     | Unavailable
+    | Rejected
     | EffectUnknown
     | CallsSpent
     | LeaseGone
--- a/src/amaranthtray/store/memory.py
+++ b/src/amaranthtray/store/memory.py
@@ -57,6 +57,7 @@
         is_down: Whether every call fails.
         disconnected_clients: Clients whose calls fail.
         calls: Number of calls by method.
+        max_value_bytes: Maximum size of a value in a transaction.
         sleep: Called with the milliseconds of an injected delay.
         condition: Lock of the contents, notified of each change.
 
@@ -72,6 +73,7 @@
         self.is_down = False
         self.disconnected_clients: set[ClientName] = set()
         self.calls: dict[str, int] = {}
+        self.max_value_bytes = MAX_VALUE_BYTES
         self.sleep = sleep or (lambda _: None)
         self.condition = threading.Condition(threading.RLock())
         self._clock = clock
--- a/src/amaranthtray/store/memory_transactions.py
+++ b/src/amaranthtray/store/memory_transactions.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from .contract import Conflicts, LeaseGone, Listing
+from .contract import Conflicts, LeaseGone, Listing, Rejected
 from .memory import PEER, MemoryStore
 
 if TYPE_CHECKING:
@@ -49,6 +49,9 @@
         versions = {item.key: item.version for item in found}
         if any(versions.get(key, 0) != expected[key] for key in expected):
             return Failure(Conflicts(STEP, PEER, tuple(found)))
+        largest = max((len(put.value) for put in transaction.puts), default=0)
+        if largest > platform.max_value_bytes:
+            return Failure(Rejected(STEP, PEER, f"a value has {largest} bytes"))
         if not platform.has_leases([put.lease for put in transaction.puts]):
             return Failure(LeaseGone(STEP, PEER))
         return Success(platform.write_all(transaction))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -28,6 +28,7 @@
     "limits.cores": "3",
     "limits.linkMbps": "5.0",
     "platform.address": '"10.2.0.1:80"',
+    "platform.valueBytes": "500000",
     "bounds.maxHoldMs": "6000",
     "cloud.address": '"10.2.0.2:80"',
     "bounds.leaseMs": "3000",
@@ -52,6 +53,7 @@
     path.write_text(filled())
     settings = load_job_entry(str(path)).unwrap()
     assert settings.entry.metrics_address == "10.1.0.1:7000"
+    assert settings.store.max_value_bytes == 500_000
     assert settings.hosts.leaving_start_limit_ms == 2_500
     assert settings.jobs.cancellation_limit_ms == 4_000
     assert settings.machine.size == MachineSize(cores=1.5, link_mbps=5.0)
@@ -60,6 +62,12 @@
     assert settings.evacuation is not None
 
 
+def test_without_the_platforms_limit_a_value_has_a_mebibyte(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(filled().replace("max_value_bytes = 500000\n", ""))
+    assert load_job_entry(str(path)).unwrap().store.max_value_bytes == 1 << 20
+
+
 def test_without_its_section_no_evacuation_is_followed(tmp_path: Path) -> None:
     """A deployment without the limit makes no call of the store for it."""
     path = tmp_path / "settings.toml"
--- a/tests/jobs/test_acceptance.py
+++ b/tests/jobs/test_acceptance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from amaranthtray.jobs.submission_writer import (
@@ -81,3 +83,15 @@
     site.writer.store_group(group)
     assert {each.outcome for each in group} == {SubmissionOutcome.STORED}
     assert site.count_jobs() == 3
+
+
+def test_a_job_that_is_too_large_keeps_no_other_one_from_being_stored() -> None:
+    """Guards against callers that are refused because of another one's job."""
+    site = SubmissionSite()
+    site.platform.max_value_bytes = 2_000
+    large = replace(a_job(name="b"), payload="x" * 2_001)
+    specs = [a_job(name="a"), large, a_job(name="c")]
+    group = [Submission(POOL, spec, site.version) for spec in specs]
+    site.writer.store_group(group)
+    stored, not_stored = SubmissionOutcome.STORED, SubmissionOutcome.NOT_STORED
+    assert [each.outcome for each in group] == [stored, not_stored, stored]
--- a/tests/jobs/test_evacuation_follower.py
+++ b/tests/jobs/test_evacuation_follower.py
@@ -19,6 +19,7 @@
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.jobs.pool_conductor import PoolConductor
 from amaranthtray.platform.documents import EVACUATIONS_PREFIX, decode_evacuation
+from amaranthtray.settings.job_entry import StoreSection
 from amaranthtray.store.contract import Put, Transaction
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
@@ -202,6 +203,7 @@
     context: Any = SimpleNamespace(store=site.store, log=log, metrics=MetricsRegistry())
     context.settings = SimpleNamespace(
         hosts=SimpleNamespace(max_lease_ms=9_000),
+        store=StoreSection(address="127.0.0.1:1"),
         jobs=SimpleNamespace(cancellation_limit_ms=3_000),
     )
     context.platform = SimpleNamespace(adviser=lambda: None)
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -23,7 +23,11 @@
 from amaranthtray.jobs.ports import NoUsableReply
 from amaranthtray.platform import documents
 from amaranthtray.platform.host_client import HostClient
-from amaranthtray.settings.job_entry import HostsSection, SchedulingSection
+from amaranthtray.settings.job_entry import (
+    HostsSection,
+    SchedulingSection,
+    StoreSection,
+)
 from amaranthtray.web.http_peer import Response
 from jobs.store_site import StoreSite
 from jobs.test_host_link import FakeHost, a_link, an_order
@@ -123,6 +127,7 @@
         metrics=MetricsRegistry(),
         settings=SimpleNamespace(
             hosts=SimpleNamespace(max_lease_ms=9_000),
+            store=StoreSection(address="127.0.0.1:1"),
             jobs=SimpleNamespace(cancellation_limit_ms=3_000),
             scheduling=SchedulingSection(),
         ),
--- a/tests/jobs/test_record_writer.py
+++ b/tests/jobs/test_record_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from amaranthtray.domain.ids import PoolName, Term
 from amaranthtray.domain.jobs.model import JobId
@@ -13,6 +14,9 @@
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
 
+if TYPE_CHECKING:
+    from amaranthtray.store.contract import Transaction
+
 POOL = PoolName("p")
 
 
@@ -77,3 +81,46 @@
     assert writer.write(replace(a_batch(), removed=(JobId("j"),)))
     assert stored(site, "j") is None
     assert site.platform.read(spec_key) is None
+
+
+def test_a_record_that_is_too_large_keeps_no_other_one_from_being_stored() -> None:
+    """Guards against a pool that stores nothing any more because of one job."""
+    site = StoreSite()
+    site.platform.max_value_bytes = 1_000
+    writer = a_writer(site)
+    rows = [(f"j{number:02}", b"x") for number in range(40)]
+    rows[7] = ("j07", b"x" * 1_001)
+    assert writer.write(a_batch(*rows))
+    assert [job for job, _ in rows if stored(site, job) is None] == ["j07"]
+    assert writer.set_apart == (JobId("j07"),)
+    assert writer.write(a_batch(("j99", b"x")))
+    assert writer.set_apart == ()
+
+
+def test_a_transaction_has_no_more_bytes_of_records_than_a_value_may_have() -> None:
+    site = StoreSite()
+    writer = RecordWriter(
+        POOL, Term(1), store=site.store, log=site.log, value_bytes=1_000
+    )
+    assert writer.fence_older_terms()
+    before = site.platform.calls["commit"]
+    assert writer.write(a_batch(*[(f"j{number}", b"x" * 400) for number in range(6)]))
+    assert site.platform.calls["commit"] - before == 3
+
+
+def test_a_record_that_was_rejected_only_once_is_stored() -> None:
+    """Guards against a job that fails because of a single reply."""
+    site = StoreSite()
+    writer = a_writer(site)
+    site.platform.max_value_bytes = 0
+    commit = site.store.commit
+
+    def commit_later(transaction: Transaction) -> object:
+        written = commit(transaction)
+        site.platform.max_value_bytes = 1_000
+        return written
+
+    site.store.commit = commit_later  # type: ignore[method-assign,assignment]
+    assert writer.write(a_batch(("j", b"x")))
+    assert stored(site, "j") == b"x"
+    assert writer.set_apart == ()
--- a/tests/jobs/test_share_portion_writer.py
+++ b/tests/jobs/test_share_portion_writer.py
@@ -17,7 +17,7 @@
 from amaranthtray.jobs.pool_conductor import PoolConductor, _policy
 from amaranthtray.jobs.share_log import GAUGE_LIFETIME_MS, ShareLog
 from amaranthtray.jobs.share_portion_writer import MAX_TRIES, SharePortionWriter
-from amaranthtray.settings.job_entry import SchedulingSection
+from amaranthtray.settings.job_entry import SchedulingSection, StoreSection
 from amaranthtray.store.faults import Fault
 from jobs.store_site import StoreSite
 from jobs.test_run_time_store import Log
@@ -138,7 +138,10 @@
     context, section = site.context, SchedulingSection(share_over_pools=is_on)
     hosts = SimpleNamespace(max_lease_ms=9_000)
     jobs = SimpleNamespace(cancellation_limit_ms=3_000)
-    context.settings = SimpleNamespace(hosts=hosts, jobs=jobs, scheduling=section)
+    store = StoreSection(address="127.0.0.1:1")
+    context.settings = SimpleNamespace(
+        hosts=hosts, jobs=jobs, scheduling=section, store=store
+    )
     context.evacuations = SimpleNamespace(subscribe=lambda pool, post: True)
     context.platform = SimpleNamespace(adviser=lambda: None)
     context.catalog = lambda: None
--- a/tests/jobs/test_task_faults.py
+++ b/tests/jobs/test_task_faults.py
@@ -25,7 +25,7 @@
     SubmissionWriter,
 )
 from amaranthtray.jobs.term_guard import TermGuard
-from amaranthtray.settings.job_entry import SchedulingSection
+from amaranthtray.settings.job_entry import SchedulingSection, StoreSection
 from jobs.store_site import StoreSite
 from jobs.test_run_time_store import Log
 from scheduling.parts import a_job
@@ -56,6 +56,7 @@
             platform=self.platform,
             settings=SimpleNamespace(
                 hosts=hosts,
+                store=StoreSection(address="127.0.0.1:1"),
                 jobs=SimpleNamespace(cancellation_limit_ms=3_000),
                 scheduling=SchedulingSection(),
             ),
--- a/tests/scheduling/parts.py
+++ b/tests/scheduling/parts.py
@@ -102,6 +102,7 @@
         catalog: Catalog | None = None,
         policy: SchedulingPolicy = DECLARED_ONLY,
         learn: bool = False,
+        **options: Any,
     ) -> None:
         self.now_ms = 0
         self.scheduler = PoolScheduler(
@@ -109,6 +110,7 @@
             catalog or a_catalog(),
             EARLIER_LEASES_UNTIL_MS,
             policy=replace(policy, learn_run_times=learn) if learn else policy,
+            **options,
         )
         self.learned = b""
         self.records: dict[JobId, bytes] = {}
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -17,6 +17,7 @@
     LeaseGone,
     LeaseId,
     Put,
+    Rejected,
     Transaction,
 )
 from amaranthtray.store.memory import ClientName, MemoryPlatform
@@ -27,6 +28,7 @@
     from amaranthtray.store.contract import StoreFailure, Versioned, WatchEvent
 
 ANSWER_S = 0.004
+VALUE_BYTES = 1 << 20
 MAX_WAIT_S = 0.2
 """Longest wait of a watch between looks at the faults."""
 
@@ -46,6 +48,7 @@
 
     def __init__(self, seed: int) -> None:
         self.platform = MemoryPlatform(lambda: time.monotonic_ns() // 1_000_000)
+        self.platform.max_value_bytes = VALUE_BYTES
         self.answer_s = ANSWER_S
         self.refused_share = 0.0
         self.is_silent = False
@@ -192,4 +195,6 @@
             return NOT_FOUND
         case Compacted():
             return Reply(410)
+        case Rejected():
+            return Reply(400)
     return Reply(503)
