Send orders to a host in turns of their jobs

Each job with waiting orders to a host has a turn now; those of one job stay in order. A small job waits for one order of each other job at most.

--- a/src/amaranthtray/jobs/order_thread.py
+++ b/src/amaranthtray/jobs/order_thread.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import queue
 import threading
 from typing import TYPE_CHECKING
 
+from ..domain.scheduling.order_queue import OrderQueue
 from .clock import steady_ms
 
 if TYPE_CHECKING:
@@ -16,7 +16,9 @@
 
 
 class OrderThread:
-    """Sends orders one after the other; its thread starts with the first order.
+    """Sends orders one after the other, in turns of their jobs.
+
+    Its thread starts with the first order.
 
     Args:
         carry_out: Sends one order, given also the steady-clock time of its queueing.
@@ -30,8 +32,9 @@
     ) -> None:
         self._carry_out = carry_out
         self._log = log
-        self._queue: queue.SimpleQueue[tuple[HostOrder, int] | None]
-        self._queue = queue.SimpleQueue()
+        self._queue: OrderQueue[tuple[HostOrder, int]] = OrderQueue()
+        self._changed = threading.Condition()
+        self._is_closed = False
         self._thread: threading.Thread | None = None
 
     def put(self, order: HostOrder) -> None:
@@ -39,14 +42,25 @@
         if self._thread is None:
             self._thread = threading.Thread(target=self._run, daemon=True)
             self._thread.start()
-        self._queue.put((order, steady_ms()))
+        with self._changed:
+            self._queue.put(order.name.job, (order, steady_ms()))
+            self._changed.notify()
 
     def close(self) -> None:
         """Ends the thread after the orders queued so far."""
-        self._queue.put(None)
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify()
+
+    def _take(self) -> tuple[HostOrder, int] | None:
+        """Waits for the next order; returns None once there is none any more."""
+        with self._changed:
+            while (queued := self._queue.take()) is None and not self._is_closed:
+                self._changed.wait()
+            return queued
 
     def _run(self) -> None:
-        while (queued := self._queue.get()) is not None:
+        while (queued := self._take()) is not None:
             order, queued_ms = queued
             try:
                 self._carry_out(order, queued_ms)
