Remove ended jobs at the rate at which they end

Cause: once a second one batch removed nine jobs at most, what one transaction allows, however many were over.

The search once a second keeps all it finds, and batches at most ten times a second remove them, as many as are needed: 90 jobs a second a pool, and no more writes than before below nine.

--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -88,6 +87,8 @@
         held_effects: Effects to release once the dirty records are stored.
         batch_effects: Effects to release once the current batch is stored.
         batch_jobs: Jobs whose records are in the current batch.
+        to_remove: Ended jobs that later batches remove.
+        removal_batches: Number of batches that remove those of the last search.
         expired: Ended jobs that the next batch removes.
         batch: Number of the last batch.
         is_storing: Whether a batch is being stored.
@@ -130,6 +131,8 @@
     held_effects: list[Effect] = field(default_factory=list)
     batch_effects: list[Effect] = field(default_factory=list)
     batch_jobs: set[JobId] = field(default_factory=set)
+    to_remove: list[JobId] = field(default_factory=list)
+    removal_batches: int = 0
     expired: tuple[JobId, ...] = ()
     batch: int = 0
     is_storing: bool = False
@@ -258,17 +261,29 @@
         """Returns the step of a task; its job must be known."""
         return self.jobs[name.job].spec.steps[name.step]
 
-    def select_expired(self, retention_ms: int) -> None:
-        """Selects ended jobs whose retention time is over, for the next batch."""
-        over = (
+    def select_expired(self, retention_ms: int) -> int:
+        """Selects ended jobs whose retention time is over, for the next batch.
+
+        Returns how many batches it takes to remove those found by the last search; at
+        least 1. There is a new search once all of them are removed.
+        """
+        if not self.to_remove:
+            self.to_remove = self._find_expired(retention_ms)
+            self.removal_batches = -(-len(self.to_remove) // MAX_REMOVED_JOBS)
+        found = self.to_remove[:MAX_REMOVED_JOBS]
+        self.expired = tuple(job_id for job_id in found if job_id not in self.dirty)
+        del self.to_remove[:MAX_REMOVED_JOBS]
+        return max(self.removal_batches, 1)
+
+    def _find_expired(self, retention_ms: int) -> list[JobId]:
+        return [
             job_id
             for job_id, job in self.jobs.items()
             if job.ended_ms
             and job_id not in self.active
             and job_id not in self.dirty
             and self.wall_ms - job.ended_ms > retention_ms
-        )
-        self.expired = tuple(itertools.islice(over, MAX_REMOVED_JOBS))
+        ]
 
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs of which no task has started, by queue."""
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -76,7 +76,10 @@
 """Retention time of an ended job if the settings have none."""
 
 EXPIRY_CHECK_EVERY_MS = 1_000
-"""Time between checks for ended jobs whose retention time is over."""
+"""Time between searches for ended jobs whose retention time is over."""
+
+MIN_REMOVAL_INTERVAL_MS = 100
+"""Shortest time between batches that remove such jobs; each costs a write."""
 
 DECLARED_ONLY = SchedulingPolicy()
 
@@ -110,7 +113,7 @@
         limits: RecordLimits = DEFAULT_LIMITS,
     ) -> None:
         self._retention_ms = retention_ms
-        self._expiry_checked_ms = 0
+        self._expiry_check_ms = EXPIRY_CHECK_EVERY_MS
         self._earlier_leases_until_ms: int | None = earlier_leases_until_ms
         self.state = SchedulerState(pool, catalog, policy, limits)
         self.state.apply_catalog(catalog)
@@ -219,9 +222,10 @@
         return [*vacate_hosts(state), *stop_stalled_runs(state), *pace_fillers(state)]
 
     def _select_expired(self) -> None:
-        if self.state.now_ms - self._expiry_checked_ms >= EXPIRY_CHECK_EVERY_MS:
-            self._expiry_checked_ms = self.state.now_ms
-            self.state.select_expired(self._retention_ms)
+        if self.state.now_ms >= self._expiry_check_ms:
+            batches = self.state.select_expired(self._retention_ms)
+            wait_ms = max(EXPIRY_CHECK_EVERY_MS // batches, MIN_REMOVAL_INTERVAL_MS)
+            self._expiry_check_ms = self.state.now_ms + wait_ms
 
     def _drop_runs_of_unlisted(self) -> list[LossReport]:
         """Drops runs on unlisted hosts, once, when leases of earlier terms expired."""
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from amaranthtray.domain.jobs.job import JobState
 from amaranthtray.domain.jobs.model import JobId, TaskName
 from amaranthtray.domain.jobs.record import decode_state
@@ -313,6 +315,27 @@
     assert order.name.job not in harness.scheduler.state.jobs
 
 
+def test_removal_keeps_up_with_jobs_that_end_at_fifty_a_second() -> None:
+    """Guards against records and memory that grow without bound under load."""
+    retention_s, rate = 20, 50
+    harness = SchedulerHarness(a_host(cores=100), retention_ms=retention_s * 1_000)
+    held, sequence = [], 0
+    for second in range(3 * retention_s):
+        for number in range(rate):
+            harness.submit(a_job(name=f"{second}-{number}"))
+        for step in range(10):
+            harness.now_ms = second * 1_000 + step * 100
+            orders = harness.starts()
+            ends = tuple(
+                replace(an_end(each, RunOutcome.DONE), sequence=sequence + n)
+                for n, each in enumerate(orders, 1)
+            )
+            sequence += len(ends)
+            harness.report(ends=ends)
+        held.append(len(harness.scheduler.state.jobs))
+    assert max(held) < rate * (retention_s + 4)
+
+
 def test_a_job_with_an_unreadable_record_does_not_stop_every_conductor() -> None:
     harness = SchedulerHarness(a_host())
     (report,) = harness.send(JobFound(a_job(name="bad"), b"{"))
