--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -11,8 +10,10 @@
 from ..jobs.job import Job
 from ..jobs.model import JobId, StepSpec, TaskName
 from ..jobs.record import encode_job
+from ..jobs.record_limits import DEFAULT_LIMITS, RecordLimits
 from ..jobs.task import RunPhase
 from ..upkeep.moves import PoolLoad
+from ._expiry import find_expired
 from ._forecaster import Forecaster
 from ._job_facts import JobFacts
 from ._unplaced import UnplacedSteps
@@ -57,6 +58,7 @@
         pool: Name of the pool.
         catalog: Configuration in force.
         policy: Optional decisions.
+        limits: What a job's record can hold.
         jobs: All jobs that are stored.
         active: Jobs that are not in a final state or still have runs.
         hosts: Hosts by id; a host that left the pool stays while it may have runs.
@@ -89,6 +91,8 @@
         held_effects: Effects to release once the dirty records are stored.
         batch_effects: Effects to release once the current batch is stored.
         batch_jobs: Jobs whose records are in the current batch.
+        to_remove: Ended jobs that later batches remove.
+        removal_batches: Number of batches that remove those of the last search.
         expired: Ended jobs that the next batch removes.
         batch: Number of the last batch.
         is_storing: Whether a batch is being stored.
@@ -100,6 +104,7 @@
     pool: PoolName
     catalog: Catalog
     policy: SchedulingPolicy = field(default_factory=SchedulingPolicy)
+    limits: RecordLimits = DEFAULT_LIMITS
     jobs: dict[JobId, Job] = field(default_factory=dict)
     active: dict[JobId, Job] = field(default_factory=dict)
     hosts: dict[HostId, Host] = field(default_factory=dict)
@@ -131,6 +136,8 @@
     held_effects: list[Effect] = field(default_factory=list)
     batch_effects: list[Effect] = field(default_factory=list)
     batch_jobs: set[JobId] = field(default_factory=set)
+    to_remove: list[JobId] = field(default_factory=list)
+    removal_batches: int = 0
     expired: tuple[JobId, ...] = ()
     batch: int = 0
     is_storing: bool = False
@@ -265,17 +272,19 @@
         """Returns the step of a task; its job must be known."""
         return self.jobs[name.job].spec.steps[name.step]
 
-    def select_expired(self, retention_ms: int) -> None:
-        """Selects ended jobs whose retention time is over, for the next batch."""
-        over = (
-            job_id
-            for job_id, job in self.jobs.items()
-            if job.ended_ms
-            and job_id not in self.active
-            and job_id not in self.dirty
-            and self.wall_ms - job.ended_ms > retention_ms
-        )
-        self.expired = tuple(itertools.islice(over, MAX_REMOVED_JOBS))
+    def select_expired(self, retention_ms: int) -> int:
+        """Selects ended jobs whose retention time is over, for the next batch.
+
+        Returns how many batches it takes to remove those found by the last search; at
+        least 1. There is a new search once all of them are removed.
+        """
+        if not self.to_remove:
+            self.to_remove = find_expired(self, retention_ms)
+            self.removal_batches = -(-len(self.to_remove) // MAX_REMOVED_JOBS)
+        found = self.to_remove[:MAX_REMOVED_JOBS]
+        self.expired = tuple(job_id for job_id in found if job_id not in self.dirty)
+        del self.to_remove[:MAX_REMOVED_JOBS]
+        return max(self.removal_batches, 1)
 
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs of which no task has started, by queue."""
@@ -292,11 +301,7 @@
         self.stored_vacate_number = self.vacate_request.number
         self.batch_jobs, self.dirty = self.dirty, set()
         self.batch_effects, self.held_effects = self.held_effects, []
-        records = tuple(
-            (job_id, encode_job(self.jobs[job_id]))
-            for job_id in sorted(self.batch_jobs)
-            if job_id in self.jobs
-        )
+        records, oversized = self._encode_records()
         learned, self.run_times_record = self.run_times_record, b""
         return StoreJobs(
             self.batch,
@@ -308,14 +313,24 @@
             learned,
             self.forecaster.forecast,
             self.vacate_request.number,
+            oversized,
         )
 
-    def handle_batch_stored(self) -> list[Effect]:
-        """Ends a batch that was written; returns the effects that it held."""
+    def handle_batch_stored(self, set_apart: tuple[JobId, ...] = ()) -> list[Effect]:
+        """Ends a batch that was written; returns the effects that it held.
+
+        Jobs whose record the store has rejected fail. The effects are then held until
+        that is stored, as they may depend on these jobs.
+        """
         self.is_storing = False
         for job_id in self.expired:
             self.jobs.pop(job_id, None)
         self.expired = ()
+        rejected = [self.jobs[job_id] for job_id in set_apart if job_id in self.jobs]
+        failed = [job for job in rejected if self._fail_job(job)]
+        if failed:
+            self.held_effects = self.batch_effects + self.held_effects
+            self.batch_effects = []
         released, self.batch_effects = self.batch_effects, []
         return released
 
@@ -328,6 +343,39 @@
         self.stored_vacate_number = None
         self.run_times.stored = -1
 
+    def _encode_records(
+        self,
+    ) -> tuple[tuple[tuple[JobId, bytes], ...], tuple[tuple[JobId, int], ...]]:
+        """Returns the records of the batch, and jobs whose record is too large.
+
+        These fail, as no task of theirs can be started any more. If even the record of
+        the failed job is too large, the one in the store stays.
+        """
+        records: list[tuple[JobId, bytes]] = []
+        oversized: list[tuple[JobId, int]] = []
+        for job_id in sorted(self.batch_jobs):
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            data = encode_job(job)
+            if len(data) > self.limits.value_bytes:
+                oversized.append((job_id, len(data)))
+                self._fail_job(job)
+                data = encode_job(job)
+            if len(data) <= self.limits.value_bytes:
+                records.append((job_id, data))
+        return tuple(records), tuple(oversized)
+
+    def _fail_job(self, job: Job) -> bool:
+        """Fails a job whose record can't be stored; returns whether it was open."""
+        if not job.fail():
+            return False
+        for name, run in list(job.runs()):
+            if run.phase is RunPhase.RESERVED:
+                self.drop_run(name, run)
+        self.mark_dirty(job)
+        return True
+
     def find_run(self, order: StartRun) -> Run | None:
         """Returns the run that a held order would start, if it still exists."""
         job = self.jobs.get(order.name.job)
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -7,6 +7,7 @@
 from msgspec import MsgspecError
 
 from ..jobs.record import restore
+from ..jobs.record_limits import DEFAULT_LIMITS, RecordLimits
 from ..jobs.task import RunPhase
 from ._absence import stop_report
 from ._advice_requests import apply_advice
@@ -75,7 +76,10 @@
 """Retention time of an ended job if the settings have none."""
 
 EXPIRY_CHECK_EVERY_MS = 1_000
-"""Time between checks for ended jobs whose retention time is over."""
+"""Time between searches for ended jobs whose retention time is over."""
+
+MIN_REMOVAL_INTERVAL_MS = 100
+"""Shortest time between batches that remove such jobs; each costs a write."""
 
 DECLARED_ONLY = SchedulingPolicy()
 
@@ -96,6 +100,7 @@
             terms have expired.
         retention_ms: Time for which an ended job is kept.
         policy: Optional decisions.
+        limits: What a job's record can hold.
     """
 
     def __init__(
@@ -105,11 +110,12 @@
         earlier_leases_until_ms: int,
         retention_ms: int = DEFAULT_RETENTION_MS,
         policy: SchedulingPolicy = DECLARED_ONLY,
+        limits: RecordLimits = DEFAULT_LIMITS,
     ) -> None:
         self._retention_ms = retention_ms
-        self._expiry_checked_ms = 0
+        self._expiry_check_ms = EXPIRY_CHECK_EVERY_MS
         self._earlier_leases_until_ms: int | None = earlier_leases_until_ms
-        self.state = SchedulerState(pool, catalog, policy)
+        self.state = SchedulerState(pool, catalog, policy, limits)
         self.state.apply_catalog(catalog)
         self._published: dict[str, int] = {}
         self._published_ms = 0
@@ -149,8 +155,8 @@
                 return self._handle_stop_reply(message)
             case CatalogChanged(catalog):
                 self.state.apply_catalog(catalog)
-            case BatchStored(batch):
-                return self._handle_batch_stored(batch)
+            case BatchStored():
+                return self._handle_batch_stored(message)
             case BatchNotStored(batch):
                 if batch == self.state.batch:
                     self.state.handle_batch_failure()
@@ -215,9 +221,10 @@
         return [*vacate_hosts(state), *stop_stalled_runs(state), *pace_fillers(state)]
 
     def _select_expired(self) -> None:
-        if self.state.now_ms - self._expiry_checked_ms >= EXPIRY_CHECK_EVERY_MS:
-            self._expiry_checked_ms = self.state.now_ms
-            self.state.select_expired(self._retention_ms)
+        if self.state.now_ms >= self._expiry_check_ms:
+            batches = self.state.select_expired(self._retention_ms)
+            wait_ms = max(EXPIRY_CHECK_EVERY_MS // batches, MIN_REMOVAL_INTERVAL_MS)
+            self._expiry_check_ms = self.state.now_ms + wait_ms
 
     def _drop_runs_of_unlisted(self) -> list[LossReport]:
         """Drops runs on unlisted hosts, once, when leases of earlier terms expired."""
@@ -247,7 +254,7 @@
         spec = message.spec
         if spec.id not in self.state.jobs:
             try:
-                job = restore(spec, message.record)
+                job = restore(spec, message.record, self.state.limits)
             except MsgspecError as exc:
                 return [RecordUnreadable(spec.id, str(exc))]
             self.state.add_job(job)
@@ -292,7 +299,7 @@
                     effects.append(WatchHost(info))
                 host.info = info
             host.is_listed = True
-            _record_leaving(host, self.state.now_ms)
+            host.record_leaving(self.state.now_ms)
         for host in hosts.values():
             if host.info.id not in listed:
                 host.is_listed = False
@@ -364,10 +371,10 @@
             placed.run.confirmed_ms = reply.replied_ms
         return []
 
-    def _handle_batch_stored(self, batch: int) -> list[Effect]:
-        if batch != self.state.batch or not self.state.is_storing:
+    def _handle_batch_stored(self, stored: BatchStored) -> list[Effect]:
+        if stored.batch != self.state.batch or not self.state.is_storing:
             return []
-        return self._release_effects(self.state.handle_batch_stored())
+        return self._release_effects(self.state.handle_batch_stored(stored.set_apart))
 
     def _release_effects(self, effects: list[Effect]) -> list[Effect]:
         """Returns held effects, without starts of runs that are no longer wanted."""
@@ -385,11 +392,3 @@
                 run.phase = RunPhase.STARTING
             released.append(effect)
         return released
-
-
-def _record_leaving(host: Host, now_ms: int) -> None:
-    """Records how long a host that says that it leaves stays at least."""
-    if not host.info.is_draining:
-        host.leaves_ms = None
-    elif host.leaves_ms is None:
-        host.leaves_ms = now_ms + host.info.remaining_ms
