--- a/tests/scheduling/test_restart_schedules.py
+++ b/tests/scheduling/test_restart_schedules.py
@@ -15,6 +15,8 @@
 FAULTY_MS = 40_000
 FAULT_FREE_MS = 100_000
 JOBS = 16
+FOUND_WITH_LATE_ORDERS = (3, 15, 23, 27, 28, 33)
+LATE_FAULT_RATE = 0.15
 
 
 def restart_and_cut(world: World, at_ms: int) -> None:
@@ -30,9 +32,12 @@
     world.schedule(back_ms, lambda: setattr(host, "is_partitioned", False))
 
 
-def run_schedule(seed: int) -> World:
+def run_schedule(
+    seed: int, fault_rate: float = 0.02, *, late_orders_outlive_hosts: bool = False
+) -> World:
     """Simulates restarts and cuts under a steady load, then a time without faults."""
-    world = World(seed, fault_rate=0.02)
+    world = World(seed, fault_rate=fault_rate)
+    world.late_orders_outlive_hosts = late_orders_outlive_hosts
     world.poll_wait_ms, world.longest_run_ms = POLL_WAIT_MS, LONGEST_RUN_MS
     world.take_over()
     for number in range(JOBS):
@@ -60,3 +65,12 @@
     world = run_schedule(seed)
     assert not world.promises.broken
     assert all(world.state(job).is_final for job in world.specs)
+
+
+@pytest.mark.parametrize("seed", FOUND_WITH_LATE_ORDERS)
+def test_no_task_runs_twice_if_a_restarted_host_carries_out_late_orders(
+    seed: int,
+) -> None:
+    """Guards against runs given up while a late start has a lease on the next clock."""
+    world = run_schedule(seed, LATE_FAULT_RATE, late_orders_outlive_hosts=True)
+    assert not world.promises.broken
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -529,6 +529,7 @@
         self.to_vacate: frozenset[HostId] = frozenset()
         self.vacant: frozenset[str] = frozenset()
         self.is_late = False
+        self.late_orders_outlive_hosts = False
         self.specs: dict[JobId, JobSpec] = {}
         self.records: dict[JobId, bytes] = {}
         self.cancelled: set[JobId] = set()
@@ -639,7 +640,10 @@
 
         Excludes an order to an earlier incarnation that arrives before a conductor has
         called the new one: the host knows no fencing token yet, so it cannot refuse it.
+        Only ``late_orders_outlive_hosts`` includes it.
         """
+        if self.late_orders_outlive_hosts:
+            return host.is_up
         known = self.conductor.incarnations.get(host.id) if self.conductor else None
         return host.is_up and host.born in (born, known)
 
