--- a/src/amaranthtray/domain/scheduling/host.py
+++ b/src/amaranthtray/domain/scheduling/host.py
@@ -107,11 +107,20 @@
         """Returns its machine, or its own id if the machine is unknown."""
         return self.info.machine or self.info.id
 
+    @property
+    def is_described(self) -> bool:
+        """Returns whether the list may describe the incarnation that reports.
+
+        The next incarnation may have other labels and less room at the same address.
+        """
+        return self.info.born in (0, self.born) or self.born is None
+
     def accepts_runs(self, now_ms: int) -> bool:
         """Returns whether new runs may be placed on the host."""
         return (
             self.is_listed
             and self.born is not None
+            and self.is_described
             and not self.is_silent
             and not self.info.is_draining
             and not self.is_evacuated
@@ -126,6 +135,7 @@
         """
         return (
             self.is_listed
+            and self.is_described
             and not self.info.is_draining
             and not self.is_evacuated
             and self.vacate_since_ms is None
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -47,6 +47,8 @@
         is_draining: Whether the host is about to leave the pool.
         remaining_ms: Minimum time until a draining host leaves.
         machine: Machine that the host is an incarnation of; empty if it is unknown.
+        born: Wall-clock time at which the incarnation that the entry describes
+            started; 0 if the entry doesn't say it.
     """
 
     id: HostId
@@ -58,6 +60,7 @@
     is_draining: bool = False
     remaining_ms: int = 0
     machine: str = ""
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthtray/platform/documents.py
+++ b/src/amaranthtray/platform/documents.py
@@ -127,6 +127,7 @@
     labels: list[str]
     remaining_ms: Amount = 0
     machine: str = ""
+    born: Amount = 0
 
 
 def decode_configuration(data: bytes, store_version: int) -> Catalog:
@@ -172,6 +173,7 @@
         is_draining=entry.state == "draining",
         remaining_ms=entry.remaining_ms,
         machine=entry.machine,
+        born=entry.born,
     )
     return PoolName(entry.service), info
 
