--- a/src/amaranthtray/jobs/host_lane.py
+++ b/src/amaranthtray/jobs/host_lane.py
@@ -12,6 +12,11 @@
     from ..web.http_peer import CallOutcome, NoResponse
 
 
+MIN_CLOSING_REPLIES = 2
+"""Replies in a row that ended their connection, after which a host counts as one that
+ends each. It could be sent nothing but looks otherwise."""
+
+
 class HostLane:
     """One connection to a host, and the incarnation that it leads to.
 
@@ -34,7 +39,11 @@
 
     def open(self) -> NoResponse | None:
         """Opens a connection unless there is one; returns why it can't."""
-        return None if self._channel.is_open else self.reopen()
+        if self._channel.is_open:
+            return None
+        if self._channel.closing_replies >= MIN_CLOSING_REPLIES:
+            return self._channel.open()
+        return self.reopen()
 
     def reopen(self) -> NoResponse | None:
         """Opens another connection; returns why it can't."""
--- a/src/amaranthtray/web/http_channel.py
+++ b/src/amaranthtray/web/http_channel.py
@@ -36,6 +36,9 @@
     Args:
         address: IP address and port.
 
+    Attributes:
+        closing_replies: Replies in a row that have ended their connection.
+
     Raises:
         ValueError: ``address`` is not an address.
     """
@@ -46,11 +49,13 @@
         self._connection.auto_open = 0
         self._lock = threading.Lock()
         self._is_closed = False
+        self.closing_replies = 0
 
     @property
     def is_open(self) -> bool:
         """Returns whether there is a connection that the peer has not ended."""
-        return self._connection.is_connected
+        with self._lock:
+            return self._connection.is_connected
 
     def open(self) -> NoResponse | None:
         """Opens a new connection in place of an earlier one; returns why it can't."""
@@ -61,6 +66,8 @@
             self._connection.timeout = CONNECT_TIMEOUT_S
             try:
                 self._connection.connect()
+                if self._is_closed:
+                    self._connection.close()
             except (HTTPError, OSError) as exc:
                 return NoResponse(type(exc).__name__, was_sent=False)
         return None
@@ -84,6 +91,8 @@
                     method, path, body=body, headers={**JSON_HEADERS, **(headers or {})}
                 )
                 response = connection.getresponse()
+                is_last = connection.is_closed
+                self.closing_replies = self.closing_replies + 1 if is_last else 0
                 return Response(response.status, response.data)
             except http.client.NotConnected as exc:
                 return NoResponse(type(exc).__name__, was_sent=False)
