--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from ..domain.scheduling.absence import StopUnconfirmed
 from ..domain.scheduling.losses import LossCause
@@ -19,6 +19,14 @@
 from ..domain.scheduling.orders import HostOrder, PaceRun, StartRun, StopRun
 from .clock import steady_ms
 from .link_log import LinkLog
+from .link_times import (
+    MAX_START_TRIES,
+    MAX_STORING_WAIT_MS,
+    MAX_VOLUNTARY_WAIT_MS,
+    POLL_WAIT_MS,
+    SILENT_RETRY_MS,
+    STOP_RETRY_MS,
+)
 from .order_thread import OrderThread
 from .ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
 
@@ -33,24 +41,7 @@
     from .ports import HostApi
     from .term_guard import TermGuard
 
-POLL_WAIT_MS = 2_000
-"""Longest wait that a host accepts; it saves calls while no run ends."""
-
-MAX_STORING_WAIT_MS = 400
-"""Longest wait for reported ends to be stored before the host is polled again."""
-
-SILENT_RETRY_MS = 250
-"""Pause between calls to a host that does not answer, from the second one on."""
-
-MAX_START_TRIES = 3
-"""Tries of a start order; a host that is up answers at least one of them."""
-
-MAX_VOLUNTARY_WAIT_MS = 500
-"""Longest wait of a voluntary stop behind others to its host; the tasks of its step
-that were at work may be away by then."""
-
-STOP_RETRY_MS = 150
-"""Pause between tries of a stop order."""
+Outcome = TypeVar("Outcome", bound="StartOutcome | AddressReused | None")
 
 
 class HostLink:
@@ -163,8 +154,7 @@
     def _poll(self, acknowledged: int, wait_ms: int) -> HostStatus | None:
         sent_ms = steady_ms()
         until_ms = self._lease.next_expiry_ms(sent_ms)
-        if until_ms is None:
-            wait_ms = 0
+        wait_ms = 0 if until_ms is None else wait_ms
         token = self._api.fencing_token
         outcome = self._api.poll(until_ms, acknowledged, wait_ms)
         received_ms = steady_ms()
@@ -174,7 +164,7 @@
                 self._is_silent = False
                 if until_ms is not None:
                     self._log.record_renewal(sent_ms)
-                if self.record_incarnation(outcome.born, acknowledged, until_ms):
+                if self.record_incarnation(outcome.born):
                     return self._poll(0, 0)
                 self._log.record_ends(outcome)
                 self._post(
@@ -200,30 +190,16 @@
                 self._handle_silence(detail)
         return None
 
-    def record_incarnation(
-        self, born: int, acknowledged: int = 0, until_ms: int | None = None
-    ) -> bool:
+    def record_incarnation(self, born: int) -> bool:
         """Records the host's incarnation; if it is new, fences off all earlier orders.
 
-        Args:
-            born: Wall-clock time at which the incarnation started.
-            acknowledged: Number of the last end that the answered poll acknowledged.
-            until_ms: End of the lease that it requested; None if it requested none.
-
-        Returns:
-            Whether it is new.
+        Returns whether it is new.
         """
         former, self._born = self._born, born
         if former is None or former == born:
             return False
         self._api.increment_fencing_token()
-        self._log.event(
-            "host-reborn",
-            born=born,
-            was=former,
-            acknowledged=acknowledged,
-            until_ms=until_ms,
-        )
+        self._log.event("host-reborn", born=born, was=former)
         return True
 
     def _post_address_reused(self, born: int | None = None) -> None:
@@ -280,14 +256,14 @@
         unanswered, max_tries = 0, 1 if order.prior_crashes else MAX_START_TRIES
         while unanswered < max_tries:
             until_ms = self._lease.next_expiry_ms(steady_ms())
-            if until_ms is None and not unanswered:
-                outcome = StartOutcome.UNHEALTHY
             if until_ms is None or self._closing.is_set():
+                is_unsent = until_ms is None and not unanswered
+                outcome = StartOutcome.UNHEALTHY if is_unsent else outcome
                 break
             if order.host_born != self._born:
-                # That incarnation has ended, and orders sent to it are fenced off.
                 outcome = StartOutcome.REFUSED
                 break
+            unready = self._prepare_start(order)
             if (order.name, order.number) in self._stopped_runs:
                 return
             hindrance = self._hindrance(waited_ms := steady_ms() - ordered_ms)
@@ -295,7 +271,7 @@
                 outcome = StartOutcome.NO_REPLY if unanswered else unsent
                 break
             self._log.record_wait("start-sent-late", order, waited_ms, unanswered)
-            outcome = self._call_start(order, until_ms)
+            outcome = unready or self._call_start(order, until_ms)
             if outcome is not StartOutcome.NO_REPLY:
                 break
             unanswered += 1
@@ -309,7 +285,14 @@
         self, order: StartRun, until_ms: int
     ) -> StartOutcome | AddressReused:
         token = self._api.fencing_token
-        outcome = self._api.start(order, until_ms)
+        return self._current(self._api.start(order, until_ms), token)
+
+    def _prepare_start(self, order: StartRun) -> StartOutcome | AddressReused | None:
+        token = self._api.fencing_token
+        return self._current(self._api.prepare_start(order.host_born), token)
+
+    def _current(self, outcome: Outcome, token: int) -> Outcome | StartOutcome:
+        """Returns an outcome; a fence of this link's own newer token is a refusal."""
         if outcome is StartOutcome.FENCED and not self._is_current(token):
             return StartOutcome.REFUSED
         return outcome
--- a/src/amaranthtray/jobs/ports.py
+++ b/src/amaranthtray/jobs/ports.py
@@ -67,6 +67,9 @@
     def continue_fencing_tokens(self, token: int) -> None:
         """Goes on from the token of an earlier client of the host in the same term."""
 
+    def prepare_start(self, born: int) -> StartOutcome | AddressReused | None:
+        """Opens a connection to an incarnation; returns why a start can't be sent."""
+
     def start(self, order: StartRun, until_ms: int) -> StartOutcome | AddressReused:
         """Orders a start; the lease expires at ``until_ms`` on the host's clock."""
 
--- a/src/amaranthtray/platform/host_client.py
+++ b/src/amaranthtray/platform/host_client.py
@@ -11,7 +11,7 @@
 from ..domain.scheduling.messages import EndReport, RunReport, StartOutcome
 from ..jobs.host_lane import HostLane
 from ..jobs.ports import AddressReused, HostStatus, NoUsableReply, OrderFenced
-from ..web.http_peer import CallOutcome, Response
+from ..web.http_peer import CallOutcome, NoResponse, Response
 
 if TYPE_CHECKING:
     from ..domain.ids import HostId, Term
@@ -91,7 +91,7 @@
         Sends nothing if another incarnation than that of the order answers. The next
         poll then shows it, and isn't waited for.
         """
-        if (hindrance := self._check_incarnation(order.host_born)) is not None:
+        if (hindrance := self.prepare_start(order.host_born)) is not None:
             return hindrance
         payload: dict[str, Any] = {
             "task": str(order.name),
@@ -115,10 +115,12 @@
                 return AddressReused()
             case Response():
                 return StartOutcome.REFUSED
+            case NoResponse(was_sent=False):
+                return StartOutcome.UNHEALTHY
         return StartOutcome.NO_REPLY
 
-    def _check_incarnation(self, born: int) -> StartOutcome | AddressReused | None:
-        """Returns why a start for an incarnation can't be sent; None if it can."""
+    def prepare_start(self, born: int) -> StartOutcome | AddressReused | None:
+        """Opens a connection to an incarnation; returns why a start can't be sent."""
         lane = self._starts
         is_former = lane.born not in (None, born)
         if (lane.reopen() if is_former else lane.open()) is not None:
--- a/tests/jobs/test_host_link.py
+++ b/tests/jobs/test_host_link.py
@@ -48,6 +48,9 @@
         self.on_start: Callable[[], object] = lambda: None
         self.on_stop: Callable[[], object] = lambda: None
 
+    def prepare_start(self, born: int) -> None:
+        """Leads to the incarnation."""
+
     def start(self, order: StartRun, until_ms: int) -> StartOutcome:
         self.starts += 1
         self.on_start()
