--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -159,6 +159,8 @@
         outcome = self._api.poll(until_ms, acknowledged, wait_ms)
         received_ms = steady_ms()
         match outcome:
+            case _ if self._closing.is_set():
+                return None
             case HostStatus():
                 self._lease.record_answer(outcome.clock_ms, outcome.born, received_ms)
                 self._is_silent = False
