--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -47,6 +47,7 @@
         reported = running.pop((placed.name, placed.run.number), None)
         if reported is not None:
             effects += _note_incarnation(placed, report)
+            placed.run.host_born = report.born
             _apply_running(state, placed, reported, report)
             note_progress(state, host, placed)
             if _is_obsolete(state, placed):
