--- a/src/amaranthtray/settings/job_entry.py
+++ b/src/amaranthtray/settings/job_entry.py
@@ -115,7 +115,7 @@
     max_connections: Count = 1_536
     max_page_connections: Count = 128
     max_decoded_mb: Count = 64
-    max_job_tasks: Count = 100_000
+    max_job_tasks: Count = 20_000
     max_job_runs: Count = 10_000_000
 
 
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -169,7 +169,7 @@
         ({"spec": "x", "steps": [{"count": -1}]}, "steps"),
         ({"spec": "x", "steps": [{"cpu": "much"}]}, "steps"),
         ({"spec": "x", "steps": [{"after": [0]}]}, "after"),
-        ({"spec": "x", "steps": [{"count": 10_000}] * 11}, "tasks"),
+        ({"spec": "x", "steps": [{"count": 10_000}] * 3}, "tasks"),
         ({"spec": "x", "steps": [{}] * 11, "repeatCount": 1_000_000}, "repetitions"),
     ],
 )
--- a/tests/hostile/forms.py
+++ b/tests/hostile/forms.py
@@ -118,6 +118,7 @@
     "pipelined-unread": pipelined,
     "many-steps": document(_job(*_filled(b"{}"))),
     "many-tasks": document(_job(*[b'{"count":10000}'] * 200)),
+    "largest-jobs": document(_job(*[b'{"count":10000}'] * 2)),
     "many-occurrences": document(
         b'{"spec":' + SPEC + b',"steps":[{"count":1}],"repeatCount":1000000000}'
     ),
