--- a/tests/scheduling/test_outdated_entries.py
+++ b/tests/scheduling/test_outdated_entries.py
@@ -9,7 +9,7 @@
 from amaranthtray.platform.documents import decode_host
 from scheduling.parts import POOL, SchedulerHarness, a_job, a_step
 
-FORMER, NEXT = 1_000, 2_000
+FORMER, NEXT = 1_780_000_001_000, 1_780_000_002_000
 
 
 def an_entry(born: int, cpu: int, *labels: str) -> HostInfo:
