--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -72,7 +72,7 @@
         self._cancellations_age_ms = cancellations_age_ms
         self._max_lease_ms = context.settings.hosts.max_lease_ms
         self._lease_ms = min(LEASE_MS, self._max_lease_ms)
-        wait_ms = RENEWAL_GRACE_MS + int(self._max_lease_ms / SLOWEST_CLOCK_RATE)
+        wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
         self.earlier_leases_until_ms = clock.steady_ms() + wait_ms
         self._links: dict[HostId, HostLink] = {}
         self._numbers: dict[HostId, int] = {}
