--- a/src/amaranthtray/domain/upkeep/waves.py
+++ b/src/amaranthtray/domain/upkeep/waves.py
@@ -112,6 +112,15 @@
     return maintained | set(wave.down)
 
 
+def hosts_going_down(wave: Wave, fleet: Fleet) -> list[tuple[PoolName, HostId]]:
+    """Returns the host incarnations that must stay empty until they have ended."""
+    return [
+        (fleet.machines[name].pool, host)
+        for name, host in wave.down.items()
+        if name in fleet.machines and host
+    ]
+
+
 def _orders_to_repeat(wave: Wave, fleet: Fleet) -> list[MaintainMachine]:
     """Returns the unconfirmed orders of machines that are up with the same host."""
     return [
--- a/src/amaranthtray/jobs/fenced_ledger.py
+++ b/src/amaranthtray/jobs/fenced_ledger.py
@@ -32,6 +32,17 @@
 L = TypeVar("L", bound=LedgerHeader)
 
 
+class FleetLedger(LedgerHeader, kw_only=True):
+    """Ledger that each write of the holder updates.
+
+    Attributes:
+        ordered: Machines for which this holder or an earlier one may recently have
+            sent an order.
+    """
+
+    ordered: list[str] = msgspec.field(default_factory=list)
+
+
 class FencedLedger:
     """Writes transactions that are fenced by one ledger key; not thread-safe.
 
--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -10,10 +10,13 @@
 
 from ..domain.duties.names import FLEET_DUTY
 from ..domain.ids import HostId, PoolName, WaveName
+from ..domain.upkeep.model import MachineName
+from ..domain.upkeep.outage import MachineOutage
 from ..domain.upkeep.recent import RecentOrders
 from ..domain.upkeep.waves import (
     Fleet,
     handle_reply,
+    hosts_going_down,
     new_wave,
     plan_wave,
     record_order,
@@ -23,7 +26,7 @@
 from . import keys
 from .clock import steady_ms, wall_ms
 from .demand_recorder import DemandRecorder
-from .fenced_ledger import FencedLedger, LedgerHeader
+from .fenced_ledger import FencedLedger, FleetLedger
 from .ledger import decode_report
 from .machine_mover import MachineMover
 from .steps import run_step
@@ -51,17 +54,6 @@
 """Added to the platform's minimum time between orders of two holders."""
 
 
-class _FleetLedger(LedgerHeader, kw_only=True):
-    """Ledger that each write of the holder updates.
-
-    Attributes:
-        ordered: Machines for which this holder or an earlier one may recently have
-            sent an order.
-    """
-
-    ordered: list[str] = msgspec.field(default_factory=list)
-
-
 class FleetManager:
     """Carries out maintenance waves and machine moves under one term.
 
@@ -88,6 +80,7 @@
         self._waves: dict[str, Wave] = {}
         self._saved_progress: dict[str, bytes] = {}
         self._vacating = VacateRequests(context.store, context.log, self._commit)
+        self._outage = MachineOutage()
         self._cursor = WatchCursor(0)
         machines = context.settings.machines
         change_ms = machines.holder_change_ms if machines else 0
@@ -208,7 +201,7 @@
     def _fence_older_terms(self) -> bool:
         """Fences off writes of older terms and reads their recent orders."""
         if not self._ledger.is_loaded:
-            last = self._ledger.load(_FleetLedger())
+            last = self._ledger.load(FleetLedger())
             if last is None:
                 return False
             self._recent_orders.inherit(last.ordered, steady_ms())
@@ -216,7 +209,7 @@
 
     def _commit(self, puts: Iterable[Put]) -> bool:
         """Writes under the term, with the orders that a next holder must wait for."""
-        ledger = _FleetLedger(ordered=self._recent_orders.names(steady_ms()))
+        ledger = FleetLedger(ordered=self._recent_orders.names(steady_ms()))
         return self._ledger.commit(ledger, puts)
 
     def _list(self) -> bool:
@@ -283,15 +276,14 @@
 
     def step(self, service: MachineService) -> None:
         """Reads the machines and reports once and sends the orders that are due."""
+        by_name = self._read_machines(service)
         listed = self._context.store.list(keys.REPORTS_PREFIX)
-        machines = service.machines()
-        if not isinstance(listed, Success) or machines is None:
+        if by_name is None or not isinstance(listed, Success):
             return
         reports = {
             keys.pool_of_report(item.key): decode_report(item.value)
             for item in listed.unwrap().items
         }
-        by_name = {each.name: each for each in machines}
         fleet = Fleet(by_name, self._vacating.vacant(reports))
         busy = set(self._recent_orders.in_quiet_period(steady_ms()))
         vacate = self._vacating.hosts_of(busy, fleet)
@@ -302,7 +294,7 @@
             busy |= {*wave.down, *wave.selected_machines}
             for pool, host in plan.vacate:
                 vacate[pool].add(host)
-            for pool, host in self._hosts_going_down(wave, fleet):
+            for pool, host in hosts_going_down(wave, fleet):
                 vacate[pool].add(host)
             if self._save_progress(name, wave):
                 for order in plan.orders:
@@ -321,22 +313,34 @@
             vacate[pool].add(host)
         self._store_round(vacate)
 
+    def _read_machines(
+        self, service: MachineService
+    ) -> dict[MachineName, Machine] | None:
+        """Returns the machines; releases emptied hosts if they can't be read."""
+        log = self._context.log
+        machines = run_step(log, "machines", service.machines, otherwise=None)
+        now_ms = steady_ms()
+        if machines is not None:
+            by_name = {each.name: each for each in machines}
+            if self._outage.record_read(by_name):
+                log.event("machines-read-again", term=self._term)
+            return by_name
+        if self._outage.record_failure(now_ms):
+            self._context.metrics.count("machine_service_outages")
+            log.event("machines-not-read", term=self._term)
+        if self._outage.is_long and not self._recent_orders.in_quiet_period(now_ms):
+            recent = map(MachineName, self._recent_orders.names(now_ms))
+            ordered = {*recent, *self._mover.moving}
+            kept = self._outage.hosts_to_keep(self._waves.values(), ordered)
+            self._vacating.retain(kept)
+        return None
+
     def _store_round(self, vacate: dict[PoolName, set[HostId]]) -> None:
         """Stores the hosts to empty and, if they are due, the peaks of the pools."""
         self._vacating.request(vacate)
         if self._demand is not None:
             self._demand.store(self._commit)
 
-    def _hosts_going_down(
-        self, wave: Wave, fleet: Fleet
-    ) -> list[tuple[PoolName, HostId]]:
-        """Returns the host incarnations that must stay empty until they have ended."""
-        return [
-            (fleet.machines[name].pool, host)
-            for name, host in wave.down.items()
-            if name in fleet.machines and host
-        ]
-
     def _order_maintenance(
         self,
         name: str,
--- a/src/amaranthtray/jobs/machine_mover.py
+++ b/src/amaranthtray/jobs/machine_mover.py
@@ -82,6 +82,11 @@
         self._lacking: Mapping[PoolName, int] = {}
         self._senders = ThreadPoolExecutor(CONCURRENT_ORDERS)
 
+    @property
+    def moving(self) -> frozenset[MachineName]:
+        """Returns the machines with an order that may be under way."""
+        return frozenset(self._moves.moving)
+
     def step(
         self,
         fleet: Fleet,
--- a/src/amaranthtray/jobs/vacate_requests.py
+++ b/src/amaranthtray/jobs/vacate_requests.py
@@ -77,6 +77,15 @@
                 found[machine.pool].add(machine.host)
         return found
 
+    def retain(self, hosts: Set[HostId]) -> None:
+        """Requests only those of the present hosts that are among ``hosts``."""
+        self.request(
+            {
+                pool: hosts & request.hosts.keys()
+                for pool, request in self._requests.items()
+            }
+        )
+
     def request(self, wanted: Mapping[PoolName, Set[HostId]]) -> None:
         """Stores the requests that change; ``wanted`` has all hosts to empty."""
         for pool in {*wanted, *self._requests}:
