--- a/src/amaranthtray/jobs/advice_requester.py
+++ b/src/amaranthtray/jobs/advice_requester.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from ..domain.scheduling.messages import Message
+    from .call_turns import CallTurns
     from .conductor_log import ConductorLog
     from .ports import Adviser
 
@@ -24,12 +25,13 @@
     """Sends requests to the adviser; each has exactly one outcome.
 
     The scheduler gives it the next request after the outcome of the last one, so that
-    its queue holds one request at most.
+    its queue holds one request at most. The pools that an entry conducts take turns.
 
     Args:
         adviser: Client of the advice service; None if none is configured.
         post: Queues a message for the conductor.
         log: Log and counters of the conductor.
+        turns: Turns of the entry's pools at the service.
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         adviser: Adviser | None,
         post: Callable[[Message], None],
         log: ConductorLog,
+        turns: CallTurns,
     ) -> None:
         self._adviser = adviser
         self._post = post
         self._log = log
+        self._turns = turns
         self._queue: queue.SimpleQueue[RequestAdvice | None] = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -61,8 +65,18 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             request = self._queue.get()
-            if request is not None:
-                self._post(self.carry_out(request))
+            if request is None:
+                continue
+            with self._turns.turn():
+                outcome = self._carry_out_unless_stopping(request)
+            self._post(outcome)
+
+    def _carry_out_unless_stopping(
+        self, request: RequestAdvice
+    ) -> AdviceReceived | AdviceFailed:
+        if self._stopping.is_set():
+            return AdviceFailed(request.step)
+        return self.carry_out(request)
 
     def carry_out(self, request: RequestAdvice) -> AdviceReceived | AdviceFailed:
         """Sends a request once; returns its outcome."""
--- a/src/amaranthtray/jobs/context.py
+++ b/src/amaranthtray/jobs/context.py
@@ -8,6 +8,7 @@
 from ..domain.jobs.catalog import Catalog
 from ..settings.job_entry import JobEntrySettings
 from ..store.contract import TransactionalStore
+from .call_turns import CallTurns
 from .evacuation_follower import EvacuationFollower, NoEvacuations
 from .event_log import EventLog
 from .host_list_follower import HostListFollower
@@ -28,6 +29,7 @@
         hosts: Follows the list of hosts while the entry conducts a pool.
         catalog: Returns the configuration in force; None if none is known.
         evacuations: Follows the evacuated zones while the entry holds a role.
+        advice_turns: Turns of the conducted pools at the advice service.
     """
 
     settings: JobEntrySettings
@@ -40,3 +42,4 @@
     evacuations: EvacuationFollower | NoEvacuations = field(
         default_factory=NoEvacuations
     )
+    advice_turns: CallTurns = field(default_factory=CallTurns)
--- a/src/amaranthtray/jobs/pool_conductor.py
+++ b/src/amaranthtray/jobs/pool_conductor.py
@@ -131,7 +131,9 @@
             pool, context, self.post, self._guard.may_order
         )
         adviser = context.platform.adviser()
-        self._advice = AdviceRequester(adviser, self.post, self._log)
+        self._advice = AdviceRequester(
+            adviser, self.post, self._log, context.advice_turns
+        )
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._writer_thread = threading.Thread(target=self._write_loop, daemon=True)
 
--- a/tests/jobs/test_evacuation_follower.py
+++ b/tests/jobs/test_evacuation_follower.py
@@ -12,6 +12,7 @@
 from amaranthtray.domain.scheduling import evacuation
 from amaranthtray.domain.scheduling.evacuation import ZonesEvacuated
 from amaranthtray.domain.scheduling.start_check import StartHindrance
+from amaranthtray.jobs.call_turns import CallTurns
 from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.evacuation_follower import EvacuationFollower
 from amaranthtray.jobs.evacuation_reporter import EvacuationReporter
@@ -207,6 +208,7 @@
         jobs=SimpleNamespace(cancellation_limit_ms=3_000),
     )
     context.platform = SimpleNamespace(adviser=lambda: None)
+    context.advice_turns = CallTurns()
     stop = SimpleNamespace(subscribe=lambda role, post: conductor.stop())
     context.evacuations = stop
     conductor = PoolConductor(POOL, Term(1), lambda: Term(1), context)
--- a/tests/jobs/test_foreign_host_entries.py
+++ b/tests/jobs/test_foreign_host_entries.py
@@ -17,6 +17,7 @@
     StartReplied,
     WatchHost,
 )
+from amaranthtray.jobs.call_turns import CallTurns
 from amaranthtray.jobs.host_list_follower import HostListFollower
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.jobs.pool_conductor import PoolConductor
@@ -134,6 +135,7 @@
         ),
         platform=SimpleNamespace(adviser=lambda: None, host_api=host_api),
         evacuations=SimpleNamespace(zones=frozenset()),
+        advice_turns=CallTurns(),
     )
     conductor = PoolConductor(POOL, Term(1), lambda: Term(1), context)
     hosts = (
--- a/tests/jobs/test_share_portion_writer.py
+++ b/tests/jobs/test_share_portion_writer.py
@@ -12,6 +12,7 @@
 from amaranthtray.domain.scheduling import share_portions as sp
 from amaranthtray.domain.scheduling.team_service import TeamEnds, WorstTeams
 from amaranthtray.jobs import clock, keys
+from amaranthtray.jobs.call_turns import CallTurns
 from amaranthtray.jobs.conductor_log import ConductorLog
 from amaranthtray.jobs.metrics_registry import MetricsRegistry
 from amaranthtray.jobs.pool_conductor import PoolConductor, _policy
@@ -144,6 +145,7 @@
     )
     context.evacuations = SimpleNamespace(subscribe=lambda pool, post: True)
     context.platform = SimpleNamespace(adviser=lambda: None)
+    context.advice_turns = CallTurns()
     context.catalog = lambda: None
     conductor = PoolConductor(A, Term(1), lambda: Term(1), context)
     conductor._conduct()
--- a/tests/jobs/test_task_faults.py
+++ b/tests/jobs/test_task_faults.py
@@ -11,6 +11,7 @@
 from amaranthtray.domain.scheduling.caps import ClaimFailed
 from amaranthtray.domain.scheduling.messages import BatchNotStored, StoreJobs
 from amaranthtray.domain.upkeep.moves import PoolLoad
+from amaranthtray.jobs.call_turns import CallTurns
 from amaranthtray.jobs.cap_portion_writer import CapPortionWriter
 from amaranthtray.jobs.config_follower import ConfigFollower
 from amaranthtray.jobs.duty_task import DutyView
@@ -54,6 +55,7 @@
             log=self.lines,
             metrics=MetricsRegistry(),
             platform=self.platform,
+            advice_turns=CallTurns(),
             settings=SimpleNamespace(
                 hosts=hosts,
                 store=StoreSection(address="127.0.0.1:1"),
