--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -83,6 +83,10 @@
         stop_tried_ms: Steady-clock time of a stop without a reply, until a later report
             shows that the run goes on; None if there was none.
         has_survived: Whether it has worked for so long that it does not crash its host.
+        unanswered_ms: Steady-clock time by which the last try to start it that had no
+            reply was sent; None if each was answered. Of a run of an earlier conductor
+            that isn't known, so it is the time at which its record was read.
+        is_awaited: Whether the end of its host's lease has left open if it may start.
     """
 
     number: int
@@ -104,6 +108,8 @@
     prior_crashes: int = 0
     stop_tried_ms: int | None = None
     has_survived: bool = False
+    unanswered_ms: int | None = None
+    is_awaited: bool = False
 
 
 @dataclass(slots=True)
--- a/src/amaranthtray/domain/scheduling/_lost_runs.py
+++ b/src/amaranthtray/domain/scheduling/_lost_runs.py
@@ -6,9 +6,11 @@
 
 from ..jobs.task import HostCrash, RunPhase
 from ._absence import WORKING_PERCENT
+from ._late_starts import split_late_starts
 from .crash_register import HostIncarnation
 from .losses import (
     CrashWithdrawn,
+    LateStartAwaited,
     LossCause,
     LostRun,
     RunsLost,
@@ -24,7 +26,7 @@
     from .host import Host, PlacedRun
     from .messages import HostRunsEnded
 
-LossReport: TypeAlias = RunsLost | TaskGivenUp
+LossReport: TypeAlias = RunsLost | TaskGivenUp | LateStartAwaited
 
 SURVIVAL_MS = 2_000
 """Time at work after which a lasting task did not crash its host."""
@@ -54,19 +56,25 @@
 
 
 def drop_ended_runs(state: SchedulerState, ended: HostRunsEnded) -> list[LossReport]:
-    """Drops the runs on a host, or those of one of its incarnations."""
+    """Drops the runs on a host, or those of one of its incarnations.
+
+    Runs that a later incarnation may still start stay.
+    """
     host = state.hosts.get(ended.host)
     if host is None:
         return []
+    placed, awaited = host.placed_runs(), list[LateStartAwaited]()
+    if ended.cause is LossCause.LEASE_EXPIRED:
+        placed, awaited = split_late_starts(state, host, ended)
     runs = [
-        (placed.name, placed.run)
-        for placed in host.placed_runs()
-        if ended.born in (None, placed.run.host_born)
+        (each.name, each.run)
+        for each in placed
+        if ended.born in (None, each.run.host_born)
     ]
     lost = drop_lost_runs(state, runs, ended.cause)
     if ended.born in (None, host.born):
         host.born = None
-    return lost
+    return [*lost, *awaited]
 
 
 def drop_runs_of_unlisted_hosts(state: SchedulerState) -> list[LossReport]:
--- a/src/amaranthtray/domain/scheduling/_state.py
+++ b/src/amaranthtray/domain/scheduling/_state.py
@@ -196,6 +196,7 @@
         for name, step, task in job.created_tasks():
             self.crashes.add_task(name, task)
             for run in task.runs:
+                run.unanswered_ms = self.now_ms
                 self.caps.add(job.spec.team, step.need)
                 host = self.hosts.get(run.host)
                 if host is not None:
--- a/src/amaranthtray/domain/scheduling/lease.py
+++ b/src/amaranthtray/domain/scheduling/lease.py
@@ -16,13 +16,16 @@
         max_lease_ms: Longest lease that a host grants.
         earlier_leases_until_ms: Steady-clock time at which leases granted by earlier
             terms have expired, for a host that was never reached.
+
+    Attributes:
+        max_lease_ms: Longest lease that a host grants.
     """
 
     def __init__(
         self, *, lease_ms: int, max_lease_ms: int, earlier_leases_until_ms: int
     ) -> None:
         self._lease_ms = lease_ms
-        self._max_lease_ms = max_lease_ms
+        self.max_lease_ms = max_lease_ms
         self._earlier_leases_until_ms = earlier_leases_until_ms
         self._clock_ms: int | None = None
         self._read_ms = 0
@@ -55,7 +58,7 @@
         if self._clock_ms is None or born != self._born:
             # An order to an earlier incarnation, also one of an earlier term, may have
             # been carried out late: its end is far ahead on the new clock.
-            self._until_ms = clock_ms + self._max_lease_ms
+            self._until_ms = clock_ms + self.max_lease_ms
             self._born = born
             self._clock_ms, self._read_ms = clock_ms, received_ms
             return
--- a/src/amaranthtray/domain/scheduling/losses.py
+++ b/src/amaranthtray/domain/scheduling/losses.py
@@ -136,6 +136,34 @@
     ordered_born: int
 
 
+@dataclass(frozen=True, slots=True)
+class LateStartAwaited:
+    """Reports a run that is not given up with its host's lease.
+
+    A start of it had no reply, and a later incarnation may still carry it out.
+
+    Attributes:
+        host: The silent host.
+        born: Incarnation that the list of hosts describes; 0 if it doesn't say it.
+        name: Task of the run.
+        number: Run number.
+        ordered_born: Incarnation for which the run was ordered.
+        remaining_ms: Time after which it is given up if the host stays silent.
+    """
+
+    host: HostId
+    born: int
+    name: TaskName
+    number: int
+    ordered_born: int
+    remaining_ms: int
+
+
 Loss: TypeAlias = (
-    RunsLost | TaskGivenUp | CrashWithdrawn | LateEnd | RunOnOtherIncarnation
+    RunsLost
+    | TaskGivenUp
+    | CrashWithdrawn
+    | LateEnd
+    | RunOnOtherIncarnation
+    | LateStartAwaited
 )
--- a/src/amaranthtray/domain/scheduling/messages.py
+++ b/src/amaranthtray/domain/scheduling/messages.py
@@ -162,17 +162,19 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRunsEnded:
-    """All runs on a host have certainly ended.
+    """All runs on a host have certainly ended, but for starts that come late.
 
     Attributes:
         host: The host.
         cause: How it was learned.
         born: Incarnation whose runs have ended; None if no later one is known.
+        max_lease_ms: Longest lease that the host grants, whatever an order asks for.
     """
 
     host: HostId
     cause: LossCause = LossCause.LEASE_EXPIRED
     born: int | None = None
+    max_lease_ms: int = 10_000
 
 
 class StartOutcome(StrEnum):
--- a/src/amaranthtray/domain/scheduling/pool.py
+++ b/src/amaranthtray/domain/scheduling/pool.py
@@ -19,6 +19,7 @@
     mark_hosts,
     withhold_starts,
 )
+from ._late_starts import record_unanswered
 from ._learning import restore_run_times, review_run_times
 from ._load import pool_load
 from ._lost_runs import LossReport, drop_ended_runs, drop_runs_of_unlisted_hosts
@@ -332,6 +333,9 @@
         placed = host.find(reply.name, reply.number) if host else None
         if host is None or placed is None:
             return []
+        is_unanswered = reply.outcome is StartOutcome.NO_REPLY or reply.was_repeated
+        if is_unanswered:
+            record_unanswered(placed.run, reply.replied_ms)
         if reply.outcome is StartOutcome.STARTED:
             # After a restart of the host, the reply is of its earlier incarnation.
             if placed.run.phase is RunPhase.STARTING:
@@ -340,7 +344,7 @@
         if reply.outcome is StartOutcome.FENCED:
             return [Superseded(reply.host)]
         delay_starts(self.state, host, reply)
-        if reply.outcome is StartOutcome.NO_REPLY or reply.was_repeated:
+        if is_unanswered:
             return self._settle_unanswered(placed, reply.replied_ms)
         self.state.drop_run(reply.name, placed.run)
         return []
--- a/src/amaranthtray/jobs/host_link.py
+++ b/src/amaranthtray/jobs/host_link.py
@@ -218,7 +218,9 @@
             self._log.event("host-silent", detail=detail)
             self._post(HostSilent(self.info.id))
         if self._lease.is_expired(steady_ms()):
-            self._post(HostRunsEnded(self.info.id, LossCause.LEASE_EXPIRED))
+            cause, longest_ms = LossCause.LEASE_EXPIRED, self._lease.max_lease_ms
+            ended = HostRunsEnded(self.info.id, cause, max_lease_ms=longest_ms)
+            self._post(ended)
 
     def _await_stored(self, born: int, pending: int) -> None:
         """Waits until reported ends may be acknowledged, or for a time limit."""
--- a/src/amaranthtray/jobs/host_links.py
+++ b/src/amaranthtray/jobs/host_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -72,8 +73,11 @@
         self._cancellations_age_ms = cancellations_age_ms
         self._max_lease_ms = context.settings.hosts.max_lease_ms
         self._lease_ms = min(LEASE_MS, self._max_lease_ms)
+        now_ms = clock.steady_ms()
         wait_ms = RENEWAL_GRACE_MS + int(self._lease_ms / SLOWEST_CLOCK_RATE)
-        self.earlier_leases_until_ms = clock.steady_ms() + wait_ms
+        self.earlier_leases_until_ms = now_ms + wait_ms
+        longest_ms = math.ceil(self._max_lease_ms / SLOWEST_CLOCK_RATE)
+        self._longest_lease_until_ms = now_ms + max(wait_ms, longest_ms + 1)
         self._links: dict[HostId, HostLink] = {}
         self._numbers: dict[HostId, int] = {}
         self._opened = 0
@@ -96,7 +100,7 @@
             lease_ms=self._lease_ms,
             max_lease_ms=self._max_lease_ms,
             earlier_leases_until_ms=max(
-                self.earlier_leases_until_ms, self._last_leases.pop(info.id, 0)
+                self._earlier_lease_until_ms(info), self._last_leases.pop(info.id, 0)
             ),
         )
         self._opened += 1
@@ -113,6 +117,16 @@
         self._links[info.id] = link
         link.start()
 
+    def _earlier_lease_until_ms(self, info: HostInfo) -> int:
+        """Returns when leases by earlier terms have expired on a host.
+
+        If its entry doesn't say which incarnation wrote it, orders of an earlier term
+        may have reached another one than they were meant for.
+        """
+        if info.born:
+            return self.earlier_leases_until_ms
+        return self._longest_lease_until_ms
+
     def receive(self, sent: Message | LinkMessage) -> Message | None:
         """Returns a message; None if it is of a link and outdated.
 
--- a/src/amaranthtray/jobs/loss_log.py
+++ b/src/amaranthtray/jobs/loss_log.py
@@ -7,6 +7,7 @@
 from ..domain.scheduling.losses import (
     CrashWithdrawn,
     LateEnd,
+    LateStartAwaited,
     RunOnOtherIncarnation,
     RunsLost,
     TaskGivenUp,
@@ -43,6 +44,8 @@
                 self._record_late_end(loss)
             case RunOnOtherIncarnation():
                 self._record_other_incarnation(loss)
+            case LateStartAwaited():
+                self._record_awaited_start(loss)
 
     def _record_lost_runs(self, lost: RunsLost) -> None:
         self._log.metrics.count("runs_lost", lost.cause, len(lost.runs))
@@ -98,3 +101,15 @@
             run=run.number,
             ordered_born=run.ordered_born,
         )
+
+    def _record_awaited_start(self, awaited: LateStartAwaited) -> None:
+        self._log.metrics.count("late_starts_awaited")
+        self._log.event(
+            "late-start-awaited",
+            host=awaited.host,
+            born=awaited.born,
+            task=str(awaited.name),
+            run=awaited.number,
+            ordered_born=awaited.ordered_born,
+            remaining_ms=awaited.remaining_ms,
+        )
--- a/src/amaranthtray/jobs/scheduler_log.py
+++ b/src/amaranthtray/jobs/scheduler_log.py
@@ -15,6 +15,7 @@
 from ..domain.scheduling.losses import (
     CrashWithdrawn,
     LateEnd,
+    LateStartAwaited,
     RunOnOtherIncarnation,
     RunsLost,
     TaskGivenUp,
@@ -67,6 +68,7 @@
                 | CrashWithdrawn()
                 | LateEnd()
                 | RunOnOtherIncarnation()
+                | LateStartAwaited()
             ):
                 self._losses.record(report)
             case LastingRunStopped() | LastingRunEnded():
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -24,7 +24,15 @@
     VacateRequested,
 )
 from amaranthtray.domain.scheduling.orders import StartRun, StopRun
-from scheduling.parts import SchedulerHarness, a_catalog, a_host, a_job, a_step, an_end
+from scheduling.parts import (
+    BORN,
+    SchedulerHarness,
+    a_catalog,
+    a_host,
+    a_job,
+    a_step,
+    an_end,
+)
 
 
 def test_a_run_is_ordered_only_once_its_record_is_stored() -> None:
@@ -94,7 +102,7 @@
 
 
 def test_a_start_without_a_reply_is_stopped_before_the_next_start() -> None:
-    harness = SchedulerHarness(a_host(), a_host("i"))
+    harness = SchedulerHarness(a_host(born=BORN), a_host("i", born=BORN))
     harness.submit(a_job())
     order = harness.starts()[0]
     stops = harness.reply_to_start(order, StartOutcome.NO_REPLY)
--- a/tests/scheduling/test_restart_schedules.py
+++ b/tests/scheduling/test_restart_schedules.py
@@ -9,13 +9,13 @@
 from scheduling.world import World, random_job
 
 SCHEDULES = int(os.environ.get("SCHEDULES", "100")) // 10
-FOUND = (32, 44, 49, 72, 82, 98)
+FOUND = (32, 44, 49, 72, 82, 98, 388, 640, 678, 889, 1073)
 POLL_WAIT_MS = 2_000
 LONGEST_RUN_MS = 8_000
 FAULTY_MS = 40_000
 FAULT_FREE_MS = 100_000
 JOBS = 16
-FOUND_WITH_LATE_ORDERS = (3, 15, 23, 27, 33)
+FOUND_WITH_LATE_ORDERS = (3, 15, 23, 27, 33, 179, 260, 275, 279)
 LATE_FAULT_RATE = 0.15
 
 
