--- a/src/amaranthtray/bench/_waves_simulation.py
+++ b/src/amaranthtray/bench/_waves_simulation.py
@@ -323,18 +323,22 @@
         self._apply_lowered_budget(view.pool)
 
     def _apply_lowered_budget(self, pool: PoolName) -> None:
-        """Applies a lower budget once the writer uses it and others are fenced."""
-        budget = self.fleet.views[pool].budget
+        """Applies a lower budget once the writer uses it and others are fenced.
+
+        A writer with an equal budget of an earlier revision may still read those in
+        between, one of which may be higher.
+        """
+        view = self.fleet.views[pool]
         holder = self.holders[pool][-1]
         conductor = holder.conductor
         is_applied = (
             conductor.view is not None
-            and conductor.view.budget == budget
+            and conductor.view.revision >= view.revision
             and conductor.is_ledger_current
             and not holder.inbox
         )
         if is_applied:
-            self.fleet.apply_budget(pool, budget.max_out)
+            self.fleet.apply_budget(pool, view.budget.max_out)
         else:
             self.clock.after(BUDGET_RETRY_MS, partial(self._apply_lowered_budget, pool))
 
