--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -82,7 +82,8 @@
         prior_crashes: Crashes of the task's hosts that were known at the placement.
         stop_tried_ms: Steady-clock time of a stop without a reply, until a later report
             shows that the run goes on; None if there was none.
-        has_survived: Whether it has worked for so long that it does not crash its host.
+        has_survived: Whether it does not crash its host: it has worked for long enough,
+            or has been stopped there before.
         unanswered_ms: Steady-clock time by which the last try to start it that had no
             reply was sent; None if each was answered. Of a run of an earlier conductor
             that isn't known, so it is the time at which its record was read.
--- a/src/amaranthtray/domain/scheduling/_reports.py
+++ b/src/amaranthtray/domain/scheduling/_reports.py
@@ -44,6 +44,7 @@
     effects += _apply_ends(state, host, report)
     running = {(run.name, run.number): run for run in report.running}
     for placed in host.placed_runs():
+        _note_stopped(placed, report)
         reported = running.pop((placed.name, placed.run.number), None)
         if reported is not None:
             effects += _note_incarnation(placed, report)
@@ -91,6 +92,18 @@
             placed.run.phase, placed.run.confirmed_ms = RunPhase.UNCONFIRMED, None
 
 
+def _note_stopped(placed: PlacedRun, report: HostReport) -> None:
+    """Records that the incarnation of a run is up after a stop of the run.
+
+    The reply to a stop alone may be of the next incarnation.
+    """
+    run = placed.run
+    if run.phase is not RunPhase.STOPPING or run.confirmed_ms is None:
+        return
+    is_same = run.host_born == report.born
+    run.has_survived |= is_same and run.confirmed_ms <= report.received_ms
+
+
 def _note_incarnation(
     placed: PlacedRun, report: HostReport
 ) -> list[RunOnOtherIncarnation]:
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -22,6 +22,7 @@
     HostSilent,
     HostsListed,
     StartOutcome,
+    StopReplied,
 )
 from scheduling.crashing_pool import CrashingPool
 from scheduling.parts import BORN, SchedulerHarness, a_host, a_job, a_step
@@ -182,6 +183,24 @@
     assert [again.prior_crashes for again in harness.starts()] == [0]
 
 
+@pytest.mark.parametrize("was_up_after", [True, False])
+def test_a_host_that_is_up_after_a_stop_has_survived_the_run(
+    *, was_up_after: bool
+) -> None:
+    """Guards against healthy tasks given up whose runs had been stopped long before."""
+    harness = SchedulerHarness(a_host())
+    harness.submit(a_job())
+    order = harness.starts()[0]
+    harness.reply_to_start(order, StartOutcome.NO_REPLY)
+    asked_ms, harness.now_ms = harness.now_ms, harness.now_ms + 1_000
+    stopped = (order.host, order.name, order.number, harness.now_ms)
+    harness.send(StopReplied(*stopped))
+    if was_up_after:
+        harness.report(order.host, sent_ms=asked_ms)
+    harness.report(order.host, born=BORN + 1)
+    assert [again.prior_crashes for again in harness.starts()] == [not was_up_after]
+
+
 def test_a_crash_of_one_host_is_counted_once_by_conductors_in_turn() -> None:
     first = SchedulerHarness(a_host())
     first.submit(a_job())
