--- a/src/amaranthtray/domain/jobs/record.py
+++ b/src/amaranthtray/domain/jobs/record.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MIN_ROW_BYTES, MIN_PAST_BYTES = 34, 2
+MIN_ROW_BYTES, MIN_PAST_BYTES = 36, 2
 """Minimum size of a task's row and of a past occurrence."""
 
 
@@ -54,6 +54,7 @@
     runs: list[RunRecord]
     crashes: list[CrashRecord] = []
     is_given_up: bool = False
+    stalls: int = 0
 
 
 class DoneRecord(msgspec.Struct, array_like=True):
@@ -252,6 +253,7 @@
         runs,
         [CrashRecord(*crash) for crash in task.crashes],
         task.is_given_up,
+        task.stalls,
     )
 
 
@@ -259,7 +261,7 @@
     task.last_run, task.failures = stored.last_run, stored.failures
     task.failed_run, task.is_done = stored.failed_run, stored.is_done
     task.checkpoint = stored.checkpoint
-    task.is_given_up = stored.is_given_up
+    task.is_given_up, task.stalls = stored.is_given_up, stored.stalls
     task.crashes = [
         HostCrash(HostId(crash.host), crash.born, crash.machine)
         for crash in stored.crashes
--- a/src/amaranthtray/domain/jobs/record_limits.py
+++ b/src/amaranthtray/domain/jobs/record_limits.py
@@ -20,10 +20,11 @@
 MIN_VALUE_BYTES = 4_096
 """Smallest maximum size with which jobs of some tasks can be carried out."""
 
-ROW_BYTES = 208
+ROW_BYTES = 212
 """Maximum size of a begun task's row in its shortest form.
 
-Two runs on hosts with ids of 24 bytes, five crashes and numbers of six digits.
+Two runs on hosts with ids of 24 bytes, five crashes, two-digit stalls and numbers of
+six digits.
 """
 
 MARKS_BYTES = 56
--- a/src/amaranthtray/domain/jobs/task.py
+++ b/src/amaranthtray/domain/jobs/task.py
@@ -73,6 +73,8 @@
         pace: Last ordered speed, in percent of full speed.
         paced_ms: Steady-clock time of that order; None if there was none.
         progress_ms: Steady-clock time at which ``percent`` last changed.
+        percent_ms: Time that it took for a percent when ``percent`` last rose; None
+            before.
         first_report_ms: Steady-clock time of the first report of the run; None before.
         first_percent: Completed part of its work in that report.
         is_resumed: Whether it resumed from a checkpoint.
@@ -101,6 +103,7 @@
     pace: int = 100
     paced_ms: int | None = None
     progress_ms: int | None = None
+    percent_ms: float | None = None
     first_report_ms: int | None = None
     first_percent: int = 0
     is_resumed: bool = False
@@ -127,6 +130,7 @@
         not_before_ms: Steady-clock time before which it is not started again.
         crashes: Hosts that crashed under its runs.
         is_given_up: Whether it is not started again because it crashes its hosts.
+        stalls: Runs that were stopped since they showed no progress.
         isolation_wanted_ms: Steady-clock time since which it waits for a host of its
             own; None if it does not.
     """
@@ -140,6 +144,7 @@
     not_before_ms: int = 0
     crashes: list[HostCrash] = field(default_factory=list)
     is_given_up: bool = False
+    stalls: int = 0
     isolation_wanted_ms: int | None = None
 
     @property
--- a/src/amaranthtray/domain/scheduling/run_time_events.py
+++ b/src/amaranthtray/domain/scheduling/run_time_events.py
@@ -115,3 +115,26 @@
     remaining_ms: int
     elsewhere_ms: int
     report_age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunStalled(RunTimeReport):
+    """Reports a run that is stopped, as it has shown no progress for too long.
+
+    Attributes:
+        name: Task of the run.
+        number: Run number.
+        host: Its host.
+        percent: Completed part of its work, as last reported.
+        still_ms: Time from its last change to the host's last report.
+        limit_ms: Time for which it might show no change.
+        stalls: Runs of the task that were stopped so, this one included.
+    """
+
+    name: TaskName
+    number: int
+    host: HostId
+    percent: int
+    still_ms: int
+    limit_ms: int
+    stalls: int
--- a/src/amaranthtray/jobs/run_time_log.py
+++ b/src/amaranthtray/jobs/run_time_log.py
@@ -8,6 +8,7 @@
 from ..domain.scheduling.run_time_events import (
     HostSlow,
     RunMoved,
+    RunStalled,
     RunTimeErrors,
     RunTimesLearned,
     RunTimesUnreadable,
@@ -64,3 +65,8 @@
                 fields = asdict(report)
                 fields["name"] = str(report.name)
                 self._log.event("run-moved", **fields)
+            case RunStalled():
+                metrics.count("runs_stalled")
+                fields = asdict(report)
+                fields["name"] = str(report.name)
+                self._log.event("run-stalled", **fields)
--- a/tests/scheduling/test_restart_schedules.py
+++ b/tests/scheduling/test_restart_schedules.py
@@ -9,7 +9,7 @@
 from scheduling.world import World, random_job
 
 SCHEDULES = int(os.environ.get("SCHEDULES", "100")) // 10
-FOUND = (32, 44, 49, 72, 82, 98, 388, 640, 678, 889, 1073)
+FOUND = (32, 44, 49, 72, 82, 98, 388, 595, 640, 678, 889, 1009, 1073)
 POLL_WAIT_MS = 2_000
 LONGEST_RUN_MS = 8_000
 FAULTY_MS = 40_000
