--- a/src/amaranthtray/jobs/fleet_manager.py
+++ b/src/amaranthtray/jobs/fleet_manager.py
@@ -276,8 +276,9 @@
 
     def step(self, service: MachineService) -> None:
         """Reads the machines and reports once and sends the orders that are due."""
-        by_name = self._read_machines(service)
         listed = self._context.store.list(keys.REPORTS_PREFIX)
+        # Read after the reports, as a machine may have another host since.
+        by_name = self._read_machines(service)
         if by_name is None or not isinstance(listed, Success):
             return
         reports = {
