--- a/review/stand-ins-3/worker.py
+++ b/review/stand-ins-3/worker.py
@@ -101,8 +101,9 @@
     members of its gang, ``lasts`` says that it runs until it is stopped.
 
     Attributes:
-        fault: Gets a call; returns None (as usual) or "lost" (no answer, and the call
-            is carried out ``late_s`` later).
+        fault: Gets a call; returns None (as usual), "lost" (no answer, and the call
+            is carried out ``late_s`` later) or "next" (the call is held up on
+            its way: no answer, and it reaches the worker's next life).
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         self.service, self.rack, self.cores = service, rack, cores
         self.fault: Callable[[Call], str | None] = lambda call: None
         self.late_s = 3.0
+        self._kept: list[Call] = []
         self.state = "ready"
         self._bounds = bounds or Bounds()
         self._store, self._record, self._gangs = store, record, gangs
@@ -140,6 +142,12 @@
         with self._changed:
             return [] if self._life.is_over else list(self._life.running)
 
+    def has_forgotten(self, task: str, number: int) -> bool:
+        """Returns whether the end of a run was acknowledged."""
+        with self._changed:
+            ends = [(end[1], end[2]) for end in self._life.ends]
+            return (task, number) not in ends
+
     def crash(self, back_after_s: float | None = None) -> None:
         """Ends without a word; starts again under its id after a while, or never.
 
@@ -161,9 +169,15 @@
         """Holds and knows nothing of before; its counts start anew."""
         with self._changed:
             self._life, self._sequence = _Life(), 0
+        self._record.note(f"worker {self.id} is back, at the same address")
+        kept, self._kept = self._kept, []
+        for call in kept:
+            reply = self._carry_out(call, self._life)
+            self._record.note(
+                f"the held-up {call.path} reaches worker {self.id} -> {reply.status}"
+            )
         self.server.open()
         self._begin()
-        self._record.note(f"worker {self.id} is back, at the same address")
 
     def _begin(self) -> None:
         for task in (self._tick, self._beat):
@@ -249,6 +263,13 @@
             return Reply(421)
         life = self._life
         fault = self.fault(call)
+        if fault == "next":
+            self._record.note(
+                f"{call.path} to worker {self.id} is held up on its way, and gets no "
+                f"answer: {json.dumps(call.body)}"
+            )
+            self._kept.append(call)
+            return SILENCE
         if fault == "lost":
             self._record.note(
                 f"worker {self.id} leaves {call.path} unanswered, and carries it out "
