--- a/review/11/play.py
+++ b/review/11/play.py
@@ -1,4 +1,4 @@
-"""The queue of accepted jobs is given to another service by a new configuration."""
+"""A configuration removes a route and adds one for another service in its place."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 def play() -> str | None:
     here = Path(__file__).parent
-    old, new = route("r-1", PREFIX, "alpha"), route("r-1", PREFIX, "beta")
+    old, new = route("r-1", PREFIX, "alpha"), route("r-2", PREFIX, "beta")
     with Deployment(here, {"alpha": 4, "beta": 4}, [old]) as site:
         body = {
             "spec": json.dumps({"ms": TASK_MS, "cpu": 500}),
@@ -35,7 +35,7 @@
             site.submit(PREFIX, job, body)
         time.sleep(AFTER_S)
         if site.trouble:
-            # The operator gives the queue to another service.
+            # One version removes the route and adds another one in its place.
             site.configure([new])
         time.sleep(AFTER_S)
         broken = []
