Add review case 15: a job whose queue is unknown after a takeover never ends

Cause: a conductor knows only the queues of the configurations that it has seen; after a takeover the job of a queue that was removed gets a default one, which needs no advice. Seen: a route with advice is replaced by one of another name, the entries are restarted in turn, and the next step of an accepted job is ordered without a ticket for ever, beside idle workers.

--- a/review/stand-ins-3/deployment.py
+++ b/review/stand-ins-3/deployment.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any, Callable
 
+from adviser import Adviser
 from machines import Machines
 from record import Record
 from store import Store
@@ -131,6 +132,15 @@
             self._process.kill()
             self._process.wait()
 
+    def wait_for_end(self, seconds: float) -> None:
+        """Waits until the process has ended.
+
+        Raises:
+            subprocess.TimeoutExpired: It goes on after that time.
+        """
+        if self._process is not None:
+            self._process.wait(seconds)
+
     @property
     def is_running(self) -> bool:
         return self._process is not None and self._process.poll() is None
@@ -173,6 +183,7 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self._folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.store, self.gangs = Store(), Gangs()
+        self.adviser = Adviser(self.record)
         self.services, self.version = services, 0
         self.workers: list[Worker] = []
         for service, count in services.items():
@@ -185,6 +196,7 @@
             "limits": {"cpuShare": 0.537, "cores": 2, "linkMbps": 1000.0},
             "platform": {"address": self.store.server.address, "valueBytes": 1048576},
             "cloud": {"address": self.machines.server.address},
+            "advice": self.adviser.server.address,
             "bounds": BOUNDS,
         }
         self.entries = [
@@ -234,10 +246,17 @@
             rack=rack,
             machine=machine,
             bounds=Bounds(),
+            adviser=self.adviser,
         )
         self.workers.append(worker)
         return worker
 
+    def conductor(self, service: str) -> Entry | None:
+        """Returns the entry that conducts a service's pool now."""
+        holder = self.store.read(f"duties/conductor/{service}/holder").decode()
+        name = holder.partition("/")[0]
+        return next((each for each in self.entries if each.name == name), None)
+
     def worker_of(self, task: str) -> Worker | None:
         """Returns the worker that runs a task now."""
         for worker in self.workers:
--- a/review/stand-ins-3/worker.py
+++ b/review/stand-ins-3/worker.py
@@ -12,6 +12,7 @@
 from wire import SILENCE, Call, Reply, Server
 
 if TYPE_CHECKING:
+    from adviser import Adviser
     from record import Record
     from store import Store
 
@@ -96,7 +97,8 @@
 class Worker:
     """One worker.
 
-    A task's ``spec`` is JSON: ``ms`` is the time that it works, ``fail`` maps
+    A task's ``spec`` is JSON: ``ms`` is the time that it works (``ms_of_step`` that of
+    the tasks of each step), ``fail`` maps
     "INDEX.RUN" to the time after which that run fails, ``gang`` is the number of
     members of its gang, ``lasts`` says that it runs until it is stopped.
 
@@ -117,7 +119,9 @@
         machine: str = "",
         cores: int = 16,
         bounds: Bounds | None = None,
+        adviser: Adviser | None = None,
     ) -> None:
+        self._adviser = adviser
         self.id = f"i-{secrets.token_hex(5)}"
         self.machine = machine or f"m-{secrets.token_hex(3)}"
         self.service, self.rack, self.cores = service, rack, cores
@@ -313,7 +317,15 @@
             return self._answer(life, 200)
         if number <= life.highest.get(task, 0):
             return self._answer(life, 409, reason="old")
+        ticket = str(body.get("ticket", ""))
+        if self._adviser and not self._adviser.accepts(task, self.id, ticket):
+            self._record.note(
+                f"worker {self.id} refuses task {task}, run {number}: no valid ticket"
+            )
+            return self._answer(life, 409, reason="ticket")
         spec = json.loads(body["spec"])
+        if "ms_of_step" in spec:
+            spec["ms"] = spec["ms_of_step"][int(task.split(".")[2])]
         used = sum(each.spec.get("cpu", 500) for each in life.running.values())
         if used + spec.get("cpu", 500) > self.cores * 1_000:
             return self._answer(life, 409, reason="room")
