Let the third review's stand-ins take ports that stay free

Cause: case 15 ended once with 2 in a clean clone, as its entries were not ready; ports that outgoing connections may get can be taken before an entry listens.

--- a/review/stand-ins-3/deployment.py
+++ b/review/stand-ins-3/deployment.py
@@ -96,10 +96,19 @@
 
     def __init__(self, number: int, folder: Path, fields: dict[str, Any]) -> None:
         self.name = f"frontend-sk-north-a-{number}"
-        self.port, self.readiness_port = free_port(), free_port()
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["entry"]
-        own = fields | {
+        self._template, self._fields = (ROOT / role["template"]).read_text(), fields
+        self._settings = folder / f"{self.name}.toml"
+        self._log = folder / f"{self.name}.log"
+        self._command = role["run"].split()
+        self._process: subprocess.Popen[bytes] | None = None
+        self.choose_ports()
+
+    def choose_ports(self) -> None:
+        """Writes the settings with other ports, which hold from the next start on."""
+        self.port, self.readiness_port = free_port(), free_port()
+        own = self._fields | {
             "nodeName": self.name,
             "ip": LOOPBACK,
             "bindAddresses": {
@@ -108,11 +117,7 @@
             },
             "internalPorts": [free_port()],
         }
-        self._settings = folder / f"{self.name}.toml"
-        self._settings.write_text(render((ROOT / role["template"]).read_text(), own))
-        self._log = folder / f"{self.name}.log"
-        self._command = role["run"].split()
-        self._process: subprocess.Popen[bytes] | None = None
+        self._settings.write_text(render(self._template, own))
 
     def start(self) -> None:
         env = {name: os.environ[name] for name in PASSED_ON if name in os.environ}
@@ -228,6 +233,11 @@
             shutil.rmtree(self._folder, ignore_errors=True)
 
     def _are_ready(self) -> bool:
+        for entry in self.entries:
+            if not entry.is_running:
+                # Another process has taken one of its ports.
+                entry.choose_ports()
+                entry.start()
         return all(entry.is_ready for entry in self.entries)
 
     def _are_conducted(self) -> bool:
--- a/review/stand-ins-3/wire.py
+++ b/review/stand-ins-3/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import socket
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -10,6 +11,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 LOOPBACK = "127.0.0.1"
+LISTENING_PORTS = range(12_000, 32_000)
 
 
 class Call(NamedTuple):
@@ -33,10 +35,15 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return int(sock.getsockname()[1])
+    """Returns a port that is free now, and that no outgoing connection gets."""
+    while True:
+        port = random.SystemRandom().choice(LISTENING_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
 
 
 class Server:
